--- /dev/null
+++ b/packages/node/src/core/messages.ts
@@ -0,0 +1,85 @@
+/**
+ * Events and actions of the node core. The daemon's shells and the soak's simulator translate
+ * between these values and I/O; the core itself performs none.
+ */
+import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport, InstanceSnapshot, LogPage, ServiceRequest, ServiceResponse, ServiceResult } from '@yuccawharf/platform'
+
+/** A completion as it reaches the owner of an engine. */
+export type Completion = {
+  requestId: string
+  model: string
+  adapter: string
+  version: string
+  class: string
+  prompt: string
+  maxTokens: number
+  /** Latest useful end, in ms of the core's clock. */
+  deadline: number
+}
+
+/** Why a request or an order was refused. `unknown` is the only outcome after which it may have run. */
+export type Refusal = {
+  outcome: 'not-run' | 'unknown' | 'invalid'
+  reason: string
+  retryAfterMs?: number
+}
+
+/** An order for a plain service; `key` is absent for idempotent calls. */
+export type Order = {
+  orderId: string
+  group: string
+  key?: string
+  req: ServiceRequest
+  deadline: number
+}
+
+/** Messages between cores; each shell sends them in an {@link Envelope}. */
+export type PeerMessage = { type: string }
+
+export type Envelope = {
+  from: string
+  to: string
+  /** Start time of the sending process, in ms. */
+  incarnation: number
+  /** Configuration revision that the sender has in force. */
+  revision: number
+  message: PeerMessage
+}
+
+export type CoreEvent =
+  | { type: 'start' }
+  | { type: 'tick' }
+  | { type: 'log-page', stream: string, page: LogPage }
+  | { type: 'log-expired', stream: string, first: number, next: number }
+  | { type: 'log-read-failed', stream: string }
+  | { type: 'append-result', token: number, result: AppendResult }
+  | { type: 'instance-list', snapshot: InstanceSnapshot }
+  | { type: 'message', envelope: Envelope }
+  | { type: 'submit', completion: Completion }
+  | { type: 'cancel', requestId: string }
+  | { type: 'order', order: Order }
+  | { type: 'engine-report', report: EngineReport }
+  | { type: 'engine-unreachable', engine: string }
+  | { type: 'engine-command-result', engine: string, token: number, result: EngineCommandResult }
+  | { type: 'first-token', requestId: string }
+  | { type: 'request-ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number }
+  | { type: 'service-result', orderId: string, result: ServiceResult }
+  | { type: 'drain' }
+
+export type CoreAction =
+  | { type: 'read-log', stream: string, from: number }
+  | { type: 'append', stream: string, token: number, values: unknown[] }
+  | { type: 'send', envelope: Envelope }
+  | { type: 'engine-command', engine: string, token: number, command: EngineCommand, fence: number }
+  | { type: 'dispatch', engine: string, requestId: string, handle: string, priority: number, resumeAfter?: number }
+  | { type: 'cancel-dispatch', engine: string, requestId: string }
+  | { type: 'refuse', requestId: string, refusal: Refusal }
+  | { type: 'send-order', orderId: string, instance: string, req: ServiceRequest }
+  | { type: 'order-result', orderId: string, result: { type: 'ok', response: ServiceResponse } | { type: 'refused', refusal: Refusal } }
+  | { type: 'record', kind: string, ids: { request?: string, engine?: string, adapter?: string, order?: string }, detail?: string }
+  | { type: 'ready-to-exit' }
+
+/** A node's decisions. `now` is in ms and never decreases. */
+export type NodeCore = {
+  step (event: CoreEvent, now: number): CoreAction[]
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Interfaces to the platform and their HTTP clients. */
+export * from './interfaces'
--- /dev/null
+++ b/packages/platform/src/interfaces.ts
@@ -0,0 +1,151 @@
+/**
+ * Interfaces to everything outside the system. Each has one HTTP client in this package and one
+ * in-memory model in `@yuccawharf/stand-ins`; decisions see only the values, never the transport.
+ */
+
+/** A record read from a log stream. */
+export type LogEntry = {
+  /** Position in the stream, from 0. */
+  offset: number
+  /** Time of the append by the log's clock, in ms. */
+  time: number
+  value: unknown
+}
+
+/** One page of a log stream. */
+export type LogPage = {
+  /** Earliest offset that is still retained. */
+  first: number
+  /** Offset of the next append. */
+  next: number
+  records: LogEntry[]
+}
+
+/** `failed` proves that nothing was appended; after `unknown` the records may be in the stream, now or later. */
+export type AppendResult =
+  | { type: 'ok', offsets: number[] }
+  | { type: 'failed', reason: string }
+  | { type: 'unknown', reason: string }
+
+/** `expired` means that `from` is older than the retained records. */
+export type ReadResult =
+  | { type: 'ok', page: LogPage }
+  | { type: 'expired', first: number, next: number }
+  | { type: 'failed', reason: string }
+
+export interface LogService {
+  append (stream: string, values: unknown[]): Promise<AppendResult>
+  read (stream: string, from: number, limit: number, waitMs: number): Promise<ReadResult>
+}
+
+/** A handle names one load of one adapter version on one engine. */
+export type ResidentAdapter = { handle: string, adapter: string, version: string }
+
+/** Status of an engine; `takenAt` is the engine's time of the snapshot and may lag. */
+export type EngineReport = {
+  engine: string
+  /** Changes with each cold start. */
+  incarnation: number
+  baseModel: string
+  slots: number
+  batchSize: number
+  resident: ResidentAdapter[]
+  running: { requestId: string, handle: string, seq: number }[]
+  queued: number
+  /** ms */
+  takenAt: number
+}
+
+export type EngineCommand =
+  | { type: 'load', handle: string, adapter: string, version: string }
+  | { type: 'unload', handle: string }
+
+/** `refused` proves that the command had no effect; after `unknown` it may have taken effect, now or later. */
+export type EngineCommandResult =
+  | { type: 'ok' }
+  | { type: 'stale-fence' }
+  | { type: 'refused', reason: string }
+  | { type: 'unknown', reason: string }
+
+export type GenerateRequest = {
+  requestId: string
+  handle: string
+  prompt: string
+  maxTokens: number
+  /** Lower numbers run first. */
+  priority: number
+}
+
+/** Events of one generation. `seq` counts tokens from 1; `end` carries the total. */
+export type GenerateEvent =
+  | { type: 'token', seq: number, text: string }
+  | { type: 'end', count: number, reason: 'stop' | 'length' | 'cancelled' }
+
+/** `not-run` proves that the engine never ran the request; `broken` means that the stream can be resumed or is lost. */
+export type GenerateFailure =
+  | { type: 'not-run', reason: string }
+  | { type: 'broken', reason: string }
+
+export interface Engine {
+  status (): Promise<EngineReport | undefined>
+  command (command: EngineCommand, fence: number): Promise<EngineCommandResult>
+  /** @throws {GenerateError} */
+  generate (request: GenerateRequest, signal: AbortSignal): AsyncIterable<GenerateEvent>
+  /** @throws {GenerateError} */
+  resume (requestId: string, after: number, signal: AbortSignal): AsyncIterable<GenerateEvent>
+  cancel (requestId: string): Promise<void>
+}
+
+/** Thrown by {@link Engine.generate} and {@link Engine.resume}. */
+export class GenerateError extends Error {
+  constructor (readonly failure: GenerateFailure) {
+    super(`${failure.type}: ${failure.reason}`)
+    this.name = 'GenerateError'
+  }
+}
+
+export interface WeightStore {
+  /** @returns the size in bytes, `missing`, or `failed` when the store does not answer */
+  describe (adapter: string, version: string): Promise<{ type: 'ok', bytes: number } | { type: 'missing' } | { type: 'failed', reason: string }>
+}
+
+export type InstanceKind = 'engine' | 'service' | 'node'
+export type InstanceState = 'live' | 'leaving'
+
+export type Instance = {
+  id: string
+  kind: InstanceKind
+  /** IP address and port. */
+  address: string
+  zone: string
+  region: string
+  /** Engines and services are routed to by group. */
+  group: string
+  state: InstanceState
+}
+
+export type InstanceSnapshot = { asOf: number, instances: Instance[] }
+
+export interface InstanceList {
+  /** @returns undefined when the list does not answer */
+  fetch (): Promise<InstanceSnapshot | undefined>
+}
+
+export type ServiceRequest = {
+  method: string
+  path: string
+  headers: Record<string, string>
+  body: Uint8Array
+}
+
+export type ServiceResponse = { status: number, headers: Record<string, string>, body: Uint8Array }
+
+/** `not-sent` proves that no byte left; after `unknown` the call may have run. */
+export type ServiceResult =
+  | { type: 'ok', response: ServiceResponse }
+  | { type: 'not-sent', reason: string }
+  | { type: 'unknown', reason: string }
+
+export interface PlainService {
+  call (req: ServiceRequest, signal: AbortSignal): Promise<ServiceResult>
+}
--- /dev/null
+++ b/packages/schema/src/index.ts
@@ -0,0 +1,2 @@
+/** Types and validators of settings, configuration and log records, generated from `schema/`. */
+export * from './generated/index'
--- /dev/null
+++ b/scripts/generate.ts
@@ -0,0 +1,101 @@
+/**
+ * Generates TypeScript types and standalone validators from `schema/*.schema.json` into
+ * `packages/schema/src/generated`. With `--check` it writes nothing and exits 1 when the
+ * committed files differ from what the schemas give.
+ */
+import { existsSync, mkdirSync, readdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { basename, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { Ajv, type AnySchemaObject } from 'ajv'
+import standaloneModule from 'ajv/dist/standalone/index.js'
+import { compile } from 'json-schema-to-typescript'
+
+const root = fileURLToPath(new URL('..', import.meta.url))
+const schemaDir = join(root, 'schema')
+const outDir = join(root, 'packages/schema/src/generated')
+const banner = '/* Generated from schema/ by `npm run generate`. Do not edit. */'
+// ajv's standalone module is CommonJS, so its default export arrives wrapped in some loaders.
+const standaloneCode = ((standaloneModule as unknown as { default?: typeof standaloneModule }).default ?? standaloneModule)
+
+type GeneratedFile = { name: string, text: string }
+
+function exportName (file: string): string {
+  const words = basename(file, '.schema.json').split('-')
+  return words.map(word => word.charAt(0).toUpperCase() + word.slice(1)).join('')
+}
+
+/** Names of the schema's definitions that get a validator of their own (`"x-validator": true`). */
+function validatedDefinitions (schema: AnySchemaObject): string[] {
+  const definitions = (schema.definitions ?? {}) as Record<string, AnySchemaObject>
+  return Object.keys(definitions).filter(name => definitions[name]?.['x-validator'] === true)
+}
+
+async function generateTypes (file: string, schema: AnySchemaObject): Promise<GeneratedFile> {
+  const text = await compile(schema as never, exportName(file), {
+    bannerComment: banner,
+    additionalProperties: false,
+    unreachableDefinitions: true,
+    format: false
+  })
+  return { name: `${basename(file, '.schema.json')}.ts`, text }
+}
+
+function generateValidators (schemas: Map<string, AnySchemaObject>): GeneratedFile[] {
+  const ajv = new Ajv({ allErrors: true, discriminator: true, strictTypes: false, allowUnionTypes: true, code: { source: true, esm: true, lines: true } })
+  ajv.addVocabulary(['x-validator', 'x-unit'])
+  const names: Record<string, string> = {}
+  for (const [file, schema] of schemas) {
+    const id = basename(file, '.schema.json')
+    ajv.addSchema(schema, id)
+    if (schema['x-validator'] === true) names[`validate${exportName(file)}`] = id
+    for (const definition of validatedDefinitions(schema)) names[`validate${definition}`] = `${id}#/definitions/${definition}`
+  }
+  const code = standaloneCode(ajv, names)
+  // The standalone code requires ajv's runtime helpers with CommonJS calls even in ESM mode.
+  const imports: string[] = []
+  const text = code.replace(/require\("(ajv[^"]+)"\)(\.default)?/g, (_match, path: string, member?: string) => {
+    const local = `runtime${imports.length}`
+    imports.push(`import ${local} from '${path}.js'`)
+    return member === undefined ? local : `(${local}.default ?? ${local})`
+  })
+  const declarations = Object.keys(names).map(name => `export const ${name}: Validator`)
+  const declarationText = `${banner}\nimport type { ErrorObject } from 'ajv'\n\nexport type Validator = ((data: unknown) => boolean) & { errors?: ErrorObject[] | null }\n${declarations.join('\n')}\n`
+  return [
+    { name: 'validators.js', text: `${banner}\n${imports.join('\n')}\n${text.replace(/^"use strict";\n?/, '')}\n` },
+    { name: 'validators.d.ts', text: declarationText }
+  ]
+}
+
+async function generate (): Promise<GeneratedFile[]> {
+  const files = readdirSync(schemaDir).filter(file => file.endsWith('.schema.json')).sort()
+  const schemas = new Map(files.map(file => [file, JSON.parse(readFileSync(join(schemaDir, file), 'utf8')) as AnySchemaObject]))
+  const types = await Promise.all([...schemas].map(([file, schema]) => generateTypes(file, structuredClone(schema))))
+  const index = files.map(file => `export * from './${basename(file, '.schema.json')}'`)
+  return [
+    ...types,
+    ...generateValidators(schemas),
+    { name: 'index.ts', text: `${banner}\n${index.join('\n')}\nexport * from './validators.js'\n` }
+  ]
+}
+
+function differingFiles (files: GeneratedFile[]): string[] {
+  const expected = new Set(files.map(file => file.name))
+  const stale = existsSync(outDir) ? readdirSync(outDir).filter(name => !expected.has(name)) : []
+  const changed = files.filter(({ name, text }) => {
+    const path = join(outDir, name)
+    return !existsSync(path) || readFileSync(path, 'utf8') !== text
+  })
+  return [...changed.map(file => file.name), ...stale]
+}
+
+const files = await generate()
+if (process.argv.includes('--check')) {
+  const differing = differingFiles(files)
+  if (differing.length > 0) {
+    console.error(`generated code is out of date, run "npm run generate": ${differing.join(', ')}`)
+    process.exitCode = 1
+  }
+} else {
+  mkdirSync(outDir, { recursive: true })
+  for (const { name, text } of files) writeFileSync(join(outDir, name), text)
+}
