--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** Serving decisions without I/O. */
+export * from './messages'
--- /dev/null
+++ b/packages/serving/src/messages.ts
@@ -0,0 +1,81 @@
+/**
+ * Events and actions of the serving decisions: the scheduler of one engine, the permits for
+ * adapter loads and the router of an entry node. All times are ms of the caller's clock.
+ */
+import type { ClassConfig } from '@yuccawharf/schema'
+import type { EngineCommandResult, EngineReport, ResidentAdapter } from '@yuccawharf/platform'
+
+/** A request waiting at the owner of an engine. */
+export type ServingRequest = {
+  requestId: string
+  adapter: string
+  version: string
+  class: string
+  promptTokens: number
+  maxTokens: number
+  /** Identifies the longest prompt prefix worth caching; requests that share it profit from the same engine. */
+  prefix?: string
+  arrivedAt: number
+  deadline: number
+}
+
+export type SchedulerEvent =
+  | { type: 'classes', classes: Record<string, ClassConfig> }
+  | { type: 'adopt', resident: ResidentAdapter[], running: { requestId: string, handle: string }[] }
+  | { type: 'evictable', handles: string[] }
+  | { type: 'submit', request: ServingRequest }
+  | { type: 'cancel', requestId: string }
+  | { type: 'first-token', requestId: string }
+  | { type: 'ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number }
+  | { type: 'load-result', handle: string, result: EngineCommandResult }
+  | { type: 'unload-result', handle: string, result: EngineCommandResult }
+  | { type: 'report', report: EngineReport }
+  | { type: 'permit', permitId: string, expiresAt: number }
+  | { type: 'permit-denied', retryAfterMs: number }
+  | { type: 'drain' }
+  | { type: 'tick' }
+
+export type SchedulerAction =
+  /** `urgency` orders competing owners at the permit holder: higher first. */
+  | { type: 'request-permit', urgency: number }
+  | { type: 'release-permit', permitId: string }
+  | { type: 'load', handle: string, adapter: string, version: string, permitId: string }
+  | { type: 'unload', handle: string }
+  | { type: 'dispatch', requestId: string, handle: string, priority: number }
+  | { type: 'cancel-dispatch', requestId: string }
+  | { type: 'refuse', requestId: string, reason: string, retryAfterMs: number }
+  /** The engine lost the request before a token; the owner runs it again unless its deadline has passed. */
+  | { type: 'requeued', requestId: string }
+
+/** The decisions of one engine's owner. Varies by policy: the product's and the baselines of the bench. */
+export interface EngineScheduler {
+  step (event: SchedulerEvent, now: number): SchedulerAction[]
+  /** Soft hints for routers. */
+  load (now: number): EngineLoadHint
+}
+
+/** What the owner tells entry nodes about an engine. */
+export type EngineLoadHint = {
+  engine: string
+  /** Estimated wait of a short request whose adapter is resident, in ms. */
+  waitMs: number
+  /** Estimated extra wait when the adapter must be loaded first, in ms. */
+  loadWaitMs: number
+  queued: number
+  running: number
+  at: number
+}
+
+export type SchedulerConfig = {
+  engine: string
+  /** Fencing number of the owner's term; part of every handle. */
+  term: number
+  slots: number
+  batchSize: number
+  queuedPerEngine: number
+  queuedPerAdapter: number
+  /** Time of one load at full speed, in ms. */
+  loadMs: number
+  classes: Record<string, ClassConfig>
+  seed: number
+}
