Add the platform clients and the stand-ins

The daemon and the soak need the outside systems before either can run.

The clients on undici bound the time and size of each response and report a failure as proved not applied only when no connection existed, the request was invalid, or the service stated it. A broken stream whose engine no longer knows the request carries `lost`, so that its owner does not resume it again.

The stand-ins are models on a virtual or real clock with thin HTTP servers over them.

--- /dev/null
+++ b/packages/platform/src/http-client.ts
@@ -0,0 +1,150 @@
+/**
+ * HTTP exchanges with bounded time and size. A failure is `not-sent` only when it proves that no
+ * byte of the request reached the other side; everything else is `unknown`.
+ */
+import type { Readable } from 'node:stream'
+import { Agent, type Dispatcher } from 'undici'
+
+export type HttpRequest = {
+  method: string
+  path: string
+  headers?: Record<string, string>
+  body?: string | Uint8Array
+  /** Longest time from the call to the end of the response, in ms. */
+  timeoutMs?: number
+  signal?: AbortSignal
+}
+
+export type HttpResponse = { status: number, headers: Record<string, string>, body: Buffer }
+
+export type HttpFailure = { type: 'not-sent', reason: string } | { type: 'unknown', reason: string }
+
+export type HttpResult = { type: 'ok', response: HttpResponse } | HttpFailure
+
+/** A response whose body is read piece by piece; the reader ends it by `signal` or by destroying the body. */
+export type HttpStreamResult = { type: 'ok', status: number, headers: Record<string, string>, body: Readable } | HttpFailure
+
+export type HttpClientOptions = {
+  /** For example http://10.1.2.3:8000 */
+  baseUrl: string
+  timeoutMs?: number
+  maxBytes?: number
+  /** Connections to share; by default each client has its own. */
+  dispatcher?: Dispatcher
+}
+
+export interface HttpClient {
+  exchange (req: HttpRequest): Promise<HttpResult>
+  /** `timeoutMs` bounds the time to the headers and then each pause of the body. */
+  stream (req: HttpRequest): Promise<HttpStreamResult>
+  close (): Promise<void>
+}
+
+const defaultTimeoutMs = 5000
+const defaultMaxBytes = 16 * 1024 * 1024
+const connectTimeoutMs = 1000
+
+/** Connections for several clients. One request at a time uses a connection, so a lost connection fails only that one. */
+export function createConnections (): Agent {
+  return new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 1, keepAliveTimeout: 4000 })
+}
+
+type SystemError = { code?: string, syscall?: string, message?: string, errors?: unknown[] }
+
+/** True when the error arose before a connection existed or undici rejected the request itself. */
+function provesNotSent (err: unknown): boolean {
+  const { code, syscall, errors } = (err ?? {}) as SystemError
+  if (errors !== undefined && errors.length > 0) return errors.every(provesNotSent)
+  return code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'UND_ERR_INVALID_ARG' || syscall === 'connect' || syscall === 'getaddrinfo'
+}
+
+/** @returns the failure that an error of undici stands for */
+export function classifyError (err: unknown): HttpFailure {
+  const { code, message } = (err ?? {}) as SystemError
+  const reason = [code, message].filter(part => part !== undefined && part !== '').join(': ')
+  return { type: provesNotSent(err) ? 'not-sent' : 'unknown', reason: reason === '' ? 'connection failed' : reason }
+}
+
+function singleHeaders (headers: Record<string, string | string[] | undefined>): Record<string, string> {
+  const single: Record<string, string> = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined) single[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return single
+}
+
+/**
+ * Reads a whole body.
+ * @returns undefined when it exceeds `maxBytes`; the connection is then closed
+ */
+export async function readBody (body: Readable, maxBytes: number): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    bytes += chunk.length
+    // Leaving the loop destroys the body and with it the connection.
+    if (bytes > maxBytes) return undefined
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks)
+}
+
+export function createHttpClient (options: HttpClientOptions): HttpClient {
+  const { timeoutMs = defaultTimeoutMs, maxBytes = defaultMaxBytes } = options
+  const dispatcher = options.dispatcher ?? createConnections()
+  const base = new URL(options.baseUrl)
+  const prefix = base.pathname.replace(/\/$/, '')
+
+  const send = async (req: HttpRequest, signal: AbortSignal, pauseMs: number): Promise<Dispatcher.ResponseData> => await dispatcher.request({
+    origin: base.origin,
+    path: prefix + req.path,
+    method: req.method as Dispatcher.HttpMethod,
+    headers: req.headers ?? {},
+    body: req.body ?? null,
+    signal,
+    headersTimeout: pauseMs,
+    bodyTimeout: pauseMs
+  })
+
+  return {
+    async exchange (req) {
+      if (req.signal?.aborted === true) return { type: 'not-sent', reason: 'cancelled before it was sent' }
+      const abort = new AbortController()
+      const limit = req.timeoutMs ?? timeoutMs
+      const timer = setTimeout(() => abort.abort(new Error(`no response within ${limit} ms`)), limit)
+      const cancel = (): void => abort.abort(new Error('cancelled'))
+      req.signal?.addEventListener('abort', cancel, { once: true })
+      try {
+        const { statusCode, headers, body } = await send(req, abort.signal, limit)
+        const bytes = await readBody(body, maxBytes)
+        if (bytes === undefined) return { type: 'unknown', reason: `response exceeds ${maxBytes} bytes` }
+        return { type: 'ok', response: { status: statusCode, headers: singleHeaders(headers), body: bytes } }
+      } catch (err) {
+        return classifyError(err)
+      } finally {
+        clearTimeout(timer)
+        req.signal?.removeEventListener('abort', cancel)
+      }
+    },
+    async stream (req) {
+      const signal = req.signal ?? new AbortController().signal
+      if (signal.aborted) return { type: 'not-sent', reason: 'cancelled before it was sent' }
+      try {
+        const { statusCode, headers, body } = await send(req, signal, req.timeoutMs ?? timeoutMs)
+        return { type: 'ok', status: statusCode, headers: singleHeaders(headers), body }
+      } catch (err) {
+        return classifyError(err)
+      }
+    },
+    close: async () => { if (options.dispatcher === undefined) await dispatcher.destroy() }
+  }
+}
+
+/** @returns the JSON value of a body, or undefined when it is malformed */
+export function parseJson (body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8')) as unknown
+  } catch {
+    return undefined
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,9 @@
 /** Interfaces to the platform and their HTTP clients. */
+export * from './engine-client'
+export * from './http-client'
+export * from './instance-list-client'
 export * from './interfaces'
+export * from './log-client'
+export * from './plain-service-client'
+export * from './sse-parser'
+export * from './weight-store-client'
--- a/packages/platform/src/interfaces.ts
+++ b/packages/platform/src/interfaces.ts
@@ -84,7 +84,8 @@
 /** `not-run` proves that the engine never ran the request; `broken` means that the stream can be resumed or is lost. */
 export type GenerateFailure =
   | { type: 'not-run', reason: string }
-  | { type: 'broken', reason: string }
+  /** `lost`: the engine no longer knows the request, so that resuming it cannot succeed. */
+  | { type: 'broken', reason: string, lost?: true }
 
 export interface Engine {
   status (): Promise<EngineReport | undefined>
--- /dev/null
+++ b/packages/platform/src/sse-parser.ts
@@ -0,0 +1,83 @@
+/** Incremental parser of server-sent events (HTML Living Standard, section 9.2) with bounded memory. */
+import { StringDecoder } from 'node:string_decoder'
+
+export type ServerSentEvent = { id: string, data: string }
+
+/** An event that exceeds the size bound ends the stream: the rest could not be attributed. */
+export class OversizedEventError extends Error {
+  constructor (maxBytes: number) {
+    super(`event exceeds ${maxBytes} bytes`)
+    this.name = 'OversizedEventError'
+  }
+}
+
+export type SseParser = {
+  /**
+   * @returns the events that the chunk completes
+   * @throws {OversizedEventError}
+   */
+  push (chunk: Uint8Array): ServerSentEvent[]
+}
+
+const defaultMaxBytes = 64 * 1024
+
+/** @param maxBytes - bound of one event, in characters of its lines */
+export function createSseParser (maxBytes = defaultMaxBytes): SseParser {
+  const decoder = new StringDecoder('utf8')
+  let rest = ''
+  let atStart = true
+  let id = ''
+  let data: string | undefined
+  let size = 0
+  let afterReturn = false
+
+  const field = (line: string): void => {
+    size += line.length
+    if (size > maxBytes) throw new OversizedEventError(maxBytes)
+    const colon = line.indexOf(':')
+    if (colon === 0) return
+    const name = colon < 0 ? line : line.slice(0, colon)
+    const start = line.charCodeAt(colon + 1) === 32 ? colon + 2 : colon + 1
+    const value = colon < 0 ? '' : line.slice(start)
+    if (name === 'data') data = data === undefined ? value : `${data}\n${value}`
+    else if (name === 'id' && !value.includes('\0')) id = value
+  }
+
+  const endOfLine = (text: string, from: number): number => {
+    const feed = text.indexOf('\n', from)
+    const carriage = text.indexOf('\r', from)
+    if (carriage < 0) return feed
+    return feed < 0 ? carriage : Math.min(feed, carriage)
+  }
+
+  const takeLine = (line: string, events: ServerSentEvent[]): void => {
+    if (line !== '') return field(line)
+    if (data !== undefined) events.push({ id, data })
+    data = undefined
+    size = 0
+  }
+
+  return {
+    push (chunk) {
+      const events: ServerSentEvent[] = []
+      let decoded = decoder.write(chunk as Buffer)
+      if (atStart && decoded !== '') {
+        atStart = false
+        if (decoded.charCodeAt(0) === 0xfeff) decoded = decoded.slice(1)
+      }
+      if (afterReturn && decoded.startsWith('\n')) decoded = decoded.slice(1)
+      if (decoded !== '') afterReturn = false
+      const text = rest + decoded
+      let from = 0
+      for (let end = endOfLine(text, from); end >= 0; end = endOfLine(text, from)) {
+        takeLine(text.slice(from, end), events)
+        const carriage = text.charCodeAt(end) === 13
+        if (carriage && end + 1 === text.length) afterReturn = true
+        from = carriage && text.charCodeAt(end + 1) === 10 ? end + 2 : end + 1
+      }
+      rest = text.slice(from)
+      if (rest.length + size > maxBytes) throw new OversizedEventError(maxBytes)
+      return events
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine-model.ts
@@ -0,0 +1,312 @@
+/** Model of a model engine: continuous batching, adapter slots, resumable streams, cold restarts. */
+import type { EngineCommand, EngineCommandResult, EngineReport, GenerateRequest } from '@yuccawharf/platform'
+import type { Clock } from './clock'
+import { createPrefixCacheModel, hashText, type CacheEvent } from './prefix-cache-model'
+import type { WeightStoreModel } from './weight-store-model'
+
+export type EngineModelOptions = {
+  clock: Clock
+  weights: WeightStoreModel
+  engine: string
+  baseModel: string
+  slots?: number
+  batchSize?: number
+  /** Requests waiting for the batch before new ones are refused. */
+  maxQueued?: number
+  /** Time of one step of the batch: a fixed part and a part per sequence, in ms. */
+  stepBaseMs?: number
+  stepPerSequenceMs?: number
+  /** Tokens per sequence and step; together with a step time of 0 this gives the highest token rate. */
+  tokensPerStep?: number
+  prefillMsPerToken?: number
+  checksFencing?: boolean
+  /** Largest age of a status report, in ms. */
+  reportLagMs?: number
+  cacheBlocks?: number
+  cacheLagMs?: number
+  seed?: number
+}
+
+export type EndReason = 'stop' | 'length' | 'cancelled'
+
+/** Receives one stream. All tokens of a step that are due together arrive in one call. */
+export interface StreamListener {
+  tokens (firstSeq: number, texts: string[]): void
+  end (count: number, reason: EndReason): void
+  broken (reason: string): void
+}
+
+/** Response to a new or resumed stream; `code` as in the engine's error bodies. */
+export type StreamStart = { type: 'ok', detach: () => void } | { type: 'refused', code: 'model_not_found' | 'draining' | 'overloaded' | 'duplicate_request' | 'response_not_found' } | { type: 'unreachable' }
+
+export type EngineModel = {
+  generate (req: GenerateRequest, listener: StreamListener): StreamStart
+  resume (requestId: string, after: number, listener: StreamListener): StreamStart
+  cancel (requestId: string): void
+  command (command: EngineCommand, fence: number, done: (result: EngineCommandResult) => void): void
+  /** @returns undefined while the engine is unreachable */
+  status (): EngineReport | undefined
+  cacheEvents (after: number): CacheEvent[]
+  /** Cold restart: a new incarnation with nothing loaded; unreachable for `downMs`. */
+  restart (downMs?: number): void
+  setUnreachable (value: boolean): void
+  setDraining (value: boolean): void
+  /** The next command takes effect, and its caller gets `unknown`. */
+  loseNextAnswer (): void
+  failNextLoad (): void
+  /** The next load occupies its slot and never ends. */
+  hangNextLoad (): void
+  /** Cuts the connections of all streams; their generation continues. */
+  cutStreams (): void
+  /** Counters for checks; `evictedInUse` counts unloads that cut off a request. */
+  stats (): EngineStats
+}
+
+export type EngineStats = { started: number, completed: number, evictedInUse: number, steps: number, batchSum: number, tokens: number }
+
+type Sequence = { req: GenerateRequest, adapter: string, version: string, hash: number, order: number, produced: number, end?: EndReason, listeners: Set<StreamListener> }
+
+const keptResponses = 1000
+const charactersPerToken = 4
+
+/** Text of token `seq`: the first names adapter and version, the others depend on the whole request. */
+function tokenText (adapter: string, version: string, hash: number, seq: number): string {
+  return seq === 1 ? `${adapter}@${version}` : ` w${(hash + Math.imul(seq, 2654435761) >>> 0) % 10000}`
+}
+
+function requestHash (requestId: string, adapter: string, version: string, prompt: string): number {
+  return hashText(prompt, hashText(`${requestId} ${adapter}@${version} `))
+}
+
+/** Whole text that every engine generates for a request, so that callers can check each response. */
+export function expectedText (requestId: string, adapter: string, version: string, prompt: string, count: number): string {
+  const hash = requestHash(requestId, adapter, version, prompt)
+  return Array.from({ length: count }, (_, at) => tokenText(adapter, version, hash, at + 1)).join('')
+}
+
+export function createEngineModel (options: EngineModelOptions): EngineModel {
+  const { clock, weights, slots = 8, batchSize = 32, maxQueued = 256, stepBaseMs = 12, stepPerSequenceMs = 0.15, tokensPerStep = 1, prefillMsPerToken = 0.05, reportLagMs = 0 } = options
+  const cache = createPrefixCacheModel({ clock, blocks: options.cacheBlocks, lagMs: options.cacheLagMs, seed: options.seed })
+  const stats: EngineStats = { started: 0, completed: 0, evictedInUse: 0, steps: 0, batchSum: 0, tokens: 0 }
+  const resident = new Map<string, { adapter: string, version: string }>()
+  const loading = new Map<string, (result: EngineCommandResult) => void>()
+  const known = new Map<string, Sequence>()
+  let waiting: Sequence[] = []
+  let batch: Sequence[] = []
+  let ended: string[] = []
+  let incarnation = 1
+  let highestFence = -1
+  let order = 0
+  let stepping = false
+  let unreachable = false
+  let draining = false
+  let losses = 0
+  let loadFailures = 0
+  let loadHangs = 0
+  let report: EngineReport | undefined
+
+  const finish = (sequence: Sequence, reason: EndReason): void => {
+    sequence.end = reason
+    if (reason !== 'cancelled') stats.completed++
+    const listeners = [...sequence.listeners]
+    sequence.listeners.clear()
+    ended.push(sequence.req.requestId)
+    if (ended.length > 2 * keptResponses) {
+      for (const requestId of ended.slice(0, keptResponses)) {
+        if (known.get(requestId)?.end !== undefined) known.delete(requestId)
+      }
+      ended = ended.slice(keptResponses)
+    }
+    for (const listener of listeners) listener.end(sequence.produced, reason)
+  }
+
+  const breakOff = (sequence: Sequence, reason: string): void => {
+    known.delete(sequence.req.requestId)
+    for (const listener of sequence.listeners) listener.broken(reason)
+    sequence.listeners.clear()
+  }
+
+  const textsOf = (sequence: Sequence, first: number, last: number): string[] => {
+    const texts: string[] = []
+    for (let seq = first; seq <= last; seq++) texts.push(tokenText(sequence.adapter, sequence.version, sequence.hash, seq))
+    return texts
+  }
+
+  /** Moves waiting requests into the batch. @returns the prompt tokens to process */
+  const fillBatch = (): number => {
+    let prompts = 0
+    while (batch.length < batchSize && waiting.length > 0) {
+      const sequence = waiting.shift()!
+      const tokens = Math.ceil(sequence.req.prompt.length / charactersPerToken)
+      prompts += Math.max(0, tokens - cache.use(sequence.req.handle, sequence.req.prompt))
+      batch.push(sequence)
+    }
+    return prompts
+  }
+
+  const scheduleStep = (dueAt: number): void => {
+    if (stepping) return
+    const prompts = fillBatch()
+    if (batch.length === 0) return
+    stepping = true
+    const due = dueAt + stepBaseMs + stepPerSequenceMs * batch.length + prefillMsPerToken * prompts
+    const current = incarnation
+    clock.after(due - clock.now(), () => {
+      if (current !== incarnation) return
+      stepping = false
+      runStep()
+      // A step that is late by more than 100 ms does not make up for the delay.
+      scheduleStep(Math.max(due, clock.now() - 100))
+    })
+  }
+
+  const runStep = (): void => {
+    stats.steps++
+    stats.batchSum += batch.length
+    const running = batch
+    for (const sequence of running) {
+      const first = sequence.produced + 1
+      sequence.produced = Math.min(sequence.req.maxTokens, sequence.produced + tokensPerStep)
+      stats.tokens += sequence.produced - first + 1
+      if (sequence.listeners.size > 0) {
+        const texts = textsOf(sequence, first, sequence.produced)
+        for (const listener of sequence.listeners) listener.tokens(first, texts)
+      }
+    }
+    batch = running.filter(sequence => sequence.produced < sequence.req.maxTokens)
+    for (const sequence of running) {
+      if (sequence.produced >= sequence.req.maxTokens && sequence.end === undefined) finish(sequence, 'length')
+    }
+  }
+
+  const remove = (sequence: Sequence): void => {
+    waiting = waiting.filter(other => other !== sequence)
+    batch = batch.filter(other => other !== sequence)
+  }
+
+  const answer = (done: (result: EngineCommandResult) => void, result: EngineCommandResult): void => {
+    const lost = losses > 0
+    if (lost) losses--
+    done(lost ? { type: 'unknown', reason: 'response lost' } : result)
+  }
+
+  const load = (command: EngineCommand & { type: 'load' }, done: (result: EngineCommandResult) => void): void => {
+    if (resident.has(command.handle) || loading.has(command.handle)) return answer(done, { type: 'refused', reason: 'already_loaded' })
+    if (resident.size + loading.size >= slots) return answer(done, { type: 'refused', reason: 'no_free_slot' })
+    loading.set(command.handle, done)
+    if (loadHangs > 0) {
+      loadHangs--
+      return
+    }
+    const fails = loadFailures > 0
+    if (fails) loadFailures--
+    weights.fetch(command.adapter, command.version, result => {
+      if (loading.get(command.handle) !== done) return
+      loading.delete(command.handle)
+      if (fails || result.type !== 'ok') return answer(done, { type: 'refused', reason: 'weight_store_failed' })
+      resident.set(command.handle, { adapter: command.adapter, version: command.version })
+      answer(done, { type: 'ok' })
+    })
+  }
+
+  const unload = (handle: string, done: (result: EngineCommandResult) => void): void => {
+    if (!resident.delete(handle)) return answer(done, { type: 'refused', reason: 'model_not_found' })
+    for (const sequence of [...batch, ...waiting].filter(other => other.req.handle === handle)) {
+      stats.evictedInUse++
+      remove(sequence)
+      breakOff(sequence, 'adapter was unloaded')
+    }
+    answer(done, { type: 'ok' })
+  }
+
+  const takeReport = (): EngineReport => ({
+    engine: options.engine,
+    incarnation,
+    baseModel: options.baseModel,
+    slots,
+    batchSize,
+    resident: [...resident].map(([handle, loaded]) => ({ handle, ...loaded })),
+    running: [...batch, ...waiting].map(({ req, produced }) => ({ requestId: req.requestId, handle: req.handle, seq: produced })),
+    queued: waiting.length,
+    takenAt: clock.now()
+  })
+
+  return {
+    generate (req, listener) {
+      if (unreachable) return { type: 'unreachable' }
+      const model = resident.get(req.handle)
+      if (model === undefined) return { type: 'refused', code: 'model_not_found' }
+      if (draining) return { type: 'refused', code: 'draining' }
+      if (waiting.length >= maxQueued) return { type: 'refused', code: 'overloaded' }
+      const earlier = known.get(req.requestId)
+      if (earlier !== undefined && earlier.end !== 'cancelled') return { type: 'refused', code: 'duplicate_request' }
+      const hash = requestHash(req.requestId, model.adapter, model.version, req.prompt)
+      const sequence: Sequence = { req, ...model, hash, order: order++, produced: 0, listeners: new Set([listener]) }
+      known.set(req.requestId, sequence)
+      stats.started++
+      const at = waiting.findIndex(other => other.req.priority > req.priority)
+      waiting.splice(at < 0 ? waiting.length : at, 0, sequence)
+      scheduleStep(clock.now())
+      return { type: 'ok', detach: () => sequence.listeners.delete(listener) }
+    },
+    resume (requestId, after, listener) {
+      if (unreachable) return { type: 'unreachable' }
+      const sequence = known.get(requestId)
+      if (sequence === undefined) return { type: 'refused', code: 'response_not_found' }
+      if (after < sequence.produced) listener.tokens(after + 1, textsOf(sequence, after + 1, sequence.produced))
+      if (sequence.end !== undefined) listener.end(sequence.produced, sequence.end)
+      else sequence.listeners.add(listener)
+      return { type: 'ok', detach: () => sequence.listeners.delete(listener) }
+    },
+    cancel (requestId) {
+      const sequence = known.get(requestId)
+      if (unreachable || sequence === undefined || sequence.end !== undefined) return
+      remove(sequence)
+      finish(sequence, 'cancelled')
+    },
+    command (command, fence, done) {
+      if (unreachable) return done({ type: 'unknown', reason: 'unreachable' })
+      if (options.checksFencing === true && fence < highestFence) return answer(done, { type: 'stale-fence' })
+      highestFence = Math.max(highestFence, fence)
+      if (command.type === 'load') load(command, done)
+      else unload(command.handle, done)
+    },
+    status () {
+      if (unreachable) return undefined
+      if (report === undefined || clock.now() - report.takenAt >= reportLagMs) report = takeReport()
+      return report
+    },
+    cacheEvents: after => cache.events(after),
+    restart (downMs = 0) {
+      incarnation++
+      highestFence = -1
+      report = undefined
+      stepping = false
+      const cut = [...batch, ...waiting]
+      const loads = [...loading.values()]
+      batch = []
+      waiting = []
+      ended = []
+      known.clear()
+      resident.clear()
+      loading.clear()
+      cache.clear()
+      unreachable = downMs > 0
+      if (unreachable) clock.after(downMs, () => { unreachable = false })
+      for (const sequence of cut) breakOff(sequence, 'engine restarted')
+      for (const done of loads) done({ type: 'unknown', reason: 'engine restarted' })
+    },
+    setUnreachable (value) { unreachable = value },
+    setDraining (value) { draining = value },
+    loseNextAnswer () { losses++ },
+    failNextLoad () { loadFailures++ },
+    hangNextLoad () { loadHangs++ },
+    cutStreams () {
+      for (const { listeners } of known.values()) {
+        for (const listener of listeners) listener.broken('connection cut')
+        listeners.clear()
+      }
+    },
+    stats: () => ({ ...stats })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/http-servers.test.ts
@@ -0,0 +1,154 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createEngineClient, createInstanceListClient, createLogClient, createPlainServiceClient, createWeightStoreClient, GenerateError, type GenerateEvent } from '@yuccawharf/platform'
+import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, expectedText, serveEngine, serveInstanceList, serveLog, servePlainService, serveWeightStore, type EngineModel } from './index'
+
+const clock = createRealClock()
+const handle = 'poem@2~7.1'
+const request = { requestId: 'r1', handle, prompt: 'write', maxTokens: 5, priority: 0 }
+
+async function collect (events: AsyncIterable<GenerateEvent>, limit = Infinity): Promise<GenerateEvent[]> {
+  const collected: GenerateEvent[] = []
+  for await (const event of events) {
+    collected.push(event)
+    if (collected.length >= limit) break
+  }
+  return collected
+}
+
+async function failureOf (events: AsyncIterable<GenerateEvent>): Promise<GenerateError['failure'] | undefined> {
+  try {
+    await collect(events)
+  } catch (err) {
+    return (err as GenerateError).failure
+  }
+  return undefined
+}
+
+type EngineFixture = { model: EngineModel, client: ReturnType<typeof createEngineClient> }
+
+async function withEngine (options: { stepBaseMs: number, checksFencing?: boolean }, run: (fixture: EngineFixture) => Promise<void>): Promise<void> {
+  const weights = createWeightStoreModel({ clock, fetchMs: 1 })
+  const model = createEngineModel({ clock, weights, engine: 'e1', baseModel: 'base', slots: 2, stepPerSequenceMs: 0, ...options })
+  const server = await serveEngine(model)
+  const client = createEngineClient({ baseUrl: server.url })
+  try {
+    await run({ model, client })
+  } finally {
+    await client.close()
+    await server.close()
+  }
+}
+
+// Guards against a lost response being reported as a failed append, which would lose or double a record.
+test('the log client tells refused, lost and applied appends apart', async () => {
+  const model = createLogModel({ clock })
+  const server = await serveLog(model)
+  const client = createLogClient({ baseUrl: server.url })
+  assert.equal(await client.append('config', ['a', 'b']), { type: 'ok', offsets: [0, 1] })
+  model.loseNextAnswer()
+  assert.is((await client.append('config', ['c'])).type, 'unknown')
+  model.setOutage(true)
+  assert.is((await client.append('config', ['d'])).type, 'failed')
+  assert.is((await client.read('config', 0, 10, 0)).type, 'failed')
+  model.setOutage(false)
+  const page = await client.read('config', 1, 10, 0)
+  assert.equal(page.type === 'ok' ? page.page.records.map(record => record.value) : page, ['b', 'c'])
+  model.expire('config', 2)
+  assert.equal(await client.read('config', 0, 10, 0), { type: 'expired', first: 2, next: 3 })
+  const waiting = client.read('config', 3, 10, 2000)
+  await client.append('config', ['e'])
+  const woken = await waiting
+  assert.equal(woken.type === 'ok' ? woken.page.records.map(record => record.value) : woken, ['e'])
+  await client.close()
+  await server.close()
+  // A connection that was open at the close of the server would make the result unknown.
+  const refused = createLogClient({ baseUrl: server.url })
+  assert.is((await refused.append('config', ['f'])).type, 'failed')
+  await refused.close()
+})
+
+// Guards against tokens lost or repeated between a stream and its resumption.
+test('an engine stream can be cut and resumed without losing a token', async () => {
+  await withEngine({ stepBaseMs: 1 }, async ({ client }) => {
+    assert.equal(await client.command({ type: 'load', handle, adapter: 'poem', version: '2' }, 7), { type: 'ok' })
+    const first = await collect(client.generate(request, new AbortController().signal), 2)
+    const second = await collect(client.resume('r1', 2, new AbortController().signal))
+    const tokens = [...first, ...second].filter(event => event.type === 'token')
+    assert.equal(tokens.map(token => token.seq), [1, 2, 3, 4, 5])
+    assert.is(tokens.map(token => token.text).join(''), expectedText('r1', 'poem', '2', 'write', 5))
+    assert.equal(second.at(-1), { type: 'end', count: 5, reason: 'length' })
+  })
+})
+
+// Guards against a request that may have run being reported as not run.
+test('the engine client proves which requests did not run', async () => {
+  await withEngine({ stepBaseMs: 50, checksFencing: true }, async ({ model, client }) => {
+    const signal = new AbortController().signal
+    assert.is((await failureOf(client.generate(request, signal)))?.type, 'not-run')
+    await client.command({ type: 'load', handle, adapter: 'poem', version: '2' }, 7)
+    assert.equal(await client.command({ type: 'unload', handle }, 6), { type: 'stale-fence' })
+    const running = failureOf(client.generate(request, signal))
+    while (model.stats().started === 0) await new Promise(resolve => setImmediate(resolve))
+    model.restart()
+    assert.is((await running)?.type, 'broken')
+    const resumed = await failureOf(client.resume('r1', 0, signal))
+    assert.is(resumed?.type === 'broken' && resumed.lost, true)
+    assert.is((await client.status())?.incarnation, 2)
+    model.setUnreachable(true)
+    assert.is((await failureOf(client.generate(request, signal)))?.type, 'broken')
+    assert.is(await client.status(), undefined)
+  })
+})
+
+// Guards against a load whose response is lost being taken for refused, which would leave its slot in use unseen.
+test('a load with a lost response is unknown and still takes effect', async () => {
+  await withEngine({ stepBaseMs: 1 }, async ({ model, client }) => {
+    model.loseNextAnswer()
+    assert.is((await client.command({ type: 'load', handle, adapter: 'poem', version: '2' }, 7)).type, 'unknown')
+    assert.equal((await client.status())?.resident, [{ handle, adapter: 'poem', version: '2' }])
+    model.failNextLoad()
+    assert.equal(await client.command({ type: 'load', handle: 'x', adapter: 'x', version: '1' }, 7), { type: 'refused', reason: 'weight_store_failed' })
+  })
+})
+
+// Guards against a service call that ran being reported as not sent.
+test('a plain service call with a lost response is unknown and counted once', async () => {
+  const model = createPlainServiceModel({ clock, delayMs: 1 })
+  const server = await servePlainService(model)
+  const client = createPlainServiceClient({ baseUrl: server.url })
+  const req = { method: 'POST', path: '/orders', headers: { 'Idempotency-Key': 'k1' }, body: Buffer.from('{}') }
+  const signal = new AbortController().signal
+  model.loseNextAnswer()
+  assert.is((await client.call(req, signal)).type, 'unknown')
+  assert.is(model.executions('k1'), 1)
+  const result = await client.call(req, signal)
+  assert.is(result.type === 'ok' && result.response.status, 200)
+  await client.close()
+  await server.close()
+  const refused = createPlainServiceClient({ baseUrl: server.url })
+  assert.is((await refused.call(req, signal)).type, 'not-sent')
+  assert.is(model.executions('k1'), 2)
+  await refused.close()
+})
+
+test('the instance list and the weight store answer, and their outages show', async () => {
+  const list = createInstanceListModel({ clock })
+  const weights = createWeightStoreModel({ clock, catalogue: adapter => adapter === 'poem' ? 9 : undefined })
+  const servers = [await serveInstanceList(list), await serveWeightStore(weights)]
+  const listClient = createInstanceListClient({ baseUrl: servers[0]!.url })
+  const weightClient = createWeightStoreClient({ baseUrl: servers[1]!.url })
+  list.put({ id: 'e1', kind: 'engine', address: '127.0.0.1:1', zone: 'a', region: 'r', group: 'g', state: 'live' })
+  list.leave('e1')
+  assert.is((await listClient.fetch())?.instances[0]?.state, 'leaving')
+  list.setOutage(true)
+  assert.is(await listClient.fetch(), undefined)
+  assert.equal(await weightClient.describe('poem', '1'), { type: 'ok', bytes: 9 })
+  assert.equal(await weightClient.describe('other', '1'), { type: 'missing' })
+  weights.setOutage(true)
+  assert.is((await weightClient.describe('poem', '1')).type, 'failed')
+  for (const client of [listClient, weightClient]) await client.close()
+  for (const server of servers) await server.close()
+})
+
+test.run()
--- /dev/null
+++ b/packages/stand-ins/src/log-model.ts
@@ -0,0 +1,144 @@
+/** Model of the log service: named streams, bounded retention, outages and lost responses. */
+import type { AppendResult, LogEntry, LogPage, ReadResult } from '@yuccawharf/platform'
+import { createChance, type Clock } from './clock'
+
+export type LogModelOptions = {
+  clock: Clock
+  /** Appends that take effect per second over all streams. */
+  appendsPerSecond?: number
+  /** Time from the effect to the response, in ms. */
+  latencyMs?: number
+  retainRecords?: number
+  retainMs?: number
+  seed?: number
+  /** Fraction of appends that take effect but whose response is lost. */
+  lostFraction?: number
+}
+
+export type LogModel = {
+  append (stream: string, values: unknown[], done: (result: AppendResult) => void): void
+  read (stream: string, from: number, limit: number, waitMs: number, done: (result: ReadResult) => void): void
+  /** During an outage appends are refused and reads fail. */
+  setOutage (down: boolean): void
+  /** The next append takes effect, and its caller gets `unknown`. */
+  loseNextAnswer (): void
+  /** The next append takes effect only after `ms`; its caller gets `unknown` at once. */
+  delayNextAppend (ms: number): void
+  /** Drops the records of a stream before `offset`, as the end of retention does. */
+  expire (stream: string, offset: number): void
+  /** All retained records of a stream, without delay or outage. */
+  peek (stream: string): LogPage
+}
+
+type Waiter = { from: number, finish: () => void }
+type Stream = { first: number, records: LogEntry[], waiters: Set<Waiter> }
+
+function dropBefore (stream: Stream, offset: number): void {
+  const count = Math.min(Math.max(0, offset - stream.first), stream.records.length)
+  if (count === 0) return
+  stream.records.splice(0, count)
+  stream.first += count
+}
+
+export function createLogModel (options: LogModelOptions): LogModel {
+  const { clock, appendsPerSecond = 400, latencyMs = 1, retainRecords = 100_000, retainMs = Infinity } = options
+  const chance = createChance(options.seed ?? 1)
+  const streams = new Map<string, Stream>()
+  let down = false
+  let freeAt = 0
+  let losses = 0
+  const delays: number[] = []
+
+  const streamOf = (name: string): Stream => {
+    let stream = streams.get(name)
+    if (stream === undefined) {
+      stream = { first: 0, records: [], waiters: new Set() }
+      streams.set(name, stream)
+    }
+    return stream
+  }
+
+  // A quarter of slack avoids moving the whole array at each append.
+  const retain = (stream: Stream): void => {
+    if (stream.records.length > retainRecords * 1.25) dropBefore(stream, stream.first + stream.records.length - retainRecords)
+    const oldest = clock.now() - retainMs
+    if (stream.records[0] === undefined || stream.records[0].time >= oldest) return
+    const kept = stream.records.findIndex(record => record.time >= oldest)
+    dropBefore(stream, kept < 0 ? Infinity : stream.first + kept)
+  }
+
+  const apply = (name: string, values: unknown[]): number[] => {
+    const stream = streamOf(name)
+    const start = stream.first + stream.records.length
+    values.forEach((value, at) => stream.records.push({ offset: start + at, time: clock.now(), value }))
+    retain(stream)
+    for (const waiter of [...stream.waiters]) waiter.finish()
+    return values.map((_value, at) => start + at)
+  }
+
+  const pageOf = (name: string, from: number, limit: number): ReadResult => {
+    const stream = streamOf(name)
+    retain(stream)
+    const next = stream.first + stream.records.length
+    if (from < stream.first) return { type: 'expired', first: stream.first, next }
+    const start = from - stream.first
+    return { type: 'ok', page: { first: stream.first, next, records: stream.records.slice(start, start + limit) } }
+  }
+
+  const answerRead = (name: string, from: number, limit: number, done: (result: ReadResult) => void): void => {
+    done(down ? { type: 'failed', reason: 'log outage' } : pageOf(name, from, limit))
+  }
+
+  return {
+    append (name, values, done) {
+      const delay = delays.shift()
+      if (delay !== undefined) {
+        clock.after(delay, () => { apply(name, values) })
+        clock.after(latencyMs, () => done({ type: 'unknown', reason: 'response lost' }))
+        return
+      }
+      freeAt = Math.max(clock.now(), freeAt) + 1000 / appendsPerSecond
+      clock.after(freeAt - clock.now(), () => {
+        if (down) {
+          done({ type: 'failed', reason: 'log outage' })
+          return
+        }
+        const offsets = apply(name, values)
+        const lost = losses > 0 || chance.happens(options.lostFraction ?? 0)
+        if (losses > 0) losses--
+        clock.after(latencyMs, () => done(lost ? { type: 'unknown', reason: 'response lost' } : { type: 'ok', offsets }))
+      })
+    },
+    read (name, from, limit, waitMs, done) {
+      const stream = streamOf(name)
+      const end = stream.first + stream.records.length
+      if (down || from < end || waitMs <= 0) {
+        clock.after(latencyMs, () => answerRead(name, from, limit, done))
+        return
+      }
+      const waiter: Waiter = {
+        from,
+        finish () {
+          if (!stream.waiters.delete(waiter)) return
+          cancel()
+          clock.after(latencyMs, () => answerRead(name, from, limit, done))
+        }
+      }
+      const cancel = clock.after(waitMs, waiter.finish)
+      stream.waiters.add(waiter)
+    },
+    setOutage (value) {
+      down = value
+      for (const stream of streams.values()) {
+        for (const waiter of [...stream.waiters]) waiter.finish()
+      }
+    },
+    loseNextAnswer () { losses++ },
+    delayNextAppend (ms) { delays.push(ms) },
+    expire (name, offset) { dropBefore(streamOf(name), offset) },
+    peek (name) {
+      const stream = streamOf(name)
+      return { first: stream.first, next: stream.first + stream.records.length, records: [...stream.records] }
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/prefix-cache-model.ts
@@ -0,0 +1,67 @@
+/** Model of an engine's prompt prefix cache: limited memory, events late and with gaps. */
+import { createChance, type Clock } from './clock'
+
+/** `seq` counts all changes of the cache; a jump shows a gap. */
+export type CacheEvent = { seq: number, type: 'stored' | 'evicted', block: number, at: number }
+
+export type PrefixCacheModel = {
+  /** Stores the prompt's blocks. @returns the number of tokens that were already cached */
+  use (handle: string, prompt: string): number
+  events (after: number): CacheEvent[]
+  clear (): void
+}
+
+const blockCharacters = 64
+const tokensPerBlock = 16
+const keptEvents = 2000
+
+/** 32-bit FNV-1a hash of UTF-16 code units, continued from `start`. */
+export function hashText (text: string, start = 0x811c9dc5): number {
+  let hash = start
+  for (let at = 0; at < text.length; at++) hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193)
+  return hash >>> 0
+}
+
+export function createPrefixCacheModel (options: { clock: Clock, blocks?: number, lagMs?: number, gapFraction?: number, seed?: number }): PrefixCacheModel {
+  const { clock, blocks = 4096, lagMs = 500, gapFraction = 0.02 } = options
+  const chance = createChance(options.seed ?? 1)
+  const cached = new Set<number>()
+  let log: CacheEvent[] = []
+  let seq = 0
+
+  const publish = (type: CacheEvent['type'], block: number): void => {
+    seq++
+    if (!chance.happens(gapFraction)) log.push({ seq, type, block, at: clock.now() })
+    if (log.length > 2 * keptEvents) log = log.slice(-keptEvents)
+  }
+
+  // A set keeps insertion order, so adding a block again makes it the most recently used one.
+  const touch = (block: number): boolean => {
+    const hit = cached.delete(block)
+    cached.add(block)
+    if (hit) return true
+    publish('stored', block)
+    if (cached.size > blocks) {
+      const [oldest] = cached
+      cached.delete(oldest!)
+      publish('evicted', oldest!)
+    }
+    return false
+  }
+
+  return {
+    use (handle, prompt) {
+      let block = hashText(handle)
+      let hits = 0
+      let unbroken = true
+      for (let at = 0; at + blockCharacters <= prompt.length; at += blockCharacters) {
+        block = hashText(prompt.slice(at, at + blockCharacters), block)
+        unbroken = touch(block) && unbroken
+        if (unbroken) hits++
+      }
+      return hits * tokensPerBlock
+    },
+    events: after => log.filter(event => event.seq > after && event.at <= clock.now() - lagMs),
+    clear () { cached.clear() }
+  }
+}
