--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -1,6 +1,6 @@
 /**
- * Generates TypeScript types and standalone validators from `schema/*.schema.json` into
- * `packages/schema/src/generated`. With `--check` it writes nothing and exits 1 when the
+ * Generates TypeScript types, standalone validators and the settings reference from
+ * `schema/*.schema.json` into `packages/schema/src/generated`, and `docs/settings.md`. With `--check` it writes nothing and exits 1 when the
  * committed files differ from what the schemas give.
  */
 import { existsSync, mkdirSync, readdirSync, readFileSync, writeFileSync } from 'node:fs'
@@ -9,10 +9,12 @@
 import { Ajv, type AnySchemaObject } from 'ajv'
 import standaloneModule from 'ajv/dist/standalone/index.js'
 import { compile } from 'json-schema-to-typescript'
+import { settingsPage, settingsReference } from './settings-reference'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const schemaDir = join(root, 'schema')
 const outDir = join(root, 'packages/schema/src/generated')
+const settingsPagePath = join(root, 'docs/settings.md')
 const banner = '/* Generated from schema/ by `npm run generate`. Do not edit. */'
 // ajv's standalone module is CommonJS, so its default export arrives wrapped in some loaders.
 const standaloneCode = ((standaloneModule as unknown as { default?: typeof standaloneModule }).default ?? standaloneModule)
@@ -42,7 +44,7 @@
 
 function generateValidators (schemas: Map<string, AnySchemaObject>): GeneratedFile[] {
   const ajv = new Ajv({ allErrors: true, discriminator: true, strictTypes: false, allowUnionTypes: true, code: { source: true, esm: true, lines: true } })
-  ajv.addVocabulary(['x-validator', 'x-unit'])
+  ajv.addVocabulary(['x-validator', 'x-unit', 'x-allowed'])
   const names: Record<string, string> = {}
   for (const [file, schema] of schemas) {
     const id = basename(file, '.schema.json')
@@ -66,14 +68,24 @@
   ]
 }
 
-async function generate (): Promise<GeneratedFile[]> {
+function generateReference (schema: AnySchemaObject): GeneratedFile {
+  const type = 'export type SettingReference = { path: string, description: string, allowed: string, unit?: string, default?: unknown, required: boolean }'
+  const rows = settingsReference(schema).map(entry => `  ${JSON.stringify(entry)}`)
+  return { name: 'settings-reference.ts', text: `${banner}\n${type}\nexport const settingsReference: readonly SettingReference[] = [\n${rows.join(',\n')}\n]\n` }
+}
+
+function readSchemas (): Map<string, AnySchemaObject> {
   const files = readdirSync(schemaDir).filter(file => file.endsWith('.schema.json')).sort()
-  const schemas = new Map(files.map(file => [file, JSON.parse(readFileSync(join(schemaDir, file), 'utf8')) as AnySchemaObject]))
+  return new Map(files.map(file => [file, JSON.parse(readFileSync(join(schemaDir, file), 'utf8')) as AnySchemaObject]))
+}
+
+async function generate (schemas: Map<string, AnySchemaObject>): Promise<GeneratedFile[]> {
   const types = await Promise.all([...schemas].map(([file, schema]) => generateTypes(file, structuredClone(schema))))
-  const index = files.map(file => `export * from './${basename(file, '.schema.json')}'`)
+  const index = [...[...schemas.keys()].map(file => basename(file, '.schema.json')), 'settings-reference'].map(name => `export * from './${name}'`)
   return [
     ...types,
     ...generateValidators(schemas),
+    generateReference(schemas.get('settings.schema.json')!),
     { name: 'index.ts', text: `${banner}\n${index.join('\n')}\nexport * from './validators.js'\n` }
   ]
 }
@@ -88,9 +100,13 @@
   return [...changed.map(file => file.name), ...stale]
 }
 
-const files = await generate()
+const schemas = readSchemas()
+const files = await generate(schemas)
+const settingsSchema = schemas.get('settings.schema.json')!
+const page = settingsPage(settingsReference(settingsSchema), String(settingsSchema.description))
 if (process.argv.includes('--check')) {
   const differing = differingFiles(files)
+  if (!existsSync(settingsPagePath) || readFileSync(settingsPagePath, 'utf8') !== page) differing.push('docs/settings.md')
   if (differing.length > 0) {
     console.error(`generated code is out of date, run "npm run generate": ${differing.join(', ')}`)
     process.exitCode = 1
@@ -98,4 +114,5 @@
 } else {
   mkdirSync(outDir, { recursive: true })
   for (const { name, text } of files) writeFileSync(join(outDir, name), text)
+  writeFileSync(settingsPagePath, page)
 }
