Add log tail, configuration, membership and rendezvous hashing

The daemon's roles need shared state machines over the log and the instance list before they can be composed.

--- /dev/null
+++ b/packages/coordination/src/backoff.ts
@@ -0,0 +1,21 @@
+/** Exponential back-off with full jitter. */
+import { unsafeUniformIntDistribution, type RandomGenerator } from 'pure-rand'
+
+export type BackoffConfig = {
+  /** Upper bound of the first delay, in ms. */
+  minMs: number
+  /** Upper bound of every delay, in ms. */
+  maxMs: number
+}
+
+/**
+ * @param cfg - bounds of the delay
+ * @param failures - failures in a row, from 1
+ * @param random - advanced by one draw
+ * @returns a delay in ms, uniform between 1 and the doubled bound
+ */
+export const jitteredDelayMs = (cfg: BackoffConfig, failures: number, random: RandomGenerator): number => {
+  const doublings = Math.min(failures - 1, 30)
+  const bound = Math.min(cfg.maxMs, cfg.minMs * 2 ** doublings)
+  return unsafeUniformIntDistribution(1, Math.max(1, Math.floor(bound)), random)
+}
--- /dev/null
+++ b/packages/coordination/src/config-concurrency.ts
@@ -0,0 +1,56 @@
+/** Methods of optimistic concurrency control for configuration changes. */
+import type { Change, ConfigEntry } from './config-types'
+
+/** State against which a change is checked. */
+export type RevisionView = {
+  /** Revision of the newest accepted change; -1 before the first. */
+  readonly revision: number
+  entry (key: string): ConfigEntry | undefined
+}
+
+export interface ConcurrencyControl {
+  readonly name: string
+  /** Whether rules between keys are checked on the whole resulting configuration. */
+  readonly checksWhole: boolean
+  /** @returns the first key at which the change conflicts with a newer one, or undefined */
+  conflictingKey (change: Change, view: RevisionView): string | undefined
+}
+
+const newerKey = (keys: readonly string[], change: Change, view: RevisionView): string | undefined =>
+  keys.find(key => (view.entry(key)?.revision ?? -1) > change.base)
+
+const sortedWrites = (change: Change): string[] => Object.keys(change.writes).sort()
+
+/** Compare-and-set on the whole document: any newer change conflicts. */
+export class WholeDocumentControl implements ConcurrencyControl {
+  readonly name = 'whole document'
+  readonly checksWhole = true
+
+  conflictingKey (change: Change, view: RevisionView): string | undefined {
+    if (view.revision <= change.base) {
+      return undefined
+    }
+    const keys = sortedWrites(change)
+    return newerKey(keys, change, view) ?? keys[0]
+  }
+}
+
+/** The first committer wins per key; rules between keys are checked by the writer only. */
+export class PerKeyControl implements ConcurrencyControl {
+  readonly name = 'per key'
+  readonly checksWhole = false
+
+  conflictingKey (change: Change, view: RevisionView): string | undefined {
+    return newerKey(sortedWrites(change), change, view)
+  }
+}
+
+/** The first committer wins per written or read key, and the whole result must be valid. */
+export class PerKeyReadSetControl implements ConcurrencyControl {
+  readonly name = 'per key with read set and whole validation'
+  readonly checksWhole = true
+
+  conflictingKey (change: Change, view: RevisionView): string | undefined {
+    return newerKey(sortedWrites(change), change, view) ?? newerKey([...change.reads].sort(), change, view)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/config-reducer.ts
@@ -0,0 +1,262 @@
+/**
+ * Reduces the configuration stream to the configuration in force. The result depends only on the
+ * records, so every node that has read the same records has the same state and outcomes.
+ */
+import type { LogEntry } from '@yuccawharf/platform'
+import { PerKeyReadSetControl, type ConcurrencyControl, type RevisionView } from './config-concurrency'
+import { createSnapshotAssembler, type SnapshotAssembler } from './config-snapshot'
+import type { Change, ChangeOutcome, ConfigEntry, ConfigFinding, ConfigState, ConfigValidator, ConfigView } from './config-types'
+
+/**
+ * Ids are remembered for this many offsets, and a change against an older base is invalid. A
+ * repeated record has the base of the first one, so no repetition can outlive the memory of its id.
+ */
+export const idWindowRecords = 4096
+
+export type ConfigReducerConfig = {
+  /** Rules of the configuration. */
+  validate: ConfigValidator
+  /** {@link PerKeyReadSetControl} by default. */
+  control?: ConcurrencyControl
+}
+
+/** What one record did. */
+export type ReducedRecord =
+  | { type: 'change', id: string, outcome: ChangeOutcome }
+  /** A snapshot became complete; `adopted` when it supplied the state after a gap. */
+  | { type: 'snapshot', revision: number, adopted: boolean }
+
+export type ConfigReducer = {
+  /**
+   * Reduces the next record. Records at older offsets are ignored; a record beyond the next offset
+   * counts as a gap.
+   *
+   * @returns what the records did; several when a snapshot closes a gap
+   */
+  apply (entry: LogEntry): ReducedRecord[]
+  /** Tells that retention dropped the records before `first`: the state waits for a snapshot or a peer. */
+  gap (first: number): void
+  /** @returns true when the state was newer than the own one and has replaced it */
+  adopt (state: ConfigState): boolean
+  /** @returns the state as plain data; undefined while there is a gap */
+  state (): ConfigState | undefined
+  /** @returns undefined for an id that is unknown or older than the window */
+  outcome (id: string): ChangeOutcome | undefined
+  /** Outcome that the change would have now; nothing is changed. */
+  preview (change: Change): ChangeOutcome
+  readonly view: ConfigView
+  entry (key: string): ConfigEntry | undefined
+  /** Offset of the newest accepted change; -1 before the first. Never decreases. */
+  readonly revision: number
+  /** Offset of the next record to reduce. */
+  readonly position: number
+  /** False between a gap and the state that closes it. */
+  readonly complete: boolean
+}
+
+type ReducerState = {
+  entries: Map<string, ConfigEntry>
+  /** In order of offset, so that the oldest id comes first. */
+  ids: Map<string, { offset: number, outcome: ChangeOutcome | undefined }>
+  revision: number
+  position: number
+  complete: boolean
+  /** Changes read since the gap, of the offsets `waitingFrom` to `waitingEnd` - 1. */
+  waiting: LogEntry[]
+  waitingFrom: number
+  waitingEnd: number
+  assembler: SnapshotAssembler
+}
+
+const isChange = (value: unknown): value is Change => {
+  const change = value as Partial<Change> | null
+  return typeof change === 'object' && change !== null && change.type === 'change' &&
+    typeof change.id === 'string' && Number.isInteger(change.base) &&
+    typeof change.writes === 'object' && change.writes !== null && Array.isArray(change.reads)
+}
+
+const viewOf = (entries: ReadonlyMap<string, ConfigEntry>, writes: Readonly<Record<string, unknown>> = {}): ConfigView => {
+  const written = new Map(Object.entries(writes))
+  const get = (key: string): unknown => (written.has(key) ? written.get(key) : entries.get(key)?.value) ?? undefined
+  const keys = function * (): Iterable<string> {
+    for (const key of new Set([...entries.keys(), ...written.keys()])) {
+      if (get(key) !== undefined) {
+        yield key
+      }
+    }
+  }
+  return { get, keys }
+}
+
+const shapeFindings = (change: Change, offset: number): ConfigFinding[] => {
+  if (Object.keys(change.writes).length === 0) {
+    return [{ key: '', detail: 'the change writes no key' }]
+  }
+  if (change.base >= offset) {
+    return [{ key: '', detail: `base ${change.base} is not older than the change at ${offset}` }]
+  }
+  if (offset - change.base > idWindowRecords) {
+    return [{ key: '', detail: `base ${change.base} is more than ${idWindowRecords} records old; read the configuration again` }]
+  }
+  return []
+}
+
+const judge = (change: Change, offset: number, state: ReducerState, cfg: Required<ConfigReducerConfig>): ChangeOutcome => {
+  const view: RevisionView = { revision: state.revision, entry: key => state.entries.get(key) }
+  const key = cfg.control.conflictingKey(change, view)
+  if (key !== undefined) {
+    const theirs = state.entries.get(key)
+    return { type: 'conflict', key, yours: change.writes[key], theirs: theirs?.value, revision: theirs?.revision ?? state.revision }
+  }
+  const next = viewOf(state.entries, change.writes)
+  const findings = cfg.control.checksWhole ? cfg.validate(next, Object.keys(change.writes)) : []
+  return findings.length > 0 ? { type: 'invalid', findings } : { type: 'accepted', revision: offset }
+}
+
+const outcomeAt = (change: Change, offset: number, state: ReducerState, cfg: Required<ConfigReducerConfig>): ChangeOutcome => {
+  const known = state.ids.get(change.id)
+  if (known !== undefined) {
+    return { type: 'duplicate', first: known.offset }
+  }
+  const findings = shapeFindings(change, offset)
+  return findings.length > 0 ? { type: 'invalid', findings } : judge(change, offset, state, cfg)
+}
+
+const forgetOldIds = (state: ReducerState): void => {
+  for (const [id, { offset }] of state.ids) {
+    if (state.position - offset <= idWindowRecords) {
+      return
+    }
+    state.ids.delete(id)
+  }
+}
+
+const write = (change: Change, offset: number, state: ReducerState): void => {
+  for (const [key, value] of Object.entries(change.writes)) {
+    state.entries.set(key, { revision: offset, value })
+  }
+  state.revision = offset
+}
+
+const reduceChange = (change: Change, offset: number, state: ReducerState, cfg: Required<ConfigReducerConfig>): ReducedRecord => {
+  const outcome = outcomeAt(change, offset, state, cfg)
+  if (outcome.type === 'accepted') {
+    write(change, offset, state)
+  }
+  if (outcome.type !== 'duplicate') {
+    state.ids.set(change.id, { offset, outcome })
+  }
+  return { type: 'change', id: change.id, outcome }
+}
+
+const replaceState = (next: ConfigState, state: ReducerState): void => {
+  const outcomes = state.ids
+  state.entries = new Map(next.entries.map(({ key, revision, value }) => [key, { revision, value }]))
+  state.ids = new Map(next.ids.map(({ id, offset }) => [id, { offset, outcome: outcomes.get(id)?.outcome }]))
+  state.revision = next.entries.reduce((newest, { revision }) => Math.max(newest, revision), -1)
+  state.position = next.position
+  state.complete = true
+}
+
+/** Reduces one record of the contiguous part of the stream. */
+const reduceNext = (entry: LogEntry, state: ReducerState, cfg: Required<ConfigReducerConfig>): ReducedRecord[] => {
+  state.position = entry.offset + 1
+  forgetOldIds(state)
+  if (isChange(entry.value)) {
+    return [reduceChange(entry.value, entry.offset, state, cfg)]
+  }
+  const snapshot = state.assembler.add(entry.value)
+  return snapshot === undefined ? [] : [{ type: 'snapshot', revision: snapshot.position - 1, adopted: false }]
+}
+
+/** Reduces the records that were read since a gap on top of a state that covers the gap. */
+const resume = (state: ReducerState, cfg: Required<ConfigReducerConfig>): ReducedRecord[] => {
+  const waiting = state.waiting.filter(entry => entry.offset >= state.position)
+  state.waiting = []
+  const reduced = waiting.flatMap(entry => reduceNext(entry, state, cfg))
+  state.position = Math.max(state.position, state.waitingEnd)
+  return reduced
+}
+
+const collect = (entry: LogEntry, state: ReducerState, cfg: Required<ConfigReducerConfig>): ReducedRecord[] => {
+  state.waitingEnd = entry.offset + 1
+  if (isChange(entry.value)) {
+    state.waiting.push(entry)
+  }
+  const snapshot = state.assembler.add(entry.value)
+  if (snapshot === undefined || snapshot.position < Math.max(state.waitingFrom, state.position)) {
+    return []
+  }
+  replaceState(snapshot, state)
+  return [{ type: 'snapshot', revision: snapshot.position - 1, adopted: true }, ...resume(state, cfg)]
+}
+
+/**
+ * @param config - the rules and the method of concurrency control
+ * @returns a reducer with an empty configuration at offset 0
+ */
+export const createConfigReducer = (config: ConfigReducerConfig): ConfigReducer => {
+  const cfg = { control: new PerKeyReadSetControl(), ...config }
+  const state: ReducerState = {
+    entries: new Map(),
+    ids: new Map(),
+    revision: -1,
+    position: 0,
+    complete: true,
+    waiting: [],
+    waitingFrom: 0,
+    waitingEnd: 0,
+    assembler: createSnapshotAssembler()
+  }
+
+  const startGap = (first: number): void => {
+    state.complete = false
+    state.waiting = []
+    state.waitingFrom = first
+    state.waitingEnd = first
+    state.assembler.clear()
+  }
+  const nextOffset = (): number => state.complete ? state.position : state.waitingEnd
+
+  return {
+    apply (entry) {
+      if (entry.offset < nextOffset()) {
+        return []
+      }
+      if (entry.offset > nextOffset()) {
+        startGap(entry.offset)
+      }
+      return state.complete ? reduceNext(entry, state, cfg) : collect(entry, state, cfg)
+    },
+    gap (first) {
+      if (first > nextOffset()) {
+        startGap(first)
+      }
+    },
+    adopt (next) {
+      const covers = state.complete ? state.position : Math.max(state.waitingFrom, state.position)
+      if (next.position <= state.position || next.position < covers) {
+        return false
+      }
+      replaceState(next, state)
+      resume(state, cfg)
+      return true
+    },
+    state () {
+      return state.complete
+        ? {
+            position: state.position,
+            entries: [...state.entries].map(([key, { revision, value }]) => ({ key, revision, value })),
+            ids: [...state.ids].map(([id, { offset }]) => ({ id, offset }))
+          }
+        : undefined
+    },
+    outcome: id => state.ids.get(id)?.outcome,
+    preview: change => outcomeAt(change, Math.max(state.position, change.base + 1), state, cfg),
+    get view () { return viewOf(state.entries) },
+    entry: key => state.entries.get(key),
+    get revision () { return state.revision },
+    get position () { return nextOffset() },
+    get complete () { return state.complete }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/config-snapshot.test.ts
@@ -0,0 +1,79 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createSnapshotAssembler, createSnapshotSchedule, snapshotRecords, type SnapshotSchedule } from './config-snapshot'
+import type { ConfigState } from './config-types'
+import { rankNodes } from './rendezvous'
+
+const stateOf = (keys: number): ConfigState => ({
+  position: 1000,
+  entries: Array.from({ length: keys }, (_, index) => ({ key: `model/m${index}`, revision: index, value: { group: 'g' } })),
+  ids: [{ id: 'change-1', offset: 990 }]
+})
+
+test('parts in any order, repeated, and mixed with those of another attempt give the state', () => {
+  const state = stateOf(450)
+  const parts = snapshotRecords(state, 'one')
+  assert.is(parts.length, 3)
+  const other = snapshotRecords(stateOf(300), 'two')
+  const assembler = createSnapshotAssembler()
+  const mixed = [parts[2], other[0], parts[0], parts[0], { type: 'change' }]
+  mixed.forEach(part => assert.is(assembler.add(part), undefined))
+  assert.equal(assembler.add(parts[1]), state)
+})
+
+test('an empty state has one part', () => {
+  const empty = { position: 3, entries: [], ids: [] }
+  const [part] = snapshotRecords(empty, 'one')
+  assert.equal(createSnapshotAssembler().add(part), empty)
+})
+
+test('writers that died between parts do not use up memory', () => {
+  const assembler = createSnapshotAssembler()
+  const unfinished = snapshotRecords(stateOf(450), 'first')
+  assembler.add(unfinished[0])
+  for (let attempt = 0; attempt < 20; attempt++) {
+    assembler.add(snapshotRecords(stateOf(450), `attempt-${attempt}`)[0])
+  }
+  unfinished.slice(1).forEach(part => assert.is(assembler.add(part), undefined))
+})
+
+const live = [{ id: 'n1' }, { id: 'n2' }, { id: 'n3' }]
+const scheduleOf = (self: string): SnapshotSchedule =>
+  createSnapshotSchedule({ self, retentionMs: 30_000, maxRecords: 100, turnMs: 2000 })
+
+test('one node is first, and the next in rank follows when it does nothing', () => {
+  const ranked = rankNodes('snapshot/-1', live).map(({ id }) => id)
+  const schedules = ranked.map(scheduleOf)
+  const dueAt = (now: number): boolean[] => schedules.map(schedule => schedule.due(5, live, now))
+  assert.equal(dueAt(0), [false, false, false])
+  assert.equal(dueAt(9999), [false, false, false])
+  assert.equal(dueAt(10_000), [true, false, false])
+  assert.equal(dueAt(12_000), [true, true, false])
+  assert.equal(dueAt(14_000), [true, true, true])
+})
+
+test('a quiet log still gets snapshots before retention drops the last one', () => {
+  const schedule = scheduleOf('n1')
+  schedule.seen(4, 0)
+  assert.not(schedule.due(5, [{ id: 'n1' }], 9000))
+  assert.ok(schedule.due(5, [{ id: 'n1' }], 10_000))
+})
+
+test('many records make a snapshot due early', () => {
+  const schedule = scheduleOf('n1')
+  schedule.seen(9, 0)
+  assert.not(schedule.due(109, [{ id: 'n1' }], 1))
+  assert.ok(schedule.due(110, [{ id: 'n1' }], 1))
+})
+
+test('a node that is appending does not start again at once, and an older snapshot does not count', () => {
+  const schedule = scheduleOf('n1')
+  schedule.seen(9, 0)
+  assert.ok(schedule.due(10, [{ id: 'n1' }], 10_000))
+  schedule.started(10_000)
+  schedule.seen(3, 10_001)
+  assert.not(schedule.due(10, [{ id: 'n1' }], 11_000))
+  assert.ok(schedule.due(10, [{ id: 'n1' }], 12_000))
+})
+
+test.run()
--- /dev/null
+++ b/packages/coordination/src/config-snapshot.ts
@@ -0,0 +1,174 @@
+/**
+ * Snapshots of the configuration in the log: splitting a state into records, assembling the
+ * records again, and the decision which live node appends the next snapshot and when.
+ */
+import type { SnapshotRecord } from '@yuccawharf/schema'
+import type { ConfigState } from './config-types'
+import { rankNodes, type RendezvousNode } from './rendezvous'
+
+/** Ids of changes travel as entries under this prefix; operators' keys cannot have it. */
+const idPrefix = 'id/'
+
+/** Entries per record: 200 adapters of about 150 bytes make a record of about 30 KB. */
+const entriesPerPart = 200
+
+/** Snapshots whose parts are not all there yet; the oldest is dropped when there are more. */
+const assemblingMax = 8
+
+type RecordEntry = SnapshotRecord['entries'][number]
+
+/**
+ * @param state - the state to write
+ * @param id - unique to this attempt, so that parts of two attempts never mix
+ * @returns the records to append, in any order
+ */
+export const snapshotRecords = (state: ConfigState, id: string): SnapshotRecord[] => {
+  const entries = [
+    ...state.entries,
+    ...state.ids.map(({ id, offset }) => ({ key: idPrefix + id, revision: offset, value: null }))
+  ] as RecordEntry[]
+  const parts = Math.max(1, Math.ceil(entries.length / entriesPerPart))
+  return Array.from({ length: parts }, (_, part) => ({
+    type: 'snapshot',
+    id,
+    revision: state.position - 1,
+    part,
+    parts,
+    entries: entries.slice(part * entriesPerPart, (part + 1) * entriesPerPart)
+  }))
+}
+
+const isSnapshot = (value: unknown): value is SnapshotRecord => {
+  const record = value as Partial<SnapshotRecord> | null
+  return typeof record === 'object' && record !== null && record.type === 'snapshot' &&
+    typeof record.id === 'string' && Number.isInteger(record.revision) &&
+    Number.isInteger(record.part) && Number.isInteger(record.parts) && Array.isArray(record.entries)
+}
+
+const stateOf = (revision: number, entries: readonly RecordEntry[]): ConfigState => ({
+  position: revision + 1,
+  entries: entries
+    .filter(({ key }) => !key.startsWith(idPrefix))
+    .map(({ key, revision, value }) => ({ key, revision, value })),
+  ids: entries
+    .filter(({ key }) => key.startsWith(idPrefix))
+    .map(({ key, revision }) => ({ id: key.slice(idPrefix.length), offset: revision }))
+})
+
+export type SnapshotAssembler = {
+  /** @returns the state when this record was the last missing part of a snapshot */
+  add (value: unknown): ConfigState | undefined
+  /** Forgets all parts. */
+  clear (): void
+}
+
+/** @returns an assembler that accepts parts of several snapshots in any order, repeated parts included */
+export const createSnapshotAssembler = (): SnapshotAssembler => {
+  const assembling = new Map<string, Map<number, SnapshotRecord>>()
+
+  const partsOf = (id: string): Map<number, SnapshotRecord> => {
+    const known = assembling.get(id)
+    if (known !== undefined) {
+      return known
+    }
+    const [oldest] = assembling.keys()
+    if (oldest !== undefined && assembling.size >= assemblingMax) {
+      assembling.delete(oldest)
+    }
+    const parts = new Map<number, SnapshotRecord>()
+    assembling.set(id, parts)
+    return parts
+  }
+
+  return {
+    add (value) {
+      if (!isSnapshot(value)) {
+        return undefined
+      }
+      const parts = partsOf(value.id)
+      parts.set(value.part, value)
+      if (parts.size < value.parts) {
+        return undefined
+      }
+      assembling.delete(value.id)
+      const ordered = [...parts.values()].sort((left, right) => left.part - right.part)
+      return stateOf(value.revision, ordered.flatMap(part => part.entries))
+    },
+    clear () {
+      assembling.clear()
+    }
+  }
+}
+
+export type SnapshotScheduleConfig = {
+  self: string
+  /** Time that the log keeps a record, in ms. */
+  retentionMs: number
+  /** Records after the newest snapshot that make the next one due, so that starting stays cheap. */
+  maxRecords: number
+  /** Time after which the next node in rank takes its turn, in ms. */
+  turnMs: number
+}
+
+export type SnapshotSchedule = {
+  /** A complete snapshot that covers the records up to `revision` was read, or written by this node. */
+  seen (revision: number, now: number): void
+  /**
+   * @param position - offset of the next record to reduce
+   * @param live - all live nodes, this one included
+   * @returns whether this node should append a snapshot now; two nodes that both do cause only cost
+   */
+  due (position: number, live: readonly RendezvousNode[], now: number): boolean
+  /** This node has started to append; it does not try again before a turn has passed. */
+  started (now: number): void
+}
+
+/**
+ * The interval is a third of the retention time: two intervals in a row can fail before retention
+ * reaches the newest snapshot. A node that has seen no snapshot counts from its own start.
+ *
+ * @param cfg - retention of the log and the order of turns
+ * @returns the schedule of one node
+ */
+export const createSnapshotSchedule = (cfg: SnapshotScheduleConfig): SnapshotSchedule => {
+  let covered = -1
+  let baseAt: number | undefined
+  let dueSince: number | undefined
+  let blockedUntil = 0
+
+  const intervalMs = cfg.retentionMs / 3
+
+  const isDue = (position: number, now: number): boolean => {
+    const uncovered = position - 1 - covered
+    const aged = baseAt !== undefined && now - baseAt >= intervalMs
+    return uncovered >= cfg.maxRecords || (aged && position > 0)
+  }
+
+  const rankOfSelf = (live: readonly RendezvousNode[]): number => {
+    const rank = rankNodes(`snapshot/${covered}`, live).findIndex(({ id }) => id === cfg.self)
+    return rank < 0 ? live.length : rank
+  }
+
+  return {
+    seen (revision, now) {
+      if (revision < covered) {
+        return
+      }
+      covered = revision
+      baseAt = now
+      dueSince = undefined
+    },
+    due (position, live, now) {
+      baseAt ??= now
+      if (!isDue(position, now)) {
+        dueSince = undefined
+        return false
+      }
+      dueSince ??= now
+      return now >= blockedUntil && now - dueSince >= rankOfSelf(live) * cfg.turnMs
+    },
+    started (now) {
+      blockedUntil = now + cfg.turnMs
+    }
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,13 @@
-export {}
+/** Coordination over an append-only log, usable without the daemon. */
+export * from './backoff'
+export * from './config-concurrency'
+export * from './config-reducer'
+export * from './config-snapshot'
+export * from './config-types'
+export * from './config-validator'
+export * from './hash'
+export * from './log-tail'
+export * from './member-gossip'
+export * from './membership'
+export * from './membership-types'
+export * from './rendezvous'
--- /dev/null
+++ b/packages/coordination/src/log-tail.test.ts
@@ -0,0 +1,118 @@
+import { xoroshiro128plus } from 'pure-rand'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { LogPage } from '@yuccawharf/platform'
+import { createLogTail, type LogTail } from './log-tail'
+
+const tailOf = (pollMs = 100): LogTail => createLogTail({
+  stream: 'config',
+  readTimeoutMs: 1000,
+  pollMs,
+  backoff: { minMs: 200, maxMs: 1600 },
+  random: xoroshiro128plus(1)
+})
+
+const pageOf = (from: number, to: number, next = to, first = 0): LogPage => ({
+  first,
+  next,
+  records: Array.from({ length: to - from }, (_, index) => ({ offset: from + index, time: 0, value: from + index }))
+})
+
+const values = (tail: LogTail, page: LogPage, now: number): unknown[] => tail.page(page, now).records.map(({ value }) => value)
+
+test('one read is outstanding; the next follows at once while behind and after a pause at the head', () => {
+  const tail = tailOf()
+  assert.equal(tail.poll(0), { type: 'read-log', stream: 'config', from: 0 })
+  assert.is(tail.poll(10), undefined)
+  assert.equal(values(tail, pageOf(0, 2, 4), 20), [0, 1])
+  assert.not(tail.caughtUp)
+  assert.equal(tail.poll(20), { type: 'read-log', stream: 'config', from: 2 })
+  assert.equal(values(tail, pageOf(2, 4), 30), [2, 3])
+  assert.ok(tail.caughtUp)
+  assert.is(tail.poll(31), undefined)
+  assert.is(tail.poll(130)?.from, 4)
+})
+
+test('repeated and out-of-order pages pass each record on once', () => {
+  const tail = tailOf()
+  tail.poll(0)
+  assert.equal(values(tail, pageOf(3, 5), 1), [], 'records beyond a hole wait')
+  assert.equal(values(tail, pageOf(0, 3, 5), 2), [0, 1, 2])
+  assert.equal(values(tail, pageOf(0, 3, 5), 3), [])
+  assert.equal(values(tail, pageOf(1, 5), 4), [3, 4])
+})
+
+test('a retention gap is reported, whether the log refuses the read or answers beyond it', () => {
+  const tail = tailOf()
+  tail.poll(0)
+  assert.equal(tail.expired(5, 9, 1), { gap: { from: 0, to: 5 }, records: [] })
+  assert.is(tail.poll(2)?.from, 5)
+  const progress = tail.page(pageOf(7, 9, 9, 7), 3)
+  assert.equal(progress.gap, { from: 5, to: 7 })
+  assert.is(progress.records.length, 2)
+})
+
+test('failures back off with growing, bounded jitter and end with the first answer', () => {
+  const tail = tailOf()
+  let now = 0
+  for (let failures = 1; failures <= 8; failures++) {
+    assert.ok(tail.poll(now) !== undefined)
+    tail.failed(now)
+    const bound = Math.min(1600, 200 * 2 ** (failures - 1))
+    assert.is(tail.poll(now), undefined)
+    assert.ok(tail.poll(now + bound) !== undefined, `retries within ${bound} ms`)
+    tail.page(pageOf(0, 0), now + bound)
+    for (let again = 0; again < failures; again++) {
+      now += 5000
+      tail.poll(now)
+      tail.failed(now)
+    }
+    now += 5000
+  }
+})
+
+test('a read whose answer never comes is given up and repeated', () => {
+  const tail = tailOf()
+  tail.poll(0)
+  assert.is(tail.poll(999), undefined)
+  assert.is(tail.poll(1000), undefined, 'the timeout starts a back-off')
+  assert.is(tail.poll(1200)?.from, 0)
+})
+
+test('contact counts from the sending of the read, so that a paused process is not fresh when it wakes', () => {
+  const tail = tailOf()
+  tail.poll(0)
+  tail.page(pageOf(0, 1), 20_000)
+  assert.is(tail.lastContact, 0)
+})
+
+test('the late answer of an old read does not pass for that of a new one', () => {
+  const tail = tailOf()
+  tail.poll(0)
+  tail.poll(1000)
+  tail.poll(1500)
+  tail.page(pageOf(0, 1), 1501)
+  assert.is(tail.lastContact, 0)
+  tail.page(pageOf(0, 1), 1600)
+  assert.is(tail.lastContact, 1500)
+})
+
+test('an answer that lacks records seen before proves no contact', () => {
+  const tail = tailOf()
+  tail.poll(0)
+  tail.page(pageOf(0, 3), 1)
+  tail.poll(200)
+  tail.page({ first: 0, next: 1, records: [] }, 201)
+  assert.is(tail.lastContact, 0)
+  assert.is(tail.position, 3)
+})
+
+test('a state from a peer moves the tail forward and never back', () => {
+  const tail = tailOf()
+  tail.skipTo(10)
+  tail.skipTo(5)
+  assert.is(tail.poll(0)?.from, 10)
+  assert.equal(values(tail, pageOf(8, 12), 1), [10, 11])
+})
+
+test.run()
--- /dev/null
+++ b/packages/coordination/src/member-gossip.ts
@@ -0,0 +1,72 @@
+/** Bounded piggyback: each update travels on a limited number of messages, the least sent first. */
+import type { MembershipMessage, MemberUpdate } from './membership-types'
+
+/** Fits the payload of a datagram on paths with an MTU of 1,280 bytes (IPv6 minimum) without fragmentation. */
+export const datagramBytesMax = 1200
+
+/** Room for the rest of the message; ids and addresses of up to 64 bytes each leave a margin. */
+const headerBytesMax = 400
+
+/** Transmissions per update are this factor times the binary logarithm of the number of members. */
+const retransmitFactor = 3
+
+/**
+ * @param message - a message within {@link datagramBytesMax}
+ * @returns its encoding as JSON
+ */
+export const encodeMembership = (message: MembershipMessage): string => JSON.stringify(message)
+
+const updateBytes = (update: MemberUpdate): number => Buffer.byteLength(JSON.stringify(update)) + 1
+
+type Pending = { update: MemberUpdate, sent: number, bytes: number }
+
+export type GossipBuffer = {
+  /** Replaces an older update about the same member. */
+  put (update: MemberUpdate): void
+  /**
+   * @param members - number of known members
+   * @param first - update that must be in the message, for example about the receiver
+   * @returns updates within the size bound
+   */
+  take (members: number, first?: MemberUpdate): MemberUpdate[]
+  drop (id: string): void
+}
+
+/** @returns an empty buffer */
+export const createGossipBuffer = (): GossipBuffer => {
+  const pending = new Map<string, Pending>()
+
+  const leastSent = (): Pending[] => [...pending.values()].sort((left, right) => left.sent - right.sent)
+
+  const takeOne = (item: Pending, limit: number): void => {
+    item.sent += 1
+    if (item.sent >= limit) {
+      pending.delete(item.update.id)
+    }
+  }
+
+  return {
+    put (update) {
+      pending.set(update.id, { update, sent: 0, bytes: updateBytes(update) })
+    },
+    take (members, first) {
+      const limit = Math.ceil(retransmitFactor * Math.log2(members + 2))
+      const taken = first === undefined ? [] : [first]
+      let room = datagramBytesMax - headerBytesMax - (first === undefined ? 0 : updateBytes(first))
+      for (const item of leastSent()) {
+        if (item.bytes > room) {
+          break
+        }
+        if (item.update.id !== first?.id) {
+          taken.push(item.update)
+          room -= item.bytes
+        }
+        takeOne(item, limit)
+      }
+      return taken
+    },
+    drop (id) {
+      pending.delete(id)
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/membership.ts
@@ -0,0 +1,342 @@
+/**
+ * SWIM-style membership. Every period a node probes one member, directly and then through others;
+ * a member that does not answer is suspected, and dead when it does not refute in time. Work and
+ * messages per node and period do not depend on the number of nodes.
+ */
+import { unsafeUniformIntDistribution, type RandomGenerator } from 'pure-rand'
+import { createGossipBuffer } from './member-gossip'
+import { createMemberTable, memberOf, type TableEntry } from './member-table'
+import type { ListedNode, Member, MembershipAction, MembershipEvent, MembershipMessage, MemberUpdate } from './membership-types'
+
+export type MembershipConfig = {
+  self: { id: string, address: string, incarnation: number }
+  /** One member is probed per period, in ms. */
+  periodMs: number
+  /** Without an ack after this time, in ms, other members are asked to probe. */
+  ackMs: number
+  /** Time to refute a suspicion, in ms. */
+  suspicionMs: number
+  /** Members asked to probe. */
+  indirect: number
+  random: RandomGenerator
+}
+
+/** Periods of the product: a dead node is known to be dead about 3 s after the first missed probe. */
+export const membershipDefaults = { periodMs: 1000, ackMs: 300, suspicionMs: 2000, indirect: 3 }
+
+/** Every so many periods a dead but listed member is probed, so that healed partitions are found. */
+const probeDeadEvery = 4
+
+export type Membership = {
+  step (event: MembershipEvent, now: number): MembershipAction[]
+  member (id: string): Member | undefined
+  /** Members that are not dead, without this node. */
+  live (): Member[]
+}
+
+type Probe = { number: number, id: string, sentAt: number, indirectSent: boolean }
+/** A ping on behalf of another node, which waits for the ack under its own probe number. */
+type Relay = { forId: string, forAddress: string, probe: number, sentAt: number }
+
+const updateOf = (entry: TableEntry): MemberUpdate => ({
+  id: entry.id,
+  address: entry.address,
+  incarnation: entry.incarnation,
+  refutation: entry.refutation,
+  state: entry.state,
+  leaving: entry.leaving
+})
+
+/**
+ * @param cfg - identity, periods and the source of random choices
+ * @returns a node that knows only itself until the first instance list or datagram
+ */
+export const createMembership = (cfg: MembershipConfig): Membership => {
+  const table = createMemberTable(cfg.self.id)
+  const gossip = createGossipBuffer()
+  const suspectedAt = new Map<string, number>()
+  const relays = new Map<number, Relay>()
+  let dead: string[] = []
+  let round: string[] = []
+  /** All members as of the start of the round and those added since; may name removed ones. */
+  let roster: string[] = []
+  let self: MemberUpdate = { ...cfg.self, refutation: 0, state: 'alive', leaving: false }
+  let probe: Probe | undefined
+  let probeNumber = 0
+  let periods = 0
+  let nextPeriodAt = 0
+  let lastTickAt: number | undefined
+  let listAsOf = -Infinity
+
+  const pick = (size: number): number => unsafeUniformIntDistribution(0, size - 1, cfg.random)
+
+  const send = (to: { id: string, address: string }, type: MembershipMessage['type'], probe: number, target?: MembershipMessage['target']): MembershipAction => {
+    const known = table.get(to.id)
+    // A member that is suspected or dead must hear so, or it cannot refute.
+    const first = known !== undefined && known.state !== 'alive' ? updateOf(known) : undefined
+    const updates = gossip.take(table.size, first)
+    const message: MembershipMessage = { type, from: cfg.self.id, probe, updates: [self, ...updates.filter(({ id }) => id !== self.id)] }
+    return { type: 'datagram', to: to.id, address: to.address, message: target === undefined ? message : { ...message, target } }
+  }
+
+  const trackState = (entry: TableEntry, now: number): void => {
+    suspectedAt.delete(entry.id)
+    dead = dead.filter(id => id !== entry.id)
+    if (entry.state === 'suspect') {
+      suspectedAt.set(entry.id, now)
+    }
+    if (entry.state === 'dead') {
+      dead.push(entry.id)
+    }
+  }
+
+  const spread = (entry: TableEntry, now: number): MembershipAction => {
+    trackState(entry, now)
+    gossip.put(updateOf(entry))
+    return { type: 'member-changed', member: memberOf(entry) }
+  }
+
+  const aboutSelf = (update: MemberUpdate): MembershipAction[] => {
+    if (update.incarnation > self.incarnation) {
+      return [{ type: 'superseded', incarnation: update.incarnation }]
+    }
+    if (update.incarnation === self.incarnation && update.state !== 'alive' && update.refutation >= self.refutation) {
+      self = { ...self, refutation: update.refutation + 1 }
+      gossip.put(self)
+    }
+    return []
+  }
+
+  const merge = (update: MemberUpdate, now: number): MembershipAction[] => {
+    if (update.id === cfg.self.id) {
+      return aboutSelf(update)
+    }
+    const isNew = table.get(update.id) === undefined
+    const entry = table.merge(update)
+    if (entry === undefined) {
+      return []
+    }
+    if (isNew) {
+      joinRound(entry.id)
+    }
+    return [spread(entry, now)]
+  }
+
+  /** A new member takes a random place in the current round, so that it is probed soon. */
+  const joinRound = (id: string): void => {
+    roster.push(id)
+    round.splice(pick(round.length + 1), 0, id)
+  }
+
+  const newRound = (): void => {
+    roster = [...table.ids()]
+    round = roster.filter(id => table.get(id)?.state !== 'dead')
+    for (let last = round.length - 1; last > 0; last--) {
+      const other = pick(last + 1)
+      const id = round[last] as string
+      round[last] = round[other] as string
+      round[other] = id
+    }
+  }
+
+  const isDead = (id: string): boolean => table.get(id)?.state === 'dead'
+
+  const nextInRound = (): TableEntry | undefined => {
+    if (round.length === 0) {
+      newRound()
+    }
+    while (round.length > 0) {
+      const id = round.pop() as string
+      const entry = table.get(id)
+      if (entry !== undefined && !isDead(id)) {
+        return entry
+      }
+    }
+    return undefined
+  }
+
+  const nextDead = (): TableEntry | undefined => {
+    const id = dead[pick(Math.max(dead.length, 1))]
+    return id === undefined ? undefined : table.get(id)
+  }
+
+  const nextTarget = (): TableEntry | undefined => {
+    periods += 1
+    return (periods % probeDeadEvery === 0 ? nextDead() : undefined) ?? nextInRound() ?? nextDead()
+  }
+
+  const suspect = (id: string, now: number): MembershipAction[] => {
+    const entry = table.get(id)
+    if (entry === undefined || entry.state !== 'alive') {
+      return []
+    }
+    const changes = merge({ ...updateOf(entry), state: 'suspect' }, now)
+    // In a large system gossip may not reach the suspect before the suspicion expires.
+    return [...changes, send(entry, 'ping', 0)]
+  }
+
+  const startProbe = (now: number): MembershipAction[] => {
+    const target = nextTarget()
+    if (target === undefined) {
+      return []
+    }
+    probeNumber += 1
+    probe = { number: probeNumber, id: target.id, sentAt: now, indirectSent: false }
+    return [send(target, 'ping', probeNumber)]
+  }
+
+  const nextPeriod = (now: number): MembershipAction[] => {
+    if (now < nextPeriodAt) {
+      return []
+    }
+    nextPeriodAt = now + cfg.periodMs
+    const missed = probe
+    probe = undefined
+    return [...(missed === undefined ? [] : suspect(missed.id, now)), ...startProbe(now)]
+  }
+
+  /** Random live members; a few draws may repeat, which only lowers the number of helpers. */
+  const helpers = (except: string): TableEntry[] => {
+    const chosen = new Map<string, TableEntry>()
+    for (let draw = 0; draw < 3 * cfg.indirect && roster.length > 0 && chosen.size < cfg.indirect; draw++) {
+      const entry = table.get(roster[pick(roster.length)] as string)
+      if (entry !== undefined && entry.id !== except && entry.state === 'alive') {
+        chosen.set(entry.id, entry)
+      }
+    }
+    return [...chosen.values()]
+  }
+
+  const probeIndirectly = (now: number): MembershipAction[] => {
+    if (probe === undefined || probe.indirectSent || now - probe.sentAt < cfg.ackMs) {
+      return []
+    }
+    probe.indirectSent = true
+    const target = table.get(probe.id)
+    const { number } = probe
+    return target === undefined
+      ? []
+      : helpers(target.id).map(helper => send(helper, 'ping-request', number, { id: target.id, address: target.address }))
+  }
+
+  const expireSuspicions = (now: number): MembershipAction[] => {
+    const actions: MembershipAction[] = []
+    for (const [id, since] of suspectedAt) {
+      const entry = table.get(id)
+      if (entry !== undefined && now - since >= cfg.suspicionMs) {
+        actions.push(...merge({ ...updateOf(entry), state: 'dead' }, now))
+      }
+    }
+    return actions
+  }
+
+  /** After a pause of this process missing answers prove nothing about the others. */
+  const forgivePause = (now: number): void => {
+    const pausedMs = lastTickAt === undefined ? 0 : now - lastTickAt
+    lastTickAt = now
+    if (pausedMs < cfg.periodMs) {
+      return
+    }
+    probe = undefined
+    for (const id of suspectedAt.keys()) {
+      suspectedAt.set(id, now)
+    }
+  }
+
+  const expireRelays = (now: number): void => {
+    for (const [number, { sentAt }] of relays) {
+      if (now - sentAt < cfg.periodMs) {
+        return
+      }
+      relays.delete(number)
+    }
+  }
+
+  const tick = (now: number): MembershipAction[] => {
+    forgivePause(now)
+    expireRelays(now)
+    return [...expireSuspicions(now), ...probeIndirectly(now), ...nextPeriod(now)]
+  }
+
+  const relayPing = (message: MembershipMessage, sender: { id: string, address: string }, now: number): MembershipAction[] => {
+    if (message.target === undefined) {
+      return []
+    }
+    probeNumber += 1
+    relays.set(probeNumber, { forId: sender.id, forAddress: sender.address, probe: message.probe, sentAt: now })
+    return [send(message.target, 'ping', probeNumber)]
+  }
+
+  const acked = (message: MembershipMessage, sender: { id: string, address: string }): MembershipAction[] => {
+    const relay = relays.get(message.probe)
+    if (relay !== undefined) {
+      relays.delete(message.probe)
+      return [send({ id: relay.forId, address: relay.forAddress }, 'ack', relay.probe, sender)]
+    }
+    const answering = message.target?.id ?? message.from
+    if (probe?.number === message.probe && probe.id === answering) {
+      probe = undefined
+    }
+    return []
+  }
+
+  const receive = (message: MembershipMessage, now: number): MembershipAction[] => {
+    const changes = message.updates.flatMap(update => merge(update, now))
+    const address = message.updates.find(({ id }) => id === message.from)?.address ?? table.get(message.from)?.address
+    if (address === undefined) {
+      return changes
+    }
+    const sender = { id: message.from, address }
+    if (message.type === 'ping') {
+      return [...changes, send(sender, 'ack', message.probe)]
+    }
+    return [...changes, ...(message.type === 'ack' ? acked(message, sender) : relayPing(message, sender, now))]
+  }
+
+  const removed = (entry: TableEntry): MembershipAction => {
+    suspectedAt.delete(entry.id)
+    dead = dead.filter(id => id !== entry.id)
+    gossip.drop(entry.id)
+    return { type: 'member-changed', member: { ...memberOf(entry), state: 'dead', listed: false } }
+  }
+
+  const list = (asOf: number, nodes: readonly ListedNode[]): MembershipAction[] => {
+    if (asOf < listAsOf) {
+      return []
+    }
+    listAsOf = asOf
+    const known = new Set(table.ids())
+    const outcome = table.list(nodes)
+    for (const entry of outcome.changed) {
+      if (!known.has(entry.id)) {
+        joinRound(entry.id)
+      }
+    }
+    const changed = outcome.changed.map((entry): MembershipAction => ({ type: 'member-changed', member: memberOf(entry) }))
+    return [...changed, ...outcome.removed.map(removed)]
+  }
+
+  const leave = (): MembershipAction[] => {
+    self = { ...self, leaving: true }
+    gossip.put(self)
+    return []
+  }
+
+  return {
+    step (event, now) {
+      switch (event.type) {
+        case 'tick': return tick(now)
+        case 'instance-list': return list(event.asOf, event.nodes)
+        case 'datagram': return receive(event.message, now)
+        case 'leave': return leave()
+      }
+    },
+    member (id) {
+      const entry = table.get(id)
+      return entry === undefined ? undefined : memberOf(entry)
+    },
+    live: () => [...table.ids()]
+      .map(id => memberOf(table.get(id) as TableEntry))
+      .filter(({ state }) => state !== 'dead')
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/rendezvous.ts
@@ -0,0 +1,94 @@
+/**
+ * Rendezvous hashing: every process that knows the same nodes ranks them equally for a key, and
+ * a node that joins or leaves moves only the keys that it wins or held.
+ */
+import { hashText, mixHash } from './hash'
+
+export type RendezvousNode = {
+  id: string
+  /** For example the availability zone. */
+  group?: string
+}
+
+type Scored<Node> = { node: Node, score: number, preferred: boolean }
+
+const scoreOf = (keyHash: number, id: string): number => {
+  const nodeHash = hashText(id)
+  return mixHash(mixHash(keyHash ^ nodeHash) + nodeHash)
+}
+
+const scored = <Node extends RendezvousNode>(keyHash: number, node: Node, preferredGroup?: string): Scored<Node> => ({
+  node,
+  score: scoreOf(keyHash, node.id),
+  preferred: preferredGroup !== undefined && node.group === preferredGroup
+})
+
+const compareScored = <Node extends RendezvousNode>(left: Scored<Node>, right: Scored<Node>): number => {
+  if (left.preferred !== right.preferred) {
+    return left.preferred ? -1 : 1
+  }
+  if (left.score !== right.score) {
+    return right.score - left.score
+  }
+  return left.node.id < right.node.id ? -1 : 1
+}
+
+/**
+ * Ranks all nodes for a key.
+ *
+ * @param key - what is placed
+ * @param nodes - candidates, in any order
+ * @param preferredGroup - nodes of this group come first
+ * @returns the nodes, best first
+ */
+export const rankNodes = <Node extends RendezvousNode>(key: string, nodes: readonly Node[], preferredGroup?: string): Node[] => {
+  const keyHash = hashText(key)
+  return nodes
+    .map(node => scored(keyHash, node, preferredGroup))
+    .sort(compareScored)
+    .map(({ node }) => node)
+}
+
+/**
+ * The first of {@link rankNodes} without sorting.
+ *
+ * @param key - what is placed
+ * @param nodes - candidates, in any order
+ * @param preferredGroup - nodes of this group come first
+ * @returns undefined when there are no nodes
+ */
+export const firstNode = <Node extends RendezvousNode>(key: string, nodes: readonly Node[], preferredGroup?: string): Node | undefined => {
+  const keyHash = hashText(key)
+  let best: Scored<Node> | undefined
+  for (const node of nodes) {
+    const candidate = scored(keyHash, node, preferredGroup)
+    if (best === undefined || compareScored(candidate, best) < 0) {
+      best = candidate
+    }
+  }
+  return best?.node
+}
+
+/**
+ * Bounded-load variant: the first node in rank whose load is below `factor` times the average.
+ *
+ * @param key - what is placed
+ * @param nodes - candidates, in any order
+ * @param loadOf - load already placed on a node, in any unit
+ * @param factor - at least 1; 1.25 lets a node exceed the average by a quarter
+ * @param preferredGroup - nodes of this group come first
+ * @returns undefined when there are no nodes
+ */
+export const boundedNode = <Node extends RendezvousNode>(
+  key: string,
+  nodes: readonly Node[],
+  loadOf: (node: Node) => number,
+  factor: number,
+  preferredGroup?: string
+): Node | undefined => {
+  const total = nodes.reduce((sum, node) => sum + loadOf(node), 0)
+  // Counts the key itself, so that the bound is at least 1 and some node is always below it.
+  const bound = Math.ceil(factor * (total + 1) / Math.max(nodes.length, 1))
+  const ranked = rankNodes(key, nodes, preferredGroup)
+  return ranked.find(node => loadOf(node) < bound) ?? ranked[0]
+}
