--- /dev/null
+++ b/packages/serving/src/handles.ts
@@ -0,0 +1,25 @@
+/** Names of loaded adapters: `ADAPTER@VERSION~TERM.COUNTER`, unique to one load. */
+
+export type ParsedHandle = { adapter: string, version: string, term: number, counter: number }
+
+const handlePattern = /^(.+)@([^@~]+)~(-?\d+)\.(\d+)$/
+
+/**
+ * @param term fencing number of the owner that issues the load
+ * @param counter number of the load within the term
+ */
+export const formatHandle = (adapter: string, version: string, term: number, counter: number): string =>
+  `${adapter}@${version}~${term}.${counter}`
+
+/** @returns undefined when the text is not a handle */
+export const parseHandle = (handle: string): ParsedHandle | undefined => {
+  const match = handlePattern.exec(handle)
+  if (match === null) {
+    return undefined
+  }
+  const [, adapter = '', version = '', term, counter] = match
+  return { adapter, version, term: Number(term), counter: Number(counter) }
+}
+
+/** Identifies what must be resident for a request: one version of one adapter. */
+export const adapterKey = (adapter: string, version: string): string => `${adapter}@${version}`
--- /dev/null
+++ b/packages/serving/src/invariant.ts
@@ -0,0 +1,14 @@
+/** Thrown when a decision module finds that one of its own guarantees does not hold. */
+export class InvariantError extends Error {
+  constructor (message: string) {
+    super(`invariant violated: ${message}`)
+    this.name = 'InvariantError'
+  }
+}
+
+/** @throws {InvariantError} when the condition is false */
+export function invariant (condition: boolean, message: string): asserts condition {
+  if (!condition) {
+    throw new InvariantError(message)
+  }
+}
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -19,31 +19,40 @@
   deadline: number
 }
 
+/** A prompt prefix entered or left the engine's cache; `cleared` empties it. */
+export type CacheEvent = { seq: number, type: 'stored' | 'removed' | 'cleared', prefix: string }
+
 export type SchedulerEvent =
   | { type: 'classes', classes: Record<string, ClassConfig> }
   | { type: 'adopt', resident: ResidentAdapter[], running: { requestId: string, handle: string }[] }
   | { type: 'evictable', handles: string[] }
   | { type: 'submit', request: ServingRequest }
   | { type: 'cancel', requestId: string }
-  | { type: 'first-token', requestId: string }
-  | { type: 'ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number }
+  /** With a `handle`, events of an earlier dispatch of the same request are recognised and ignored. */
+  | { type: 'first-token', requestId: string, handle?: string }
+  /** `reason` is the engine's reason of a `not-run`, for example `model_not_found`. */
+  | { type: 'ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number, handle?: string, reason?: string }
   | { type: 'load-result', handle: string, result: EngineCommandResult }
   | { type: 'unload-result', handle: string, result: EngineCommandResult }
   | { type: 'report', report: EngineReport }
   | { type: 'permit', permitId: string, expiresAt: number }
   | { type: 'permit-denied', retryAfterMs: number }
+  /** Prefix cache events of the engine; late and with gaps in `seq`. */
+  | { type: 'cache', incarnation: number, events: CacheEvent[] }
   | { type: 'drain' }
   | { type: 'tick' }
 
 export type SchedulerAction =
   /** `urgency` orders competing owners at the permit holder: higher first. */
   | { type: 'request-permit', urgency: number }
-  | { type: 'release-permit', permitId: string }
+  /** `unused` permits were never spent on a load. */
+  | { type: 'release-permit', permitId: string, unused?: true }
   | { type: 'load', handle: string, adapter: string, version: string, permitId: string }
   | { type: 'unload', handle: string }
   | { type: 'dispatch', requestId: string, handle: string, priority: number }
   | { type: 'cancel-dispatch', requestId: string }
-  | { type: 'refuse', requestId: string, reason: string, retryAfterMs: number }
+  /** Not run, unless `mayHaveRun`: then an earlier attempt was lost at the engine and the outcome is unknown. */
+  | { type: 'refuse', requestId: string, reason: string, retryAfterMs: number, mayHaveRun?: true }
   /** The engine lost the request before a token; the owner runs it again unless its deadline has passed. */
   | { type: 'requeued', requestId: string }
 
--- /dev/null
+++ b/packages/serving/src/permits.test.ts
@@ -0,0 +1,73 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createPermitClient, createPermitHolder, permitHolderOf } from './permits'
+
+const limits = { inFlight: 8, perSecond: 3, expiryMs: 10_000 }
+
+test('grants keep the stated rate and prefer urgency (guards against an overloaded weight store)', () => {
+  const holder = createPermitHolder('n1', limits)
+  const granted: string[] = []
+  for (let now = 0; now < 10_000; now += 50) {
+    for (const engine of ['low', 'high']) {
+      const grants = holder.step({ type: 'request', engine, urgency: engine === 'high' ? 2 : 1 }, now)
+      for (const grant of grants) {
+        granted.push(grant.engine)
+        holder.step({ type: 'release', permitId: grant.permitId }, now + 1)
+      }
+    }
+  }
+  assert.ok(granted.length >= 28 && granted.length <= 31, `${granted.length} grants in 10 s`)
+  assert.ok(granted.filter((engine) => engine === 'high').length >= granted.length - 1)
+})
+
+test('at most 8 permits are in force and lost ones expire (guards against leaked permits)', () => {
+  const holder = createPermitHolder('n1', { ...limits, perSecond: 1_000 })
+  let count = 0
+  for (let now = 0; now < 9_000; now += 10) {
+    count += holder.step({ type: 'request', engine: `e${now}`, urgency: 1 }, now).length
+  }
+  assert.is(count, 8)
+  holder.step({ type: 'request', engine: 'later', urgency: 1 }, 12_000)
+  assert.is(holder.inFlight, 1)
+})
+
+test('an unused permit gives its share of the rate back (guards against loads lost to cancelled requests)', () => {
+  const holder = createPermitHolder('n1', limits)
+  const [first] = holder.step({ type: 'request', engine: 'e1', urgency: 1 }, 0)
+  assert.is(holder.step({ type: 'request', engine: 'e2', urgency: 1 }, 1).length, 0)
+  const [second] = holder.step({ type: 'release', permitId: first!.permitId, unused: true }, 2)
+  assert.is(second?.engine, 'e2')
+})
+
+test('the fixed share replaces a dead holder and keeps the rate (guards against a stop of all loads)', () => {
+  const nodes = ['n1', 'n2', 'n3']
+  const holder = permitHolderOf(nodes)!
+  const clients = nodes.map((node) => createPermitClient(node, limits))
+  for (const client of clients) {
+    client.step({ type: 'nodes', nodes }, 0)
+  }
+  assert.equal(clients[0]!.step({ type: 'want', engine: 'e1', urgency: 1 }, 0), [{ type: 'ask', node: holder, engine: 'e1', urgency: 1 }])
+  let permits = 0
+  for (let now = 0; now < 20_000; now += 20) {
+    for (const client of clients) {
+      client.step({ type: 'unreachable', node: holder }, now)
+      const actions = client.step({ type: 'want', engine: 'e1', urgency: 1 }, now)
+      for (const action of actions) {
+        if (action.type === 'permit') {
+          permits += 1
+          client.step({ type: 'release', permitId: action.permitId }, now)
+        }
+      }
+    }
+  }
+  assert.ok(permits >= 50 && permits <= 61, `${permits} permits in 20 s`)
+})
+
+test('a permit that arrives after the fixed share was used goes back (guards against permits nobody spends)', () => {
+  const client = createPermitClient('n1', limits)
+  client.step({ type: 'nodes', nodes: ['n1', 'n2'] }, 0)
+  const late = client.step({ type: 'granted', engine: 'e1', permitId: 'x.1', expiresAt: 9_000 }, 10)
+  assert.equal(late, [{ type: 'return', node: client.holder(), permitId: 'x.1', unused: true }])
+})
+
+test.run()
--- /dev/null
+++ b/packages/serving/src/permits.ts
@@ -0,0 +1,267 @@
+/**
+ * Permits for adapter loads over the shared weight store. One node holds them; the others ask it.
+ * Without the holder each node uses a fixed share in time slots. Permits are soft state: losing them
+ * costs speed, never a guarantee.
+ */
+import { rendezvousRank } from './hash'
+import { invariant } from './invariant'
+
+export type PermitLimits = {
+  /** Loads in flight over all engines. */
+  inFlight: number
+  /** Loads per second that the weight store sustains. */
+  perSecond: number
+  /** ms after which a permit that was not returned is free again. */
+  expiryMs: number
+}
+
+export type PermitHolderEvent =
+  /** A repeated request of the same engine replaces the earlier one. */
+  | { type: 'request', engine: string, urgency: number }
+  | { type: 'release', permitId: string, unused?: true }
+  | { type: 'tick' }
+
+export type PermitGrant = { type: 'grant', engine: string, permitId: string, expiresAt: number }
+
+export type PermitHolder = {
+  step (event: PermitHolderEvent, now: number): PermitGrant[]
+  readonly inFlight: number
+  /** When a waiting request could be granted next, in ms; undefined when none waits for the rate. */
+  nextGrantAt (now: number): number | undefined
+}
+
+/** A waiting request is repeated every second; one that is not repeated has no interest any more. */
+const requestTtlMs = 3_000
+/** Loads that may start at once after an idle second. */
+const burstSeconds = 1
+
+type Request = { urgency: number, at: number, order: number }
+
+/** @param name distinguishes the permits of successive holders */
+export const createPermitHolder = (name: string, { inFlight, perSecond, expiryMs }: PermitLimits): PermitHolder => {
+  const granted = new Map<string, number>()
+  const waiting = new Map<string, Request>()
+  const burst = Math.max(1, perSecond * burstSeconds)
+  let tokens = 1
+  let refilledAt: number | undefined
+  let counter = 0
+
+  const refill = (now: number): void => {
+    tokens = Math.min(burst, tokens + (now - (refilledAt ?? now)) * perSecond / 1000)
+    refilledAt = now
+  }
+
+  const expire = (now: number): void => {
+    for (const [permitId, expiresAt] of granted) {
+      if (expiresAt <= now) {
+        granted.delete(permitId)
+      }
+    }
+    for (const [engine, request] of waiting) {
+      if (request.at + requestTtlMs <= now) {
+        waiting.delete(engine)
+      }
+    }
+  }
+
+  const mostUrgent = (): string | undefined => {
+    let best: string | undefined
+    for (const [engine, request] of waiting) {
+      const other = best === undefined ? undefined : waiting.get(best)!
+      if (other === undefined || request.urgency > other.urgency || (request.urgency === other.urgency && request.order < other.order)) {
+        best = engine
+      }
+    }
+    return best
+  }
+
+  const grant = (engine: string, now: number): PermitGrant => {
+    waiting.delete(engine)
+    counter += 1
+    tokens -= 1
+    const permitId = `${name}.${counter}`
+    granted.set(permitId, now + expiryMs)
+    invariant(granted.size <= inFlight, `${granted.size} load permits are in force`)
+    return { type: 'grant', engine, permitId, expiresAt: now + expiryMs }
+  }
+
+  const next = (): string | undefined => {
+    const engine = mostUrgent()
+    if (engine === undefined || granted.size >= inFlight) {
+      return undefined
+    }
+    // Prefetch (urgency 0) only uses permits that nobody else is going to need at once.
+    const needed = waiting.get(engine)!.urgency <= 0 ? burst : 1
+    return tokens >= needed ? engine : undefined
+  }
+
+  const grantAll = (now: number): PermitGrant[] => {
+    const grants: PermitGrant[] = []
+    for (let engine = next(); engine !== undefined; engine = next()) {
+      grants.push(grant(engine, now))
+    }
+    return grants
+  }
+
+  return {
+    step (event, now) {
+      refill(now)
+      expire(now)
+      if (event.type === 'request') {
+        const order = waiting.get(event.engine)?.order ?? (counter += 1)
+        waiting.set(event.engine, { urgency: event.urgency, at: now, order })
+      }
+      if (event.type === 'release' && granted.delete(event.permitId) && event.unused === true) {
+        tokens = Math.min(burst, tokens + 1)
+      }
+      return grantAll(now)
+    },
+    get inFlight () {
+      return granted.size
+    },
+    nextGrantAt (now) {
+      if (waiting.size === 0 || granted.size >= inFlight) {
+        return undefined
+      }
+      const best = waiting.get(mostUrgent()!)!
+      const needed = best.urgency <= 0 ? burst : 1
+      return now + Math.max(0, Math.ceil((needed - tokens) * 1000 / perSecond))
+    }
+  }
+}
+
+export type PermitClientEvent =
+  /** The engine's scheduler wants a permit. */
+  | { type: 'want', engine: string, urgency: number }
+  | { type: 'release', permitId: string, unused?: true }
+  /** Live nodes of the deployment, this one included. */
+  | { type: 'nodes', nodes: string[] }
+  | { type: 'granted', engine: string, permitId: string, expiresAt: number }
+  /** The holder did not answer. */
+  | { type: 'unreachable', node: string }
+  | { type: 'tick' }
+
+export type PermitClientAction =
+  | { type: 'ask', node: string, engine: string, urgency: number }
+  | { type: 'return', node: string, permitId: string, unused?: true }
+  | { type: 'permit', engine: string, permitId: string, expiresAt: number }
+
+export type PermitClient = {
+  step (event: PermitClientEvent, now: number): PermitClientAction[]
+  /** The node that should hold the permits; undefined while no node is known. */
+  holder (): string | undefined
+  /** Whether the fixed share is in use. */
+  isFallback (now: number): boolean
+}
+
+/** After a failure the holder is tried again after this time; meanwhile the fixed share is used. */
+const holderRetryMs = 2_000
+/** All nodes choose the holder with this key. */
+const holderKey = 'load-permits'
+
+/** @returns the node that holds the load permits */
+export const permitHolderOf = (nodes: readonly string[]): string | undefined => rendezvousRank(holderKey, nodes)[0]
+
+/** The permits of one node's engines: from the holder, or from the node's own time slots. */
+export const createPermitClient = (self: string, limits: PermitLimits): PermitClient => {
+  let nodes: string[] = [self]
+  let unreachableUntil = -Infinity
+  let counter = 0
+  let lastSlot = -1
+  const wanted = new Map<string, { urgency: number, at: number }>()
+  const own = new Map<string, number>()
+  const issuer = new Map<string, string>()
+
+  const holder = (): string | undefined => permitHolderOf(nodes)
+  const isFallback = (now: number): boolean => now < unreachableUntil
+
+  const expire = (now: number): void => {
+    for (const [permitId, expiresAt] of own) {
+      if (expiresAt <= now) {
+        own.delete(permitId)
+      }
+    }
+    for (const [engine, { at }] of wanted) {
+      if (at + requestTtlMs <= now) {
+        wanted.delete(engine)
+      }
+    }
+  }
+
+  /** One load per time slot of 1/rate seconds, the slots dealt to the nodes in turn. */
+  const ownShare = (now: number): PermitClientAction[] => {
+    const slot = Math.floor(now * limits.perSecond / 1000)
+    const turn = nodes.indexOf(self) === slot % nodes.length
+    const share = Math.max(1, Math.floor(limits.inFlight / nodes.length))
+    const best = [...wanted].sort(([, a], [, b]) => b.urgency - a.urgency)[0]
+    if (!turn || slot === lastSlot || own.size >= share || best === undefined) {
+      return []
+    }
+    lastSlot = slot
+    counter += 1
+    const permitId = `${self}.share.${counter}`
+    const expiresAt = now + limits.expiryMs
+    own.set(permitId, expiresAt)
+    invariant(own.size <= limits.inFlight, `${self} has ${own.size} loads in flight`)
+    wanted.delete(best[0])
+    return [{ type: 'permit', engine: best[0], permitId, expiresAt }]
+  }
+
+  const giveBack = (permitId: string, unused: true | undefined): PermitClientAction[] => {
+    if (own.delete(permitId)) {
+      return []
+    }
+    const node = issuer.get(permitId)
+    issuer.delete(permitId)
+    return node === undefined ? [] : [{ type: 'return', node, permitId, ...(unused ? { unused } : {}) }]
+  }
+
+  const granted = ({ engine, permitId, expiresAt }: Extract<PermitClientEvent, { type: 'granted' }>, now: number): PermitClientAction[] => {
+    const node = holder()
+    if (issuer.has(permitId) || node === undefined) {
+      return []
+    }
+    issuer.set(permitId, node)
+    unreachableUntil = -Infinity
+    // The scheduler may already have a permit of the fixed share; then this one goes back.
+    if (!wanted.delete(engine)) {
+      return giveBack(permitId, true)
+    }
+    return expiresAt <= now ? giveBack(permitId, true) : [{ type: 'permit', engine, permitId, expiresAt }]
+  }
+
+  return {
+    step (event, now) {
+      expire(now)
+      const actions: PermitClientAction[] = []
+      switch (event.type) {
+        case 'want':
+          wanted.set(event.engine, { urgency: event.urgency, at: now })
+          if (!isFallback(now) && holder() !== undefined) {
+            actions.push({ type: 'ask', node: holder()!, engine: event.engine, urgency: event.urgency })
+          }
+          break
+        case 'release':
+          actions.push(...giveBack(event.permitId, event.unused))
+          break
+        case 'nodes':
+          unreachableUntil = permitHolderOf(event.nodes) === holder() ? unreachableUntil : -Infinity
+          nodes = [...event.nodes].sort()
+          break
+        case 'granted':
+          actions.push(...granted(event, now))
+          break
+        case 'unreachable':
+          if (event.node === holder()) {
+            unreachableUntil = now + holderRetryMs
+          }
+          break
+        case 'tick':
+          break
+      }
+      return isFallback(now) ? [...actions, ...ownShare(now)] : actions
+    },
+    holder,
+    isFallback
+  }
+}
--- /dev/null
+++ b/packages/serving/src/policy-options.ts
@@ -0,0 +1,27 @@
+/** Variants of the scheduler's decisions. Operators do not see them: they serve comparison in the bench. */
+
+export type PolicyOptions = {
+  /** `weighted`: cost of waiting per unit of load time; `arrival`: first come first served. */
+  loadOrder: 'weighted' | 'arrival'
+  /** `next-arrival` needs {@link PolicyOptions.nextArrival}. */
+  eviction: 'expected-use' | 'lru' | 'next-arrival'
+  prefetch: 'none' | 'expected-use' | 'next-arrival'
+  /** `urgency`: by class, then deficit round robin between adapters. */
+  dispatchOrder: 'urgency' | 'arrival'
+  /** `estimate` refuses requests that would miss their target; `bounds` only those beyond the queue bounds. */
+  admission: 'estimate' | 'bounds'
+  /** Whether patient classes leave slots and batch places for impatient ones. */
+  reserve: boolean
+  /** Time of the next arrival for an adapter version, from a reference that knows the future. */
+  nextArrival?: (key: string, now: number) => number
+}
+
+/** The product's policy. */
+export const currentPolicy: PolicyOptions = {
+  loadOrder: 'weighted',
+  eviction: 'expected-use',
+  prefetch: 'expected-use',
+  dispatchOrder: 'urgency',
+  admission: 'estimate',
+  reserve: true
+}
--- /dev/null
+++ b/packages/serving/src/prefix-cache.ts
@@ -0,0 +1,74 @@
+/**
+ * What is known about the prefix cache of one engine. Its events arrive late and with gaps, so an
+ * entry is a likelihood: it fades with age and is halved by each gap in the sequence.
+ */
+import type { CacheEvent } from './messages'
+
+export type PrefixCache = {
+  apply (incarnation: number, events: CacheEvent[], now: number): void
+  /** Notes that a request with the prefix was dispatched. */
+  used (prefix: string, now: number): void
+  /** Likelihood from 0 to 1 that the prefix is cached. */
+  likelihood (prefix: string, now: number): number
+}
+
+/** Engines publish no size in entries; the bound only limits the memory of this table. */
+const maxEntries = 512
+/** An entry that nothing confirmed for this long counts half. */
+const halfLifeMs = 60_000
+
+type Entry = { likelihood: number, at: number, gaps: number }
+
+export const createPrefixCache = (): PrefixCache => {
+  const entries = new Map<string, Entry>()
+  let incarnation = -1
+  let lastSeq = -1
+  let gaps = 0
+
+  const store = (prefix: string, likelihood: number, now: number): void => {
+    entries.delete(prefix)
+    entries.set(prefix, { likelihood, at: now, gaps })
+    if (entries.size > maxEntries) {
+      entries.delete(entries.keys().next().value!)
+    }
+  }
+
+  const applyOne = (event: CacheEvent, now: number): void => {
+    if (event.seq <= lastSeq) {
+      return
+    }
+    gaps += lastSeq >= 0 && event.seq > lastSeq + 1 ? 1 : 0
+    lastSeq = event.seq
+    if (event.type === 'cleared') {
+      entries.clear()
+    } else if (event.type === 'removed') {
+      entries.delete(event.prefix)
+    } else {
+      store(event.prefix, 1, now)
+    }
+  }
+
+  return {
+    apply (nextIncarnation, events, now) {
+      if (nextIncarnation < incarnation) {
+        return
+      }
+      if (nextIncarnation > incarnation) {
+        incarnation = nextIncarnation
+        lastSeq = -1
+        entries.clear()
+      }
+      for (const event of events) {
+        applyOne(event, now)
+      }
+    },
+    used: (prefix, now) => store(prefix, 0.75, now),
+    likelihood (prefix, now) {
+      const entry = entries.get(prefix)
+      if (entry === undefined) {
+        return 0
+      }
+      return entry.likelihood * 0.5 ** (gaps - entry.gaps + (now - entry.at) / halfLifeMs)
+    }
+  }
+}
--- /dev/null
+++ b/packages/serving/src/usage.ts
@@ -0,0 +1,69 @@
+/** Use statistics of adapters: exponentially decayed arrival rates over two horizons. */
+
+export type Usage = {
+  record (key: string, now: number): void
+  /** Expected arrivals per second. */
+  rate (key: string, now: number): number
+  /** ms since the last arrival; Infinity when there was none. */
+  idleMs (key: string, now: number): number
+  /** The keys with the highest expected rates, highest first. */
+  top (count: number, now: number): string[]
+  size (): number
+}
+
+type Entry = { short: number, long: number, at: number }
+
+/** The short horizon follows a surge, the long one keeps what was popular before it. */
+const shortHorizonMs = 60_000
+const longHorizonMs = 900_000
+/** Weight of the short horizon in the expected rate. */
+const shortWeight = 0.5
+
+const decayed = (entry: Entry, now: number): Entry => {
+  const elapsed = Math.max(0, now - entry.at)
+  return {
+    short: entry.short * Math.exp(-elapsed / shortHorizonMs),
+    long: entry.long * Math.exp(-elapsed / longHorizonMs),
+    at: now
+  }
+}
+
+const rateOf = (entry: Entry, now: number): number => {
+  const { short, long } = decayed(entry, now)
+  return 1000 * (shortWeight * short / shortHorizonMs + (1 - shortWeight) * long / longHorizonMs)
+}
+
+/**
+ * @param maxEntries bound of the table; beyond it the keys idle for longest are forgotten
+ */
+export const createUsage = (maxEntries: number): Usage => {
+  // Insertion order is order of last use, so the first key is the one idle for longest.
+  const entries = new Map<string, Entry>()
+
+  return {
+    record (key, now) {
+      const entry = decayed(entries.get(key) ?? { short: 0, long: 0, at: now }, now)
+      entry.short += 1
+      entry.long += 1
+      entries.delete(key)
+      entries.set(key, entry)
+      if (entries.size > maxEntries) {
+        entries.delete(entries.keys().next().value!)
+      }
+    },
+    rate (key, now) {
+      const entry = entries.get(key)
+      return entry === undefined ? 0 : rateOf(entry, now)
+    },
+    idleMs (key, now) {
+      const entry = entries.get(key)
+      return entry === undefined ? Infinity : now - entry.at
+    },
+    top (count, now) {
+      const rated = [...entries].map(([key, entry]) => ({ key, rate: rateOf(entry, now) }))
+      rated.sort((a, b) => b.rate - a.rate)
+      return rated.slice(0, count).map(({ key }) => key)
+    },
+    size: () => entries.size
+  }
+}
