--- a/packages/serving/src/permits.test.ts
+++ b/packages/serving/src/permits.test.ts
@@ -50,8 +50,10 @@
   let permits = 0
   for (let now = 0; now < 20_000; now += 20) {
     for (const client of clients) {
-      client.step({ type: 'unreachable', node: holder }, now)
-      const actions = client.step({ type: 'want', engine: 'e1', urgency: 1 }, now)
+      const actions = [
+        ...client.step({ type: 'unreachable', node: holder }, now),
+        ...client.step({ type: 'want', engine: 'e1', urgency: 1 }, now)
+      ]
       for (const action of actions) {
         if (action.type === 'permit') {
           permits += 1
