Add ownership by log order, order claims and retries

Takeovers, evictions and orders need rules that hold when a process pauses, a command arrives late or the log loses an answer.

- claims: read-back before the one send, abandon, retention proof, batched appends, attempts that gave up and land late.
- retry: budget, circuit breaker, full jitter, deadlines.

An engine that checks fencing numbers would still carry out a late command of the last owner until it has seen the new number.

--- /dev/null
+++ b/packages/coordination/src/claims-desk.ts
@@ -0,0 +1,429 @@
+/**
+ * The orders of one claims shard at one node: claim, read back, send once, record the outcome.
+ *
+ * An order is sent only after the node has read its own claim as the winner, and only by the
+ * attempt that wrote it. An attempt that gave up never sends; when its claim wins later, it is
+ * abandoned so that another attempt can.
+ */
+import type { AppendResult, LogPage } from '@yuccawharf/platform'
+import type { OutcomeRecord } from '@yuccawharf/schema'
+import { createClaimsBatch, type OrderRecord } from './claims-batch'
+import { claimStream, parseOrderKey } from './claims-key'
+import { createClaimsLog, type ClaimChange } from './claims-log'
+
+export type ClaimDeskConfig = {
+  node: string
+  incarnation: number
+  shard: number
+  maxRecordsPerAppend: number
+  appendIntervalMs: number
+  /** An attempt whose claim was neither read nor proved absent after this is given up, in ms. */
+  claimTimeoutMs: number
+  /** Pause of appends after a failed one, in ms. */
+  logRetryMs: number
+  /** Orders waiting at once. */
+  maxWaiting: number
+  /** Breaks single rules in tests of the checks; never set otherwise. */
+  hooks?: { skipReadBack?: boolean, sendAfterGiveUp?: boolean }
+}
+
+export const claimDeskDefaults = {
+  maxRecordsPerAppend: 256,
+  appendIntervalMs: 60, // 16 shards at this rate append 267 times a second, under the several hundred the log accepts.
+  claimTimeoutMs: 2_000,
+  logRetryMs: 500,
+  maxWaiting: 10_000
+}
+
+export type OrderAnswer =
+  | { type: 'result', status: number, contentType: string, body: string }
+  | { type: 'refused', outcome: 'not-run' | 'unknown' | 'invalid', reason: string, retryAfterMs?: number }
+
+export type ClaimAction =
+  | { type: 'append', stream: string, token: number, values: OrderRecord[] }
+  /** The back end gets the order now, once; the result comes back by {@link ClaimDesk.sent}. */
+  | { type: 'send', orderId: string, key: string, attempt: string }
+  | { type: 'answer', orderId: string, answer: OrderAnswer }
+
+export type SendResult =
+  | { type: 'ok', status: number, contentType: string, body: string }
+  | { type: 'not-sent', reason: string }
+  | { type: 'unknown', reason: string }
+
+export type ClaimDesk = {
+  order (order: { orderId: string, key: string, deadline: number }, now: number): ClaimAction[]
+  page (page: LogPage, now: number): ClaimAction[]
+  readFailed (now: number): ClaimAction[]
+  appended (token: number, result: AppendResult, now: number): ClaimAction[]
+  sent (attempt: string, result: SendResult, now: number): ClaimAction[]
+  tick (now: number): ClaimAction[]
+  /** Orders without an answer, attempts without a recorded end, and records not yet appended. */
+  readonly busy: number
+  /** Next offset of the shard, for key prefixes; undefined until the stream was read. */
+  readonly head: number | undefined
+}
+
+type Caller = { orderId: string, deadline: number }
+
+/** `claimed`: the claim may be in the log. `abandoning`: the abandon record has not been appended yet. */
+type AttemptStep = 'queued' | 'claimed' | 'sending' | 'abandoning' | 'recording'
+
+type Attempt = {
+  id: string
+  key: string
+  step: AttemptStep
+  since: number
+  outcome?: OutcomeRecord
+  /** Callers to be told "not run" once the attempt is abandoned. */
+  refused: Caller[]
+}
+
+/** A forgotten attempt still never sends; its key only stays blocked if its claim wins. */
+const maxGivenUp = 10_000
+
+const refusal = (outcome: 'not-run' | 'unknown' | 'invalid', reason: string, retryAfterMs?: number): OrderAnswer =>
+  ({ type: 'refused', outcome, reason, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
+
+const resultOf = ({ status, contentType, body }: OutcomeRecord): OrderAnswer => ({ type: 'result', status, contentType, body })
+
+const retentionReason = 'the log no longer reaches back to the offset of the key, so it cannot be proved that the order has not run'
+
+/** @returns the desk of one shard; the caller reads the shard's stream from its earliest offset */
+export const createClaimDesk = (cfg: ClaimDeskConfig): ClaimDesk => {
+  const stream = claimStream(cfg.shard)
+  const log = createClaimsLog()
+  const batch = createClaimsBatch({ maxRecords: cfg.maxRecordsPerAppend, intervalMs: cfg.appendIntervalMs, timeoutMs: cfg.claimTimeoutMs })
+  const callers = new Map<string, Caller[]>()
+  const attempts = new Map<string, Attempt>()
+  const attemptOfKey = new Map<string, Attempt>()
+  const givenUp = new Set<string>()
+  let head: number | undefined
+  let logDown = false
+  let lastAttempt = 0
+
+  const answerAll = (list: Caller[], answer: OrderAnswer): ClaimAction[] =>
+    list.map(({ orderId }) => ({ type: 'answer', orderId, answer }))
+
+  const answerKey = (key: string, answer: OrderAnswer): ClaimAction[] => {
+    const list = callers.get(key) ?? []
+    callers.delete(key)
+    return answerAll(list, answer)
+  }
+
+  const forget = (attempt: Attempt): void => {
+    attempts.delete(attempt.id)
+    if (attemptOfKey.get(attempt.key) === attempt) {
+      attemptOfKey.delete(attempt.key)
+    }
+  }
+
+  /** The answer of a call whose attempt never sends: proved only when the log shows no other claim. */
+  const notSent = (key: string, reason: string): OrderAnswer => {
+    const winner = log.state(key)?.winner
+    const offset = parseOrderKey(key)?.offset ?? -1
+    const othersAbsent = winner === undefined || givenUp.has(winner.attempt)
+    const proved = othersAbsent && head !== undefined && log.next >= head && log.provesAbsence(offset)
+    return proved
+      ? refusal('not-run', reason, cfg.logRetryMs * 2)
+      : refusal('unknown', `${reason}; an earlier call with this key may have run`, cfg.logRetryMs * 2)
+  }
+
+  const flush = (now: number): ClaimAction[] => {
+    const append = batch.flush(now)
+    if (append === undefined) {
+      return []
+    }
+    for (const record of append.records) {
+      const attempt = attempts.get(record.attempt)
+      if (record.type === 'claim' && attempt !== undefined) {
+        attempt.step = 'claimed'
+        attempt.since = now
+      }
+    }
+    return [{ type: 'append', stream, token: append.token, values: append.records }]
+  }
+
+  const claim = (key: string, now: number): void => {
+    lastAttempt += 1
+    const attempt: Attempt = { id: `${cfg.node}/${cfg.incarnation}/${lastAttempt}`, key, step: 'queued', since: now, refused: [] }
+    attempts.set(attempt.id, attempt)
+    attemptOfKey.set(key, attempt)
+    batch.add({ type: 'claim', key, attempt: attempt.id, node: cfg.node })
+  }
+
+  const abandon = (attempt: Attempt, now: number): void => {
+    attempt.step = 'abandoning'
+    attempt.since = now
+    attempt.refused.push(...callers.get(attempt.key) ?? [])
+    callers.delete(attempt.key)
+    batch.add({ type: 'abandon', key: attempt.key, attempt: attempt.id })
+  }
+
+  const giveUp = (attempt: Attempt): void => {
+    if (batch.withdraw(attempt.id)) {
+      forget(attempt)
+      return
+    }
+    givenUp.add(attempt.id)
+    forget(attempt)
+    for (const oldest of givenUp) {
+      if (givenUp.size <= maxGivenUp) {
+        return
+      }
+      givenUp.delete(oldest)
+    }
+  }
+
+  const latestDeadline = (key: string): number =>
+    Math.max(-Infinity, ...(callers.get(key) ?? []).map(({ deadline }) => deadline))
+
+  const send = (attempt: Attempt, now: number): ClaimAction[] => {
+    const first = callers.get(attempt.key)?.[0]
+    if (first === undefined || now >= latestDeadline(attempt.key)) {
+      abandon(attempt, now)
+      return []
+    }
+    attempt.step = 'sending'
+    return [{ type: 'send', orderId: first.orderId, key: attempt.key, attempt: attempt.id }]
+  }
+
+  const won = (key: string, id: string, now: number): ClaimAction[] => {
+    const attempt = attempts.get(id)
+    if (attempt?.step === 'claimed') {
+      return send(attempt, now)
+    }
+    if (attempt === undefined && givenUp.has(id)) {
+      if (cfg.hooks?.sendAfterGiveUp === true) {
+        return [{ type: 'send', orderId: id, key, attempt: id }]
+      }
+      // Stays in givenUp: a repeated claim of the attempt could win once more.
+      batch.add({ type: 'abandon', key, attempt: id })
+    }
+    return []
+  }
+
+  const ownClaimVoid = (change: ClaimChange, answer: OrderAnswer): ClaimAction[] => {
+    const attempt = attempts.get(change.attempt)
+    if (attempt?.step !== 'claimed') {
+      return []
+    }
+    forget(attempt)
+    return answerKey(change.key, answer)
+  }
+
+  const joinable = (key: string): OrderAnswer | undefined => {
+    const attempt = attemptOfKey.get(key)
+    if (attempt?.outcome !== undefined) {
+      return resultOf(attempt.outcome)
+    }
+    const state = log.state(key)
+    if (state?.outcome !== undefined) {
+      return resultOf(state.outcome)
+    }
+    const lostOwn = state?.winner?.node === cfg.node && attempt === undefined && !givenUp.has(state.winner.attempt)
+    return lostOwn ? refusal('unknown', 'the order was sent and its result was lost') : undefined
+  }
+
+  const lost = (key: string, id: string): ClaimAction[] => {
+    const attempt = attempts.get(id)
+    if (attempt?.step !== 'claimed') {
+      return []
+    }
+    forget(attempt)
+    const known = joinable(key)
+    return known === undefined ? [] : answerKey(key, known)
+  }
+
+  const claimAgain = (key: string, now: number): void => {
+    if (callers.has(key) && attemptOfKey.get(key) === undefined && log.state(key)?.winner === undefined) {
+      claim(key, now)
+    }
+  }
+
+  const abandonDone = (attempt: Attempt, now: number): ClaimAction[] => {
+    forget(attempt)
+    claimAgain(attempt.key, now)
+    return answerAll(attempt.refused, refusal('not-run', 'the order was not sent'))
+  }
+
+  const abandoned = (key: string, id: string, now: number): ClaimAction[] => {
+    const attempt = attempts.get(id)
+    if (attempt?.step === 'abandoning') {
+      return abandonDone(attempt, now)
+    }
+    claimAgain(key, now)
+    return []
+  }
+
+  const applyChange = (change: ClaimChange, now: number): ClaimAction[] => {
+    switch (change.type) {
+      case 'won': return won(change.key, change.attempt, now)
+      case 'lost': return lost(change.key, change.attempt)
+      case 'invalid': return ownClaimVoid(change, refusal('invalid', 'the key names an offset that the log had not reached'))
+      case 'unproven': return ownClaimVoid(change, refusal('unknown', retentionReason))
+      case 'abandoned': return abandoned(change.key, change.attempt, now)
+      case 'outcome': {
+        const attempt = attempts.get(change.attempt)
+        if (attempt !== undefined) {
+          forget(attempt)
+        }
+        const outcome = log.state(change.key)?.outcome
+        return outcome === undefined ? [] : answerKey(change.key, resultOf(outcome))
+      }
+    }
+  }
+
+  const recordAppended = (record: OrderRecord, now: number): ClaimAction[] => {
+    const attempt = attempts.get(record.attempt)
+    if (attempt === undefined) {
+      return []
+    }
+    if (record.type === 'abandon') {
+      return abandonDone(attempt, now)
+    }
+    return record.type === 'claim' && cfg.hooks?.skipReadBack === true && attempt.step === 'claimed' ? send(attempt, now) : []
+  }
+
+  const recordFailed = (record: OrderRecord): ClaimAction[] => {
+    const attempt = attempts.get(record.attempt)
+    if (record.type !== 'claim' || attempt === undefined) {
+      return []
+    }
+    forget(attempt)
+    return answerKey(record.key, notSent(record.key, 'the log does not accept records'))
+  }
+
+  const unknownAppend = (records: OrderRecord[], now: number): void => {
+    // Outcome and abandon records have the same effect when they are appended twice; claims are awaited.
+    batch.restore(records.filter(record => record.type !== 'claim'))
+    batch.pauseUntil(now + cfg.logRetryMs)
+  }
+
+  const refuseOrder = (key: string): OrderAnswer | undefined => {
+    const named = parseOrderKey(key)
+    if (named === undefined || named.shard !== cfg.shard) {
+      return refusal('invalid', 'the key does not start with a prefix from an address response')
+    }
+    const known = joinable(key)
+    if (known !== undefined) {
+      return known
+    }
+    if (head !== undefined && log.state(key) === undefined && !log.provesAbsence(named.offset)) {
+      return refusal('unknown', retentionReason)
+    }
+    if (attemptOfKey.has(key) || log.state(key)?.winner !== undefined) {
+      return undefined
+    }
+    if (logDown || callers.size >= cfg.maxWaiting) {
+      return notSent(key, logDown ? 'the log does not answer' : 'too many orders wait')
+    }
+    return undefined
+  }
+
+  const expire = (key: string, now: number): ClaimAction[] => {
+    const list = callers.get(key) ?? []
+    const late = list.filter(({ deadline }) => now >= deadline)
+    if (late.length === 0) {
+      return []
+    }
+    const attempt = attemptOfKey.get(key)
+    const remaining = list.filter(({ deadline }) => now < deadline)
+    if (remaining.length === 0) {
+      callers.delete(key)
+    } else {
+      callers.set(key, remaining)
+    }
+    if (remaining.length === 0 && attempt !== undefined && (attempt.step === 'queued' || attempt.step === 'claimed')) {
+      giveUp(attempt)
+    }
+    const mayHaveRun = attempt?.step === 'sending' || attempt?.step === 'recording'
+    return answerAll(late, mayHaveRun ? refusal('unknown', 'the back end did not answer before the deadline') : notSent(key, 'the deadline passed before the order was sent'))
+  }
+
+  const retryStuckClaim = (attempt: Attempt, now: number): void => {
+    giveUp(attempt)
+    claimAgain(attempt.key, now)
+  }
+
+  const checkAttempts = (now: number): ClaimAction[] => {
+    const stuck = [...attempts.values()].filter(({ since }) => now >= since + cfg.claimTimeoutMs)
+    stuck.filter(({ step }) => step === 'claimed').forEach(attempt => retryStuckClaim(attempt, now))
+    return stuck.filter(({ step }) => step === 'abandoning').flatMap(attempt =>
+      answerAll(attempt.refused.splice(0), refusal('unknown', 'the order was not sent, but the log does not confirm it')))
+  }
+
+  return {
+    order ({ orderId, key, deadline }, now) {
+      const answer = refuseOrder(key)
+      if (answer !== undefined) {
+        return [{ type: 'answer', orderId, answer }]
+      }
+      callers.set(key, [...callers.get(key) ?? [], { orderId, deadline }])
+      if (attemptOfKey.get(key) === undefined && log.state(key)?.winner === undefined) {
+        claim(key, now)
+      }
+      return flush(now)
+    },
+    page (page, now) {
+      logDown = false
+      const actions = page.records.flatMap(log.apply).flatMap(change => applyChange(change, now))
+      log.retain(page.first)
+      head = Math.max(head ?? 0, page.next)
+      return [...actions, ...flush(now)]
+    },
+    readFailed () {
+      logDown = true
+      return []
+    },
+    appended (token, result, now) {
+      const records = batch.finish(token)
+      if (records === undefined) {
+        return []
+      }
+      if (result.type === 'ok') {
+        logDown = false
+        return [...records.flatMap(record => recordAppended(record, now)), ...flush(now)]
+      }
+      if (result.type === 'unknown') {
+        unknownAppend(records, now)
+        return []
+      }
+      logDown = true
+      batch.restore(records.filter(record => record.type !== 'claim'))
+      batch.pauseUntil(now + cfg.logRetryMs)
+      return records.flatMap(recordFailed)
+    },
+    sent (id, result, now) {
+      const attempt = attempts.get(id)
+      if (attempt?.step !== 'sending') {
+        return []
+      }
+      if (result.type === 'not-sent') {
+        abandon(attempt, now)
+        return flush(now)
+      }
+      if (result.type === 'unknown') {
+        forget(attempt)
+        return answerKey(attempt.key, refusal('unknown', `the order may have run: ${result.reason}`))
+      }
+      attempt.step = 'recording'
+      attempt.outcome = { type: 'outcome', key: attempt.key, attempt: id, status: result.status, contentType: result.contentType, body: result.body }
+      batch.add(attempt.outcome)
+      return [...answerKey(attempt.key, resultOf(attempt.outcome)), ...flush(now)]
+    },
+    tick (now) {
+      const lost = batch.timeOut(now)
+      if (lost !== undefined) {
+        unknownAppend(lost.records, now)
+      }
+      const expired = [...callers.keys()].flatMap(key => expire(key, now))
+      return [...expired, ...checkAttempts(now), ...flush(now)]
+    },
+    get busy () {
+      return callers.size + attempts.size + batch.waiting
+    },
+    get head () {
+      return head
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/claims.ts
@@ -0,0 +1,8 @@
+/**
+ * Orders that run at most once: an order is sent only by the writer of the winning claim, once.
+ * The log decides between claims, so a pause, a late append or a second sender cannot run an
+ * order twice.
+ */
+export * from './claims-desk'
+export * from './claims-key'
+export * from './claims-log'
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './claims'
+export * from './ownership'
+export * from './retry'
--- /dev/null
+++ b/packages/coordination/src/ownership-evictions.ts
@@ -0,0 +1,188 @@
+/**
+ * Decides when an eviction may be sent to an engine.
+ *
+ * Engines that check fencing numbers get the eviction at once, after the fencing number of the
+ * term has reached them: until then they would still carry out a late command of the last owner.
+ * For engines that ignore the number, the intent is appended to the log first and sent only when
+ * it was read back without a newer owner record before it.
+ */
+import type { AppendResult, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { EvictRecord, EvictedRecord } from '@yuccawharf/schema'
+import type { EvictionIntent } from './ownership-log'
+
+export type EvictionsConfig = {
+  engine: string
+  term: number
+  checksFencing: boolean
+  /** Authorised intents of earlier terms that may still reach the engine. */
+  inherited: EvictionIntent[]
+  /** Largest age of a report, in ms. */
+  reportLagMs: number
+  /** Pause before an unknown result is followed by another attempt, in ms. */
+  retryMs: number
+}
+
+export type EvictionAction =
+  /** Unloading a handle that never existed has no effect but tells the engine the fencing number. */
+  | { type: 'raise-fence', handle: string }
+  | { type: 'append', record: EvictRecord | EvictedRecord }
+  | { type: 'unload', handle: string }
+  | { type: 'result', handle: string, result: EngineCommandResult }
+  | { type: 'term-over' }
+
+export type Evictions = {
+  /** @returns the commands that a new term begins with */
+  start (now: number): EvictionAction[]
+  evict (handle: string, now: number): EvictionAction[]
+  appended (handle: string, result: AppendResult, now: number): EvictionAction[]
+  intentRead (intent: EvictionIntent, authorised: boolean, now: number): EvictionAction[]
+  commandResult (handle: string, result: EngineCommandResult, now: number): EvictionAction[]
+  /** Finishes evictions that the report proves: the handle is absent, or the engine has restarted. */
+  report (report: EngineReport): EvictionAction[]
+  tick (now: number): EvictionAction[]
+  /** False for handles whose eviction may still arrive; no request may be sent to them. */
+  isUsable (handle: string): boolean
+  /** True when no earlier owner's command can take effect any more, apart from the handles that are not usable. */
+  readonly ready: boolean
+}
+
+type EvictionState = {
+  /** `authorised` and `sent` remain until the handle is gone. */
+  step: 'intent' | 'authorised' | 'sent'
+  inherited: boolean
+  retryAt: number
+  /** `takenAt` of the first report after sending. A report that is not later than its lag may predate the load. */
+  firstReport?: number
+}
+
+/** @returns the evictions of one term */
+export const createEvictions = (cfg: EvictionsConfig): Evictions => {
+  const states = new Map<string, EvictionState>()
+  const fenceHandle = `fence~${cfg.term}.0`
+  let fenceRaised = !cfg.checksFencing
+  let fenceRetryAt = Infinity
+  let incarnation: number | undefined
+
+  const unload = (handle: string, state: EvictionState, now: number): EvictionAction[] => {
+    state.step = 'sent'
+    state.retryAt = now + cfg.retryMs
+    return [{ type: 'unload', handle }]
+  }
+
+  const append = (handle: string, state: EvictionState, now: number): EvictionAction[] => {
+    state.retryAt = now + cfg.retryMs
+    return [{ type: 'append', record: { type: 'evict', engine: cfg.engine, term: cfg.term, handle } }]
+  }
+
+  const raiseFence = (now: number): EvictionAction[] => {
+    fenceRetryAt = now + cfg.retryMs
+    return [{ type: 'raise-fence', handle: fenceHandle }]
+  }
+
+  const fenceResult = (result: EngineCommandResult, now: number): EvictionAction[] => {
+    if (result.type === 'stale-fence') {
+      return [{ type: 'term-over' }]
+    }
+    // A refusal may come from an engine that did not look at the number, so only success counts.
+    fenceRaised ||= result.type === 'ok'
+    fenceRetryAt = fenceRaised ? Infinity : now + cfg.retryMs
+    return []
+  }
+
+  const finished = (handle: string, state: EvictionState): EvictionAction[] => {
+    states.delete(handle)
+    const result: EvictionAction[] = state.inherited ? [] : [{ type: 'result', handle, result: { type: 'ok' } }]
+    return cfg.checksFencing && !state.inherited
+      ? result
+      : [...result, { type: 'append', record: { type: 'evicted', engine: cfg.engine, handle } }]
+  }
+
+  const failed = (handle: string, state: EvictionState, result: EngineCommandResult): EvictionAction[] => {
+    // An authorised intent cannot be withdrawn, so the eviction is repeated until the handle is gone.
+    if (!cfg.checksFencing || state.inherited) {
+      return []
+    }
+    states.delete(handle)
+    return [{ type: 'result', handle, result }]
+  }
+
+  const isProved = (state: EvictionState, report: EngineReport, restarted: boolean): boolean => {
+    if (state.step !== 'sent') {
+      return false
+    }
+    state.firstReport ??= report.takenAt
+    return restarted || report.takenAt > state.firstReport + cfg.reportLagMs
+  }
+
+  const resend = (handle: string, state: EvictionState, now: number): EvictionAction[] =>
+    state.step === 'intent' ? append(handle, state, now) : unload(handle, state, now)
+
+  return {
+    start (now) {
+      for (const { handle } of cfg.inherited) {
+        states.set(handle, { step: 'authorised', inherited: true, retryAt: Infinity })
+      }
+      const repeated = [...states].flatMap(([handle, state]) => unload(handle, state, now))
+      return fenceRaised ? repeated : [...raiseFence(now), ...repeated]
+    },
+    evict (handle, now) {
+      if (states.has(handle)) {
+        return []
+      }
+      const state: EvictionState = { step: cfg.checksFencing ? 'authorised' : 'intent', inherited: false, retryAt: Infinity }
+      states.set(handle, state)
+      return resend(handle, state, now)
+    },
+    appended (handle, result, now) {
+      const state = states.get(handle)
+      if (state?.step !== 'intent') {
+        return []
+      }
+      if (result.type === 'failed') {
+        states.delete(handle)
+        return [{ type: 'result', handle, result: { type: 'refused', reason: `the eviction intent was not appended: ${result.reason}` } }]
+      }
+      state.retryAt = now + cfg.retryMs
+      return []
+    },
+    intentRead (intent, authorised, now) {
+      const state = states.get(intent.handle)
+      if (intent.term !== cfg.term || state?.step !== 'intent') {
+        return []
+      }
+      return authorised ? unload(intent.handle, state, now) : [{ type: 'term-over' }]
+    },
+    commandResult (handle, result, now) {
+      if (handle === fenceHandle) {
+        return fenceResult(result, now)
+      }
+      const state = states.get(handle)
+      if (state === undefined) {
+        return []
+      }
+      if (result.type === 'ok') {
+        return finished(handle, state)
+      }
+      if (result.type === 'stale-fence') {
+        return [{ type: 'term-over' }]
+      }
+      return result.type === 'refused' ? failed(handle, state, result) : []
+    },
+    report (report) {
+      const restarted = incarnation !== undefined && incarnation !== report.incarnation
+      incarnation = report.incarnation
+      const resident = new Set(report.resident.map(({ handle }) => handle))
+      const gone = [...states].filter(([handle, state]) => !resident.has(handle) && isProved(state, report, restarted))
+      return gone.flatMap(([handle, state]) => finished(handle, state))
+    },
+    tick (now) {
+      const fence = now >= fenceRetryAt ? raiseFence(now) : []
+      const due = [...states].filter(([, state]) => now >= state.retryAt)
+      return [...fence, ...due.flatMap(([handle, state]) => resend(handle, state, now))]
+    },
+    isUsable: handle => !states.has(handle),
+    get ready () {
+      return fenceRaised
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/ownership-log.ts
@@ -0,0 +1,201 @@
+/**
+ * Reducer of the `ownership` stream: which owner records are valid, which processes owned an
+ * engine before, and which evictions were authorised and may still reach the engine.
+ */
+import type { LogEntry } from '@yuccawharf/platform'
+import { validateRecords, type EvictRecord, type EvictedRecord, type OwnerRecord, type SnapshotRecord } from '@yuccawharf/schema'
+import { createSnapshotParts, type OwnershipEntry } from './ownership-snapshot'
+
+/** A process is one start of a node. */
+export type ProcessId = { node: string, incarnation: number }
+
+export type OwnerTerm = ProcessId & {
+  engine: string
+  /** Fencing number: offset of the record that began the term. */
+  term: number
+  /** Offset that the next owner record must name in `after`. */
+  latest: number
+}
+
+/** A process that owned the engine earlier; `term` is its last one. */
+export type Predecessor = ProcessId & { term: number }
+
+/** An authorised eviction that the engine has not been seen to carry out. */
+export type EvictionIntent = { engine: string, term: number, handle: string }
+
+export type OwnershipChange =
+  | { type: 'owner', term: OwnerTerm, previous?: OwnerTerm }
+  /** The owner has proof that no predecessor still uses the engine. */
+  | { type: 'confirmed', term: OwnerTerm }
+  | { type: 'void', record: OwnerRecord, offset: number }
+  | { type: 'intent', intent: EvictionIntent, authorised: boolean }
+  | { type: 'evicted', engine: string, handle: string }
+  /** Retention dropped unread records; the state is unusable until a snapshot is read. */
+  | { type: 'incomplete' }
+  | { type: 'restored' }
+
+export type OwnershipLog = {
+  /** Applies one record; offsets that were applied before are ignored. */
+  apply (entry: LogEntry): OwnershipChange[]
+  owner (engine: string): OwnerTerm | undefined
+  owned (node: string): OwnerTerm[]
+  /** Processes other than the owner's that owned the engine and are not known to have ended. */
+  predecessors (engine: string): Predecessor[]
+  unresolved (engine: string): EvictionIntent[]
+  /** Content of a snapshot that covers all offsets below {@link OwnershipLog.next}. */
+  entries (): OwnershipEntry[]
+  /** False while the state lacks records that retention dropped. */
+  readonly complete: boolean
+  /** Offset of the next record to apply. */
+  readonly next: number
+}
+
+type EngineState = {
+  owner: OwnerTerm | undefined
+  predecessors: Predecessor[]
+  intents: Map<string, EvictionIntent>
+}
+
+export const sameProcess = (left: ProcessId, right: ProcessId): boolean =>
+  left.node === right.node && left.incarnation === right.incarnation
+
+const successorsOf = (state: EngineState, next: ProcessId): Predecessor[] => {
+  const { owner } = state
+  const earlier = owner === undefined
+    ? state.predecessors
+    : [...state.predecessors.filter(process => !sameProcess(process, owner)), { node: owner.node, incarnation: owner.incarnation, term: owner.term }]
+  return earlier.filter(process => !sameProcess(process, next))
+}
+
+/** @returns an empty reducer that expects the stream from offset 0 */
+export const createOwnershipLog = (): OwnershipLog => {
+  const engines = new Map<string, EngineState>()
+  const parts = createSnapshotParts()
+  let next = 0
+  let complete = true
+  let waiting: LogEntry[] = []
+
+  const stateOf = (engine: string): EngineState => {
+    const known = engines.get(engine)
+    if (known !== undefined) {
+      return known
+    }
+    const created: EngineState = { owner: undefined, predecessors: [], intents: new Map() }
+    engines.set(engine, created)
+    return created
+  }
+
+  const applyOwner = (record: OwnerRecord, offset: number): OwnershipChange => {
+    const state = stateOf(record.engine)
+    const { owner } = state
+    if (record.after !== (owner?.latest ?? -1)) {
+      return { type: 'void', record, offset }
+    }
+    if (owner !== undefined && sameProcess(owner, record)) {
+      state.owner = { ...owner, latest: offset }
+      state.predecessors = []
+      return { type: 'confirmed', term: state.owner }
+    }
+    const term: OwnerTerm = { engine: record.engine, node: record.node, incarnation: record.incarnation, term: offset, latest: offset }
+    state.predecessors = successorsOf(state, record)
+    state.owner = term
+    return { type: 'owner', term, ...(owner === undefined ? {} : { previous: owner }) }
+  }
+
+  const applyIntent = (record: EvictRecord): OwnershipChange => {
+    const state = stateOf(record.engine)
+    const intent: EvictionIntent = { engine: record.engine, term: record.term, handle: record.handle }
+    const authorised = state.owner?.term === record.term
+    if (authorised) {
+      state.intents.set(record.handle, intent)
+    }
+    return { type: 'intent', intent, authorised }
+  }
+
+  const applyEvicted = (record: EvictedRecord): OwnershipChange => {
+    stateOf(record.engine).intents.delete(record.handle)
+    return { type: 'evicted', engine: record.engine, handle: record.handle }
+  }
+
+  const restore = (entries: OwnershipEntry[], revision: number): void => {
+    engines.clear()
+    for (const entry of entries) {
+      engines.set(entry.engine, {
+        owner: entry.owner,
+        predecessors: entry.predecessors,
+        intents: new Map(entry.intents.map(intent => [intent.handle, intent]))
+      })
+    }
+    next = revision + 1
+    complete = true
+  }
+
+  const restoreFrom = (record: SnapshotRecord): OwnershipChange[] => {
+    const entries = parts.add(record)
+    const earliest = waiting[0]?.offset ?? next
+    if (complete || entries === undefined || record.revision + 1 < earliest) {
+      return []
+    }
+    const later = waiting.filter(entry => entry.offset > record.revision)
+    waiting = []
+    restore(entries, record.revision)
+    return [{ type: 'restored' }, ...later.flatMap(apply)]
+  }
+
+  const applyRecord = (entry: LogEntry): OwnershipChange[] => {
+    if (!validateRecords(entry.value)) {
+      return []
+    }
+    const record = entry.value as OwnerRecord | EvictRecord | EvictedRecord | SnapshotRecord
+    switch (record.type) {
+      case 'owner': return [applyOwner(record, entry.offset)]
+      case 'evict': return [applyIntent(record)]
+      case 'evicted': return [applyEvicted(record)]
+      case 'snapshot': return restoreFrom(record)
+      default: return []
+    }
+  }
+
+  const wait = (entry: LogEntry): OwnershipChange[] => {
+    const record = entry.value as { type?: unknown } | null
+    waiting.push(entry)
+    return record?.type === 'snapshot' && validateRecords(record) ? restoreFrom(record as SnapshotRecord) : []
+  }
+
+  const apply = (entry: LogEntry): OwnershipChange[] => {
+    if (!complete) {
+      return wait(entry)
+    }
+    if (entry.offset < next) {
+      return []
+    }
+    if (entry.offset > next) {
+      complete = false
+      return [{ type: 'incomplete' }, ...wait(entry)]
+    }
+    next = entry.offset + 1
+    return applyRecord(entry)
+  }
+
+  const entryOf = ([engine, state]: [string, EngineState]): OwnershipEntry => ({
+    engine,
+    owner: state.owner,
+    predecessors: state.predecessors,
+    intents: [...state.intents.values()]
+  })
+
+  return {
+    apply,
+    owner: engine => engines.get(engine)?.owner,
+    owned: node => [...engines.values()].flatMap(({ owner }) => owner?.node === node ? [owner] : []),
+    predecessors: engine => engines.get(engine)?.predecessors ?? [],
+    unresolved: engine => [...engines.get(engine)?.intents.values() ?? []],
+    entries: () => [...engines].map(entryOf),
+    get complete () {
+      return complete
+    },
+    get next () {
+      return next
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/ownership-pins.ts
@@ -0,0 +1,140 @@
+/**
+ * Decides when an owner may evict handles that earlier owners of the engine may be using.
+ *
+ * A handle is free when each earlier process that can know it has ended or has acknowledged the
+ * end of its term, and a report taken later shows no request on it that the owner does not know.
+ * A paused process acknowledges nothing, so a pause of any length keeps its handles pinned.
+ */
+import type { EngineReport } from '@yuccawharf/platform'
+import type { Predecessor, ProcessId } from './ownership-log'
+
+export type RunningRequest = { requestId: string, handle: string }
+
+export type PinsConfig = {
+  /** Term of the owner. */
+  term: number
+  /** Largest age of a report, and longest way of a dispatch whose process has ended, in ms. */
+  reportLagMs: number
+  predecessors: Predecessor[]
+  /** Term in which a handle was loaded; undefined when the name does not tell. */
+  termOfHandle (handle: string): number | undefined
+}
+
+export type Pins = {
+  /** The node's instance left the list after it had been in it. */
+  instanceGone (node: string, now: number): void
+  /** The node runs with this incarnation, so all its earlier processes have ended. */
+  incarnationSeen (process: ProcessId, now: number): void
+  /**
+   * A process acknowledged the end of its term and named what it still runs.
+   *
+   * @param successorTerm - the latest term that the process had read; older acknowledgements prove nothing
+   * @returns false when the message proves nothing about this term
+   */
+  acknowledged (process: ProcessId, successorTerm: number, running: RunningRequest[], now: number): boolean
+  /** @returns handles that became evictable with this report */
+  report (report: EngineReport, knows: (requestId: string) => boolean, now: number): string[]
+  isFree (handle: string): boolean
+  /** True when no earlier process can use any handle any more. */
+  readonly settled: boolean
+}
+
+type Proof = {
+  at: number
+  /** `takenAt` of the first report after the proof, by the engine's clock. */
+  firstReport?: number
+  passed: boolean
+}
+
+type Process = Predecessor & { proof?: Proof, running: RunningRequest[], alive: boolean }
+
+/** @returns the pins of one term */
+export const createPins = (cfg: PinsConfig): Pins => {
+  const processes: Process[] = cfg.predecessors.map(process => ({ ...process, running: [], alive: true }))
+  const free = new Set<string>()
+  let incarnation: number | undefined
+
+  const ended = (process: Process, now: number): void => {
+    if (!process.alive) {
+      return
+    }
+    process.alive = false
+    process.running = []
+    process.proof = { at: now, passed: false }
+  }
+
+  const hasPassed = (proof: Proof, report: EngineReport, now: number): boolean => {
+    if (proof.firstReport === undefined) {
+      proof.firstReport = report.takenAt
+      return false
+    }
+    // The first report may be reportLagMs old and a dispatch reportLagMs under way: hence twice.
+    const later = report.takenAt > proof.firstReport + 2 * cfg.reportLagMs
+    return later && now >= proof.at + cfg.reportLagMs
+  }
+
+  const updateProofs = (report: EngineReport, now: number): void => {
+    for (const { proof } of processes) {
+      if (proof !== undefined && !proof.passed) {
+        proof.passed = hasPassed(proof, report, now)
+      }
+    }
+  }
+
+  const mayUse = (process: Process, handle: string): boolean => {
+    const loadedIn = cfg.termOfHandle(handle)
+    if (loadedIn !== undefined && loadedIn > process.term) {
+      return false
+    }
+    return process.proof?.passed !== true || process.running.some(request => request.handle === handle)
+  }
+
+  const isUnknown = (report: EngineReport, handle: string, knows: (requestId: string) => boolean): boolean =>
+    report.running.some(request => request.handle === handle && !knows(request.requestId))
+
+  const restarted = (report: EngineReport): void => {
+    if (incarnation !== undefined && incarnation !== report.incarnation) {
+      free.clear()
+      // The engine's clock may have started anew.
+      processes.forEach(({ proof }) => delete proof?.firstReport)
+    }
+    incarnation = report.incarnation
+  }
+
+  return {
+    instanceGone (node, now) {
+      for (const process of processes.filter(candidate => candidate.node === node)) {
+        ended(process, now)
+      }
+    },
+    incarnationSeen (seen, now) {
+      for (const process of processes.filter(candidate => candidate.node === seen.node && candidate.incarnation < seen.incarnation)) {
+        ended(process, now)
+      }
+    },
+    acknowledged (sender, successorTerm, running, now) {
+      const process = processes.find(candidate => candidate.node === sender.node && candidate.incarnation === sender.incarnation)
+      if (process === undefined || successorTerm < cfg.term) {
+        return false
+      }
+      if (process.alive) {
+        process.running = running
+        process.proof ??= { at: now, passed: false }
+      }
+      return true
+    },
+    report (report, knows, now) {
+      restarted(report)
+      updateProofs(report, now)
+      const freed = report.resident
+        .map(({ handle }) => handle)
+        .filter(handle => !free.has(handle) && !isUnknown(report, handle, knows) && !processes.some(process => mayUse(process, handle)))
+      freed.forEach(handle => free.add(handle))
+      return freed
+    },
+    isFree: handle => free.has(handle),
+    get settled () {
+      return processes.every(({ proof, running }) => proof?.passed === true && running.length === 0)
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/ownership-snapshot.ts
@@ -0,0 +1,67 @@
+/**
+ * Snapshots of the `ownership` stream. Owner records are never renewed, so without snapshots
+ * retention would drop the records of owners that have kept an engine for long.
+ */
+import type { SnapshotRecord } from '@yuccawharf/schema'
+import type { EvictionIntent, OwnerTerm, Predecessor } from './ownership-log'
+
+export type OwnershipEntry = {
+  engine: string
+  owner: OwnerTerm | undefined
+  predecessors: Predecessor[]
+  intents: EvictionIntent[]
+}
+
+/** Engines per snapshot record; keeps a record near 16 KiB. */
+const enginesPerPart = 64
+
+/**
+ * Splits a state into records.
+ *
+ * @param entries - the whole state
+ * @param revision - last offset that the state covers
+ * @param id - unique to this snapshot
+ */
+export const ownershipSnapshot = (entries: OwnershipEntry[], revision: number, id: string): SnapshotRecord[] => {
+  const parts = Math.max(1, Math.ceil(entries.length / enginesPerPart))
+  return Array.from({ length: parts }, (_, part) => ({
+    type: 'snapshot',
+    id,
+    revision,
+    part,
+    parts,
+    entries: entries.slice(part * enginesPerPart, (part + 1) * enginesPerPart).map(entry => ({
+      key: entry.engine,
+      revision: entry.owner?.term ?? -1,
+      value: { owner: entry.owner ?? null, predecessors: entry.predecessors, intents: entry.intents }
+    }))
+  }))
+}
+
+type StoredValue = { owner: OwnerTerm | null, predecessors: Predecessor[], intents: EvictionIntent[] }
+
+const entriesOf = (record: SnapshotRecord): OwnershipEntry[] => record.entries.map(({ key, value }) => {
+  const stored = value as StoredValue
+  return { engine: key, owner: stored.owner ?? undefined, predecessors: stored.predecessors, intents: stored.intents }
+})
+
+export type SnapshotParts = {
+  /** @returns the whole state with the last missing part */
+  add (record: SnapshotRecord): OwnershipEntry[] | undefined
+}
+
+/** @returns a collector that remembers the parts of the newest snapshot only */
+export const createSnapshotParts = (): SnapshotParts => {
+  let id: string | undefined
+  let received = new Map<number, OwnershipEntry[]>()
+  return {
+    add (record) {
+      if (record.id !== id) {
+        id = record.id
+        received = new Map()
+      }
+      received.set(record.part, entriesOf(record))
+      return received.size === record.parts ? [...received.values()].flat() : undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/ownership-takeover.ts
@@ -0,0 +1,111 @@
+/**
+ * Decides when one node appends an owner record. A wrong decision costs a void record or a
+ * needless change of owner; the order of the log alone decides who the owner is.
+ */
+import type { AppendResult } from '@yuccawharf/platform'
+import type { OwnerRecord } from '@yuccawharf/schema'
+import type { ProcessId } from './ownership-log'
+
+export type TakeoverConfig = ProcessId & {
+  /** The n-th candidate waits (n - 1) times this, in ms. */
+  takeoverDelayMs: number
+  /** A node takes at most one engine from a live owner in this time, in ms. */
+  rebalanceMs: number
+  /** A record that was neither read back nor proved absent is appended again after this, in ms. */
+  retryMs: number
+}
+
+export const takeoverDefaults = { takeoverDelayMs: 2_000, rebalanceMs: 60_000, retryMs: 1_000 }
+
+/** What a node knows about an engine of its region. */
+export type EngineCandidacy = {
+  engine: string
+  /** Offset of the latest valid owner record, or -1. */
+  latest: number
+  /** `self` is this very process; an earlier process of this node is `down`. */
+  owner: 'none' | 'self' | 'live' | 'leaving' | 'down'
+  /** This node's position among the candidates, from 0; undefined when it is none. */
+  rank: number | undefined
+}
+
+export type Takeover = {
+  /** @returns owner records to append; they may share one append */
+  decide (engines: EngineCandidacy[], now: number): OwnerRecord[]
+  /** Result of the append of the records for these engines. */
+  appended (engines: string[], result: AppendResult, now: number): void
+}
+
+type Vacancy = { latest: number, since: number }
+type Pending = { after: number, retryAt: number }
+
+/** @returns the decisions of one process */
+export const createTakeover = (cfg: TakeoverConfig): Takeover => {
+  const vacancies = new Map<string, Vacancy>()
+  const pending = new Map<string, Pending>()
+  let rebalanceAt: number | undefined
+
+  const vacantSince = (candidacy: EngineCandidacy, now: number): number => {
+    const known = vacancies.get(candidacy.engine)
+    if (known?.latest === candidacy.latest) {
+      return known.since
+    }
+    vacancies.set(candidacy.engine, { latest: candidacy.latest, since: now })
+    return now
+  }
+
+  const isDue = (candidacy: EngineCandidacy, now: number): boolean => {
+    if (candidacy.owner === 'self' || candidacy.owner === 'live') {
+      vacancies.delete(candidacy.engine)
+      return false
+    }
+    const since = vacantSince(candidacy, now)
+    return candidacy.rank !== undefined && now - since >= candidacy.rank * cfg.takeoverDelayMs
+  }
+
+  const isPending = (candidacy: EngineCandidacy, now: number): boolean => {
+    const known = pending.get(candidacy.engine)
+    if (known === undefined) {
+      return false
+    }
+    if (known.after !== candidacy.latest || now >= known.retryAt) {
+      pending.delete(candidacy.engine)
+      return false
+    }
+    return true
+  }
+
+  const recordFor = (candidacy: EngineCandidacy, now: number): OwnerRecord => {
+    pending.set(candidacy.engine, { after: candidacy.latest, retryAt: now + cfg.retryMs })
+    return { type: 'owner', engine: candidacy.engine, node: cfg.node, incarnation: cfg.incarnation, after: candidacy.latest }
+  }
+
+  const rebalance = (engines: EngineCandidacy[], now: number): EngineCandidacy[] => {
+    rebalanceAt ??= now + cfg.rebalanceMs
+    if (now < rebalanceAt) {
+      return []
+    }
+    const preferred = engines.find(candidacy => candidacy.owner === 'live' && candidacy.rank === 0)
+    if (preferred === undefined) {
+      return []
+    }
+    rebalanceAt = now + cfg.rebalanceMs
+    return [preferred]
+  }
+
+  return {
+    decide (engines, now) {
+      const due = engines.filter(candidacy => isDue(candidacy, now) && !isPending(candidacy, now))
+      const chosen = due.length > 0 ? due : rebalance(engines, now)
+      return chosen.map(candidacy => recordFor(candidacy, now))
+    },
+    appended (engines, result, now) {
+      for (const engine of engines) {
+        const known = pending.get(engine)
+        // Repeating a record is harmless after any result: both name the same `after`, so at most one is valid.
+        if (known !== undefined) {
+          known.retryAt = now + cfg.retryMs * (result.type === 'unknown' ? 2 : 1)
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/retry.ts
@@ -0,0 +1,144 @@
+/** Retries: budget, circuit breaker, back-off with full jitter, and the rule for calls that must not be repeated. */
+
+export type RetryBudgetConfig = {
+  /** Retries allowed per first attempt, for example 0.1. */
+  ratio: number
+  /** Retries that may be saved up; also the number allowed at the start. */
+  burst: number
+}
+
+export type RetryBudget = {
+  /** Counts a first attempt. */
+  attempted (): void
+  /** @returns false when the budget is spent; true takes one retry from it */
+  take (): boolean
+}
+
+/** @returns a budget that starts full */
+export const createRetryBudget = (cfg: RetryBudgetConfig): RetryBudget => {
+  let retries = cfg.burst
+  return {
+    attempted () {
+      retries = Math.min(cfg.burst, retries + cfg.ratio)
+    },
+    take () {
+      // The sum of ten times 0.1 is below 1 in floating point.
+      if (retries < 1 - 1e-9) {
+        return false
+      }
+      retries = Math.max(0, retries - 1)
+      return true
+    }
+  }
+}
+
+export type CircuitState = 'closed' | 'open' | 'half-open'
+
+export type CircuitBreakerConfig = {
+  /** Consecutive failures after which the circuit opens. */
+  failures: number
+  /** Time without calls after opening, in ms. */
+  openMs: number
+}
+
+export type CircuitBreaker = {
+  /** @returns whether a call may be made; in the half-open state one call at a time is let through */
+  allows (now: number): boolean
+  succeeded (): void
+  failed (now: number): void
+  state (now: number): CircuitState
+}
+
+/** @returns a closed circuit for one back end */
+export const createCircuitBreaker = (cfg: CircuitBreakerConfig): CircuitBreaker => {
+  let failures = 0
+  let openUntil: number | undefined
+  let probing = false
+
+  const state = (now: number): CircuitState => {
+    if (openUntil === undefined) {
+      return 'closed'
+    }
+    return now < openUntil ? 'open' : 'half-open'
+  }
+
+  return {
+    state,
+    allows (now) {
+      const current = state(now)
+      if (current !== 'half-open') {
+        return current === 'closed'
+      }
+      const allowed = !probing
+      probing = true
+      return allowed
+    },
+    succeeded () {
+      failures = 0
+      openUntil = undefined
+      probing = false
+    },
+    failed (now) {
+      failures += 1
+      probing = false
+      if (openUntil !== undefined || failures >= cfg.failures) {
+        openUntil = now + cfg.openMs
+      }
+    }
+  }
+}
+
+/**
+ * Exponential back-off with full jitter.
+ *
+ * @param attempt - retries made before, from 0
+ * @param baseMs - upper bound of the first pause
+ * @param maxMs - upper bound of all pauses
+ * @param random - uniform in [0, 1)
+ * @returns the pause in ms
+ */
+export const fullJitterMs = (attempt: number, baseMs: number, maxMs: number, random: number): number =>
+  random * Math.min(maxMs, baseMs * 2 ** attempt)
+
+/** @returns the remaining time to send along with a request, in ms, or 0 when the deadline has passed */
+export const remainingMs = (deadline: number, now: number): number => Math.max(0, deadline - now)
+
+/** @returns the deadline by the receiver's clock for a remaining time that was sent along, in ms */
+export const deadlineAt = (remaining: number, now: number): number => now + Math.max(0, remaining)
+
+/** How far a failed call came. `not-sent` proves that no byte left the process. */
+export type CallProgress = 'not-sent' | 'refused' | 'maybe-sent'
+
+/**
+ * The rule for calls that must not run twice: they are sent again only when no byte left.
+ * `refused` means that the back end proved that it did not run the call.
+ */
+export const maySendAgain = (idempotent: boolean, progress: CallProgress): boolean =>
+  progress === 'not-sent' || idempotent
+
+export type RetryRequest = {
+  idempotent: boolean
+  progress: CallProgress
+  /** Retries made before. */
+  attempt: number
+  deadline: number
+}
+
+export type RetryPolicyConfig = { baseMs: number, maxMs: number, maxRetries: number }
+
+/**
+ * Decides about one retry.
+ *
+ * @param random - uniform in [0, 1)
+ * @returns the pause before the retry in ms, or undefined when there is none
+ */
+export const retryAfterMs = (cfg: RetryPolicyConfig, budget: RetryBudget, req: RetryRequest, random: number, now: number): number | undefined => {
+  if (!maySendAgain(req.idempotent, req.progress) || req.attempt >= cfg.maxRetries) {
+    return undefined
+  }
+  const pauseMs = fullJitterMs(req.attempt, cfg.baseMs, cfg.maxMs, random)
+  if (now + pauseMs >= req.deadline) {
+    return undefined
+  }
+  return budget.take() ? pauseMs : undefined
+}
