Raise the fencing number again after a cold start

The engine's number starts anew with a cold start, so a late command of an earlier owner would pass.

--- a/packages/coordination/src/ownership-evictions.ts
+++ b/packages/coordination/src/ownership-evictions.ts
@@ -38,7 +38,7 @@
   intentRead (intent: EvictionIntent, authorised: boolean, now: number): EvictionAction[]
   commandResult (handle: string, result: EngineCommandResult, now: number): EvictionAction[]
   /** Finishes evictions that the report proves: the handle is absent, or the engine has restarted. */
-  report (report: EngineReport): EvictionAction[]
+  report (report: EngineReport, now: number): EvictionAction[]
   tick (now: number): EvictionAction[]
   /** False for handles whose eviction may still arrive; no request may be sent to them. */
   isUsable (handle: string): boolean
@@ -55,6 +55,10 @@
   firstReport?: number
 }
 
+/** The engine looked for the handle, after it checked the fencing number, and does not have it. */
+const provesAbsence = (result: EngineCommandResult): boolean =>
+  result.type === 'refused' && result.reason.includes('model_not_found')
+
 /** @returns the evictions of one term */
 export const createEvictions = (cfg: EvictionsConfig): Evictions => {
   const states = new Map<string, EvictionState>()
@@ -79,12 +83,18 @@
     return [{ type: 'raise-fence', handle: fenceHandle }]
   }
 
+  /** A cold start resets the engine's number, so a late command of an earlier owner would pass again. */
+  const forgotFence = (now: number): EvictionAction[] => {
+    fenceRaised = false
+    return raiseFence(now)
+  }
+
   const fenceResult = (result: EngineCommandResult, now: number): EvictionAction[] => {
     if (result.type === 'stale-fence') {
       return [{ type: 'term-over' }]
     }
-    // A refusal may come from an engine that did not look at the number, so only success counts.
-    fenceRaised ||= result.type === 'ok'
+    // Any other refusal may come from an engine that did not look at the number.
+    fenceRaised ||= result.type === 'ok' || provesAbsence(result)
     fenceRetryAt = fenceRaised ? Infinity : now + cfg.retryMs
     return []
   }
@@ -160,7 +170,7 @@
       if (state === undefined) {
         return []
       }
-      if (result.type === 'ok') {
+      if (result.type === 'ok' || provesAbsence(result)) {
         return finished(handle, state)
       }
       if (result.type === 'stale-fence') {
@@ -168,12 +178,13 @@
       }
       return result.type === 'refused' ? failed(handle, state, result) : []
     },
-    report (report) {
+    report (report, now) {
       const restarted = incarnation !== undefined && incarnation !== report.incarnation
       incarnation = report.incarnation
+      const fence = restarted && cfg.checksFencing ? forgotFence(now) : []
       const resident = new Set(report.resident.map(({ handle }) => handle))
       const gone = [...states].filter(([handle, state]) => !resident.has(handle) && isProved(state, report, restarted))
-      return gone.flatMap(([handle, state]) => finished(handle, state))
+      return [...fence, ...gone.flatMap(([handle, state]) => finished(handle, state))]
     },
     tick (now) {
       const fence = now >= fenceRetryAt ? raiseFence(now) : []
--- a/packages/coordination/src/ownership-log.ts
+++ b/packages/coordination/src/ownership-log.ts
@@ -37,6 +37,8 @@
 export type OwnershipLog = {
   /** Applies one record; offsets that were applied before are ignored. */
   apply (entry: LogEntry): OwnershipChange[]
+  /** Retention dropped the records before `first`. */
+  gap (first: number): OwnershipChange[]
   owner (engine: string): OwnerTerm | undefined
   owned (node: string): OwnerTerm[]
   /** Processes other than the owner's that owned the engine and are not known to have ended. */
@@ -73,7 +75,10 @@
   const parts = createSnapshotParts()
   let next = 0
   let complete = true
+  /** Records read since a gap: offsets `waitingFrom` to `waitingEnd` - 1. */
   let waiting: LogEntry[] = []
+  let waitingFrom = 0
+  let waitingEnd = 0
 
   const stateOf = (engine: string): EngineState => {
     const known = engines.get(engine)
@@ -126,14 +131,13 @@
         intents: new Map(entry.intents.map(intent => [intent.handle, intent]))
       })
     }
-    next = revision + 1
+    next = Math.max(revision + 1, waitingFrom)
     complete = true
   }
 
   const restoreFrom = (record: SnapshotRecord): OwnershipChange[] => {
     const entries = parts.add(record)
-    const earliest = waiting[0]?.offset ?? next
-    if (complete || entries === undefined || record.revision + 1 < earliest) {
+    if (complete || entries === undefined || record.revision + 1 < waitingFrom) {
       return []
     }
     const later = waiting.filter(entry => entry.offset > record.revision)
@@ -159,19 +163,31 @@
   const wait = (entry: LogEntry): OwnershipChange[] => {
     const record = entry.value as { type?: unknown } | null
     waiting.push(entry)
+    waitingEnd = entry.offset + 1
     return record?.type === 'snapshot' && validateRecords(record) ? restoreFrom(record as SnapshotRecord) : []
   }
 
+  const gap = (first: number): OwnershipChange[] => {
+    const expected = complete ? next : waitingEnd
+    if (first <= expected) {
+      return []
+    }
+    complete = false
+    waiting = []
+    waitingFrom = first
+    waitingEnd = first
+    return [{ type: 'incomplete' }]
+  }
+
   const apply = (entry: LogEntry): OwnershipChange[] => {
     if (!complete) {
-      return wait(entry)
+      return entry.offset < waitingEnd ? [] : [...gap(entry.offset), ...wait(entry)]
     }
     if (entry.offset < next) {
       return []
     }
     if (entry.offset > next) {
-      complete = false
-      return [{ type: 'incomplete' }, ...wait(entry)]
+      return [...gap(entry.offset), ...wait(entry)]
     }
     next = entry.offset + 1
     return applyRecord(entry)
@@ -186,6 +202,7 @@
 
   return {
     apply,
+    gap,
     owner: engine => engines.get(engine)?.owner,
     owned: node => [...engines.values()].flatMap(({ owner }) => owner?.node === node ? [owner] : []),
     predecessors: engine => engines.get(engine)?.predecessors ?? [],
@@ -195,7 +212,7 @@
       return complete
     },
     get next () {
-      return next
+      return complete ? next : waitingEnd
     }
   }
 }
--- a/packages/coordination/src/ownership-pins.ts
+++ b/packages/coordination/src/ownership-pins.ts
@@ -46,20 +46,35 @@
   passed: boolean
 }
 
-type Process = Predecessor & { proof?: Proof, running: RunningRequest[], alive: boolean }
+type Process = Predecessor & {
+  proof?: Proof
+  running: RunningRequest[]
+  /** Handles of requests that the process reported as ended; the request may still be under way to the engine. */
+  ended: Map<string, Proof>
+  alive: boolean
+}
 
 /** @returns the pins of one term */
 export const createPins = (cfg: PinsConfig): Pins => {
-  const processes: Process[] = cfg.predecessors.map(process => ({ ...process, running: [], alive: true }))
+  const processes: Process[] = cfg.predecessors.map(process => ({ ...process, running: [], ended: new Map(), alive: true }))
   const free = new Set<string>()
   let incarnation: number | undefined
 
+  const updateRunning = (process: Process, running: RunningRequest[], now: number): void => {
+    const remaining = new Set(running.map(({ requestId }) => requestId))
+    for (const { handle } of process.running.filter(({ requestId }) => !remaining.has(requestId))) {
+      process.ended.set(handle, { at: now, passed: false })
+    }
+    process.running = running
+  }
+
   const ended = (process: Process, now: number): void => {
     if (!process.alive) {
       return
     }
     process.alive = false
     process.running = []
+    process.ended.clear()
     process.proof = { at: now, passed: false }
   }
 
@@ -74,10 +89,9 @@
   }
 
   const updateProofs = (report: EngineReport, now: number): void => {
-    for (const { proof } of processes) {
-      if (proof !== undefined && !proof.passed) {
-        proof.passed = hasPassed(proof, report, now)
-      }
+    const proofs = processes.flatMap(({ proof, ended }) => [...proof === undefined ? [] : [proof], ...ended.values()])
+    for (const proof of proofs.filter(({ passed }) => !passed)) {
+      proof.passed = hasPassed(proof, report, now)
     }
   }
 
@@ -86,7 +100,9 @@
     if (loadedIn !== undefined && loadedIn > process.term) {
       return false
     }
-    return process.proof?.passed !== true || process.running.some(request => request.handle === handle)
+    return process.proof?.passed !== true ||
+      process.ended.get(handle)?.passed === false ||
+      process.running.some(request => request.handle === handle)
   }
 
   const isUnknown = (report: EngineReport, handle: string, knows: (requestId: string) => boolean): boolean =>
@@ -96,7 +112,10 @@
     if (incarnation !== undefined && incarnation !== report.incarnation) {
       free.clear()
       // The engine's clock may have started anew.
-      processes.forEach(({ proof }) => delete proof?.firstReport)
+      processes.forEach(process => {
+        delete process.proof?.firstReport
+        process.ended.clear()
+      })
     }
     incarnation = report.incarnation
   }
@@ -118,7 +137,7 @@
         return false
       }
       if (process.alive) {
-        process.running = running
+        updateRunning(process, running, now)
         process.proof ??= { at: now, passed: false }
       }
       return true
--- a/packages/coordination/src/ownership.test.ts
+++ b/packages/coordination/src/ownership.test.ts
@@ -139,6 +139,7 @@
   pins.report(reportAt(0, { resident }), knowsNone, 0)
   assert.equal(pins.report(reportAt(1_000, { resident }), knowsNone, 1_000), [], 'its dispatch may be late')
   pins.acknowledged({ node: 'a', incarnation: 1 }, 5, [], 1_100)
+  assert.equal(pins.report(reportAt(1_101, { resident }), knowsNone, 1_101), [], 'the request may have failed at its sender and reach the engine yet')
   assert.equal(pins.report(reportAt(2_000, { resident }), knowsNone, 2_000), [handle])
 })
 
@@ -192,9 +193,9 @@
   assert.equal(evictions.start(0), [{ type: 'unload', handle }])
   assert.not(evictions.isUsable(handle))
   evictions.commandResult(handle, { type: 'unknown', reason: 'lost' }, 1)
-  assert.equal(evictions.report(reportAt(10)), [], 'a lagging report may predate the load')
+  assert.equal(evictions.report(reportAt(10), 10), [], 'a lagging report may predate the load')
   assert.not(evictions.isUsable(handle))
-  assert.equal(evictions.report(reportAt(111)), [{ type: 'append', record: { type: 'evicted', engine, handle } }])
+  assert.equal(evictions.report(reportAt(111), 111), [{ type: 'append', record: { type: 'evicted', engine, handle } }])
 })
 
 test('an engine that checks fencing numbers must learn the new number before it gets work', () => {
@@ -210,4 +211,23 @@
   assert.equal(evictions.commandResult(handle, { type: 'stale-fence' }, 1_004), [{ type: 'term-over' }])
 })
 
+test('a cold start of the engine forgets the fencing number, so it is raised again before work is sent', () => {
+  const evictions = evictionsOf({ checksFencing: true })
+  evictions.start(0)
+  evictions.commandResult('fence~5.0', { type: 'refused', reason: 'model_not_found' }, 1)
+  assert.ok(evictions.ready)
+  evictions.report(reportAt(10), 10)
+  assert.equal(evictions.report(reportAt(20, { incarnation: 2 }), 20), [{ type: 'raise-fence', handle: 'fence~5.0' }])
+  assert.not(evictions.ready)
+})
+
+test('an eviction that the engine answers with an absent handle is finished, others are repeated', () => {
+  const evictions = evictionsOf({})
+  evictions.evict(handle, 0)
+  evictions.intentRead(intent, true, 1)
+  assert.equal(evictions.commandResult(handle, { type: 'refused', reason: 'overloaded' }, 2), [])
+  assert.equal(evictions.tick(1_001), [{ type: 'unload', handle }])
+  assert.equal(evictions.commandResult(handle, { type: 'refused', reason: 'model_not_found' }, 1_002).map(({ type }) => type), ['result', 'append'])
+})
+
 test.run()
