--- /dev/null
+++ b/packages/node/src/core/completions.ts
@@ -0,0 +1,172 @@
+/** Completions at one node: accepted here, forwarded to an engine's owner, or held until there is one. */
+import type { Configuration } from './configuration'
+import type { CoreContext } from './core-context'
+import type { EngineOwner, OwnedRequest } from './engine-owner'
+import type { Engines } from './engines'
+import type { Completion, CoreEvent, Refusal } from './messages'
+import type { Peers } from './peers'
+import type { Place, Routing } from './routing'
+
+export type Completions = {
+  submit (completion: Completion, forwarded: boolean, from: string | undefined, now: number): void
+  /** A request that its engine's owner did not run. */
+  resubmit (entry: OwnedRequest, now: number): void
+  cancel (requestId: string, now: number): void
+  firstToken (requestId: string, now: number): void
+  ended (event: Extract<CoreEvent, { type: 'request-ended' }>, now: number): void
+  tick (now: number): void
+  /** Nodes that forwarded requests here of late; they get load hints. */
+  forwarders (now: number): string[]
+  /** From now on new requests are refused. */
+  close (): void
+  readonly held: number
+}
+
+type Held = OwnedRequest & { since: number }
+
+/** A takeover takes up to about 5 s; a request without an owner waits that long. */
+const maxHoldMs = 6_000
+const maxHeld = 2_000
+const forwarderTtlMs = 10_000
+const retryAfterMs = 1_000
+
+/** @param engineLeaves - called when an engine itself says that it takes no new work */
+export const createCompletions = (ctx: CoreContext, configuration: Configuration, routing: Routing, engines: Engines, peers: Peers, engineLeaves: (engine: string, now: number) => void): Completions => {
+  const { cfg } = ctx
+  const heldRequests = new Map<string, Held>()
+  const forwardedBy = new Map<string, number>()
+  let closed = false
+
+  const refuse = (requestId: string, refusal: Refusal): void => {
+    ctx.record('refuse', { request: requestId }, refusal.reason)
+    ctx.emit({ type: 'refuse', requestId, refusal })
+  }
+
+  const notRun = (requestId: string, reason: string): void => refuse(requestId, { outcome: 'not-run', reason, retryAfterMs })
+
+  const hold = (entry: OwnedRequest, now: number): void => {
+    if (heldRequests.size >= maxHeld) {
+      return notRun(entry.completion.requestId, 'too many requests wait for an owner')
+    }
+    heldRequests.set(entry.completion.requestId, { ...entry, since: now })
+  }
+
+  const placeHere = (places: Place[]): EngineOwner | undefined => {
+    const place = places.find(({ node }) => node === cfg.node)
+    return place === undefined ? undefined : engines.own(place.engine)
+  }
+
+  const routeForwarded = (entry: OwnedRequest, places: Place[], now: number): void => {
+    const owner = placeHere(places)
+    if (owner === undefined) {
+      return refuse(entry.completion.requestId, { outcome: 'not-run', reason: 'this node owns no engine for the request', misdirected: true })
+    }
+    owner.submit(entry, now)
+  }
+
+  /** @returns false when no engine has an owner */
+  const route = (entry: OwnedRequest, now: number): boolean => {
+    const [best] = routing.places(entry.completion, now)
+    const owner = best === undefined ? undefined : engines.own(best.engine)
+    if (best === undefined) {
+      return false
+    }
+    if (best.node === cfg.node) {
+      owner?.submit(entry, now)
+      return owner !== undefined
+    }
+    ctx.record('forward', { request: entry.completion.requestId, engine: best.engine }, best.node)
+    ctx.emit({ type: 'forward', requestId: entry.completion.requestId, node: best.node, address: best.address })
+    return true
+  }
+
+  const place = (entry: OwnedRequest, now: number): void => {
+    if (entry.forwarded) {
+      routeForwarded(entry, routing.places(entry.completion, now), now)
+    } else if (!route(entry, now)) {
+      hold(entry, now)
+    }
+  }
+
+  const checkHeld = (entry: Held, now: number): void => {
+    const { requestId, deadline } = entry.completion
+    const refusal = configuration.refusal(now)
+    if (refusal === undefined && route(entry, now)) {
+      heldRequests.delete(requestId)
+    } else if (now >= deadline || now - entry.since >= maxHoldMs) {
+      heldRequests.delete(requestId)
+      notRun(requestId, refusal ?? 'no engine for the request has an owner')
+    }
+  }
+
+  const ownerOf = (requestId: string): EngineOwner | undefined => engines.all().find(owner => owner.has(requestId))
+
+  return {
+    submit (completion, forwarded, from, now) {
+      const { requestId } = completion
+      if (from !== undefined) {
+        forwardedBy.set(from, now)
+      }
+      if (ownerOf(requestId) !== undefined || heldRequests.has(requestId)) {
+        return
+      }
+      const stale = configuration.refusal(now)
+      if (peers.superseded || closed) {
+        return notRun(requestId, 'the node is leaving')
+      }
+      if (stale !== undefined) {
+        return notRun(requestId, stale)
+      }
+      const invalid = routing.invalid(completion)
+      if (invalid !== undefined) {
+        return refuse(requestId, { outcome: 'invalid', reason: invalid })
+      }
+      place({ completion, forwarded, from }, now)
+    },
+    resubmit (entry, now) {
+      const { requestId, deadline } = entry.completion
+      ctx.record('resubmit', { request: requestId })
+      if (now >= deadline) {
+        return notRun(requestId, 'deadline-passed')
+      }
+      place(entry, now)
+    },
+    cancel (requestId, now) {
+      if (heldRequests.delete(requestId)) {
+        return notRun(requestId, 'cancelled')
+      }
+      ownerOf(requestId)?.cancel(requestId, now)
+    },
+    firstToken: (requestId, now) => ownerOf(requestId)?.firstToken(requestId, now),
+    ended (event, now) {
+      const owner = ownerOf(event.requestId)
+      if (event.outcome === 'not-run' && event.reason?.includes('draining') === true && owner !== undefined) {
+        engineLeaves(owner.engine, now)
+      }
+      if (owner !== undefined) {
+        owner.ended(event, now)
+      } else {
+        engines.held().forEach(other => other.ended(event, now))
+      }
+    },
+    tick (now) {
+      for (const entry of heldRequests.values()) {
+        checkHeld(entry, now)
+      }
+    },
+    forwarders (now) {
+      for (const [node, at] of forwardedBy) {
+        if (now - at > forwarderTtlMs) {
+          forwardedBy.delete(node)
+        }
+      }
+      return [...forwardedBy.keys()]
+    },
+    close () {
+      closed = true
+    },
+    get held () {
+      return heldRequests.size
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/configuration.ts
@@ -0,0 +1,167 @@
+/** The configuration in force: reduced from the log, or taken from a peer while the log is down. */
+import { createConfigReducer, createSnapshotSchedule, snapshotRecords, validateConfig, type ConfigReducer, type ConfigState, type LogTail, type ReducedRecord, type TailProgress } from '@yuccawharf/coordination'
+import type { AdapterConfig, ClassConfig, ModelConfig } from '@yuccawharf/schema'
+import type { CoreContext } from './core-context'
+import type { LogStreams } from './log-streams'
+import type { Peers } from './peers'
+
+export type Configuration = {
+  tick (now: number): void
+  /** A peer has the revision in force. */
+  heard (from: string, revision: number, now: number): void
+  requested (from: string): void
+  received (state: ConfigState, now: number): void
+  classes (): Record<string, ClassConfig>
+  model (name: string): ModelConfig | undefined
+  adapter (name: string): AdapterConfig | undefined
+  state (): ConfigState | undefined
+  outcome: ConfigReducer['outcome']
+  /** Why new work cannot be accepted now, or undefined. */
+  refusal (now: number): string | undefined
+  readonly revision: number
+}
+
+const snapshotMaxRecords = 2_000
+const snapshotTurnMs = 5_000
+/** Peers are asked at most this often, in ms. */
+const requestMs = 1_000
+
+/**
+ * @param peers - given as a function because peers need the revision first
+ * @param changed - called after the revision has changed
+ */
+export const createConfiguration = (ctx: CoreContext, streams: LogStreams, peers: () => Peers, changed: (now: number) => void): Configuration => {
+  const { cfg } = ctx
+  const reducer = createConfigReducer({ validate: validateConfig })
+  const schedule = createSnapshotSchedule({ self: cfg.node, retentionMs: cfg.logRetentionMs, maxRecords: snapshotMaxRecords, turnMs: snapshotTurnMs })
+  let revision = -1
+  let highestSeen = -1
+  let ready = false
+  let peerContact = -Infinity
+  let askedAt = -Infinity
+  let startedAt: number | undefined
+  let classes: Record<string, ClassConfig> = {}
+
+  const update = (next: number, now: number): void => {
+    if (next === revision) {
+      return
+    }
+    ctx.check(next > revision, `configuration goes back from revision ${revision} to ${next}`)
+    revision = next
+    const { view } = reducer
+    const names = [...view.keys()].filter(key => key.startsWith('class/'))
+    classes = Object.fromEntries(names.map(key => [key.slice('class/'.length), view.get(key) as ClassConfig]))
+    ctx.record('config', {}, `revision ${revision}`)
+    changed(now)
+  }
+
+  const note = (reduced: ReducedRecord, now: number): void => {
+    if (reduced.type === 'snapshot') {
+      schedule.seen(reduced.revision, now)
+    }
+  }
+
+  const read = ({ gap, records }: TailProgress, now: number): void => {
+    if (gap !== undefined) {
+      reducer.gap(gap.to)
+    }
+    records.flatMap(entry => reducer.apply(entry)).forEach(reduced => note(reduced, now))
+    ready ||= reducer.complete && tail.caughtUp
+    update(reducer.revision, now)
+  }
+
+  const tail: LogTail = streams.follow('config', {
+    read: (progress, _bounds, now) => read(progress, now),
+    failed: () => {}
+  })
+
+  const isBehind = (): boolean => highestSeen > revision
+
+  const ask = (from: string, now: number): void => {
+    if (now - askedAt >= requestMs) {
+      askedAt = now
+      peers().send(from, { type: 'config-request' })
+    }
+  }
+
+  /** The log tells the rest soon unless it is down; then a peer has to. */
+  const catchUp = (from: string, now: number): void => {
+    tail.wake()
+    if (!streams.reachable || !reducer.complete) {
+      ask(from, now)
+    }
+  }
+
+  const appendSnapshot = (now: number): void => {
+    const state = reducer.state()
+    if (state === undefined || !streams.reachable || !schedule.due(reducer.position, peers().live(), now)) {
+      return
+    }
+    schedule.started(now)
+    streams.append('config', snapshotRecords(state, `${cfg.node}/${cfg.incarnation}/${reducer.position}`), () => {})
+  }
+
+  const askWithoutLog = (now: number): void => {
+    const others = peers().live().filter(({ id }) => id !== cfg.node)
+    const chosen = others[Math.floor(ctx.uniform() * others.length)]
+    if ((!ready || isBehind()) && !streams.reachable && chosen !== undefined) {
+      ask(chosen.id, now)
+    }
+  }
+
+  const freshAt = (): number => {
+    const log = tail.lastContact ?? -Infinity
+    return cfg.staleness === 'refuse' ? log : Math.max(log, peerContact)
+  }
+
+  return {
+    tick (now) {
+      startedAt ??= now
+      askWithoutLog(now)
+      appendSnapshot(now)
+    },
+    heard (from, theirs, now) {
+      highestSeen = Math.max(highestSeen, theirs)
+      if (theirs === revision) {
+        peerContact = Math.max(peerContact, now)
+      }
+      if (theirs > revision) {
+        catchUp(from, now)
+      }
+    },
+    requested (from) {
+      const state = reducer.state()
+      if (state !== undefined && ready) {
+        peers().send(from, { type: 'config-state', state })
+      }
+    },
+    received (state, now) {
+      const theirs = state.entries.reduce((newest, entry) => Math.max(newest, entry.revision), -1)
+      if (ctx.hooks.acceptOlderConfig === true && theirs < revision) {
+        update(theirs, now)
+      }
+      if (reducer.adopt(state)) {
+        tail.skipTo(state.position)
+        ready = true
+        update(reducer.revision, now)
+      }
+    },
+    classes: () => classes,
+    model: name => reducer.view.get(`model/${name}`) as ModelConfig | undefined,
+    adapter: name => reducer.view.get(`adapter/${name}`) as AdapterConfig | undefined,
+    state: () => reducer.state(),
+    outcome: reducer.outcome,
+    refusal (now) {
+      if (!ready) {
+        return 'the node has not read the configuration yet'
+      }
+      if (isBehind()) {
+        return 'the node is behind the configuration of its peers'
+      }
+      return now - Math.max(freshAt(), startedAt ?? now) > cfg.stalenessMs ? 'the node has lost contact with the log and its peers' : undefined
+    },
+    get revision () {
+      return revision
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/core-context.ts
@@ -0,0 +1,47 @@
+/** What the parts of a core share: settings, hooks, the list of actions, and the checks. */
+import { invariant } from '@yuccawharf/serving'
+import { xoroshiro128plus, unsafeUniformIntDistribution, type RandomGenerator } from 'pure-rand'
+import type { CoreHooks, EngineTraits, NodeCoreConfig } from './core-config'
+import type { CoreAction } from './messages'
+
+type RecordIds = Extract<CoreAction, { type: 'record' }>['ids']
+
+export type CoreContext = {
+  readonly cfg: NodeCoreConfig
+  readonly hooks: CoreHooks
+  readonly random: RandomGenerator
+  emit (action: CoreAction): void
+  /** Adds an event to the timeline. */
+  record (kind: string, ids: RecordIds, detail?: string): void
+  /** @throws {InvariantError} when a guarantee does not hold */
+  check (condition: boolean, message: string): void
+  /** @returns the actions since the last call */
+  take (): CoreAction[]
+  traits (engine: string): EngineTraits
+  /** Uniform in [0, 1). */
+  uniform (): number
+}
+
+export const createCoreContext = (cfg: NodeCoreConfig, hooks: CoreHooks): CoreContext => {
+  const random = xoroshiro128plus(cfg.seed)
+  let actions: CoreAction[] = []
+  return {
+    cfg,
+    hooks,
+    random,
+    emit: action => actions.push(action),
+    record: (kind, ids, detail) => actions.push({ type: 'record', kind, ids, ...(detail === undefined ? {} : { detail }) }),
+    check (condition, message) {
+      if (hooks.skipAssertions !== true) {
+        invariant(condition, message)
+      }
+    },
+    take () {
+      const taken = actions
+      actions = []
+      return taken
+    },
+    traits: engine => ({ ...cfg.engineDefaults, ...cfg.engines[engine] }),
+    uniform: () => unsafeUniformIntDistribution(0, 0x7fffffff, random) / 0x80000000
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/engine-owner.ts
@@ -0,0 +1,448 @@
+/** One term of one engine at its owner: the scheduler, the pins of predecessors and the evictions. */
+import { createEvictions, createPins, type EvictionAction, type EvictionIntent, type OwnerTerm, type Predecessor, type RunningRequest } from '@yuccawharf/coordination'
+import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { ClassConfig } from '@yuccawharf/schema'
+import { createScheduler, parseHandle, type EngineLoadHint, type EngineScheduler, type SchedulerAction, type SchedulerEvent, type ServingRequest } from '@yuccawharf/serving'
+import type { CoreContext } from './core-context'
+import type { Completion, CoreEvent } from './messages'
+
+export type EngineOwnerEnv = {
+  append (values: unknown[], done: (result: AppendResult, now: number) => void): void
+  command (engine: string, command: EngineCommand, fence: number, done: (result: EngineCommandResult, now: number) => void): void
+  wantPermit (engine: string, urgency: number, now: number): void
+  returnPermit (permitId: string, unused: true | undefined, now: number): void
+  classes (): Record<string, ClassConfig>
+  /** The request did not run here and may run elsewhere. */
+  resubmit (entry: OwnedRequest, now: number): void
+  /** The engine said that a newer owner exists. */
+  staleFence (engine: string, now: number): void
+}
+
+export type OwnedRequest = { completion: Completion, from: string | undefined, forwarded: boolean }
+
+type EndedEvent = Extract<CoreEvent, { type: 'request-ended' }>
+
+export type EngineOwner = {
+  readonly engine: string
+  readonly term: number
+  start (now: number): void
+  submit (entry: OwnedRequest, now: number): void
+  has (requestId: string): boolean
+  cancel (requestId: string, now: number): void
+  firstToken (requestId: string, now: number): void
+  ended (event: EndedEvent, now: number): void
+  report (report: EngineReport, predecessorsDown: boolean, now: number): void
+  permit (permitId: string, expiresAt: number, now: number): void
+  intentRead (intent: EvictionIntent, authorised: boolean, now: number): void
+  classes (now: number): void
+  /** Sends no new work to the engine; queued requests go elsewhere. */
+  pause (reason: PauseReason, now: number): void
+  unpause (reason: PauseReason): void
+  /** Ends the term for good. */
+  end (now: number): void
+  /** Requests that were sent to the engine and have not ended. */
+  running (): RunningRequest[]
+  tick (now: number): void
+  hint (now: number): EngineLoadHint | undefined
+  readonly pins: ReturnType<typeof createPins>
+  readonly queued: number
+  /** Whether it takes new work. */
+  readonly accepting: boolean
+}
+
+/** `stale`: the engine has seen a newer owner than this node has read. */
+export type PauseReason = 'leaving' | 'stale'
+
+type Tracked = OwnedRequest & { handle?: string }
+
+const evictionRetryMs = 1_000
+const charactersPerToken = 4
+/** Characters of the prompt that identify a shared prefix; shorter ones are not worth a preference. */
+const prefixCharacters = 256
+
+export const servingRequest = (completion: Completion, now: number): ServingRequest => ({
+  requestId: completion.requestId,
+  adapter: completion.adapter,
+  version: completion.version,
+  class: completion.class,
+  promptTokens: Math.ceil(completion.prompt.length / charactersPerToken),
+  maxTokens: completion.maxTokens,
+  ...(completion.prompt.length < prefixCharacters ? {} : { prefix: completion.prompt.slice(0, prefixCharacters) }),
+  arrivedAt: now,
+  deadline: completion.deadline
+})
+
+const termOfHandle = (handle: string): number | undefined => parseHandle(handle)?.term
+
+/**
+ * @param owned - the valid owner record of this process
+ * @param predecessors - processes that may still use the engine
+ * @param inherited - evictions of earlier terms that may still arrive
+ */
+export const createEngineOwner = (ctx: CoreContext, env: EngineOwnerEnv, owned: OwnerTerm, predecessors: Predecessor[], inherited: EvictionIntent[]): EngineOwner => {
+  const { engine, term } = owned
+  const { checksFencing, reportLagMs } = ctx.traits(engine)
+  const pins = createPins({ term, reportLagMs, predecessors, termOfHandle })
+  const evictions = createEvictions({ engine, term, checksFencing, inherited, reportLagMs, retryMs: evictionRetryMs })
+  const inheritedHandles = new Set(inherited.map(({ handle }) => handle))
+  const requests = new Map<string, Tracked>()
+  const adopted = new Set<string>()
+  const resumed = new Set<string>()
+  /** Requests that the scheduler took back during the current step. */
+  const requeued = new Set<string>()
+  let lastReport: EngineReport | undefined
+  let waiting: OwnedRequest[] = []
+  let scheduler: EngineScheduler | undefined
+  let incarnation: number | undefined
+  const paused = new Set<PauseReason>()
+  /** Requests that are taken back from the scheduler to run elsewhere. */
+  const diverted = new Set<string>()
+  let over = false
+
+  const isAccepting = (): boolean => paused.size === 0 && !over
+
+  const isOwnLoad = (handle: string): boolean => termOfHandle(handle) === term
+
+  const command = (value: EngineCommand, done: (result: EngineCommandResult, now: number) => void): void =>
+    env.command(engine, value, term, done)
+
+  const unloadNow = (handle: string): void =>
+    command({ type: 'unload', handle }, (result, at) => performEvictions(evictions.commandResult(handle, result, at), at))
+
+  const checkEviction = (handle: string): void => {
+    const inUse = [...requests.values()].some(request => request.handle === handle)
+    ctx.check(!inUse, `eviction of ${handle} on ${engine}, which a running request uses`)
+    const free = isOwnLoad(handle) || pins.isFree(handle) || inheritedHandles.has(handle)
+    ctx.check(free, `eviction of ${handle} on ${engine}, which a predecessor may be using`)
+  }
+
+  const performEviction = (action: EvictionAction, now: number): void => {
+    switch (action.type) {
+      case 'raise-fence':
+        unloadNow(action.handle)
+        return
+      case 'unload':
+        checkEviction(action.handle)
+        ctx.record('unload', { engine, adapter: action.handle })
+        unloadNow(action.handle)
+        return
+      case 'append': {
+        const { record } = action
+        env.append([record], (result, at) => record.type === 'evict' && performEvictions(evictions.appended(record.handle, result, at), at))
+        return
+      }
+      case 'result':
+        stepScheduler({ type: 'unload-result', handle: action.handle, result: action.result }, now)
+        return
+      case 'term-over':
+        env.staleFence(engine, now)
+    }
+  }
+
+  const performEvictions = (actions: EvictionAction[], now: number): void => {
+    actions.forEach(action => performEviction(action, now))
+    begin(now)
+  }
+
+  const evict = (handle: string, now: number): void => {
+    if (over) {
+      return
+    }
+    if (ctx.hooks.skipIntentReadBack === true) {
+      checkEviction(handle)
+      command({ type: 'unload', handle }, (result, at) => stepScheduler({ type: 'unload-result', handle, result }, at))
+      return
+    }
+    performEvictions(evictions.evict(handle, now), now)
+  }
+
+  const dispatch = (requestId: string, handle: string, priority: number): void => {
+    const request = requests.get(requestId)
+    const parsed = parseHandle(handle)
+    const matches = parsed?.adapter === request?.completion.adapter && parsed?.version === request?.completion.version
+    ctx.check(request !== undefined && matches, `request ${requestId} would run on ${handle}`)
+    ctx.check(isAccepting(), `dispatch of ${requestId} to ${engine}, which takes no new work`)
+    ctx.check(evictions.isUsable(handle), `dispatch of ${requestId} to ${handle}, whose eviction may still arrive`)
+    if (request === undefined) {
+      return
+    }
+    request.handle = handle
+    const other = [...adopted].find(name => name !== handle)
+    const sent = ctx.hooks.dispatchToWrongHandle === true && other !== undefined ? other : handle
+    ctx.record('dispatch', { request: requestId, engine, adapter: handle })
+    ctx.emit({ type: 'dispatch', engine, requestId, handle: sent, priority })
+  }
+
+  const refuse = (action: Extract<SchedulerAction, { type: 'refuse' }>, now: number): void => {
+    const request = requests.get(action.requestId)
+    requests.delete(action.requestId)
+    const goesElsewhere = action.reason === 'draining' || diverted.has(action.requestId)
+    if (request !== undefined && goesElsewhere && action.mayHaveRun !== true) {
+      env.resubmit(request, now)
+      return
+    }
+    const outcome = action.mayHaveRun === true ? 'unknown' : 'not-run'
+    ctx.record('refuse', { request: action.requestId, engine }, action.reason)
+    ctx.emit({ type: 'refuse', requestId: action.requestId, refusal: { outcome, reason: action.reason, retryAfterMs: action.retryAfterMs } })
+  }
+
+  const load = (action: Extract<SchedulerAction, { type: 'load' }>, now: number): void => {
+    const { handle, adapter, version } = action
+    if (!isAccepting()) {
+      return stepScheduler({ type: 'load-result', handle, result: { type: 'refused', reason: 'the engine takes no new work' } }, now)
+    }
+    ctx.record('load', { engine, adapter: handle })
+    command({ type: 'load', handle, adapter, version }, (result, at) => {
+      ctx.record('load-result', { engine, adapter: handle }, result.type)
+      stepScheduler({ type: 'load-result', handle, result }, at)
+      if (result.type === 'stale-fence') {
+        env.staleFence(engine, at)
+      }
+    })
+  }
+
+  const perform = (action: SchedulerAction, now: number): void => {
+    switch (action.type) {
+      case 'request-permit': return isAccepting() ? env.wantPermit(engine, action.urgency, now) : undefined
+      case 'release-permit': return env.returnPermit(action.permitId, action.unused, now)
+      case 'load': return load(action, now)
+      case 'unload': return evict(action.handle, now)
+      case 'dispatch': return dispatch(action.requestId, action.handle, action.priority)
+      case 'cancel-dispatch':
+        if (!diverted.has(action.requestId)) {
+          ctx.emit({ type: 'cancel-dispatch', engine, requestId: action.requestId })
+        }
+        return
+      case 'refuse': return refuse(action, now)
+      case 'requeued': {
+        const request = requests.get(action.requestId)
+        delete request?.handle
+        requeued.add(action.requestId)
+        ctx.record('requeued', { request: action.requestId, engine })
+      }
+    }
+  }
+
+  const stepScheduler = (event: SchedulerEvent, now: number): void => {
+    scheduler?.step(event, now).forEach(action => perform(action, now))
+  }
+
+  /** Runs `step` while the scheduler's refusal of the request means that it runs elsewhere. */
+  const divert = (requestId: string, step: () => void, now: number): void => {
+    diverted.add(requestId)
+    stepScheduler({ type: 'cancel', requestId }, now)
+    step()
+    diverted.delete(requestId)
+  }
+
+  const divertQueued = (now: number): void => {
+    const queued = [...requests].filter(([, { handle }]) => handle === undefined)
+    queued.forEach(([requestId]) => divert(requestId, () => {}, now))
+    const entries = waiting
+    waiting = []
+    entries.forEach(entry => env.resubmit(entry, now))
+  }
+
+  const stepEnded = (event: EndedEvent, now: number): void => {
+    const reason = event.reason === undefined ? {} : { reason: event.reason }
+    const step = (): void => stepScheduler({ type: 'ended', requestId: event.requestId, outcome: event.outcome, tokens: event.tokens, ...reason }, now)
+    const runsAgain = event.outcome === 'not-run' || event.outcome === 'broken'
+    if (runsAgain && !isAccepting()) {
+      divert(event.requestId, step, now)
+    } else {
+      step()
+    }
+  }
+
+  /** Handles of other terms stay hidden while a late command of an earlier owner could still unload them. */
+  const isVisible = (handle: string): boolean =>
+    !inheritedHandles.has(handle) && (isOwnLoad(handle) || evictions.ready)
+
+  const visible = (report: EngineReport): EngineReport =>
+    ({ ...report, resident: report.resident.filter(({ handle }) => isVisible(handle)) })
+
+  const adopt = (report: EngineReport, now: number): void => {
+    const unknown = report.resident.filter(({ handle }) => !isOwnLoad(handle) && !adopted.has(handle))
+    if (unknown.length === 0) {
+      return
+    }
+    unknown.forEach(({ handle }) => adopted.add(handle))
+    stepScheduler({ type: 'adopt', resident: unknown, running: report.running }, now)
+  }
+
+  const create = (report: EngineReport): void => {
+    scheduler = createScheduler({
+      engine,
+      term,
+      slots: report.slots,
+      batchSize: report.batchSize,
+      queuedPerEngine: ctx.cfg.queuedPerEngine,
+      queuedPerAdapter: ctx.cfg.queuedPerAdapter,
+      loadMs: ctx.cfg.loadMs,
+      classes: env.classes(),
+      seed: ctx.cfg.seed + term
+    })
+  }
+
+  const accept = (entry: OwnedRequest, now: number): void => {
+    requests.set(entry.completion.requestId, { ...entry })
+    stepScheduler({ type: 'submit', request: servingRequest(entry.completion, now) }, now)
+  }
+
+  /** Once no late command of an earlier owner can take effect: creates the scheduler and takes the requests that waited. */
+  const begin = (now: number): void => {
+    if (lastReport === undefined || !evictions.ready || over) {
+      return
+    }
+    if (scheduler === undefined) {
+      create(lastReport)
+      absorb(lastReport, [], now)
+    }
+    const entries = waiting
+    waiting = []
+    entries.forEach(entry => accept(entry, now))
+  }
+
+  const absorb = (report: EngineReport, freed: string[], now: number): void => {
+    const seen = visible(report)
+    adopt(seen, now)
+    stepScheduler({ type: 'report', report: seen }, now)
+    const known = seen.resident.map(({ handle }) => handle)
+    const evictable = ctx.hooks.evictPinned === true ? known : [...freed, ...known.filter(handle => pins.isFree(handle))]
+    if (evictable.length > 0) {
+      stepScheduler({ type: 'evictable', handles: evictable }, now)
+    }
+  }
+
+  /** Streams of a predecessor that has failed are read from here on by their engine's request id. */
+  const resume = (report: EngineReport): void => {
+    for (const { requestId, handle } of report.running) {
+      if (!requests.has(requestId) && !resumed.has(requestId)) {
+        resumed.add(requestId)
+        ctx.record('resume', { request: requestId, engine, adapter: handle })
+        ctx.emit({ type: 'dispatch', engine, requestId, handle, priority: 0, resumeAfter: 0 })
+      }
+    }
+  }
+
+  const noteIncarnation = (report: EngineReport): void => {
+    if (incarnation !== undefined && incarnation !== report.incarnation) {
+      adopted.clear()
+      resumed.clear()
+      ctx.record('engine-restarted', { engine })
+    }
+    incarnation = report.incarnation
+  }
+
+  const lost = (request: Tracked, event: EndedEvent): void => {
+    requests.delete(event.requestId)
+    ctx.emit({ type: 'refuse', requestId: event.requestId, refusal: { outcome: 'unknown', reason: 'the engine lost the request after its first token' } })
+    ctx.record('lost', { request: request.completion.requestId, engine })
+  }
+
+  const endedAfterTerm = (request: Tracked, event: EndedEvent, now: number): void => {
+    requests.delete(event.requestId)
+    if (event.outcome === 'not-run') {
+      env.resubmit(request, now)
+    } else if (event.outcome === 'broken') {
+      lost(request, event)
+    }
+  }
+
+  return {
+    engine,
+    term,
+    pins,
+    start: now => performEvictions(evictions.start(now), now),
+    submit (entry, now) {
+      if (!isAccepting()) {
+        env.resubmit(entry, now)
+      } else if (scheduler !== undefined && evictions.ready) {
+        accept(entry, now)
+      } else if (waiting.length < ctx.cfg.queuedPerEngine) {
+        waiting.push(entry)
+      } else {
+        ctx.emit({ type: 'refuse', requestId: entry.completion.requestId, refusal: { outcome: 'not-run', reason: 'queue-full', retryAfterMs: 1_000 } })
+      }
+    },
+    has: requestId => requests.has(requestId) || waiting.some(({ completion }) => completion.requestId === requestId),
+    cancel (requestId, now) {
+      const before = waiting.length
+      waiting = waiting.filter(({ completion }) => completion.requestId !== requestId)
+      if (waiting.length < before) {
+        ctx.emit({ type: 'refuse', requestId, refusal: { outcome: 'not-run', reason: 'cancelled' } })
+      }
+      stepScheduler({ type: 'cancel', requestId }, now)
+    },
+    firstToken: (requestId, now) => stepScheduler({ type: 'first-token', requestId }, now),
+    ended (event, now) {
+      const request = requests.get(event.requestId)
+      if (request === undefined) {
+        resumed.delete(event.requestId)
+        return
+      }
+      if (over) {
+        return endedAfterTerm(request, event, now)
+      }
+      requeued.clear()
+      stepEnded(event, now)
+      const isFinal = event.outcome === 'done' || event.outcome === 'cancelled'
+      if (isFinal) {
+        requests.delete(event.requestId)
+      } else if (event.outcome === 'broken' && !requeued.has(event.requestId) && requests.has(event.requestId)) {
+        lost(request, event)
+      }
+    },
+    report (report, predecessorsDown, now) {
+      noteIncarnation(report)
+      const knows = (requestId: string): boolean => requests.get(requestId)?.handle !== undefined
+      const freed = pins.report(report, knows, now)
+      if (over) {
+        return
+      }
+      lastReport = report
+      performEvictions(evictions.report(report, now), now)
+      if (scheduler !== undefined) {
+        absorb(report, freed, now)
+      }
+      if (predecessorsDown) {
+        resume(report)
+      }
+      if (paused.size > 0) {
+        divertQueued(now)
+      }
+    },
+    permit: (permitId, expiresAt, now) => scheduler === undefined || over
+      ? env.returnPermit(permitId, true, now)
+      : stepScheduler({ type: 'permit', permitId, expiresAt }, now),
+    intentRead: (intent, authorised, now) => performEvictions(evictions.intentRead(intent, authorised, now), now),
+    classes: now => stepScheduler({ type: 'classes', classes: env.classes() }, now),
+    pause (reason, now) {
+      paused.add(reason)
+      divertQueued(now)
+    },
+    unpause: reason => { paused.delete(reason) },
+    end (now) {
+      over = true
+      stepScheduler({ type: 'drain' }, now)
+      divertQueued(now)
+    },
+    running: () => [...requests].flatMap(([requestId, { handle }]) => handle === undefined ? [] : [{ requestId, handle }]),
+    tick (now) {
+      if (!over) {
+        performEvictions(evictions.tick(now), now)
+        stepScheduler({ type: 'tick' }, now)
+      }
+      const late = waiting.filter(({ completion }) => now >= completion.deadline)
+      waiting = waiting.filter(({ completion }) => now < completion.deadline)
+      late.forEach(({ completion }) => ctx.emit({ type: 'refuse', requestId: completion.requestId, refusal: { outcome: 'not-run', reason: 'deadline-passed' } }))
+    },
+    hint: now => isAccepting() ? scheduler?.load(now) : undefined,
+    get queued () {
+      return waiting.length + [...requests.values()].filter(({ handle }) => handle === undefined).length
+    },
+    get accepting () {
+      return isAccepting()
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/instances.ts
@@ -0,0 +1,95 @@
+/** Back ends of the newest instance list, and which of them are leaving as far as any node has said. */
+import type { Instance, InstanceKind, InstanceSnapshot } from '@yuccawharf/platform'
+import type { CoreContext } from './core-context'
+import type { Peers } from './peers'
+
+export type Instances = {
+  list (snapshot: InstanceSnapshot, now: number): void
+  /** A peer or the instance itself said that it leaves; `asOf` is the list's time, or -1. */
+  announced (instance: string, asOf: number, now: number): void
+  isLeaving (instance: string): boolean
+  /** The instance has started anew, so what it said itself no longer counts. */
+  restarted (instance: string, now: number): void
+  /** Time since when the instance is known to leave, in ms. */
+  leavingSince (instance: string): number | undefined
+  get (id: string): Instance | undefined
+  ofKind (kind: InstanceKind): Instance[]
+  readonly version: number
+}
+
+type Leaving = { asOf: number, since: number }
+
+/** Up to this many nodes all are told directly; beyond it each node passes the news to as many. */
+const fanout = 12
+
+/** @param changed - called when an instance is first known to leave, and when it accepts work again */
+export const createInstances = (ctx: CoreContext, peers: Peers, changed: (instance: string, isLeaving: boolean, now: number) => void): Instances => {
+  let instances = new Map<string, Instance>()
+  let asOf = -Infinity
+  let version = 0
+  const leaving = new Map<string, Leaving>()
+
+  const tellOthers = (instance: string, saidAsOf: number): void => {
+    const others = peers.live().filter(({ id }) => id !== ctx.cfg.node)
+    const start = Math.floor(ctx.uniform() * others.length)
+    const chosen = others.length <= fanout ? others : [...others.slice(start), ...others.slice(0, start)].slice(0, fanout)
+    chosen.forEach(({ id }) => peers.send(id, { type: 'leaving', instance, asOf: saidAsOf }))
+  }
+
+  const learn = (instance: string, saidAsOf: number, now: number): void => {
+    const known = leaving.get(instance)
+    if (known !== undefined) {
+      known.asOf = Math.max(known.asOf, saidAsOf)
+      return
+    }
+    version += 1
+    leaving.set(instance, { asOf: saidAsOf, since: now })
+    ctx.record('leaving', { engine: instance })
+    tellOthers(instance, saidAsOf)
+    changed(instance, true, now)
+  }
+
+  const forget = (instance: string, now: number): void => {
+    leaving.delete(instance)
+    version += 1
+    changed(instance, false, now)
+  }
+
+  const update = (instance: Instance, now: number): void => {
+    const known = leaving.get(instance.id)
+    if (instance.state === 'leaving') {
+      learn(instance.id, asOf, now)
+    } else if (known !== undefined && known.asOf >= 0 && known.asOf < asOf) {
+      // A later list calls it live again. What the instance itself said is kept until it is gone.
+      forget(instance.id, now)
+    }
+  }
+
+  return {
+    list (snapshot, now) {
+      if (snapshot.asOf < asOf) {
+        return
+      }
+      asOf = snapshot.asOf
+      instances = new Map(snapshot.instances.map(instance => [instance.id, instance]))
+      version += 1
+      for (const id of [...leaving.keys()].filter(id => !instances.has(id))) {
+        forget(id, now)
+      }
+      snapshot.instances.filter(({ kind }) => kind !== 'node').forEach(instance => update(instance, now))
+    },
+    announced: learn,
+    isLeaving: instance => ctx.hooks.ignoreLeaving !== true && leaving.has(instance),
+    restarted (instance, now) {
+      if (leaving.get(instance)?.asOf === -1) {
+        forget(instance, now)
+      }
+    },
+    leavingSince: instance => leaving.get(instance)?.since,
+    get: id => instances.get(id),
+    ofKind: kind => [...instances.values()].filter(instance => instance.kind === kind),
+    get version () {
+      return version
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/log-streams.ts
@@ -0,0 +1,88 @@
+/** The log streams that a core follows, and the results of its appends. */
+import { createLogTail, type LogTail, type TailProgress } from '@yuccawharf/coordination'
+import type { AppendResult, LogPage } from '@yuccawharf/platform'
+import type { CoreContext } from './core-context'
+
+export type StreamReader = {
+  /** Records in order; a gap in the progress comes before them. `first` and `next` are the bounds of the log. */
+  read (progress: TailProgress, bounds: { first: number, next: number }, now: number): void
+  failed (now: number): void
+}
+
+export type LogStreams = {
+  /** Reads the stream from its earliest record. */
+  follow (stream: string, reader: StreamReader): LogTail
+  unfollow (stream: string): void
+  append (stream: string, values: unknown[], done: (result: AppendResult, now: number) => void): void
+  page (stream: string, page: LogPage, now: number): void
+  expired (stream: string, first: number, next: number, now: number): void
+  readFailed (stream: string, now: number): void
+  appendResult (token: number, result: AppendResult, now: number): void
+  /** Emits the reads that are due. */
+  poll (now: number): void
+  /** True after the last answer of the log, an append or a read, was a success. */
+  readonly reachable: boolean
+}
+
+const readTimeoutMs = 5_000
+/** Pause after an empty page; the shells' reads wait at the log for records. */
+const pollMs = 20
+const backoff = { minMs: 100, maxMs: 2_000 }
+
+type Followed = { tail: LogTail, reader: StreamReader }
+
+export const createLogStreams = (ctx: CoreContext): LogStreams => {
+  const followed = new Map<string, Followed>()
+  const appends = new Map<number, { stream: string, done: (result: AppendResult, now: number) => void }>()
+  let lastToken = 0
+  let reachable = false
+
+  return {
+    follow (stream, reader) {
+      const tail = createLogTail({ stream, readTimeoutMs, pollMs, backoff, random: ctx.random })
+      followed.set(stream, { tail, reader })
+      return tail
+    },
+    unfollow: stream => { followed.delete(stream) },
+    append (stream, values, done) {
+      lastToken += 1
+      appends.set(lastToken, { stream, done })
+      ctx.emit({ type: 'append', stream, token: lastToken, values })
+    },
+    page (stream, page, now) {
+      const known = followed.get(stream)
+      reachable = true
+      known?.reader.read(known.tail.page(page, now), page, now)
+    },
+    expired (stream, first, next, now) {
+      const known = followed.get(stream)
+      reachable = true
+      known?.reader.read(known.tail.expired(first, next, now), { first, next }, now)
+    },
+    readFailed (stream, now) {
+      const known = followed.get(stream)
+      reachable = false
+      known?.tail.failed(now)
+      known?.reader.failed(now)
+    },
+    appendResult (token, result, now) {
+      const append = appends.get(token)
+      appends.delete(token)
+      if (result.type !== 'failed') {
+        followed.get(append?.stream ?? '')?.tail.wake()
+      }
+      append?.done(result, now)
+    },
+    poll (now) {
+      for (const { tail } of followed.values()) {
+        const read = tail.poll(now)
+        if (read !== undefined) {
+          ctx.emit(read)
+        }
+      }
+    },
+    get reachable () {
+      return reachable
+    }
+  }
+}
--- a/packages/node/src/core/messages.ts
+++ b/packages/node/src/core/messages.ts
@@ -22,6 +22,8 @@
   outcome: 'not-run' | 'unknown' | 'invalid'
   reason: string
   retryAfterMs?: number
+  /** This node owns no engine for the forwarded request; the entry node should choose again. */
+  misdirected?: true
 }
 
 /** An order for a plain service; `key` is absent for idempotent calls. */
@@ -55,23 +57,27 @@
   | { type: 'append-result', token: number, result: AppendResult }
   | { type: 'instance-list', snapshot: InstanceSnapshot }
   | { type: 'message', envelope: Envelope }
-  | { type: 'submit', completion: Completion }
+  /** `forwarded` by the node `from`: the request is not forwarded again. */
+  | { type: 'submit', completion: Completion, forwarded?: true, from?: string }
   | { type: 'cancel', requestId: string }
   | { type: 'order', order: Order }
   | { type: 'engine-report', report: EngineReport }
   | { type: 'engine-unreachable', engine: string }
   | { type: 'engine-command-result', engine: string, token: number, result: EngineCommandResult }
   | { type: 'first-token', requestId: string }
-  | { type: 'request-ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number }
+  | { type: 'request-ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number, reason?: string }
   | { type: 'service-result', orderId: string, result: ServiceResult }
   | { type: 'drain' }
 
 export type CoreAction =
   | { type: 'read-log', stream: string, from: number }
   | { type: 'append', stream: string, token: number, values: unknown[] }
-  | { type: 'send', envelope: Envelope }
+  /** `address` is set for members that the instance list may not name yet. Messages of type `membership` go as datagrams. */
+  | { type: 'send', envelope: Envelope, address?: string }
   | { type: 'engine-command', engine: string, token: number, command: EngineCommand, fence: number }
   | { type: 'dispatch', engine: string, requestId: string, handle: string, priority: number, resumeAfter?: number }
+  /** The engine's owner is another node, which gets the request with `forwarded`. */
+  | { type: 'forward', requestId: string, node: string, address: string }
   | { type: 'cancel-dispatch', engine: string, requestId: string }
   | { type: 'refuse', requestId: string, refusal: Refusal }
   | { type: 'send-order', orderId: string, instance: string, req: ServiceRequest }
--- /dev/null
+++ b/packages/node/src/core/node-core.ts
@@ -0,0 +1,255 @@
+/** Composes the decisions of one node. No I/O: events in, actions out, time passed in. */
+import { createCompletions } from './completions'
+import { createConfiguration, type Configuration } from './configuration'
+import type { CoreHooks, NodeCoreConfig } from './core-config'
+import { createCoreContext } from './core-context'
+import { createEngines } from './engines'
+import { createInstances } from './instances'
+import { createLogStreams } from './log-streams'
+import type { CoreAction, CoreEvent, Envelope, NodeCore } from './messages'
+import { createOrders } from './orders'
+import type { CoreMessage } from './peer-messages'
+import { createPeers, type Peers } from './peers'
+import { createPermits } from './permits'
+import { createRouting, type Place } from './routing'
+
+export type AddressQuery = { model?: string, class?: string, zone?: string, service?: string }
+
+export type AddressAnswer = {
+  addresses: { address: string, zone: string }[]
+  /** Time for which callers may keep the answer, in ms. */
+  keepForMs: number
+  revision: number
+  orderKeyPrefix?: string
+}
+
+export type NodeStatus = {
+  node: string
+  incarnation: number
+  revision: number
+  leaving: boolean
+  engines: { engine: string, term: number, running: number, queued: number, accepting: boolean }[]
+  members: { id: string, zone: string, region: string }[]
+  ordersInProgress: number
+}
+
+/** A core with queries that change no state apart from soft hints. */
+export type QueryableCore = NodeCore & {
+  step (event: CoreEvent, now: number): CoreAction[]
+  /** @returns engines of the model and their owners, best first */
+  route (model: string, adapter: string, name: string, now: number): Place[]
+  addresses (query: AddressQuery, now: number): AddressAnswer
+  /** Configuration revision in force, -1 without one. */
+  revision (): number
+  status (now: number): NodeStatus
+  /** Engines whose reports this node needs. */
+  watchedEngines (): string[]
+  readonly configuration: Pick<Configuration, 'state' | 'outcome'>
+}
+
+const keepAddressesMs = 5_000
+const hintsEveryMs = 1_000
+/** A leaving node waits this long for its successors to acknowledge the end of its terms. */
+const handOverMs = 10_000
+
+const adapterName = (model: string): { model: string, adapter: string, version: string } => {
+  const [base = '', rest = ''] = model.split(':')
+  const [adapter = '', version = ''] = rest.split('@')
+  return { model: base, adapter, version }
+}
+
+/** @param hooks - breaks single rules in tests of the checks; the daemon passes none */
+export const createNodeCore = (cfg: NodeCoreConfig, hooks: CoreHooks = {}): QueryableCore => {
+  const ctx = createCoreContext(cfg, hooks)
+  const streams = createLogStreams(ctx)
+  const configuration: Configuration = createConfiguration(ctx, streams, () => peers, now => engines.held().forEach(owner => owner.classes(now)))
+  const peers: Peers = createPeers(ctx, { revision: () => configuration.revision })
+  const instances = createInstances(ctx, peers, (instance, isLeaving, now) => leavingChanged(instance, isLeaving, now))
+  const permits = createPermits(ctx, peers, (engine, permitId, expiresAt, now) => {
+    const owner = engines.own(engine)
+    if (owner === undefined) {
+      permits.giveBack(permitId, true, now)
+    } else {
+      owner.permit(permitId, expiresAt, now)
+    }
+  })
+  const commands = new Map<number, (result: Extract<CoreEvent, { type: 'engine-command-result' }>['result'], now: number) => void>()
+  const engines = createEngines(ctx, streams, peers, {
+    command (engine, command, fence, done) {
+      lastCommand += 1
+      commands.set(lastCommand, done)
+      ctx.emit({ type: 'engine-command', engine, token: lastCommand, command, fence })
+    },
+    wantPermit: permits.want,
+    returnPermit: permits.giveBack,
+    classes: configuration.classes,
+    resubmit: (entry, now) => completions.resubmit(entry, now),
+    isLeaving: instances.isLeaving
+  })
+  const routing = createRouting(ctx, configuration, instances, engines, peers)
+  const completions = createCompletions(ctx, configuration, routing, engines, peers, (engine, now) => instances.announced(engine, -1, now))
+  const orders = createOrders(ctx, streams, peers, instances)
+  const incarnations = new Map<string, number>()
+  let lastCommand = 0
+  let hintsAt = -Infinity
+  let drainedAt: number | undefined
+  let exiting = false
+
+  const leavingChanged = (instance: string, isLeaving: boolean, now: number): void => {
+    if (hooks.ignoreLeaving === true) {
+      return
+    }
+    if (isLeaving) {
+      engines.own(instance)?.pause('leaving', now)
+    } else {
+      engines.own(instance)?.unpause('leaving')
+    }
+  }
+
+  const noteReport = (engine: string, incarnation: number, now: number): void => {
+    const known = incarnations.get(engine)
+    incarnations.set(engine, incarnation)
+    if (known !== undefined && known !== incarnation) {
+      instances.restarted(engine, now)
+    }
+  }
+
+  const receive = (envelope: Envelope, now: number): void => {
+    const { from, incarnation } = envelope
+    const message = envelope.message as CoreMessage
+    configuration.heard(from, envelope.revision, now)
+    switch (message.type) {
+      case 'membership': return peers.receive(envelope, now)
+      case 'term-ended': return engines.acknowledged({ node: from, incarnation }, message, now)
+      case 'term-ended-ack': return engines.acknowledgedBy(message)
+      case 'permit-ask': return permits.asked(from, message.engine, message.urgency, now)
+      case 'permit-grant': return permits.granted(message.engine, message.permitId, message.remainingMs, now)
+      case 'permit-return': return permits.returned(message.permitId, message.unused, now)
+      case 'load-hints': return message.hints.forEach(({ ageMs, ...hint }) => routing.hint({ ...hint, at: now - ageMs }, now))
+      case 'config-request': return configuration.requested(from)
+      case 'config-state': return configuration.received(message.state, now)
+      case 'leaving': return instances.announced(message.instance, message.asOf, now)
+      case 'claim-heads': return orders.headsReceived(message.heads)
+      case 'order': return orders.received(from, message.order, now)
+      case 'order-reply': return orders.replied(from, message.orderId, message.reply)
+    }
+  }
+
+  const sendHints = (now: number): void => {
+    if (now < hintsAt + hintsEveryMs) {
+      return
+    }
+    hintsAt = now
+    const hints = engines.held().flatMap(owner => owner.hint(now) ?? [])
+    hints.forEach(hint => routing.hint(hint, now))
+    const message: CoreMessage = { type: 'load-hints', hints: hints.map(({ at, ...hint }) => ({ ...hint, ageMs: now - at })) }
+    completions.forwarders(now).filter(() => hints.length > 0).forEach(node => peers.send(node, message))
+  }
+
+  const isFinished = (now: number): boolean => {
+    const hasWork = engines.all().some(owner => owner.running().length > 0 || (owner.queued > 0 && owner.accepting))
+    if (hasWork || completions.held > 0 || orders.busy > 0) {
+      return false
+    }
+    const waitsForSuccessor = engines.candidatesElsewhere && streams.reachable && (engines.held().length > 0 || engines.unacknowledged)
+    return !waitsForSuccessor || now - (drainedAt ?? now) > handOverMs
+  }
+
+  const checkExit = (now: number): void => {
+    if (drainedAt !== undefined && !exiting && isFinished(now)) {
+      exiting = true
+      completions.close()
+      ctx.emit({ type: 'ready-to-exit' })
+    }
+  }
+
+  const tick = (now: number): void => {
+    peers.tick(now)
+    configuration.tick(now)
+    engines.tick(now)
+    permits.tick(now)
+    completions.tick(now)
+    orders.tick(now)
+    sendHints(now)
+    checkExit(now)
+  }
+
+  const drain = (now: number): void => {
+    if (drainedAt === undefined) {
+      drainedAt = now
+      ctx.record('drain', {})
+      peers.leave(now)
+    }
+  }
+
+  const commandResult = ({ token, result }: Extract<CoreEvent, { type: 'engine-command-result' }>, now: number): void => {
+    const done = commands.get(token)
+    commands.delete(token)
+    done?.(result, now)
+  }
+
+  const handle = (event: CoreEvent, now: number): void => {
+    switch (event.type) {
+      case 'start': return ctx.record('start', {}, cfg.node)
+      case 'tick': return tick(now)
+      case 'log-page': return streams.page(event.stream, event.page, now)
+      case 'log-expired': return streams.expired(event.stream, event.first, event.next, now)
+      case 'log-read-failed': return streams.readFailed(event.stream, now)
+      case 'append-result': return streams.appendResult(event.token, event.result, now)
+      case 'instance-list':
+        instances.list(event.snapshot, now)
+        peers.list(event.snapshot, now)
+        return engines.list(instances.ofKind('engine'), now)
+      case 'message': return receive(event.envelope, now)
+      case 'submit': return completions.submit(event.completion, event.forwarded === true, event.from, now)
+      case 'cancel': return completions.cancel(event.requestId, now)
+      case 'order': return orders.order(event.order, exiting || peers.superseded ? 'the node is leaving' : configuration.refusal(now), now)
+      case 'engine-report':
+        noteReport(event.report.engine, event.report.incarnation, now)
+        return engines.report(event.report, now)
+      case 'engine-unreachable': return
+      case 'engine-command-result': return commandResult(event, now)
+      case 'first-token': return completions.firstToken(event.requestId, now)
+      case 'request-ended':
+        return completions.ended(event, now)
+      case 'service-result': return orders.serviceResult(event.orderId, event.result, now)
+      case 'drain': return drain(now)
+    }
+  }
+
+  const ownerZones = (query: AddressQuery, now: number): { address: string, zone: string }[] => {
+    const nodes = peers.accepting()
+    const places = query.model === undefined ? [] : routing.candidates(adapterName(query.model).model, now)
+    const owners = new Set(places.map(({ node }) => node))
+    const owning = nodes.filter(({ id }) => owners.has(id))
+    return owning.length > 0 ? owning : nodes.filter(({ region }) => region === cfg.region)
+  }
+
+  return {
+    step (event, now) {
+      handle(event, now)
+      streams.poll(now)
+      return ctx.take()
+    },
+    route: (model, adapter, name, now) => routing.places({ requestId: '', model, adapter, version: '', class: name, prompt: '', maxTokens: 0, deadline: now }, now),
+    addresses (query, now) {
+      const nodes = ownerZones(query, now).map(({ address, zone }) => ({ address, zone }))
+      const near = nodes.filter(({ zone }) => zone === query.zone)
+      const far = nodes.filter(({ zone }) => zone !== query.zone)
+      const prefix = query.service === undefined ? undefined : orders.keyPrefix()
+      return { addresses: [...near, ...far], keepForMs: keepAddressesMs, revision: configuration.revision, ...(prefix === undefined ? {} : { orderKeyPrefix: prefix }) }
+    },
+    revision: () => configuration.revision,
+    status: () => ({
+      node: cfg.node,
+      incarnation: cfg.incarnation,
+      revision: configuration.revision,
+      leaving: peers.leaving,
+      engines: engines.held().map(owner => ({ engine: owner.engine, term: owner.term, running: owner.running().length, queued: owner.queued, accepting: owner.accepting })),
+      members: peers.live().map(({ id, zone, region }) => ({ id, zone, region })),
+      ordersInProgress: orders.busy
+    }),
+    watchedEngines: engines.watched,
+    configuration
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/order-shards.ts
@@ -0,0 +1,243 @@
+/** The claims shards that this node owns, by rendezvous hashing. The log keeps orders safe when two nodes both think they own a shard. */
+import { claimDeskDefaults, claimShards, claimStream, createClaimDesk, firstNode, orderKeyPrefix, parseOrderKey, type ClaimAction, type ClaimDesk, type LogTail } from '@yuccawharf/coordination'
+import type { ServiceResult } from '@yuccawharf/platform'
+import type { CoreContext } from './core-context'
+import type { LogStreams } from './log-streams'
+import type { Order } from './messages'
+import { fromTransfer, replyWithBody, toReply, toSendResult } from './order-transfer'
+import type { OrderReply, OrderTransfer } from './peer-messages'
+import type { Peers } from './peers'
+
+export type OrderShardsEnv = {
+  /** Sends the order to a live instance. @returns the instance, or undefined when there is none and nothing was sent */
+  send (orderId: string, order: Order, now: number): string | undefined
+  answer (target: string, orderId: string, reply: OrderReply): void
+}
+
+export type OrderShards = {
+  tick (now: number): void
+  ownerOf (shard: number): string | undefined
+  order (target: string, order: Order, now: number): void
+  received (from: string, order: OrderTransfer, now: number): void
+  /** @returns the instance that the order was sent to */
+  serviceResult (orderId: string, result: ServiceResult, now: number): string | undefined
+  headsReceived (heads: { shard: number, offset: number }[]): void
+  keyPrefix (): string | undefined
+  /** Whether an order with this key came through this node. */
+  seen (key: string): boolean
+  readonly busy: number
+}
+
+type Shard = { desk: ClaimDesk, tail: LogTail }
+
+type Entry = { order: Order, target: string }
+
+type Sent = { key: string, attempt: string, shard: number, instance: string }
+
+const headsEveryMs = 5_000
+/** Keys remembered to tell a repeated order from a new one while the log is down. */
+const maxSeenKeys = 10_000
+/** A message can be repeated until the deadline of its order; 2,000 replies of 1 KiB are 2 MiB. */
+const maxReplies = 2_000
+
+export const createOrderShards = (ctx: CoreContext, streams: LogStreams, peers: Peers, env: OrderShardsEnv): OrderShards => {
+  const { cfg, hooks } = ctx
+  const shards = new Map<number, Shard>()
+  const entries = new Map<string, Entry>()
+  const sent = new Map<string, Sent>()
+  /** Keys that this process has sent to a back end, against a second send. */
+  const sentKeys = new Set<string>()
+  const seenKeys = new Set<string>()
+  /** A repeated message must get the same reply: an order that was refused as not run must not run afterwards. */
+  const replies = new Map<string, OrderReply>()
+  /** Orders by key, kept only for the hook that sends after giving up. */
+  const hookEntries = new Map<string, Entry>()
+  const heads = new Map<number, number>()
+  const owners = new Map<number, string | undefined>()
+  let version = -1
+  let headsAt = -Infinity
+
+  const remember = (set: Set<string>, key: string): void => {
+    set.add(key)
+    const [oldest] = set
+    if (oldest !== undefined && set.size > maxSeenKeys) {
+      set.delete(oldest)
+    }
+  }
+
+  const updateOwners = (): void => {
+    if (version === peers.version) {
+      return
+    }
+    version = peers.version
+    const nodes = peers.accepting()
+    for (let shard = 0; shard < claimShards; shard += 1) {
+      owners.set(shard, firstNode(claimStream(shard), nodes)?.id)
+    }
+  }
+
+  const ownerOf = (shard: number): string | undefined => {
+    updateOwners()
+    return owners.get(shard)
+  }
+
+  const reply = (orderId: string, { target }: Entry, value: OrderReply): void => {
+    entries.delete(orderId)
+    replies.set(orderId, value)
+    const [oldest] = replies.keys()
+    if (oldest !== undefined && replies.size > maxReplies) {
+      replies.delete(oldest)
+    }
+    env.answer(target, orderId, value)
+  }
+
+  const send = (shard: number, action: Extract<ClaimAction, { type: 'send' }>, now: number): void => {
+    const entry = entries.get(action.orderId) ?? hookEntries.get(action.key)
+    const instance = entry === undefined ? undefined : sendOnce(action, entry, now)
+    if (instance === undefined) {
+      performAll(shard, shards.get(shard)?.desk.sent(action.attempt, { type: 'not-sent', reason: 'no live instance of the group' }, now) ?? [], now)
+      return
+    }
+    sent.set(action.orderId, { key: action.key, attempt: action.attempt, shard, instance })
+  }
+
+  const sendOnce = (action: Extract<ClaimAction, { type: 'send' }>, entry: Entry, now: number): string | undefined => {
+    ctx.check(!sentKeys.has(action.key), `order ${action.key} would be sent twice`)
+    const instance = env.send(action.orderId, entry.order, now)
+    if (instance !== undefined) {
+      remember(sentKeys, action.key)
+    }
+    return instance
+  }
+
+  const perform = (shard: number, action: ClaimAction, now: number): void => {
+    switch (action.type) {
+      case 'append':
+        ctx.record('claims-append', {}, `${action.values.length} records`)
+        return streams.append(action.stream, action.values, (result, at) =>
+          performAll(shard, shards.get(shard)?.desk.appended(action.token, result, at) ?? [], at))
+      case 'send': return send(shard, action, now)
+      case 'answer': {
+        const entry = entries.get(action.orderId)
+        if (entry !== undefined) {
+          reply(action.orderId, entry, toReply(action.answer))
+        }
+      }
+    }
+  }
+
+  const performAll = (shard: number, actions: ClaimAction[], now: number): void => actions.forEach(action => perform(shard, action, now))
+
+  const open = (shard: number): Shard => {
+    const known = shards.get(shard)
+    if (known !== undefined) {
+      return known
+    }
+    const desk = createClaimDesk({
+      ...claimDeskDefaults,
+      node: cfg.node,
+      incarnation: cfg.incarnation,
+      shard,
+      hooks: { skipReadBack: hooks.skipClaimReadBack === true, sendAfterGiveUp: hooks.sendAfterGiveUp === true }
+    })
+    const tail = streams.follow(claimStream(shard), {
+      read: ({ records }, { first, next }, now) => performAll(shard, desk.page({ first, next, records }, now), now),
+      failed: now => performAll(shard, desk.readFailed(now), now)
+    })
+    const opened = { desk, tail }
+    shards.set(shard, opened)
+    return opened
+  }
+
+  const close = (shard: number): void => {
+    shards.delete(shard)
+    streams.unfollow(claimStream(shard))
+  }
+
+  const updateShards = (): void => {
+    if (!peers.listed) {
+      return
+    }
+    for (let shard = 0; shard < claimShards; shard += 1) {
+      const isOwner = ownerOf(shard) === cfg.node
+      if (isOwner) {
+        open(shard)
+      } else if (shards.get(shard)?.desk.busy === 0) {
+        close(shard)
+      }
+    }
+  }
+
+  const tellHeads = (now: number): void => {
+    for (const [shard, { desk }] of shards) {
+      if (desk.head !== undefined) {
+        heads.set(shard, desk.head)
+      }
+    }
+    if (now < headsAt + headsEveryMs || shards.size === 0) {
+      return
+    }
+    headsAt = now
+    const own = [...shards.keys()].flatMap(shard => heads.has(shard) ? [{ shard, offset: heads.get(shard) ?? 0 }] : [])
+    peers.live().filter(({ id }) => id !== cfg.node && own.length > 0).forEach(({ id }) => peers.send(id, { type: 'claim-heads', heads: own }))
+  }
+
+  const order = (target: string, value: Order, now: number): void => {
+    const shard = parseOrderKey(value.key ?? '')?.shard
+    remember(seenKeys, value.key ?? '')
+    if (shard === undefined || value.key === undefined) {
+      return env.answer(target, value.orderId, { type: 'refused', refusal: { outcome: 'invalid', reason: 'the key does not start with a prefix from an address response' } })
+    }
+    const known = replies.get(value.orderId)
+    if (known !== undefined) {
+      return env.answer(target, value.orderId, known)
+    }
+    if (entries.has(value.orderId)) {
+      return
+    }
+    entries.set(value.orderId, { order: value, target })
+    if (hooks.sendAfterGiveUp === true) {
+      hookEntries.set(value.key, { order: value, target })
+    }
+    performAll(shard, open(shard).desk.order({ orderId: value.orderId, key: value.key, deadline: value.deadline }, now), now)
+  }
+
+  return {
+    tick (now) {
+      updateShards()
+      shards.forEach(({ desk }, shard) => performAll(shard, desk.tick(now), now))
+      tellHeads(now)
+    },
+    ownerOf,
+    order,
+    received: (from, transfer, now) => order(from, fromTransfer(transfer, now), now),
+    serviceResult (orderId, result, now) {
+      const call = sent.get(orderId)
+      if (call === undefined) {
+        return undefined
+      }
+      sent.delete(orderId)
+      if (result.type === 'not-sent') {
+        sentKeys.delete(call.key)
+      }
+      const entry = entries.get(orderId)
+      if (result.type === 'ok' && entry !== undefined) {
+        reply(orderId, entry, replyWithBody(result))
+      }
+      performAll(call.shard, shards.get(call.shard)?.desk.sent(call.attempt, toSendResult(result), now) ?? [], now)
+      return call.instance
+    },
+    headsReceived (received) {
+      received.forEach(({ shard, offset }) => heads.set(shard, Math.max(offset, heads.get(shard) ?? 0)))
+    },
+    keyPrefix () {
+      const known = [...heads]
+      const chosen = known[Math.floor(ctx.uniform() * known.length)]
+      return chosen === undefined ? undefined : orderKeyPrefix(...chosen)
+    },
+    seen: key => seenKeys.has(key),
+    get busy () {
+      return entries.size + [...shards.values()].reduce((sum, { desk }) => sum + desk.busy, 0)
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/orders.ts
@@ -0,0 +1,251 @@
+/**
+ * Calls to plain services. Idempotent calls are sent from the entry node with retries; the others
+ * go to the owner of the key's shard, where the log decides who sends them.
+ */
+import { createCircuitBreaker, createRetryBudget, parseOrderKey, retryAfterMs, type CircuitBreaker, type RetryBudget } from '@yuccawharf/coordination'
+import type { ServiceResponse, ServiceResult } from '@yuccawharf/platform'
+import type { CoreContext } from './core-context'
+import type { Instances } from './instances'
+import type { Order, Refusal } from './messages'
+import { createOrderShards } from './order-shards'
+import { fromReply, toTransfer } from './order-transfer'
+import type { LogStreams } from './log-streams'
+import type { OrderReply, OrderTransfer } from './peer-messages'
+import type { Peers } from './peers'
+
+export type Orders = {
+  tick (now: number): void
+  order (order: Order, refusal: string | undefined, now: number): void
+  serviceResult (orderId: string, result: ServiceResult, now: number): void
+  /** An order of another entry node, for a shard of this node. */
+  received (from: string, order: OrderTransfer, now: number): void
+  replied (from: string, orderId: string, reply: OrderReply): void
+  headsReceived (heads: { shard: number, offset: number }[]): void
+  keyPrefix (): string | undefined
+  /** Orders that have no answer or no recorded outcome. */
+  readonly busy: number
+}
+
+type Call = { order: Order, attempt: number, instance: string, retryAt: number | undefined, tried: Set<string> }
+
+/** A keyed order on its way to its shard's owner; sending it again is harmless because of its key. */
+type Transfer = {
+  order: Order
+  sentAt: number
+  sentTo: Set<string>
+  /** Nodes that answered "not run"; proved only when all that got the order did. */
+  notRun: Set<string>
+}
+
+const resendMs = 1_000
+const retryPolicy = { baseMs: 50, maxMs: 2_000, maxRetries: 3 }
+const retryBudget = { ratio: 0.1, burst: 10 }
+const breaker = { failures: 5, openMs: 2_000 }
+
+export const createOrders = (ctx: CoreContext, streams: LogStreams, peers: Peers, instances: Instances): Orders => {
+  const { cfg } = ctx
+  const calls = new Map<string, Call>()
+  const transfers = new Map<string, Transfer>()
+  const breakers = new Map<string, CircuitBreaker>()
+  const budgets = new Map<string, RetryBudget>()
+
+  const breakerOf = (instance: string): CircuitBreaker => {
+    const known = breakers.get(instance) ?? createCircuitBreaker(breaker)
+    breakers.set(instance, known)
+    return known
+  }
+
+  const budgetOf = (group: string): RetryBudget => {
+    const known = budgets.get(group) ?? createRetryBudget(retryBudget)
+    budgets.set(group, known)
+    return known
+  }
+
+  /** A live instance of the group, in this zone when there is one; avoids those that were tried. */
+  const choose = (group: string, tried: ReadonlySet<string>, now: number): string | undefined => {
+    const usable = instances.ofKind('service').filter(instance =>
+      instance.group === group && instance.region === cfg.region && !instances.isLeaving(instance.id) && breakerOf(instance.id).state(now) !== 'open')
+    const fresh = usable.filter(({ id }) => !tried.has(id))
+    const candidates = fresh.length > 0 ? fresh : usable
+    const near = candidates.filter(({ zone }) => zone === cfg.zone)
+    const pool = near.length > 0 ? near : candidates
+    const chosen = pool[Math.floor(ctx.uniform() * pool.length)]?.id
+    return chosen !== undefined && breakerOf(chosen).allows(now) ? chosen : undefined
+  }
+
+  const sendTo = (instance: string, orderId: string, order: Order, now: number): void => {
+    const since = instances.leavingSince(instance)
+    ctx.check(since === undefined || now - since < 3_000, `order ${orderId} sent to the leaving instance ${instance}`)
+    ctx.record('send-order', { order: orderId }, instance)
+    ctx.emit({ type: 'send-order', orderId, instance, req: order.req })
+  }
+
+  const noteResult = (instance: string, result: ServiceResult, now: number): void => {
+    if (result.type === 'ok') {
+      breakerOf(instance).succeeded()
+    } else {
+      breakerOf(instance).failed(now)
+    }
+  }
+
+  const shards = createOrderShards(ctx, streams, peers, {
+    send (orderId, order, now) {
+      const instance = choose(order.group, new Set(), now)
+      if (instance !== undefined) {
+        sendTo(instance, orderId, order, now)
+      }
+      return instance
+    },
+    answer: (target, orderId, reply) => answer(target, orderId, reply)
+  })
+
+  const finish = (orderId: string, result: { type: 'ok', response: ServiceResponse } | { type: 'refused', refusal: Refusal }): void => {
+    ctx.record('order-result', { order: orderId }, result.type === 'ok' ? String(result.response.status) : result.refusal.outcome)
+    ctx.emit({ type: 'order-result', orderId, result })
+  }
+
+  const answer = (target: string, orderId: string, reply: OrderReply): void => {
+    if (target !== cfg.node) {
+      return peers.send(target, { type: 'order-reply', orderId, reply })
+    }
+    replied(cfg.node, orderId, reply)
+  }
+
+  const isFinal = (pending: Transfer, from: string, reply: OrderReply): boolean => {
+    if (reply.type === 'ok' || reply.refusal.outcome === 'invalid') {
+      return true
+    }
+    if (reply.refusal.outcome === 'unknown') {
+      return pending.sentTo.size === 1
+    }
+    pending.notRun.add(from)
+    return [...pending.sentTo].every(node => pending.notRun.has(node))
+  }
+
+  const replied = (from: string, orderId: string, reply: OrderReply): void => {
+    const pending = transfers.get(orderId)
+    if (pending !== undefined && isFinal(pending, from, reply)) {
+      transfers.delete(orderId)
+      finish(orderId, fromReply(reply))
+    }
+  }
+
+  const transfer = (pending: Transfer, now: number): void => {
+    const { order } = pending
+    const shard = parseOrderKey(order.key ?? '')?.shard ?? 0
+    const owner = shards.ownerOf(shard)
+    pending.sentAt = now
+    if (owner === undefined) {
+      return
+    }
+    pending.sentTo.add(owner)
+    if (owner === cfg.node) {
+      shards.order(cfg.node, order, now)
+    } else {
+      peers.send(owner, { type: 'order', order: toTransfer(order, now) })
+    }
+  }
+
+  const startKeyed = (order: Order, now: number): void => {
+    if (transfers.has(order.orderId)) {
+      return
+    }
+    const pending: Transfer = { order, sentAt: now, sentTo: new Set(), notRun: new Set() }
+    transfers.set(order.orderId, pending)
+    transfer(pending, now)
+  }
+
+  const call = (entry: Call, now: number): void => {
+    const instance = choose(entry.order.group, entry.tried, now)
+    entry.retryAt = undefined
+    if (instance === undefined) {
+      return retry(entry, { type: 'not-sent', reason: 'no live instance of the group' }, now)
+    }
+    entry.instance = instance
+    entry.tried.add(instance)
+    sendTo(instance, entry.order.orderId, entry.order, now)
+  }
+
+  const retry = (entry: Call, result: Exclude<ServiceResult, { type: 'ok' }>, now: number): void => {
+    const { order, attempt } = entry
+    const progress = result.type === 'not-sent' ? 'not-sent' : 'maybe-sent'
+    const pause = retryAfterMs(retryPolicy, budgetOf(order.group), { idempotent: true, progress, attempt, deadline: order.deadline }, ctx.uniform(), now)
+    if (pause !== undefined) {
+      entry.attempt += 1
+      entry.retryAt = now + pause
+      return
+    }
+    calls.delete(order.orderId)
+    const ran = result.type === 'unknown' || entry.tried.size > 1
+    finish(order.orderId, { type: 'refused', refusal: { outcome: ran ? 'unknown' : 'not-run', reason: result.reason, retryAfterMs: 1_000 } })
+  }
+
+  const startIdempotent = (order: Order, now: number): void => {
+    const entry: Call = { order, attempt: 0, instance: '', retryAt: undefined, tried: new Set() }
+    calls.set(order.orderId, entry)
+    budgetOf(order.group).attempted()
+    call(entry, now)
+  }
+
+  const expireTransfer = (orderId: string, pending: Transfer): void => {
+    transfers.delete(orderId)
+    const outcome = pending.sentTo.size === 0 ? 'not-run' : 'unknown'
+    finish(orderId, { type: 'refused', refusal: { outcome, reason: 'the deadline passed without an answer of the shard\'s owner' } })
+  }
+
+  const tickTransfers = (now: number): void => {
+    for (const [orderId, pending] of transfers) {
+      if (now >= pending.order.deadline) {
+        expireTransfer(orderId, pending)
+      } else if (pending.notRun.size === 0 && now - pending.sentAt >= resendMs) {
+        transfer(pending, now)
+      }
+    }
+  }
+
+  return {
+    tick (now) {
+      shards.tick(now)
+      tickTransfers(now)
+      for (const entry of calls.values()) {
+        if (entry.retryAt !== undefined && now >= entry.retryAt) {
+          call(entry, now)
+        }
+      }
+    },
+    order (order, refusal, now) {
+      if (refusal !== undefined) {
+        return finish(order.orderId, { type: 'refused', refusal: { outcome: order.key === undefined ? 'not-run' : shards.seen(order.key) ? 'unknown' : 'not-run', reason: refusal, retryAfterMs: 1_000 } })
+      }
+      if (order.key === undefined) {
+        startIdempotent(order, now)
+      } else {
+        startKeyed(order, now)
+      }
+    },
+    serviceResult (orderId, result, now) {
+      const entry = calls.get(orderId)
+      if (entry === undefined) {
+        const instance = shards.serviceResult(orderId, result, now)
+        if (instance !== undefined) {
+          noteResult(instance, result, now)
+        }
+        return
+      }
+      noteResult(entry.instance, result, now)
+      if (result.type === 'ok') {
+        calls.delete(orderId)
+        finish(orderId, { type: 'ok', response: result.response })
+      } else {
+        retry(entry, result, now)
+      }
+    },
+    received: (from, order, now) => shards.received(from, order, now),
+    replied,
+    headsReceived: heads => shards.headsReceived(heads),
+    keyPrefix: () => shards.keyPrefix(),
+    get busy () {
+      return calls.size + transfers.size + shards.busy
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/peers.ts
@@ -0,0 +1,149 @@
+/** Other nodes: membership, envelopes, and when each peer of the same revision was last heard. */
+import { createMembership, membershipDefaults, type Member, type MembershipAction, type ProcessId } from '@yuccawharf/coordination'
+import type { InstanceSnapshot } from '@yuccawharf/platform'
+import type { CoreContext } from './core-context'
+import type { Envelope } from './messages'
+import type { CoreMessage } from './peer-messages'
+
+/** A node that may own engines. */
+export type NodeView = { id: string, zone: string, region: string, address: string }
+
+export type ProcessStatus = 'live' | 'leaving' | 'down'
+
+export type Peers = {
+  tick (now: number): void
+  list (snapshot: InstanceSnapshot, now: number): void
+  receive (envelope: Envelope, now: number): void
+  send (to: string, message: CoreMessage): void
+  leave (now: number): void
+  /** Status of a process of a node; a newer process of the same node makes it `down`. */
+  status (process: ProcessId, now: number): ProcessStatus
+  /** The process's instance was in the list and is no longer there, which proves that the process has ended. */
+  hasLeftList (process: ProcessId): boolean
+  /** Live nodes that accept new work, this one included unless it leaves. */
+  accepting (): NodeView[]
+  /** All nodes that are not known to have failed, this one included. */
+  live (): NodeView[]
+  address (node: string): string | undefined
+  member (node: string): Member | undefined
+  /** Changes whenever {@link Peers.accepting} may have changed. */
+  readonly version: number
+  readonly listed: boolean
+  readonly leaving: boolean
+  /** A newer process with this node's id exists. */
+  readonly superseded: boolean
+}
+
+export type PeersEnv = {
+  revision (): number
+}
+
+/** A node that owns an engine but is neither listed nor gossiped about may have just started. */
+const unknownGraceMs = 5_000
+
+export const createPeers = (ctx: CoreContext, env: PeersEnv): Peers => {
+  const { cfg } = ctx
+  const self: NodeView = { id: cfg.node, zone: cfg.zone, region: cfg.region, address: cfg.address }
+  const membership = createMembership({ self: { id: cfg.node, address: cfg.address, incarnation: cfg.incarnation }, ...membershipDefaults, random: ctx.random })
+  const unknownSince = new Map<string, number>()
+  let listedNodes = new Set<string>()
+  /** `asOf` of the last list that named the node. */
+  const lastListed = new Map<string, number>()
+  let listAsOf = -Infinity
+  let version = 0
+  let leaving = false
+  let superseded = false
+
+  const envelope = (to: string, message: CoreMessage): Envelope =>
+    ({ from: cfg.node, to, incarnation: cfg.incarnation, revision: env.revision(), message })
+
+  const perform = (action: MembershipAction): void => {
+    switch (action.type) {
+      case 'datagram':
+        ctx.emit({ type: 'send', envelope: envelope(action.to, { type: 'membership', datagram: action.message }), address: action.address })
+        return
+      case 'member-changed':
+        version += 1
+        unknownSince.delete(action.member.id)
+        ctx.record(`member-${action.member.state}`, {}, action.member.id)
+        return
+      case 'superseded':
+        superseded = true
+    }
+  }
+
+  const performAll = (actions: MembershipAction[]): void => actions.forEach(perform)
+
+  const noteListed = (snapshot: InstanceSnapshot): void => {
+    listedNodes = new Set(snapshot.instances.filter(({ kind }) => kind === 'node').map(({ id }) => id))
+    listedNodes.forEach(id => lastListed.set(id, snapshot.asOf))
+  }
+
+  const viewOf = ({ id, zone, region, address }: Member): NodeView => ({ id, zone, region, address })
+
+  const unknownStatus = (node: string, now: number): ProcessStatus => {
+    const since = unknownSince.get(node) ?? now
+    unknownSince.set(node, since)
+    return now - since < unknownGraceMs ? 'live' : 'down'
+  }
+
+  return {
+    tick: now => performAll(membership.step({ type: 'tick' }, now)),
+    list (snapshot, now) {
+      if (snapshot.asOf < listAsOf) {
+        return
+      }
+      listAsOf = snapshot.asOf
+      const nodes = snapshot.instances.filter(({ kind }) => kind === 'node')
+      performAll(membership.step({ type: 'instance-list', asOf: snapshot.asOf, nodes }, now))
+      version += 1
+      noteListed(snapshot)
+    },
+    receive (received, now) {
+      const message = received.message as CoreMessage
+      if (message.type === 'membership') {
+        performAll(membership.step({ type: 'datagram', message: message.datagram }, now))
+      }
+    },
+    send (to, message) {
+      const address = membership.member(to)?.address
+      ctx.emit({ type: 'send', envelope: envelope(to, message), ...(address === undefined ? {} : { address }) })
+    },
+    leave (now) {
+      leaving = true
+      version += 1
+      performAll(membership.step({ type: 'leave' }, now))
+    },
+    status (process, now) {
+      const member = membership.member(process.node)
+      if (member === undefined) {
+        return unknownStatus(process.node, now)
+      }
+      if (member.state === 'dead' || member.incarnation > process.incarnation) {
+        return 'down'
+      }
+      return member.leaving ? 'leaving' : 'live'
+    },
+    // A list from before the start of the process may have named an earlier process of the node.
+    hasLeftList: ({ node, incarnation }) => !listedNodes.has(node) && (lastListed.get(node) ?? -Infinity) >= incarnation,
+    accepting () {
+      const others = membership.live().filter(member => member.listed && !member.leaving).map(viewOf)
+      return leaving ? others : [self, ...others]
+    },
+    live: () => [self, ...membership.live().map(viewOf)],
+    address: node => node === cfg.node ? cfg.address : membership.member(node)?.address,
+    member: membership.member,
+    get version () {
+      return version
+    },
+    get listed () {
+      return listAsOf > -Infinity
+    },
+    get leaving () {
+      return leaving
+    },
+    get superseded () {
+      return superseded
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/permits.ts
@@ -0,0 +1,95 @@
+/** Load permits of one node: its own requests, and the holder's part when this node holds the permits. */
+import { createPermitClient, createPermitHolder, type PermitClientAction, type PermitGrant } from '@yuccawharf/serving'
+import type { CoreContext } from './core-context'
+import type { Peers } from './peers'
+
+export type Permits = {
+  tick (now: number): void
+  want (engine: string, urgency: number, now: number): void
+  giveBack (permitId: string, unused: true | undefined, now: number): void
+  asked (from: string, engine: string, urgency: number, now: number): void
+  returned (permitId: string, unused: true | undefined, now: number): void
+  granted (engine: string, permitId: string, remainingMs: number, now: number): void
+}
+
+/** A load whose permit was not returned is taken to have ended after this, in ms. */
+const expiryMs = 10_000
+
+/** @param grant - passes a permit to the scheduler of an engine of this node */
+export const createPermits = (ctx: CoreContext, peers: Peers, grant: (engine: string, permitId: string, expiresAt: number, now: number) => void): Permits => {
+  const { cfg } = ctx
+  const limits = { inFlight: cfg.loadsInFlight, perSecond: cfg.loadsPerSecond, expiryMs }
+  const client = createPermitClient(cfg.node, limits)
+  const holder = createPermitHolder(`${cfg.node}/${cfg.incarnation}`, limits)
+  const askedBy = new Map<string, string>()
+  let version = -1
+
+  const granted = (engine: string, permitId: string, expiresAt: number, now: number): void =>
+    performAll(client.step({ type: 'granted', engine, permitId, expiresAt }, now), now)
+
+  const grantAll = (grants: PermitGrant[], now: number): void => {
+    for (const { engine, permitId, expiresAt } of grants) {
+      const node = askedBy.get(engine) ?? cfg.node
+      if (node === cfg.node) {
+        granted(engine, permitId, expiresAt, now)
+      } else {
+        peers.send(node, { type: 'permit-grant', engine, permitId, remainingMs: expiresAt - now })
+      }
+    }
+  }
+
+  const asked = (from: string, engine: string, urgency: number, now: number): void => {
+    askedBy.set(engine, from)
+    grantAll(holder.step({ type: 'request', engine, urgency }, now), now)
+  }
+
+  const returned = (permitId: string, unused: true | undefined, now: number): void =>
+    grantAll(holder.step({ type: 'release', permitId, ...(unused === undefined ? {} : { unused }) }, now), now)
+
+  const perform = (action: PermitClientAction, now: number): void => {
+    switch (action.type) {
+      case 'permit': return grant(action.engine, action.permitId, action.expiresAt, now)
+      case 'ask':
+        if (action.node === cfg.node) {
+          return asked(cfg.node, action.engine, action.urgency, now)
+        }
+        return peers.send(action.node, { type: 'permit-ask', engine: action.engine, urgency: action.urgency })
+      case 'return':
+        if (action.node === cfg.node) {
+          return returned(action.permitId, action.unused, now)
+        }
+        return peers.send(action.node, { type: 'permit-return', permitId: action.permitId, ...(action.unused === undefined ? {} : { unused: action.unused }) })
+    }
+  }
+
+  const performAll = (actions: PermitClientAction[], now: number): void => actions.forEach(action => perform(action, now))
+
+  const checkHolder = (now: number): void => {
+    const node = client.holder()
+    const isSuspected = node !== undefined && node !== cfg.node && peers.member(node)?.state !== 'alive'
+    if (isSuspected) {
+      performAll(client.step({ type: 'unreachable', node }, now), now)
+    }
+  }
+
+  const updateNodes = (now: number): void => {
+    if (version !== peers.version) {
+      version = peers.version
+      performAll(client.step({ type: 'nodes', nodes: peers.live().map(({ id }) => id) }, now), now)
+    }
+  }
+
+  return {
+    tick (now) {
+      updateNodes(now)
+      checkHolder(now)
+      performAll(client.step({ type: 'tick' }, now), now)
+      grantAll(holder.step({ type: 'tick' }, now), now)
+    },
+    want: (engine, urgency, now) => performAll(client.step({ type: 'want', engine, urgency }, now), now),
+    giveBack: (permitId, unused, now) => performAll(client.step({ type: 'release', permitId, ...(unused === undefined ? {} : { unused }) }, now), now),
+    asked,
+    returned,
+    granted: (engine, permitId, remainingMs, now) => granted(engine, permitId, now + remainingMs, now)
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/routing.ts
@@ -0,0 +1,82 @@
+/** Where completions go: checks against the configuration, choice of the engine, and its owner. */
+import { createRouter, type EngineLoadHint, type Router } from '@yuccawharf/serving'
+import type { Configuration } from './configuration'
+import type { CoreContext } from './core-context'
+import type { Engines } from './engines'
+import { servingRequest } from './engine-owner'
+import type { Instances } from './instances'
+import type { Completion } from './messages'
+import type { Peers } from './peers'
+
+/** An engine that can run a request, and the node that owns it. */
+export type Place = { engine: string, node: string, address: string }
+
+export type Routing = {
+  /** @returns why the request can never run, or undefined */
+  invalid (completion: Pick<Completion, 'model' | 'adapter' | 'version' | 'class'>): string | undefined
+  /** @returns the places in order of preference; empty while no engine of the model has a live owner */
+  places (completion: Completion, now: number): Place[]
+  /** Like {@link Routing.places} without counting a request. */
+  candidates (model: string, now: number): Place[]
+  hint (hint: EngineLoadHint, now: number): void
+  refused (engine: string, retryAfterMs: number, now: number): void
+}
+
+export const createRouting = (ctx: CoreContext, configuration: Configuration, instances: Instances, engines: Engines, peers: Peers): Routing => {
+  const { cfg } = ctx
+  const routers = new Map<string, { router: Router, engines: string }>()
+
+  const placeOf = (engine: string, now: number): Place | undefined => {
+    const owner = engines.owner(engine)
+    if (owner === undefined || peers.status(owner, now) === 'down' && owner.node !== cfg.node) {
+      return undefined
+    }
+    const isSelf = owner.node === cfg.node
+    const address = peers.address(owner.node)
+    const usable = isSelf ? engines.own(engine)?.accepting === true : address !== undefined
+    return usable ? { engine, node: owner.node, address: address ?? cfg.address } : undefined
+  }
+
+  const candidates = (model: string, now: number): Place[] => {
+    const group = configuration.model(model)?.group
+    return instances.ofKind('engine')
+      .filter(instance => instance.group === group && instance.region === cfg.region && !instances.isLeaving(instance.id))
+      .flatMap(({ id }) => placeOf(id, now) ?? [])
+  }
+
+  const routerFor = (model: string, places: Place[], now: number): Router => {
+    const known = routers.get(model) ?? { router: createRouter({ loadMs: cfg.loadMs }), engines: '' }
+    const names = places.map(({ engine }) => engine)
+    const key = names.join(' ')
+    if (known.engines !== key) {
+      known.engines = key
+      known.router.step({ type: 'engines', engines: names }, now)
+    }
+    routers.set(model, known)
+    return known.router
+  }
+
+  return {
+    invalid ({ model, adapter, version, class: name }) {
+      const entry = configuration.adapter(adapter)
+      if (configuration.model(model) === undefined) {
+        return `model "${model}" does not exist`
+      }
+      if (entry === undefined || entry.model !== model) {
+        return `adapter "${adapter}" does not exist for model "${model}"`
+      }
+      if (!entry.versions.includes(version)) {
+        return `version "${version}" of adapter "${adapter}" does not exist`
+      }
+      return configuration.classes()[name] === undefined ? `class "${name}" does not exist` : undefined
+    },
+    places (completion, now) {
+      const places = candidates(completion.model, now)
+      const order = routerFor(completion.model, places, now).route(servingRequest(completion, now), now)
+      return order.flatMap(engine => places.find(place => place.engine === engine) ?? [])
+    },
+    candidates,
+    hint: (hint, now) => routers.forEach(({ router }) => router.step({ type: 'hint', hint }, now)),
+    refused: (engine, retryAfterMs, now) => routers.forEach(({ router }) => router.step({ type: 'refused', engine, retryAfterMs }, now))
+  }
+}
--- /dev/null
+++ b/packages/node/src/core/testing/world.ts
@@ -0,0 +1,266 @@
+/** Cores over the platform's stand-ins on a virtual clock, for tests and measurements of whole sessions. */
+import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createVirtualClock, createWeightStoreModel, type EngineModel, type EngineModelOptions, type InstanceListModel, type LogModel, type LogModelOptions, type PlainServiceModel, type VirtualClock } from '@yuccawharf/stand-ins'
+import { nodeCoreDefaults, type CoreHooks, type NodeCoreConfig } from '../core-config'
+import type { Completion, CoreAction, CoreEvent, Order } from '../messages'
+import { createNodeCore, type QueryableCore } from '../node-core'
+import { createAnswers, type Answers } from './answers'
+
+export type WorldOptions = {
+  nodes: string[]
+  engines: string[]
+  engine?: Partial<EngineModelOptions>
+  log?: Partial<LogModelOptions>
+  config?: Partial<NodeCoreConfig>
+  hooks?: CoreHooks
+  /** Delay of a message between nodes, in ms. */
+  messageMs?: number
+}
+
+export type WorldNode = {
+  readonly id: string
+  readonly core: QueryableCore
+  readonly alive: boolean
+  readonly exited: boolean
+  give (event: CoreEvent): void
+  /** Ends the process; the instance list drops it after `listedMs`. */
+  kill (listedMs?: number): void
+  /** Starts a new process of the node. */
+  restart (): void
+  /** Stops the process: events wait, and so do the actions of the last step when `before` is set. */
+  pause (): void
+  wake (): void
+  /** Messages from and to the node are lost. */
+  isolated: boolean
+}
+
+export type World = {
+  clock: VirtualClock
+  log: LogModel
+  list: InstanceListModel
+  service: PlainServiceModel
+  engines: Map<string, EngineModel>
+  nodes: Map<string, WorldNode>
+  answers: Answers
+  orders: Map<string, Extract<CoreAction, { type: 'order-result' }>['result']>
+  /** All actions in order, with the node and the time. */
+  trace: { at: number, node: string, action: CoreAction }[]
+  advance (ms: number): void
+  node (id: string): WorldNode
+  submit (node: string, completion: Partial<Completion> & { requestId: string }): void
+  order (node: string, order: Partial<Order> & { orderId: string }): void
+  /** Node that the core of `asked` takes for the owner. */
+  ownerOf (engine: string): string | undefined
+}
+
+const tickMs = 50
+const enginePollMs = 500
+const listPollMs = 1_000
+
+/** The configuration that {@link createWorld} appends: one model, ten adapters, two classes. */
+export const worldConfig = {
+  'model/base': { group: 'engines' },
+  'class/short': { firstTokenMs: 2_000, attainment: 0.95 },
+  'class/long': { finishWithinMs: 600_000, attainment: 0.9 },
+  ...Object.fromEntries(Array.from({ length: 10 }, (_, number) => [`adapter/a${number}`, { model: 'base', versions: ['1', '2'] }]))
+}
+
+export const createWorld = (options: WorldOptions): World => {
+  const clock = createVirtualClock(1_000)
+  const log = createLogModel({ clock, ...options.log })
+  const list = createInstanceListModel({ clock })
+  const service = createPlainServiceModel({ clock })
+  const weights = createWeightStoreModel({ clock, fetchMs: 250 })
+  const engines = new Map<string, EngineModel>()
+  const nodes = new Map<string, WorldNode>()
+  const trace: World['trace'] = []
+  const orders: World['orders'] = new Map()
+  const messageMs = options.messageMs ?? 1
+  const answers = createAnswers(clock, engines, (node, event) => nodes.get(node)?.give(event))
+
+  for (const engine of options.engines) {
+    engines.set(engine, createEngineModel({ clock, weights, engine, baseModel: 'base', ...options.engine }))
+    list.put({ id: engine, kind: 'engine', address: '', zone: 'z1', region: 'r1', group: 'engines', state: 'live' })
+  }
+  list.put({ id: 'desk-1', kind: 'service', address: '', zone: 'z1', region: 'r1', group: 'desk', state: 'live' })
+
+  const traits = { checksFencing: options.engine?.checksFencing === true, reportLagMs: options.engine?.reportLagMs ?? 0 }
+
+  const perform = (id: string, action: CoreAction, give: (event: CoreEvent) => void): void => {
+    switch (action.type) {
+      case 'read-log':
+        return log.read(action.stream, action.from, 500, 2_000, result => give(
+          result.type === 'ok'
+            ? { type: 'log-page', stream: action.stream, page: result.page }
+            : result.type === 'expired'
+              ? { type: 'log-expired', stream: action.stream, first: result.first, next: result.next }
+              : { type: 'log-read-failed', stream: action.stream }))
+      case 'append':
+        return log.append(action.stream, action.values, result => give({ type: 'append-result', token: action.token, result }))
+      case 'send': {
+        const { envelope } = action
+        const copy = JSON.parse(JSON.stringify(envelope)) as typeof envelope
+        if (nodes.get(id)?.isolated !== true) {
+          clock.after(messageMs, () => nodes.get(envelope.to)?.isolated !== true && nodes.get(envelope.to)?.give({ type: 'message', envelope: copy }))
+        }
+        return
+      }
+      case 'engine-command':
+        engines.get(action.engine)?.command(action.command, action.fence, result => give({ type: 'engine-command-result', engine: action.engine, token: action.token, result }))
+        return
+      case 'dispatch': return answers.dispatch(id, action)
+      case 'cancel-dispatch': return engines.get(action.engine)?.cancel(action.requestId)
+      case 'refuse': return answers.refuse(action.requestId, action.refusal)
+      case 'forward': {
+        const completion = answers.completion(action.requestId)
+        if (completion !== undefined) {
+          clock.after(messageMs, () => nodes.get(action.node)?.give({ type: 'submit', completion, forwarded: true, from: id }))
+        }
+        return
+      }
+      case 'send-order':
+        return service.call(action.req, response => give({ type: 'service-result', orderId: action.orderId, result: response === undefined ? { type: 'unknown', reason: 'response lost' } : { type: 'ok', response } }))
+      case 'order-result':
+        orders.set(action.orderId, action.result)
+        return
+      case 'ready-to-exit':
+        nodes.get(id)?.kill(500)
+    }
+  }
+
+  const createProcess = (id: string): { core: QueryableCore, step: (event: CoreEvent) => void, stop: () => void } => {
+    let running = true
+    const core = createNodeCore({ ...nodeCoreDefaults, node: id, zone: 'z1', region: 'r1', address: `${id}:1`, incarnation: clock.now(), engineDefaults: traits, ...options.config }, options.hooks)
+    const step = (event: CoreEvent): void => {
+      if (running) {
+        for (const action of core.step(event, clock.now())) {
+          trace.push({ at: clock.now(), node: id, action })
+          perform(id, action, event => running && nodes.get(id)?.give(event))
+        }
+      }
+    }
+    return { core, step, stop: () => { running = false } }
+  }
+
+  const createNode = (id: string): WorldNode => {
+    let process = createProcess(id)
+    let alive = true
+    let exited = false
+    let paused = false
+    let waiting: CoreEvent[] = []
+    const every = (ms: number, run: () => void): void => {
+      const current = process
+      const repeat = (): void => {
+        if (alive && process === current) {
+          run()
+          clock.after(ms, repeat)
+        }
+      }
+      clock.after(0, repeat)
+    }
+    const give = (event: CoreEvent): void => {
+      if (paused) {
+        waiting.push(event)
+      } else if (alive) {
+        process.step(event)
+      }
+    }
+    const begin = (): void => {
+      list.put({ id, kind: 'node', address: `${id}:1`, zone: 'z1', region: 'r1', group: 'nodes', state: 'live' })
+      process.step({ type: 'start' })
+      every(tickMs, () => !paused && give({ type: 'tick' }))
+      every(listPollMs, () => {
+        const snapshot = list.fetch()
+        if (snapshot !== undefined) give({ type: 'instance-list', snapshot })
+      })
+      every(enginePollMs, () => {
+        for (const engine of process.core.watchedEngines()) {
+          const report = engines.get(engine)?.status()
+          give(report === undefined ? { type: 'engine-unreachable', engine } : { type: 'engine-report', report: structuredClone(report) })
+        }
+      })
+    }
+    clock.after(0, begin)
+    return {
+      id,
+      isolated: false,
+      give,
+      get core () {
+        return process.core
+      },
+      get alive () {
+        return alive
+      },
+      get exited () {
+        return exited
+      },
+      kill (listedMs) {
+        alive = false
+        exited = true
+        waiting = []
+        process.stop()
+        if (listedMs !== undefined) clock.after(listedMs, () => !alive && list.remove(id))
+      },
+      restart () {
+        process = createProcess(id)
+        alive = true
+        exited = false
+        begin()
+      },
+      pause () {
+        paused = true
+      },
+      wake () {
+        paused = false
+        const events = waiting
+        waiting = []
+        events.forEach(give)
+      }
+    }
+  }
+
+  log.append('config', [{ type: 'change', id: 'initial', base: -1, writes: worldConfig, reads: [], by: 'test' }], () => {})
+  options.nodes.forEach(id => nodes.set(id, createNode(id)))
+  const node = (id: string): WorldNode => {
+    const known = nodes.get(id)
+    if (known === undefined) {
+      throw new Error(`no node ${id}`)
+    }
+    return known
+  }
+
+  return {
+    clock,
+    log,
+    list,
+    service,
+    engines,
+    nodes,
+    answers,
+    orders,
+    trace,
+    advance: ms => clock.advance(ms),
+    node,
+    submit (id, partial) {
+      const completion: Completion = { model: 'base', adapter: 'a0', version: '1', class: 'short', prompt: 'hello', maxTokens: 10, deadline: clock.now() + 60_000, ...partial }
+      answers.register(id, completion)
+      node(id).give({ type: 'submit', completion })
+    },
+    order (id, partial) {
+      const key = partial.key
+      node(id).give({
+        type: 'order',
+        order: { group: 'desk', deadline: clock.now() + 10_000, req: { method: 'POST', path: '/', headers: key === undefined ? {} : { 'idempotency-key': key }, body: new Uint8Array([1]) }, ...partial }
+      })
+    },
+    ownerOf (engine) {
+      const records = log.peek('ownership').records.map(({ value, offset }) => ({ ...value as { type: string, engine: string, node: string, after: number }, offset }))
+      let owner: { node: string, offset: number } | undefined
+      for (const record of records) {
+        if (record.type === 'owner' && record.engine === engine && record.after === (owner?.offset ?? -1)) {
+          owner = { node: record.node, offset: record.offset }
+        }
+      }
+      return owner?.node
+    }
+  }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './core/index'
