Add the relay of one answer

Answers reach a node in pieces that may be cut, late, repeated or out of order. The relay cuts the event stream at blank lines, reads only ids and end marks, puts the events of one request in sequence and keeps a bounded tail for callers that reconnect. Consecutive events of a chunk stay one buffer, so that no token is serialised again.

--- /dev/null
+++ b/packages/serving/src/answer-relay-events.ts
@@ -0,0 +1,161 @@
+/**
+ * Reads the event stream of one answer without decoding its tokens. Events are cut at blank lines,
+ * only the `id:` field and the marks of the end are looked at, and consecutive events of a chunk
+ * stay together as one run of bytes, because decoding each token's JSON costs more than relaying it.
+ */
+
+/** Consecutive token events; `bytes` holds exactly the events `first` to `last`. */
+export type TokenRun = { type: 'tokens', first: number, last: number, bytes: Uint8Array }
+
+export type AnswerEvent =
+  | TokenRun
+  /** The chunk with the finish reason; `count` is the number of tokens of the whole answer. */
+  | { type: 'finish', count: number, reason: string, bytes: Uint8Array }
+  /** The end mark of the OpenAI format. */
+  | { type: 'done', bytes: Uint8Array }
+  /** A problem document that ends the stream. */
+  | { type: 'error', data: string, bytes: Uint8Array }
+  | { type: 'malformed', reason: string }
+
+export type AnswerParser = {
+  /**
+   * @param chunk next bytes of the stream; the results refer to it without a copy
+   * @returns the events that are complete, in stream order
+   */
+  push (chunk: Uint8Array): AnswerEvent[]
+  /** Bytes of an event whose end has not arrived. */
+  pendingBytes (): number
+}
+
+const newline = 10
+const zero = 48
+const idField = Buffer.from('id: ')
+const blankLine = Buffer.from('\n\n')
+const usageMark = Buffer.from('"usage":{')
+const doneEvent = Buffer.from('data: [DONE]\n\n')
+const errorField = Buffer.from('event: error\n')
+
+/** An event larger than this is refused, so that a stream without blank lines cannot fill the memory. */
+const maxEventBytes = 1 << 20
+
+function startsWith (bytes: Buffer, from: number, prefix: Buffer): boolean {
+  for (let index = 0; index < prefix.length; index++) {
+    if (bytes[from + index] !== prefix[index]) return false
+  }
+  return true
+}
+
+/** @returns the number in the leading `id:` field, or -1 */
+function eventId (bytes: Buffer, from: number, end: number): number {
+  if (!startsWith(bytes, from, idField)) return -1
+  let value = 0
+  let index = from + idField.length
+  for (; index < end && bytes[index] !== newline; index++) {
+    const digit = (bytes[index] ?? 0) - zero
+    if (digit < 0 || digit > 9 || value > 1e12) return -1
+    value = value * 10 + digit
+  }
+  return index === from + idField.length ? -1 : value
+}
+
+/** @returns the text of the event's `data:` lines */
+function eventData (bytes: Buffer): string {
+  const lines = bytes.toString('utf8').split('\n')
+  const data = lines.filter(line => line.startsWith('data:'))
+  return data.map(line => line.slice(line.startsWith('data: ') ? 6 : 5)).join('\n')
+}
+
+function finishEvent (bytes: Buffer): AnswerEvent {
+  try {
+    const chunk = JSON.parse(eventData(bytes)) as { usage?: { completion_tokens?: unknown }, choices?: { finish_reason?: unknown }[] }
+    const count = chunk.usage?.completion_tokens
+    const reason = chunk.choices?.[0]?.finish_reason
+    if (typeof count !== 'number' || !Number.isInteger(count) || count < 0) return { type: 'malformed', reason: 'the last chunk carries no token count' }
+    return { type: 'finish', count, reason: typeof reason === 'string' ? reason : 'stop', bytes }
+  } catch {
+    return { type: 'malformed', reason: 'the last chunk is not valid JSON' }
+  }
+}
+
+function isComment (bytes: Buffer, from: number): boolean {
+  return bytes[from] === 58
+}
+
+function otherEvent (bytes: Buffer): AnswerEvent | undefined {
+  if (isComment(bytes, 0)) return undefined
+  if (bytes.equals(doneEvent)) return { type: 'done', bytes }
+  if (startsWith(bytes, 0, errorField)) return { type: 'error', data: eventData(bytes), bytes }
+  return { type: 'malformed', reason: 'an event carries neither an id nor an end mark' }
+}
+
+/** Appends the event `bytes[from, end)`, extending the last run when the ids are consecutive. */
+function appendEvent (events: AnswerEvent[], bytes: Buffer, from: number, end: number): void {
+  const event = bytes.subarray(from, end)
+  if (event.includes(usageMark)) {
+    events.push(finishEvent(event))
+    return
+  }
+  const id = eventId(bytes, from, end)
+  if (id < 0) {
+    const other = otherEvent(event)
+    if (other !== undefined) events.push(other)
+    return
+  }
+  const run = events.at(-1)
+  const adjacent = run?.type === 'tokens' && run.last + 1 === id && run.bytes.byteOffset + run.bytes.length === event.byteOffset
+  if (!adjacent) {
+    events.push({ type: 'tokens', first: id, last: id, bytes: event })
+    return
+  }
+  run.last = id
+  run.bytes = bytes.subarray(run.bytes.byteOffset - bytes.byteOffset, end)
+}
+
+/** Creates the parser of one stream. */
+export function createAnswerParser (): AnswerParser {
+  let rest: Buffer | undefined
+
+  function withRest (chunk: Uint8Array): Buffer {
+    const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length)
+    if (rest === undefined) return bytes
+    const joined = Buffer.concat([rest, bytes])
+    rest = undefined
+    return joined
+  }
+
+  return {
+    push (chunk) {
+      const bytes = withRest(chunk)
+      const events: AnswerEvent[] = []
+      let from = 0
+      while (from < bytes.length) {
+        const end = bytes.indexOf(blankLine, from)
+        if (end < 0) break
+        appendEvent(events, bytes, from, end + blankLine.length)
+        from = end + blankLine.length
+      }
+      if (from < bytes.length) rest = bytes.subarray(from)
+      if (rest !== undefined && rest.length > maxEventBytes) {
+        rest = undefined
+        events.push({ type: 'malformed', reason: `an event is larger than ${maxEventBytes} bytes` })
+      }
+      return events
+    },
+    pendingBytes: () => rest?.length ?? 0
+  }
+}
+
+/**
+ * @param run consecutive token events
+ * @param after sequence number below `run.last`
+ * @returns the part of the run that follows `after`, without a copy
+ */
+export function runAfter (run: TokenRun, after: number): TokenRun {
+  if (after < run.first) return run
+  const bytes = Buffer.from(run.bytes.buffer, run.bytes.byteOffset, run.bytes.length)
+  let from = 0
+  for (let seq = run.first; seq <= after; seq++) {
+    from = bytes.indexOf(blankLine, from) + blankLine.length
+  }
+  return { type: 'tokens', first: after + 1, last: run.last, bytes: bytes.subarray(from) }
+}
--- /dev/null
+++ b/packages/serving/src/answer-relay.ts
@@ -0,0 +1,197 @@
+/**
+ * The relay of one answer: accepts its events from one or several attempts to read it, puts them in
+ * sequence, drops repeated ones, and keeps a bounded tail for callers that reconnect. It performs
+ * no I/O. Times are ms of the caller's clock.
+ */
+import { runAfter, type AnswerEvent, type TokenRun } from './answer-relay-events'
+
+export type AnswerRelayConfig = {
+  requestId: string
+  /** Bytes kept for callers that reconnect. */
+  maxBytes: number
+  /** Time that a finished answer is kept, in ms. */
+  keepMs: number
+}
+
+/**
+ * `gap`: events are missing before this one, so the source must be read again after `lastSeq`;
+ * `foreign`: the event belongs to another request; `conflict`: the event contradicts the answer.
+ */
+export type AcceptResult = 'accepted' | 'repeated' | 'gap' | 'foreign' | 'conflict'
+
+export type AnswerEnd =
+  | { type: 'finished', count: number, reason: string }
+  | { type: 'failed', data: string }
+
+export type ReplayResult =
+  /** `bytes` are whole events; `last` is the position after them; `ended` says that nothing follows. */
+  | { type: 'ok', bytes: Uint8Array[], last: number, ended: boolean }
+  /** The events after the position are no longer kept; `first` is the earliest that is. */
+  | { type: 'evicted', first: number }
+  /** The position lies after the last event. */
+  | { type: 'ahead', last: number }
+
+export type AnswerRelay = {
+  requestId: string
+  /** @param source id of the request that the stream was opened for */
+  accept (source: string, event: AnswerEvent, now: number): AcceptResult
+  /** @param after last event that the reader has, 0 for none */
+  replay (after: number): ReplayResult
+  /** Bytes between a reader's position and the newest event. */
+  lagBytes (after: number): number
+  lastSeq (): number
+  end (): AnswerEnd | undefined
+  /** Ends the answer with a problem document, unless it has ended. */
+  fail (data: string, now: number): void
+  /** Whether the answer ended longer ago than it is kept. */
+  expired (now: number): boolean
+}
+
+/** Events that arrive before their predecessors are held up to this size; the rest are read again. */
+const maxHeldBytes = 64 * 1024
+
+type KeptRun = TokenRun & { endsAt: number }
+
+/** Index of the first run that holds an event after `after`. */
+function findRun (runs: KeptRun[], after: number): number {
+  let low = 0
+  let high = runs.length
+  while (low < high) {
+    const middle = (low + high) >> 1
+    if ((runs[middle] as KeptRun).last > after) high = middle
+    else low = middle + 1
+  }
+  return low
+}
+
+function errorBytes (data: string): Uint8Array {
+  return Buffer.from(`event: error\ndata: ${data}\n\n`)
+}
+
+/** Creates the relay of one answer. */
+export function createAnswerRelay (cfg: AnswerRelayConfig): AnswerRelay {
+  const runs: KeptRun[] = []
+  const held = new Map<number, TokenRun>()
+  const tail: Uint8Array[] = []
+  let heldBytes = 0
+  let keptBytes = 0
+  let totalBytes = 0
+  let last = 0
+  let finish: { count: number, reason: string } | undefined
+  let ended: AnswerEnd | undefined
+  let endedAt = 0
+
+  function keep (run: TokenRun): void {
+    totalBytes += run.bytes.length
+    keptBytes += run.bytes.length
+    last = run.last
+    runs.push({ ...run, endsAt: totalBytes })
+    if (keptBytes > cfg.maxBytes) dropOldest()
+  }
+
+  /** Drops down to three quarters of the bound, so that the array's rest is not moved for each token. */
+  function dropOldest (): void {
+    let drop = 0
+    while (keptBytes > cfg.maxBytes * 0.75 && drop < runs.length - 1) {
+      keptBytes -= (runs[drop] as KeptRun).bytes.length
+      drop++
+    }
+    runs.splice(0, drop)
+  }
+
+  function hold (run: TokenRun): AcceptResult {
+    const known = held.get(run.first)
+    if (known !== undefined && known.last >= run.last) return 'repeated'
+    if (heldBytes + run.bytes.length > maxHeldBytes) return 'gap'
+    heldBytes += run.bytes.length - (known?.bytes.length ?? 0)
+    held.set(run.first, run)
+    return 'gap'
+  }
+
+  function releaseHeld (): void {
+    for (let moved = held.size > 0; moved;) {
+      moved = false
+      for (const [first, run] of held) {
+        if (first > last + 1) continue
+        held.delete(first)
+        heldBytes -= run.bytes.length
+        if (run.last > last) keep(runAfter(run, last))
+        moved = true
+      }
+    }
+  }
+
+  function acceptRun (run: TokenRun): AcceptResult {
+    if (run.first < 1 || run.last < run.first) return 'conflict'
+    if (finish !== undefined && run.last > finish.count) return 'conflict'
+    if (run.last <= last) return 'repeated'
+    if (run.first > last + 1) return hold(run)
+    keep(run.first === last + 1 ? run : runAfter(run, last))
+    releaseHeld()
+    return 'accepted'
+  }
+
+  function acceptFinish (event: { count: number, reason: string, bytes: Uint8Array }): AcceptResult {
+    if (finish !== undefined) return finish.count === event.count ? 'repeated' : 'conflict'
+    if (event.count < last) return 'conflict'
+    if (event.count > last) return 'gap'
+    finish = { count: event.count, reason: event.reason }
+    tail.push(event.bytes)
+    return 'accepted'
+  }
+
+  function acceptDone (bytes: Uint8Array, now: number): AcceptResult {
+    if (finish === undefined) return 'gap'
+    tail.push(bytes)
+    ended = { type: 'finished', ...finish }
+    endedAt = now
+    return 'accepted'
+  }
+
+  function fail (data: string, now: number): void {
+    if (ended !== undefined) return
+    tail.length = 0
+    tail.push(errorBytes(data))
+    ended = { type: 'failed', data }
+    endedAt = now
+  }
+
+  function acceptOther (event: AnswerEvent, now: number): AcceptResult {
+    if (event.type === 'finish') return acceptFinish(event)
+    if (event.type === 'done') return acceptDone(event.bytes, now)
+    if (event.type === 'malformed') return 'conflict'
+    if (event.type === 'error') fail(event.data, now)
+    return 'accepted'
+  }
+
+  function replay (after: number): ReplayResult {
+    if (after > last) return { type: 'ahead', last }
+    const index = findRun(runs, after)
+    const first = runs[index]
+    if (first === undefined) return { type: 'ok', bytes: ended === undefined ? [] : tail.slice(), last, ended: ended !== undefined }
+    if (index === 0 && first.first > after + 1) return { type: 'evicted', first: first.first }
+    const bytes = [runAfter(first, after).bytes]
+    for (let next = index + 1; next < runs.length; next++) bytes.push((runs[next] as KeptRun).bytes)
+    if (ended !== undefined) bytes.push(...tail)
+    return { type: 'ok', bytes, last, ended: ended !== undefined }
+  }
+
+  return {
+    requestId: cfg.requestId,
+    accept (source, event, now) {
+      if (source !== cfg.requestId) return 'foreign'
+      if (event.type === 'tokens') return ended === undefined || event.last <= last ? acceptRun(event) : 'conflict'
+      if (ended !== undefined) return 'repeated'
+      return acceptOther(event, now)
+    },
+    replay,
+    lagBytes (after) {
+      const first = runs[findRun(runs, after)]
+      return first === undefined ? 0 : totalBytes - first.endsAt + first.bytes.length
+    },
+    lastSeq: () => last,
+    end: () => ended,
+    fail,
+    expired: now => ended !== undefined && now - endedAt >= cfg.keepMs
+  }
+}
