--- a/packages/stand-ins/src/engine-model.ts
+++ b/packages/stand-ins/src/engine-model.ts
@@ -64,7 +64,7 @@
 
 export type EngineStats = { started: number, completed: number, evictedInUse: number, steps: number, batchSum: number, tokens: number }
 
-type Sequence = { req: GenerateRequest, adapter: string, version: string, hash: number, order: number, produced: number, end?: EndReason, listeners: Set<StreamListener> }
+type Sequence = { req: GenerateRequest, adapter: string, version: string, hash: number, produced: number, end?: EndReason, listeners: Set<StreamListener> }
 
 const keptResponses = 1000
 const charactersPerToken = 4
@@ -96,7 +96,6 @@
   let ended: string[] = []
   let incarnation = 1
   let highestFence = -1
-  let order = 0
   let stepping = false
   let unreachable = false
   let draining = false
@@ -241,7 +240,7 @@
       const earlier = known.get(req.requestId)
       if (earlier !== undefined && earlier.end !== 'cancelled') return { type: 'refused', code: 'duplicate_request' }
       const hash = requestHash(req.requestId, model.adapter, model.version, req.prompt)
-      const sequence: Sequence = { req, ...model, hash, order: order++, produced: 0, listeners: new Set([listener]) }
+      const sequence: Sequence = { req, ...model, hash, produced: 0, listeners: new Set([listener]) }
       known.set(req.requestId, sequence)
       stats.started++
       const at = waiting.findIndex(other => other.req.priority > req.priority)
