--- a/packages/node/src/core/routing.ts
+++ b/packages/node/src/core/routing.ts
@@ -28,7 +28,7 @@
 
   const placeOf = (engine: string, now: number): Place | undefined => {
     const owner = engines.owner(engine)
-    if (owner === undefined || peers.status(owner, now) === 'down' && owner.node !== cfg.node) {
+    if (owner === undefined || (owner.node !== cfg.node && peers.status(owner, now) === 'down')) {
       return undefined
     }
     const isSelf = owner.node === cfg.node
