--- a/packages/coordination/src/claims-desk.ts
+++ b/packages/coordination/src/claims-desk.ts
@@ -13,8 +13,11 @@
 
 export type ClaimDeskConfig = {
   node: string
-  incarnation: number
   shard: number
+  /** A new id at each call, also after the desk of the shard was closed and opened again: a reused id would send an order twice. */
+  attemptId (): string
+  /** False while claims of other nodes may have been missed, for example after a pause; then nothing is "not run". */
+  trustsLog? (): boolean
   maxRecordsPerAppend: number
   appendIntervalMs: number
   /** An attempt whose claim was neither read nor proved absent after this is given up, in ms. */
@@ -99,7 +102,6 @@
   const givenUp = new Set<string>()
   let head: number | undefined
   let logDown = false
-  let lastAttempt = 0
 
   const answerAll = (list: Caller[], answer: OrderAnswer): ClaimAction[] =>
     list.map(({ orderId }) => ({ type: 'answer', orderId, answer }))
@@ -122,7 +124,8 @@
     const winner = log.state(key)?.winner
     const offset = parseOrderKey(key)?.offset ?? -1
     const othersAbsent = winner === undefined || givenUp.has(winner.attempt)
-    const proved = othersAbsent && head !== undefined && log.next >= head && log.provesAbsence(offset)
+    const isCurrent = cfg.trustsLog?.() !== false
+    const proved = isCurrent && othersAbsent && head !== undefined && log.next >= head && log.provesAbsence(offset)
     return proved
       ? refusal('not-run', reason, cfg.logRetryMs * 2)
       : refusal('unknown', `${reason}; an earlier call with this key may have run`, cfg.logRetryMs * 2)
@@ -144,8 +147,7 @@
   }
 
   const claim = (key: string, now: number): void => {
-    lastAttempt += 1
-    const attempt: Attempt = { id: `${cfg.node}/${cfg.incarnation}/${lastAttempt}`, key, step: 'queued', since: now, refused: [] }
+    const attempt: Attempt = { id: cfg.attemptId(), key, step: 'queued', since: now, refused: [] }
     attempts.set(attempt.id, attempt)
     attemptOfKey.set(key, attempt)
     batch.add({ type: 'claim', key, attempt: attempt.id, node: cfg.node })
--- a/packages/coordination/src/claims.test.ts
+++ b/packages/coordination/src/claims.test.ts
@@ -24,8 +24,14 @@
   }
 }
 
-const deskOf = (node: string, hooks?: ClaimDeskConfig['hooks']): ClaimDesk =>
-  createClaimDesk({ ...claimDeskDefaults, node, incarnation: 1, shard: 3, ...(hooks === undefined ? {} : { hooks }) })
+let lastAttempt = 0
+const attemptId = (node: string): string => {
+  lastAttempt += 1
+  return `${node}/1/${lastAttempt}`
+}
+
+const deskOf = (node: string, hooks?: ClaimDeskConfig['hooks'], trustsLog = (): boolean => true): ClaimDesk =>
+  createClaimDesk({ ...claimDeskDefaults, node, shard: 3, attemptId: () => attemptId(node), trustsLog, ...(hooks === undefined ? {} : { hooks }) })
 
 const appendOf = (actions: ClaimAction[]) => {
   const append = actions.find(action => action.type === 'append')
@@ -165,6 +171,10 @@
   const append = appendOf(order(desk))
   const failed = desk.appended(append.token, { type: 'failed', reason: '503' }, 1)
   assert.equal(answers(failed).map(answer => answer.type === 'refused' && answer.outcome), ['not-run'])
+  const paused = deskOf('c', undefined, () => false)
+  paused.page(stream.page(), 0)
+  const late = appendOf(order(paused))
+  assert.equal(answers(paused.appended(late.token, { type: 'failed', reason: '503' }, 1)).map(answer => answer.type === 'refused' && answer.outcome), ['unknown'])
   fresh.readFailed(0)
   assert.equal(answers(order(fresh)).map(answer => answer.type === 'refused' && answer.outcome), ['unknown'])
 })
--- a/packages/coordination/src/ownership-takeover.ts
+++ b/packages/coordination/src/ownership-takeover.ts
@@ -22,6 +22,8 @@
   engine: string
   /** Offset of the latest valid owner record, or -1. */
   latest: number
+  /** Fencing number of the current term, or -1. */
+  term: number
   /** `self` is this very process; an earlier process of this node is `down`. */
   owner: 'none' | 'self' | 'live' | 'leaving' | 'down'
   /** This node's position among the candidates, from 0; undefined when it is none. */
@@ -36,24 +38,48 @@
 }
 
 type Vacancy = { latest: number, since: number }
+/** Recent changes of owner of one engine. */
+type Changes = { term: number, count: number, at: number }
 type Pending = { after: number, retryAt: number }
 
+/** Two nodes that take each other for dead would otherwise take an engine from each other at every decision. */
+const firstHoldMs = 2_000
+const maxHoldMs = 60_000
+
 /** @returns the decisions of one process */
 export const createTakeover = (cfg: TakeoverConfig): Takeover => {
   const vacancies = new Map<string, Vacancy>()
   const pending = new Map<string, Pending>()
+  const changes = new Map<string, Changes>()
   let rebalanceAt: number | undefined
 
+  const noteChange = ({ engine, term }: EngineCandidacy, now: number): void => {
+    const known = changes.get(engine)
+    if (known?.term === term) {
+      return
+    }
+    const isRecent = known !== undefined && now - known.at < maxHoldMs
+    changes.set(engine, { term, count: isRecent ? known.count + 1 : 0, at: now })
+  }
+
+  /** A record proves that its writer lived a moment ago: after changes in quick succession it is left alone for longer each time. */
+  const holdMs = (engine: string): number => {
+    const count = changes.get(engine)?.count ?? 0
+    return count < 2 ? 0 : Math.min(maxHoldMs, firstHoldMs * 2 ** (count - 2))
+  }
+
   const vacantSince = (candidacy: EngineCandidacy, now: number): number => {
     const known = vacancies.get(candidacy.engine)
     if (known?.latest === candidacy.latest) {
       return known.since
     }
-    vacancies.set(candidacy.engine, { latest: candidacy.latest, since: now })
-    return now
+    const since = candidacy.owner === 'down' ? now + holdMs(candidacy.engine) : now
+    vacancies.set(candidacy.engine, { latest: candidacy.latest, since })
+    return since
   }
 
   const isDue = (candidacy: EngineCandidacy, now: number): boolean => {
+    noteChange(candidacy, now)
     if (candidacy.owner === 'self' || candidacy.owner === 'live') {
       vacancies.delete(candidacy.engine)
       return false
--- a/packages/coordination/src/ownership.test.ts
+++ b/packages/coordination/src/ownership.test.ts
@@ -60,7 +60,7 @@
   assert.not(blind.complete, 'validity cannot be judged without the earlier records')
 })
 
-const candidacy = (over: Partial<EngineCandidacy>): EngineCandidacy => ({ engine, latest: 0, owner: 'down', rank: 0, ...over })
+const candidacy = (over: Partial<EngineCandidacy>): EngineCandidacy => ({ engine, latest: 0, term: over.latest ?? 0, owner: 'down', rank: 0, ...over })
 const takeoverOf = () => createTakeover({ node: 'b', incarnation: 1, ...takeoverDefaults })
 
 test('the n-th candidate waits for those before it', () => {
@@ -78,6 +78,19 @@
   assert.is(takeover.decide([candidacy({ rank: 1, latest: 7 })], 3_000).length, 0, 'the wait begins anew')
 })
 
+test('two nodes that take each other for dead leave an engine alone for longer each time', () => {
+  const takeover = takeoverOf()
+  const takenAt: number[] = []
+  let latest = 0
+  for (let now = 0; now < 60_000; now += 250) {
+    if (takeover.decide([candidacy({ latest })], now).length > 0) {
+      takenAt.push(now)
+      latest += 2
+    }
+  }
+  assert.ok(takenAt.length < 8, `${takenAt.length} takeovers in a minute`)
+})
+
 test('a takeover whose append fails or is lost is repeated with the same record', () => {
   const takeover = takeoverOf()
   const [record] = takeover.decide([candidacy({})], 0)
--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -53,7 +53,10 @@
 /** `stale`: the engine has seen a newer owner than this node has read. */
 export type PauseReason = 'leaving' | 'stale'
 
-type Tracked = OwnedRequest & { handle?: string }
+type Tracked = OwnedRequest & { handle?: string, incarnation?: number }
+
+/** A request whose stream was lost; the engine may go on running it. */
+type Leftover = { handle: string, firstReport?: number }
 
 const evictionRetryMs = 1_000
 const charactersPerToken = 4
@@ -90,6 +93,7 @@
   const resumed = new Set<string>()
   /** Requests that the scheduler took back during the current step. */
   const requeued = new Set<string>()
+  const leftovers = new Map<string, Leftover>()
   let lastReport: EngineReport | undefined
   let waiting: OwnedRequest[] = []
   let scheduler: EngineScheduler | undefined
@@ -109,11 +113,14 @@
   const unloadNow = (handle: string): void =>
     command({ type: 'unload', handle }, (result, at) => performEvictions(evictions.commandResult(handle, result, at), at))
 
-  const checkEviction = (handle: string): void => {
+  const checkUnused = (handle: string): void => {
     const inUse = [...requests.values()].some(request => request.handle === handle)
     ctx.check(!inUse, `eviction of ${handle} on ${engine}, which a running request uses`)
-    const free = isOwnLoad(handle) || pins.isFree(handle) || inheritedHandles.has(handle)
-    ctx.check(free, `eviction of ${handle} on ${engine}, which a predecessor may be using`)
+  }
+
+  const checkEviction = (handle: string): void => {
+    checkUnused(handle)
+    ctx.check(isFree(handle), `eviction of ${handle} on ${engine}, which a predecessor or a lost request may be using`)
   }
 
   const performEviction = (action: EvictionAction, now: number): void => {
@@ -122,7 +129,7 @@
         unloadNow(action.handle)
         return
       case 'unload':
-        checkEviction(action.handle)
+        checkUnused(action.handle)
         ctx.record('unload', { engine, adapter: action.handle })
         unloadNow(action.handle)
         return
@@ -148,8 +155,10 @@
     if (over) {
       return
     }
-    if (ctx.hooks.skipIntentReadBack === true) {
+    if (evictions.isUsable(handle)) {
       checkEviction(handle)
+    }
+    if (ctx.hooks.skipIntentReadBack === true) {
       command({ type: 'unload', handle }, (result, at) => stepScheduler({ type: 'unload-result', handle, result }, at))
       return
     }
@@ -167,6 +176,7 @@
       return
     }
     request.handle = handle
+    request.incarnation = incarnation
     const other = [...adopted].find(name => name !== handle)
     const sent = ctx.hooks.dispatchToWrongHandle === true && other !== undefined ? other : handle
     ctx.record('dispatch', { request: requestId, engine, adapter: handle })
@@ -243,6 +253,32 @@
     entries.forEach(entry => env.resubmit(entry, now))
   }
 
+  /** The engine may still run a request whose stream broke, so its handle stays pinned until reports show that it does not. */
+  const pinBroken = (request: Tracked, event: EndedEvent, now: number): void => {
+    const parsed = request.handle === undefined ? undefined : parseHandle(request.handle)
+    if (event.outcome !== 'broken' || request.handle === undefined || parsed === undefined || request.incarnation !== incarnation) {
+      return
+    }
+    leftovers.set(event.requestId, { handle: request.handle })
+    stepScheduler({ type: 'adopt', resident: [{ handle: request.handle, adapter: parsed.adapter, version: parsed.version }], running: [] }, now)
+  }
+
+  const isLeftover = (handle: string): boolean => [...leftovers.values()].some(leftover => leftover.handle === handle)
+
+  const isOver = (requestId: string, leftover: Leftover, report: EngineReport): boolean => {
+    leftover.firstReport ??= report.takenAt
+    const shown = report.running.some(running => running.requestId === requestId && running.handle === leftover.handle)
+    return !shown && report.takenAt > leftover.firstReport + 2 * reportLagMs
+  }
+
+  const releaseLeftovers = (report: EngineReport): void => {
+    for (const [requestId, leftover] of leftovers) {
+      if (isOver(requestId, leftover, report)) {
+        leftovers.delete(requestId)
+      }
+    }
+  }
+
   const stepEnded = (event: EndedEvent, now: number): void => {
     const reason = event.reason === undefined ? {} : { reason: event.reason }
     const step = (): void => stepScheduler({ type: 'ended', requestId: event.requestId, outcome: event.outcome, tokens: event.tokens, ...reason }, now)
@@ -254,6 +290,12 @@
     }
   }
 
+  /**
+   * A report can show a stale owner the handles of its successor. It must not use them: the
+   * successor relies on earlier processes knowing only handles of their own and earlier terms.
+   */
+  const isNewer = (handle: string): boolean => (termOfHandle(handle) ?? -1) > term
+
   /** Handles of other terms stay hidden while a late command of an earlier owner could still unload them. */
   const isVisible = (handle: string): boolean =>
     !inheritedHandles.has(handle) && (isOwnLoad(handle) || evictions.ready)
@@ -261,13 +303,15 @@
   const visible = (report: EngineReport): EngineReport =>
     ({ ...report, resident: report.resident.filter(({ handle }) => isVisible(handle)) })
 
+  const isFree = (handle: string): boolean => (isOwnLoad(handle) || pins.isFree(handle)) && !isLeftover(handle)
+
   const adopt = (report: EngineReport, now: number): void => {
-    const unknown = report.resident.filter(({ handle }) => !isOwnLoad(handle) && !adopted.has(handle))
-    if (unknown.length === 0) {
-      return
+    // Repeated with each report: the scheduler forgets handles that it took for gone.
+    const pinned = report.resident.filter(({ handle }) => !isFree(handle))
+    pinned.forEach(({ handle }) => adopted.add(handle))
+    if (pinned.length > 0) {
+      stepScheduler({ type: 'adopt', resident: pinned, running: report.running }, now)
     }
-    unknown.forEach(({ handle }) => adopted.add(handle))
-    stepScheduler({ type: 'adopt', resident: unknown, running: report.running }, now)
   }
 
   const create = (report: EngineReport): void => {
@@ -296,19 +340,19 @@
     }
     if (scheduler === undefined) {
       create(lastReport)
-      absorb(lastReport, [], now)
+      absorb(lastReport, now)
     }
     const entries = waiting
     waiting = []
     entries.forEach(entry => accept(entry, now))
   }
 
-  const absorb = (report: EngineReport, freed: string[], now: number): void => {
+  const absorb = (report: EngineReport, now: number): void => {
     const seen = visible(report)
     adopt(seen, now)
     stepScheduler({ type: 'report', report: seen }, now)
     const known = seen.resident.map(({ handle }) => handle)
-    const evictable = ctx.hooks.evictPinned === true ? known : [...freed, ...known.filter(handle => pins.isFree(handle))]
+    const evictable = known.filter(handle => ctx.hooks.evictPinned === true || isFree(handle))
     if (evictable.length > 0) {
       stepScheduler({ type: 'evictable', handles: evictable }, now)
     }
@@ -329,6 +373,7 @@
     if (incarnation !== undefined && incarnation !== report.incarnation) {
       adopted.clear()
       resumed.clear()
+      leftovers.clear()
       ctx.record('engine-restarted', { engine })
     }
     incarnation = report.incarnation
@@ -336,12 +381,14 @@
 
   const lost = (request: Tracked, event: EndedEvent): void => {
     requests.delete(event.requestId)
-    ctx.emit({ type: 'refuse', requestId: event.requestId, refusal: { outcome: 'unknown', reason: 'the engine lost the request after its first token' } })
+    // Not cancelled at the engine: another owner may have resumed the stream.
+    ctx.emit({ type: 'refuse', requestId: event.requestId, refusal: { outcome: 'unknown', reason: 'the stream was lost after its first token' } })
     ctx.record('lost', { request: request.completion.requestId, engine })
   }
 
   const endedAfterTerm = (request: Tracked, event: EndedEvent, now: number): void => {
     requests.delete(event.requestId)
+    pinBroken(request, event, now)
     if (event.outcome === 'not-run') {
       env.resubmit(request, now)
     } else if (event.outcome === 'broken') {
@@ -385,6 +432,9 @@
         return endedAfterTerm(request, event, now)
       }
       requeued.clear()
+      pinBroken(request, event, now)
+      // The scheduler may evict the handle in the same step.
+      delete request.handle
       stepEnded(event, now)
       const isFinal = event.outcome === 'done' || event.outcome === 'cancelled'
       if (isFinal) {
@@ -396,14 +446,19 @@
     report (report, predecessorsDown, now) {
       noteIncarnation(report)
       const knows = (requestId: string): boolean => requests.get(requestId)?.handle !== undefined
-      const freed = pins.report(report, knows, now)
+      pins.report(report, knows, now)
+      releaseLeftovers(report)
       if (over) {
         return
       }
+      if (report.resident.some(({ handle }) => isNewer(handle))) {
+        env.staleFence(engine, now)
+        return
+      }
       lastReport = report
       performEvictions(evictions.report(report, now), now)
       if (scheduler !== undefined) {
-        absorb(report, freed, now)
+        absorb(report, now)
       }
       if (predecessorsDown) {
         resume(report)
@@ -427,7 +482,10 @@
       stepScheduler({ type: 'drain' }, now)
       divertQueued(now)
     },
-    running: () => [...requests].flatMap(([requestId, { handle }]) => handle === undefined ? [] : [{ requestId, handle }]),
+    running: () => [
+      ...[...requests].flatMap(([requestId, { handle }]) => handle === undefined ? [] : [{ requestId, handle }]),
+      ...[...leftovers].map(([requestId, { handle }]) => ({ requestId, handle }))
+    ],
     tick (now) {
       if (!over) {
         performEvictions(evictions.tick(now), now)
--- a/packages/node/src/core/engines.ts
+++ b/packages/node/src/core/engines.ts
@@ -189,7 +189,7 @@
 
   const candidacy = (engine: Instance, nodes: NodeView[], now: number): EngineCandidacy => {
     const owner = log.owner(engine.id)
-    const base = { engine: engine.id, latest: owner?.latest ?? -1 }
+    const base = { engine: engine.id, latest: owner?.latest ?? -1, term: owner?.term ?? -1 }
     if (owner !== undefined && isSelf(owner)) {
       return { ...base, owner: 'self', rank: undefined }
     }
--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -51,6 +51,8 @@
 const hintsEveryMs = 1_000
 /** A leaving node waits this long for its successors to acknowledge the end of its terms. */
 const handOverMs = 10_000
+/** Others need 2 s of suspicion before they take a silent node for dead. */
+const maxSilenceMs = 1_500
 
 const adapterName = (model: string): { model: string, adapter: string, version: string } => {
   const [base = '', rest = ''] = model.split(':')
@@ -94,6 +96,19 @@
   let hintsAt = -Infinity
   let drainedAt: number | undefined
   let exiting = false
+  let lastStepAt: number | undefined
+  let lastHeardAt: number | undefined
+
+  /** After a pause or without peers for this long, others may have taken this node for dead. */
+  const checkContinuity = (now: number): void => {
+    const paused = lastStepAt !== undefined && now - lastStepAt > maxSilenceMs
+    const alone = peers.live().length > 1 && now - (lastHeardAt ?? now) > maxSilenceMs
+    lastHeardAt ??= now
+    lastStepAt = now
+    if (paused || alone) {
+      orders.distrust(now)
+    }
+  }
 
   const leavingChanged = (instance: string, isLeaving: boolean, now: number): void => {
     if (hooks.ignoreLeaving === true) {
@@ -117,6 +132,7 @@
   const receive = (envelope: Envelope, now: number): void => {
     const { from, incarnation } = envelope
     const message = envelope.message as CoreMessage
+    lastHeardAt = now
     configuration.heard(from, envelope.revision, now)
     switch (message.type) {
       case 'membership': return peers.receive(envelope, now)
@@ -227,6 +243,7 @@
 
   return {
     step (event, now) {
+      checkContinuity(now)
       handle(event, now)
       streams.poll(now)
       return ctx.take()
--- a/packages/node/src/core/order-shards.ts
+++ b/packages/node/src/core/order-shards.ts
@@ -23,8 +23,8 @@
   serviceResult (orderId: string, result: ServiceResult, now: number): string | undefined
   headsReceived (heads: { shard: number, offset: number }[]): void
   keyPrefix (): string | undefined
-  /** Whether an order with this key came through this node. */
-  seen (key: string): boolean
+  /** This process was paused or cut off from its peers: the log has to be read again before a key counts as new. */
+  distrust (now: number): void
   readonly busy: number
 }
 
@@ -35,8 +35,8 @@
 type Sent = { key: string, attempt: string, shard: number, instance: string }
 
 const headsEveryMs = 5_000
-/** Keys remembered to tell a repeated order from a new one while the log is down. */
-const maxSeenKeys = 10_000
+/** Keys remembered for the check that none is sent twice. */
+const maxSentKeys = 10_000
 /** A message can be repeated until the deadline of its order; 2,000 replies of 1 KiB are 2 MiB. */
 const maxReplies = 2_000
 
@@ -47,7 +47,6 @@
   const sent = new Map<string, Sent>()
   /** Keys that this process has sent to a back end, against a second send. */
   const sentKeys = new Set<string>()
-  const seenKeys = new Set<string>()
   /** A repeated message must get the same reply: an order that was refused as not run must not run afterwards. */
   const replies = new Map<string, OrderReply>()
   /** Orders by key, kept only for the hook that sends after giving up. */
@@ -56,11 +55,14 @@
   const owners = new Map<number, string | undefined>()
   let version = -1
   let headsAt = -Infinity
+  let lastAttempt = 0
+  /** Reads that began before this may lack claims of a node that took this one for dead. */
+  let distrustedAt = -Infinity
 
   const remember = (set: Set<string>, key: string): void => {
     set.add(key)
     const [oldest] = set
-    if (oldest !== undefined && set.size > maxSeenKeys) {
+    if (oldest !== undefined && set.size > maxSentKeys) {
       set.delete(oldest)
     }
   }
@@ -128,6 +130,11 @@
 
   const performAll = (shard: number, actions: ClaimAction[], now: number): void => actions.forEach(action => perform(shard, action, now))
 
+  const attemptId = (): string => {
+    lastAttempt += 1
+    return `${cfg.node}/${cfg.incarnation}/${lastAttempt}`
+  }
+
   const open = (shard: number): Shard => {
     const known = shards.get(shard)
     if (known !== undefined) {
@@ -136,8 +143,9 @@
     const desk = createClaimDesk({
       ...claimDeskDefaults,
       node: cfg.node,
-      incarnation: cfg.incarnation,
       shard,
+      attemptId,
+      trustsLog: () => (shards.get(shard)?.tail.lastContact ?? -Infinity) > distrustedAt,
       hooks: { skipReadBack: hooks.skipClaimReadBack === true, sendAfterGiveUp: hooks.sendAfterGiveUp === true }
     })
     const tail = streams.follow(claimStream(shard), {
@@ -184,7 +192,6 @@
 
   const order = (target: string, value: Order, now: number): void => {
     const shard = parseOrderKey(value.key ?? '')?.shard
-    remember(seenKeys, value.key ?? '')
     if (shard === undefined || value.key === undefined) {
       return env.answer(target, value.orderId, { type: 'refused', refusal: { outcome: 'invalid', reason: 'the key does not start with a prefix from an address response' } })
     }
@@ -235,7 +242,9 @@
       const chosen = known[Math.floor(ctx.uniform() * known.length)]
       return chosen === undefined ? undefined : orderKeyPrefix(...chosen)
     },
-    seen: key => seenKeys.has(key),
+    distrust (now) {
+      distrustedAt = now
+    },
     get busy () {
       return entries.size + [...shards.values()].reduce((sum, { desk }) => sum + desk.busy, 0)
     }
--- a/packages/node/src/core/orders.ts
+++ b/packages/node/src/core/orders.ts
@@ -22,6 +22,8 @@
   replied (from: string, orderId: string, reply: OrderReply): void
   headsReceived (heads: { shard: number, offset: number }[]): void
   keyPrefix (): string | undefined
+  /** This process was paused or cut off from its peers. */
+  distrust (now: number): void
   /** Orders that have no answer or no recorded outcome. */
   readonly busy: number
 }
@@ -215,7 +217,8 @@
     },
     order (order, refusal, now) {
       if (refusal !== undefined) {
-        return finish(order.orderId, { type: 'refused', refusal: { outcome: order.key === undefined ? 'not-run' : shards.seen(order.key) ? 'unknown' : 'not-run', reason: refusal, retryAfterMs: 1_000 } })
+        // A node that may have missed claims cannot prove that a key has not run elsewhere.
+        return finish(order.orderId, { type: 'refused', refusal: { outcome: order.key === undefined ? 'not-run' : 'unknown', reason: refusal, retryAfterMs: 1_000 } })
       }
       if (order.key === undefined) {
         startIdempotent(order, now)
@@ -242,6 +245,7 @@
     },
     received: (from, order, now) => shards.received(from, order, now),
     replied,
+    distrust: shards.distrust,
     headsReceived: heads => shards.headsReceived(heads),
     keyPrefix: () => shards.keyPrefix(),
     get busy () {
--- a/packages/node/src/core/testing/answers.ts
+++ b/packages/node/src/core/testing/answers.ts
@@ -70,7 +70,10 @@
       const start = resumeAfter === undefined
         ? model?.generate({ requestId, handle, prompt: answer.completion.prompt, maxTokens: answer.completion.maxTokens, priority }, receiver)
         : model?.resume(requestId, answer.tokens.length, receiver)
-      if (start?.type === 'refused') {
+      if (start?.type === 'refused' && start.code === 'duplicate_request') {
+        // An earlier attempt whose stream was lost still runs.
+        model?.resume(requestId, answer.tokens.length, receiver)
+      } else if (start?.type === 'refused') {
         ended(node, requestId, resumeAfter === undefined ? 'not-run' : 'broken', start.code)
       } else if (start?.type === 'unreachable') {
         ended(node, requestId, resumeAfter === undefined ? 'not-run' : 'broken', 'unreachable')
