Take the mean engine load once per routed request

Cause: the capacity measurement showed that routing one request cost 25 ms with 600 engines, because the mean load was computed again for each candidate. Before and after at 75, 150, 300 and 600 engines: 206, 955, 3680 and 24952 microseconds; 33, 53, 66 and 151 microseconds. The choice is unchanged.

--- a/packages/serving/src/router.ts
+++ b/packages/serving/src/router.ts
@@ -84,9 +84,11 @@
     return Math.min(engines.length, Math.max(1, Math.ceil(share * engines.length / replicaShare)))
   }
 
-  const isOverloaded = (engine: string, now: number): boolean => {
+  /** The mean is taken once per request: per candidate it would cost the square of the number of engines. */
+  const overloadTest = (now: number): ((engine: string) => boolean) => {
     const mean = engines.reduce((sum, other) => sum + loadOf(other, now), 0) / engines.length
-    return loadOf(engine, now) > mean * loadBound + freeLoad || now < (avoided.get(engine) ?? 0)
+    const bound = mean * loadBound + freeLoad
+    return engine => loadOf(engine, now) > bound || now < (avoided.get(engine) ?? 0)
   }
 
   const byLoad = (list: string[], now: number): string[] =>
@@ -95,14 +97,15 @@
   const bounded = (adapter: string, prefix: string | undefined, now: number): string[] => {
     const rank = rankOf(adapter)
     const count = replicas(adapter, now)
+    const isOverloaded = overloadTest(now)
     const set = byLoad(rank.slice(0, count), now)
     const cached = prefix === undefined ? undefined : prefixes.get(`${adapter}|${prefix}`)
-    if (cached !== undefined && set.includes(cached) && !isOverloaded(cached, now)) {
+    if (cached !== undefined && set.includes(cached) && !isOverloaded(cached)) {
       set.splice(set.indexOf(cached), 1)
       set.unshift(cached)
     }
     const order = [...set, ...rank.slice(count)]
-    return spill(order.filter((engine) => !isOverloaded(engine, now)), order, now)
+    return spill(order.filter(engine => !isOverloaded(engine)), order, now)
   }
 
   /** The second candidate goes first when it is faster even with a load of the adapter. */
