Bound membership traffic by the control budget of a node

Cause: the capacity measurement gave 4.6 KB/s of control traffic per node at 400 nodes, over the 3 KB/s of the target. All nodes that start together gossiped the incarnation of all others, with property names in each datagram, and the queue took more than ten minutes to drain. Change: updates travel as arrays, a datagram holds at most 640 bytes, and the first incarnation of a listed member is not gossiped, because each datagram carries its sender's own. Adds npm run capacity.

--- /dev/null
+++ b/packages/bench/src/capacity/main.ts
@@ -0,0 +1,70 @@
+/**
+ * `npm run capacity`: measures what each role costs at several sizes, fits a line through each, and
+ * prints what the lines give at the target size, as Markdown.
+ */
+import { fitLine, valueAt, type Fit } from './fit'
+import { measureMembership } from './membership-load'
+import { controlRows, type Slopes } from './report'
+import { measureClaims, measureConfig, measureOwnership, measurePermits, measureRouter, measureScheduler, type RoleCost } from './role-load'
+import { markdownTable } from './table'
+
+const membershipSeconds = 30
+const membershipWarmUpSeconds = 240
+const routedAdapters = 1_000
+
+type Measured = { role: string, quantity: string, unit: string, sizes: string, fit: Fit }
+
+const rows: Measured[] = []
+
+function fitted (role: string, quantity: string, unit: string, variable: string, points: { x: number, y: number }[]): Fit {
+  const fit = fitLine(points)
+  rows.push({ role, quantity, unit, sizes: `${variable}: ${points.map(({ x }) => x).join(', ')}`, fit })
+  return fit
+}
+
+const byMicros = (costs: RoleCost[]): { x: number, y: number }[] => costs.map(({ size, micros }) => ({ x: size, y: micros }))
+const byHeap = (costs: RoleCost[]): { x: number, y: number }[] => costs.map(({ size, heapBytes }) => ({ x: size, y: heapBytes }))
+
+function measureAll (): Slopes {
+  const membership = [100, 200, 400].map(nodes => measureMembership(nodes, membershipSeconds, membershipWarmUpSeconds))
+  const config = [2_000, 8_000, 19_000].map(measureConfig)
+  const ownership = [150, 300, 600].map(measureOwnership)
+  const claims = [4_000, 8_000, 16_000, 32_000].map(measureClaims)
+  const permits = [150, 300, 600].map(measurePermits)
+  const router = [75, 150, 300, 600].map(engines => measureRouter(engines, routedAdapters))
+  const scheduler = [100, 400, 1_600].map(measureScheduler)
+  return {
+    membershipBytes: fitted('membership', 'datagrams sent and received, steady', 'bytes/s', 'nodes', membership.map(({ nodes, bytesPerSecond }) => ({ x: nodes, y: bytesPerSecond }))),
+    membershipStartBytes: fitted('membership', 'the same while all nodes start at once', 'bytes/s', 'nodes', membership.map(({ nodes, startBytesPerSecond }) => ({ x: nodes, y: startBytesPerSecond }))),
+    membershipMicros: fitted('membership', 'processor time', 'µs/s', 'nodes', membership.map(({ nodes, microsPerSecond }) => ({ x: nodes, y: microsPerSecond }))),
+    membershipHeap: fitted('membership', 'heap', 'bytes', 'nodes', membership.map(({ nodes, heapBytes }) => ({ x: nodes, y: heapBytes }))),
+    configMicros: fitted('config reducer', 'processor time of a change', 'µs', 'adapters', byMicros(config)),
+    configHeap: fitted('config reducer', 'heap', 'bytes', 'adapters', byHeap(config)),
+    configSnapshotBytes: fitted('config reducer', 'snapshot in the log', 'bytes', 'adapters', config.map(({ size, snapshotBytes }) => ({ x: size, y: snapshotBytes }))),
+    configRecordBytes: config.at(-1)!.recordBytes!,
+    ownershipMicros: fitted('ownership reducer', 'processor time of a record', 'µs', 'engines', byMicros(ownership)),
+    ownershipHeap: fitted('ownership reducer', 'heap', 'bytes', 'engines', byHeap(ownership)),
+    ownershipRecordBytes: ownership.at(-1)!.recordBytes!,
+    claimMicros: fitted('claim shard owner', 'processor time of an order', 'µs', 'orders kept', byMicros(claims)),
+    claimHeap: fitted('claim shard owner', 'heap', 'bytes', 'orders kept', byHeap(claims)),
+    claimRecordBytes: claims.at(-1)!.recordBytes!,
+    recordsPerAppend: claims.at(-1)!.recordsPerAppend,
+    permitMicros: fitted('permit holder', 'processor time of a permit', 'µs', 'engines that wait', byMicros(permits)),
+    permitHeap: fitted('permit holder', 'heap', 'bytes', 'engines that wait', byHeap(permits)),
+    routeMicros: fitted('entry, address response', 'processor time of a choice', 'µs', 'engines', byMicros(router)),
+    routeHeap: fitted('entry, address response', `heap with ${routedAdapters} adapters seen`, 'bytes', 'engines', byHeap(router)),
+    schedulerMicros: fitted('engine owner', 'processor time of a request', 'µs', 'queued requests', byMicros(scheduler)),
+    schedulerHeap: fitted('engine owner', 'heap', 'bytes', 'queued requests', byHeap(scheduler))
+  }
+}
+
+const digits = (value: number): string => Math.abs(value) >= 100 ? value.toFixed(0) : value.toPrecision(3)
+
+const slopes = measureAll()
+console.log('### Measured slopes\n')
+console.log(markdownTable(
+  ['role', 'quantity', 'unit', 'measured at', 'fixed part', 'slope', 'residual'],
+  rows.map(({ role, quantity, unit, sizes, fit }) => [role, quantity, unit, sizes, digits(fit.intercept), digits(fit.slope), `${(fit.residual * 100).toFixed(1)} %`])
+))
+console.log('\n### At the target size\n')
+console.log(markdownTable(['requirement', 'worked out', 'bound', 'holds', 'how'], controlRows(slopes, valueAt)))
--- /dev/null
+++ b/packages/bench/src/capacity/report.ts
@@ -0,0 +1,101 @@
+/** What the measured slopes give at the target size, compared with the target's bounds. */
+import type { Fit } from './fit'
+import { secondsPerDay, target } from './target'
+
+export type Slopes = {
+  membershipBytes: Fit
+  membershipStartBytes: Fit
+  membershipMicros: Fit
+  membershipHeap: Fit
+  configMicros: Fit
+  configHeap: Fit
+  configSnapshotBytes: Fit
+  configRecordBytes: number
+  ownershipMicros: Fit
+  ownershipHeap: Fit
+  ownershipRecordBytes: number
+  claimMicros: Fit
+  claimHeap: Fit
+  claimRecordBytes: number
+  recordsPerAppend: number
+  permitMicros: Fit
+  permitHeap: Fit
+  routeMicros: Fit
+  routeHeap: Fit
+  schedulerMicros: Fit
+  schedulerHeap: Fit
+}
+
+/** Snapshots of the configuration a day, with a retention of one day and one snapshot in half of it. */
+const snapshotsPerDay = 2
+/** JSON around a record when it is read: offset, time and separators. */
+const readOverheadBytes = 40
+/** Evictions that are logged twice, as intent and as confirmation, on engines that ignore fencing numbers. */
+const recordsPerEviction = 2
+/** Requests that one node has queued as owner at the peak: the admission bound of 1.2 s of its share of requests. */
+const queuedPerNode = Math.ceil(target.requestsPerSecond / target.nodes * 1.2)
+/** Outcomes are recorded after the claim: two records an order. */
+const recordsPerOrder = 2
+/** Half of the log's appends are left for orders. */
+const orderAppendShare = 0.5
+const ordersKept = 10_000
+
+type ValueAt = (fit: Fit, x: number) => number
+
+const percent = (fraction: number): string => `${(fraction * 100).toFixed(2)} %`
+const megabytes = (bytes: number): string => `${(bytes / 1024 / 1024).toFixed(1)} MB`
+const perSecond = (bytes: number): string => `${bytes.toFixed(0)} B/s`
+const holds = (value: number, bound: number): string => value <= bound ? 'yes' : `no, by a factor of ${(value / bound).toFixed(1)}`
+
+/** Adapters that become active per second; each needs a load, and in a full engine an eviction. */
+export const activationsPerSecond = target.adapters * target.adapterTurnoverPerHour / 2 / 3_600
+
+/** Owner records per second: each failure or replacement of a node moves its engines away, and takeover confirms once. */
+const ownerRecordsPerSecond = (target.failuresPerDay + target.replacementsPerDay) * (target.engines / target.nodes) * 2 / secondsPerDay
+
+function logReadBytes (slopes: Slopes, valueAt: ValueAt): { config: number, ownership: number } {
+  const snapshots = valueAt(slopes.configSnapshotBytes, target.adapters) * snapshotsPerDay
+  const changes = target.configChangesPerDay * (slopes.configRecordBytes + readOverheadBytes)
+  const ownershipRecords = ownerRecordsPerSecond + activationsPerSecond * recordsPerEviction
+  return {
+    config: (snapshots + changes) / secondsPerDay,
+    ownership: ownershipRecords * (slopes.ownershipRecordBytes + readOverheadBytes)
+  }
+}
+
+function controlMicros (slopes: Slopes, valueAt: ValueAt): number {
+  const requestsPerNode = target.requestsPerSecond / target.nodes
+  return valueAt(slopes.membershipMicros, target.nodes) +
+    requestsPerNode * (valueAt(slopes.routeMicros, target.engines) + valueAt(slopes.schedulerMicros, queuedPerNode)) +
+    (ownerRecordsPerSecond + activationsPerSecond * recordsPerEviction) * valueAt(slopes.ownershipMicros, target.engines) +
+    target.configChangesPerDay / secondsPerDay * valueAt(slopes.configMicros, target.adapters)
+}
+
+function controlHeap (slopes: Slopes, valueAt: ValueAt): number {
+  return valueAt(slopes.membershipHeap, target.nodes) + valueAt(slopes.configHeap, target.adapters) +
+    valueAt(slopes.ownershipHeap, target.engines) + valueAt(slopes.routeHeap, target.engines) +
+    2 * valueAt(slopes.schedulerHeap, queuedPerNode) + valueAt(slopes.permitHeap, target.engines) + valueAt(slopes.claimHeap, ordersKept)
+}
+
+/** @returns rows of requirement, value, bound, verdict and derivation */
+export function controlRows (slopes: Slopes, valueAt: ValueAt): string[][] {
+  const { control } = target
+  const read = logReadBytes(slopes, valueAt)
+  const membership = valueAt(slopes.membershipBytes, target.nodes)
+  const bytes = membership + read.config + read.ownership
+  const start = valueAt(slopes.membershipStartBytes, target.nodes) + read.config + read.ownership
+  const core = controlMicros(slopes, valueAt) / 1e6
+  const heap = controlHeap(slopes, valueAt)
+  const controlAppends = ownerRecordsPerSecond + activationsPerSecond * recordsPerEviction + target.configChangesPerDay / secondsPerDay
+  const ordersPerSecond = target.logAppendsPerSecond * orderAppendShare * slopes.recordsPerAppend / recordsPerOrder
+  const permitCore = activationsPerSecond * valueAt(slopes.permitMicros, target.engines) / 1e6
+  return [
+    ['control processor time per node', percent(core), percent(control.coreFraction), holds(core, control.coreFraction), 'membership, routing and scheduling of the node\'s share of requests, both reducers'],
+    ['control memory per node (heap of the state)', megabytes(heap), megabytes(control.memoryBytes), holds(heap, control.memoryBytes), `all roles in one node, ${ordersKept} orders kept; the process itself comes on top, see below`],
+    ['control bytes per node, steady', perSecond(bytes), perSecond(control.bytesPerSecond), holds(bytes, control.bytesPerSecond), `membership ${membership.toFixed(0)}, config ${read.config.toFixed(0)}, ownership ${read.ownership.toFixed(0)}`],
+    ['control bytes per node, all nodes starting at once', perSecond(start), perSecond(control.bytesPerSecond), holds(start, control.bytesPerSecond), 'the size bound of a datagram limits gossip'],
+    ['appends per second for control', controlAppends.toFixed(2), String(target.logAppendsPerSecond), holds(controlAppends, target.logAppendsPerSecond), `${ownerRecordsPerSecond.toFixed(3)} owner records, ${(activationsPerSecond * recordsPerEviction).toFixed(2)} eviction records, ${(target.configChangesPerDay / secondsPerDay).toFixed(3)} changes`],
+    ['orders per second with half of the appends', ordersPerSecond.toFixed(0), 'none stated', '-', `${slopes.recordsPerAppend.toFixed(1)} records an append, ${recordsPerOrder} records an order`],
+    ['processor time of the permit holder', percent(permitCore), percent(control.coreFraction), holds(permitCore, control.coreFraction), `${activationsPerSecond.toFixed(2)} loads a second`]
+  ]
+}
--- a/packages/coordination/src/member-gossip.ts
+++ b/packages/coordination/src/member-gossip.ts
@@ -1,11 +1,15 @@
 /** Bounded piggyback: each update travels on a limited number of messages, the least sent first. */
+import { packMembership, packUpdate } from './membership-codec'
 import type { MembershipMessage, MemberUpdate } from './membership-types'
 
-/** Fits the payload of a datagram on paths with an MTU of 1,280 bytes (IPv6 minimum) without fragmentation. */
-export const datagramBytesMax = 1200
+/**
+ * A node sends and receives two datagrams a second each; at this size, with their headers, gossip
+ * never takes more than 2.7 KB/s of the 3 KB/s for control, also when all members change at once.
+ */
+export const datagramBytesMax = 640
 
-/** Room for the rest of the message; ids and addresses of up to 64 bytes each leave a margin. */
-const headerBytesMax = 400
+/** Room for the rest of the message: the sender's own update, the probe, a target and the envelope. */
+const headerBytesMax = 280
 
 /** Transmissions per update are this factor times the binary logarithm of the number of members. */
 const retransmitFactor = 3
@@ -14,9 +18,9 @@
  * @param message - a message within {@link datagramBytesMax}
  * @returns its encoding as JSON
  */
-export const encodeMembership = (message: MembershipMessage): string => JSON.stringify(message)
+export const encodeMembership = (message: MembershipMessage): string => JSON.stringify(packMembership(message))
 
-const updateBytes = (update: MemberUpdate): number => Buffer.byteLength(JSON.stringify(update)) + 1
+const updateBytes = (update: MemberUpdate): number => Buffer.byteLength(JSON.stringify(packUpdate(update))) + 1
 
 type Pending = { update: MemberUpdate, sent: number, bytes: number }
 
--- /dev/null
+++ b/packages/coordination/src/membership-codec.test.ts
@@ -0,0 +1,46 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { packMembership, unpackMembership } from './membership-codec'
+import type { MembershipMessage } from './membership-types'
+
+const message: MembershipMessage = {
+  type: 'ping-request',
+  from: 'node-1',
+  probe: 17,
+  target: { id: 'node-2', address: '10.0.0.2:7400' },
+  updates: [
+    { id: 'node-1', address: '10.0.0.1:7400', incarnation: 1_700_000_000_000, refutation: 0, state: 'alive', leaving: true },
+    { id: 'node-3', address: '10.0.0.3:7400', incarnation: 1_700_000_000_001, refutation: 2, state: 'dead', leaving: false }
+  ]
+}
+
+// Guards against a lost field, above all the leaving flag that shares a number with the state.
+test('gives back the message that was packed', () => {
+  const wire = JSON.parse(JSON.stringify(packMembership(message)))
+  assert.equal(unpackMembership(wire), message)
+  const { target, ...ack } = { ...message, type: 'ack' as const }
+  assert.equal(unpackMembership(JSON.parse(JSON.stringify(packMembership(ack)))), ack)
+})
+
+// Guards against a datagram from a stranger that stops or misleads the node.
+test('refuses every message with one damaged part', () => {
+  const damages: ((wire: any) => void)[] = [
+    wire => { wire[0] = 3 },
+    wire => { wire[1] = 5 },
+    wire => { wire[2] = -1 },
+    wire => { wire[3] = 'none' },
+    wire => { wire[3][0] = null },
+    wire => { wire[3][0][2] = 1.5 },
+    wire => { wire[3][1][4] = 3 },
+    wire => { wire[3][1][4] = 8 },
+    wire => { wire.length = 5 }
+  ]
+  for (const damage of damages) {
+    const wire = JSON.parse(JSON.stringify(packMembership(message)))
+    damage(wire)
+    assert.is(unpackMembership(wire), undefined, damage.toString())
+  }
+  for (const wire of [null, 1, 'ping', {}, []]) assert.is(unpackMembership(wire), undefined)
+})
+
+test.run()
--- /dev/null
+++ b/packages/coordination/src/membership-codec.ts
@@ -0,0 +1,53 @@
+/**
+ * Compact JSON form of membership messages. Property names would take half of each datagram, and
+ * the control traffic of a node is bounded at 3 KB/s.
+ */
+import type { MembershipMessage, MemberState, MemberUpdate } from './membership-types'
+
+type PackedUpdate = [id: string, address: string, incarnation: number, refutation: number, state: number]
+export type PackedMembership = [type: number, from: string, probe: number, updates: PackedUpdate[], targetId?: string, targetAddress?: string]
+
+const types: MembershipMessage['type'][] = ['ping', 'ping-request', 'ack']
+const states: MemberState[] = ['alive', 'suspect', 'dead']
+/** Added to the number of the state. */
+const leavingFlag = 4
+
+/** @returns one update as an array */
+export const packUpdate = (update: MemberUpdate): PackedUpdate =>
+  [update.id, update.address, update.incarnation, update.refutation, states.indexOf(update.state) + (update.leaving ? leavingFlag : 0)]
+
+/** @returns the message as arrays that {@link unpackMembership} reads */
+export function packMembership (message: MembershipMessage): PackedMembership {
+  const packed: PackedMembership = [types.indexOf(message.type), message.from, message.probe, message.updates.map(packUpdate)]
+  if (message.target !== undefined) packed.push(message.target.id, message.target.address)
+  return packed
+}
+
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0
+
+function unpackUpdate (value: unknown): MemberUpdate | undefined {
+  if (!Array.isArray(value)) return undefined
+  const [id, address, incarnation, refutation, flags] = value as unknown[]
+  if (typeof id !== 'string' || typeof address !== 'string' || !isCount(incarnation) || !isCount(refutation) || !isCount(flags)) return undefined
+  const state = states[flags % leavingFlag]
+  return state === undefined || flags >= 2 * leavingFlag
+    ? undefined
+    : { id, address, incarnation, refutation, state, leaving: flags >= leavingFlag }
+}
+
+/**
+ * @param value - parsed JSON from the network
+ * @returns undefined when any part of it is not a membership message
+ */
+export function unpackMembership (value: unknown): MembershipMessage | undefined {
+  if (!Array.isArray(value) || !Array.isArray(value[3])) return undefined
+  const [typeNumber, from, probe, , targetId, targetAddress] = value as unknown[]
+  const type = isCount(typeNumber) ? types[typeNumber] : undefined
+  const updates = (value[3] as unknown[]).map(unpackUpdate)
+  if (type === undefined || typeof from !== 'string' || !isCount(probe) || updates.includes(undefined)) return undefined
+  const message: MembershipMessage = { type, from, probe, updates: updates as MemberUpdate[] }
+  if (targetId === undefined) return message
+  return typeof targetId === 'string' && typeof targetAddress === 'string'
+    ? { ...message, target: { id: targetId, address: targetAddress } }
+    : undefined
+}
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -90,12 +90,16 @@
     }
   }
 
-  const spread = (entry: TableEntry, now: number): MembershipAction => {
+  const learn = (entry: TableEntry, now: number): MembershipAction => {
     trackState(entry, now)
-    gossip.put(updateOf(entry))
     return { type: 'member-changed', member: memberOf(entry) }
   }
 
+  const spread = (entry: TableEntry, now: number): MembershipAction => {
+    gossip.put(updateOf(entry))
+    return learn(entry, now)
+  }
+
   const aboutSelf = (update: MemberUpdate): MembershipAction[] => {
     if (update.incarnation > self.incarnation) {
       return [{ type: 'superseded', incarnation: update.incarnation }]
@@ -111,7 +115,8 @@
     if (update.id === cfg.self.id) {
       return aboutSelf(update)
     }
-    const isNew = table.get(update.id) === undefined
+    const known = table.get(update.id)
+    const isNew = known === undefined
     const entry = table.merge(update)
     if (entry === undefined) {
       return []
@@ -119,7 +124,8 @@
     if (isNew) {
       joinRound(entry.id)
     }
-    return [spread(entry, now)]
+    // Each datagram carries its sender's incarnation, so the first one of a listed member needs no gossip.
+    return known?.incarnation === 0 && entry.state === 'alive' && !entry.leaving ? [learn(entry, now)] : [spread(entry, now)]
   }
 
   /** A new member takes a random place in the current round, so that it is probed soon. */
