--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -2,6 +2,7 @@
 export * from './backoff'
 export * from './claims'
 export * from './config-concurrency'
+export * from './config-follower'
 export * from './config-reducer'
 export * from './config-snapshot'
 export * from './config-types'
