--- /dev/null
+++ b/packages/bench/src/oracle.ts
@@ -0,0 +1,53 @@
+/** The future arrivals, for the reference policy that knows them. */
+import { adapterKey, rendezvousRank } from '@yuccawharf/serving'
+import type { PolicyOptions, ServingRequest } from '@yuccawharf/serving'
+
+export type Oracle = { forEngine (engine: string): Pick<PolicyOptions, 'nextArrival' | 'upcoming'> }
+
+/** The reference looks this far ahead for adapters to prefetch. */
+const lookAheadMs = 20_000
+
+const firstAfter = (times: number[], now: number): number => {
+  let low = 0
+  let high = times.length
+  while (low < high) {
+    const middle = (low + high) >> 1
+    if (times[middle]! <= now) {
+      low = middle + 1
+    } else {
+      high = middle
+    }
+  }
+  return low
+}
+
+/** @param arrivals in order of time */
+export const createOracle = (arrivals: ServingRequest[], engines: string[]): Oracle => {
+  const timesOf = new Map<string, number[]>()
+  const homes = new Map<string, string>()
+  const byEngine = new Map<string, { at: number, key: string }[]>(engines.map((engine) => [engine, []]))
+
+  for (const { adapter, version, arrivedAt } of arrivals) {
+    const key = adapterKey(adapter, version)
+    const home = homes.get(adapter) ?? rendezvousRank(adapter, engines)[0]!
+    homes.set(adapter, home)
+    const times = timesOf.get(key) ?? []
+    times.push(arrivedAt)
+    timesOf.set(key, times)
+    byEngine.get(home)!.push({ at: arrivedAt, key })
+  }
+
+  return {
+    forEngine (engine) {
+      const own = byEngine.get(engine)!
+      const ownTimes = own.map(({ at }) => at)
+      return {
+        nextArrival (key, now) {
+          const times = timesOf.get(key) ?? []
+          return times[firstAfter(times, now)] ?? Infinity
+        },
+        upcoming: (now) => own.slice(firstAfter(ownTimes, now), firstAfter(ownTimes, now + lookAheadMs)).map(({ key }) => key)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policies.ts
@@ -0,0 +1,28 @@
+/** The policies that the benchmark compares. All use the same queue bounds, permits and fakes. */
+import { currentPolicy, previousPolicy } from '@yuccawharf/serving'
+import type { PolicyOptions, RouterConfig } from '@yuccawharf/serving'
+
+export type BenchPolicy = {
+  options: PolicyOptions
+  routing: NonNullable<RouterConfig['mode']>
+  /** Whether the schedulers are told the future arrivals. */
+  knowsArrivals: boolean
+}
+
+const lru: PolicyOptions = {
+  ...currentPolicy,
+  loadOrder: 'arrival',
+  eviction: 'lru',
+  prefetch: 'none',
+  dispatchOrder: 'arrival',
+  admission: 'bounds',
+  reserve: false
+}
+
+export const policies: Record<string, BenchPolicy> = {
+  'fcfs-lru': { options: lru, routing: 'least-loaded', knowsArrivals: false },
+  'affinity-lru': { options: lru, routing: 'affinity', knowsArrivals: false },
+  previous: { options: previousPolicy, routing: 'bounded', knowsArrivals: false },
+  current: { options: currentPolicy, routing: 'bounded', knowsArrivals: false },
+  'known-arrivals': { options: { ...currentPolicy, eviction: 'next-arrival', prefetch: 'next-arrival' }, routing: 'bounded', knowsArrivals: true }
+}
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -47,6 +47,8 @@
   batchSize: number
   running: number
   permitIntervalMs: number
+  /** Time that a load takes at present, in ms. */
+  loadTimeMs: number
 }
 
 /** Adapters take turns, so a queue on one of them delays the others by at most their own number of turns. */
@@ -75,9 +77,9 @@
  * @param urgency urgency of the load; 0 stands behind every waiting load
  * @returns the estimated wait until a load of a further adapter completes, in ms
  */
-export const loadWaitMs = ({ context, permitIntervalMs }: AdmissionState, urgency: number, now: number): number => {
+export const loadWaitMs = ({ context, permitIntervalMs, loadTimeMs }: AdmissionState, urgency: number, now: number): number => {
   const ahead = loadCandidates(context, now).filter((candidate) => candidate.urgency > urgency).length
-  return ahead * permitIntervalMs + context.loadMs
+  return ahead * permitIntervalMs + loadTimeMs
 }
 
 /** @returns how long until a retry is worthwhile, in ms; undefined when the request should be admitted */
--- a/packages/serving/src/load-choice.ts
+++ b/packages/serving/src/load-choice.ts
@@ -27,6 +27,8 @@
 const prefetchGain = 1.5
 /** Adapters considered for prefetch, by expected use. */
 const prefetchLookup = 32
+/** The reference is sure of its prefetches, so they only stand behind waiting requests. */
+const knownUrgency = 1e-9
 
 const groupUrgency = (group: Group, { feedback, loadMs, options }: ChoiceContext, now: number): number => {
   let urgency = 0
@@ -85,10 +87,11 @@
     ? 1000 / Math.max(1, (options.nextArrival?.(key, now) ?? Infinity) - now)
     : usage.rate(key, now)
   const floor = victim === undefined ? 0 : value(victim.key) * prefetchGain
-  const best = usage.top(prefetchLookup, now).find((key) => !slots.present(key) && !isHeldBack(key, now) && value(key) > floor)
+  const known = options.upcoming?.(now) ?? usage.top(prefetchLookup, now)
+  const best = known.find((key) => !slots.present(key) && !isHeldBack(key, now) && value(key) > floor)
   if (best === undefined) {
     return undefined
   }
   const at = best.lastIndexOf('@')
-  return { key: best, adapter: best.slice(0, at), version: best.slice(at + 1), urgency: 0, patient: true }
+  return { key: best, adapter: best.slice(0, at), version: best.slice(at + 1), urgency: options.upcoming === undefined ? 0 : knownUrgency, patient: true }
 }
--- a/packages/serving/src/load-planner.ts
+++ b/packages/serving/src/load-planner.ts
@@ -18,6 +18,8 @@
   /** The engine restarted: nothing is resident and no command is outstanding. */
   reset (now: number): SchedulerAction[]
   isHeldBack (key: string, now: number): boolean
+  /** Time that a load takes at present, in ms: the stated time unless recent loads took longer. */
+  loadTimeMs (now: number): number
   /** Smoothed time between two permits while loads are waiting, in ms. */
   permitIntervalMs (): number
 }
@@ -36,6 +38,8 @@
 /** A waiting permit request is updated when its urgency grew by this factor. */
 const urgencyStep = 1.25
 const smoothing = 0.1
+/** Slow loads are half forgotten after this time, so that a recovered weight store is tried again. */
+const slowHalfLifeMs = 10_000
 
 /**
  * @param random uniform in [0, 1)
@@ -51,6 +55,8 @@
   let fenced = false
   let lastGrant: number | undefined
   let interval = cfg.loadMs
+  let extraMs = 0
+  let extraAt = 0
 
   const unloading = (): number => [...slots.all()].filter(({ state }) => state === 'unloading').length
   const freeSlots = (): number => Math.max(0, cfg.slots - slots.used)
@@ -132,6 +138,14 @@
     return [{ type: 'request-permit', urgency }]
   }
 
+  const extraNow = (now: number): number => extraMs * 0.5 ** ((now - extraAt) / slowHalfLifeMs)
+
+  const noteLoadTime = (durationMs: number, now: number): void => {
+    const extra = extraNow(now)
+    extraMs = Math.max(0, extra + (durationMs - cfg.loadMs - extra) * 0.3)
+    extraAt = now
+  }
+
   const noteGrant = (now: number): void => {
     if (lastGrant !== undefined && asked !== undefined && asked.urgency > 0) {
       interval += smoothing * (Math.min(10_000, now - lastGrant) - interval)
@@ -166,6 +180,7 @@
         return actions
       }
       if (result.type === 'ok') {
+        noteLoadTime(now - slot.since, now)
         slots.setState(slot, 'resident', now)
         failures.delete(slot.key)
       } else if (result.type === 'unknown') {
@@ -195,6 +210,7 @@
       const actions: SchedulerAction[] = []
       for (const slot of slots.all()) {
         if (slot.state === 'loading' && now >= slot.since + loadTimeoutMs) {
+          noteLoadTime(now - slot.since, now)
           slots.setState(slot, 'uncertain', now)
           backOff(slot.key, now)
           actions.push(...release(slot))
@@ -217,6 +233,7 @@
       return actions
     },
     isHeldBack: (key, now) => now < (failures.get(key)?.until ?? 0),
+    loadTimeMs: (now) => cfg.loadMs + extraNow(now),
     permitIntervalMs: () => interval
   }
 }
--- a/packages/serving/src/policy-options.ts
+++ b/packages/serving/src/policy-options.ts
@@ -14,6 +14,8 @@
   reserve: boolean
   /** Time of the next arrival for an adapter version, from a reference that knows the future. */
   nextArrival?: (key: string, now: number) => number
+  /** Adapter versions with arrivals in the near future, from the same reference, soonest first. */
+  upcoming?: (now: number) => string[]
 }
 
 /** The product's policy. */
@@ -25,3 +27,6 @@
   admission: 'estimate',
   reserve: true
 }
+
+/** The policy of the previous committed version, for comparison. */
+export const previousPolicy: PolicyOptions = { ...currentPolicy }
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -78,8 +78,14 @@
   const planner = createLoadPlanner(cfg, context, createRandom(cfg.seed))
   const dispatcher = createDispatcher(cfg, context, prefixes, rank)
 
-  const admissionState = (): AdmissionState =>
-    ({ context, times, batchSize: cfg.batchSize, running: dispatcher.running.size, permitIntervalMs: planner.permitIntervalMs() })
+  const admissionState = (now: number): AdmissionState => ({
+    context,
+    times,
+    batchSize: cfg.batchSize,
+    running: dispatcher.running.size,
+    permitIntervalMs: planner.permitIntervalMs(),
+    loadTimeMs: planner.loadTimeMs(now)
+  })
 
   const refuse = (waiting: Waiting, reason: string, retryAfterMs: number): SchedulerAction => {
     const { request, mayHaveRun } = waiting
@@ -102,12 +108,12 @@
     if (now >= request.deadline) {
       return [refuse(waiting, 'deadline-passed', 0)]
     }
-    const retryMs = options.admission === 'estimate' ? refusalRetryMs(request, admissionState(), now) : undefined
+    const retryMs = options.admission === 'estimate' ? refusalRetryMs(request, admissionState(now), now) : undefined
     if (retryMs !== undefined) {
       return [refuse(waiting, 'target-out-of-reach', retryMs)]
     }
     const full = queue.add(waiting)
-    return full === undefined ? [] : [refuse(waiting, full, batchWaitMs(admissionState()) + cfg.loadMs)]
+    return full === undefined ? [] : [refuse(waiting, full, batchWaitMs(admissionState(now)) + cfg.loadMs)]
   }
 
   const requeue = (ended: Running, lost: boolean, now: number): SchedulerAction[] => {
@@ -301,7 +307,7 @@
       return actions
     },
     load (now) {
-      const state = admissionState()
+      const state = admissionState(now)
       return {
         engine: cfg.engine,
         waitMs: batchWaitMs(state),
--- a/packages/serving/src/slots.ts
+++ b/packages/serving/src/slots.ts
@@ -43,9 +43,6 @@
   add (entry: ResidentAdapter, state: SlotState, now: number): Slot
   setState (slot: Slot, state: SlotState, now: number): void
   remove (handle: string, now: number): void
-  clear (): void
-  /** A resident slot that may take a dispatch now. */
-  usable (key: string, now: number): Slot | undefined
   /** Whether the adapter version is loading or resident. */
   present (key: string): boolean
   /** Applies a report of the same incarnation. @returns handles that the reports show to be gone */
@@ -63,6 +60,7 @@
 
 export const createSlotTable = (capacity: number): SlotTable => {
   const slots = new Map<string, Slot>()
+  const byKey = new Map<string, Set<Slot>>()
   const removedAt = new Map<string, number>()
 
   const add = ({ handle, adapter, version }: ResidentAdapter, state: SlotState, now: number): Slot => {
@@ -71,6 +69,7 @@
     invariant(parsed === undefined || (parsed.adapter === adapter && parsed.version === version), `handle ${handle} does not name ${adapter}@${version}`)
     const slot: Slot = { handle, adapter, version, key: adapterKey(adapter, version), state, since: now, lastUsed: now, running: new Set(), adopted: false, foreign: false, missing: 0, holdUntil: 0 }
     slots.set(handle, slot)
+    byKey.set(slot.key, (byKey.get(slot.key) ?? new Set()).add(slot))
     return slot
   }
 
@@ -109,7 +108,16 @@
   }
 
   const remove = (handle: string, now: number): void => {
+    const slot = slots.get(handle)
+    if (slot === undefined) {
+      return
+    }
     slots.delete(handle)
+    const others = byKey.get(slot.key)!
+    others.delete(slot)
+    if (others.size === 0) {
+      byKey.delete(slot.key)
+    }
     removedAt.set(handle, now)
     if (removedAt.size > maxRemoved) {
       removedAt.delete(removedAt.keys().next().value!)
@@ -126,18 +134,9 @@
     add,
     setState,
     remove,
-    clear: () => slots.clear(),
-    usable (key, now) {
-      for (const slot of slots.values()) {
-        if (slot.key === key && slot.state === 'resident' && slot.holdUntil <= now) {
-          return slot
-        }
-      }
-      return undefined
-    },
     present (key) {
-      for (const slot of slots.values()) {
-        if (slot.key === key && (slot.state === 'loading' || slot.state === 'resident')) {
+      for (const slot of byKey.get(key) ?? []) {
+        if (slot.state === 'loading' || slot.state === 'resident') {
           return true
         }
       }
