--- a/packages/platform/src/engine-client.test.ts
+++ b/packages/platform/src/engine-client.test.ts
@@ -97,6 +97,20 @@
   }
 })
 
+// Guards against a new connection for each request, which costs a round trip and a port.
+test('a finished stream leaves its connection for the next request', async () => {
+  const server = await startRawServer(streamOf(token('1', 'a') + last), 'hang')
+  const client = createEngineClient({ baseUrl: server.url })
+  for (let round = 0; round < 3; round++) {
+    for await (const event of client.generate(request, new AbortController().signal)) assert.ok(event)
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+  assert.is(server.requests(), 3)
+  assert.is(server.connections(), 1)
+  await client.close()
+  await server.close()
+})
+
 test('a cancelled signal ends the stream and the connection', async () => {
   const server = await startRawServer(streamOf(token('1', 'a') + last).slice(0, 160), 'hang')
   const client = createEngineClient({ baseUrl: server.url })
--- a/packages/platform/src/engine-client.ts
+++ b/packages/platform/src/engine-client.ts
@@ -1,7 +1,6 @@
 /** HTTP client of one engine. */
-import type { Readable } from 'node:stream'
 import { validateCompletionChunkBody, validateEngineStatusBody, validateErrorBody, type CompletionChunkBody, type EngineStatusBody, type ErrorBody } from '@yuccawharf/schema'
-import { classifyError, createHttpClient, parseJson, readBody, type HttpClientOptions, type HttpRequest } from './http-client'
+import { classifyError, createHttpClient, parseJson, readBody, type HttpClientOptions, type HttpRequest, type StreamBody } from './http-client'
 import { GenerateError, type Engine, type EngineCommandResult, type EngineReport, type GenerateEvent, type GenerateFailure } from './interfaces'
 import { createSseParser, type ServerSentEvent } from './sse-parser'
 
@@ -20,6 +19,7 @@
 /** Codes by which an engine states that it never ran the request. */
 const notRunCodes = new Set(['model_not_found', 'draining', 'overloaded', 'invalid_request'])
 const maxErrorBytes = 64 * 1024
+const maxTrailerBytes = 1024
 const defaultCommandTimeoutMs = 30_000
 const defaultPauseTimeoutMs = 30_000
 
@@ -54,22 +54,26 @@
 }
 
 /** @throws {GenerateError} `broken` when the stream ends before its last event */
-async function * readEvents (body: Readable, maxEventBytes?: number): AsyncGenerator<GenerateEvent> {
+async function * readEvents (body: StreamBody, maxEventBytes?: number): AsyncGenerator<GenerateEvent> {
   const parser = createSseParser(maxEventBytes)
+  let complete = false
   try {
-    for await (const chunk of body as AsyncIterable<Buffer>) {
+    for await (const chunk of body.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
       for (const event of parser.push(chunk)) {
         const parsed = parseEvent(event)
         if (parsed === undefined) continue
+        complete = parsed.type === 'end'
         yield parsed
-        if (parsed.type === 'end') return
+        if (complete) return
       }
     }
   } catch (err) {
     if (err instanceof GenerateError) throw err
     throw new GenerateError({ type: 'broken', reason: classifyError(err).reason })
   } finally {
-    body.destroy()
+    // Reading the few bytes after the last event keeps the connection for the next request.
+    if (complete) body.dump({ limit: maxTrailerBytes }).catch(() => {})
+    else body.destroy()
   }
   throw new GenerateError({ type: 'broken', reason: 'stream ended early' })
 }
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -21,8 +21,10 @@
 
 export type HttpResult = { type: 'ok', response: HttpResponse } | HttpFailure
 
+export type StreamBody = Dispatcher.ResponseData['body']
+
 /** A response whose body is read piece by piece; the reader ends it by `signal` or by destroying the body. */
-export type HttpStreamResult = { type: 'ok', status: number, headers: Record<string, string>, body: Readable } | HttpFailure
+export type HttpStreamResult = { type: 'ok', status: number, headers: Record<string, string>, body: StreamBody } | HttpFailure
 
 export type HttpClientOptions = {
   /** For example http://10.1.2.3:8000 */
@@ -131,6 +133,8 @@
       if (signal.aborted) return { type: 'not-sent', reason: 'cancelled before it was sent' }
       try {
         const { statusCode, headers, body } = await send(req, signal, req.timeoutMs ?? timeoutMs)
+        // The reader gets errors from its iteration; one that stops early destroys the body, which emits an error too.
+        body.on('error', () => {})
         return { type: 'ok', status: statusCode, headers: singleHeaders(headers), body }
       } catch (err) {
         return classifyError(err)
--- a/packages/platform/src/raw-server.test-helper.ts
+++ b/packages/platform/src/raw-server.test-helper.ts
@@ -1,7 +1,7 @@
 /** A server for tests that writes given bytes and then ends, cuts or keeps the connection. */
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 
-export type RawServer = { url: string, requests: () => number, close: () => Promise<void> }
+export type RawServer = { url: string, requests: () => number, connections: () => number, close: () => Promise<void> }
 
 /** What follows the bytes: `end` closes in order, `cut` resets the connection, `hang` keeps it open. */
 export type AfterBytes = 'end' | 'cut' | 'hang'
@@ -10,6 +10,7 @@
 export async function startRawServer (bytes: string | Uint8Array, after: AfterBytes): Promise<RawServer> {
   const sockets = new Set<Socket>()
   let requests = 0
+  let connections = 0
   const answer = (socket: Socket): void => {
     requests++
     const finish = (): void => {
@@ -21,6 +22,7 @@
   }
   const server = createServer(socket => {
     sockets.add(socket)
+    connections++
     let received = ''
     socket.on('error', () => {})
     socket.on('close', () => sockets.delete(socket))
@@ -36,6 +38,7 @@
   return {
     url: `http://127.0.0.1:${port}`,
     requests: () => requests,
+    connections: () => connections,
     close: async () => {
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => server.close(resolve))
