--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,5 +1,6 @@
 /** Coordination over an append-only log, usable without the daemon. */
 export * from './backoff'
+export * from './claims'
 export * from './config-concurrency'
 export * from './config-reducer'
 export * from './config-snapshot'
@@ -10,4 +11,6 @@
 export * from './member-gossip'
 export * from './membership'
 export * from './membership-types'
+export * from './ownership'
 export * from './rendezvous'
+export * from './retry'
