--- /dev/null
+++ b/packages/timeline/src/merge.ts
@@ -0,0 +1,19 @@
+/** Merges the timelines of several processes into one order. */
+import type { TimelineEvent, TimelineReply } from '@yuccawharf/schema'
+import { compareStamps } from './hybrid-clock'
+
+/** Order of merged events: by stamp, and by process name for events without an order between them. */
+export function compareEvents (left: TimelineEvent, right: TimelineEvent): number {
+  const order = compareStamps(left, right)
+  if (order !== 0 || left.process === right.process) return order
+  return left.process < right.process ? -1 : 1
+}
+
+/**
+ * Merges timelines. An event that occurs in several of them, for example in a file and live from
+ * the same node, is kept once.
+ */
+export function mergeTimelines (timelines: TimelineReply[]): TimelineEvent[] {
+  const events = timelines.flatMap(timeline => timeline.events).sort(compareEvents)
+  return events.filter((event, at) => at === 0 || compareEvents(events[at - 1]!, event) !== 0)
+}
