--- /dev/null
+++ b/packages/node/src/core-runtime.ts
@@ -0,0 +1,42 @@
+/** Passes events to the core one at a time and hands its actions to the shells. */
+import type { PortAction, PortEvent } from './core-port'
+
+export type CoreRuntime = {
+  report (event: PortEvent): void
+  stop (): void
+}
+
+/**
+ * An action may report further events at once; they run after the current event's actions, so
+ * that the core never sees a second event inside a step.
+ * @param perform carries out one action
+ */
+export function createCoreRuntime (step: (event: PortEvent) => PortAction[], perform: (action: PortAction) => void): CoreRuntime {
+  const events: PortEvent[] = []
+  let running = false
+  let stopped = false
+
+  function drainEvents (): void {
+    for (let event = events.shift(); event !== undefined; event = events.shift()) {
+      for (const action of step(event)) perform(action)
+    }
+  }
+
+  return {
+    report (event) {
+      if (stopped) return
+      events.push(event)
+      if (running) return
+      running = true
+      try {
+        drainEvents()
+      } finally {
+        running = false
+      }
+    },
+    stop () {
+      stopped = true
+      events.length = 0
+    }
+  }
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,4 +1,11 @@
 /** Serving decisions without I/O. */
-export * from './messages'
 export * from './answer-relay'
 export * from './answer-relay-events'
+export * from './feedback'
+export * from './handles'
+export * from './invariant'
+export * from './messages'
+export * from './permits'
+export * from './policy-options'
+export * from './router'
+export * from './scheduler'
