Run the node core in the daemon

Starts a node from its settings: the core's actions are carried out on the platform, the engines whose reports the core wants are polled, and the admin interface answers from the core's configuration and the log.

--- a/packages/node/src/answer-hub.ts
+++ b/packages/node/src/answer-hub.ts
@@ -17,6 +17,8 @@
   engineAddress (engine: string): string | undefined
   /** Passes an event to the core. */
   report (event: CoreEvent): void
+  /** Called with each whole answer of this node's engines; times in ms. */
+  finished (className: string, sample: { at: number, firstTokenMs: number, totalMs: number, tokens: number }): void
   /** Runs `run` after `ms`. */
   after (ms: number, run: () => void): void
 }
@@ -99,6 +101,7 @@
     if (ended !== undefined) {
       if (!isOwnWork(answer)) return
       const cancelled = ended.type === 'finished' && ended.reason === 'cancelled'
+      if (ended.type === 'finished') noteFinished(answer)
       const outcome = ended.type === 'failed' ? 'broken' : cancelled ? 'cancelled' : 'done'
       env.report({ type: 'request-ended', requestId, outcome, tokens: relay.lastSeq() })
       return
@@ -108,6 +111,12 @@
     lost({ type: 'closed', reason: `the stream has a ${result}`, sent: true })
   }
 
+  function noteFinished ({ completion, createdAt, firstTokenAt, relay }: Answer): void {
+    const at = env.now()
+    if (completion === undefined) return
+    env.finished(completion.class, { at, firstTokenMs: (firstTokenAt ?? at) - createdAt, totalMs: at - createdAt, tokens: relay.lastSeq() })
+  }
+
   function isOwnWork (answer: Answer): boolean {
     return answer.engine !== undefined && answer.completion !== undefined && answers.get(answer.requestId) === answer
   }
--- a/packages/node/src/answer.ts
+++ b/packages/node/src/answer.ts
@@ -24,6 +24,9 @@
   /** The engine that runs the request. */
   engine: string | undefined
   source: AnswerSource | undefined
+  readonly createdAt: number
+  /** Time of the first token. */
+  firstTokenAt: number | undefined
   /** Counts the attempts to read the stream; results of an older attempt are ignored. */
   attempt: number
   readerCount (): number
@@ -69,6 +72,8 @@
     peer: undefined,
     engine: undefined,
     source: undefined,
+    createdAt: now,
+    firstTokenAt: undefined,
     attempt: 0,
     readerCount: () => readers.size,
     attach (reader) {
@@ -83,6 +88,7 @@
     accept (events, at) {
       let result: AcceptResult = 'accepted'
       for (const event of events) result = worst(result, relay.accept(requestId, event, at))
+      if (answer.firstTokenAt === undefined && relay.lastSeq() > startAfter) answer.firstTokenAt = at
       notify()
       answer.adjustFlow()
       return result
--- a/packages/node/src/completion-routes.ts
+++ b/packages/node/src/completion-routes.ts
@@ -5,8 +5,7 @@
 import { sendWholeAnswer, streamAnswer, type ReaderEnv } from './answer-readers'
 import { parseCompletionRequest, parseLastEventId, schemaFindings } from './completion-request'
 import type { AnswerLocator } from './answer-locator'
-import type { Completion } from './core/messages'
-import type { PortEvent } from './core-port'
+import type { Completion, CoreEvent } from './core/messages'
 import type { Directory } from './directory'
 import type { Forwarder } from './forwarder'
 import { readJson } from './http-body'
@@ -23,7 +22,7 @@
   requestBytes: number
   /** Largest number of requests that this node holds at once. */
   maxRunning: number
-  report (event: PortEvent): void
+  report (event: CoreEvent): void
   /** Whether the node takes new requests. */
   accepting (): boolean
 }
@@ -145,9 +144,9 @@
     if (body.err) return sendProblem(res, body.val)
     const findings = schemaFindings(validateForwardedCompletion, body.val, 'body')
     if (findings.length > 0) return sendProblem(res, invalidProblem(findings))
-    const { remainingMs, from: _from, ...fields } = body.val as ForwardedCompletion
+    const { remainingMs, from, ...fields } = body.val as ForwardedCompletion
     const completion: Completion = { ...fields, deadline: env.now() + remainingMs }
-    const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true }))
+    const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true, from }))
     if ('status' in answer) return sendProblem(res, answer)
     streamAnswer(answer, res, 0, readers)
   }
--- a/packages/node/src/control-routes.ts
+++ b/packages/node/src/control-routes.ts
@@ -1,20 +1,22 @@
 /** Addresses for callers, and the resources of the command-line tool. */
-import { validateConfigApplyRequest, type ConfigApplyRequest } from '@yuccawharf/schema'
+import { validateConfigApplyRequest, type ConfigApplyReply, type ConfigApplyRequest } from '@yuccawharf/schema'
 import { schemaFindings } from './completion-request'
 import type { CorePort } from './core-port'
 import { sendJson } from './completion-routes'
 import { readJson } from './http-body'
 import type { Route, RouteContext } from './http-router'
-import { invalidProblem, sendProblem, type Finding } from './problem'
+import { invalidProblem, sendProblem, type Finding, type Problem } from './problem'
 
 export type ControlRoutesEnv = {
   now (): number
   core: CorePort
   requestBytes: number
+  /** Body of `GET /admin/status`. */
+  status (): unknown
   /** Appends a configuration change and waits for its result. */
-  applyConfig (change: ConfigApplyRequest): Promise<unknown>
+  applyConfig (change: ConfigApplyRequest): Promise<ConfigApplyReply | Problem>
   readConfig (): unknown
-  configHistory (limit: number): unknown
+  configHistory (limit: number): Promise<unknown>
   /** Body of `GET /admin/timeline`. */
   timeline (filter: Record<string, string>): unknown
 }
@@ -46,13 +48,13 @@
     sendJson(res, 200, env.core.addresses(values, env.now()))
   }
 
-  function readConfig ({ res, url }: RouteContext): void {
+  async function readConfig ({ res, url }: RouteContext): Promise<void> {
     const { values, findings } = readQuery(url, ['history'])
     const limit = values.history === undefined ? undefined : Number(values.history)
     const validLimit = limit === undefined || (Number.isInteger(limit) && limit >= 1 && limit <= maxHistory)
     if (!validLimit) findings.push({ field: 'query/history', message: `must be a whole number from 1 to ${maxHistory}` })
     if (findings.length > 0) return sendProblem(res, invalidProblem(findings))
-    sendJson(res, 200, limit === undefined ? env.readConfig() : env.configHistory(limit))
+    sendJson(res, 200, limit === undefined ? env.readConfig() : await env.configHistory(limit))
   }
 
   async function applyConfig ({ req, res }: RouteContext): Promise<void> {
@@ -60,7 +62,9 @@
     if (body.err) return sendProblem(res, body.val)
     const findings = schemaFindings(validateConfigApplyRequest, body.val, 'body')
     if (findings.length > 0) return sendProblem(res, invalidProblem(findings))
-    sendJson(res, 200, await env.applyConfig(body.val as ConfigApplyRequest))
+    const reply = await env.applyConfig(body.val as ConfigApplyRequest)
+    if ('status' in reply) sendProblem(res, reply)
+    else sendJson(res, 200, reply)
   }
 
   function timeline ({ res, url }: RouteContext): void {
@@ -73,7 +77,7 @@
     { method: 'GET', pattern: /^\/v1\/addresses$/, handle: addresses },
     { method: 'GET', pattern: /^\/admin\/config$/, handle: readConfig },
     { method: 'POST', pattern: /^\/admin\/config$/, handle: applyConfig },
-    { method: 'GET', pattern: /^\/admin\/status$/, handle: ({ res }) => sendJson(res, 200, env.core.status(env.now())) },
+    { method: 'GET', pattern: /^\/admin\/status$/, handle: ({ res }) => sendJson(res, 200, env.status()) },
     { method: 'GET', pattern: /^\/admin\/timeline$/, handle: timeline }
   ]
 }
--- a/packages/node/src/core-runtime.ts
+++ b/packages/node/src/core-runtime.ts
@@ -1,8 +1,8 @@
 /** Passes events to the core one at a time and hands its actions to the shells. */
-import type { PortAction, PortEvent } from './core-port'
+import type { CoreAction, CoreEvent } from './core/messages'
 
 export type CoreRuntime = {
-  report (event: PortEvent): void
+  report (event: CoreEvent): void
   stop (): void
 }
 
@@ -11,8 +11,8 @@
  * that the core never sees a second event inside a step.
  * @param perform carries out one action
  */
-export function createCoreRuntime (step: (event: PortEvent) => PortAction[], perform: (action: PortAction) => void): CoreRuntime {
-  const events: PortEvent[] = []
+export function createCoreRuntime (step: (event: CoreEvent) => CoreAction[], perform: (action: CoreAction) => void): CoreRuntime {
+  const events: CoreEvent[] = []
   let running = false
   let stopped = false
 
--- /dev/null
+++ b/packages/node/src/create-node.ts
@@ -0,0 +1,51 @@
+/** Starts a node from its settings. */
+import { createAdminDesk } from './admin-desk'
+import { createNodeCore } from './core/node-core'
+import { nodeCoreDefaults } from './core/core-config'
+import { startNode, type NodeOptions, type RunningNode } from './daemon'
+import type { CompleteSettings } from './settings'
+
+export type CreateNodeOptions = Pick<NodeOptions, 'logger' | 'addressKeepMs' | 'httpLimits'> & {
+  /** Seed of the core's random decisions; the start time by default. */
+  seed?: number
+}
+
+/** Composes the core with the shells and serves. */
+export async function createNode (settings: CompleteSettings, options: CreateNodeOptions = {}): Promise<RunningNode> {
+  const incarnation = Date.now()
+  const { id, zone, region, address, staleness } = settings.node
+  const core = createNodeCore({
+    ...nodeCoreDefaults,
+    node: id,
+    zone,
+    region,
+    address,
+    incarnation,
+    staleness,
+    seed: options.seed ?? incarnation % 0x7fffffff,
+    engineDefaults: settings.engineDefaults,
+    engines: settings.engines,
+    queuedPerEngine: settings.limits.queuedPerEngine,
+    queuedPerAdapter: settings.limits.queuedPerAdapter,
+    loadsInFlight: settings.platform.loadsInFlight,
+    loadsPerSecond: settings.platform.loadsPerSecond
+  })
+  const desk = { node: id, zone, region, incarnation, logUrl: settings.platform.log, timelineEvents: settings.log.timelineEvents }
+  return await startNode({
+    settings,
+    core,
+    admin: (view, dispatcher) => createAdminDesk(desk, core, view, dispatcher),
+    watchedEngines: () => core.watchedEngines(),
+    ...options
+  })
+}
+
+/** Runs a node until SIGTERM or SIGINT; resolves after it has left gracefully. A second signal ends the process at once. */
+export async function runNode (settings: CompleteSettings, options: CreateNodeOptions = {}): Promise<void> {
+  const node = await createNode(settings, options)
+  await new Promise<void>(resolve => {
+    process.once('SIGTERM', resolve)
+    process.once('SIGINT', resolve)
+  })
+  await node.drain()
+}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,15 +1,18 @@
 /** Composes one node: the core, the shells around it and the HTTP server. */
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
-import { Agent } from 'undici'
-import type { Settings } from '@yuccawharf/schema'
+import { Agent, type Dispatcher } from 'undici'
+import type { EngineReport } from '@yuccawharf/platform'
+import type { ClassConfig, Settings } from '@yuccawharf/schema'
 import { createAnswerHub } from './answer-hub'
 import { createAnswerLocator } from './answer-locator'
 import { createCompletionRoutes } from './completion-routes'
 import { createControlRoutes, type ControlRoutesEnv } from './control-routes'
-import type { CorePort, PortAction, PortEvent } from './core-port'
+import type { CoreAction, CoreEvent } from './core/messages'
+import type { CorePort } from './core-port'
 import { createCoreRuntime } from './core-runtime'
-import { createDirectory } from './directory'
+import { createAttainment } from './attainment'
+import { createDirectory, type Directory } from './directory'
 import { createForwarder } from './forwarder'
 import { createHttpServer, createRequestHandler, defaultHttpLimits, type HttpLimits, type Route } from './http-router'
 import { createLogger, createMetrics, type Logger } from './observability'
@@ -18,14 +21,27 @@
 import { createServiceRoutes } from './service-routes'
 
 /** The parts of the admin interface that the core does not give. */
-export type AdminPort = Pick<ControlRoutesEnv, 'applyConfig' | 'readConfig' | 'configHistory' | 'timeline'> & {
-  record (action: PortAction & { type: 'record' }): void
+export type AdminPort = Pick<ControlRoutesEnv, 'status' | 'applyConfig' | 'readConfig' | 'configHistory' | 'timeline'> & {
+  record (action: CoreAction & { type: 'record' }): void
+}
+
+/** What the shells know beyond the core. */
+export type ShellView = {
+  now (): number
+  directory: Directory
+  draining (): boolean
+  /** Time since the log answered; null before the first answer. */
+  logContactAgeMs (): number | null
+  /** The newest report of an engine that this node watches. */
+  report (engine: string): EngineReport | undefined
+  /** Fraction of the latest answers that met the class's target. */
+  attained (className: string, target: unknown): { attained: number | null, requests: number }
 }
 
 export type NodeOptions = {
   settings: Settings
   core: CorePort
-  admin (report: (event: PortEvent) => void): AdminPort
+  admin (view: ShellView, dispatcher: Dispatcher): AdminPort
   /** Engines whose reports this node needs. */
   watchedEngines (): string[]
   logger?: Logger
@@ -52,7 +68,6 @@
 const defaultRequestBytes = 1_048_576
 /** Requests held at once; a request holds at most the replay bytes and its prompt. */
 const maxRunning = 20_000
-const membershipTypes = new Set(['membership', 'ping', 'ping-request', 'ack'])
 
 /** The clock of the core: it never goes back when the system's clock is set. */
 function createNow (): () => number {
@@ -87,13 +102,24 @@
   // Streams wait for their first event as long as the request is queued, so undici's own limits are off.
   const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000, connect: { timeout: 1000 } })
   const directory = createDirectory()
-  const runtime = createCoreRuntime(event => core.step(event, now()), perform)
+  const attainment = createAttainment()
+  const reports = new Map<string, EngineReport>()
+  let logContactAt: number | undefined
+  const runtime = createCoreRuntime(step, perform)
   const report = runtime.report
   const datagrams = await openDatagramPort(address, id, envelope => report({ type: 'message', envelope }))
   let ready = false
   let drainStarted: number | undefined
   let stopping: Promise<void> | undefined
 
+  /** Keeps what the status of the node shows, and lets the core decide. */
+  function step (event: CoreEvent): CoreAction[] {
+    if (event.type === 'log-page') logContactAt = now()
+    if (event.type === 'engine-report') reports.set(event.report.engine, event.report)
+    if (event.type === 'engine-unreachable') reports.delete(event.engine)
+    return core.step(event, now())
+  }
+
   function after (ms: number, run: () => void): void {
     if (ms <= 0) {
       setImmediate(run)
@@ -112,7 +138,7 @@
   }
 
   const answerLimits = { replayBytes: limits.replayBytes ?? defaultReplayBytes, replayMs: limits.replayMs ?? defaultReplayMs }
-  const hub = createAnswerHub({ now, dispatcher, limits: answerLimits, engineAddress: directory.address, report, after })
+  const hub = createAnswerHub({ finished: attainment.add, now, dispatcher, limits: answerLimits, engineAddress: directory.address, report, after })
   const locator = createAnswerLocator(dispatcher, directory, id)
   const forwarder = createForwarder({ self: id, now, hub, locator, report, after })
   const services = createServiceRoutes({ now, services: settings.services ?? {}, requestBytes, maxRunning, report, accepting })
@@ -125,7 +151,15 @@
     serviceTimeoutMs: group => settings.services?.[group]?.timeoutMs ?? 10_000
   })
   const peers = createPeerSender(dispatcher, (to, err) => logger.debug(`message to node ${to} failed: ${(err as Error).message}`))
-  const admin = options.admin(report)
+  const view: ShellView = {
+    now,
+    directory,
+    draining: () => drainStarted !== undefined,
+    logContactAgeMs: () => logContactAt === undefined ? null : now() - logContactAt,
+    report: engine => reports.get(engine),
+    attained: (className, target) => attainment.of(className, target as ClassConfig, now())
+  }
+  const admin = options.admin(view, dispatcher)
   const deliverToPeer = createPeerHandler(id, envelope => report({ type: 'message', envelope }))
 
   const routes: Route[] = [
@@ -136,15 +170,15 @@
   ]
   const server = createHttpServer(createRequestHandler(routes, err => logger.error('request failed', err)), options.httpLimits ?? defaultHttpLimits)
 
-  function send (action: PortAction & { type: 'send' }): void {
+  function send (action: CoreAction & { type: 'send' }): void {
     const { envelope } = action
-    const to = directory.address(envelope.to)
+    const to = action.address ?? directory.address(envelope.to)
     if (to === undefined) return
-    if (membershipTypes.has(envelope.message.type)) datagrams.send(envelope, to)
+    if (envelope.message.type === 'membership') datagrams.send(envelope, to)
     else peers.send(envelope, to)
   }
 
-  function perform (action: PortAction): void {
+  function perform (action: CoreAction): void {
     switch (action.type) {
       case 'read-log': return shells.readLog(action.stream, action.from)
       case 'append': return shells.append(action)
--- a/packages/node/src/forwarder.ts
+++ b/packages/node/src/forwarder.ts
@@ -7,7 +7,7 @@
 import type { AnswerLocator, AnswerPlace } from './answer-locator'
 import type { SourceRequest } from './answer-source'
 import type { Completion, CoreEvent } from './core/messages'
-import { createProblem, parseProblem } from './problem'
+import { createProblem, misdirectedStatus, parseProblem } from './problem'
 
 export type ForwarderEnv = {
   self: string
@@ -27,9 +27,6 @@
   find (requestId: string, after: number): Promise<Answer | undefined>
 }
 
-/** Status of a node that does not own the engine any more. */
-export const misdirectedStatus = 421
-
 /** Waits before the next attempt, in ms. Their sum exceeds the time of a takeover (3 s to suspect a node, 2 s per rank). */
 const retryDelaysMs = [0, 100, 300, 1000, 2000, 3000, 4000, 5000]
 
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -18,6 +18,9 @@
   retryAfterMs?: number
 }
 
+/** Status of a node that owns no engine for a forwarded request. */
+export const misdirectedStatus = 421
+
 const problemType = 'application/problem+json'
 
 /** Creates a problem whose `type` names its kind. */
@@ -37,6 +40,7 @@
   const { outcome, reason, retryAfterMs } = refusal
   const retry = retryAfterMs === undefined ? {} : { retryAfterMs }
   if (outcome === 'invalid') return { ...createProblem(400, outcome, 'Invalid request', reason), ...retry }
+  if (refusal.misdirected === true) return createProblem(misdirectedStatus, outcome, 'Misdirected', reason)
   if (outcome === 'not-run') return { ...createProblem(503, outcome, 'Not run', reason), ...retry }
   return { ...createProblem(502, outcome, 'Outcome unknown', reason), ...retry }
 }
--- a/packages/node/src/service-routes.ts
+++ b/packages/node/src/service-routes.ts
@@ -65,7 +65,7 @@
     const rules = env.services[group]?.nonIdempotent ?? []
     const required = rules.some(rule => covers(rule, method, path))
     if (required && key === undefined) return invalidProblem([{ field: 'Idempotency-Key', message: 'is required for this route; it starts with the orderKeyPrefix of /v1/addresses' }])
-    if (key !== undefined && required && !keyPattern.test(key)) return invalidProblem([{ field: 'Idempotency-Key', message: 'must be the orderKeyPrefix of /v1/addresses, a hyphen and a UUID' }])
+    if (key !== undefined && required && !keyPattern.test(key)) return invalidProblem([{ field: 'Idempotency-Key', message: 'must be the orderKeyPrefix of /v1/addresses followed by a UUID' }])
     return undefined
   }
 
--- a/packages/node/src/testing/cluster.ts
+++ b/packages/node/src/testing/cluster.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:net'
 import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, servePlainService, type EngineModel, type EngineModelOptions, type PlainServiceModel, type StandInServer } from '@yuccawharf/stand-ins'
 import type { Settings } from '@yuccawharf/schema'
-import { startNode, type NodeOptions, type RunningNode } from '../daemon'
+import { startNode, type AdminPort, type NodeOptions, type RunningNode } from '../daemon'
 import { createFixedCore } from './fixed-core'
 
 export type ClusterOptions = {
@@ -72,7 +72,7 @@
       services: { desk: { nonIdempotent: ['POST /orders'], timeoutMs: 1000 } },
       limits: { requestBytes: 4096, ...options.limits }
     }
-    const admin = () => ({ applyConfig: async () => ({ type: 'accepted', revision: 4, behind: [] }), readConfig: () => ({ revision: 3, entries: [] }), configHistory: () => ({ revision: 3, changes: [] }), timeline: () => ({ process: id, dropped: 0, events: [] }), record () {} })
+    const admin = (): AdminPort => ({ status: () => ({ node: id }), applyConfig: async () => ({ type: 'accepted', revision: 4, behind: [] }), readConfig: () => ({ revision: 3, entries: [] }), configHistory: async () => ({ revision: 3, changes: [] }), timeline: () => ({ process: id, dropped: 0, events: [] }), record () {} })
     nodes[id] = await startNode({ settings, core, admin, watchedEngines: () => [], logger: silent, addressKeepMs: 50, httpLimits: options.httpLimits })
     cores[id] = core
   }
--- a/packages/node/src/testing/fixed-core.ts
+++ b/packages/node/src/testing/fixed-core.ts
@@ -1,6 +1,6 @@
 /** A core with fixed placement and ownership, for tests of the shells alone. */
-import type { Completion } from '../core/messages'
-import type { CorePort, PortAction, PortEvent } from '../core-port'
+import type { Completion, CoreAction, CoreEvent, Refusal } from '../core/messages'
+import type { CorePort } from '../core-port'
 
 export type FixedCoreConfig = {
   self: string
@@ -12,13 +12,15 @@
   classes: string[]
 }
 
+const misdirected: Refusal = { outcome: 'not-run', reason: 'this node does not own the engine', misdirected: true }
+
 type Work = { completion: Completion, engine: string, attempts: number }
 
 /** Creates the core. It loads an adapter at its first request and never evicts. */
-export function createFixedCore (cfg: FixedCoreConfig): CorePort & { events: PortEvent[] } {
+export function createFixedCore (cfg: FixedCoreConfig): CorePort & { events: CoreEvent[] } {
   const handles = new Map<string, { handle: string, resident: boolean }>()
   const work = new Map<string, Work>()
-  const events: PortEvent[] = []
+  const events: CoreEvent[] = []
   let token = 0
   let draining = false
 
@@ -26,12 +28,12 @@
     return `${completion.adapter}@${completion.version}`
   }
 
-  function refuse (requestId: string, outcome: 'not-run' | 'unknown' | 'invalid', reason: string): PortAction[] {
+  function refuse (requestId: string, outcome: 'not-run' | 'unknown' | 'invalid', reason: string): CoreAction[] {
     work.delete(requestId)
     return [{ type: 'refuse', requestId, refusal: { outcome, reason, ...(outcome === 'not-run' ? { retryAfterMs: 1500 } : {}) } }]
   }
 
-  function run (item: Work): PortAction[] {
+  function run (item: Work): CoreAction[] {
     const name = nameOf(item.completion)
     const known = handles.get(name)
     if (known === undefined) {
@@ -45,14 +47,14 @@
     return [{ type: 'dispatch', engine: item.engine, requestId: item.completion.requestId, handle: known.handle, priority: 0 }]
   }
 
-  function submit (event: PortEvent & { type: 'submit' }): PortAction[] {
+  function submit (event: CoreEvent & { type: 'submit' }): CoreAction[] {
     const { completion } = event
     const engine = cfg.placement[nameOf(completion)]
     if (engine === undefined) return refuse(completion.requestId, 'invalid', `adapter ${nameOf(completion)} is not known`)
     if (!cfg.classes.includes(completion.class)) return refuse(completion.requestId, 'invalid', `class ${completion.class} is not known`)
     const owner = cfg.owners[engine] ?? cfg.self
     if (owner !== cfg.self) {
-      if ('forwarded' in event) return refuse(completion.requestId, 'not-run', 'this node does not own the engine')
+      if (event.forwarded === true) return [{ type: 'refuse', requestId: completion.requestId, refusal: misdirected }]
       return [{ type: 'forward', requestId: completion.requestId, node: owner, address: cfg.addresses[owner] ?? '' }]
     }
     const item = { completion, engine, attempts: 0 }
@@ -60,8 +62,8 @@
     return run(item)
   }
 
-  function loaded (event: PortEvent & { type: 'engine-command-result' }): PortAction[] {
-    const actions: PortAction[] = []
+  function loaded (event: CoreEvent & { type: 'engine-command-result' }): CoreAction[] {
+    const actions: CoreAction[] = []
     for (const [name, known] of handles) {
       if (known.resident || !known.handle.endsWith(`.${event.token}`)) continue
       if (event.result.type === 'ok') known.resident = true
@@ -74,7 +76,7 @@
     return actions
   }
 
-  function ended (event: PortEvent & { type: 'request-ended' }): PortAction[] {
+  function ended (event: CoreEvent & { type: 'request-ended' }): CoreAction[] {
     const item = work.get(event.requestId)
     if (item === undefined) return []
     if (event.outcome === 'done' || event.outcome === 'cancelled') {
@@ -87,7 +89,7 @@
     return run(item)
   }
 
-  function step (event: PortEvent): PortAction[] {
+  function step (event: CoreEvent): CoreAction[] {
     if (event.type === 'submit') return submit(event)
     if (event.type === 'engine-command-result') return loaded(event)
     if (event.type === 'request-ended') return ended(event)
@@ -119,8 +121,6 @@
       if (event.type !== 'tick') events.push(event)
       return step(event)
     },
-    addresses: () => ({ addresses: Object.values(cfg.addresses).map(address => ({ address, zone: 'a' })), keepForMs: 5000, revision: 3, orderKeyPrefix: '0.7' }),
-    revision: () => 3,
-    status: () => ({ node: cfg.self })
+    addresses: () => ({ addresses: Object.values(cfg.addresses).map(address => ({ address, zone: 'a' })), keepForMs: 5000, revision: 3, orderKeyPrefix: '0.7' })
   }
 }
