--- /dev/null
+++ b/packages/node/src/http-router.ts
@@ -0,0 +1,113 @@
+/** The HTTP server of a node: bounded headers and times, routes, and faults of single requests kept to those requests. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { createProblem, sendProblem } from './problem'
+
+export type RouteContext = {
+  req: IncomingMessage
+  res: ServerResponse
+  url: URL
+  /** Parts of the path that the pattern's groups matched, decoded. */
+  params: string[]
+}
+
+export type Route = {
+  /** Upper-case method, or `*`. */
+  method: string
+  pattern: RegExp
+  handle (ctx: RouteContext): void | Promise<void>
+}
+
+export type HttpLimits = {
+  headerBytes: number
+  /** Longest time for receiving the headers, in ms. */
+  headersMs: number
+  /** Longest time for receiving a whole request, in ms. */
+  requestMs: number
+  keepAliveMs: number
+}
+
+export const defaultHttpLimits: HttpLimits = { headerBytes: 16 * 1024, headersMs: 10_000, requestMs: 30_000, keepAliveMs: 65_000 }
+
+/** @returns the decoded parts, or undefined when an escape is malformed */
+function decodeParams (parts: (string | undefined)[]): string[] | undefined {
+  try {
+    return parts.map(part => decodeURIComponent(part ?? ''))
+  } catch {
+    return undefined
+  }
+}
+
+function parseUrl (text: string): URL | undefined {
+  try {
+    return new URL(text, 'http://node')
+  } catch {
+    return undefined
+  }
+}
+
+/** Creates the handler that finds the route of a request. @param failed called with faults of the node itself */
+export function createRequestHandler (routes: Route[], failed: (err: unknown) => void): (req: IncomingMessage, res: ServerResponse) => void {
+  function fail (res: ServerResponse, err: unknown): void {
+    failed(err)
+    sendProblem(res, createProblem(500, 'unknown', 'Internal error', 'the node could not handle the request'))
+    if (!res.writableEnded) res.destroy()
+  }
+
+  async function run (route: Route, ctx: RouteContext): Promise<void> {
+    try {
+      await route.handle(ctx)
+    } catch (err) {
+      fail(ctx.res, err)
+    }
+  }
+
+  return (req, res) => {
+    req.on('error', () => {})
+    res.on('error', () => {})
+    const url = parseUrl(req.url ?? '/')
+    if (url === undefined) return sendProblem(res, createProblem(400, 'invalid', 'Invalid request', 'the request target is malformed'))
+    const matching = routes.filter(route => route.pattern.test(url.pathname))
+    if (matching.length === 0) return sendProblem(res, createProblem(404, 'invalid', 'Not found', `there is no resource ${url.pathname}`))
+    const route = matching.find(candidate => candidate.method === '*' || candidate.method === req.method)
+    if (route === undefined) {
+      res.setHeader('allow', matching.map(candidate => candidate.method).join(', '))
+      return sendProblem(res, createProblem(405, 'invalid', 'Method not allowed', `${req.method ?? ''} is not possible for ${url.pathname}`))
+    }
+    const params = decodeParams((route.pattern.exec(url.pathname) ?? []).slice(1))
+    if (params === undefined) return sendProblem(res, createProblem(400, 'invalid', 'Invalid request', 'an escape in the path is malformed'))
+    run(route, { req, res, url, params }).catch(failed)
+  }
+}
+
+const clientErrors: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+
+/** Answers input that is not HTTP, or too slow or large, and closes the connection. */
+function refuseConnection (err: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy()
+    return
+  }
+  const status = clientErrors[err.code ?? ''] ?? '400 Bad Request'
+  const [code = '400', ...title] = status.split(' ')
+  const body = JSON.stringify(createProblem(Number(code), 'invalid', title.join(' '), `the request could not be read: ${err.code ?? err.message}`))
+  socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/problem+json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+}
+
+/** Creates the server without listening. */
+export function createHttpServer (handler: (req: IncomingMessage, res: ServerResponse) => void, limits: HttpLimits): Server {
+  const server = createServer({
+    maxHeaderSize: limits.headerBytes,
+    headersTimeout: limits.headersMs,
+    requestTimeout: limits.requestMs,
+    keepAliveTimeout: limits.keepAliveMs,
+    // Checks the two times above often enough that a slow sender is cut within a second of its bound.
+    connectionsCheckingInterval: 1000,
+    noDelay: true
+  }, handler)
+  server.on('clientError', refuseConnection)
+  return server
+}
