--- /dev/null
+++ b/packages/node/src/answer-locator.ts
@@ -0,0 +1,70 @@
+/**
+ * Finds a request whose owner is not known here: a caller resumes at another node than before, or
+ * the owner has died. Nodes are asked first; then the engines, which keep their own responses.
+ */
+import type { Dispatcher } from 'undici'
+import type { Directory } from './directory'
+
+export type AnswerPlace =
+  | { type: 'peer', node: string, address: string }
+  | { type: 'engine', engine: string }
+
+/** Nodes or engines that are asked at the same time. */
+const parallelProbes = 32
+/** An instance that takes longer counts as not having the answer. */
+const probeTimeoutMs = 1000
+
+type Probe<T> = () => Promise<T | undefined>
+
+/** Runs the probes in groups; results keep the order of the probes. */
+async function firstGroupWithResults<T> (probes: Probe<T>[]): Promise<T[]> {
+  for (let from = 0; from < probes.length; from += parallelProbes) {
+    const group = probes.slice(from, from + parallelProbes)
+    const results = await Promise.all(group.map(async probe => await probe().catch(() => undefined)))
+    const found = results.filter(result => result !== undefined)
+    if (found.length > 0) return found
+  }
+  return []
+}
+
+export type AnswerLocator = {
+  locate (requestId: string): Promise<AnswerPlace | undefined>
+}
+
+/** @param self id of this node */
+export function createAnswerLocator (dispatcher: Dispatcher, directory: Directory, self: string): AnswerLocator {
+  async function probePeer (node: string, address: string, requestId: string): Promise<{ place: AnswerPlace, owner: boolean } | undefined> {
+    const path = `/peer/v1/completions/${encodeURIComponent(requestId)}`
+    const response = await dispatcher.request({ origin: `http://${address}`, path, method: 'HEAD', signal: AbortSignal.timeout(probeTimeoutMs) })
+    await response.body.dump()
+    if (response.statusCode !== 200) return undefined
+    return { place: { type: 'peer', node, address }, owner: response.headers['x-answer-role'] === 'owner' }
+  }
+
+  async function probeEngine (engine: string, address: string, requestId: string): Promise<AnswerPlace | undefined> {
+    const abort = new AbortController()
+    const timer = setTimeout(() => abort.abort(), probeTimeoutMs)
+    const path = `/v1/responses/${encodeURIComponent(requestId)}?stream=true&starting_after=0`
+    try {
+      const response = await dispatcher.request({ origin: `http://${address}`, path, method: 'GET', signal: abort.signal })
+      // Only the status matters; the stream itself is opened by the caller at its own position.
+      response.body.on('error', () => {})
+      response.body.destroy()
+      return response.statusCode === 200 ? { type: 'engine', engine } : undefined
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  return {
+    async locate (requestId) {
+      const nodes = directory.list('node').filter(instance => instance.id !== self)
+      const peers = await firstGroupWithResults(nodes.map(({ id, address }) => async () => await probePeer(id, address, requestId)))
+      const peer = peers.find(found => found.owner) ?? peers[0]
+      if (peer !== undefined) return peer.place
+      const engines = directory.list('engine')
+      const [found] = await firstGroupWithResults(engines.map(({ id, address }) => async () => await probeEngine(id, address, requestId)))
+      return found
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/testing/fixed-core.ts
@@ -0,0 +1,126 @@
+/** A core with fixed placement and ownership, for tests of the shells alone. */
+import type { Completion, CoreAction, CoreEvent, Refusal } from '../core/messages'
+import type { CorePort } from '../core-port'
+
+export type FixedCoreConfig = {
+  self: string
+  /** Owner of each engine. */
+  owners: Record<string, string>
+  /** Engine of each `ADAPTER@VERSION`. */
+  placement: Record<string, string>
+  addresses: Record<string, string>
+  classes: string[]
+}
+
+const misdirected: Refusal = { outcome: 'not-run', reason: 'this node does not own the engine', misdirected: true }
+
+type Work = { completion: Completion, engine: string, attempts: number }
+
+/** Creates the core. It loads an adapter at its first request and never evicts. */
+export function createFixedCore (cfg: FixedCoreConfig): CorePort & { events: CoreEvent[] } {
+  const handles = new Map<string, { handle: string, resident: boolean }>()
+  const work = new Map<string, Work>()
+  const events: CoreEvent[] = []
+  let token = 0
+  let draining = false
+
+  function nameOf (completion: Completion): string {
+    return `${completion.adapter}@${completion.version}`
+  }
+
+  function refuse (requestId: string, outcome: 'not-run' | 'unknown' | 'invalid', reason: string): CoreAction[] {
+    work.delete(requestId)
+    return [{ type: 'refuse', requestId, refusal: { outcome, reason, ...(outcome === 'not-run' ? { retryAfterMs: 1500 } : {}) } }]
+  }
+
+  function run (item: Work): CoreAction[] {
+    const name = nameOf(item.completion)
+    const known = handles.get(name)
+    if (known === undefined) {
+      const handle = `${name}~1.${++token}`
+      handles.set(name, { handle, resident: false })
+      const { adapter, version } = item.completion
+      return [{ type: 'engine-command', engine: item.engine, token, command: { type: 'load', handle, adapter, version }, fence: 1 }]
+    }
+    if (!known.resident) return []
+    item.attempts++
+    return [{ type: 'dispatch', engine: item.engine, requestId: item.completion.requestId, handle: known.handle, priority: 0 }]
+  }
+
+  function submit (event: CoreEvent & { type: 'submit' }): CoreAction[] {
+    const { completion } = event
+    const engine = cfg.placement[nameOf(completion)]
+    if (engine === undefined) return refuse(completion.requestId, 'invalid', `adapter ${nameOf(completion)} is not known`)
+    if (!cfg.classes.includes(completion.class)) return refuse(completion.requestId, 'invalid', `class ${completion.class} is not known`)
+    const owner = cfg.owners[engine] ?? cfg.self
+    if (owner !== cfg.self) {
+      if (event.forwarded === true) return [{ type: 'refuse', requestId: completion.requestId, refusal: misdirected }]
+      return [{ type: 'forward', requestId: completion.requestId, node: owner, address: cfg.addresses[owner] ?? '' }]
+    }
+    const item = { completion, engine, attempts: 0 }
+    work.set(completion.requestId, item)
+    return run(item)
+  }
+
+  function loaded (event: CoreEvent & { type: 'engine-command-result' }): CoreAction[] {
+    const actions: CoreAction[] = []
+    for (const [name, known] of handles) {
+      if (known.resident || !known.handle.endsWith(`.${event.token}`)) continue
+      if (event.result.type === 'ok') known.resident = true
+      else handles.delete(name)
+      for (const item of work.values()) {
+        if (nameOf(item.completion) !== name) continue
+        actions.push(...(known.resident ? run(item) : refuse(item.completion.requestId, 'not-run', 'the adapter could not be loaded')))
+      }
+    }
+    return actions
+  }
+
+  function ended (event: CoreEvent & { type: 'request-ended' }): CoreAction[] {
+    const item = work.get(event.requestId)
+    if (item === undefined) return []
+    if (event.outcome === 'done' || event.outcome === 'cancelled') {
+      work.delete(event.requestId)
+      return draining && work.size === 0 ? [{ type: 'ready-to-exit' }] : []
+    }
+    if (event.outcome === 'broken' && event.tokens > 0) return refuse(event.requestId, 'unknown', 'the engine lost the request')
+    if (item.attempts >= 2) return refuse(event.requestId, 'not-run', 'the engine refused the request')
+    handles.delete(nameOf(item.completion))
+    return run(item)
+  }
+
+  function step (event: CoreEvent): CoreAction[] {
+    if (event.type === 'submit') return submit(event)
+    if (event.type === 'engine-command-result') return loaded(event)
+    if (event.type === 'request-ended') return ended(event)
+    if (event.type === 'cancel') {
+      const item = work.get(event.requestId)
+      return item === undefined ? [] : [{ type: 'cancel-dispatch', engine: item.engine, requestId: event.requestId }]
+    }
+    if (event.type === 'order') {
+      const instance = cfg.placement[event.order.group]
+      if (instance !== undefined) return [{ type: 'send-order', orderId: event.order.orderId, instance, req: event.order.req }]
+      return [{ type: 'order-result', orderId: event.order.orderId, result: { type: 'refused', refusal: { outcome: 'not-run', reason: 'no instance is live', retryAfterMs: 1000 } } }]
+    }
+    if (event.type === 'service-result') {
+      const { orderId, result } = event
+      if (result.type === 'ok') return [{ type: 'order-result', orderId, result }]
+      const outcome = result.type === 'not-sent' ? 'not-run' : 'unknown'
+      return [{ type: 'order-result', orderId, result: { type: 'refused', refusal: { outcome, reason: result.reason } } }]
+    }
+    if (event.type === 'drain') {
+      draining = true
+      return work.size === 0 ? [{ type: 'ready-to-exit' }] : []
+    }
+    return []
+  }
+
+  return {
+    events,
+    step (event) {
+      if (event.type !== 'tick') events.push(event)
+      return step(event)
+    },
+    addresses: () => ({ addresses: Object.values(cfg.addresses).map(address => ({ address, zone: 'a' })), keepForMs: 5000, revision: 3, orderKeyPrefix: '0.7' })
+  }
+}
