Keep handles pinned across an engine restart and ignore late ends

- after a cold start the scheduler forgets old handles before foreign ones are adopted, so it never plans with both
- the end of a dispatch whose request was already taken back no longer removes the queued request
- the capacity measurement passes the attempt ids that a claim desk now needs

--- a/packages/bench/src/capacity/role-load.ts
+++ b/packages/bench/src/capacity/role-load.ts
@@ -75,7 +75,12 @@
   let records = 0
   let recordBytes = 0
   let stream: LogEntry[] = []
-  const desk = createClaimDesk({ ...claimDeskDefaults, node: 'node-0', incarnation: 1, shard: 0, appendIntervalMs: 60 })
+  let attempts = 0
+  const attemptId = (): string => {
+    attempts += 1
+    return `node-0/1/${attempts}`
+  }
+  const desk = createClaimDesk({ ...claimDeskDefaults, node: 'node-0', shard: 0, appendIntervalMs: 60, attemptId })
   let now = 0
   type Actions = ReturnType<typeof desk.tick>
   const handle = (actions: Actions): void => {
--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -98,6 +98,7 @@
   let waiting: OwnedRequest[] = []
   let scheduler: EngineScheduler | undefined
   let incarnation: number | undefined
+  let schedulerIncarnation: number | undefined
   const paused = new Set<PauseReason>()
   /** Requests that are taken back from the scheduler to run elsewhere. */
   const diverted = new Set<string>()
@@ -191,6 +192,9 @@
       env.resubmit(request, now)
       return
     }
+    if (request === undefined) {
+      return
+    }
     const outcome = action.mayHaveRun === true ? 'unknown' : 'not-run'
     ctx.record('refuse', { request: action.requestId, engine }, action.reason)
     ctx.emit({ type: 'refuse', requestId: action.requestId, refusal: { outcome, reason: action.reason, retryAfterMs: action.retryAfterMs } })
@@ -279,6 +283,14 @@
     }
   }
 
+  /** The event is from an earlier dispatch of a request that was taken back because the engine restarted. */
+  const endedWhileQueued = (event: EndedEvent, now: number): void => {
+    if (event.outcome === 'done' || event.outcome === 'cancelled') {
+      requests.delete(event.requestId)
+      stepScheduler({ type: 'cancel', requestId: event.requestId }, now)
+    }
+  }
+
   const stepEnded = (event: EndedEvent, now: number): void => {
     const reason = event.reason === undefined ? {} : { reason: event.reason }
     const step = (): void => stepScheduler({ type: 'ended', requestId: event.requestId, outcome: event.outcome, tokens: event.tokens, ...reason }, now)
@@ -349,6 +361,11 @@
 
   const absorb = (report: EngineReport, now: number): void => {
     const seen = visible(report)
+    if (schedulerIncarnation !== report.incarnation) {
+      // The scheduler first forgets the handles of the last start; handles that are not its own come after they are pinned.
+      schedulerIncarnation = report.incarnation
+      stepScheduler({ type: 'report', report: { ...seen, resident: seen.resident.filter(({ handle }) => isOwnLoad(handle)) } }, now)
+    }
     adopt(seen, now)
     stepScheduler({ type: 'report', report: seen }, now)
     const known = seen.resident.map(({ handle }) => handle)
@@ -431,6 +448,9 @@
       if (over) {
         return endedAfterTerm(request, event, now)
       }
+      if (request.handle === undefined) {
+        return endedWhileQueued(event, now)
+      }
       requeued.clear()
       pinBroken(request, event, now)
       // The scheduler may evict the handle in the same step.
