Send the instance list only when it has changed, and pack membership datagrams

Cause: each node polls the list every second; 1,000 instances of about 150 bytes are 150 KB/s, 50 times the control bytes of a node. Membership datagrams still went out with property names. Change: the list has an ETag and may be compressed; an unchanged list costs one 304 response.

--- a/packages/node/src/peer-rpc.ts
+++ b/packages/node/src/peer-rpc.ts
@@ -6,6 +6,7 @@
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http'
 import { fetch as undiciFetch, type Dispatcher } from 'undici'
 import type { Envelope } from './core/messages'
+import { decodeDatagram, encodeDatagram } from './peer-datagram'
 
 const trpc = initTRPC.create()
 
@@ -85,14 +86,6 @@
   return { host, port: Number(address.slice(colon + 1)) }
 }
 
-function readDatagram (bytes: Buffer): Envelope | undefined {
-  try {
-    return parseEnvelope(JSON.parse(bytes.toString('utf8')))
-  } catch {
-    return undefined
-  }
-}
-
 /** Opens the socket for membership messages at the node's own address. */
 export async function openDatagramPort (address: string, self: string, deliver: (envelope: Envelope) => void): Promise<DatagramPort> {
   const { host, port } = splitAddress(address)
@@ -104,7 +97,7 @@
   // Send errors, for example of an address that is gone, show as missing acknowledgements.
   socket.on('error', () => {})
   socket.on('message', bytes => {
-    const envelope = readDatagram(bytes)
+    const envelope = decodeDatagram(bytes)
     if (envelope !== undefined && envelope.to === self) deliver(envelope)
   })
   let open = true
@@ -112,7 +105,7 @@
     send (envelope, to) {
       if (!open) return
       const target = splitAddress(to)
-      socket.send(JSON.stringify(envelope), target.port, target.host, () => {})
+      socket.send(encodeDatagram(envelope), target.port, target.host, () => {})
     },
     close () {
       open = false
--- a/packages/platform/src/instance-list-client.ts
+++ b/packages/platform/src/instance-list-client.ts
@@ -1,24 +1,58 @@
-/** HTTP client of the instance list. */
+/** HTTP client of the instance list. An unchanged list is not sent again, and a changed one is compressed. */
+import { gunzipSync } from 'node:zlib'
 import { validateInstanceListBody, type InstanceListBody } from '@yuccawharf/schema'
-import { createHttpClient, parseJson, type HttpClientOptions } from './http-client'
+import { createHttpClient, parseJson, type HttpClientOptions, type HttpResponse } from './http-client'
 import type { InstanceList, InstanceSnapshot } from './interfaces'
 
 export interface InstanceListClient extends InstanceList {
   close (): Promise<void>
 }
 
+/** A list of 10,000 instances has less than 2 MB. */
+const maxListBytes = 16 * 1024 * 1024
+
+type Cached = { etag: string, snapshot: InstanceSnapshot }
+
+function decodedBody ({ headers, body }: HttpResponse): Uint8Array | undefined {
+  if (headers['content-encoding'] !== 'gzip') return body
+  try {
+    return gunzipSync(body, { maxOutputLength: maxListBytes })
+  } catch {
+    return undefined
+  }
+}
+
+function parseList (response: HttpResponse): InstanceSnapshot | undefined {
+  const bytes = decodedBody(response)
+  const body = bytes === undefined ? undefined : parseJson(bytes)
+  if (!validateInstanceListBody(body)) return undefined
+  const snapshot = body as InstanceListBody as InstanceSnapshot
+  const ids = new Set(snapshot.instances.map(instance => instance.id))
+  return ids.size === snapshot.instances.length ? snapshot : undefined
+}
+
+/** @returns the cached instances with the time of the response that says they are unchanged */
+function unchanged ({ headers }: HttpResponse, cached: Cached | undefined): InstanceSnapshot | undefined {
+  const asOf = Number(headers['x-as-of'] ?? Number.NaN)
+  return cached === undefined || !Number.isFinite(asOf) ? undefined : { asOf, instances: cached.snapshot.instances }
+}
+
 /** The list counts as not answering when its response is malformed or names an instance twice. */
 export function createInstanceListClient (options: HttpClientOptions): InstanceListClient {
   const http = createHttpClient(options)
+  let cached: Cached | undefined
   return {
     async fetch () {
-      const result = await http.exchange({ method: 'GET', path: '/instances' })
-      if (result.type !== 'ok' || result.response.status !== 200) return undefined
-      const body = parseJson(result.response.body)
-      if (!validateInstanceListBody(body)) return undefined
-      const snapshot = body as InstanceListBody as InstanceSnapshot
-      const ids = new Set(snapshot.instances.map(instance => instance.id))
-      return ids.size === snapshot.instances.length ? snapshot : undefined
+      const condition: Record<string, string> = cached === undefined ? {} : { 'if-none-match': cached.etag }
+      const result = await http.exchange({ method: 'GET', path: '/instances', headers: { 'accept-encoding': 'gzip', ...condition } })
+      if (result.type !== 'ok') return undefined
+      const { response } = result
+      if (response.status === 304) return unchanged(response, cached)
+      if (response.status !== 200) return undefined
+      const snapshot = parseList(response)
+      const { etag } = response.headers
+      cached = snapshot === undefined || etag === undefined ? undefined : { etag, snapshot }
+      return snapshot
     },
     close: http.close
   }
--- a/packages/stand-ins/src/http-servers.test.ts
+++ b/packages/stand-ins/src/http-servers.test.ts
@@ -151,4 +151,25 @@
   for (const server of servers) await server.close()
 })
 
+// Guards against an unchanged list that is sent in full with each poll, and against a cached one that hides a change.
+test('an unchanged instance list is not sent again', async () => {
+  const clock = createRealClock()
+  const model = createInstanceListModel({ clock })
+  const server = await serveInstanceList(model)
+  const client = createInstanceListClient({ baseUrl: server.url })
+  const instance = { id: 'node-1', kind: 'node' as const, address: '127.0.0.1:1', zone: 'a', region: 'r', group: 'nodes', state: 'live' as const }
+  model.put(instance)
+  const first = await client.fetch()
+  const raw = await fetch(`${server.url}/instances`)
+  const again = await fetch(`${server.url}/instances`, { headers: { 'if-none-match': raw.headers.get('etag')! } })
+  assert.is(again.status, 304)
+  const second = await client.fetch()
+  assert.equal(second?.instances, first?.instances)
+  assert.ok(second!.asOf >= first!.asOf)
+  model.leave('node-1')
+  assert.is((await client.fetch())?.instances[0]?.state, 'leaving')
+  await client.close()
+  await server.close()
+})
+
 test.run()
--- a/packages/stand-ins/src/http-servers.ts
+++ b/packages/stand-ins/src/http-servers.ts
@@ -1,6 +1,8 @@
 /** HTTP servers on loopback over the models. */
+import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { gzipSync } from 'node:zlib'
 import type { EngineCommand, EngineCommandResult } from '@yuccawharf/platform'
 import type { EngineModel, StreamListener, StreamStart } from './engine-model'
 import type { InstanceListModel } from './instance-list-model'
@@ -88,10 +90,14 @@
 }
 
 export async function serveInstanceList (model: InstanceListModel, port = 0): Promise<StandInServer> {
-  return await serve((_req, res) => {
+  return await serve((req, res) => {
     const snapshot = model.fetch()
-    if (snapshot === undefined) refuse(res, 503, 'outage')
-    else reply(res, 200, snapshot)
+    if (snapshot === undefined) return refuse(res, 503, 'outage')
+    const etag = `"${createHash('sha256').update(JSON.stringify(snapshot.instances)).digest('base64url')}"`
+    const headers = { etag, 'x-as-of': String(snapshot.asOf) }
+    if (req.headers['if-none-match'] === etag) res.writeHead(304, headers).end()
+    else if (req.headers['accept-encoding'] !== 'gzip') res.writeHead(200, { ...headers, 'content-type': 'application/json' }).end(JSON.stringify(snapshot))
+    else res.writeHead(200, { ...headers, 'content-type': 'application/json', 'content-encoding': 'gzip' }).end(gzipSync(JSON.stringify(snapshot)))
   }, port)
 }
 
