--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -313,7 +313,11 @@
     !inheritedHandles.has(handle) && (isOwnLoad(handle) || evictions.ready)
 
   const visible = (report: EngineReport): EngineReport =>
-    ({ ...report, resident: report.resident.filter(({ handle }) => isVisible(handle)) })
+    ({
+      ...report,
+      resident: report.resident.filter(({ handle }) => isVisible(handle)),
+      running: ctx.hooks.evictPinned === true ? report.running.filter(({ requestId }) => requests.has(requestId)) : report.running
+    })
 
   const isFree = (handle: string): boolean => (isOwnLoad(handle) || pins.isFree(handle)) && !isLeftover(handle)
 
--- /dev/null
+++ b/packages/node/src/core/order-failures.test.ts
@@ -0,0 +1,157 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createWorld, type World, type WorldOptions } from './testing/world'
+
+const nodes = ['n1', 'n2', 'n3']
+
+const createOrderWorld = (options: Partial<WorldOptions> = {}): World => {
+  const world = createWorld({ nodes, engines: [], ...options })
+  world.advance(6_000)
+  return world
+}
+
+const newKey = (world: World, node: string, id: string): string => {
+  const { orderKeyPrefix } = world.node(node).core.addresses({ service: 'desk' }, world.clock.now())
+  assert.ok(orderKeyPrefix !== undefined, `${node} knows no key prefix`)
+  return `${orderKeyPrefix}order-${id}`
+}
+
+const outcome = (world: World, orderId: string): string | undefined => {
+  const result = world.orders.get(orderId)
+  return result?.type === 'ok' ? String(result.response.status) : result?.refusal.outcome
+}
+
+const sender = (world: World): string => world.trace.find(({ action }) => action.type === 'send-order')?.node ?? ''
+
+test('an order runs once, and a repeated call with its key gets the same result at any node', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'aaaaaaaa')
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(1_000)
+  nodes.forEach((node, index) => world.order(node, { orderId: `again${index}`, key }))
+  world.advance(1_000)
+  assert.equal(['o1', 'again0', 'again1', 'again2'].map(id => outcome(world, id)), ['200', '200', '200', '200'])
+  assert.is(world.service.executions(key), 1)
+})
+
+test('nodes that each take themselves for the owner of the shard run an order once', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'bbbbbbbb')
+  world.nodes.forEach(node => { node.isolated = true })
+  world.advance(8_000)
+  nodes.forEach(node => world.order(node, { orderId: node, key }))
+  world.advance(12_000)
+  assert.is(world.service.executions(key), 1)
+  assert.equal(nodes.map(id => outcome(world, id)), ['200', '200', '200'])
+})
+
+test('the sender dies after sending: the key stays unknown and does not run again', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'cccccccc')
+  world.service.setDelay(2_000)
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(500)
+  const owner = sender(world)
+  world.node(owner).kill(500)
+  world.advance(6_000)
+  const other = nodes.find(id => id !== owner) ?? ''
+  world.order(other, { orderId: 'o2', key })
+  world.advance(12_000)
+  assert.is(outcome(world, 'o2'), 'unknown')
+  assert.is(world.service.executions(key), 1)
+})
+
+test('the sender pauses between its claim and the read-back: it does not send after the deadline', () => {
+  const world = createOrderWorld({ log: { latencyMs: 50 } })
+  const key = newKey(world, 'n1', 'dddddddd')
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(10)
+  const appender = world.trace.findLast(({ action }) => action.type === 'append' && action.stream.startsWith('claims'))?.node ?? ''
+  world.node(appender).pause()
+  world.advance(20_000)
+  world.node(appender).wake()
+  world.advance(5_000)
+  assert.is(world.service.executions(key), 0)
+  assert.ok(['not-run', 'unknown'].includes(outcome(world, 'o1') ?? ''))
+})
+
+test('a claim whose answer is lost and that lands late neither blocks nor repeats the order', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'eeeeeeee')
+  world.log.delayNextAppend(5_000)
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(12_000)
+  assert.is(outcome(world, 'o1'), '200')
+  assert.is(world.service.executions(key), 1)
+})
+
+test('a lost response of the back end is unknown, and asking again does not run the order', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'ffffffff')
+  world.service.loseNextAnswer()
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(1_000)
+  world.order('n2', { orderId: 'o2', key })
+  world.advance(11_000)
+  assert.equal(['o1', 'o2'].map(id => outcome(world, id)), ['unknown', 'unknown'])
+  assert.is(world.service.executions(key), 1)
+})
+
+test('while the log is down new orders are refused as not run, and the same key runs once afterwards', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'gggggggg')
+  world.log.setOutage(true)
+  world.advance(1_000)
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(2_000)
+  assert.is(outcome(world, 'o1'), 'not-run')
+  assert.is(world.service.executions(key), 0)
+  world.log.setOutage(false)
+  world.advance(5_000)
+  world.order('n1', { orderId: 'o2', key })
+  world.advance(3_000)
+  assert.is(outcome(world, 'o2'), '200')
+  assert.is(world.service.executions(key), 1)
+})
+
+test('an outcome recorded before the node forgot its desk answers after the shard moved', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'hhhhhhhh')
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(1_000)
+  const owner = sender(world)
+  world.node(owner).kill(500)
+  world.advance(6_000)
+  world.order(nodes.find(id => id !== owner) ?? '', { orderId: 'o2', key })
+  world.advance(3_000)
+  assert.is(outcome(world, 'o2'), '200')
+  assert.is(world.service.executions(key), 1)
+})
+
+test('attempt ids stay unique when a shard leaves a node and comes back, so an old claim wins nothing', () => {
+  const world = createOrderWorld()
+  const keys = nodes.flatMap(node => Array.from({ length: 8 }, (_, index) => newKey(world, node, `${node}-moved${index}`)))
+  keys.forEach((key, index) => world.order('n1', { orderId: `o${index}`, key }))
+  world.advance(1_000)
+  world.node('n2').isolated = true
+  world.advance(8_000)
+  world.node('n2').isolated = false
+  world.advance(8_000)
+  keys.forEach((key, index) => world.order('n3', { orderId: `p${index}`, key }))
+  world.advance(12_000)
+  assert.ok(keys.every(key => world.service.executions(key) === 1))
+})
+
+test('an idempotent call is retried at another instance, within the budget and the deadline', () => {
+  const world = createOrderWorld()
+  world.list.put({ id: 'desk-2', kind: 'service', address: '', zone: 'z1', region: 'r1', group: 'desk', state: 'live' })
+  world.advance(1_500)
+  world.service.loseNextAnswer()
+  world.order('n1', { orderId: 'o1' })
+  world.advance(5_000)
+  assert.is(outcome(world, 'o1'), '200')
+  const sends = world.trace.flatMap(({ action }) => action.type === 'send-order' ? [action.instance] : [])
+  assert.is(new Set(sends).size, 2, 'the retry goes to the instance that has not been tried')
+})
+
+test.run()
