--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -4,6 +4,7 @@
 import type { ClassConfig } from '@yuccawharf/schema'
 import { createScheduler, parseHandle, type EngineLoadHint, type EngineScheduler, type SchedulerAction, type SchedulerEvent, type ServingRequest } from '@yuccawharf/serving'
 import type { CoreContext } from './core-context'
+import { createLostRequests } from './lost-requests'
 import type { Completion, CoreEvent } from './messages'
 
 export type EngineOwnerEnv = {
@@ -55,9 +56,6 @@
 
 type Tracked = OwnedRequest & { handle?: string, incarnation?: number }
 
-/** A request whose stream was lost; the engine may go on running it. */
-type Leftover = { handle: string, firstReport?: number }
-
 const evictionRetryMs = 1_000
 const charactersPerToken = 4
 /** Characters of the prompt that identify a shared prefix; shorter ones are not worth a preference. */
@@ -93,7 +91,7 @@
   const resumed = new Set<string>()
   /** Requests that the scheduler took back during the current step. */
   const requeued = new Set<string>()
-  const leftovers = new Map<string, Leftover>()
+  const lostRequests = createLostRequests(reportLagMs)
   let lastReport: EngineReport | undefined
   let waiting: OwnedRequest[] = []
   let scheduler: EngineScheduler | undefined
@@ -263,26 +261,10 @@
     if (event.outcome !== 'broken' || request.handle === undefined || parsed === undefined || request.incarnation !== incarnation) {
       return
     }
-    leftovers.set(event.requestId, { handle: request.handle })
+    lostRequests.add(event.requestId, request.handle)
     stepScheduler({ type: 'adopt', resident: [{ handle: request.handle, adapter: parsed.adapter, version: parsed.version }], running: [] }, now)
   }
 
-  const isLeftover = (handle: string): boolean => [...leftovers.values()].some(leftover => leftover.handle === handle)
-
-  const isOver = (requestId: string, leftover: Leftover, report: EngineReport): boolean => {
-    leftover.firstReport ??= report.takenAt
-    const shown = report.running.some(running => running.requestId === requestId && running.handle === leftover.handle)
-    return !shown && report.takenAt > leftover.firstReport + 2 * reportLagMs
-  }
-
-  const releaseLeftovers = (report: EngineReport): void => {
-    for (const [requestId, leftover] of leftovers) {
-      if (isOver(requestId, leftover, report)) {
-        leftovers.delete(requestId)
-      }
-    }
-  }
-
   /** The event is from an earlier dispatch of a request that was taken back because the engine restarted. */
   const endedWhileQueued = (event: EndedEvent, now: number): void => {
     if (event.outcome === 'done' || event.outcome === 'cancelled') {
@@ -319,7 +301,7 @@
       running: ctx.hooks.evictPinned === true ? report.running.filter(({ requestId }) => requests.has(requestId)) : report.running
     })
 
-  const isFree = (handle: string): boolean => (isOwnLoad(handle) || pins.isFree(handle)) && !isLeftover(handle)
+  const isFree = (handle: string): boolean => (isOwnLoad(handle) || pins.isFree(handle)) && !lostRequests.uses(handle)
 
   const adopt = (report: EngineReport, now: number): void => {
     // Repeated with each report: the scheduler forgets handles that it took for gone.
@@ -394,7 +376,7 @@
     if (incarnation !== undefined && incarnation !== report.incarnation) {
       adopted.clear()
       resumed.clear()
-      leftovers.clear()
+      lostRequests.clear()
       ctx.record('engine-restarted', { engine })
     }
     incarnation = report.incarnation
@@ -471,7 +453,7 @@
       noteIncarnation(report)
       const knows = (requestId: string): boolean => requests.get(requestId)?.handle !== undefined
       pins.report(report, knows, now)
-      releaseLeftovers(report)
+      lostRequests.report(report)
       if (over) {
         return
       }
@@ -508,7 +490,7 @@
     },
     running: () => [
       ...[...requests].flatMap(([requestId, { handle }]) => handle === undefined ? [] : [{ requestId, handle }]),
-      ...[...leftovers].map(([requestId, { handle }]) => ({ requestId, handle }))
+      ...lostRequests.list()
     ],
     tick (now) {
       if (!over) {
--- /dev/null
+++ b/packages/node/src/core/lost-requests.ts
@@ -0,0 +1,48 @@
+/**
+ * Requests whose stream broke. The engine may go on running them, so their handles stay pinned
+ * until its reports show that it does not.
+ */
+import type { RunningRequest } from '@yuccawharf/coordination'
+import type { EngineReport } from '@yuccawharf/platform'
+
+export type LostRequests = {
+  add (requestId: string, handle: string): void
+  uses (handle: string): boolean
+  /** Forgets the requests that the report proves to have ended. */
+  report (report: EngineReport): void
+  /** The engine restarted. */
+  clear (): void
+  list (): RunningRequest[]
+}
+
+type Lost = {
+  handle: string
+  /** `takenAt` of the first report after the loss. */
+  firstReport?: number
+}
+
+/** @param reportLagMs - largest age of a report, in ms */
+export const createLostRequests = (reportLagMs: number): LostRequests => {
+  const requests = new Map<string, Lost>()
+
+  const isOver = (requestId: string, lost: Lost, report: EngineReport): boolean => {
+    lost.firstReport ??= report.takenAt
+    const shown = report.running.some(running => running.requestId === requestId && running.handle === lost.handle)
+    // The first report may be as old as the lag, and the request as long under way.
+    return !shown && report.takenAt > lost.firstReport + 2 * reportLagMs
+  }
+
+  return {
+    add: (requestId, handle) => { requests.set(requestId, { handle }) },
+    uses: handle => [...requests.values()].some(lost => lost.handle === handle),
+    report (report) {
+      for (const [requestId, lost] of requests) {
+        if (isOver(requestId, lost, report)) {
+          requests.delete(requestId)
+        }
+      }
+    },
+    clear: () => requests.clear(),
+    list: () => [...requests].map(([requestId, { handle }]) => ({ requestId, handle }))
+  }
+}
--- a/packages/node/src/core/peers.ts
+++ b/packages/node/src/core/peers.ts
@@ -87,6 +87,10 @@
     return now - since < unknownGraceMs ? 'live' : 'down'
   }
 
+  // A list from before the start of the process may have named an earlier process of the node.
+  const hasLeftList = ({ node, incarnation }: ProcessId): boolean =>
+    !listedNodes.has(node) && (lastListed.get(node) ?? -Infinity) >= incarnation
+
   return {
     tick: now => performAll(membership.step({ type: 'tick' }, now)),
     list (snapshot, now) {
@@ -115,6 +119,9 @@
       performAll(membership.step({ type: 'leave' }, now))
     },
     status (process, now) {
+      if (hasLeftList(process)) {
+        return 'down'
+      }
       const member = membership.member(process.node)
       if (member === undefined) {
         return unknownStatus(process.node, now)
@@ -124,8 +131,7 @@
       }
       return member.leaving ? 'leaving' : 'live'
     },
-    // A list from before the start of the process may have named an earlier process of the node.
-    hasLeftList: ({ node, incarnation }) => !listedNodes.has(node) && (lastListed.get(node) ?? -Infinity) >= incarnation,
+    hasLeftList,
     accepting () {
       const others = membership.live().filter(member => member.listed && !member.leaving).map(viewOf)
       return leaving ? others : [self, ...others]
