Add the soak of whole nodes

The guarantees of the design page hold only if they hold under combined faults, which hand-written tests do not reach.

Run several node cores in simulated shells over the models of the stand-ins on a virtual clock: 32 kinds of fault, singly and in pairs, and checks of P1 to P8 from the models' own state and an independent oracle of the configuration. A violation ends the run with exit code 1, the seed and the related events. Profiles: default, unfenced, log-outage, orders.

The tests check that a seed reproduces its run.

--- /dev/null
+++ b/packages/soak/src/answer.ts
@@ -0,0 +1,64 @@
+/** One response at a process: the relay under test and the pieces of a response as it reads them. */
+import type { Completion } from '@yuccawharf/node'
+import { createAnswerRelay, type AcceptResult, type AnswerEvent, type AnswerRelay } from '@yuccawharf/serving'
+
+export type Answer = {
+  readonly completion: Completion
+  readonly relay: AnswerRelay
+  /** Counts the streams that were opened; events of an older one are ignored. */
+  attempt: number
+  /** Attempts without progress since the last event. */
+  round: number
+  /** An attempt may have reached an engine. */
+  mayHaveRun: boolean
+  engine: string | undefined
+}
+
+const keptBytes = 1 << 20
+const keepMs = 60_000
+
+/** @param completion - the request that the response belongs to */
+export const createAnswer = (completion: Completion): Answer => ({
+  completion,
+  relay: createAnswerRelay({ requestId: completion.requestId, maxBytes: keptBytes, keepMs }),
+  attempt: 0,
+  round: 0,
+  mayHaveRun: false,
+  engine: undefined
+})
+
+/** @returns the events of consecutive tokens as one run */
+export const tokenRun = (firstSeq: number, texts: readonly string[]): AnswerEvent => ({
+  type: 'tokens',
+  first: firstSeq,
+  last: firstSeq + texts.length - 1,
+  bytes: Buffer.from(texts.map((text, index) => `id: ${firstSeq + index}\ndata: ${JSON.stringify(text)}\n\n`).join(''))
+})
+
+/** @returns the events at the end of a response */
+export const endEvents = (count: number, reason: string): AnswerEvent[] => [
+  { type: 'finish', count, reason, bytes: Buffer.from('') },
+  { type: 'done', bytes: Buffer.from('') }
+]
+
+/** Accepts events in order until one is not acceptable. */
+export const acceptAll = (answer: Answer, source: string, events: readonly AnswerEvent[], now: number): AcceptResult => {
+  let result: AcceptResult = 'repeated'
+  for (const event of events) {
+    result = answer.relay.accept(source, event, now)
+    if (result === 'gap' || result === 'conflict' || result === 'foreign') {
+      return result
+    }
+  }
+  return result
+}
+
+/** @returns the text of the response as a caller of the relay reads it, or undefined when its start is no longer kept */
+export const textOf = (relay: AnswerRelay): string | undefined => {
+  const replay = relay.replay(0)
+  if (replay.type !== 'ok') {
+    return undefined
+  }
+  const lines = Buffer.concat(replay.bytes).toString('utf8').split('\n').filter(line => line.startsWith('data: '))
+  return lines.map(line => JSON.parse(line.slice('data: '.length)) as string).join('')
+}
--- /dev/null
+++ b/packages/soak/src/checker.ts
@@ -0,0 +1,33 @@
+/** Counts the checks of each invariant and remembers the first violation. */
+
+export type InvariantName = 'P1' | 'P2' | 'P3' | 'P4' | 'P5' | 'P6' | 'P7' | 'P8' | 'assertion'
+
+export type Violation = {
+  invariant: InvariantName
+  at: number
+  detail: string
+  /** Ids that select the related events of the trace. */
+  ids: string[]
+}
+
+export type Checker = {
+  check (invariant: InvariantName, holds: boolean, detail: () => string, ids: string[]): void
+  readonly counts: Readonly<Record<InvariantName, number>>
+  readonly violations: readonly Violation[]
+}
+
+/** @param now - time of the run, in ms */
+export const createChecker = (now: () => number): Checker => {
+  const counts: Record<InvariantName, number> = { P1: 0, P2: 0, P3: 0, P4: 0, P5: 0, P6: 0, P7: 0, P8: 0, assertion: 0 }
+  const violations: Violation[] = []
+  return {
+    check (invariant, holds, detail, ids) {
+      counts[invariant] += 1
+      if (!holds) {
+        violations.push({ invariant, at: now(), detail: detail(), ids })
+      }
+    },
+    counts,
+    violations
+  }
+}
--- /dev/null
+++ b/packages/soak/src/cluster.ts
@@ -0,0 +1,72 @@
+/** The nodes of a run: starts, crashes, replacements and graceful shutdowns. */
+import type { CoreHooks } from '@yuccawharf/node'
+import { createNodeProcess, type NodeProcess, type NodeProcessEnv } from './node-process'
+import { region, zones, type World } from './world'
+
+export type Cluster = {
+  /** Processes that have not ended, paused ones included. */
+  nodes (): NodeProcess[]
+  running (): NodeProcess[]
+  byId (id: string): NodeProcess | undefined
+  start (): NodeProcess
+  /** Ends the process at once; a process with the same id or a new instance takes its place. */
+  crash (node: NodeProcess): void
+  drain (node: NodeProcess): void
+}
+
+export type ClusterOptions = {
+  hooks: CoreHooks
+  finished: NodeProcessEnv['finished']
+  orderFinished: NodeProcessEnv['orderFinished']
+}
+
+export const createCluster = (world: World, options: ClusterOptions): Cluster => {
+  const { clock, chance, list, trace } = world
+  const processes = new Map<string, NodeProcess>()
+  let created = 0
+
+  const run = (id: string, zone: string): NodeProcess => {
+    const node = createNodeProcess(world, {
+      peer: name => processes.get(name),
+      finished: options.finished,
+      orderFinished: options.orderFinished,
+      exited: replaceLater
+    }, { id, zone, seed: chance.between(1, 0x7fffffff), hooks: options.hooks })
+    processes.set(id, node)
+    return node
+  }
+
+  const start = (): NodeProcess => {
+    const id = `n${created}`
+    const zone = zones[created % zones.length] as string
+    created += 1
+    list.put({ id, kind: 'node', address: `${id}:7400`, zone, region, group: 'entry', state: 'live' })
+    return run(id, zone)
+  }
+
+  const replaceLater = (node: NodeProcess): void => {
+    clock.after(chance.between(100, 3000), () => list.remove(node.id))
+    clock.after(chance.between(500, 5000), () => { start() })
+  }
+
+  return {
+    nodes: () => [...processes.values()].filter(({ process }) => !process.ended),
+    running: () => [...processes.values()].filter(({ process }) => !process.ended && !process.paused),
+    byId: id => processes.get(id),
+    start,
+    crash (node) {
+      trace.add(clock.now(), 'fault', `${node.id} crashes`)
+      node.crash()
+      if (chance.happens(0.5) && !node.draining) {
+        clock.after(chance.between(500, 4000), () => run(node.id, node.zone))
+      } else {
+        replaceLater(node)
+      }
+    },
+    drain (node) {
+      trace.add(clock.now(), 'fault', `${node.id} drains`)
+      list.leave(node.id)
+      node.drain()
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,67 @@
+/** Command line of the soak: `npx tsx packages/soak/src/main.ts --seed N --steps M [--seeds K] [--profile NAME]`. */
+import meow from 'meow'
+import { profiles, runSoak, type ProfileName, type SoakResult } from './run'
+
+const cli = meow(`
+  Usage: npx tsx packages/soak/src/main.ts [--seed N] [--seeds K] [--steps M] [--profile NAME]
+
+  --seed     first seed (1)
+  --seeds    number of seeds (1)
+  --steps    steps per seed (5000)
+  --profile  ${Object.keys(profiles).join(', ')} (default)
+`, {
+  importMeta: import.meta,
+  flags: {
+    seed: { type: 'number', default: 1 },
+    seeds: { type: 'number', default: 1 },
+    steps: { type: 'number', default: 5000 },
+    profile: { type: 'string', default: 'default', choices: Object.keys(profiles) }
+  }
+})
+
+const addTo = (sums: Record<string, number>, values: Readonly<Record<string, number>>): void => {
+  for (const [name, value] of Object.entries(values)) {
+    sums[name] = (sums[name] ?? 0) + value
+  }
+}
+
+const line = (values: Record<string, number>): string => Object.entries(values).sort().map(([name, value]) => `${name} ${value}`).join(', ')
+
+const printViolation = (result: SoakResult): void => {
+  result.events.forEach(event => console.log(event))
+  for (const { invariant, at, detail } of result.violations) {
+    console.log(`violation of ${invariant} at ${at.toFixed(1)} with seed ${result.seed}: ${detail}`)
+  }
+}
+
+const main = (): void => {
+  const { seed, seeds, steps, profile } = cli.flags
+  const faults: Record<string, number> = {}
+  const checks: Record<string, number> = {}
+  const totals: Record<string, number> = {}
+  let stepped = 0
+  let elapsedMs = 0
+  let virtualMs = 0
+  const failed: number[] = []
+  for (let next = seed; next < seed + seeds; next++) {
+    const result = runSoak({ seed: next, steps, profile: profile as ProfileName })
+    stepped += result.steps
+    elapsedMs += result.elapsedMs
+    virtualMs += result.virtualMs
+    addTo(faults, result.faults)
+    addTo(checks, result.checks)
+    addTo(totals, result.totals)
+    if (result.violations.length > 0) {
+      failed.push(next)
+      printViolation(result)
+    }
+  }
+  console.log(`profile ${profile}: ${stepped} steps of ${seeds} seeds, ${Math.round(virtualMs / 1000)} s of virtual time, ${Math.round(stepped / elapsedMs * 1000)} steps/s`)
+  console.log(`work: ${line(totals)}`)
+  console.log(`faults: ${line(faults)}`)
+  console.log(`checks: ${line(checks)}`)
+  console.log(`violations: ${failed.length === 0 ? 'none' : `${failed.length} seeds: ${failed.join(', ')}`}`)
+  process.exitCode = failed.length === 0 ? 0 : 1
+}
+
+main()
--- /dev/null
+++ b/packages/soak/src/run.test.ts
@@ -0,0 +1,20 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { runSoak } from './run'
+
+const steps = 3000
+
+test('the same seed gives the same run: a violation can be reproduced', () => {
+  const first = runSoak({ seed: 5, steps, profile: 'default' })
+  const second = runSoak({ seed: 5, steps, profile: 'default' })
+  assert.is(first.digest, second.digest)
+  assert.equal(first.events, second.events)
+})
+
+test('another seed gives another run', () => {
+  const first = runSoak({ seed: 5, steps, profile: 'default' })
+  const second = runSoak({ seed: 6, steps, profile: 'default' })
+  assert.is.not(first.digest, second.digest)
+})
+
+test.run()
--- /dev/null
+++ b/packages/soak/src/shell-log.ts
@@ -0,0 +1,82 @@
+/** The shell's part for the log: reads and appends over a link that can fail. */
+import type { CoreAction } from '@yuccawharf/node'
+import type { SimProcess } from './process'
+import type { World } from './world'
+
+const readLimit = 256
+const readWaitMs = 1500
+const readFailsAfterMs = 2500
+const appendTimeoutMs = 2000
+
+export type LogFaults = {
+  /** The answer of the next read never comes. */
+  loseNextRead: boolean
+  /** The next append is lost before it takes effect. */
+  loseNextAppend: boolean
+}
+
+export type LogShell = {
+  read (action: Extract<CoreAction, { type: 'read-log' }>): void
+  append (action: Extract<CoreAction, { type: 'append' }>): void
+  readonly faults: LogFaults
+}
+
+/**
+ * @param link - name of the process's end of the link to the log
+ */
+export const createLogShell = (world: World, process: SimProcess, link: string): LogShell => {
+  const { clock, chance, log, network } = world
+  const faults: LogFaults = { loseNextRead: false, loseNextAppend: false }
+
+  const isCut = (): boolean => network.isCut(link, 'log') || network.isCut('log', link)
+
+  return {
+    read ({ stream, from }) {
+      const readFailed = (): void => process.deliver({ type: 'log-read-failed', stream })
+      if (faults.loseNextRead) {
+        faults.loseNextRead = false
+        world.trace.add(clock.now(), 'read-lost', link, stream, from)
+        return
+      }
+      if (isCut()) {
+        clock.after(readFailsAfterMs, readFailed)
+        return
+      }
+      log.read(stream, from, readLimit, readWaitMs, result => {
+        if (isCut()) {
+          clock.after(readFailsAfterMs, readFailed)
+        } else if (result.type === 'ok') {
+          process.deliver({ type: 'log-page', stream, page: result.page })
+        } else if (result.type === 'expired') {
+          process.deliver({ type: 'log-expired', stream, first: result.first, next: result.next })
+        } else {
+          readFailed()
+        }
+      })
+    },
+    append ({ stream, token, values }) {
+      const answer = (result: Parameters<Parameters<typeof log.append>[2]>[0]): void =>
+        process.deliver({ type: 'append-result', token, result })
+      world.trace.add(clock.now(), 'append', link, stream, token, values)
+      if (isCut()) {
+        // A refused connection proves that nothing was sent; a silent link proves nothing.
+        const proved = chance.happens(0.5)
+        clock.after(proved ? 1 : appendTimeoutMs, () => answer(proved ? { type: 'failed', reason: 'connection refused' } : { type: 'unknown', reason: 'no answer' }))
+        return
+      }
+      if (faults.loseNextAppend) {
+        faults.loseNextAppend = false
+        clock.after(appendTimeoutMs, () => answer({ type: 'unknown', reason: 'no answer' }))
+        return
+      }
+      clock.after(chance.between(1, 5) / 10, () => log.append(stream, values, result => {
+        if (isCut()) {
+          clock.after(appendTimeoutMs, () => answer({ type: 'unknown', reason: 'no answer' }))
+        } else {
+          answer(result)
+        }
+      }))
+    },
+    faults
+  }
+}
--- /dev/null
+++ b/packages/soak/src/trace.ts
@@ -0,0 +1,41 @@
+/** The last events of a run, kept as values and formatted only after a violation. */
+
+type Entry = { at: number, kind: string, parts: unknown[] }
+
+export type Trace = {
+  add (at: number, kind: string, ...parts: unknown[]): void
+  /** @returns lines, oldest first: faults, and events that mention one of the words */
+  shortened (words: readonly string[], maxLines: number): string[]
+}
+
+const requestPattern = /\br\d{6}\b/g
+const capacity = 20_000
+
+const lineOf = ({ at, kind, parts }: Entry): string =>
+  `${at.toFixed(1).padStart(10)} ${kind} ${parts.map(part => typeof part === 'string' ? part : JSON.stringify(part)).join(' ')}`
+
+/** @returns an empty trace of bounded size */
+export const createTrace = (): Trace => {
+  const ring: Entry[] = []
+  let next = 0
+
+  const ordered = (): Entry[] => [...ring.slice(next), ...ring.slice(0, next)]
+
+  return {
+    add (at, kind, ...parts) {
+      ring[next] = { at, kind, parts }
+      next = (next + 1) % capacity
+    },
+    shortened (words, maxLines) {
+      const lines = ordered().map(entry => ({ isFault: entry.kind === 'fault', line: lineOf(entry) }))
+      const direct = lines.filter(({ line }) => words.some(word => line.includes(word)))
+      // Requests that share a line with one of the words, for example those dispatched to a handle.
+      const related = new Set(direct.flatMap(({ line }) => line.match(requestPattern) ?? []))
+      const all = [...words, ...related]
+      return lines
+        .filter(({ isFault, line }) => isFault || all.some(word => line.includes(word)))
+        .slice(-maxLines)
+        .map(({ line }) => line)
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/workload.ts
@@ -0,0 +1,233 @@
+/** Callers and operators: they send work, repeat orders, and compare what they get with the ground truth. */
+import type { Completion, Order, Refusal } from '@yuccawharf/node'
+import { expectedText } from '@yuccawharf/stand-ins'
+import { textOf, type Answer } from './answer'
+import type { Cluster } from './cluster'
+import type { NodeProcess, OrderResult } from './node-process'
+import { adapterCount, adapterName, orderKeyHeader, serviceGroup, type World } from './world'
+
+export type WorkloadRates = {
+  /** Mean time between arrivals, in ms. */
+  completionMs: number
+  orderMs: number
+  changeMs: number
+}
+
+export type Workload = {
+  start (): void
+  finished (requestId: string, end: { type: 'done', answer: Answer } | { type: 'refused', refusal: Refusal }): void
+  orderFinished (orderId: string, result: OrderResult): void
+  readonly totals: Record<string, number>
+}
+
+type Submission = { key: string | undefined, overlapped: boolean }
+type KeyState = {
+  /** Calls with this key that have no answer yet. */
+  pending: Set<string>
+  /** The last call was refused as not run and nobody has called again. */
+  notRun: boolean
+}
+
+const promptCharacters = 40
+
+export const createWorkload = (world: World, cluster: () => Cluster, rates: WorkloadRates): Workload => {
+  const { clock, chance, checker, trace } = world
+  const requests = new Map<string, Completion>()
+  const refusedNotRun = new Set<string>()
+  const submissions = new Map<string, Submission>()
+  const keys = new Map<string, KeyState>()
+  const totals: Record<string, number> = {}
+  let counter = 0
+
+  const count = (what: string): void => { totals[what] = (totals[what] ?? 0) + 1 }
+  const pick = <T>(items: readonly T[]): T | undefined => items.length === 0 ? undefined : items[chance.between(0, items.length - 1)]
+  const nextId = (prefix: string): string => `${prefix}${String(counter += 1).padStart(6, '0')}`
+  const anyNode = (): NodeProcess | undefined => pick(cluster().nodes())
+
+  /** Half of the requests go to a seventh of the adapters. */
+  const pickAdapter = (): string => adapterName(chance.happens(0.5) ? chance.between(0, Math.floor(adapterCount / 7)) : chance.between(0, adapterCount - 1))
+
+  const completionOf = (): Completion => {
+    const isShort = chance.happens(0.6)
+    return {
+      requestId: nextId('r'),
+      model: 'base',
+      adapter: pickAdapter(),
+      version: chance.happens(0.8) ? '1' : '2',
+      class: isShort ? 'short' : 'long',
+      prompt: `p${chance.between(0, 9)}`.padEnd(promptCharacters, '.'),
+      maxTokens: isShort ? chance.between(1, 24) : chance.between(16, 96),
+      deadline: clock.now() + (isShort ? 10_000 : 40_000)
+    }
+  }
+
+  const submit = (): void => {
+    const node = anyNode()
+    if (node === undefined) {
+      return
+    }
+    const completion = completionOf()
+    requests.set(completion.requestId, completion)
+    world.expect(completion.requestId, `${completion.adapter}@${completion.version}`)
+    trace.add(clock.now(), 'caller-submits', completion.requestId, node.id, `${completion.adapter}@${completion.version}`)
+    count('completions')
+    clock.after(1, () => node.process.run(() => node.streams.submit(completion)))
+    if (chance.happens(0.04)) {
+      clock.after(chance.between(1, 4000), () => cluster().nodes().forEach(({ process }) => process.deliver({ type: 'cancel', requestId: completion.requestId })))
+    }
+  }
+
+  const checkText = (completion: Completion, answer: Answer): void => {
+    const { requestId, adapter, version, prompt, maxTokens } = completion
+    const text = textOf(answer.relay)
+    const expected = expectedText(requestId, adapter, version, prompt, maxTokens)
+    checker.check('P3', text === expected, () => `${requestId} got ${JSON.stringify(text?.slice(0, 80))} of ${answer.relay.lastSeq()} tokens; ${JSON.stringify(expected.slice(0, 80))} of ${maxTokens} expected`, [requestId])
+  }
+
+  const finished: Workload['finished'] = (requestId, end) => {
+    const completion = requests.get(requestId)
+    trace.add(clock.now(), 'caller-gets', requestId, end.type === 'done' ? 'response' : end.refusal)
+    checker.check('P3', completion !== undefined, () => `${requestId} got a second end`, [requestId])
+    if (completion === undefined) {
+      return
+    }
+    requests.delete(requestId)
+    if (end.type === 'done') {
+      count('responses')
+      checkText(completion, end.answer)
+      return
+    }
+    count(`completions ${end.refusal.outcome}`)
+    if (end.refusal.outcome !== 'unknown') {
+      checker.check('P4', !world.hasRun(requestId), () => `${requestId} was refused as ${end.refusal.outcome} (${end.refusal.reason}) but an engine had accepted it`, [requestId])
+      refusedNotRun.add(requestId)
+    }
+  }
+
+  world.completionRuns = requestId =>
+    checker.check('P4', !refusedNotRun.has(requestId), () => `${requestId} runs after it was refused as not run`, [requestId])
+
+  const keyOf = (): string | undefined => {
+    const prefix = pick(cluster().running())?.core.addresses({ service: serviceGroup }, clock.now()).orderKeyPrefix
+    return prefix === undefined ? undefined : `${prefix}${nextId('order-key-')}`
+  }
+
+  const call = (key: string | undefined): void => {
+    const node = anyNode()
+    if (node === undefined) {
+      return
+    }
+    const orderId = nextId('o')
+    const state = key === undefined ? undefined : keys.get(key) ?? { pending: new Set<string>(), notRun: false }
+    const order: Order = {
+      orderId,
+      group: serviceGroup,
+      ...(key === undefined ? {} : { key }),
+      req: { method: 'POST', path: '/orders', headers: key === undefined ? {} : { [orderKeyHeader]: key }, body: Buffer.from(orderId) },
+      deadline: clock.now() + chance.between(3000, 10_000)
+    }
+    submissions.set(orderId, { key, overlapped: (state?.pending.size ?? 0) > 0 })
+    if (key !== undefined && state !== undefined) {
+      state.pending.forEach(other => { (submissions.get(other) as Submission).overlapped = true })
+      state.pending.add(orderId)
+      state.notRun = false
+      keys.set(key, state)
+    }
+    count('orders')
+    trace.add(clock.now(), 'caller-orders', orderId, key ?? '', node.id)
+    clock.after(1, () => node.order(order))
+  }
+
+  const order = (): void => {
+    const key = chance.happens(0.75) ? keyOf() : undefined
+    call(key)
+    if (key !== undefined && chance.happens(0.15)) {
+      clock.after(chance.between(0, 3000), () => call(key))
+    }
+  }
+
+  const checkOrderResult = (orderId: string, { key }: Submission, body: Uint8Array): void => {
+    const value = JSON.parse(Buffer.from(body).toString('utf8')) as { key?: string, error?: string }
+    const isOwn = value.error !== undefined || value.key === key
+    checker.check('P3', isOwn, () => `order ${orderId} with key ${key} got the response for ${value.key}`, [orderId, key ?? orderId])
+  }
+
+  const checkNotRun = (orderId: string, submission: Submission, reason: string): void => {
+    const { key } = submission
+    if (key === undefined) {
+      checker.check('P4', !world.hasExecuted(orderId), () => `order ${orderId} was refused as not run (${reason}) but was executed`, [orderId])
+      return
+    }
+    const state = keys.get(key)
+    // While two calls with one key overlap, the caller cannot tell which of them ran.
+    if (state === undefined || submission.overlapped || state.pending.size > 0) {
+      return
+    }
+    checker.check('P4', world.service.executions(key) === 0, () => `order ${key} was refused as not run (${reason}) but was executed`, [orderId, key])
+    state.notRun = true
+  }
+
+  world.orderKeyExecuted = key => {
+    checker.check('P4', keys.get(key)?.notRun !== true, () => `order ${key} is executed after it was refused as not run`, [key])
+  }
+
+  const orderFinished: Workload['orderFinished'] = (orderId, result) => {
+    const submission = submissions.get(orderId)
+    trace.add(clock.now(), 'caller-gets', orderId, submission?.key ?? '', result.type === 'ok' ? 'response' : result.refusal)
+    checker.check('P3', submission !== undefined, () => `order ${orderId} got a second result`, [orderId])
+    if (submission === undefined) {
+      return
+    }
+    submissions.delete(orderId)
+    const { key } = submission
+    keys.get(key ?? '')?.pending.delete(orderId)
+    if (result.type === 'ok') {
+      count('order results')
+      checkOrderResult(orderId, submission, result.response.body)
+      return
+    }
+    count(`orders ${result.refusal.outcome}`)
+    if (result.refusal.outcome !== 'unknown') {
+      checkNotRun(orderId, submission, result.refusal.reason)
+    }
+    if (key !== undefined && chance.happens(0.5)) {
+      clock.after(chance.between(100, 5000), () => call(key))
+    }
+  }
+
+  const classWrite = (): [string, unknown] => [`class/${chance.happens(0.5) ? 'short' : 'long'}`, { firstTokenMs: chance.between(1000, 9000), attainment: 0.95 }]
+  const adapterWrite = (): [string, unknown] => [`adapter/${adapterName(chance.between(0, adapterCount - 1))}`, { model: 'base', versions: ['1', '2', String(chance.between(3, 99))] }]
+  const modelWrite = (): [string, unknown] => [`model/extra-${chance.between(0, 1)}`, chance.happens(0.5) ? null : { group: 'other' }]
+  const extraAdapterWrite = (): [string, unknown] => ['adapter/extra', chance.happens(0.3) ? null : { model: `extra-${chance.between(0, 1)}`, versions: ['1'] }]
+
+  const operate = (): void => {
+    world.syncOracle()
+    const writers = [classWrite, adapterWrite, modelWrite, extraAdapterWrite]
+    const writes = Array.from({ length: chance.between(1, 2) }, () => (writers[chance.between(0, 3)] as () => [string, unknown])())
+    const base = world.oracle.revisionAt(clock.now() - (chance.happens(0.3) ? chance.between(0, 3000) : 0))
+    const change = { type: 'change' as const, id: nextId('c'), base, writes: Object.fromEntries(writes), reads: chance.happens(0.3) ? ['class/short'] : [], by: 'operator' }
+    count('changes')
+    world.appendChange(change)
+    if (chance.happens(0.1)) {
+      clock.after(chance.between(1, 5000), () => world.appendChange(change))
+    }
+  }
+
+  const repeat = (meanMs: number, work: () => void): void => {
+    clock.after(chance.between(1, 2 * meanMs), () => {
+      work()
+      repeat(meanMs, work)
+    })
+  }
+
+  return {
+    start () {
+      repeat(rates.completionMs, submit)
+      repeat(rates.orderMs, order)
+      repeat(rates.changeMs, operate)
+    },
+    finished,
+    orderFinished,
+    totals
+  }
+}
