--- /dev/null
+++ b/packages/node/src/answer-source.ts
@@ -0,0 +1,96 @@
+/** Opens one event stream over HTTP, from an engine or from the owner's node, and reports its events. */
+import type { Dispatcher } from 'undici'
+import { createAnswerParser, type AnswerEvent } from '@yuccawharf/serving'
+
+export type SourceRequest = {
+  /** For example `http://10.1.2.3:7400`. */
+  origin: string
+  path: string
+  method: 'GET' | 'POST'
+  headers: Record<string, string>
+  body?: string
+}
+
+export type SourceHandler = {
+  events (events: AnswerEvent[]): void
+  /** The other side answered with another status than 200; `body` is cut at 64 KiB. */
+  refused (status: number, body: string): void
+  /** The connection ended; `sent` is false when no byte of the request can have arrived. */
+  closed (reason: string, sent: boolean): void
+}
+
+export type AnswerSource = {
+  pause (): void
+  resume (): void
+  /** Closes the connection; the handler is not called again. */
+  abort (): void
+}
+
+const maxRefusalBytes = 64 * 1024
+/** Errors that happen before a connection exists, so that nothing was sent. */
+const connectErrors = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
+
+function errorCode (err: Error): string {
+  return (err as NodeJS.ErrnoException).code ?? err.message
+}
+
+/** Opens the stream. The undici pool keeps and reuses the connections. */
+export function openAnswerSource (dispatcher: Dispatcher, req: SourceRequest, handler: SourceHandler): AnswerSource {
+  const parser = createAnswerParser()
+  let controller: Dispatcher.DispatchController | undefined
+  let status = 0
+  let refusal = ''
+  let over = false
+  let paused = false
+
+  function close (reason: string, sent: boolean): void {
+    if (over) return
+    over = true
+    handler.closed(reason, sent)
+  }
+
+  function refuse (): void {
+    if (over) return
+    over = true
+    handler.refused(status, refusal)
+  }
+
+  dispatcher.dispatch({ origin: req.origin, path: req.path, method: req.method, headers: req.headers, body: req.body ?? null }, {
+    onRequestStart (started) {
+      controller = started
+      if (over) started.abort(new Error('aborted'))
+    },
+    onResponseStart (_controller, statusCode) {
+      status = statusCode
+      if (paused) controller?.pause()
+    },
+    onResponseData (_controller, chunk) {
+      if (over) return
+      if (status === 200) handler.events(parser.push(chunk))
+      else if (refusal.length < maxRefusalBytes) refusal += chunk.toString('utf8')
+    },
+    onResponseEnd () {
+      if (status === 200) close('the stream ended', true)
+      else refuse()
+    },
+    onResponseError (_controller, err) {
+      close(errorCode(err), !connectErrors.has(errorCode(err)))
+    }
+  })
+
+  return {
+    pause () {
+      paused = true
+      if (status === 200) controller?.pause()
+    },
+    resume () {
+      paused = false
+      if (controller?.paused === true) controller.resume()
+    },
+    abort () {
+      if (over) return
+      over = true
+      controller?.abort(new Error('aborted'))
+    }
+  }
+}
--- a/packages/serving/src/answer-relay.ts
+++ b/packages/serving/src/answer-relay.ts
@@ -11,6 +11,8 @@
   maxBytes: number
   /** Time that a finished answer is kept, in ms. */
   keepMs: number
+  /** Position before the first event, for an answer that is read from its middle; 0 by default. */
+  startAfter?: number
 }
 
 /**
@@ -76,7 +78,7 @@
   let heldBytes = 0
   let keptBytes = 0
   let totalBytes = 0
-  let last = 0
+  let last = cfg.startAfter ?? 0
   let finish: { count: number, reason: string } | undefined
   let ended: AnswerEnd | undefined
   let endedAt = 0
@@ -166,6 +168,7 @@
 
   function replay (after: number): ReplayResult {
     if (after > last) return { type: 'ahead', last }
+    if (after < (cfg.startAfter ?? 0)) return { type: 'evicted', first: runs[0]?.first ?? last + 1 }
     const index = findRun(runs, after)
     const first = runs[index]
     if (first === undefined) return { type: 'ok', bytes: ended === undefined ? [] : tail.slice(), last, ended: ended !== undefined }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,4 +1,6 @@
 /** Serving decisions without I/O. */
+export * from './answer-relay'
+export * from './answer-relay-events'
 export * from './feedback'
 export * from './handles'
 export * from './hash'
