Add the command-line tool

Operators need to check files, read and change the configuration and see the state of the nodes.

A change that may have reached one node is never sent to the next; an unknown result names the two ways to find out.

--- /dev/null
+++ b/packages/cli/src/command.ts
@@ -0,0 +1,60 @@
+/** Shape of a subcommand, and what it may use of the process. */
+import type { AnyFlags } from 'meow'
+
+/** Exit codes of the command; scripts rely on them. */
+export const exitCode = {
+  done: 0,
+  /** Findings, a conflict or a refusal: nothing was applied or run. */
+  refused: 1,
+  /** Wrong flags or arguments. */
+  usage: 2,
+  /** The response was lost or is incomplete, so that the result is not known. */
+  unknown: 3,
+  /** Applied, but not in force on every live node within the wait. */
+  behind: 4
+} as const
+
+export type ExitCode = typeof exitCode[keyof typeof exitCode]
+
+/** Output of the process. */
+export type Terminal = {
+  /** Result lines, for the standard output. */
+  out (line: string): void
+  /** Messages for a person, for the standard error output. */
+  err (line: string): void
+}
+
+export type FlagValues = Record<string, string | number | boolean | string[] | undefined>
+
+export type CommandContext = { input: string[], flags: FlagValues, terminal: Terminal }
+
+export type Command = {
+  /** Name as typed, for example `config apply`. */
+  name: string
+  summary: string
+  /** Arguments after the name, for the usage line. */
+  usage: string
+  /** Explanation below the usage line. */
+  help: string
+  flags: AnyFlags
+  /** Least and greatest number of arguments. */
+  arguments: [number, number]
+  run (context: CommandContext): Promise<ExitCode>
+}
+
+/** Prints a value as JSON, for programs. */
+export function printJson (terminal: Terminal, value: unknown): void {
+  terminal.out(JSON.stringify(value, null, 2))
+}
+
+/** @returns the values of a flag that may be given several times */
+export function listOf (flags: FlagValues, name: string): string[] {
+  const value = flags[name]
+  return Array.isArray(value) ? value : []
+}
+
+/** @returns the value of a flag with text, or undefined without one */
+export function textOf (flags: FlagValues, name: string): string | undefined {
+  const value = flags[name]
+  return typeof value === 'string' && value !== '' ? value : undefined
+}
--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,17 @@
+/** All subcommands. */
+import { checkCommand } from './check-command'
+import type { Command } from './command'
+import { configApplyCommand } from './config-apply-command'
+import { configGetCommand, configHistoryCommand } from './config-commands'
+import { addressesCommand, statusCommand } from './status-commands'
+import { timelineCommand } from './timeline-command'
+
+export const commands: Command[] = [
+  checkCommand,
+  configGetCommand,
+  configApplyCommand,
+  configHistoryCommand,
+  statusCommand,
+  addressesCommand,
+  timelineCommand
+]
--- /dev/null
+++ b/packages/cli/src/config-apply-command.ts
@@ -0,0 +1,146 @@
+/** `config apply`: one change of the configuration. */
+import { randomUUID } from 'node:crypto'
+import { userInfo } from 'node:os'
+import { formatFinding } from '@yuccawharf/node/settings'
+import { validateConfigApplyReply, type ConfigApplyReply, type ConfigApplyRequest } from '@yuccawharf/schema'
+import { exitCode, listOf, printJson, textOf, type Command, type CommandContext, type ExitCode, type Terminal } from './command'
+import { nodeFlags, nodeHelp } from './config-commands'
+import { loadConfigFile, type ConfigEntries } from './config-file'
+import { createNodeClient, nodesOf, type NodeReply } from './node-client'
+
+/** The target for a change to be in force everywhere is 9 s. */
+const defaultWaitMs = 9000
+/** Time for the append, beyond the wait for other nodes. */
+const applyTimeoutMs = 15_000
+
+function operatorName (): string {
+  try {
+    return userInfo().username
+  } catch {
+    return 'unknown'
+  }
+}
+
+/** Prints a reply for a person. */
+function describe (terminal: Terminal, reply: ConfigApplyReply): void {
+  switch (reply.type) {
+    case 'accepted':
+      terminal.out(`accepted as revision ${reply.revision}`)
+      for (const node of reply.behind) terminal.out(`not yet in force on ${node.node}, which has revision ${node.revision}`)
+      return
+    case 'conflict':
+      terminal.out('conflict, nothing was applied')
+      for (const { key, revision, current, yours } of reply.conflicts) {
+        terminal.out(`${key} was changed at revision ${revision}`)
+        terminal.out(`  in force: ${JSON.stringify(current)}`)
+        if (yours !== undefined) terminal.out(`  yours:    ${JSON.stringify(yours)}`)
+      }
+      terminal.err('Read the new values with `yuccawharf config get`, then apply again with the new revision as --base.')
+      return
+    case 'invalid':
+      terminal.out('invalid, nothing was applied')
+      for (const finding of reply.findings) terminal.out(`${finding.path}: ${finding.message}`)
+      return
+    case 'unknown':
+      terminal.out(`unknown: ${reply.reason}`)
+  }
+}
+
+function explainUnknown (terminal: Terminal, id: string): void {
+  terminal.err('The change may have been applied, now or later.')
+  terminal.err(`Find out with: yuccawharf config history --limit 100 --id ${id}`)
+  terminal.err(`Or repeat the same command with --id ${id}: a change with the same id is applied once.`)
+}
+
+function exitOf (reply: ConfigApplyReply): ExitCode {
+  if (reply.type === 'accepted') return reply.behind.length === 0 ? exitCode.done : exitCode.behind
+  return reply.type === 'unknown' ? exitCode.unknown : exitCode.refused
+}
+
+function finish (terminal: Terminal, reply: NodeReply<ConfigApplyReply>, id: string, json: boolean): ExitCode {
+  if (reply.type === 'not-run' || reply.type === 'invalid') {
+    const findings = [{ path: '', message: reply.message }]
+    if (json) printJson(terminal, { type: reply.type, id, ...(reply.type === 'invalid' ? { findings } : { reason: reply.message }) })
+    else terminal.out(reply.message)
+    terminal.err('Nothing was applied.')
+    return exitCode.refused
+  }
+  const body: ConfigApplyReply = reply.type === 'ok' ? reply.body : { type: 'unknown', id, reason: reply.message }
+  if (json) printJson(terminal, { ...body, id })
+  else describe(terminal, body)
+  if (body.type === 'unknown') explainUnknown(terminal, id)
+  return exitOf(body)
+}
+
+function changeOf ({ flags }: CommandContext, entries: ConfigEntries): ConfigApplyRequest {
+  const deleted = listOf(flags, 'delete').map(key => [key, null] as const)
+  return {
+    id: textOf(flags, 'id') ?? randomUUID(),
+    base: Number(flags.base),
+    writes: Object.fromEntries([...entries, ...deleted]),
+    reads: listOf(flags, 'read'),
+    by: textOf(flags, 'by') ?? operatorName(),
+    ...(flags.wait === true ? { waitMs: Number(flags.waitMs ?? defaultWaitMs) } : {})
+  }
+}
+
+async function apply (context: CommandContext): Promise<ExitCode> {
+  const { input, flags, terminal } = context
+  const json = flags.json === true
+  const entries = loadConfigFile(input[0]!)
+  if (entries.err) {
+    if (json) printJson(terminal, { type: 'invalid', findings: entries.val })
+    else for (const finding of entries.val) terminal.out(formatFinding(finding))
+    terminal.err('Nothing was applied.')
+    return exitCode.refused
+  }
+  const both = listOf(flags, 'delete').filter(key => entries.val.has(key))
+  if (both.length > 0) {
+    terminal.err(`yuccawharf: ${both.join(', ')} is both in the file and in --delete`)
+    return exitCode.usage
+  }
+  const change = changeOf(context, entries.val)
+  const client = createNodeClient(nodesOf(listOf(flags, 'node')))
+  const reply = await client.post<ConfigApplyReply>('/admin/config', change, validateConfigApplyReply, applyTimeoutMs + (change.waitMs ?? 0))
+  return finish(terminal, reply, change.id, json)
+}
+
+export const configApplyCommand: Command = {
+  name: 'config apply',
+  summary: 'Apply a change of the configuration.',
+  usage: 'FILE --base REVISION',
+  help: `
+FILE is TOML with tables [class.NAME], [model.NAME] and [adapter.NAME]. Each replaces the whole value of its
+key; other keys stay as they are. The change conflicts when one of its keys was changed after the base.
+
+Options
+  --base REVISION  revision that the change was made against, from \`config get\`
+  --delete KEY     also delete this key, may be repeated
+  --read KEY       also conflict when this key was changed after the base, may be repeated
+  --wait           wait until every live node has the change in force
+  --wait-ms MS     longest wait, 9000 by default
+  --by NAME        operator in the history, the user name by default
+  --id ID          id of the change, for repeating one with an unknown result
+${nodeHelp}
+  --json           print the result as JSON
+
+Results and exit codes
+  accepted  0, or 4 when a live node does not have it in force after the wait
+  conflict  1, with each key and both values; nothing was applied
+  invalid   1, with all findings; nothing was applied
+  not run   1, no node or no log took the change; nothing was applied
+  unknown   3, with how to find out the result`,
+  flags: {
+    ...nodeFlags,
+    base: { type: 'number', isRequired: true },
+    delete: { type: 'string', isMultiple: true },
+    read: { type: 'string', isMultiple: true },
+    wait: { type: 'boolean' },
+    waitMs: { type: 'number' },
+    by: { type: 'string' },
+    id: { type: 'string' },
+    json: { type: 'boolean' }
+  },
+  arguments: [1, 1],
+  run: apply
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+/** The `yuccawharf` command. */
+export * from './command'
+export * from './commands'
+export * from './run'
--- /dev/null
+++ b/packages/cli/src/timeline-command.ts
@@ -0,0 +1,100 @@
+/** `timeline`: merges the events of nodes and files. */
+import { readFileSync, writeFileSync } from 'node:fs'
+import { parseJson } from '@yuccawharf/platform'
+import { validateTimelineReply, type TimelineReply } from '@yuccawharf/schema'
+import { createTrace, filterNames, formatEvent, matches, mergeTimelines, type TimelineFilter } from '@yuccawharf/timeline'
+import { exitCode, listOf, printJson, textOf, type Command, type CommandContext, type ExitCode } from './command'
+import { nodeFlags, nodeHelp } from './config-commands'
+import { createNodeClient, nodesOf } from './node-client'
+
+/** One source's events, or why it has none. */
+type Source = { timeline: TimelineReply } | { failure: string }
+
+async function readNode (node: string, filter: TimelineFilter): Promise<Source> {
+  const query = new URLSearchParams(filter as Record<string, string>).toString()
+  const path = query === '' ? '/admin/timeline' : `/admin/timeline?${query}`
+  const reply = await createNodeClient([node]).get<TimelineReply>(path, validateTimelineReply)
+  return reply.type === 'ok' ? { timeline: reply.body } : { failure: reply.message }
+}
+
+function readFile (file: string): Source {
+  try {
+    const value = parseJson(readFileSync(file))
+    if (validateTimelineReply(value)) return { timeline: value as TimelineReply }
+    const [error] = validateTimelineReply.errors ?? []
+    return { failure: `${file} is not a timeline: ${error?.instancePath ?? ''} ${error?.message ?? ''}`.trim() }
+  } catch (err) {
+    return { failure: `${file} cannot be read: ${(err as Error).message}` }
+  }
+}
+
+function filterOf (context: CommandContext): TimelineFilter {
+  const given = filterNames.flatMap(name => {
+    const value = textOf(context.flags, name)
+    return value === undefined ? [] : [[name, value] as const]
+  })
+  return Object.fromEntries(given)
+}
+
+async function readSources ({ input, flags }: CommandContext, filter: TimelineFilter): Promise<Source[]> {
+  const named = listOf(flags, 'node')
+  // Files alone are read without asking any node.
+  const nodes = named.length === 0 && input.length > 0 ? [] : nodesOf(named)
+  return [...input.map(readFile), ...await Promise.all(nodes.map(async node => await readNode(node, filter)))]
+}
+
+function writeTrace (file: string, trace: unknown): string | undefined {
+  try {
+    writeFileSync(file, JSON.stringify(trace))
+    return undefined
+  } catch (err) {
+    return `${file} cannot be written: ${(err as Error).message}`
+  }
+}
+
+async function run (context: CommandContext): Promise<ExitCode> {
+  const { flags, terminal } = context
+  const filter = filterOf(context)
+  const sources = await readSources(context, filter)
+  const timelines = sources.flatMap(source => 'timeline' in source ? [source.timeline] : [])
+  const failures = sources.flatMap(source => 'failure' in source ? [source.failure] : [])
+  const events = mergeTimelines(timelines).filter(event => matches(event, filter))
+  const trace = textOf(flags, 'trace')
+  const written = trace === undefined ? undefined : writeTrace(trace, createTrace(events))
+  if (written !== undefined) failures.push(written)
+  if (flags.json === true) printJson(terminal, { events, failures, dropped: Object.fromEntries(timelines.map(({ process, dropped }) => [process, dropped])) })
+  else if (trace === undefined) for (const event of events) terminal.out(formatEvent(event))
+  for (const { process, dropped } of timelines) if (dropped > 0) terminal.err(`${process} no longer has ${dropped} older events`)
+  for (const failure of failures) terminal.err(`yuccawharf: ${failure}`)
+  if (failures.length === 0) return exitCode.done
+  return timelines.length === 0 || written !== undefined ? exitCode.refused : exitCode.unknown
+}
+
+export const timelineCommand: Command = {
+  name: 'timeline',
+  summary: 'Merge the events of nodes and files into one order.',
+  usage: '[FILE...]',
+  help: `
+Prints one line per event. FILE holds the response of a node's /admin/timeline. With files and without --node
+no node is asked.
+
+Options
+  --request ID    only events of this request; the same for --engine, --adapter and --order
+  --trace FILE    write trace-event JSON for a trace viewer instead of lines
+${nodeHelp}
+  --json          print JSON
+
+Exit codes
+  0 done, 1 no source could be read, 2 wrong use, 3 some sources could not be read`,
+  flags: {
+    ...nodeFlags,
+    request: { type: 'string' },
+    engine: { type: 'string' },
+    adapter: { type: 'string' },
+    order: { type: 'string' },
+    trace: { type: 'string' },
+    json: { type: 'boolean' }
+  },
+  arguments: [0, Infinity],
+  run
+}
--- a/packages/node/src/settings-lines.ts
+++ b/packages/node/src/settings-lines.ts
@@ -44,7 +44,7 @@
     const header = tableLine.exec(line)?.[1]
     if (header !== undefined) {
       table = splitKey(header)
-      note(table, at + 1)
+      table.forEach((_part, length) => note(table.slice(0, length + 1), at + 1))
       return
     }
     const key = keyLine.exec(line)?.[1]
--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -68,10 +68,13 @@
   ]
 }
 
-function generateReference (schema: AnySchemaObject): GeneratedFile {
+function generateReference (settings: AnySchemaObject, config: AnySchemaObject): GeneratedFile {
   const type = 'export type SettingReference = { path: string, description: string, allowed: string, unit?: string, default?: unknown, required: boolean }'
-  const rows = settingsReference(schema).map(entry => `  ${JSON.stringify(entry)}`)
-  return { name: 'settings-reference.ts', text: `${banner}\n${type}\nexport const settingsReference: readonly SettingReference[] = [\n${rows.join(',\n')}\n]\n` }
+  const table = (name: string, schema: AnySchemaObject): string => {
+    const rows = settingsReference(schema).map(entry => `  ${JSON.stringify(entry)}`)
+    return `export const ${name}: readonly SettingReference[] = [\n${rows.join(',\n')}\n]`
+  }
+  return { name: 'reference.ts', text: `${banner}\n${type}\n${table('settingsReference', settings)}\n${table('configReference', config)}\n` }
 }
 
 function readSchemas (): Map<string, AnySchemaObject> {
@@ -81,11 +84,11 @@
 
 async function generate (schemas: Map<string, AnySchemaObject>): Promise<GeneratedFile[]> {
   const types = await Promise.all([...schemas].map(([file, schema]) => generateTypes(file, structuredClone(schema))))
-  const index = [...[...schemas.keys()].map(file => basename(file, '.schema.json')), 'settings-reference'].map(name => `export * from './${name}'`)
+  const index = [...[...schemas.keys()].map(file => basename(file, '.schema.json')), 'reference'].map(name => `export * from './${name}'`)
   return [
     ...types,
     ...generateValidators(schemas),
-    generateReference(schemas.get('settings.schema.json')!),
+    generateReference(schemas.get('settings.schema.json')!, schemas.get('config.schema.json')!),
     { name: 'index.ts', text: `${banner}\n${index.join('\n')}\nexport * from './validators.js'\n` }
   ]
 }
