--- /dev/null
+++ b/packages/node/src/answer-readers.ts
@@ -0,0 +1,159 @@
+/** Writes an answer to an HTTP response, as a stream of events or as a whole. */
+import type { ServerResponse } from 'node:http'
+import type { AnswerEnd } from '@yuccawharf/serving'
+import type { Answer, AnswerReader } from './answer'
+import { createProblem, parseProblem, sendProblem, type Problem } from './problem'
+
+export type ReaderEnv = {
+  now (): number
+  /** Called when the response was closed before the answer ended. */
+  gone (answer: Answer): void
+  /** Reads events that are no longer kept from the engine again. */
+  reread (answer: Answer, after: number): Answer | undefined
+}
+
+const streamHeaders = { 'content-type': 'text/event-stream', 'cache-control': 'no-store' }
+
+function evictedProblem (first: number): Problem {
+  return createProblem(410, 'unknown', 'Events no longer kept', `the earliest event that is kept is ${first}`)
+}
+
+function aheadProblem (last: number): Problem {
+  return createProblem(400, 'invalid', 'Invalid request', `Last-Event-ID: the last event so far is ${last}`)
+}
+
+function connectReader (answer: Answer, res: ServerResponse, reader: AnswerReader, env: ReaderEnv): void {
+  res.on('close', () => {
+    answer.detach(reader, env.now())
+    if (!res.writableFinished) env.gone(answer)
+  })
+  answer.attach(reader)
+}
+
+/**
+ * Streams the answer as server-sent events. The status is sent with the first event, so that a
+ * refusal before it arrives as a problem document with its own status.
+ * @param after last event that the caller has, 0 for none
+ */
+export function streamAnswer (answer: Answer, res: ServerResponse, after: number, env: ReaderEnv): void {
+  let position = after
+  let blocked = false
+
+  function end (problem?: Problem): void {
+    if (problem !== undefined && !res.headersSent) sendProblem(res, problem)
+    else res.end()
+  }
+
+  function start (): void {
+    if (!res.headersSent) res.writeHead(200, { ...streamHeaders, 'x-request-id': answer.requestId })
+  }
+
+  function failedBeforeStart (): AnswerEnd & { type: 'failed' } | undefined {
+    const ended = answer.relay.end()
+    return ended?.type === 'failed' && !res.headersSent && answer.relay.lastSeq() === 0 ? ended : undefined
+  }
+
+  function write (parts: Uint8Array[]): void {
+    start()
+    for (const part of parts) {
+      if (!res.write(part)) blocked = true
+    }
+    if (blocked) res.once('drain', unblock)
+  }
+
+  function unblock (): void {
+    blocked = false
+    notify()
+    answer.adjustFlow()
+  }
+
+  function switchSource (first: number): void {
+    const other = env.reread(answer, position)
+    if (other === undefined) {
+      end(evictedProblem(first))
+      return
+    }
+    answer.detach(reader, env.now())
+    streamAnswer(other, res, position, env)
+  }
+
+  function notify (): void {
+    if (blocked || res.writableEnded || res.destroyed) return
+    const failed = failedBeforeStart()
+    if (failed !== undefined) {
+      end(parseProblem(failed.data))
+      return
+    }
+    const result = answer.relay.replay(position)
+    if (result.type === 'evicted') return switchSource(result.first)
+    if (result.type === 'ahead') {
+      end(aheadProblem(result.last))
+      return
+    }
+    position = result.last
+    if (result.bytes.length > 0) write(result.bytes)
+    if (result.ended) end()
+  }
+
+  const reader: AnswerReader = { position: () => position, blocked: () => blocked, notify }
+  connectReader(answer, res, reader, env)
+}
+
+/** @returns the text of the tokens in whole events, or undefined when one cannot be read */
+function tokenTexts (parts: Uint8Array[]): string | undefined {
+  let text = ''
+  try {
+    for (const line of Buffer.concat(parts).toString('utf8').split('\n')) {
+      if (!line.startsWith('data: {')) continue
+      const chunk = JSON.parse(line.slice(6)) as { choices?: { text?: string }[] }
+      text += chunk.choices?.[0]?.text ?? ''
+    }
+    return text
+  } catch {
+    return undefined
+  }
+}
+
+/** Sends the whole answer in one response of the OpenAI form. @param model name that the caller used */
+export function sendWholeAnswer (answer: Answer, res: ServerResponse, model: string, promptTokens: number, env: ReaderEnv): void {
+  let position = 0
+  let text = ''
+
+  function finish (ended: AnswerEnd): void {
+    if (ended.type === 'failed') {
+      sendProblem(res, parseProblem(ended.data))
+      return
+    }
+    const usage = { prompt_tokens: promptTokens, completion_tokens: ended.count, total_tokens: promptTokens + ended.count }
+    const choices = [{ index: 0, text, logprobs: null, finish_reason: ended.reason }]
+    const body = JSON.stringify({ id: answer.requestId, object: 'text_completion', created: Math.floor(env.now() / 1000), model, choices, usage })
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': answer.requestId })
+    res.end(body)
+  }
+
+  function read (): void {
+    const result = answer.relay.replay(position)
+    if (result.type !== 'ok') {
+      sendProblem(res, evictedProblem(result.type === 'evicted' ? result.first : result.last))
+      return
+    }
+    const ended = answer.relay.end()
+    const added = ended?.type === 'failed' ? '' : tokenTexts(result.bytes)
+    if (added === undefined) {
+      sendProblem(res, createProblem(502, 'unknown', 'Outcome unknown', 'the engine sent an unreadable event'))
+      return
+    }
+    text += added
+    position = result.last
+    if (result.ended && ended !== undefined) finish(ended)
+  }
+
+  const reader: AnswerReader = {
+    position: () => position,
+    blocked: () => false,
+    notify () {
+      if (!res.writableEnded && !res.destroyed) read()
+    }
+  }
+  connectReader(answer, res, reader, env)
+}
--- /dev/null
+++ b/packages/node/src/directory.ts
@@ -0,0 +1,26 @@
+/** Addresses of instances, from the newest instance list. */
+import type { Instance, InstanceKind, InstanceSnapshot } from '@yuccawharf/platform'
+
+export type Directory = {
+  update (snapshot: InstanceSnapshot): void
+  address (id: string): string | undefined
+  instance (id: string): Instance | undefined
+  /** Instances of a kind, leaving ones included. */
+  list (kind: InstanceKind): Instance[]
+}
+
+/** Creates an empty directory; an instance that the list dropped stays known until the next list. */
+export function createDirectory (): Directory {
+  let instances = new Map<string, Instance>()
+  let asOf = Number.NEGATIVE_INFINITY
+  return {
+    update (snapshot) {
+      if (snapshot.asOf < asOf) return
+      asOf = snapshot.asOf
+      instances = new Map(snapshot.instances.map(instance => [instance.id, instance]))
+    },
+    address: id => instances.get(id)?.address,
+    instance: id => instances.get(id),
+    list: kind => [...instances.values()].filter(instance => instance.kind === kind)
+  }
+}
--- /dev/null
+++ b/packages/node/src/http-body.ts
@@ -0,0 +1,43 @@
+/** Reads request bodies within a bound of bytes. */
+import type { IncomingMessage } from 'node:http'
+import { Err, Ok, type Result } from 'ts-results/result.js'
+import { createProblem, type Problem } from './problem'
+
+function tooLarge (maxBytes: number): Problem {
+  return createProblem(413, 'invalid', 'Body too large', `the body is larger than ${maxBytes} bytes`)
+}
+
+/**
+ * @param maxBytes largest accepted body
+ * @returns the body, or the problem to send; the rest of a refused body is discarded
+ */
+export function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Buffer, Problem>> {
+  const declared = Number(req.headers['content-length'] ?? 0)
+  if (declared > maxBytes) {
+    req.resume()
+    return Promise.resolve(Err(tooLarge(maxBytes)))
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let size = 0
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= maxBytes) chunks.push(chunk)
+      else resolve(Err(tooLarge(maxBytes)))
+    })
+    req.on('end', () => resolve(Ok(Buffer.concat(chunks))))
+    req.on('error', () => resolve(Err(createProblem(400, 'invalid', 'Incomplete body', 'the connection ended inside the body'))))
+    req.on('close', () => resolve(Err(createProblem(400, 'invalid', 'Incomplete body', 'the connection ended inside the body'))))
+  })
+}
+
+/** @returns the parsed JSON body, or the problem to send */
+export async function readJson (req: IncomingMessage, maxBytes: number): Promise<Result<unknown, Problem>> {
+  const body = await readBody(req, maxBytes)
+  if (body.err) return body
+  try {
+    return Ok(JSON.parse(body.val.toString('utf8')))
+  } catch (err) {
+    return Err(createProblem(400, 'invalid', 'Malformed JSON', `the body is not valid JSON: ${(err as Error).message}`))
+  }
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,6 +1,9 @@
 /** Serving decisions without I/O. */
+export * from './answer-relay'
+export * from './answer-relay-events'
 export * from './feedback'
 export * from './handles'
+export * from './hash'
 export * from './invariant'
 export * from './messages'
 export * from './permits'
