--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -3,10 +3,12 @@
 import type { Command } from './command'
 import { configApplyCommand } from './config-apply-command'
 import { configGetCommand, configHistoryCommand } from './config-commands'
+import { nodeCommand } from './node-command'
 import { addressesCommand, statusCommand } from './status-commands'
 import { timelineCommand } from './timeline-command'
 
 export const commands: Command[] = [
+  nodeCommand,
   checkCommand,
   configGetCommand,
   configApplyCommand,
--- /dev/null
+++ b/packages/cli/src/node-command.ts
@@ -0,0 +1,31 @@
+/** `node`: runs one node. */
+import { formatFinding, loadSettings } from '@yuccawharf/node/settings'
+import { exitCode, textOf, type Command, type CommandContext, type ExitCode } from './command'
+
+async function run ({ flags, terminal }: CommandContext): Promise<ExitCode> {
+  const settings = loadSettings(textOf(flags, 'settings')!)
+  if (settings.err) {
+    for (const finding of settings.val) terminal.err(formatFinding(finding))
+    return exitCode.refused
+  }
+  const { runNode } = await import('@yuccawharf/node')
+  await runNode(settings.val)
+  return exitCode.done
+}
+
+export const nodeCommand: Command = {
+  name: 'node',
+  summary: 'Run one node.',
+  usage: '--settings FILE',
+  help: `
+Runs until SIGTERM or SIGINT, then leaves gracefully: it takes no new work, finishes what runs and hands over.
+
+Options
+  --settings FILE  settings of the node, see docs/settings.md
+
+Exit codes
+  0 left gracefully, 1 findings in the settings or the node could not start, 2 wrong use`,
+  flags: { settings: { type: 'string', isRequired: true } },
+  arguments: [0, 0],
+  run
+}
