Estimate use over a quarter of an hour; keep loads that follow a restart

The expected use gave half its weight to the last minute, so a rare adapter used once outranked one used ten times. It now decays over 15 minutes and drops when an adapter has been idle for more than three of its mean gaps.

Fault found by the restart test with the new estimate: a load that reached the engine after its restart was dropped when the first report of the new incarnation arrived, its running request was queued again, and the handle could be evicted while in use (P2). Handles loaded within the report margin are now kept reserved until reports show them or not, and a request that runs on another handle than the owner's current dispatch counts as foreign. Two tests fail without the change.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,7 +1,7 @@
 /** Serving decisions without I/O. */
 export * from './feedback'
 export * from './handles'
-export * from './hash'
+export * from './placement'
 export * from './invariant'
 export * from './messages'
 export * from './permits'
--- a/packages/serving/src/load-planner.ts
+++ b/packages/serving/src/load-planner.ts
@@ -15,8 +15,8 @@
   unloadResult (handle: string, result: EngineCommandResult, now: number): void
   /** Commands that did not return and permits that expired. */
   expire (now: number): SchedulerAction[]
-  /** The engine restarted: nothing is resident and no command is outstanding. */
-  reset (now: number): SchedulerAction[]
+  /** Gives back the permits of loads that a restart of the engine ended. */
+  abandon (gone: Slot[]): SchedulerAction[]
   isHeldBack (key: string, now: number): boolean
   /** Time that a load takes at present, in ms: the stated time unless recent loads took longer. */
   loadTimeMs (now: number): number
@@ -225,13 +225,7 @@
       }
       return actions
     },
-    reset (now) {
-      const actions = [...slots.all()].flatMap(release)
-      for (const slot of slots.all()) {
-        slots.remove(slot.handle, now)
-      }
-      return actions
-    },
+    abandon: (gone) => gone.flatMap(release),
     isHeldBack: (key, now) => now < (failures.get(key)?.until ?? 0),
     loadTimeMs: (now) => cfg.loadMs + extraNow(now),
     permitIntervalMs: () => interval
--- a/packages/serving/src/permits.ts
+++ b/packages/serving/src/permits.ts
@@ -3,7 +3,7 @@
  * Without the holder each node uses a fixed share in time slots. Permits are soft state: losing them
  * costs speed, never a guarantee.
  */
-import { rendezvousRank } from './hash'
+import { rendezvousRank } from './placement'
 import { invariant } from './invariant'
 
 export type PermitLimits = {
--- a/packages/serving/src/policy-options.ts
+++ b/packages/serving/src/policy-options.ts
@@ -1,5 +1,7 @@
 /** Variants of the scheduler's decisions. Operators do not see them: they serve comparison in the bench. */
 
+import type { UsageModel } from './usage'
+
 export type PolicyOptions = {
   /** `weighted`: cost of waiting per unit of load time; `arrival`: first come first served. */
   loadOrder: 'weighted' | 'arrival'
@@ -12,6 +14,8 @@
   admission: 'estimate' | 'bounds'
   /** Whether patient classes leave slots and batch places for impatient ones. */
   reserve: boolean
+  /** How the expected use of an adapter follows from its past. */
+  usage: UsageModel
   /** Time of the next arrival for an adapter version, from a reference that knows the future. */
   nextArrival?: (key: string, now: number) => number
   /** Adapter versions with arrivals in the near future, from the same reference, soonest first. */
@@ -25,8 +29,9 @@
   prefetch: 'expected-use',
   dispatchOrder: 'urgency',
   admission: 'estimate',
-  reserve: true
+  reserve: true,
+  usage: { recency: 0, idleAware: true }
 }
 
 /** The policy of the previous committed version, for comparison. */
-export const previousPolicy: PolicyOptions = { ...currentPolicy }
+export const previousPolicy: PolicyOptions = { ...currentPolicy, usage: { recency: 0.5, idleAware: false } }
--- a/packages/serving/src/router.ts
+++ b/packages/serving/src/router.ts
@@ -2,7 +2,7 @@
  * Router of an entry node: chooses the engine of a request from soft hints. Its decisions affect
  * speed only; the owner of the engine decides whether and when the request runs.
  */
-import { rendezvousRank } from './hash'
+import { rendezvousRank } from './placement'
 import type { EngineLoadHint, ServingRequest } from './messages'
 import { createUsage } from './usage'
 
@@ -37,6 +37,8 @@
 const replicaShare = 0.5
 /** Requests per second at this router below which an adapter is never replicated: shares of few requests mean little. */
 const minHotRate = 0.1
+/** Replication follows the last minute as much as the last quarter of an hour. */
+const hotUsage = { recency: 0.5, idleAware: false }
 const maxTracked = 4_096
 /** A hint older than this says nothing about the queue any more. */
 const hintTtlMs = 10_000
@@ -47,7 +49,7 @@
   /** Requests sent since the last hint of the engine. */
   const sent = new Map<string, number>()
   const avoided = new Map<string, number>()
-  const usage = createUsage(maxTracked)
+  const usage = createUsage(maxTracked, hotUsage)
   const prefixes = new Map<string, string>()
   const ranks = new Map<string, string[]>()
 
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -3,6 +3,7 @@
  * A pure state machine. Every submitted request ends exactly once: by a `refuse` action or by an
  * `ended` event that is not followed by `requeued`.
  */
+import type { EngineReport } from '@yuccawharf/platform'
 import prand from 'pure-rand'
 import { batchWaitMs, createServiceTimes, loadWaitMs, refusalRetryMs } from './admission'
 import type { AdmissionState } from './admission'
@@ -50,7 +51,7 @@
   let draining = false
   const queue = createRequestQueue(cfg)
   const slots = createSlotTable(cfg.slots)
-  const usage = createUsage(maxTracked)
+  const usage = createUsage(maxTracked, options.usage)
   const feedback = createTargetFeedback(classes)
   const prefixes = createPrefixCache()
   const times = createServiceTimes()
@@ -186,11 +187,13 @@
     return [{ type: 'cancel-dispatch', requestId }]
   }
 
-  /** Nothing is resident after a cold start. Requests without a token run again; the others end by a later event. */
-  const restarted = (now: number): SchedulerAction[] => {
-    const actions = planner.reset(now)
+  /** Requests without a token on a handle that is gone run again; the others end by a later event. */
+  const restarted = (report: EngineReport, now: number): SchedulerAction[] => {
+    const gone = slots.applyRestart(report, now)
+    const lost = new Set(gone.map(({ handle }) => handle))
+    const actions = planner.abandon(gone)
     for (const current of [...dispatcher.running.values()]) {
-      if (current.firstTokenAt === undefined) {
+      if (current.firstTokenAt === undefined && lost.has(current.handle)) {
         dispatcher.end(current.request.requestId, now)
         actions.push(...requeue(current, true, now))
       }
@@ -198,17 +201,19 @@
     return actions
   }
 
+  const isOwn = (requestId: string, handle: string): boolean => dispatcher.get(requestId)?.handle === handle
+
   const applyReport = ({ report }: ReportEvent, now: number): SchedulerAction[] => {
     if (incarnation !== undefined && report.incarnation < incarnation) {
       return []
     }
-    const actions = incarnation !== undefined && report.incarnation > incarnation ? restarted(now) : []
+    const actions = incarnation !== undefined && report.incarnation > incarnation ? restarted(report, now) : []
     if (report.incarnation === incarnation && report.takenAt <= lastTakenAt) {
       return []
     }
     incarnation = report.incarnation
     lastTakenAt = report.takenAt
-    for (const handle of slots.applyReport(report, (requestId) => dispatcher.get(requestId) !== undefined, now)) {
+    for (const handle of slots.applyReport(report, isOwn, now)) {
       slots.remove(handle, now)
     }
     return actions
--- a/packages/serving/src/slots.ts
+++ b/packages/serving/src/slots.ts
@@ -45,8 +45,18 @@
   remove (handle: string, now: number): void
   /** Whether the adapter version is loading or resident. */
   present (key: string): boolean
-  /** Applies a report of the same incarnation. @returns handles that the reports show to be gone */
-  applyReport (report: EngineReport, known: (requestId: string) => boolean, now: number): string[]
+  /**
+   * Applies a report of the same incarnation.
+   * @param isOwn whether this owner has the request running on the handle
+   * @returns handles that the reports show to be gone
+   */
+  applyReport (report: EngineReport, isOwn: (requestId: string, handle: string) => boolean, now: number): string[]
+  /**
+   * Applies the first report of a new incarnation. Handles whose load may have reached the new
+   * incarnation after the report stay reserved until later reports show them or not.
+   * @returns slots that are gone
+   */
+  applyRestart (report: EngineReport, now: number): Slot[]
 }
 
 /** A report says nothing about changes younger than this when it was taken. */
@@ -142,9 +152,22 @@
       }
       return false
     },
-    applyReport (report, known, now) {
+    applyRestart (report, now) {
       const shown = new Set(report.resident.map(({ handle }) => handle))
-      const foreign = new Set(report.running.filter(({ requestId }) => !known(requestId)).map(({ handle }) => handle))
+      const gone = [...slots.values()].filter(({ handle, since }) => !shown.has(handle) && since < report.takenAt - reportMarginMs)
+      for (const slot of gone) {
+        remove(slot.handle, now)
+      }
+      for (const slot of slots.values()) {
+        if (slot.state === 'resident' && !shown.has(slot.handle)) {
+          setState(slot, 'uncertain', now)
+        }
+      }
+      return gone
+    },
+    applyReport (report, isOwn, now) {
+      const shown = new Set(report.resident.map(({ handle }) => handle))
+      const foreign = new Set(report.running.filter(({ requestId, handle }) => !isOwn(requestId, handle)).map(({ handle }) => handle))
       const gone: string[] = []
       for (const slot of slots.values()) {
         slot.foreign = foreign.has(slot.handle)
--- a/packages/serving/src/usage.ts
+++ b/packages/serving/src/usage.ts
@@ -11,13 +11,20 @@
   size (): number
 }
 
+export type UsageModel = {
+  /** Weight of the short horizon in the expected rate, from 0 to 1. */
+  recency: number
+  /** Whether an adapter that has been idle for several of its usual gaps is expected to have lost its popularity. */
+  idleAware: boolean
+}
+
 type Entry = { short: number, long: number, at: number }
 
 /** The short horizon follows a surge, the long one keeps what was popular before it. */
 const shortHorizonMs = 60_000
 const longHorizonMs = 900_000
-/** Weight of the short horizon in the expected rate. */
-const shortWeight = 0.5
+/** Random arrivals at a steady rate leave a gap of more than 3 mean gaps once in 20 times. */
+const usualGaps = 3
 
 const decayed = (entry: Entry, now: number): Entry => {
   const elapsed = Math.max(0, now - entry.at)
@@ -28,15 +35,17 @@
   }
 }
 
-const rateOf = (entry: Entry, now: number): number => {
-  const { short, long } = decayed(entry, now)
-  return 1000 * (shortWeight * short / shortHorizonMs + (1 - shortWeight) * long / longHorizonMs)
-}
-
 /**
  * @param maxEntries bound of the table; beyond it the keys idle for longest are forgotten
  */
-export const createUsage = (maxEntries: number): Usage => {
+export const createUsage = (maxEntries: number, { recency, idleAware }: UsageModel): Usage => {
+  const rateOf = (entry: Entry, now: number): number => {
+    const { short, long } = decayed(entry, now)
+    const rate = recency * short / shortHorizonMs + (1 - recency) * long / longHorizonMs
+    const gaps = idleAware ? Math.max(0, rate * (now - entry.at) - usualGaps) : 0
+    return 1000 * rate * Math.exp(-gaps)
+  }
+
   // Insertion order is order of last use, so the first key is the one idle for longest.
   const entries = new Map<string, Entry>()
 
