--- /dev/null
+++ b/packages/node/src/daemon.ts
@@ -0,0 +1,273 @@
+/** Composes one node: the core, the shells around it and the HTTP server. */
+import type { Server } from 'node:http'
+import type { Socket } from 'node:net'
+import { Agent, type Dispatcher } from 'undici'
+import type { EngineReport } from '@yuccawharf/platform'
+import type { ClassConfig, Settings } from '@yuccawharf/schema'
+import { createAnswerHub } from './answer-hub'
+import { createAnswerLocator } from './answer-locator'
+import { createCompletionRoutes } from './completion-routes'
+import { createControlRoutes, type ControlRoutesEnv } from './control-routes'
+import type { CoreAction, CoreEvent } from './core/messages'
+import type { CorePort } from './core-port'
+import { createCoreRuntime } from './core-runtime'
+import { createAttainment } from './attainment'
+import { createDirectory, type Directory } from './directory'
+import { createForwarder } from './forwarder'
+import { createHttpServer, createRequestHandler, defaultHttpLimits, type HttpLimits, type Route } from './http-router'
+import { createLogger, createMetrics, type Logger } from './observability'
+import { createPeerHandler, createPeerSender, openDatagramPort, splitAddress, trpcPath } from './peer-rpc'
+import { createPlatformShells } from './platform-shells'
+import { createServiceRoutes } from './service-routes'
+
+/** The parts of the admin interface that the core does not give. */
+export type AdminPort = Pick<ControlRoutesEnv, 'status' | 'applyConfig' | 'readConfig' | 'configHistory' | 'timeline'> & {
+  record (action: CoreAction & { type: 'record' }): void
+}
+
+/** What the shells know beyond the core. */
+export type ShellView = {
+  now (): number
+  directory: Directory
+  draining (): boolean
+  /** Time since the log answered; null before the first answer. */
+  logContactAgeMs (): number | null
+  /** The newest report of an engine that this node watches. */
+  report (engine: string): EngineReport | undefined
+  /** Fraction of the latest answers that met the class's target. */
+  attained (className: string, target: unknown): { attained: number | null, requests: number }
+}
+
+export type NodeOptions = {
+  settings: Settings
+  core: CorePort
+  admin (view: ShellView, dispatcher: Dispatcher): AdminPort
+  /** Engines whose reports this node needs. */
+  watchedEngines (): string[]
+  logger?: Logger
+  httpLimits?: HttpLimits
+  /** Time for which callers keep addresses; a leaving node takes requests for this long, in ms. */
+  addressKeepMs?: number
+}
+
+export type RunningNode = {
+  address: string
+  /** Leaves: finishes running requests, hands over and stops. Resolves when the node may exit. */
+  drain (): Promise<void>
+  /** Stops at once, as a crash would for all others. */
+  kill (): Promise<void>
+}
+
+const tickMs = 50
+const sweepMs = 250
+const instancePollMs = 1000
+const enginePollMs = 500
+const defaultAddressKeepMs = 5000
+const defaultReplayBytes = 262_144
+const defaultReplayMs = 30_000
+const defaultRequestBytes = 1_048_576
+/** Requests held at once; a request holds at most the replay bytes and its prompt. */
+const maxRunning = 20_000
+
+/** The clock of the core: it never goes back when the system's clock is set. */
+function createNow (): () => number {
+  const offset = Date.now() - performance.now()
+  return () => offset + performance.now()
+}
+
+async function listen (server: Server, address: string): Promise<Set<Socket>> {
+  const sockets = new Set<Socket>()
+  server.on('connection', socket => {
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+  })
+  const { host, port } = splitAddress(address)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ port, host, backlog: 1024 }, resolve)
+  })
+  return sockets
+}
+
+/** Starts a node and resolves when it serves. */
+export async function startNode (options: NodeOptions): Promise<RunningNode> {
+  const { settings, core } = options
+  const { id, address } = settings.node
+  const limits = settings.limits ?? {}
+  const requestBytes = limits.requestBytes ?? defaultRequestBytes
+  const logger = options.logger ?? createLogger(settings.log?.level ?? 'info')
+  const metrics = createMetrics(settings.metrics, { node: id, zone: settings.node.zone })
+  const now = createNow()
+  const timers = new Set<NodeJS.Timeout>()
+  // Streams wait for their first event as long as the request is queued, so undici's own limits are off.
+  const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000, connect: { timeout: 1000 } })
+  const directory = createDirectory()
+  const attainment = createAttainment()
+  const reports = new Map<string, EngineReport>()
+  let logContactAt: number | undefined
+  const runtime = createCoreRuntime(step, perform)
+  const report = runtime.report
+  const datagrams = await openDatagramPort(address, id, envelope => report({ type: 'message', envelope }))
+  let ready = false
+  let drainStarted: number | undefined
+  let stopping: Promise<void> | undefined
+
+  /** Keeps what the status of the node shows, and lets the core decide. */
+  function step (event: CoreEvent): CoreAction[] {
+    if (event.type === 'log-page') logContactAt = now()
+    if (event.type === 'engine-report') reports.set(event.report.engine, event.report)
+    if (event.type === 'engine-unreachable') reports.delete(event.engine)
+    return core.step(event, now())
+  }
+
+  function after (ms: number, run: () => void): void {
+    if (ms <= 0) {
+      setImmediate(run)
+      return
+    }
+    const timer = setTimeout(() => {
+      timers.delete(timer)
+      run()
+    }, ms)
+    timers.add(timer)
+  }
+
+  function accepting (): boolean {
+    if (drainStarted === undefined) return true
+    return now() - drainStarted < (options.addressKeepMs ?? defaultAddressKeepMs)
+  }
+
+  const answerLimits = { replayBytes: limits.replayBytes ?? defaultReplayBytes, replayMs: limits.replayMs ?? defaultReplayMs }
+  const hub = createAnswerHub({ finished: attainment.add, now, dispatcher, limits: answerLimits, engineAddress: directory.address, report, after })
+  const locator = createAnswerLocator(dispatcher, directory, id)
+  const forwarder = createForwarder({ self: id, now, hub, locator, report, after })
+  const services = createServiceRoutes({ now, services: settings.services ?? {}, requestBytes, maxRunning, report, accepting })
+  const shells = createPlatformShells({
+    dispatcher,
+    directory,
+    logUrl: settings.platform.log,
+    instancesUrl: settings.platform.instances,
+    report,
+    serviceTimeoutMs: group => settings.services?.[group]?.timeoutMs ?? 10_000
+  })
+  const peers = createPeerSender(dispatcher, (to, err) => logger.debug(`message to node ${to} failed: ${(err as Error).message}`))
+  const view: ShellView = {
+    now,
+    directory,
+    draining: () => drainStarted !== undefined,
+    logContactAgeMs: () => logContactAt === undefined ? null : now() - logContactAt,
+    report: engine => reports.get(engine),
+    attained: (className, target) => attainment.of(className, target as ClassConfig, now())
+  }
+  const admin = options.admin(view, dispatcher)
+  const deliverToPeer = createPeerHandler(id, envelope => report({ type: 'message', envelope }))
+
+  const routes: Route[] = [
+    ...createCompletionRoutes({ now, hub, forwarder, locator, directory, dispatcher, requestBytes, maxRunning, report, accepting }),
+    ...services.routes,
+    ...createControlRoutes({ now, core, requestBytes, ...admin }),
+    { method: '*', pattern: /^\/peer\/trpc\/(.+)$/, handle: async ({ req, res, url }) => await deliverToPeer(req, res, url.pathname.slice(trpcPath.length)) }
+  ]
+  const server = createHttpServer(createRequestHandler(routes, err => logger.error('request failed', err)), options.httpLimits ?? defaultHttpLimits)
+
+  function send (action: CoreAction & { type: 'send' }): void {
+    const { envelope } = action
+    const to = action.address ?? directory.address(envelope.to)
+    if (to === undefined) return
+    if (envelope.message.type === 'membership') datagrams.send(envelope, to)
+    else peers.send(envelope, to)
+  }
+
+  function perform (action: CoreAction): void {
+    switch (action.type) {
+      case 'read-log': return shells.readLog(action.stream, action.from)
+      case 'append': return shells.append(action)
+      case 'send': return send(action)
+      case 'engine-command': return shells.command(action)
+      case 'dispatch': return hub.dispatch(action)
+      case 'cancel-dispatch': return hub.cancelDispatch(action.engine, action.requestId)
+      case 'forward': return forwarder.forward(action.requestId, action.node, action.address)
+      case 'refuse': return hub.refuse(action.requestId, action.refusal)
+      case 'send-order': return shells.sendOrder(action)
+      case 'order-result': return services.complete(action)
+      case 'record': return admin.record(action)
+      case 'ready-to-exit': ready = true
+    }
+  }
+
+  function every (ms: number, run: () => void): void {
+    timers.add(setInterval(run, ms))
+  }
+
+  function startTimers (): void {
+    every(tickMs, () => report({ type: 'tick' }))
+    every(sweepMs, () => {
+      hub.sweep()
+      services.sweep()
+      metrics.gauge('requests.running', hub.running())
+    })
+    every(instancePollMs, () => { shells.pollInstances().catch(() => {}) })
+    every(enginePollMs, () => shells.pollEngines(options.watchedEngines()))
+  }
+
+  async function stop (sockets: Set<Socket>): Promise<void> {
+    stopping ??= stopAll(sockets)
+    await stopping
+  }
+
+  async function stopAll (sockets: Set<Socket>): Promise<void> {
+    for (const timer of timers) clearTimeout(timer)
+    runtime.stop()
+    shells.stop()
+    hub.closeAll()
+    datagrams.close()
+    metrics.close()
+    const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
+    for (const socket of sockets) socket.destroy()
+    await Promise.all([closed, dispatcher.destroy()])
+  }
+
+  async function drain (sockets: Set<Socket>): Promise<void> {
+    logger.info(`node ${id} is leaving`)
+    drainStarted = now()
+    report({ type: 'drain' })
+    const limitMs = limits.drainMs ?? 0
+    await new Promise<void>(resolve => {
+      every(20, () => {
+        const idle = hub.running() === 0 && services.running() === 0
+        const overdue = limitMs > 0 && now() - (drainStarted ?? 0) >= limitMs
+        if ((ready && idle && !accepting()) || overdue) resolve()
+      })
+    })
+    await finishResponses(server, sockets)
+    await stop(sockets)
+    logger.info(`node ${id} has left`)
+  }
+
+  const sockets = await listen(server, address).catch(async (err: Error) => {
+    await stop(new Set())
+    throw err
+  })
+  await shells.pollInstances().catch(() => {})
+  report({ type: 'start' })
+  startTimers()
+  logger.info(`node ${id} serves at ${address}`)
+  return {
+    address,
+    drain: async () => await drain(sockets),
+    kill: async () => await stop(sockets)
+  }
+}
+
+/** Longest time for sending the last bytes of finished responses, in ms. */
+const flushMs = 2000
+
+/** Waits until the responses that ended have left the process. */
+async function finishResponses (server: Server, sockets: Set<Socket>): Promise<void> {
+  server.closeIdleConnections()
+  const until = Date.now() + flushMs
+  while (sockets.size > 0 && Date.now() < until) {
+    await new Promise(resolve => setTimeout(resolve, 10))
+    server.closeIdleConnections()
+  }
+}
