--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -97,7 +97,8 @@
   // All flags with a value are read as lists of texts, so that the findings can name all faults together.
   const lenient = Object.entries(command.flags).map(([name, flag]) => [name, flag?.type === 'boolean' ? { type: 'boolean' } : { type: 'string', isMultiple: true }])
   const { input, flags } = meow(helpOf(command), {
-    importMeta: import.meta,
+    // The single executable defines only the URL of import.meta.
+    importMeta: { url: import.meta.url } as ImportMeta,
     argv: args,
     pkg: { name: 'yuccawharf', version },
     description: false,
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,65 @@
+/**
+ * Builds the single executable `dist/yuccawharf`: one CommonJS bundle, injected into a copy of the
+ * running node binary as a single executable application.
+ */
+import { execFileSync } from 'node:child_process'
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { build } from 'esbuild'
+import { inject } from 'postject'
+
+const root = fileURLToPath(new URL('..', import.meta.url))
+const dist = join(root, 'dist')
+const bundle = join(dist, 'yuccawharf.cjs')
+const blob = join(dist, 'yuccawharf.blob')
+const seaConfig = join(dist, 'sea-config.json')
+const executable = join(dist, 'yuccawharf')
+/** Marks in the node binary whether a blob was injected. */
+const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
+
+/** Files with hooks for tests; none may reach the executable. */
+const testFile = /(^|\/)testing\/|\.test(-helper)?\.ts$/
+
+async function createBundle () {
+  const { metafile } = await build({
+    entryPoints: [join(root, 'packages/cli/src/main.ts')],
+    outfile: bundle,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    metafile: true,
+    legalComments: 'none',
+    // Bundled packages call createRequire and read their own place, which a CommonJS bundle lacks.
+    define: { 'import.meta.url': 'yuccawharfUrl' },
+    banner: { js: "const yuccawharfUrl = require('node:url').pathToFileURL(process.execPath).href;" },
+    // Optional native part of hot-shots for Unix sockets; metrics go over UDP.
+    external: ['unix-dgram'],
+    // The UMD form of ts-results requires its parts through a parameter, which a bundler cannot follow.
+    alias: { 'ts-results': 'ts-results/esm' },
+    logLevel: 'warning'
+  })
+  const hooks = Object.keys(metafile.inputs).filter(input => testFile.test(input))
+  if (hooks.length > 0) throw new Error(`files of tests would be in the executable: ${hooks.join(', ')}`)
+}
+
+function createBlob () {
+  writeFileSync(seaConfig, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true, useCodeCache: false }))
+  execFileSync(process.execPath, ['--experimental-sea-config', seaConfig], { stdio: ['ignore', 'ignore', 'inherit'] })
+}
+
+async function createExecutable () {
+  // A running executable cannot be overwritten, but its name can be removed.
+  rmSync(executable, { force: true })
+  copyFileSync(process.execPath, executable)
+  chmodSync(executable, 0o755)
+  await inject(executable, 'NODE_SEA_BLOB', readFileSync(blob), { sentinelFuse: fuse })
+}
+
+mkdirSync(dist, { recursive: true })
+await createBundle()
+createBlob()
+await createExecutable()
+const megabytes = (file) => (statSync(file).size / 1e6).toFixed(1)
+console.log(`dist/yuccawharf: ${megabytes(executable)} MB, of which the bundle ${megabytes(bundle)} MB`)
