--- a/packages/cli/src/status-commands.ts
+++ b/packages/cli/src/status-commands.ts
@@ -22,7 +22,7 @@
     ...formatTable(['NODE', 'ADDRESS', 'ZONE', 'STATE', 'REVISION'], status.nodes.map(node => [node.id, node.address, node.zone, node.state, node.revision < 0 ? '-' : String(node.revision)])),
     '',
     ...formatTable(['ENGINE', 'OWNER', 'TERM', 'STATE', 'SLOTS', 'RESIDENT', 'RUNNING', 'QUEUED'], status.engines.map(engine => [
-      engine.id, engine.owner ?? '-', engine.term < 0 ? '-' : String(engine.term), engine.state, String(engine.slots), count(engine.resident), count(engine.running), count(engine.queued)
+      engine.id, engine.owner ?? '-', engine.term < 0 ? '-' : String(engine.term), engine.state, engine.resident === null ? '-' : String(engine.slots), count(engine.resident), count(engine.running), count(engine.queued)
     ])),
     '',
     ...formatTable(['CLASS', 'TARGET', 'ATTAINED', 'REQUESTS'], status.classes.map(row => [row.name, percent(row.target), percent(row.attained), String(row.requests)]))
