Add the demo

Runs three nodes, four engines and a plain service on loopback, sends a surge over 64 adapters while an engine restarts and a node leaves, and checks each answer token by token.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -3,6 +3,7 @@
 import type { Command } from './command'
 import { configApplyCommand } from './config-apply-command'
 import { configGetCommand, configHistoryCommand } from './config-commands'
+import { demoCommand } from './demo-command'
 import { nodeCommand } from './node-command'
 import { addressesCommand, statusCommand } from './status-commands'
 import { timelineCommand } from './timeline-command'
@@ -15,5 +16,6 @@
   configHistoryCommand,
   statusCommand,
   addressesCommand,
-  timelineCommand
+  timelineCommand,
+  demoCommand
 ]
--- a/packages/cli/src/demo-platform.ts
+++ b/packages/cli/src/demo-platform.ts
@@ -1,5 +1,6 @@
 /** The demo's platform and nodes, all in one process on loopback. */
 import { createServer } from 'node:net'
+import { setTimeout as pause } from 'node:timers/promises'
 import { createNode, type CompleteSettings, type CreateNodeOptions, type RunningNode } from '@yuccawharf/node'
 import type { Instance } from '@yuccawharf/platform'
 import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, servePlainService, serveWeightStore, type EngineModel, type InstanceListModel, type PlainServiceModel, type StandInServer } from '@yuccawharf/stand-ins'
@@ -117,3 +118,20 @@
     }
   }
 }
+
+const ownersTimeoutMs = 15_000
+
+/**
+ * Waits until each engine has an owner, which takes about 3 s after a start.
+ * @throws when it takes longer than 15 s
+ */
+export async function waitForOwners (platform: DemoPlatform): Promise<void> {
+  const started = performance.now()
+  for (;;) {
+    const status = await fetch(`${platform.nodes[0]?.url ?? ''}/admin/status`)
+    const { engines } = await status.json() as { engines: { owner: string | null }[] }
+    if (engines.length === platform.engines.size && engines.every(engine => engine.owner !== null)) return
+    if (performance.now() - started > ownersTimeoutMs) throw new Error('the nodes did not take over the engines in time')
+    await pause(50)
+  }
+}
--- /dev/null
+++ b/packages/cli/src/demo-serve.ts
@@ -0,0 +1,32 @@
+/** `demo --serve`: keeps the demo's platform and nodes running for requests by hand. */
+import { demoModel, startDemoPlatform, versionOf, waitForOwners } from './demo-platform'
+
+/** Prints curl lines that work and serves until SIGINT or SIGTERM. */
+export async function serveDemo (out: (line: string) => void): Promise<void> {
+  const platform = await startDemoPlatform({ engines: 4, adapters: 64, seed: 7 })
+  await waitForOwners(platform)
+  const url = platform.nodes[0]?.url ?? ''
+  const other = platform.nodes[1]?.url ?? ''
+  const model = `${demoModel}:${platform.adapters[5] ?? ''}@${versionOf(5)}`
+  const body = JSON.stringify({ model, prompt: 'Write a short quote.', max_tokens: 40, stream: true })
+  out('Three nodes serve. Try these lines, and stop with Ctrl-C:')
+  out('')
+  out('# Addresses for an adapter, nearest zone first')
+  out(`curl '${url}/v1/addresses?model=${encodeURIComponent(model)}&zone=zone-b'`)
+  out('# A streamed completion')
+  out(`curl -N ${url}/v1/completions -H 'X-Class: chat' -H 'X-Request-Id: by-hand-1' -d '${body}'`)
+  out('# The same answer again after event 30, from another node')
+  out(`curl -N ${other}/v1/completions/by-hand-1 -H 'Last-Event-ID: 30'`)
+  out('# A whole completion')
+  out(`curl ${url}/v1/completions -H 'X-Class: chat' -d '${JSON.stringify({ model, prompt: 'Write a short quote.', max_tokens: 10 })}'`)
+  out('# An order that runs once, however often the line is repeated')
+  out(`KEY=$(curl -s '${url}/v1/addresses?service=order-desk' | sed 's/.*"orderKeyPrefix":"\\([^"]*\\)".*/\\1/')by-hand-1`)
+  out(`curl ${url}/v1/services/order-desk/orders -H "Idempotency-Key: $KEY" -d '{"item":"quote"}'`)
+  out('# Targets and state')
+  out(`curl ${url}/admin/config; curl ${url}/admin/status; curl '${url}/admin/timeline?request=by-hand-1'`)
+  await new Promise<void>(resolve => {
+    process.once('SIGINT', resolve)
+    process.once('SIGTERM', resolve)
+  })
+  await platform.close()
+}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -52,8 +52,11 @@
 
 export type RunningNode = {
   address: string
-  /** Leaves: finishes running requests, hands over and stops. Resolves when the node may exit. */
-  drain (): Promise<void>
+  /**
+   * Leaves: finishes running requests, hands over and stops. Resolves when the node may exit.
+   * @param last runs before the node stops serving, for example to read its timeline
+   */
+  drain<T = undefined> (last?: () => Promise<T>): Promise<T | undefined>
   /** Stops at once, as a crash would for all others. */
   kill (): Promise<void>
 }
@@ -227,7 +230,7 @@
     await Promise.all([closed, dispatcher.destroy()])
   }
 
-  async function drain (sockets: Set<Socket>): Promise<void> {
+  async function drain<T> (sockets: Set<Socket>, last?: () => Promise<T>): Promise<T | undefined> {
     logger.info(`node ${id} is leaving`)
     drainStarted = now()
     report({ type: 'drain' })
@@ -239,9 +242,11 @@
         if ((ready && idle && !accepting()) || overdue) resolve()
       })
     })
+    const result = await last?.()
     await finishResponses(server, sockets)
     await stop(sockets)
     logger.info(`node ${id} has left`)
+    return result
   }
 
   const sockets = await listen(server, address).catch(async (err: Error) => {
@@ -254,7 +259,7 @@
   logger.info(`node ${id} serves at ${address}`)
   return {
     address,
-    drain: async () => await drain(sockets),
+    drain: async last => await drain(sockets, last),
     kill: async () => await stop(sockets)
   }
 }
