Add mutants, late duplicates and a storm check to the soak

A check that never fails shows nothing, and the first exemptions of P6 and P8 covered nearly every moment of a run.

Exempt P6 only while the list, and P8 only while the log, is kept from a process. Repeat messages late in windows. Add the check "storm": an owner must not append the same record again within 100 ms.

--- a/packages/soak/src/answer.ts
+++ b/packages/soak/src/answer.ts
@@ -17,10 +17,33 @@
 const keptBytes = 1 << 20
 const keepMs = 60_000
 
-/** @param completion - the request that the response belongs to */
-export const createAnswer = (completion: Completion): Answer => ({
+const relayOf = (requestId: string, skipSequenceCheck: boolean): AnswerRelay => {
+  const relay = createAnswerRelay({ requestId, maxBytes: keptBytes, keepMs })
+  return skipSequenceCheck ? withoutSequence(relay) : relay
+}
+
+/** Renumbers each run of tokens to follow the last one, as a relay without sequence numbers would. */
+const withoutSequence = (relay: AnswerRelay): AnswerRelay => ({
+  ...relay,
+  accept (source, event, now) {
+    if (event.type === 'finish') {
+      return relay.accept(source, { ...event, count: relay.lastSeq() }, now)
+    }
+    if (event.type !== 'tokens') {
+      return relay.accept(source, event, now)
+    }
+    const first = relay.lastSeq() + 1
+    return relay.accept(source, { ...event, first, last: first + event.last - event.first }, now)
+  }
+})
+
+/**
+ * @param completion - the request that the response belongs to
+ * @param skipSequenceCheck - only for a mutant
+ */
+export const createAnswer = (completion: Completion, skipSequenceCheck: boolean): Answer => ({
   completion,
-  relay: createAnswerRelay({ requestId: completion.requestId, maxBytes: keptBytes, keepMs }),
+  relay: relayOf(completion.requestId, skipSequenceCheck),
   attempt: 0,
   round: 0,
   mayHaveRun: false,
--- a/packages/soak/src/checker.ts
+++ b/packages/soak/src/checker.ts
@@ -1,6 +1,7 @@
 /** Counts the checks of each invariant and remembers the first violation. */
 
-export type InvariantName = 'P1' | 'P2' | 'P3' | 'P4' | 'P5' | 'P6' | 'P7' | 'P8' | 'assertion'
+/** `assertion`: a check inside the product failed. `storm`: the product repeats an append without a pause. */
+export type InvariantName = 'P1' | 'P2' | 'P3' | 'P4' | 'P5' | 'P6' | 'P7' | 'P8' | 'assertion' | 'storm'
 
 export type Violation = {
   invariant: InvariantName
@@ -14,20 +15,24 @@
   check (invariant: InvariantName, holds: boolean, detail: () => string, ids: string[]): void
   readonly counts: Readonly<Record<InvariantName, number>>
   readonly violations: readonly Violation[]
+  /** True after a violation that makes the rest of the run meaningless; a storm does not. */
+  readonly stopped: boolean
 }
 
 /** @param now - time of the run, in ms */
 export const createChecker = (now: () => number): Checker => {
-  const counts: Record<InvariantName, number> = { P1: 0, P2: 0, P3: 0, P4: 0, P5: 0, P6: 0, P7: 0, P8: 0, assertion: 0 }
+  const counts: Record<InvariantName, number> = { P1: 0, P2: 0, P3: 0, P4: 0, P5: 0, P6: 0, P7: 0, P8: 0, assertion: 0, storm: 0 }
   const violations: Violation[] = []
   return {
     check (invariant, holds, detail, ids) {
       counts[invariant] += 1
-      if (!holds) {
+      const isKnown = invariant === 'storm' && violations.some(violation => violation.invariant === 'storm')
+      if (!holds && !isKnown) {
         violations.push({ invariant, at: now(), detail: detail(), ids })
       }
     },
     counts,
-    violations
+    violations,
+    get stopped () { return violations.some(({ invariant }) => invariant !== 'storm') }
   }
 }
--- a/packages/soak/src/cluster.ts
+++ b/packages/soak/src/cluster.ts
@@ -1,5 +1,5 @@
 /** The nodes of a run: starts, crashes, replacements and graceful shutdowns. */
-import type { CoreHooks } from '@yuccawharf/node'
+import type { Mutation } from './mutants'
 import { createNodeProcess, type NodeProcess, type NodeProcessEnv } from './node-process'
 import { region, zones, type World } from './world'
 
@@ -15,7 +15,7 @@
 }
 
 export type ClusterOptions = {
-  hooks: CoreHooks
+  mutation: Mutation
   finished: NodeProcessEnv['finished']
   orderFinished: NodeProcessEnv['orderFinished']
 }
@@ -31,7 +31,7 @@
       finished: options.finished,
       orderFinished: options.orderFinished,
       exited: replaceLater
-    }, { id, zone, seed: chance.between(1, 0x7fffffff), hooks: options.hooks })
+    }, { id, zone, seed: chance.between(1, 0x7fffffff), mutation: options.mutation })
     processes.set(id, node)
     return node
   }
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -6,7 +6,7 @@
 
 export type FaultName =
   | 'crash' | 'pause' | 'pause-before-step' | 'pause-after-step' | 'drain'
-  | 'cut-nodes' | 'cut-zone' | 'cut-log' | 'cut-engine' | 'cut-list' | 'message-storm'
+  | 'cut-nodes' | 'cut-zone' | 'cut-log' | 'cut-engine' | 'cut-list' | 'message-storm' | 'late-duplicates'
   | 'log-outage' | 'lost-append-answer' | 'lost-append' | 'late-append' | 'lost-read' | 'record-expiry'
   | 'engine-restart' | 'engine-unreachable' | 'engine-leaves' | 'cut-streams'
   | 'load-fails' | 'load-hangs' | 'command-answer-lost' | 'late-command' | 'weight-store-outage' | 'weight-store-slow'
@@ -25,7 +25,9 @@
 
 const minNodes = 2
 /** A node needs this long after a fault to read the log again: a back-off and a failed read, in ms. */
-const recoveryMs = 5000
+const logRecoveryMs = 5000
+/** Time between two reads of the list, in ms. */
+const listRecoveryMs = 1000
 
 export const createFaults = (world: World, cluster: Cluster, options: FaultOptions): Faults => {
   const { clock, chance, network, log, list, engines, weights, service, trace } = world
@@ -34,9 +36,19 @@
   const pick = <T>(items: readonly T[]): T | undefined => items.length === 0 ? undefined : items[chance.between(0, items.length - 1)]
   const engine = (): EngineInWorld | undefined => pick([...engines.values()].filter(({ gone }) => !gone))
 
+  const disturbLog = (nodes: readonly NodeProcess[], ms: number): void => {
+    const until = clock.now() + ms + logRecoveryMs
+    nodes.forEach(node => { node.logDisturbedUntil = Math.max(node.logDisturbedUntil, until) })
+  }
+
+  const disturbList = (nodes: readonly NodeProcess[], ms: number): void => {
+    const until = clock.now() + ms + listRecoveryMs
+    nodes.forEach(node => { node.listDisturbedUntil = Math.max(node.listDisturbedUntil, until) })
+  }
+
   const disturb = (nodes: readonly NodeProcess[], ms: number): void => {
-    const until = clock.now() + ms + recoveryMs
-    nodes.forEach(node => { node.disturbedUntil = Math.max(node.disturbedUntil, until) })
+    disturbLog(nodes, ms)
+    disturbList(nodes, ms)
   }
 
   const cutBoth = (left: string, right: string, ms: number): void => {
@@ -57,24 +69,28 @@
   }
 
   const cutFrom = (node: NodeProcess, target: string | undefined): void => {
-    if (target !== undefined) {
-      const ms = chance.between(200, 12_000)
-      disturb([node], ms)
-      cutBoth(node.id, target, ms)
+    if (target === undefined) {
+      return
     }
+    const ms = chance.between(200, 12_000)
+    if (target === 'log') {
+      disturbLog([node], ms)
+    } else if (target === 'list') {
+      disturbList([node], ms)
+    }
+    cutBoth(node.id, target, ms)
   }
 
   const cutZone = (node: NodeProcess): void => {
     const ms = chance.between(500, 15_000)
     const others = cluster.nodes().filter(({ zone }) => zone !== node.zone)
     const inside = cluster.nodes().filter(({ zone }) => zone === node.zone)
-    disturb(cluster.nodes(), ms)
     inside.forEach(({ id }) => others.forEach(other => cutBoth(id, other.id, ms)))
   }
 
   const logOutage = (): void => {
     const ms = chance.happens(0.3) ? chance.between(10_000, 30_000) : chance.between(200, 6000)
-    disturb(cluster.nodes(), ms)
+    disturbLog(cluster.nodes(), ms)
     log.setOutage(true)
     clock.after(ms, () => log.setOutage(false))
   }
@@ -135,11 +151,7 @@
     'pause-after-step': node => pauseAround(node, 'after'),
     drain: node => { if (cluster.nodes().filter(({ draining }) => !draining).length > minNodes && !node.draining) cluster.drain(node) },
     'cut-nodes' (node) {
-      const other = pick(cluster.nodes().filter(({ id }) => id !== node.id))
-      if (other !== undefined) {
-        disturb([other], 12_000)
-        cutFrom(node, other.id)
-      }
+      cutFrom(node, pick(cluster.nodes().filter(({ id }) => id !== node.id))?.id)
     },
     'cut-zone': cutZone,
     'cut-log': node => cutFrom(node, 'log'),
@@ -147,10 +159,10 @@
     'cut-list': node => cutFrom(node, 'list'),
     'message-storm' () {
       const ms = chance.between(500, 6000)
-      disturb(cluster.nodes(), ms)
       network.setQuality({ loss: 0.3, duplication: 0.2, maxDelayMs: 200 })
       clock.after(ms, () => network.setQuality(goodQuality))
     },
+    'late-duplicates': () => network.repeatLate(chance.between(2000, 8000)),
     'log-outage': logOutage,
     'lost-append-answer': () => log.loseNextAnswer(),
     'lost-append': node => { node.log.faults.loseNextAppend = true },
@@ -172,12 +184,12 @@
     },
     'list-outage' () {
       const ms = chance.between(1000, 10_000)
-      disturb(cluster.nodes(), ms)
+      disturbList(cluster.nodes(), ms)
       temporarily(list.setOutage, ms)
     },
     'list-lag' () {
       const ms = chance.between(2000, 12_000)
-      disturb(cluster.nodes(), ms)
+      disturbList(cluster.nodes(), ms)
       list.setLag(chance.between(500, 5000))
       clock.after(ms, () => list.setLag(200))
     },
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,5 +1,6 @@
 /** Command line of the soak: `npx tsx packages/soak/src/main.ts --seed N --steps M [--seeds K] [--profile NAME]`. */
 import meow from 'meow'
+import { mutantNames, searchMutant } from './mutants'
 import { profiles, runSoak, type ProfileName, type SoakResult } from './run'
 
 const cli = meow(`
@@ -8,6 +9,7 @@
   --seed     first seed (1)
   --seeds    number of seeds (1)
   --steps    steps per seed (5000)
+  --mutants  break one rule at a time and show that the checks notice
   --profile  ${Object.keys(profiles).join(', ')} (default)
 `, {
   importMeta: import.meta,
@@ -15,6 +17,7 @@
     seed: { type: 'number', default: 1 },
     seeds: { type: 'number', default: 1 },
     steps: { type: 'number', default: 5000 },
+    mutants: { type: 'boolean', default: false },
     profile: { type: 'string', default: 'default', choices: Object.keys(profiles) }
   }
 })
@@ -34,7 +37,21 @@
   }
 }
 
-const main = (): void => {
+const mutantSeeds = 50
+
+const runMutants = (): void => {
+  let survivors = 0
+  for (const name of mutantNames) {
+    const { seeds, caught } = searchMutant(name, mutantSeeds, cli.flags.steps)
+    survivors += Number(caught === undefined)
+    console.log(caught === undefined
+      ? `${name}: not noticed in ${seeds} seeds`
+      : `${name}: ${caught.invariant} noticed with seed ${seeds}: ${caught.detail.split('\n')[0]}`)
+  }
+  process.exitCode = survivors === 0 ? 0 : 1
+}
+
+const runSeeds = (): void => {
   const { seed, seeds, steps, profile } = cli.flags
   const faults: Record<string, number> = {}
   const checks: Record<string, number> = {}
@@ -64,4 +81,8 @@
   process.exitCode = failed.length === 0 ? 0 : 1
 }
 
-main()
+if (cli.flags.mutants) {
+  runMutants()
+} else {
+  runSeeds()
+}
--- a/packages/soak/src/network.ts
+++ b/packages/soak/src/network.ts
@@ -12,6 +12,8 @@
   heal (from: string, to: string): void
   /** Loss and duplication of messages, as fractions, and the longest delay, in ms. */
   setQuality (quality: LinkQuality): void
+  /** For the next `ms`, half of the messages arrive once more, up to 15 s later. */
+  repeatLate (ms: number): void
 }
 
 export type LinkQuality = { loss: number, duplication: number, maxDelayMs: number }
@@ -20,12 +22,14 @@
 
 /** Time after which a sender notices a cut connection, in ms. */
 const brokenAfterMs = 300
+const lateMs = 15_000
 
 /** @returns a network with good links */
 export const createNetwork = (clock: Clock, chance: Chance): Network => {
   const cuts = new Map<string, number>()
   const lastArrival = new Map<string, number>()
   let quality = goodQuality
+  let repeatLateUntil = -Infinity
 
   const linkOf = (from: string, to: string): string => `${from}>${to}`
   const isCut = (from: string, to: string): boolean => cuts.has(linkOf(from, to))
@@ -45,6 +49,9 @@
       if (chance.happens(quality.duplication)) {
         clock.after(delayMs(), run)
       }
+      if (clock.now() < repeatLateUntil && chance.happens(0.5)) {
+        clock.after(chance.between(500, lateMs), run)
+      }
     },
     stream (from, to, run, broken) {
       if (isCut(from, to) || isCut(to, from)) {
@@ -72,6 +79,9 @@
     },
     setQuality (next) {
       quality = next
+    },
+    repeatLate (ms) {
+      repeatLateUntil = clock.now() + ms
     }
   }
 }
--- a/packages/soak/src/node-process.ts
+++ b/packages/soak/src/node-process.ts
@@ -1,6 +1,7 @@
 /** One process of a node in the world: the core under test inside simulated shells. */
-import { createNodeCore, nodeCoreDefaults, type CoreAction, type CoreHooks, type Order, type QueryableCore } from '@yuccawharf/node'
+import { createNodeCore, nodeCoreDefaults, type CoreAction, type Order, type QueryableCore } from '@yuccawharf/node'
 import type { EngineCommandResult, ServiceResult } from '@yuccawharf/platform'
+import type { Mutation } from './mutants'
 import { createLogShell, type LogShell } from './shell-log'
 import { createStreamShell, type StreamShell, type StreamShellEnv } from './shell-streams'
 import { createSimProcess, type SimProcess } from './process'
@@ -25,8 +26,10 @@
   readonly streams: StreamShell
   readonly log: LogShell
   readonly draining: boolean
-  /** Time until which faults may have kept news from this process, in ms; Infinity during such a fault. */
-  disturbedUntil: number
+  /** Time until which faults may keep the configuration from this process, in ms. */
+  logDisturbedUntil: number
+  /** Time until which faults may keep news of the instance list from this process, in ms. */
+  listDisturbedUntil: number
   /** The next command to an engine lands this much later than its timeout, in ms. */
   delayNextCommandMs: number | undefined
   /** The next order lands this late at the service, in ms; its answer is lost. */
@@ -40,13 +43,15 @@
   id: string
   zone: string
   seed: number
-  hooks: CoreHooks
+  mutation: Mutation
 }
 
 /** Requests, orders, keys and handles in the message of an assertion. */
 const namePattern = /\b[ro]\d{6}\b|\S+-order-key-\d+|\ba\d+@\d+~[\d.]+/g
 
 const tickMs = 250
+/** A new process needs this long until it has read the log and the list, in ms. */
+const startMs = 5000
 const listEveryMs = 1000
 const reportEveryMs = 500
 const commandTimeoutMs = 5000
@@ -55,12 +60,12 @@
 const queuedPerAdapter = 20
 
 /** Checks P1 and P6 for a request that an engine has accepted. */
-const checkRun = (world: World, self: { id: string, disturbedUntil: number }, adapters: (requestId: string) => string | undefined) =>
+const checkRun = (world: World, self: { id: string, listDisturbedUntil: number }, adapters: (requestId: string) => string | undefined) =>
   (requestId: string, engine: EngineInWorld, handle: string): void => {
     const loaded = engine.loadedAs.get(handle)
     world.checker.check('P1', loaded === adapters(requestId), () => `request ${requestId} for ${adapters(requestId)} runs on ${handle} of ${engine.id}, loaded as ${loaded}`, [requestId, handle])
     if (engine.leavingToldAt !== undefined) {
-      const latest = Math.max(engine.leavingToldAt, self.disturbedUntil) + 3000
+      const latest = Math.max(engine.leavingToldAt, self.listDisturbedUntil) + 3000
       world.checker.check('P6', world.clock.now() <= latest, () => `${engine.id} got request ${requestId} from ${self.id}, ${world.clock.now() - (engine.leavingToldAt ?? 0)} ms after it said that it leaves`, [requestId, engine.id])
     }
   }
@@ -82,7 +87,7 @@
     queuedPerEngine,
     queuedPerAdapter,
     logRetentionMs
-  }, options.hooks)
+  }, options.mutation.hooks)
   const orders = new Set<string>()
   let draining = false
 
@@ -193,7 +198,7 @@
   const process = createSimProcess({
     clock,
     chance,
-    node: core,
+    node: options.mutation.wrap?.(core) ?? core,
     perform,
     stepped () {
       world.countStep()
@@ -229,6 +234,7 @@
     streams: createStreamShell(world, {
       node: id,
       process,
+      skipSequenceCheck: options.mutation.skipSequenceCheck === true,
       peer: node => env.peer(node),
       finished: env.finished,
       ran (requestId, engine, handle) {
@@ -239,7 +245,8 @@
     }),
     log: createLogShell(world, process, id),
     get draining () { return draining },
-    disturbedUntil: clock.now() + 5000,
+    logDisturbedUntil: clock.now() + startMs,
+    listDisturbedUntil: clock.now() + startMs,
     delayNextCommandMs: undefined,
     delayNextOrderMs: undefined,
     order (order) {
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -1,8 +1,8 @@
 /** One run: a seeded world with faults, until the steps are done or an invariant is violated. */
-import type { CoreHooks } from '@yuccawharf/node'
 import type { InvariantName, Violation } from './checker'
 import { createCluster, type Cluster } from './cluster'
 import { createFaults, type FaultName } from './faults'
+import type { Mutation } from './mutants'
 import { createWorkload, type Workload, type WorkloadRates } from './workload'
 import { createWorld, type World } from './world'
 
@@ -30,9 +30,9 @@
   'log-outage': {
     engines: 3,
     fencedEngines: 2,
-    rates: usualRates,
+    rates: { ...usualRates, changeMs: 500 },
     faultMeanMs: 1500,
-    weights: { 'log-outage': 10, 'cut-log': 4, crash: 2, 'lost-append-answer': 3, 'late-append': 3, 'lost-read': 3, 'record-expiry': 3 }
+    weights: { 'log-outage': 10, 'late-duplicates': 4, 'cut-log': 4, crash: 2, 'lost-append-answer': 3, 'late-append': 3, 'lost-read': 3, 'record-expiry': 3 }
   },
   orders: {
     engines: 2,
@@ -47,8 +47,8 @@
   seed: number
   steps: number
   profile: ProfileName
-  /** Breaks a rule of the cores; see the mutants. */
-  hooks?: CoreHooks
+  /** Breaks a rule, to show that the checks notice. */
+  mutation?: Mutation
   nodes?: number
 }
 
@@ -77,7 +77,7 @@
   const profile = profiles[options.profile]
   const world = createWorld({ seed: options.seed, engines: profile.engines, fencedEngines: profile.fencedEngines, services: 2 })
   const workload: Workload = createWorkload(world, () => cluster, profile.rates)
-  const cluster = createCluster(world, { hooks: options.hooks ?? {}, finished: workload.finished, orderFinished: workload.orderFinished })
+  const cluster = createCluster(world, { mutation: options.mutation ?? { hooks: {} }, finished: workload.finished, orderFinished: workload.orderFinished })
   const faults = createFaults(world, cluster, { meanMs: profile.faultMeanMs, weights: profile.weights })
   for (let index = 0; index < (options.nodes ?? nodeCount); index++) {
     cluster.start()
@@ -94,7 +94,7 @@
 
 const advance = (world: World, steps: number): void => {
   const { clock, checker } = world
-  for (let due = clock.next(); due !== undefined && world.steps < steps && checker.violations.length === 0; due = clock.next()) {
+  for (let due = clock.next(); due !== undefined && world.steps < steps && !checker.stopped; due = clock.next()) {
     clock.advance(due - clock.now())
   }
 }
@@ -112,7 +112,7 @@
   faults.start()
   advance(world, options.steps)
   const { checker, trace, clock } = world
-  const [first] = checker.violations
+  const first = checker.violations.find(({ invariant }) => invariant !== 'storm') ?? checker.violations[0]
   return {
     seed: options.seed,
     steps: world.steps,
--- a/packages/soak/src/shell-log.ts
+++ b/packages/soak/src/shell-log.ts
@@ -7,6 +7,7 @@
 const readWaitMs = 1500
 const readFailsAfterMs = 2500
 const appendTimeoutMs = 2000
+const repeatedAppendMs = 100
 
 export type LogFaults = {
   /** The answer of the next read never comes. */
@@ -28,8 +29,23 @@
   const { clock, chance, log, network } = world
   const faults: LogFaults = { loseNextRead: false, loseNextAppend: false }
 
+  let lastContent = ''
+  let lastAt = -Infinity
+
   const isCut = (): boolean => network.isCut(link, 'log') || network.isCut('log', link)
 
+  /** Owners must not repeat a record at once when the log refuses it: the log accepts several hundred appends per second in all. */
+  const checkRepeated = (stream: string, values: unknown[]): void => {
+    if (stream !== 'ownership') {
+      return
+    }
+    const content = JSON.stringify(values)
+    const sinceMs = content === lastContent ? clock.now() - lastAt : Infinity
+    lastContent = content
+    lastAt = clock.now()
+    world.checker.check('storm', sinceMs >= repeatedAppendMs, () => `${link} appends ${content} again after ${sinceMs.toFixed(1)} ms`, [link])
+  }
+
   return {
     read ({ stream, from }) {
       const readFailed = (): void => process.deliver({ type: 'log-read-failed', stream })
@@ -58,6 +74,7 @@
       const answer = (result: Parameters<Parameters<typeof log.append>[2]>[0]): void =>
         process.deliver({ type: 'append-result', token, result })
       world.trace.add(clock.now(), 'append', link, stream, token, values)
+      checkRepeated(stream, values)
       if (isCut()) {
         // A refused connection proves that nothing was sent; a silent link proves nothing.
         const proved = chance.happens(0.5)
--- a/packages/soak/src/shell-streams.ts
+++ b/packages/soak/src/shell-streams.ts
@@ -16,6 +16,8 @@
 export type StreamShellEnv = {
   node: string
   process: SimProcess
+  /** Only for a mutant. */
+  skipSequenceCheck: boolean
   /** Process that runs at a node now. */
   peer (node: string): { process: SimProcess, streams: StreamShell } | undefined
   /** A caller's request ended at its entry process. */
@@ -284,11 +286,11 @@
 
   return {
     submit (completion) {
-      entries.set(completion.requestId, { answer: createAnswer(completion), peer: undefined })
+      entries.set(completion.requestId, { answer: createAnswer(completion, env.skipSequenceCheck), peer: undefined })
       report({ type: 'submit', completion })
     },
     accept (completion, from, reply) {
-      owned.set(completion.requestId, { answer: createAnswer(completion), reply, live: false })
+      owned.set(completion.requestId, { answer: createAnswer(completion, env.skipSequenceCheck), reply, live: false })
       report({ type: 'submit', completion, forwarded: true, from })
     },
     dispatch ({ engine: id, requestId, handle, priority, resumeAfter }) {
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -68,7 +68,7 @@
   readonly steps: number
 }
 
-export type RevisionSource = { id: string, incarnation: number, disturbedUntil: number }
+export type RevisionSource = { id: string, incarnation: number, logDisturbedUntil: number }
 
 export const orderKeyHeader = 'idempotency-key'
 /** Time within which an accepted configuration is in force everywhere, in ms. */
@@ -185,7 +185,7 @@
     world.checker.check('P8', revision >= before, () => `${process} goes back from revision ${before} to ${revision}`, [node.id])
     revisions.set(process, revision)
     const due = oracle.revisionAt(clock.now() - configBoundMs)
-    if (clock.now() > node.disturbedUntil + configBoundMs) {
+    if (clock.now() > node.logDisturbedUntil + configBoundMs) {
       world.checker.check('P8', revision >= due, () => `${process} has revision ${revision} in force; ${due} was accepted more than ${configBoundMs} ms ago`, [node.id])
     }
   }
