--- a/packages/coordination/src/ownership-pins.ts
+++ b/packages/coordination/src/ownership-pins.ts
@@ -54,6 +54,9 @@
   alive: boolean
 }
 
+/** Free handles that are remembered; an engine has few slots, so the oldest are long gone. */
+const maxRemembered = 1_000
+
 /** @returns the pins of one term */
 export const createPins = (cfg: PinsConfig): Pins => {
   const processes: Process[] = cfg.predecessors.map(process => ({ ...process, running: [], ended: new Map(), alive: true }))
@@ -110,7 +113,6 @@
 
   const restarted = (report: EngineReport): void => {
     if (incarnation !== undefined && incarnation !== report.incarnation) {
-      free.clear()
       // The engine's clock may have started anew.
       processes.forEach(process => {
         delete process.proof?.firstReport
@@ -120,6 +122,15 @@
     incarnation = report.incarnation
   }
 
+  /** A restart of the engine frees handles but never pins them again: names are not reused. */
+  const remember = (handle: string): void => {
+    free.add(handle)
+    const [oldest] = free
+    if (oldest !== undefined && free.size > maxRemembered) {
+      free.delete(oldest)
+    }
+  }
+
   return {
     instanceGone (node, now) {
       for (const process of processes.filter(candidate => candidate.node === node)) {
@@ -148,7 +159,7 @@
       const freed = report.resident
         .map(({ handle }) => handle)
         .filter(handle => !free.has(handle) && !isUnknown(report, handle, knows) && !processes.some(process => mayUse(process, handle)))
-      freed.forEach(handle => free.add(handle))
+      freed.forEach(remember)
       return freed
     },
     isFree: handle => free.has(handle),
--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -338,6 +338,7 @@
     }
     if (scheduler === undefined) {
       create(lastReport)
+      announceStart(lastReport, now)
       absorb(lastReport, now)
     }
     const entries = waiting
@@ -345,13 +346,16 @@
     entries.forEach(entry => accept(entry, now))
   }
 
-  const absorb = (report: EngineReport, now: number): void => {
-    const seen = visible(report)
-    if (schedulerIncarnation !== report.incarnation) {
-      // The scheduler first forgets the handles of the last start; handles that are not its own come after they are pinned.
+  /** The scheduler forgets the handles of the last start before anything else; others' handles come after they are pinned. */
+  const announceStart = (report: EngineReport, now: number): void => {
+    if (scheduler !== undefined && schedulerIncarnation !== report.incarnation) {
       schedulerIncarnation = report.incarnation
-      stepScheduler({ type: 'report', report: { ...seen, resident: seen.resident.filter(({ handle }) => isOwnLoad(handle)) } }, now)
+      stepScheduler({ type: 'report', report: { ...report, resident: report.resident.filter(({ handle }) => isOwnLoad(handle)) } }, now)
     }
+  }
+
+  const absorb = (report: EngineReport, now: number): void => {
+    const seen = visible(report)
     adopt(seen, now)
     stepScheduler({ type: 'report', report: seen }, now)
     const known = seen.resident.map(({ handle }) => handle)
@@ -451,6 +455,9 @@
     },
     report (report, predecessorsDown, now) {
       noteIncarnation(report)
+      if (!over) {
+        announceStart(report, now)
+      }
       const knows = (requestId: string): boolean => requests.get(requestId)?.handle !== undefined
       pins.report(report, knows, now)
       lostRequests.report(report)
