--- a/packages/cli/src/run.test.ts
+++ b/packages/cli/src/run.test.ts
@@ -206,11 +206,12 @@
 test('timeline merges nodes and files, and says which sources are missing', async () => {
   const event = (process: string, time: number, request: string) => ({ time, counter: 0, process, kind: 'k', request })
   const saved = file('n2.json', JSON.stringify({ process: 'n2', dropped: 3, events: [event('n2', 2, 'r1'), event('n2', 3, 'r2')] }))
-  await withNode(json(200, { process: 'n1', dropped: 0, events: [event('n1', 1, 'r1'), event('n1', 4, 'r1')] }), async address => {
+  await withNode(json(200, { process: 'n1', dropped: 0, events: [event('n1', 1, 'r1'), { ...event('n1', 4, 'r1'), adapter: 'poem@1~3.1' }] }), async address => {
     const { code, out, err } = await command('timeline', saved, '--request', 'r1', '--node', address)
     assert.is(code, 0)
     assert.equal(out.split('\n').map(line => line.split(' ')[1]), ['n1', 'n2', 'n1'])
     assert.match(err, 'n2 no longer has 3 older events')
+    assert.is((await command('timeline', '--adapter', 'poem', '--node', address)).out, '1970-01-01T00:00:00.004Z n1 k request=r1 adapter=poem@1~3.1')
     const partial = await command('timeline', '--node', address, '--node', unused)
     assert.is(partial.code, 3)
     assert.match(partial.err, /127\.0\.0\.1:1 cannot be asked/)
--- a/packages/cli/src/timeline-command.ts
+++ b/packages/cli/src/timeline-command.ts
@@ -10,7 +10,8 @@
 /** One source's events, or why it has none. */
 type Source = { timeline: TimelineReply } | { failure: string }
 
-async function readNode (node: string, filter: TimelineFilter): Promise<Source> {
+/** Nodes compare ids exactly, so that an adapter's name is matched here and not there. */
+async function readNode (node: string, { adapter, ...filter }: TimelineFilter): Promise<Source> {
   const query = new URLSearchParams(filter as Record<string, string>).toString()
   const path = query === '' ? '/admin/timeline' : `/admin/timeline?${query}`
   const reply = await createNodeClient([node]).get<TimelineReply>(path, validateTimelineReply)
@@ -79,7 +80,8 @@
 no node is asked.
 
 Options
-  --request ID    only events of this request; the same for --engine, --adapter and --order
+  --request ID    only events of this request; the same for --engine and --order
+  --adapter NAME  only events of this adapter: NAME, NAME@VERSION or the handle of one load
   --trace FILE    write trace-event JSON for a trace viewer instead of lines
 ${nodeHelp}
   --json          print JSON
--- a/packages/timeline/src/timeline.test.ts
+++ b/packages/timeline/src/timeline.test.ts
@@ -50,6 +50,17 @@
   assert.is(events.list({ request: 'r6' }).events.length, 1)
 })
 
+// Guards against an adapter's events that a filter misses because they name one load of it.
+test('an adapter is found by name, by version and by handle', () => {
+  const events = recorder('n1')
+  for (const adapter of ['poem@1~3.1', 'poem@12~3.2', 'poems@1~3.3', 'poem']) events.record(1, 'load', { adapter })
+  events.record(1, 'start')
+  const found = (adapter: string) => events.list({ adapter }).events.map(event => event.adapter)
+  assert.equal(found('poem'), ['poem@1~3.1', 'poem@12~3.2', 'poem'])
+  assert.equal(found('poem@1'), ['poem@1~3.1'])
+  assert.equal(found('poem@12~3.2'), ['poem@12~3.2'])
+})
+
 test('a merge orders by stamp and keeps an event of two sources once', () => {
   const first = recorder('n1')
   const second = recorder('n2')
