Test the service, instance list and weight store clients on faulty responses

A service call that may have run must never look unsent, and a faulty instance list must not remove instances. The tests cut, delay, enlarge and malform the responses, check which headers are passed on, and fix which errors prove that nothing was sent.

--- /dev/null
+++ b/packages/platform/src/clients.test.ts
@@ -0,0 +1,114 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { classifyError, createHttpClient } from './http-client'
+import { createInstanceListClient } from './instance-list-client'
+import type { ServiceResult } from './interfaces'
+import { createPlainServiceClient } from './plain-service-client'
+import { httpResponse, startRawServer, type AfterBytes } from './raw-server.test-helper'
+import { createWeightStoreClient } from './weight-store-client'
+
+const order = { method: 'POST', path: '/orders?x=1', headers: { 'content-type': 'text/plain', 'idempotency-key': 'k' }, body: Buffer.from('order') }
+
+async function call (bytes: string, after: AfterBytes, signal = new AbortController().signal): Promise<{ result: ServiceResult, requests: number }> {
+  const server = await startRawServer(bytes, after)
+  const client = createPlainServiceClient({ baseUrl: server.url, timeoutMs: 100, maxBytes: 1000 })
+  const result = await client.call(order, signal)
+  await client.close()
+  await server.close()
+  return { result, requests: server.requests() }
+}
+
+// Guards against an order that runs twice because a call that may have run was taken for not sent.
+test('a service call cut at any byte of its response is unknown and was sent once', async () => {
+  const whole = httpResponse(201, 'done', 'text/plain')
+  const complete = await call(whole, 'hang')
+  assert.is(complete.result.type === 'ok' && complete.result.response.body.toString(), 'done')
+  for (let length = 0; length < whole.length; length++) {
+    const { result, requests } = await call(whole.slice(0, length), length % 2 === 0 ? 'cut' : 'end')
+    assert.is(result.type, 'unknown', `after ${length} bytes`)
+    assert.is(requests, 1)
+  }
+})
+
+test('a service call without a response in time, or with an oversized one, is unknown', async () => {
+  assert.is((await call('', 'hang')).result.type, 'unknown')
+  assert.is((await call(httpResponse(200, 'x'.repeat(2000)), 'hang')).result.type, 'unknown')
+  assert.is((await call(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${'400\r\n'}${'x'.repeat(1024)}\r\n0\r\n\r\n`, 'hang')).result.type, 'unknown')
+})
+
+test('a call cancelled before it was sent is not sent, one cancelled later is unknown', async () => {
+  const early = new AbortController()
+  early.abort()
+  assert.equal((await call('', 'hang', early.signal)).requests, 0)
+  assert.is((await call('', 'hang', early.signal)).result.type, 'not-sent')
+  const late = new AbortController()
+  setTimeout(() => late.abort(), 30)
+  assert.is((await call('', 'hang', late.signal)).result.type, 'unknown')
+})
+
+// Guards against headers of one connection reaching the other side, which would misread the body.
+test('headers of the connection are not passed on in either direction', async () => {
+  const response = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: keep-alive, x-hop\r\nx-hop: 1\r\nkeep-alive: timeout=9\r\nx-kept: a\r\nset-cookie: c\r\n\r\nok'
+  const { result } = await call(response, 'hang')
+  assert.equal(result.type === 'ok' ? result.response.headers : result, { 'x-kept': 'a', 'set-cookie': 'c' })
+  const server = await startRawServer(response, 'hang')
+  const client = createPlainServiceClient({ baseUrl: server.url })
+  const headers = { host: 'evil', 'content-length': '999', 'transfer-encoding': 'chunked', connection: 'x-mine', 'x-mine': '1', 'x-kept': 'b' }
+  assert.is((await client.call({ ...order, headers }, new AbortController().signal)).type, 'ok')
+  assert.match(server.received(), /x-kept: b/)
+  assert.match(server.received(), /content-length: 5/)
+  assert.not.match(server.received(), /evil|999|chunked|x-mine/)
+  await client.close()
+  await server.close()
+})
+
+test('a request that cannot be written is not sent', async () => {
+  const client = createHttpClient({ baseUrl: 'http://127.0.0.1:1' })
+  assert.is((await client.exchange({ method: 'GET', path: '/', headers: { 'x-bad': 'a\r\nb' } })).type, 'not-sent')
+  await client.close()
+})
+
+// Guards against a new error code of undici or node being taken for proof.
+test('only errors from before a connection prove that nothing was sent', () => {
+  const error = (members: object): Error => Object.assign(new Error('m'), members)
+  const refused = error({ code: 'ECONNREFUSED', syscall: 'connect' })
+  for (const err of [refused, error({ code: 'UND_ERR_CONNECT_TIMEOUT' }), error({ code: 'ENOTFOUND', syscall: 'getaddrinfo' }), error({ errors: [refused, refused] })]) {
+    assert.is(classifyError(err).type, 'not-sent')
+  }
+  for (const err of [error({ code: 'ECONNRESET', syscall: 'read' }), error({ code: 'EPIPE', syscall: 'write' }), error({ code: 'UND_ERR_SOCKET' }), error({ code: 'UND_ERR_HEADERS_TIMEOUT' }), error({ code: 'ECONNREFUSED' }), error({ errors: [refused, error({ code: 'ECONNRESET' })] }), error({ errors: [] }), undefined, 'text']) {
+    assert.is(classifyError(err).type, 'unknown')
+  }
+})
+
+async function fetchInstances (body: string): Promise<unknown> {
+  const server = await startRawServer(httpResponse(200, body), 'hang')
+  const client = createInstanceListClient({ baseUrl: server.url, maxBytes: 2000, timeoutMs: 100 })
+  const snapshot = await client.fetch()
+  await client.close()
+  await server.close()
+  return snapshot
+}
+
+// Guards against a faulty list that removes instances: a node treats a missing predecessor as ended.
+test('a malformed, oversized or contradictory instance list counts as no answer', async () => {
+  const instance = { id: 'a', kind: 'engine', address: '127.0.0.1:1', zone: 'z', region: 'r', group: 'g', state: 'live' }
+  const list = (instances: unknown): string => JSON.stringify({ asOf: 1, instances })
+  assert.equal(await fetchInstances(list([instance])), { asOf: 1, instances: [instance] })
+  for (const body of ['', '{}', '[]', list({}), list([{ ...instance, state: 'gone' }]), list([{ ...instance, id: '' }]), list([instance, instance]), list([instance]).slice(0, -1), list(Array.from({ length: 50 }, (_, at) => ({ ...instance, id: `i${at}` })))]) {
+    assert.is(await fetchInstances(body), undefined, body.slice(0, 80))
+  }
+})
+
+test('the weight store tells missing and failed apart', async () => {
+  const results: [string, string][] = [[httpResponse(200, '{"bytes":5}'), 'ok'], [httpResponse(404, ''), 'missing'], [httpResponse(503, ''), 'failed'], [httpResponse(200, '{"bytes":-1}'), 'failed'], [httpResponse(200, '{"bytes":'), 'failed'], ['', 'failed']]
+  for (const [bytes, type] of results) {
+    const server = await startRawServer(bytes, 'end')
+    const client = createWeightStoreClient({ baseUrl: `${server.url}/weights/` })
+    assert.is((await client.describe('a/b', '1 2')).type, type, bytes)
+    assert.match(server.received(), 'GET /weights/adapters/a%2Fb/1%202 HTTP/1.1')
+    await client.close()
+    await server.close()
+  }
+})
+
+test.run()
--- a/packages/platform/src/raw-server.test-helper.ts
+++ b/packages/platform/src/raw-server.test-helper.ts
@@ -1,7 +1,7 @@
 /** A server for tests that writes given bytes and then ends, cuts or keeps the connection. */
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 
-export type RawServer = { url: string, requests: () => number, connections: () => number, close: () => Promise<void> }
+export type RawServer = { url: string, requests: () => number, connections: () => number, received: () => string, close: () => Promise<void> }
 
 /** What follows the bytes: `end` closes in order, `cut` resets the connection, `hang` keeps it open. */
 export type AfterBytes = 'end' | 'cut' | 'hang'
@@ -11,6 +11,7 @@
   const sockets = new Set<Socket>()
   let requests = 0
   let connections = 0
+  let all = ''
   const answer = (socket: Socket): void => {
     requests++
     const finish = (): void => {
@@ -28,6 +29,7 @@
     socket.on('close', () => sockets.delete(socket))
     socket.on('data', chunk => {
       received += chunk.toString('latin1')
+      all += chunk.toString('latin1')
       if (!received.includes('\r\n\r\n')) return
       received = ''
       answer(socket)
@@ -39,6 +41,7 @@
     url: `http://127.0.0.1:${port}`,
     requests: () => requests,
     connections: () => connections,
+    received: () => all,
     close: async () => {
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => server.close(resolve))
