Keep one load permit for urgent loads

In a surge the backlog of patient loads took every permit of the rate as soon as it was free, so an urgent load waited for the next one even when urgent loads alone were far below the rate. The holder now grants a load whose urgency is below a twentieth of the highest recent one only when two permits of the rate are there.

--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -5,6 +5,8 @@
 export type BenchPolicy = {
   options: PolicyOptions
   routing: NonNullable<RouterConfig['mode']>
+  /** Whether the permit holder reserves a permit for urgent loads. */
+  reservePermits: boolean
   /** Whether the schedulers are told the future arrivals. */
   knowsArrivals: boolean
 }
@@ -20,9 +22,9 @@
 }
 
 export const policies: Record<string, BenchPolicy> = {
-  'fcfs-lru': { options: lru, routing: 'least-loaded', knowsArrivals: false },
-  'affinity-lru': { options: lru, routing: 'affinity', knowsArrivals: false },
-  previous: { options: previousPolicy, routing: 'bounded', knowsArrivals: false },
-  current: { options: currentPolicy, routing: 'bounded', knowsArrivals: false },
-  'known-arrivals': { options: { ...currentPolicy, eviction: 'next-arrival', prefetch: 'next-arrival' }, routing: 'bounded', knowsArrivals: true }
+  'fcfs-lru': { options: lru, routing: 'least-loaded', reservePermits: false, knowsArrivals: false },
+  'affinity-lru': { options: lru, routing: 'affinity', reservePermits: false, knowsArrivals: false },
+  previous: { options: previousPolicy, routing: 'bounded', reservePermits: false, knowsArrivals: false },
+  current: { options: currentPolicy, routing: 'bounded', reservePermits: true, knowsArrivals: false },
+  'known-arrivals': { options: { ...currentPolicy, eviction: 'next-arrival', prefetch: 'next-arrival' }, routing: 'bounded', reservePermits: true, knowsArrivals: true }
 }
--- a/packages/bench/src/runner.ts
+++ b/packages/bench/src/runner.ts
@@ -44,7 +44,8 @@
   arrivals: ServingRequest[]
 }
 
-const permitLimits = ({ store }: Workload) => ({ inFlight: store.inFlight, perSecond: store.loadsPerSecond, expiryMs: 10_000 })
+const permitLimits = ({ store }: Workload, { reservePermits: reserve }: BenchPolicy) =>
+  ({ inFlight: store.inFlight, perSecond: store.loadsPerSecond, expiryMs: 10_000, reserve })
 
 const liveNodes = ({ nodes }: World): string[] => nodes.filter(({ alive }) => alive).map(({ name }) => name)
 
@@ -79,7 +80,7 @@
 }
 
 const holderStep = (world: World, node: Node, event: Parameters<PermitHolder['step']>[0]): void => {
-  node.holder ??= createPermitHolder(node.name, permitLimits(world.workload))
+  node.holder ??= createPermitHolder(node.name, permitLimits(world.workload, world.policy))
   const now = world.clock.now()
   for (const grant of node.holder.step(event, now)) {
     deliverGrant(world, grant)
@@ -282,7 +283,7 @@
   const nodes = nodeNames.map((name): Node => {
     const router = createRouter({ loadMs: workload.store.loadMs, mode: policy.routing })
     router.step({ type: 'engines', engines: serverNames }, 0)
-    return { name, router, permits: createPermitClient(name, permitLimits(workload)), alive: true }
+    return { name, router, permits: createPermitClient(name, permitLimits(workload, policy)), alive: true }
   })
   const oracle = createOracle(arrivals, serverNames)
   const world: World = { workload, policy, seed, clock, recorder, oracle, nodes, servers: new Map(), arrivals }
--- a/packages/serving/src/permits.test.ts
+++ b/packages/serving/src/permits.test.ts
@@ -39,6 +39,26 @@
   assert.is(second?.engine, 'e2')
 })
 
+test('patient loads leave a permit to urgent ones and still use the rest of the rate (guards against stalls behind a backlog)', () => {
+  const holder = createPermitHolder('n1', limits)
+  const grantedTo = (engine: string, urgency: number, now: number): boolean => {
+    const grants = holder.step({ type: 'request', engine, urgency }, now)
+    for (const { permitId } of grants) {
+      holder.step({ type: 'release', permitId }, now)
+    }
+    return grants.some((grant) => grant.engine === engine)
+  }
+  grantedTo('urgent', 1, 0)
+  let patient = 0
+  let waited = 0
+  for (let now = 10; now < 20_000; now += 10) {
+    patient += grantedTo('patient', 0.001, now) ? 1 : 0
+    waited += now % 2_000 === 0 && !grantedTo('urgent', 1, now) ? 1 : 0
+  }
+  assert.is(waited, 0, 'an urgent load never waits for the rate')
+  assert.ok(patient >= 45, `${patient} patient loads in 20 s at 3 per second, less 9 urgent ones`)
+})
+
 test('the fixed share replaces a dead holder and keeps the rate (guards against a stop of all loads)', () => {
   const nodes = ['n1', 'n2', 'n3']
   const holder = permitHolderOf(nodes)!
--- a/packages/serving/src/permits.ts
+++ b/packages/serving/src/permits.ts
@@ -13,6 +13,8 @@
   perSecond: number
   /** ms after which a permit that was not returned is free again. */
   expiryMs: number
+  /** Whether patient loads leave one permit of the rate to urgent ones; true by default. */
+  reserve?: boolean
 }
 
 export type PermitHolderEvent =
@@ -35,16 +37,23 @@
 /** Loads that may start at once after an idle second. */
 const burstSeconds = 1
 
+/** Requests below this share of the highest recent urgency are patient. */
+const patientShare = 0.05
+/** The highest recent urgency is forgotten, so that patient loads get the whole rate when nothing else is waiting for long. */
+const urgencyHalfLifeMs = 30_000
+
 type Request = { urgency: number, at: number, order: number }
 
 /** @param name distinguishes the permits of successive holders */
-export const createPermitHolder = (name: string, { inFlight, perSecond, expiryMs }: PermitLimits): PermitHolder => {
+export const createPermitHolder = (name: string, { inFlight, perSecond, expiryMs, reserve = true }: PermitLimits): PermitHolder => {
   const granted = new Map<string, number>()
   const waiting = new Map<string, Request>()
   const burst = Math.max(1, perSecond * burstSeconds)
   let tokens = 1
   let refilledAt: number | undefined
   let counter = 0
+  let highest = 0
+  let highestAt = 0
 
   const refill = (now: number): void => {
     tokens = Math.min(burst, tokens + (now - (refilledAt ?? now)) * perSecond / 1000)
@@ -85,19 +94,27 @@
     return { type: 'grant', engine, permitId, expiresAt: now + expiryMs }
   }
 
-  const next = (): string | undefined => {
+  const topUrgency = (now: number): number => highest * 0.5 ** ((now - highestAt) / urgencyHalfLifeMs)
+
+  /** Prefetch (urgency 0) waits until the store has been idle; patient loads leave a token to urgent ones. */
+  const tokensNeeded = (urgency: number, now: number): number => {
+    if (urgency <= 0) {
+      return burst
+    }
+    return reserve && urgency < topUrgency(now) * patientShare ? Math.min(burst, 2) : 1
+  }
+
+  const next = (now: number): string | undefined => {
     const engine = mostUrgent()
     if (engine === undefined || granted.size >= inFlight) {
       return undefined
     }
-    // Prefetch (urgency 0) only uses permits that nobody else is going to need at once.
-    const needed = waiting.get(engine)!.urgency <= 0 ? burst : 1
-    return tokens >= needed ? engine : undefined
+    return tokens >= tokensNeeded(waiting.get(engine)!.urgency, now) ? engine : undefined
   }
 
   const grantAll = (now: number): PermitGrant[] => {
     const grants: PermitGrant[] = []
-    for (let engine = next(); engine !== undefined; engine = next()) {
+    for (let engine = next(now); engine !== undefined; engine = next(now)) {
       grants.push(grant(engine, now))
     }
     return grants
@@ -109,6 +126,10 @@
       expire(now)
       if (event.type === 'request') {
         const order = waiting.get(event.engine)?.order ?? (counter += 1)
+        if (event.urgency > topUrgency(now)) {
+          highest = event.urgency
+          highestAt = now
+        }
         waiting.set(event.engine, { urgency: event.urgency, at: now, order })
       }
       if (event.type === 'release' && granted.delete(event.permitId) && event.unused === true) {
@@ -124,7 +145,7 @@
         return undefined
       }
       const best = waiting.get(mostUrgent()!)!
-      const needed = best.urgency <= 0 ? burst : 1
+      const needed = tokensNeeded(best.urgency, now)
       return now + Math.max(0, Math.ceil((needed - tokens) * 1000 / perSecond))
     }
   }
--- a/packages/serving/src/policy-options.ts
+++ b/packages/serving/src/policy-options.ts
@@ -37,4 +37,4 @@
 }
 
 /** The policy of the previous committed version, for comparison. */
-export const previousPolicy: PolicyOptions = { ...currentPolicy, prefetchGain: 1.5 }
+export const previousPolicy: PolicyOptions = { ...currentPolicy }
