Check configuration content and every run in the soak

Compare the content of each new revision with the oracle, check P6 at every accepted request, and state the kind of engines that join later in the nodes' settings.

--- a/packages/soak/src/node-process.ts
+++ b/packages/soak/src/node-process.ts
@@ -50,6 +50,8 @@
 const namePattern = /\b[ro]\d{6}\b|\S+-order-key-\d+|\ba\d+@\d+~[\d.]+/g
 
 const tickMs = 250
+/** A leaving back end receives no new work later than this after it first said so, in ms. */
+const leavingBoundMs = 3000
 /** A new process needs this long until it has read the log and the list, in ms. */
 const startMs = 5000
 const listEveryMs = 1000
@@ -64,10 +66,8 @@
   (requestId: string, engine: EngineInWorld, handle: string): void => {
     const loaded = engine.loadedAs.get(handle)
     world.checker.check('P1', loaded === adapters(requestId), () => `request ${requestId} for ${adapters(requestId)} runs on ${handle} of ${engine.id}, loaded as ${loaded}`, [requestId, handle])
-    if (engine.leavingToldAt !== undefined) {
-      const latest = Math.max(engine.leavingToldAt, self.listDisturbedUntil) + 3000
-      world.checker.check('P6', world.clock.now() <= latest, () => `${engine.id} got request ${requestId} from ${self.id}, ${world.clock.now() - (engine.leavingToldAt ?? 0)} ms after it said that it leaves`, [requestId, engine.id])
-    }
+    const latest = engine.leavingToldAt === undefined ? Infinity : Math.max(engine.leavingToldAt, self.listDisturbedUntil) + leavingBoundMs
+    world.checker.check('P6', world.clock.now() <= latest, () => `${engine.id} got request ${requestId} from ${self.id}, ${world.clock.now() - (engine.leavingToldAt ?? 0)} ms after it said that it leaves`, [requestId, engine.id])
   }
 
 export const createNodeProcess = (world: World, env: NodeProcessEnv, options: NodeProcessOptions): NodeProcess => {
@@ -83,7 +83,7 @@
     incarnation,
     seed: options.seed,
     engineDefaults: { checksFencing: true, reportLagMs },
-    engines: Object.fromEntries([...world.engines.values()].filter(({ checksFencing }) => !checksFencing).map(engine => [engine.id, { checksFencing: false }])),
+    engines: world.engineSettings,
     queuedPerEngine,
     queuedPerAdapter,
     logRetentionMs
@@ -202,7 +202,7 @@
     perform,
     stepped () {
       world.countStep()
-      world.noteRevision(self, core.revision())
+      world.noteRevision(self, core.revision(), () => core.configuration.state()?.entries ?? [])
     },
     failed (err) {
       const text = err instanceof Error ? err.stack ?? err.message : String(err)
@@ -250,8 +250,10 @@
     delayNextCommandMs: undefined,
     delayNextOrderMs: undefined,
     order (order) {
-      orders.add(order.orderId)
-      process.deliver({ type: 'order', order })
+      process.run(() => {
+        orders.add(order.orderId)
+        process.deliver({ type: 'order', order })
+      })
     },
     drain () {
       draining = true
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -3,7 +3,7 @@
 import type { EngineCommand, Instance, InstanceSnapshot, ServiceRequest } from '@yuccawharf/platform'
 import { createChance, createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createVirtualClock, createWeightStoreModel, type Chance, type EngineModel, type InstanceListModel, type LogModel, type PlainServiceModel, type VirtualClock, type WeightStoreModel } from '@yuccawharf/stand-ins'
 import { createChecker, type Checker } from './checker'
-import { createConfigOracle, type ConfigOracle } from './config-oracle'
+import { configContent, createConfigOracle, type ConfigOracle } from './config-oracle'
 import { createNetwork, type Network } from './network'
 import { createTrace, type Trace } from './trace'
 
@@ -38,6 +38,8 @@
   readonly weights: WeightStoreModel
   readonly service: PlainServiceModel
   readonly engines: Map<string, EngineInWorld>
+  /** Settings of the nodes for all engines of the run, those to come included. */
+  readonly engineSettings: Record<string, { checksFencing: boolean }>
   readonly services: Map<string, ServiceInWorld>
   readonly oracle: ConfigOracle
   readonly checker: Checker
@@ -62,12 +64,14 @@
   completionRuns (requestId: string): void
   /** Set by the workload. */
   orderKeyExecuted (key: string): void
-  /** Configuration revision in force at a process after a step. */
-  noteRevision (node: RevisionSource, revision: number): void
+  /** Configuration in force at a process after a step. */
+  noteRevision (node: RevisionSource, revision: number, entries: () => ConfigEntryOfNode[]): void
   countStep (): void
   readonly steps: number
 }
 
+type ConfigEntryOfNode = { key: string, value: unknown }
+
 export type RevisionSource = { id: string, incarnation: number, logDisturbedUntil: number }
 
 export const orderKeyHeader = 'idempotency-key'
@@ -83,6 +87,10 @@
 export const region = 'zvolen'
 export const zones = ['zvolen-a', 'zvolen-b', 'brezno-a']
 
+const engineId = (index: number): string => `e${index}`
+/** More than a run creates. */
+const maxEngines = 100
+
 export const adapterName = (index: number): string => `a${index}`
 
 const initialChange = (): Change => ({
@@ -118,7 +126,7 @@
   let created = 0
 
   const addEngine = (): EngineInWorld => {
-    const id = `e${created}`
+    const id = engineId(created)
     const checksFencing = created < options.fencedEngines
     created += 1
     const model = createEngineModel({
@@ -179,11 +187,20 @@
     }
   }
 
-  const noteRevision = (node: RevisionSource, revision: number): void => {
+  const checkContent = (process: string, revision: number, entries: ConfigEntryOfNode[]): void => {
+    syncOracle()
+    const content = configContent(entries.filter(({ value }) => value !== null).map(({ key, value }) => [key, value]))
+    world.checker.check('P8', content === oracle.content(revision), () => `${process} has revision ${revision} with other content than was accepted: ${content}`, [process])
+  }
+
+  const noteRevision = (node: RevisionSource, revision: number, entries: () => ConfigEntryOfNode[]): void => {
     const process = `${node.id}/${node.incarnation}`
     const before = revisions.get(process) ?? -1
     world.checker.check('P8', revision >= before, () => `${process} goes back from revision ${before} to ${revision}`, [node.id])
-    revisions.set(process, revision)
+    if (revision !== before) {
+      revisions.set(process, revision)
+      checkContent(process, revision, entries())
+    }
     const due = oracle.revisionAt(clock.now() - configBoundMs)
     if (clock.now() > node.logDisturbedUntil + configBoundMs) {
       world.checker.check('P8', revision >= due, () => `${process} has revision ${revision} in force; ${due} was accepted more than ${configBoundMs} ms ago`, [node.id])
@@ -205,6 +222,7 @@
     weights,
     service: createPlainServiceModel({ clock, delayMs: 3 }),
     engines,
+    engineSettings: Object.fromEntries(Array.from({ length: maxEngines }, (_, index) => [engineId(index), { checksFencing: index < options.fencedEngines }])),
     services,
     oracle,
     checker: createChecker(clock.now),
