Ask the entry node before an order is sent

The owner of the shard now asks the entry node whether the caller still waits, one round trip, and abandons the attempt otherwise. A call is not 'not-run' while another one with its key waits.

A dispatch that a restart causes while the engine takes no new work is taken back.

--- a/packages/coordination/src/claims-desk.ts
+++ b/packages/coordination/src/claims-desk.ts
@@ -339,7 +339,9 @@
       giveUp(attempt)
     }
     const mayHaveRun = attempt?.step === 'sending' || attempt?.step === 'recording'
-    return answerAll(late, mayHaveRun ? refusal('unknown', 'the back end did not answer before the deadline') : notSent(key, 'the deadline passed before the order was sent'))
+    // While another call with the key waits, the order may run yet.
+    const mayRun = mayHaveRun || remaining.length > 0
+    return answerAll(late, mayRun ? refusal('unknown', mayHaveRun ? 'the back end did not answer before the deadline' : 'another call with the key is under way') : notSent(key, 'the deadline passed before the order was sent'))
   }
 
   const retryStuckClaim = (attempt: Attempt, now: number): void => {
--- a/packages/coordination/src/ownership-evictions.ts
+++ b/packages/coordination/src/ownership-evictions.ts
@@ -34,6 +34,7 @@
   /** @returns the commands that a new term begins with */
   start (now: number): EvictionAction[]
   evict (handle: string, now: number): EvictionAction[]
+  /** After any result but the intent's read-back the append is repeated later. */
   appended (handle: string, result: AppendResult, now: number): EvictionAction[]
   intentRead (intent: EvictionIntent, authorised: boolean, now: number): EvictionAction[]
   commandResult (handle: string, result: EngineCommandResult, now: number): EvictionAction[]
@@ -143,15 +144,12 @@
       states.set(handle, state)
       return resend(handle, state, now)
     },
-    appended (handle, result, now) {
+    appended (handle, _result, now) {
       const state = states.get(handle)
       if (state?.step !== 'intent') {
         return []
       }
-      if (result.type === 'failed') {
-        states.delete(handle)
-        return [{ type: 'result', handle, result: { type: 'refused', reason: `the eviction intent was not appended: ${result.reason}` } }]
-      }
+      // Also after a proved failure: giving the handle back would let the scheduler evict it again at once, at every turn of an outage.
       state.retryAt = now + cfg.retryMs
       return []
     },
--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -164,12 +164,15 @@
     performEvictions(evictions.evict(handle, now), now)
   }
 
-  const dispatch = (requestId: string, handle: string, priority: number): void => {
+  const dispatch = (requestId: string, handle: string, priority: number, now: number): void => {
     const request = requests.get(requestId)
+    if (!isAccepting()) {
+      // The scheduler runs requests again that a restart of the engine cut off, also while it gets no new ones.
+      return divert(requestId, () => stepScheduler({ type: 'ended', requestId, outcome: 'not-run', tokens: 0 }, now), now)
+    }
     const parsed = parseHandle(handle)
     const matches = parsed?.adapter === request?.completion.adapter && parsed?.version === request?.completion.version
     ctx.check(request !== undefined && matches, `request ${requestId} would run on ${handle}`)
-    ctx.check(isAccepting(), `dispatch of ${requestId} to ${engine}, which takes no new work`)
     ctx.check(evictions.isUsable(handle), `dispatch of ${requestId} to ${handle}, whose eviction may still arrive`)
     if (request === undefined) {
       return
@@ -219,7 +222,7 @@
       case 'release-permit': return env.returnPermit(action.permitId, action.unused, now)
       case 'load': return load(action, now)
       case 'unload': return evict(action.handle, now)
-      case 'dispatch': return dispatch(action.requestId, action.handle, action.priority)
+      case 'dispatch': return dispatch(action.requestId, action.handle, action.priority, now)
       case 'cancel-dispatch':
         if (!diverted.has(action.requestId)) {
           ctx.emit({ type: 'cancel-dispatch', engine, requestId: action.requestId })
--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -147,6 +147,8 @@
       case 'leaving': return instances.announced(message.instance, message.asOf, now)
       case 'claim-heads': return orders.headsReceived(message.heads)
       case 'order': return orders.received(from, message.order, now)
+      case 'order-confirm': return orders.confirmAsked(from, message.orderId)
+      case 'order-confirmed': return orders.confirmed(message.orderId, message.wanted, now)
       case 'order-reply': return orders.replied(from, message.orderId, message.reply)
     }
   }
--- a/packages/node/src/core/order-failures.test.ts
+++ b/packages/node/src/core/order-failures.test.ts
@@ -142,6 +142,19 @@
   assert.ok(keys.every(key => world.service.executions(key) === 1))
 })
 
+test('an order that was long under way is not sent after its caller was answered', () => {
+  const world = createOrderWorld()
+  const keys = nodes.flatMap(node => Array.from({ length: 6 }, (_, index) => newKey(world, node, `${node}-late${index}`)))
+  world.node('n2').pause()
+  keys.forEach((key, index) => world.order('n1', { orderId: `o${index}`, key, deadline: world.clock.now() + 1_500 }))
+  world.advance(2_000)
+  const unanswered = keys.filter((key, index) => outcome(world, `o${index}`) === 'unknown' && world.service.executions(key) === 0)
+  assert.ok(unanswered.length > 0, 'some shards belong to the paused node')
+  world.node('n2').wake()
+  world.advance(10_000)
+  assert.ok(unanswered.every(key => world.service.executions(key) === 0))
+})
+
 test('an idempotent call is retried at another instance, within the budget and the deadline', () => {
   const world = createOrderWorld()
   world.list.put({ id: 'desk-2', kind: 'service', address: '', zone: 'z1', region: 'r1', group: 'desk', state: 'live' })
--- a/packages/node/src/core/order-shards.ts
+++ b/packages/node/src/core/order-shards.ts
@@ -12,6 +12,8 @@
   /** Sends the order to a live instance. @returns the instance, or undefined when there is none and nothing was sent */
   send (orderId: string, order: Order, now: number): string | undefined
   answer (target: string, orderId: string, reply: OrderReply): void
+  /** Whether the caller of an order of this entry node still waits. */
+  isWanted (orderId: string): boolean
 }
 
 export type OrderShards = {
@@ -19,6 +21,7 @@
   ownerOf (shard: number): string | undefined
   order (target: string, order: Order, now: number): void
   received (from: string, order: OrderTransfer, now: number): void
+  confirmed (orderId: string, wanted: boolean, now: number): void
   /** @returns the instance that the order was sent to */
   serviceResult (orderId: string, result: ServiceResult, now: number): string | undefined
   headsReceived (heads: { shard: number, offset: number }[]): void
@@ -32,8 +35,14 @@
 
 type Entry = { order: Order, target: string }
 
+type SendAction = Extract<ClaimAction, { type: 'send' }>
+
+/** An order that won its claim and waits for its entry node. */
+type Unconfirmed = { shard: number, action: SendAction, entry: Entry, askedAt: number }
+
 type Sent = { key: string, attempt: string, shard: number, instance: string }
 
+const confirmEveryMs = 300
 const headsEveryMs = 5_000
 /** Keys remembered for the check that none is sent twice. */
 const maxSentKeys = 10_000
@@ -44,6 +53,7 @@
   const { cfg, hooks } = ctx
   const shards = new Map<number, Shard>()
   const entries = new Map<string, Entry>()
+  const unconfirmed = new Map<string, Unconfirmed>()
   const sent = new Map<string, Sent>()
   /** Keys that this process has sent to a back end, against a second send. */
   const sentKeys = new Set<string>()
@@ -93,17 +103,55 @@
     env.answer(target, orderId, value)
   }
 
-  const send = (shard: number, action: Extract<ClaimAction, { type: 'send' }>, now: number): void => {
+  const notSent = (shard: number, action: SendAction, reason: string, now: number): void =>
+    performAll(shard, shards.get(shard)?.desk.sent(action.attempt, { type: 'not-sent', reason }, now) ?? [], now)
+
+  const ask = (waiting: Unconfirmed, now: number): void => {
+    waiting.askedAt = now
+    peers.send(waiting.entry.target, { type: 'order-confirm', orderId: waiting.action.orderId })
+  }
+
+  /** A message that was long under way, or a pause of this node, must not run an order after its caller was answered. */
+  const send = (shard: number, action: SendAction, now: number): void => {
     const entry = entries.get(action.orderId) ?? hookEntries.get(action.key)
-    const instance = entry === undefined ? undefined : sendOnce(action, entry, now)
+    if (entry === undefined) {
+      return notSent(shard, action, 'the caller has been answered', now)
+    }
+    if (hooks.sendAfterGiveUp === true) {
+      return sendNow(shard, action, entry, now)
+    }
+    if (entry.target !== cfg.node) {
+      const waiting = { shard, action, entry, askedAt: now }
+      unconfirmed.set(action.orderId, waiting)
+      return ask(waiting, now)
+    }
+    if (env.isWanted(action.orderId)) {
+      sendNow(shard, action, entry, now)
+    } else {
+      notSent(shard, action, 'the caller has been answered', now)
+    }
+  }
+
+  const checkUnconfirmed = (now: number): void => {
+    for (const [orderId, waiting] of unconfirmed) {
+      if (now >= waiting.entry.order.deadline) {
+        unconfirmed.delete(orderId)
+        notSent(waiting.shard, waiting.action, 'the entry node did not confirm the order', now)
+      } else if (now >= waiting.askedAt + confirmEveryMs) {
+        ask(waiting, now)
+      }
+    }
+  }
+
+  const sendNow = (shard: number, action: SendAction, entry: Entry, now: number): void => {
+    const instance = sendOnce(action, entry, now)
     if (instance === undefined) {
-      performAll(shard, shards.get(shard)?.desk.sent(action.attempt, { type: 'not-sent', reason: 'no live instance of the group' }, now) ?? [], now)
-      return
+      return notSent(shard, action, 'no live instance of the group', now)
     }
     sent.set(action.orderId, { key: action.key, attempt: action.attempt, shard, instance })
   }
 
-  const sendOnce = (action: Extract<ClaimAction, { type: 'send' }>, entry: Entry, now: number): string | undefined => {
+  const sendOnce = (action: SendAction, entry: Entry, now: number): string | undefined => {
     ctx.check(!sentKeys.has(action.key), `order ${action.key} would be sent twice`)
     const instance = env.send(action.orderId, entry.order, now)
     if (instance !== undefined) {
@@ -213,11 +261,24 @@
     tick (now) {
       updateShards()
       shards.forEach(({ desk }, shard) => performAll(shard, desk.tick(now), now))
+      checkUnconfirmed(now)
       tellHeads(now)
     },
     ownerOf,
     order,
     received: (from, transfer, now) => order(from, fromTransfer(transfer, now), now),
+    confirmed (orderId, wanted, now) {
+      const waiting = unconfirmed.get(orderId)
+      if (waiting === undefined) {
+        return
+      }
+      unconfirmed.delete(orderId)
+      if (wanted && now < waiting.entry.order.deadline) {
+        sendNow(waiting.shard, waiting.action, waiting.entry, now)
+      } else {
+        notSent(waiting.shard, waiting.action, 'the caller has been answered', now)
+      }
+    },
     serviceResult (orderId, result, now) {
       const call = sent.get(orderId)
       if (call === undefined) {
--- a/packages/node/src/core/orders.ts
+++ b/packages/node/src/core/orders.ts
@@ -20,6 +20,8 @@
   /** An order of another entry node, for a shard of this node. */
   received (from: string, order: OrderTransfer, now: number): void
   replied (from: string, orderId: string, reply: OrderReply): void
+  confirmAsked (from: string, orderId: string): void
+  confirmed (orderId: string, wanted: boolean, now: number): void
   headsReceived (heads: { shard: number, offset: number }[]): void
   keyPrefix (): string | undefined
   /** This process was paused or cut off from its peers. */
@@ -98,6 +100,7 @@
       }
       return instance
     },
+    isWanted: orderId => transfers.has(orderId),
     answer: (target, orderId, reply) => answer(target, orderId, reply)
   })
 
@@ -243,6 +246,8 @@
         retry(entry, result, now)
       }
     },
+    confirmAsked: (from, orderId) => peers.send(from, { type: 'order-confirmed', orderId, wanted: transfers.has(orderId) }),
+    confirmed: shards.confirmed,
     received: (from, order, now) => shards.received(from, order, now),
     replied,
     distrust: shards.distrust,
--- a/packages/node/src/core/peer-messages.ts
+++ b/packages/node/src/core/peer-messages.ts
@@ -35,4 +35,7 @@
   | { type: 'leaving', instance: string, asOf: number }
   | { type: 'claim-heads', heads: { shard: number, offset: number }[] }
   | { type: 'order', order: OrderTransfer }
+  /** Before it sends, the shard's owner asks whether the caller still waits: the order may have been long under way. */
+  | { type: 'order-confirm', orderId: string }
+  | { type: 'order-confirmed', orderId: string, wanted: boolean }
   | { type: 'order-reply', orderId: string, reply: OrderReply }
