Cut the control traffic of a node: hints, heads, reports, address responses

Cause: measured on one idle node, reports of one engine with 32 full slots took 6.0 KB/s; worked out for 400 nodes, claim heads took 48 KB/s at an owner and load hints about 40 KB/s, against 3 KB/s for all control. Change: hints travel in a header of responses to forwarded requests; heads are told to a new process and then every ten minutes; reports are compressed and asked for every 2 s unless a takeover or a failure makes them urgent; address responses name at most 8 owners, in the order of the adapter's placement.

--- a/packages/node/src/answer-hub.ts
+++ b/packages/node/src/answer-hub.ts
@@ -7,6 +7,7 @@
 import { createAnswer, type Answer, type AnswerLimits } from './answer'
 import { openAnswerSource, type SourceHandler, type SourceRequest } from './answer-source'
 import type { Completion, CoreEvent, Refusal } from './core/messages'
+import { parseLoadHints } from './load-hints'
 import { createProblem, refusalProblem, type Problem } from './problem'
 
 export type HubEnv = {
@@ -83,6 +84,7 @@
         const before = answer.relay.lastSeq()
         settle(answer, before, answer.accept(events, env.now()), lost)
       },
+      loadHints: value => env.report({ type: 'load-hints', hints: parseLoadHints(value) }),
       refused (status, body) {
         if (current()) lost({ type: 'refused', status, body })
       },
--- a/packages/node/src/answer-readers.ts
+++ b/packages/node/src/answer-readers.ts
@@ -10,6 +10,8 @@
   gone (answer: Answer): void
   /** Reads events that are no longer kept from the engine again. */
   reread (answer: Answer, after: number): Answer | undefined
+  /** Headers that are computed when the response begins. */
+  responseHeaders? (): Record<string, string>
 }
 
 const streamHeaders = { 'content-type': 'text/event-stream', 'cache-control': 'no-store' }
@@ -40,12 +42,14 @@
   let blocked = false
 
   function end (problem?: Problem): void {
-    if (problem !== undefined && !res.headersSent) sendProblem(res, problem)
-    else res.end()
+    if (problem !== undefined && !res.headersSent) {
+      for (const [name, value] of Object.entries(env.responseHeaders?.() ?? {})) res.setHeader(name, value)
+      sendProblem(res, problem)
+    } else res.end()
   }
 
   function start (): void {
-    if (!res.headersSent) res.writeHead(200, { ...streamHeaders, 'x-request-id': answer.requestId })
+    if (!res.headersSent) res.writeHead(200, { ...streamHeaders, 'x-request-id': answer.requestId, ...env.responseHeaders?.() })
   }
 
   function failedBeforeStart (): AnswerEnd & { type: 'failed' } | undefined {
--- a/packages/node/src/completion-routes.ts
+++ b/packages/node/src/completion-routes.ts
@@ -5,11 +5,12 @@
 import { sendWholeAnswer, streamAnswer, type ReaderEnv } from './answer-readers'
 import { parseCompletionRequest, parseLastEventId, schemaFindings } from './completion-request'
 import type { AnswerLocator } from './answer-locator'
-import type { Completion, CoreEvent } from './core/messages'
+import type { Completion, CoreEvent, ReceivedHint } from './core/messages'
 import type { Directory } from './directory'
 import type { Forwarder } from './forwarder'
 import { readJson } from './http-body'
 import type { Route, RouteContext } from './http-router'
+import { formatLoadHints, loadHintHeader } from './load-hints'
 import { createProblem, invalidProblem, sendProblem, type Problem } from './problem'
 
 export type CompletionRoutesEnv = {
@@ -25,6 +26,8 @@
   report (event: CoreEvent): void
   /** Whether the node takes new requests. */
   accepting (): boolean
+  /** Load of this node's engines, sent with each response to a forwarded request. */
+  loadHints (): ReceivedHint[]
 }
 
 const charactersPerToken = 4
@@ -65,6 +68,8 @@
     }
   }
 
+  const peerReaders: ReaderEnv = { ...readers, responseHeaders: () => ({ [loadHintHeader]: formatLoadHints(env.loadHints()) }) }
+
   /** Registers the request, or finds the answer of the same request sent before. */
   function enter (completion: Completion, submit: (completion: Completion) => void): Answer | Problem {
     const known = env.hub.get(completion.requestId)
@@ -148,7 +153,7 @@
     const completion: Completion = { ...fields, deadline: env.now() + remainingMs }
     const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true, from }))
     if ('status' in answer) return sendProblem(res, answer)
-    streamAnswer(answer, res, 0, readers)
+    streamAnswer(answer, res, 0, peerReaders)
   }
 
   function resumePeer ({ req, res, params: [requestId = ''] }: RouteContext): void {
--- a/packages/node/src/core/completions.ts
+++ b/packages/node/src/core/completions.ts
@@ -15,8 +15,6 @@
   firstToken (requestId: string, now: number): void
   ended (event: Extract<CoreEvent, { type: 'request-ended' }>, now: number): void
   tick (now: number): void
-  /** Nodes that forwarded requests here of late; they get load hints. */
-  forwarders (now: number): string[]
   /** From now on new requests are refused. */
   close (): void
   readonly held: number
@@ -27,14 +25,12 @@
 /** A takeover takes up to about 5 s; a request without an owner waits that long. */
 const maxHoldMs = 6_000
 const maxHeld = 2_000
-const forwarderTtlMs = 10_000
 const retryAfterMs = 1_000
 
 /** @param engineLeaves - called when an engine itself says that it takes no new work */
 export const createCompletions = (ctx: CoreContext, configuration: Configuration, routing: Routing, engines: Engines, peers: Peers, engineLeaves: (engine: string, now: number) => void): Completions => {
   const { cfg } = ctx
   const heldRequests = new Map<string, Held>()
-  const forwardedBy = new Map<string, number>()
   let closed = false
 
   const refuse = (requestId: string, refusal: Refusal): void => {
@@ -104,9 +100,6 @@
   return {
     submit (completion, forwarded, from, now) {
       const { requestId } = completion
-      if (from !== undefined) {
-        forwardedBy.set(from, now)
-      }
       if (ownerOf(requestId) !== undefined || heldRequests.has(requestId)) {
         return
       }
@@ -154,14 +147,6 @@
         checkHeld(entry, now)
       }
     },
-    forwarders (now) {
-      for (const [node, at] of forwardedBy) {
-        if (now - at > forwarderTtlMs) {
-          forwardedBy.delete(node)
-        }
-      }
-      return [...forwardedBy.keys()]
-    },
     close () {
       closed = true
     },
--- a/packages/node/src/core/messages.ts
+++ b/packages/node/src/core/messages.ts
@@ -2,6 +2,7 @@
  * Events and actions of the node core. The daemon's shells and the soak's simulator translate
  * between these values and I/O; the core itself performs none.
  */
+import type { EngineLoadHint } from '@yuccawharf/serving'
 import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport, InstanceSnapshot, LogPage, ServiceRequest, ServiceResponse, ServiceResult } from '@yuccawharf/platform'
 
 /** A completion as it reaches the owner of an engine. */
@@ -48,6 +49,9 @@
   message: PeerMessage
 }
 
+/** A load hint without the sender's clock: `ageMs` is its age when it was sent. */
+export type ReceivedHint = Omit<EngineLoadHint, 'at'> & { ageMs: number }
+
 export type CoreEvent =
   | { type: 'start' }
   | { type: 'tick' }
@@ -57,6 +61,8 @@
   | { type: 'append-result', token: number, result: AppendResult }
   | { type: 'instance-list', snapshot: InstanceSnapshot }
   | { type: 'message', envelope: Envelope }
+  /** Load of engines as their owner said in a response. */
+  | { type: 'load-hints', hints: ReceivedHint[] }
   /** `forwarded` by the node `from`: the request is not forwarded again. */
   | { type: 'submit', completion: Completion, forwarded?: true, from?: string }
   | { type: 'cancel', requestId: string }
--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -6,7 +6,7 @@
 import { createEngines } from './engines'
 import { createInstances } from './instances'
 import { createLogStreams } from './log-streams'
-import type { CoreAction, CoreEvent, Envelope, NodeCore } from './messages'
+import type { CoreAction, CoreEvent, Envelope, NodeCore, ReceivedHint } from './messages'
 import { createOrders } from './orders'
 import type { CoreMessage } from './peer-messages'
 import { createPeers, type Peers } from './peers'
@@ -44,10 +44,14 @@
   status (now: number): NodeStatus
   /** Engines whose reports this node needs. */
   watchedEngines (): string[]
+  /** Load of this node's engines, for nodes that forward requests here. */
+  loadHints (now: number): ReceivedHint[]
   readonly configuration: Pick<Configuration, 'state' | 'outcome'>
 }
 
 const keepAddressesMs = 5_000
+/** Enough for a caller to try others when some fail, in a system of hundreds of nodes. */
+const maxAddresses = 8
 const hintsEveryMs = 1_000
 /** A leaving node waits this long for its successors to acknowledge the end of its terms. */
 const handOverMs = 10_000
@@ -141,7 +145,6 @@
       case 'permit-ask': return permits.asked(from, message.engine, message.urgency, now)
       case 'permit-grant': return permits.granted(message.engine, message.permitId, message.remainingMs, now)
       case 'permit-return': return permits.returned(message.permitId, message.unused, now)
-      case 'load-hints': return message.hints.forEach(({ ageMs, ...hint }) => routing.hint({ ...hint, at: now - ageMs }, now))
       case 'config-request': return configuration.requested(from)
       case 'config-state': return configuration.received(message.state, now)
       case 'leaving': return instances.announced(message.instance, message.asOf, now)
@@ -153,15 +156,13 @@
     }
   }
 
-  const sendHints = (now: number): void => {
+  /** The node's own engines; those of others come with the responses to forwarded requests. */
+  const updateHints = (now: number): void => {
     if (now < hintsAt + hintsEveryMs) {
       return
     }
     hintsAt = now
-    const hints = engines.held().flatMap(owner => owner.hint(now) ?? [])
-    hints.forEach(hint => routing.hint(hint, now))
-    const message: CoreMessage = { type: 'load-hints', hints: hints.map(({ at, ...hint }) => ({ ...hint, ageMs: now - at })) }
-    completions.forwarders(now).filter(() => hints.length > 0).forEach(node => peers.send(node, message))
+    engines.held().flatMap(owner => owner.hint(now) ?? []).forEach(hint => routing.hint(hint, now))
   }
 
   const isFinished = (now: number): boolean => {
@@ -188,7 +189,7 @@
     permits.tick(now)
     completions.tick(now)
     orders.tick(now)
-    sendHints(now)
+    updateHints(now)
     checkExit(now)
   }
 
@@ -219,6 +220,7 @@
         peers.list(event.snapshot, now)
         return engines.list(instances.ofKind('engine'), now)
       case 'message': return receive(event.envelope, now)
+      case 'load-hints': return event.hints.forEach(({ ageMs, ...hint }) => routing.hint({ ...hint, at: now - ageMs }, now))
       case 'submit': return completions.submit(event.completion, event.forwarded === true, event.from, now)
       case 'cancel': return completions.cancel(event.requestId, now)
       case 'order': return orders.order(event.order, exiting || peers.superseded ? 'the node is leaving' : configuration.refusal(now), now)
@@ -237,10 +239,10 @@
 
   const ownerZones = (query: AddressQuery, now: number): { address: string, zone: string }[] => {
     const nodes = peers.accepting()
-    const places = query.model === undefined ? [] : routing.candidates(adapterName(query.model).model, now)
+    const places = query.model === undefined ? [] : routing.preferred(adapterName(query.model), now)
     const owners = new Set(places.map(({ node }) => node))
-    const owning = nodes.filter(({ id }) => owners.has(id))
-    return owning.length > 0 ? owning : nodes.filter(({ region }) => region === cfg.region)
+    const owning = [...owners].flatMap(owner => nodes.find(({ id }) => id === owner) ?? []).slice(0, maxAddresses)
+    return owning.length > 0 ? owning : nodes.filter(({ region }) => region === cfg.region).slice(0, maxAddresses)
   }
 
   return {
@@ -269,6 +271,7 @@
       ordersInProgress: orders.busy
     }),
     watchedEngines: engines.watched,
+    loadHints: now => engines.held().flatMap(owner => owner.hint(now) ?? []).map(({ at, ...hint }) => ({ ...hint, ageMs: now - at })),
     configuration
   }
 }
--- a/packages/node/src/core/order-shards.ts
+++ b/packages/node/src/core/order-shards.ts
@@ -43,7 +43,7 @@
 type Sent = { key: string, attempt: string, shard: number, instance: string }
 
 const confirmEveryMs = 300
-const headsEveryMs = 5_000
+const checkHeadsMs = 5_000
 /** Keys remembered for the check that none is sent twice. */
 const maxSentKeys = 10_000
 /** A message can be repeated until the deadline of its order; 2,000 replies of 1 KiB are 2 MiB. */
@@ -65,6 +65,8 @@
   const owners = new Map<number, string | undefined>()
   let version = -1
   let headsAt = -Infinity
+  /** When each process was last told the heads. Telling all of 400 nodes every few seconds would take 48 KB/s. */
+  const toldAt = new Map<string, number>()
   let lastAttempt = 0
   /** Reads that began before this may lack claims of a node that took this one for dead. */
   let distrustedAt = -Infinity
@@ -224,18 +226,32 @@
     }
   }
 
+  /** @returns nodes whose process is new or was told long ago, and counts them as told */
+  const dueForHeads = (now: number): string[] => {
+    const processes = peers.live()
+      .filter(({ id }) => id !== cfg.node)
+      .map(({ id }) => ({ id, process: `${id}/${peers.member(id)?.incarnation ?? 0}` }))
+    const known = new Set(processes.map(({ process }) => process))
+    ;[...toldAt.keys()].filter(process => !known.has(process)).forEach(process => toldAt.delete(process))
+    const due = processes.filter(({ process }) => now >= (toldAt.get(process) ?? -Infinity) + cfg.claimHeadsMs)
+    due.forEach(({ process }) => toldAt.set(process, now))
+    return due.map(({ id }) => id)
+  }
+
   const tellHeads = (now: number): void => {
     for (const [shard, { desk }] of shards) {
       if (desk.head !== undefined) {
         heads.set(shard, desk.head)
       }
     }
-    if (now < headsAt + headsEveryMs || shards.size === 0) {
+    if (now < headsAt + checkHeadsMs || shards.size === 0) {
       return
     }
     headsAt = now
     const own = [...shards.keys()].flatMap(shard => heads.has(shard) ? [{ shard, offset: heads.get(shard) ?? 0 }] : [])
-    peers.live().filter(({ id }) => id !== cfg.node && own.length > 0).forEach(({ id }) => peers.send(id, { type: 'claim-heads', heads: own }))
+    if (own.length > 0) {
+      dueForHeads(now).forEach(id => peers.send(id, { type: 'claim-heads', heads: own }))
+    }
   }
 
   const order = (target: string, value: Order, now: number): void => {
--- a/packages/node/src/core/peer-messages.ts
+++ b/packages/node/src/core/peer-messages.ts
@@ -1,6 +1,5 @@
 /** Messages between cores. All values survive JSON. */
 import type { ConfigState, MembershipMessage, RunningRequest } from '@yuccawharf/coordination'
-import type { EngineLoadHint } from '@yuccawharf/serving'
 import type { Refusal } from './messages'
 
 /** An order on its way to the owner of its shard; the body is base64. */
@@ -28,7 +27,6 @@
   | { type: 'permit-ask', engine: string, urgency: number }
   | { type: 'permit-grant', engine: string, permitId: string, remainingMs: number }
   | { type: 'permit-return', permitId: string, unused?: true }
-  | { type: 'load-hints', hints: (Omit<EngineLoadHint, 'at'> & { ageMs: number })[] }
   | { type: 'config-request' }
   | { type: 'config-state', state: ConfigState }
   /** An instance was seen leaving; `asOf` is the list's time, or -1 when the instance itself said so. */
--- a/packages/node/src/core/routing.ts
+++ b/packages/node/src/core/routing.ts
@@ -18,6 +18,8 @@
   places (completion: Completion, now: number): Place[]
   /** Like {@link Routing.places} without counting a request. */
   candidates (model: string, now: number): Place[]
+  /** Places of an adapter in the order of its placement, for address responses; counts no request and ignores load. */
+  preferred (name: { model: string, adapter: string }, now: number): Place[]
   hint (hint: EngineLoadHint, now: number): void
   refused (engine: string, retryAfterMs: number, now: number): void
 }
@@ -76,6 +78,11 @@
       return order.flatMap(engine => places.find(place => place.engine === engine) ?? [])
     },
     candidates,
+    preferred ({ model, adapter }, now) {
+      const places = candidates(model, now)
+      const rank = routerFor(model, places, now).rank(adapter)
+      return rank.flatMap(engine => places.find(place => place.engine === engine) ?? [])
+    },
     hint: (hint, now) => routers.forEach(({ router }) => router.step({ type: 'hint', hint }, now)),
     refused: (engine, retryAfterMs, now) => routers.forEach(({ router }) => router.step({ type: 'refused', engine, retryAfterMs }, now))
   }
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -13,6 +13,7 @@
 import { createCoreRuntime } from './core-runtime'
 import { createAttainment } from './attainment'
 import { createDirectory, type Directory } from './directory'
+import { createEnginePolls } from './engine-polls'
 import { createForwarder } from './forwarder'
 import { createHttpServer, createRequestHandler, defaultHttpLimits, type HttpLimits, type Route } from './http-router'
 import { createLogger, createMetrics, type Logger } from './observability'
@@ -64,6 +65,7 @@
 const tickMs = 50
 const sweepMs = 250
 const instancePollMs = 1000
+/** Engines that a node has just begun to own, or whose requests failed, are asked at the next turn; others at every fourth. */
 const enginePollMs = 500
 const defaultAddressKeepMs = 5000
 const defaultReplayBytes = 262_144
@@ -108,6 +110,7 @@
   const attainment = createAttainment()
   const reports = new Map<string, EngineReport>()
   let logContactAt: number | undefined
+  const enginePolls = createEnginePolls()
   const runtime = createCoreRuntime(step, perform)
   const report = runtime.report
   const datagrams = await openDatagramPort(address, id, envelope => report({ type: 'message', envelope }))
@@ -118,6 +121,7 @@
   /** Keeps what the status of the node shows, and lets the core decide. */
   function step (event: CoreEvent): CoreAction[] {
     if (event.type === 'log-page') logContactAt = now()
+    enginePolls.note(event)
     if (event.type === 'engine-report') reports.set(event.report.engine, event.report)
     if (event.type === 'engine-unreachable') reports.delete(event.engine)
     return core.step(event, now())
@@ -166,7 +170,7 @@
   const deliverToPeer = createPeerHandler(id, envelope => report({ type: 'message', envelope }))
 
   const routes: Route[] = [
-    ...createCompletionRoutes({ now, hub, forwarder, locator, directory, dispatcher, requestBytes, maxRunning, report, accepting }),
+    ...createCompletionRoutes({ now, hub, forwarder, locator, directory, dispatcher, requestBytes, maxRunning, report, accepting, loadHints: () => core.loadHints?.(now()) ?? [] }),
     ...services.routes,
     ...createControlRoutes({ now, core, requestBytes, ...admin }),
     { method: '*', pattern: /^\/peer\/trpc\/(.+)$/, handle: async ({ req, res, url }) => await deliverToPeer(req, res, url.pathname.slice(trpcPath.length)) }
@@ -210,7 +214,7 @@
       metrics.gauge('requests.running', hub.running())
     })
     every(instancePollMs, () => { shells.pollInstances().catch(() => {}) })
-    every(enginePollMs, () => shells.pollEngines(options.watchedEngines()))
+    every(enginePollMs, () => shells.pollEngines(enginePolls.due(options.watchedEngines())))
   }
 
   async function stop (sockets: Set<Socket>): Promise<void> {
--- a/packages/platform/src/engine-client.ts
+++ b/packages/platform/src/engine-client.ts
@@ -1,6 +1,6 @@
 /** HTTP client of one engine. */
 import { validateCompletionChunkBody, validateEngineStatusBody, validateErrorBody, type CompletionChunkBody, type EngineStatusBody, type ErrorBody } from '@yuccawharf/schema'
-import { classifyError, createHttpClient, parseJson, readBody, type HttpClientOptions, type HttpRequest, type StreamBody } from './http-client'
+import { classifyError, createHttpClient, decodedBody, parseJson, readBody, type HttpClientOptions, type HttpRequest, type StreamBody } from './http-client'
 import { GenerateError, type Engine, type EngineCommandResult, type EngineReport, type GenerateEvent, type GenerateFailure } from './interfaces'
 import { createSseParser, type ServerSentEvent } from './sse-parser'
 
@@ -103,9 +103,10 @@
 
   return {
     async status () {
-      const result = await http.exchange({ method: 'GET', path: '/status' })
+      const result = await http.exchange({ method: 'GET', path: '/status', headers: { 'accept-encoding': 'gzip' } })
       if (result.type !== 'ok' || result.response.status !== 200) return undefined
-      const report = parseJson(result.response.body)
+      const body = decodedBody(result.response)
+      const report = body === undefined ? undefined : parseJson(body)
       return validateEngineStatusBody(report) ? report as EngineStatusBody as EngineReport : undefined
     },
     async command (command, fence) {
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -3,6 +3,7 @@
  * byte of the request reached the other side; everything else is `unknown`.
  */
 import type { Readable } from 'node:stream'
+import { gunzipSync } from 'node:zlib'
 import { Agent, type Dispatcher } from 'undici'
 
 export type HttpRequest = {
@@ -152,3 +153,13 @@
     return undefined
   }
 }
+
+/** @returns the body without its compression, or undefined when it is damaged or larger than an uncompressed one may be */
+export function decodedBody ({ headers, body }: HttpResponse): Uint8Array | undefined {
+  if (headers['content-encoding'] !== 'gzip') return body
+  try {
+    return gunzipSync(body, { maxOutputLength: defaultMaxBytes })
+  } catch {
+    return undefined
+  }
+}
--- a/packages/platform/src/instance-list-client.ts
+++ b/packages/platform/src/instance-list-client.ts
@@ -1,27 +1,14 @@
 /** HTTP client of the instance list. An unchanged list is not sent again, and a changed one is compressed. */
-import { gunzipSync } from 'node:zlib'
 import { validateInstanceListBody, type InstanceListBody } from '@yuccawharf/schema'
-import { createHttpClient, parseJson, type HttpClientOptions, type HttpResponse } from './http-client'
+import { createHttpClient, decodedBody, parseJson, type HttpClientOptions, type HttpResponse } from './http-client'
 import type { InstanceList, InstanceSnapshot } from './interfaces'
 
 export interface InstanceListClient extends InstanceList {
   close (): Promise<void>
 }
 
-/** A list of 10,000 instances has less than 2 MB. */
-const maxListBytes = 16 * 1024 * 1024
-
 type Cached = { etag: string, snapshot: InstanceSnapshot }
 
-function decodedBody ({ headers, body }: HttpResponse): Uint8Array | undefined {
-  if (headers['content-encoding'] !== 'gzip') return body
-  try {
-    return gunzipSync(body, { maxOutputLength: maxListBytes })
-  } catch {
-    return undefined
-  }
-}
-
 function parseList (response: HttpResponse): InstanceSnapshot | undefined {
   const bytes = decodedBody(response)
   const body = bytes === undefined ? undefined : parseJson(bytes)
--- a/packages/serving/src/router.ts
+++ b/packages/serving/src/router.ts
@@ -17,6 +17,8 @@
   step (event: RouterEvent, now: number): void
   /** @returns candidates, best first; empty when no engine is known */
   route (request: Pick<ServingRequest, 'adapter' | 'version' | 'prefix'>, now: number): string[]
+  /** @returns all engines in the order of the adapter's placement, without regard to load */
+  rank (adapter: string): readonly string[]
 }
 
 export type RouterConfig = {
@@ -149,6 +151,7 @@
           break
       }
     },
+    rank: rankOf,
     route ({ adapter, prefix }, now) {
       if (engines.length === 0) {
         return []
--- a/packages/stand-ins/src/http-servers.ts
+++ b/packages/stand-ins/src/http-servers.ts
@@ -22,6 +22,13 @@
   res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
 }
 
+function replyCompressed (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>, body: unknown): void {
+  const compressed = req.headers['accept-encoding'] === 'gzip'
+  const encoding: Record<string, string> = compressed ? { 'content-encoding': 'gzip' } : {}
+  const text = JSON.stringify(body)
+  res.writeHead(200, { ...headers, ...encoding, 'content-type': 'application/json' }).end(compressed ? gzipSync(text) : text)
+}
+
 function refuse (res: ServerResponse, status: number, code: string): void {
   reply(res, status, { error: { code, message: code } })
 }
@@ -96,8 +103,7 @@
     const etag = `"${createHash('sha256').update(JSON.stringify(snapshot.instances)).digest('base64url')}"`
     const headers = { etag, 'x-as-of': String(snapshot.asOf) }
     if (req.headers['if-none-match'] === etag) res.writeHead(304, headers).end()
-    else if (req.headers['accept-encoding'] !== 'gzip') res.writeHead(200, { ...headers, 'content-type': 'application/json' }).end(JSON.stringify(snapshot))
-    else res.writeHead(200, { ...headers, 'content-type': 'application/json', 'content-encoding': 'gzip' }).end(gzipSync(JSON.stringify(snapshot)))
+    else replyCompressed(req, res, headers, snapshot)
   }, port)
 }
 
@@ -196,6 +202,6 @@
     const report = model.status()
     if (url.pathname !== '/status') refuse(res, 404, 'not_found')
     else if (report === undefined) res.destroy()
-    else reply(res, 200, report)
+    else replyCompressed(req, res, {}, report)
   }, options.port ?? 0)
 }
