--- a/packages/node/src/core/testing/world.ts
+++ b/packages/node/src/core/testing/world.ts
@@ -127,9 +127,12 @@
     }
   }
 
+  /** Nodes with equal seeds would probe the same members at the same time. */
+  const seedOf = (id: string): number => (options.config?.seed ?? 1) * 1_000 + options.nodes.indexOf(id)
+
   const createProcess = (id: string): { core: QueryableCore, step: (event: CoreEvent) => void, stop: () => void } => {
     let running = true
-    const core = createNodeCore({ ...nodeCoreDefaults, node: id, zone: 'z1', region: 'r1', address: `${id}:1`, incarnation: clock.now(), engineDefaults: traits, ...options.config }, options.hooks)
+    const core = createNodeCore({ ...nodeCoreDefaults, node: id, zone: 'z1', region: 'r1', address: `${id}:1`, incarnation: clock.now(), engineDefaults: traits, ...options.config, seed: seedOf(id) }, options.hooks)
     const step = (event: CoreEvent): void => {
       if (running) {
         for (const action of core.step(event, clock.now())) {
