Report node ids and addresses that settings files share

Two nodes with one id or one address disturb each other, and no single file shows it. `check` compares the files that it is given together; the second file gets the finding with its line.

--- a/packages/cli/src/check-command.ts
+++ b/packages/cli/src/check-command.ts
@@ -1,16 +1,42 @@
 /** `check`: all findings of settings and configuration files. */
-import { formatFinding, loadSettings, type TomlFinding } from '@yuccawharf/node/settings'
+import { formatFinding, loadSettings, type CompleteSettings, type TomlFinding } from '@yuccawharf/node/settings'
+import { findingAt, readTomlFile } from '@yuccawharf/node/toml-findings'
 import { exitCode, printJson, type Command, type CommandContext, type ExitCode } from './command'
 import { loadConfigFile } from './config-file'
 
-async function run ({ input, flags, terminal }: CommandContext): Promise<ExitCode> {
-  const findings = input.flatMap((file): TomlFinding[] => {
-    const result = flags.config === true ? loadConfigFile(file) : loadSettings(file)
-    return result.ok ? [] : result.val
+type Loaded = { file: string, settings: CompleteSettings }
+
+/** Values that two nodes must not share; the second file has the finding. */
+function sharedValues (loaded: Loaded[]): TomlFinding[] {
+  return (['id', 'address'] as const).flatMap(name => {
+    const owners = new Map<string, string>()
+    return loaded.flatMap(({ file, settings }) => {
+      const value = settings.node[name]
+      const owner = owners.get(value)
+      owners.set(value, owner ?? file)
+      if (owner === undefined) return []
+      return [findingAt(readTomlFile(file).unwrapOr(''), file, ['node', name], `is ${value} as in ${owner}, but each node needs its own`)]
+    })
   })
-  if (flags.json === true) printJson(terminal, { files: input, findings })
+}
+
+function checkSettings (files: string[]): TomlFinding[] {
+  const results = files.map(file => ({ file, result: loadSettings(file) }))
+  const loaded = results.flatMap(({ file, result }) => result.ok ? [{ file, settings: result.val }] : [])
+  return [...results.flatMap(({ result }) => result.ok ? [] : result.val), ...sharedValues(loaded)]
+}
+
+function checkConfigFile (file: string): TomlFinding[] {
+  const result = loadConfigFile(file)
+  return result.ok ? [] : result.val
+}
+
+async function run ({ input, flags, terminal }: CommandContext): Promise<ExitCode> {
+  const files = [...new Set(input)]
+  const findings = flags.config === true ? files.flatMap(checkConfigFile) : checkSettings(files)
+  if (flags.json === true) printJson(terminal, { files, findings })
   else for (const finding of findings) terminal.out(formatFinding(finding))
-  if (flags.json !== true) terminal.err(`files: ${input.length}, findings: ${findings.length}`)
+  if (flags.json !== true) terminal.err(`files: ${files.length}, findings: ${findings.length}`)
   return findings.length === 0 ? exitCode.done : exitCode.refused
 }
 
@@ -20,6 +46,7 @@
   usage: 'FILE...',
   help: `
 Reports all findings of all files at once, each with file, line, place and what is allowed.
+Nodes whose settings are checked together must not share an id or an address.
 
 Options
   --config  the files are configurations for \`config apply\`, not settings of nodes
--- a/packages/cli/src/run.test.ts
+++ b/packages/cli/src/run.test.ts
@@ -105,6 +105,15 @@
   assert.is((await command('check', '--config', classFile)).code, 0)
 })
 
+// Guards against two nodes with one id: each would take the other's messages for its own.
+test('settings checked together must not share an id or an address', async () => {
+  const first = file('first.toml', goodSettings)
+  const second = file('second.toml', goodSettings.replace('10.0.0.1', '10.0.0.2'))
+  const { code, out } = await command('check', first, second, first)
+  assert.is(code, 1)
+  assert.is(out, `${second}:2: node.id is n1 as in ${first}, but each node needs its own`)
+})
+
 // Guards against a script that takes a conflict, a refusal or an unknown result for success.
 test('config apply gives each result its exit code', async () => {
   const conflict = { type: 'conflict', conflicts: [{ key: 'class/draft', revision: 9, current: { attainment: 1 }, yours: null }] }
