State missing alternatives of a TOML table in one finding

A class without a target was reported as missing firstTokenMs, as missing finishWithinMs and as not matching a schema, which reads as if both were needed. One finding now says which members are alternatives, and findings about lengths are in plain words. The settings page says that an engine's values default to [engineDefaults].

--- a/packages/cli/src/run.test.ts
+++ b/packages/cli/src/run.test.ts
@@ -98,10 +98,10 @@
   assert.equal(reported.findings.map(({ path, line }) => ({ path, line })), [{ path: 'node.id', line: 2 }, { path: 'node.address', line: 5 }])
   const config = file('config.toml', '[class.draft]\nattainment = 2\n[clas.x]\n[adapter."a b"]\nmodel = "m"\nversions = []\n')
   const findings = (await command('check', '--config', config)).out
-  assert.match(findings, /config\.toml:1: class\.draft/)
+  assert.match(findings, /config\.toml:1: class\.draft needs one of firstTokenMs, finishWithinMs/)
   assert.match(findings, /config\.toml:2: class\.draft\.attainment must be <= 1 \(allowed: number, more than 0, at most 1\)/)
   assert.match(findings, /config\.toml:3: clas is not a kind of configuration \(allowed: one of class, model, adapter\)/)
-  assert.match(findings, /config\.toml:6: adapter\."a b"\.versions must NOT have fewer than 1 items/)
+  assert.match(findings, /config\.toml:6: adapter\."a b"\.versions has too few items/)
   assert.is((await command('check', '--config', classFile)).code, 0)
 })
 
--- a/packages/node/src/settings.test.ts
+++ b/packages/node/src/settings.test.ts
@@ -36,7 +36,7 @@
 test('findings of schema and cross-field checks come together, in the order of lines', () => {
   const bad = good.replace('zone = "muscat-a"', 'zone = ""\ncolour = 3').replace(':7400', ':70000').replace('http://10.0.0.9:8001', 'http://a?b')
   assert.equal(findingsOf(`${bad}\n[limits]\ndrainMs = -1\nqueuedPerAdapter = 3000\n\n[services.desk]\nnonIdempotent = [\n  "POST /a",\n  "POST /a"\n]\n[metrics]\nport = 0\n`), [
-    'n.toml:4: node.zone must NOT have fewer than 1 characters (allowed: string, not empty)',
+    'n.toml:4: node.zone is too short (allowed: string, not empty)',
     'n.toml:5: node.colour is not a setting (allowed: one of id, zone, region, address, staleness)',
     'n.toml:7: node.address has port 70000, which is not between 1 and 65535 (allowed: IP address and port, for example 10.1.2.3:7400 or [fd00::1]:7400)',
     'n.toml:11: platform.instances has a query, fragment or user name, which a base URL must not have (allowed: http or https URL)',
--- a/packages/node/src/toml-findings.ts
+++ b/packages/node/src/toml-findings.ts
@@ -53,17 +53,37 @@
   return /^[A-Za-z0-9_-]+$/.test(name) ? name : JSON.stringify(name)
 }
 
+type SchemaError = NonNullable<Validator['errors']>[number]
+
+const messages: Record<string, string> = {
+  pattern: 'has the wrong form',
+  enum: 'is not an allowed value',
+  minLength: 'is too short',
+  maxLength: 'is too long',
+  minItems: 'has too few items',
+  uniqueItems: 'has an item twice'
+}
+
+/** A rule that one of several members is needed reports each of them as missing; one fault names them all. */
+function alternativeFault (alternative: SchemaError, errors: SchemaError[]): string {
+  const names = errors.filter(err => err.schemaPath.startsWith(`${alternative.schemaPath}/`) && err.keyword === 'required').map(err => String(err.params.missingProperty))
+  return names.length > 0 ? `needs one of ${names.join(', ')}` : 'is not valid'
+}
+
+function faultOf (err: SchemaError, errors: SchemaError[]): Fault {
+  const path = err.instancePath.split('/').slice(1).map(part => part.replaceAll('~1', '/').replaceAll('~0', '~'))
+  if (err.keyword === 'required') return { path: [...path, String(err.params.missingProperty)], message: 'is missing' }
+  if (err.keyword === 'additionalProperties') return { path: [...path, String(err.params.additionalProperty)], message: 'is not a setting' }
+  if (err.keyword === 'anyOf') return { path, message: alternativeFault(err, errors) }
+  return { path, message: messages[err.keyword] ?? err.message ?? 'is not valid' }
+}
+
 /** @returns the faults that a generated validator finds */
 export function schemaFaults (validate: Validator, value: unknown): Fault[] {
   if (validate(value)) return []
-  return (validate.errors ?? []).map(err => {
-    const path = err.instancePath.split('/').slice(1).map(part => part.replaceAll('~1', '/').replaceAll('~0', '~'))
-    if (err.keyword === 'required') return { path: [...path, String(err.params.missingProperty)], message: 'is missing' }
-    if (err.keyword === 'additionalProperties') return { path: [...path, String(err.params.additionalProperty)], message: 'is not a setting' }
-    if (err.keyword === 'pattern') return { path, message: 'has the wrong form' }
-    if (err.keyword === 'enum') return { path, message: 'is not an allowed value' }
-    return { path, message: err.message ?? 'is not valid' }
-  })
+  const errors = validate.errors ?? []
+  const alternatives = errors.filter(err => err.keyword === 'anyOf').map(err => `${err.schemaPath}/`)
+  return errors.filter(err => !alternatives.some(prefix => err.schemaPath.startsWith(prefix))).map(err => faultOf(err, errors))
 }
 
 /** @returns the value at a path of own members, or undefined */
--- a/scripts/settings-reference.ts
+++ b/scripts/settings-reference.ts
@@ -70,6 +70,7 @@
 
 function row (entry: SettingReference, name: string): string {
   const unit = entry.unit === undefined ? '' : ` (${entry.unit})`
+  if (entry.path.startsWith('engines.*.')) return `| \`${name}\` | ${cell(entry.description)} | ${cell(entry.allowed)}${unit} | as in \`[engineDefaults]\` |`
   const fallback = entry.default === undefined ? (entry.required ? 'required' : '') : `\`${JSON.stringify(entry.default)}\``
   return `| \`${name}\` | ${cell(entry.description)} | ${cell(entry.allowed)}${unit} | ${fallback} |`
 }
