Let listeners of the engine model act on it from within their calls

A session on the virtual clock calls the model synchronously. A listener that cancelled or unloaded during a step left the removed sequence in the batch, which went on to completion, and a listener that resumed while streams were cut lost its new stream. The step now skips sequences that a listener removed, and listeners are detached before they are told. The new test fails on the old model with a resumed stream that gives nothing.

--- a/packages/stand-ins/src/engine-model.ts
+++ b/packages/stand-ins/src/engine-model.ts
@@ -119,10 +119,16 @@
     for (const listener of listeners) listener.end(sequence.produced, reason)
   }
 
+  // Listeners may act on the engine at once, so that they are detached before they are told.
+  const cut = (sequence: Sequence, reason: string): void => {
+    const listeners = [...sequence.listeners]
+    sequence.listeners.clear()
+    for (const listener of listeners) listener.broken(reason)
+  }
+
   const breakOff = (sequence: Sequence, reason: string): void => {
     known.delete(sequence.req.requestId)
-    for (const listener of sequence.listeners) listener.broken(reason)
-    sequence.listeners.clear()
+    cut(sequence, reason)
   }
 
   const textsOf = (sequence: Sequence, first: number, last: number): string[] => {
@@ -162,20 +168,19 @@
   const runStep = (): void => {
     stats.steps++
     stats.batchSum += batch.length
-    const running = batch
-    for (const sequence of running) {
+    for (const sequence of batch) {
+      // A listener of this step may have cancelled or broken off another request.
+      if (sequence.end !== undefined || known.get(sequence.req.requestId) !== sequence) continue
       const first = sequence.produced + 1
       sequence.produced = Math.min(sequence.req.maxTokens, sequence.produced + tokensPerStep)
       stats.tokens += sequence.produced - first + 1
-      if (sequence.listeners.size > 0) {
-        const texts = textsOf(sequence, first, sequence.produced)
-        for (const listener of sequence.listeners) listener.tokens(first, texts)
-      }
-    }
-    batch = running.filter(sequence => sequence.produced < sequence.req.maxTokens)
-    for (const sequence of running) {
-      if (sequence.produced >= sequence.req.maxTokens && sequence.end === undefined) finish(sequence, 'length')
+      if (sequence.listeners.size === 0) continue
+      const texts = textsOf(sequence, first, sequence.produced)
+      for (const listener of [...sequence.listeners]) listener.tokens(first, texts)
     }
+    const finished = batch.filter(sequence => sequence.produced >= sequence.req.maxTokens)
+    batch = batch.filter(sequence => sequence.produced < sequence.req.maxTokens)
+    for (const sequence of finished) finish(sequence, 'length')
   }
 
   const remove = (sequence: Sequence): void => {
@@ -281,7 +286,7 @@
       highestFence = -1
       report = undefined
       stepping = false
-      const cut = [...batch, ...waiting]
+      const lost = [...batch, ...waiting]
       const loads = [...loading.values()]
       batch = []
       waiting = []
@@ -292,7 +297,7 @@
       cache.clear()
       unreachable = downMs > 0
       if (unreachable) clock.after(downMs, () => { unreachable = false })
-      for (const sequence of cut) breakOff(sequence, 'engine restarted')
+      for (const sequence of lost) breakOff(sequence, 'engine restarted')
       for (const done of loads) done({ type: 'unknown', reason: 'engine restarted' })
     },
     setUnreachable (value) { unreachable = value },
@@ -301,10 +306,7 @@
     failNextLoad () { loadFailures++ },
     hangNextLoad () { loadHangs++ },
     cutStreams () {
-      for (const { listeners } of known.values()) {
-        for (const listener of listeners) listener.broken('connection cut')
-        listeners.clear()
-      }
+      for (const sequence of known.values()) cut(sequence, 'connection cut')
     },
     stats: () => ({ ...stats })
   }
--- a/packages/stand-ins/src/models.test.ts
+++ b/packages/stand-ins/src/models.test.ts
@@ -93,6 +93,27 @@
   assert.is(engine.stats().evictedInUse, 1)
 })
 
+// Guards against requests that run on after a listener removed them within the same step.
+test('engine: listeners may cancel, unload and resume from within their calls', () => {
+  const { clock, engine, load } = createEngine({ batchSize: 4 })
+  for (const handle of ['a', 'b']) load(handle)
+  clock.advance(300)
+  const acting = { ...createListener(), tokens: () => { engine.cancel('r2'); engine.command({ type: 'unload', handle: 'b' }, 1, () => {}) } }
+  const cancelled = createListener()
+  const unloaded = createListener()
+  engine.generate(request('r1', 'a'), acting)
+  engine.generate(request('r2', 'a'), cancelled)
+  engine.generate(request('r3', 'b'), unloaded)
+  clock.advance(100)
+  assert.equal([cancelled.ended, unloaded.ended, cancelled.text], ['cancelled 0', 'adapter was unloaded', ''])
+  assert.equal([engine.stats().completed, engine.stats().tokens], [1, 3])
+  const again = createListener()
+  engine.generate(request('r4', 'a'), { ...createListener(), broken: () => { engine.resume('r4', 0, again) } })
+  engine.cutStreams()
+  clock.advance(100)
+  assert.equal([again.ended, again.text], ['length 3', expectedText('r4', 'a', '1', 'p', 3)])
+})
+
 test('engine: a restart is cold, has a new incarnation and forgets its requests', () => {
   const { clock, engine, results, load } = createEngine({ reportLagMs: 1000 })
   load('a')
