--- a/packages/cli/src/run.test.ts
+++ b/packages/cli/src/run.test.ts
@@ -98,13 +98,22 @@
   assert.equal(reported.findings.map(({ path, line }) => ({ path, line })), [{ path: 'node.id', line: 2 }, { path: 'node.address', line: 5 }])
   const config = file('config.toml', '[class.draft]\nattainment = 2\n[clas.x]\n[adapter."a b"]\nmodel = "m"\nversions = []\n')
   const findings = (await command('check', '--config', config)).out
-  assert.match(findings, /config\.toml:1: class\.draft/)
+  assert.match(findings, /config\.toml:1: class\.draft needs one of firstTokenMs, finishWithinMs/)
   assert.match(findings, /config\.toml:2: class\.draft\.attainment must be <= 1 \(allowed: number, more than 0, at most 1\)/)
   assert.match(findings, /config\.toml:3: clas is not a kind of configuration \(allowed: one of class, model, adapter\)/)
-  assert.match(findings, /config\.toml:6: adapter\."a b"\.versions must NOT have fewer than 1 items/)
+  assert.match(findings, /config\.toml:6: adapter\."a b"\.versions has too few items/)
   assert.is((await command('check', '--config', classFile)).code, 0)
 })
 
+// Guards against two nodes with one id: each would take the other's messages for its own.
+test('settings checked together must not share an id or an address', async () => {
+  const first = file('first.toml', goodSettings)
+  const second = file('second.toml', goodSettings.replace('10.0.0.1', '10.0.0.2'))
+  const { code, out } = await command('check', first, second, first)
+  assert.is(code, 1)
+  assert.is(out, `${second}:2: node.id is n1 as in ${first}, but each node needs its own`)
+})
+
 // Guards against a script that takes a conflict, a refusal or an unknown result for success.
 test('config apply gives each result its exit code', async () => {
   const conflict = { type: 'conflict', conflicts: [{ key: 'class/draft', revision: 9, current: { attainment: 1 }, yours: null }] }
