Reserve a quarter of the slots and age urgency more slowly

Patient work pins a slot for half a minute, so with an eighth of the slots reserved an urgent load often found no slot to evict. Urgency also doubled within one target time, which favoured old requests over adapters with more of them.

--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -18,13 +18,14 @@
   prefetch: 'none',
   dispatchOrder: 'arrival',
   admission: 'bounds',
-  reserve: false
+  reserve: false,
+  reservedSlots: 0
 }
 
 export const policies: Record<string, BenchPolicy> = {
   'fcfs-lru': { options: lru, routing: 'least-loaded', reservePermits: false, knowsArrivals: false },
   'affinity-lru': { options: lru, routing: 'affinity', reservePermits: false, knowsArrivals: false },
-  previous: { options: previousPolicy, routing: 'bounded', reservePermits: false, knowsArrivals: false },
+  previous: { options: previousPolicy, routing: 'bounded', reservePermits: true, knowsArrivals: false },
   current: { options: currentPolicy, routing: 'bounded', reservePermits: true, knowsArrivals: false },
   'known-arrivals': { options: { ...currentPolicy, eviction: 'next-arrival', prefetch: 'next-arrival' }, routing: 'bounded', reservePermits: true, knowsArrivals: true }
 }
--- a/packages/serving/src/feedback.ts
+++ b/packages/serving/src/feedback.ts
@@ -45,8 +45,11 @@
     perToken <= (cfg.perTokenMs ?? Infinity)
 }
 
-/** @param initial the classes in force */
-export const createTargetFeedback = (initial: Record<string, ClassConfig>): TargetFeedback => {
+/**
+ * @param initial the classes in force
+ * @param ageing growth of the urgency per target time waited
+ */
+export const createTargetFeedback = (initial: Record<string, ClassConfig>, ageing: number): TargetFeedback => {
   let classes = initial
   const attainedBy = new Map<string, number>()
 
@@ -72,7 +75,7 @@
     urgency (name, waitedMs) {
       const target = waitTargetMs(classes[name])
       // The second factor is the ageing: it grows without bound, so every request is first at some time.
-      return 1000 / target * multiplier(name) * (1 + Math.max(0, waitedMs) / target)
+      return 1000 / target * multiplier(name) * (1 + ageing * Math.max(0, waitedMs) / target)
     },
     patienceMs (name, tokens) {
       const cfg = classes[name]
--- a/packages/serving/src/load-planner.ts
+++ b/packages/serving/src/load-planner.ts
@@ -63,7 +63,7 @@
 
   /** Patient work leaves some slots to impatient work, because it occupies a slot for long. */
   const mayTakeSlot = (candidate: LoadCandidate, spare: number): boolean =>
-    !options.reserve || !candidate.patient || spare > Math.floor(cfg.slots / 8)
+    !candidate.patient || spare > Math.floor(cfg.slots * options.reservedSlots)
 
   const firstFitting = (candidates: LoadCandidate[], spare: number): LoadCandidate | undefined =>
     candidates.find((candidate) => mayTakeSlot(candidate, spare))
--- a/packages/serving/src/policy-options.ts
+++ b/packages/serving/src/policy-options.ts
@@ -12,8 +12,12 @@
   dispatchOrder: 'urgency' | 'arrival'
   /** `estimate` refuses requests that would miss their target; `bounds` only those beyond the queue bounds. */
   admission: 'estimate' | 'bounds'
-  /** Whether patient classes leave slots and batch places for impatient ones. */
+  /** Whether patient classes leave batch places for impatient ones. */
   reserve: boolean
+  /** Share of the adapter slots that patient classes leave to impatient ones. */
+  reservedSlots: number
+  /** Growth of a request's urgency per target time waited. */
+  ageing: number
   /** How the expected use of an adapter follows from its past. */
   usage: UsageModel
   /** A prefetched adapter must be expected this many times as often as the one evicted for it. */
@@ -32,9 +36,11 @@
   dispatchOrder: 'urgency',
   admission: 'estimate',
   reserve: true,
+  reservedSlots: 0.25,
+  ageing: 0.25,
   usage: { recency: 0, idleAware: true },
   prefetchGain: 4
 }
 
 /** The policy of the previous committed version, for comparison. */
-export const previousPolicy: PolicyOptions = { ...currentPolicy }
+export const previousPolicy: PolicyOptions = { ...currentPolicy, reservedSlots: 0.125, ageing: 1 }
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -52,7 +52,7 @@
   const queue = createRequestQueue(cfg)
   const slots = createSlotTable(cfg.slots)
   const usage = createUsage(maxTracked, options.usage)
-  const feedback = createTargetFeedback(classes)
+  const feedback = createTargetFeedback(classes, options.ageing)
   const prefixes = createPrefixCache()
   const times = createServiceTimes()
 
