--- a/packages/serving/src/permits.ts
+++ b/packages/serving/src/permits.ts
@@ -177,6 +177,8 @@
 
 /** After a failure the holder is tried again after this time; meanwhile the fixed share is used. */
 const holderRetryMs = 2_000
+/** Permits whose issuer is remembered; an owner that ends its term never returns its permits. */
+const maxIssuers = 1_024
 /** All nodes choose the holder with this key. */
 const holderKey = 'load-permits'
 
@@ -243,6 +245,9 @@
       return []
     }
     issuer.set(permitId, node)
+    if (issuer.size > maxIssuers) {
+      issuer.delete(issuer.keys().next().value!)
+    }
     unreachableUntil = -Infinity
     // The scheduler may already have a permit of the fixed share; then this one goes back.
     if (!wanted.delete(engine)) {
