Track disturbances by node id and run the soak without a trace

Each run also recorded events that only a failing run needs.

Keep the end of disturbances per node id and for all nodes. Run without a trace and repeat a failing seed with one; the digest is the same. Keep one view per reducer instead of a new one per call.

--- a/packages/coordination/src/config-reducer.ts
+++ b/packages/coordination/src/config-reducer.ts
@@ -75,7 +75,7 @@
     typeof change.writes === 'object' && change.writes !== null && Array.isArray(change.reads)
 }
 
-const viewOf = (entries: ReadonlyMap<string, ConfigEntry>, writes: Readonly<Record<string, unknown>> = {}): ConfigView => {
+const viewWith = (entries: ReadonlyMap<string, ConfigEntry>, writes: Readonly<Record<string, unknown>>): ConfigView => {
   const written = new Map(Object.entries(writes))
   const get = (key: string): unknown => (written.has(key) ? written.get(key) : entries.get(key)?.value) ?? undefined
   const keys = function * (): Iterable<string> {
@@ -88,6 +88,14 @@
   return { get, keys }
 }
 
+const keysOf = function * (state: ReducerState): Iterable<string> {
+  for (const [key, { value }] of state.entries) {
+    if (value !== null) {
+      yield key
+    }
+  }
+}
+
 const shapeFindings = (change: Change, offset: number): ConfigFinding[] => {
   if (Object.keys(change.writes).length === 0) {
     return [{ key: '', detail: 'the change writes no key' }]
@@ -108,7 +116,7 @@
     const theirs = state.entries.get(key)
     return { type: 'conflict', key, yours: change.writes[key], theirs: theirs?.value, revision: theirs?.revision ?? state.revision }
   }
-  const next = viewOf(state.entries, change.writes)
+  const next = viewWith(state.entries, change.writes)
   const findings = cfg.control.checksWhole ? cfg.validate(next, Object.keys(change.writes)) : []
   return findings.length > 0 ? { type: 'invalid', findings } : { type: 'accepted', revision: offset }
 }
@@ -253,7 +261,10 @@
     },
     outcome: id => state.ids.get(id)?.outcome,
     preview: change => outcomeAt(change, Math.max(state.position, change.base + 1), state, cfg),
-    get view () { return viewOf(state.entries) },
+    view: {
+      get: key => state.entries.get(key)?.value ?? undefined,
+      keys: () => keysOf(state)
+    },
     entry: key => state.entries.get(key),
     get revision () { return state.revision },
     get position () { return nextOffset() },
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -24,11 +24,6 @@
 }
 
 const minNodes = 2
-/** A node needs this long after a fault to read the log again: a back-off and a failed read, in ms. */
-const logRecoveryMs = 5000
-/** Time between two reads of the list, in ms. */
-const listRecoveryMs = 1000
-
 export const createFaults = (world: World, cluster: Cluster, options: FaultOptions): Faults => {
   const { clock, chance, network, log, list, engines, weights, service, trace } = world
   const counts: Record<string, number> = {}
@@ -36,21 +31,6 @@
   const pick = <T>(items: readonly T[]): T | undefined => items.length === 0 ? undefined : items[chance.between(0, items.length - 1)]
   const engine = (): EngineInWorld | undefined => pick([...engines.values()].filter(({ gone }) => !gone))
 
-  const disturbLog = (nodes: readonly NodeProcess[], ms: number): void => {
-    const until = clock.now() + ms + logRecoveryMs
-    nodes.forEach(node => { node.logDisturbedUntil = Math.max(node.logDisturbedUntil, until) })
-  }
-
-  const disturbList = (nodes: readonly NodeProcess[], ms: number): void => {
-    const until = clock.now() + ms + listRecoveryMs
-    nodes.forEach(node => { node.listDisturbedUntil = Math.max(node.listDisturbedUntil, until) })
-  }
-
-  const disturb = (nodes: readonly NodeProcess[], ms: number): void => {
-    disturbLog(nodes, ms)
-    disturbList(nodes, ms)
-  }
-
   const cutBoth = (left: string, right: string, ms: number): void => {
     network.cut(left, right)
     network.cut(right, left)
@@ -62,21 +42,15 @@
 
   const pauseMs = (): number => chance.happens(0.3) ? chance.between(5000, 25_000) : chance.between(50, 5000)
 
-  const pauseAround = (node: NodeProcess, point: 'before' | 'after'): void => {
-    const ms = pauseMs()
-    disturb([node], ms + 1000)
-    node.process.pauseAround(point, ms)
-  }
-
   const cutFrom = (node: NodeProcess, target: string | undefined): void => {
     if (target === undefined) {
       return
     }
     const ms = chance.between(200, 12_000)
     if (target === 'log') {
-      disturbLog([node], ms)
+      world.disturb('log', node.id, ms)
     } else if (target === 'list') {
-      disturbList([node], ms)
+      world.disturb('list', node.id, ms)
     }
     cutBoth(node.id, target, ms)
   }
@@ -90,7 +64,7 @@
 
   const logOutage = (): void => {
     const ms = chance.happens(0.3) ? chance.between(10_000, 30_000) : chance.between(200, 6000)
-    disturbLog(cluster.nodes(), ms)
+    world.disturb('log', undefined, ms)
     log.setOutage(true)
     clock.after(ms, () => log.setOutage(false))
   }
@@ -142,13 +116,9 @@
 
   const catalogue: Record<FaultName, (node: NodeProcess, target: EngineInWorld) => void> = {
     crash: node => { if (cluster.nodes().length > minNodes) cluster.crash(node) },
-    pause (node) {
-      const ms = pauseMs()
-      disturb([node], ms)
-      node.process.pause(ms)
-    },
-    'pause-before-step': node => pauseAround(node, 'before'),
-    'pause-after-step': node => pauseAround(node, 'after'),
+    pause: node => node.process.pause(pauseMs()),
+    'pause-before-step': node => node.process.pauseAround('before', pauseMs()),
+    'pause-after-step': node => node.process.pauseAround('after', pauseMs()),
     drain: node => { if (cluster.nodes().filter(({ draining }) => !draining).length > minNodes && !node.draining) cluster.drain(node) },
     'cut-nodes' (node) {
       cutFrom(node, pick(cluster.nodes().filter(({ id }) => id !== node.id))?.id)
@@ -184,12 +154,12 @@
     },
     'list-outage' () {
       const ms = chance.between(1000, 10_000)
-      disturbList(cluster.nodes(), ms)
+      world.disturb('list', undefined, ms)
       temporarily(list.setOutage, ms)
     },
     'list-lag' () {
       const ms = chance.between(2000, 12_000)
-      disturbList(cluster.nodes(), ms)
+      world.disturb('list', undefined, ms)
       list.setLag(chance.between(500, 5000))
       clock.after(ms, () => list.setLag(200))
     },
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -70,7 +70,7 @@
     addTo(totals, result.totals)
     if (result.violations.length > 0) {
       failed.push(next)
-      printViolation(result)
+      printViolation(runSoak({ seed: next, steps, profile: profile as ProfileName, trace: true }))
     }
   }
   console.log(`profile ${profile}: ${stepped} steps of ${seeds} seeds, ${Math.round(virtualMs / 1000)} s of virtual time, ${Math.round(stepped / elapsedMs * 1000)} steps/s`)
--- a/packages/soak/src/node-process.ts
+++ b/packages/soak/src/node-process.ts
@@ -27,9 +27,9 @@
   readonly log: LogShell
   readonly draining: boolean
   /** Time until which faults may keep the configuration from this process, in ms. */
-  logDisturbedUntil: number
+  readonly logDisturbedUntil: number
   /** Time until which faults may keep news of the instance list from this process, in ms. */
-  listDisturbedUntil: number
+  readonly listDisturbedUntil: number
   /** The next command to an engine lands this much later than its timeout, in ms. */
   delayNextCommandMs: number | undefined
   /** The next order lands this late at the service, in ms; its answer is lost. */
@@ -204,6 +204,10 @@
       world.countStep()
       world.noteRevision(self, core.revision(), () => core.configuration.state()?.entries ?? [])
     },
+    paused (ms) {
+      world.disturb('log', id, ms)
+      world.disturb('list', id, ms)
+    },
     failed (err) {
       const text = err instanceof Error ? err.stack ?? err.message : String(err)
       const [message = ''] = text.split('\n')
@@ -245,8 +249,8 @@
     }),
     log: createLogShell(world, process, id),
     get draining () { return draining },
-    logDisturbedUntil: clock.now() + startMs,
-    listDisturbedUntil: clock.now() + startMs,
+    get logDisturbedUntil () { return Math.max(incarnation + startMs, world.disturbances.until('log', id)) },
+    get listDisturbedUntil () { return Math.max(incarnation + startMs, world.disturbances.until('list', id)) },
     delayNextCommandMs: undefined,
     delayNextOrderMs: undefined,
     order (order) {
--- a/packages/soak/src/process.ts
+++ b/packages/soak/src/process.ts
@@ -11,6 +11,8 @@
   perform (action: CoreAction): void
   /** Called after each step and before its actions. */
   stepped (): void
+  /** A pause begins. */
+  paused (ms: number): void
   /** A step threw an error. */
   failed (err: unknown): void
 }
@@ -62,6 +64,7 @@
       return
     }
     paused = true
+    env.paused(ms)
     clock.after(ms, resume)
   }
 
--- a/packages/soak/src/run.test.ts
+++ b/packages/soak/src/run.test.ts
@@ -6,9 +6,9 @@
 
 test('the same seed gives the same run: a violation can be reproduced', () => {
   const first = runSoak({ seed: 5, steps, profile: 'default' })
-  const second = runSoak({ seed: 5, steps, profile: 'default' })
+  const second = runSoak({ seed: 5, steps, profile: 'default', trace: true })
   assert.is(first.digest, second.digest)
-  assert.equal(first.events, second.events)
+  assert.equal(first.violations, second.violations)
 })
 
 test('another seed gives another run', () => {
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -50,6 +50,8 @@
   /** Breaks a rule, to show that the checks notice. */
   mutation?: Mutation
   nodes?: number
+  /** Keeps the events; a run without them is faster and otherwise the same. */
+  trace?: boolean
 }
 
 export type SoakResult = {
@@ -75,7 +77,7 @@
 
 const build = (options: SoakOptions): Parts => {
   const profile = profiles[options.profile]
-  const world = createWorld({ seed: options.seed, engines: profile.engines, fencedEngines: profile.fencedEngines, services: 2 })
+  const world = createWorld({ seed: options.seed, engines: profile.engines, fencedEngines: profile.fencedEngines, services: 2, trace: options.trace === true })
   const workload: Workload = createWorkload(world, () => cluster, profile.rates)
   const cluster = createCluster(world, { mutation: options.mutation ?? { hooks: {} }, finished: workload.finished, orderFinished: workload.orderFinished })
   const faults = createFaults(world, cluster, { meanMs: profile.faultMeanMs, weights: profile.weights })
--- a/packages/soak/src/trace.ts
+++ b/packages/soak/src/trace.ts
@@ -14,6 +14,9 @@
 const lineOf = ({ at, kind, parts }: Entry): string =>
   `${at.toFixed(1).padStart(10)} ${kind} ${parts.map(part => typeof part === 'string' ? part : JSON.stringify(part)).join(' ')}`
 
+/** @returns a trace that keeps nothing, for runs that are repeated when they fail */
+export const createNoTrace = (): Trace => ({ add () {}, shortened: () => [] })
+
 /** @returns an empty trace of bounded size */
 export const createTrace = (): Trace => {
   const ring: Entry[] = []
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -4,8 +4,9 @@
 import { createChance, createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createVirtualClock, createWeightStoreModel, type Chance, type EngineModel, type InstanceListModel, type LogModel, type PlainServiceModel, type VirtualClock, type WeightStoreModel } from '@yuccawharf/stand-ins'
 import { createChecker, type Checker } from './checker'
 import { configContent, createConfigOracle, type ConfigOracle } from './config-oracle'
+import { createDisturbances, type Disturbances, type NewsSource } from './disturbances'
 import { createNetwork, type Network } from './network'
-import { createTrace, type Trace } from './trace'
+import { createNoTrace, createTrace, type Trace } from './trace'
 
 export type WorldOptions = {
   seed: number
@@ -13,6 +14,8 @@
   /** Engines from this index on ignore fencing numbers. */
   fencedEngines: number
   services: number
+  /** Whether to keep the events for a report. */
+  trace: boolean
 }
 
 export type EngineInWorld = {
@@ -33,6 +36,9 @@
   readonly clock: VirtualClock
   readonly chance: Chance
   readonly network: Network
+  readonly disturbances: Disturbances
+  /** For `ms` from now on a source does not reach a node, or any node, and a while later it does again. */
+  disturb (source: NewsSource, node: string | undefined, ms: number): void
   readonly log: LogModel
   readonly list: InstanceListModel
   readonly weights: WeightStoreModel
@@ -75,6 +81,11 @@
 export type RevisionSource = { id: string, incarnation: number, logDisturbedUntil: number }
 
 export const orderKeyHeader = 'idempotency-key'
+/**
+ * Time from the end of a fault to the next contact, in ms: a back-off and a failed read of the log,
+ * or the time between two reads of the list.
+ */
+const recoveryMs: Record<NewsSource, number> = { log: 5000, list: 1000 }
 /** Time within which an accepted configuration is in force everywhere, in ms. */
 const configBoundMs = 9000
 
@@ -123,6 +134,7 @@
   const engines = new Map<string, EngineInWorld>()
   const services = new Map<string, ServiceInWorld>()
   const oracle = createConfigOracle()
+  const disturbances = createDisturbances()
   let created = 0
 
   const addEngine = (): EngineInWorld => {
@@ -217,6 +229,8 @@
     clock,
     chance,
     network: createNetwork(clock, chance),
+    disturbances,
+    disturb: (source, node, ms) => disturbances.add(source, node, clock.now() + ms + recoveryMs[source]),
     log,
     list,
     weights,
@@ -226,7 +240,7 @@
     services,
     oracle,
     checker: createChecker(clock.now),
-    trace: createTrace(),
+    trace: options.trace ? createTrace() : createNoTrace(),
     addEngine,
     addService,
     syncOracle,
