--- a/packages/bench/src/capacity/main.ts
+++ b/packages/bench/src/capacity/main.ts
@@ -2,8 +2,10 @@
  * `npm run capacity`: measures what each role costs at several sizes, fits a line through each, and
  * prints what the lines give at the target size, as Markdown.
  */
+import { claimShards } from '@yuccawharf/coordination'
 import { fitLine, valueAt, type Fit } from './fit'
 import { measureMembership } from './membership-load'
+import { measureNodeTraffic } from './node-traffic'
 import { controlRows, type Slopes } from './report'
 import { measureClaims, measureConfig, measureOwnership, measurePermits, measureRouter, measureScheduler, type RoleCost } from './role-load'
 import { markdownTable } from './table'
@@ -11,6 +13,8 @@
 const membershipSeconds = 30
 const membershipWarmUpSeconds = 240
 const routedAdapters = 1_000
+/** Streams that a node without others follows: config, ownership and all claims shards. */
+const followedAlone = 2 + claimShards
 
 type Measured = { role: string, quantity: string, unit: string, sizes: string, fit: Fit }
 
@@ -25,7 +29,11 @@
 const byMicros = (costs: RoleCost[]): { x: number, y: number }[] => costs.map(({ size, micros }) => ({ x: size, y: micros }))
 const byHeap = (costs: RoleCost[]): { x: number, y: number }[] => costs.map(({ size, heapBytes }) => ({ x: size, y: heapBytes }))
 
-function measureAll (): Slopes {
+async function measureAll (): Promise<Slopes> {
+  const listed = []
+  for (const instances of [100, 400, 1_000]) listed.push(await measureNodeTraffic(instances, 1))
+  const owning = [listed.at(-1)!]
+  for (const engines of [2, 3]) owning.push(await measureNodeTraffic(1_000, engines))
   const membership = [100, 200, 400].map(nodes => measureMembership(nodes, membershipSeconds, membershipWarmUpSeconds))
   const config = [2_000, 8_000, 19_000].map(measureConfig)
   const ownership = [150, 300, 600].map(measureOwnership)
@@ -34,6 +42,11 @@
   const router = [75, 150, 300, 600].map(engines => measureRouter(engines, routedAdapters))
   const scheduler = [100, 400, 1_600].map(measureScheduler)
   return {
+    listBytes: fitted('entry', 'instance list, unchanged', 'bytes/s', 'instances', listed.map(({ instances, listBytes }) => ({ x: instances, y: listBytes }))),
+    engineBytes: fitted('engine owner', 'reports of engines with 32 full slots', 'bytes/s', 'engines', owning.map(({ engines, engineBytes }) => ({ x: engines, y: engineBytes }))),
+    logStreamBytes: owning[0]!.logBytes / followedAlone,
+    idleMicros: fitted('node process', 'processor time when idle', 'µs/s', 'engines', owning.map(({ engines, micros }) => ({ x: engines, y: micros }))),
+    processBytes: fitted('node process', 'resident memory', 'bytes', 'instances', listed.map(({ instances, residentBytes }) => ({ x: instances, y: residentBytes }))),
     membershipBytes: fitted('membership', 'datagrams sent and received, steady', 'bytes/s', 'nodes', membership.map(({ nodes, bytesPerSecond }) => ({ x: nodes, y: bytesPerSecond }))),
     membershipStartBytes: fitted('membership', 'the same while all nodes start at once', 'bytes/s', 'nodes', membership.map(({ nodes, startBytesPerSecond }) => ({ x: nodes, y: startBytesPerSecond }))),
     membershipMicros: fitted('membership', 'processor time', 'µs/s', 'nodes', membership.map(({ nodes, microsPerSecond }) => ({ x: nodes, y: microsPerSecond }))),
@@ -60,7 +73,7 @@
 
 const digits = (value: number): string => Math.abs(value) >= 100 ? value.toFixed(0) : value.toPrecision(3)
 
-const slopes = measureAll()
+const slopes = await measureAll()
 console.log('### Measured slopes\n')
 console.log(markdownTable(
   ['role', 'quantity', 'unit', 'measured at', 'fixed part', 'slope', 'residual'],
--- a/packages/bench/src/capacity/node-traffic.ts
+++ b/packages/bench/src/capacity/node-traffic.ts
@@ -1,9 +1,11 @@
-/** Traffic of one idle node with the platform, on real connections to stand-ins in the same process. */
+/** Traffic and processor time of one idle node, with the platform's stand-ins in a child process. */
+import { fork, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
 import { createServer } from 'node:net'
 import { setTimeout as pause } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
 import { createNode, type CompleteSettings } from '@yuccawharf/node'
-import { createEngineModel, createInstanceListModel, createLogModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, serveWeightStore, type StandInServer } from '@yuccawharf/stand-ins'
-import { createCountingRelay, type CountingRelay } from './counting-relay'
+import { trafficRegion as region, type PlatformCounts, type PlatformReady } from './traffic-platform'
 
 export type NodeTraffic = {
   instances: number
@@ -12,16 +14,14 @@
   listBytes: number
   logBytes: number
   engineBytes: number
-  /** Processor time of the node and the stand-ins, in microseconds per second. */
+  /** Processor time of the node, in microseconds per second. */
   micros: number
   residentBytes: number
 }
 
-const warmUpMs = 6_000
+/** A takeover asks for reports more often; this is over when the measurement begins. */
+const warmUpMs = 14_000
 const measuredMs = 10_000
-const region = 'measured'
-const slots = 32
-const batchSize = 64
 
 async function freeAddress (): Promise<string> {
   const server = createServer()
@@ -43,58 +43,38 @@
   }
 }
 
+async function counts (child: ChildProcess): Promise<PlatformCounts> {
+  child.send('counts')
+  const [value] = await once(child, 'message') as [PlatformCounts]
+  return value
+}
+
 /**
  * @param instances - instances in the list
  * @param engines - engines that the node owns, each with all slots filled
  */
 export async function measureNodeTraffic (instances: number, engines: number): Promise<NodeTraffic> {
-  const clock = createRealClock()
-  const weights = createWeightStoreModel({ clock, fetchMs: 1 })
-  const list = createInstanceListModel({ clock })
-  const servers: StandInServer[] = []
-  const relays: CountingRelay[] = []
-  const relayed = async (starting: Promise<StandInServer>): Promise<CountingRelay> => {
-    const server = await starting
-    servers.push(server)
-    const relay = await createCountingRelay(server.address)
-    relays.push(relay)
-    return relay
-  }
-  const logRelay = await relayed(serveLog(createLogModel({ clock })))
-  const listRelay = await relayed(serveInstanceList(list))
-  const weightServer = await serveWeightStore(weights)
-  servers.push(weightServer)
-  const engineRelays: CountingRelay[] = []
-  for (let index = 0; index < engines; index++) {
-    const model = createEngineModel({ clock, weights, engine: `engine-${index}`, baseModel: 'base', slots, batchSize, checksFencing: true, reportLagMs: 200, seed: index + 1 })
-    for (let slot = 0; slot < slots; slot++) model.command({ type: 'load', handle: `customer-${slot}@2026-12~0.${slot}`, adapter: `customer-${slot}`, version: '2026-12' }, 0, () => {})
-    const relay = await relayed(serveEngine(model))
-    engineRelays.push(relay)
-    list.put({ id: `engine-${index}`, kind: 'engine', address: relay.address, zone: 'zone-a', region, group: 'engines', state: 'live' })
-  }
-  // The rest of the list belongs to another region, so that the node neither owns nor probes it.
-  for (let index = engines; index < instances; index++) {
-    list.put({ id: `service-${index}`, kind: 'service', address: `10.0.${index >> 8}.${index & 255}:8000`, zone: `zone-${index % 5}`, region: 'other', group: 'order-desk', state: 'live' })
-  }
-  const node = await createNode(settingsOf(await freeAddress(), logRelay.address, listRelay.address, weightServer.url), { seed: 1 })
+  const script = fileURLToPath(new URL('./traffic-platform.ts', import.meta.url))
+  const child = fork(script, [String(instances), String(engines)], { execArgv: ['--import', 'tsx'] })
+  const [ready] = await once(child, 'message') as [PlatformReady]
+  const node = await createNode(settingsOf(await freeAddress(), ready.log, ready.instances, ready.weightStore), { seed: 1 })
   await pause(warmUpMs)
-  const sum = (measured: CountingRelay[]): number => measured.reduce((total, relay) => total + relay.bytes(), 0)
-  const before = { list: listRelay.bytes(), log: logRelay.bytes(), engines: sum(engineRelays) }
+  const before = await counts(child)
   const cpu = process.cpuUsage()
   await pause(measuredMs)
   const { user, system } = process.cpuUsage(cpu)
-  const perSecond = (bytes: number): number => bytes * 1000 / measuredMs
-  const traffic = {
+  const after = await counts(child)
+  const residentBytes = process.memoryUsage().rss
+  await node.kill()
+  child.disconnect()
+  const perSecond = (amount: number): number => amount * 1000 / measuredMs
+  return {
     instances,
     engines,
-    listBytes: perSecond(listRelay.bytes() - before.list),
-    logBytes: perSecond(logRelay.bytes() - before.log),
-    engineBytes: perSecond(sum(engineRelays) - before.engines),
+    listBytes: perSecond(after.list - before.list),
+    logBytes: perSecond(after.log - before.log),
+    engineBytes: perSecond(after.engines - before.engines),
     micros: perSecond(user + system),
-    residentBytes: process.memoryUsage().rss
+    residentBytes
   }
-  await node.kill()
-  for (const relay of relays) await relay.close()
-  for (const server of servers) await server.close()
-  return traffic
 }
--- a/packages/bench/src/capacity/report.ts
+++ b/packages/bench/src/capacity/report.ts
@@ -1,8 +1,15 @@
 /** What the measured slopes give at the target size, compared with the target's bounds. */
+import { claimShards } from '@yuccawharf/coordination'
 import type { Fit } from './fit'
 import { secondsPerDay, target } from './target'
 
 export type Slopes = {
+  listBytes: Fit
+  engineBytes: Fit
+  /** Bytes per second of one followed log stream without records. */
+  logStreamBytes: number
+  idleMicros: Fit
+  processBytes: Fit
   membershipBytes: Fit
   membershipStartBytes: Fit
   membershipMicros: Fit
@@ -63,16 +70,25 @@
   }
 }
 
+/** Requests to the platform that a node makes while nothing changes. */
+function platformBytes (slopes: Slopes, valueAt: ValueAt): { list: number, log: number, engines: number } {
+  return {
+    list: valueAt(slopes.listBytes, target.nodes + target.engines),
+    log: slopes.logStreamBytes * (2 + claimShards / target.nodes),
+    engines: valueAt(slopes.engineBytes, target.engines / target.nodes)
+  }
+}
+
 function controlMicros (slopes: Slopes, valueAt: ValueAt): number {
   const requestsPerNode = target.requestsPerSecond / target.nodes
-  return valueAt(slopes.membershipMicros, target.nodes) +
+  return valueAt(slopes.idleMicros, target.engines / target.nodes) + valueAt(slopes.membershipMicros, target.nodes) +
     requestsPerNode * (valueAt(slopes.routeMicros, target.engines) + valueAt(slopes.schedulerMicros, queuedPerNode)) +
     (ownerRecordsPerSecond + activationsPerSecond * recordsPerEviction) * valueAt(slopes.ownershipMicros, target.engines) +
     target.configChangesPerDay / secondsPerDay * valueAt(slopes.configMicros, target.adapters)
 }
 
 function controlHeap (slopes: Slopes, valueAt: ValueAt): number {
-  return valueAt(slopes.membershipHeap, target.nodes) + valueAt(slopes.configHeap, target.adapters) +
+  return valueAt(slopes.processBytes, target.nodes + target.engines) + valueAt(slopes.membershipHeap, target.nodes) + valueAt(slopes.configHeap, target.adapters) +
     valueAt(slopes.ownershipHeap, target.engines) + valueAt(slopes.routeHeap, target.engines) +
     2 * valueAt(slopes.schedulerHeap, queuedPerNode) + valueAt(slopes.permitHeap, target.engines) + valueAt(slopes.claimHeap, ordersKept)
 }
@@ -82,17 +98,19 @@
   const { control } = target
   const read = logReadBytes(slopes, valueAt)
   const membership = valueAt(slopes.membershipBytes, target.nodes)
-  const bytes = membership + read.config + read.ownership
-  const start = valueAt(slopes.membershipStartBytes, target.nodes) + read.config + read.ownership
+  const polls = platformBytes(slopes, valueAt)
+  const others = read.config + read.ownership + polls.list + polls.log + polls.engines
+  const bytes = membership + others
+  const start = valueAt(slopes.membershipStartBytes, target.nodes) + others
   const core = controlMicros(slopes, valueAt) / 1e6
   const heap = controlHeap(slopes, valueAt)
   const controlAppends = ownerRecordsPerSecond + activationsPerSecond * recordsPerEviction + target.configChangesPerDay / secondsPerDay
   const ordersPerSecond = target.logAppendsPerSecond * orderAppendShare * slopes.recordsPerAppend / recordsPerOrder
   const permitCore = activationsPerSecond * valueAt(slopes.permitMicros, target.engines) / 1e6
   return [
-    ['control processor time per node', percent(core), percent(control.coreFraction), holds(core, control.coreFraction), 'membership, routing and scheduling of the node\'s share of requests, both reducers'],
-    ['control memory per node (heap of the state)', megabytes(heap), megabytes(control.memoryBytes), holds(heap, control.memoryBytes), `all roles in one node, ${ordersKept} orders kept; the process itself comes on top, see below`],
-    ['control bytes per node, steady', perSecond(bytes), perSecond(control.bytesPerSecond), holds(bytes, control.bytesPerSecond), `membership ${membership.toFixed(0)}, config ${read.config.toFixed(0)}, ownership ${read.ownership.toFixed(0)}`],
+    ['control processor time per node', percent(core), percent(control.coreFraction), holds(core, control.coreFraction), 'idle node process, membership, routing and scheduling of its share of requests, both reducers'],
+    ['control memory per node', megabytes(heap), megabytes(control.memoryBytes), holds(heap, control.memoryBytes), `idle process, and the state of all roles in one node, ${ordersKept} orders kept`],
+    ['control bytes per node, steady', perSecond(bytes), perSecond(control.bytesPerSecond), holds(bytes, control.bytesPerSecond), `membership ${membership.toFixed(0)}, config ${read.config.toFixed(0)}, ownership ${read.ownership.toFixed(0)}, instance list ${polls.list.toFixed(0)}, reads of the log without records ${polls.log.toFixed(0)}, engine reports ${polls.engines.toFixed(0)}`],
     ['control bytes per node, all nodes starting at once', perSecond(start), perSecond(control.bytesPerSecond), holds(start, control.bytesPerSecond), 'the size bound of a datagram limits gossip'],
     ['appends per second for control', controlAppends.toFixed(2), String(target.logAppendsPerSecond), holds(controlAppends, target.logAppendsPerSecond), `${ownerRecordsPerSecond.toFixed(3)} owner records, ${(activationsPerSecond * recordsPerEviction).toFixed(2)} eviction records, ${(target.configChangesPerDay / secondsPerDay).toFixed(3)} changes`],
     ['orders per second with half of the appends', ordersPerSecond.toFixed(0), 'none stated', '-', `${slopes.recordsPerAppend.toFixed(1)} records an append, ${recordsPerOrder} records an order`],
