Stamp messages between nodes with hybrid logical time

Cause: the daemon kept events in a ring of its own with wall-clock stamps, so a merged timeline could show an effect before its cause by the difference of two nodes' clocks. Change: the recorder of the timeline package replaces the ring; envelopes, datagrams, forwarded requests and their responses carry the stamp.

--- a/packages/node/src/admin-desk.ts
+++ b/packages/node/src/admin-desk.ts
@@ -2,10 +2,10 @@
 import type { Dispatcher } from 'undici'
 import { createConfigReducer, validateConfig, type ChangeOutcome } from '@yuccawharf/coordination'
 import { createLogClient } from '@yuccawharf/platform'
+import { createTimelineRecorder } from '@yuccawharf/timeline'
 import type { ConfigApplyReply, ConfigApplyRequest, HistoryEntry, StatusReply } from '@yuccawharf/schema'
 import type { QueryableCore } from './core/node-core'
 import type { AdminPort, ShellView } from './daemon'
-import { createEventRing } from './event-ring'
 import { createProblem, type Problem } from './problem'
 
 export type AdminDeskConfig = {
@@ -40,7 +40,7 @@
 /** Creates the desk of one node. */
 export function createAdminDesk (cfg: AdminDeskConfig, core: QueryableCore, view: ShellView, dispatcher: Dispatcher): AdminPort {
   const log = createLogClient({ baseUrl: cfg.logUrl, dispatcher })
-  const ring = createEventRing(cfg.node, cfg.timelineEvents)
+  const timeline = createTimelineRecorder({ process: cfg.node, capacity: cfg.timelineEvents, clock: view.clock })
 
   async function outcomeOf (id: string): Promise<ChangeOutcome | undefined> {
     const until = view.now() + outcomeWaitMs
@@ -176,7 +176,7 @@
       const entries = core.configuration.state()?.entries ?? []
       return { revision: core.revision(), entries: entries.filter(entry => entry.value !== null) }
     },
-    timeline: filter => ring.read(filter),
-    record: ({ kind, ids, detail }) => ring.record({ kind, ...ids, ...(detail === undefined ? {} : { detail }) }, view.now())
+    timeline: timeline.list,
+    record: ({ kind, ids, detail }) => timeline.record(view.now(), kind, ids, detail)
   }
 }
--- a/packages/node/src/answer-hub.ts
+++ b/packages/node/src/answer-hub.ts
@@ -7,10 +7,12 @@
 import { createAnswer, type Answer, type AnswerLimits } from './answer'
 import { openAnswerSource, type SourceHandler, type SourceRequest } from './answer-source'
 import type { Completion, CoreEvent, Refusal } from './core/messages'
-import { parseLoadHints } from './load-hints'
+import { loadHintHeader, parseLoadHints } from './load-hints'
 import { createProblem, refusalProblem, type Problem } from './problem'
+import { stampHeader, type Stamps } from './stamps'
 
 export type HubEnv = {
+  stamps: Stamps
   now (): number
   dispatcher: Dispatcher
   limits: AnswerLimits
@@ -84,7 +86,11 @@
         const before = answer.relay.lastSeq()
         settle(answer, before, answer.accept(events, env.now()), lost)
       },
-      loadHints: value => env.report({ type: 'load-hints', hints: parseLoadHints(value) }),
+      started (headers) {
+        const hints = headers[loadHintHeader]
+        env.stamps.received(headers[stampHeader])
+        if (typeof hints === 'string') env.report({ type: 'load-hints', hints: parseLoadHints(hints) })
+      },
       refused (status, body) {
         if (current()) lost({ type: 'refused', status, body })
       },
--- a/packages/node/src/answer-source.ts
+++ b/packages/node/src/answer-source.ts
@@ -1,6 +1,5 @@
 /** Opens one event stream over HTTP, from an engine or from the owner's node, and reports its events. */
 import type { Dispatcher } from 'undici'
-import { loadHintHeader } from './load-hints'
 import { createAnswerParser, type AnswerEvent } from '@yuccawharf/serving'
 
 export type SourceRequest = {
@@ -16,8 +15,8 @@
   events (events: AnswerEvent[]): void
   /** The other side answered with another status than 200; `body` is cut at 64 KiB. */
   refused (status: number, body: string): void
-  /** Value of the load hint header, when there is one. */
-  loadHints? (value: string): void
+  /** The response has begun. */
+  started? (headers: Record<string, string | string[] | undefined>): void
   /** The connection ended; `sent` is false when no byte of the request can have arrived. */
   closed (reason: string, sent: boolean): void
 }
@@ -65,8 +64,7 @@
     },
     onResponseStart (_controller, statusCode, headers) {
       status = statusCode
-      const hints = headers[loadHintHeader]
-      if (typeof hints === 'string') handler.loadHints?.(hints)
+      handler.started?.(headers)
       if (paused) controller?.pause()
     },
     onResponseData (_controller, chunk) {
--- a/packages/node/src/completion-routes.ts
+++ b/packages/node/src/completion-routes.ts
@@ -12,8 +12,10 @@
 import type { Route, RouteContext } from './http-router'
 import { formatLoadHints, loadHintHeader } from './load-hints'
 import { createProblem, invalidProblem, sendProblem, type Problem } from './problem'
+import { stampHeader, type Stamps } from './stamps'
 
 export type CompletionRoutesEnv = {
+  stamps: Stamps
   now (): number
   hub: AnswerHub
   forwarder: Forwarder
@@ -68,7 +70,7 @@
     }
   }
 
-  const peerReaders: ReaderEnv = { ...readers, responseHeaders: () => ({ [loadHintHeader]: formatLoadHints(env.loadHints()) }) }
+  const peerReaders: ReaderEnv = { ...readers, responseHeaders: () => ({ [loadHintHeader]: formatLoadHints(env.loadHints()), [stampHeader]: env.stamps.next() }) }
 
   /** Registers the request, or finds the answer of the same request sent before. */
   function enter (completion: Completion, submit: (completion: Completion) => void): Answer | Problem {
@@ -149,6 +151,7 @@
     if (body.err) return sendProblem(res, body.val)
     const findings = schemaFindings(validateForwardedCompletion, body.val, 'body')
     if (findings.length > 0) return sendProblem(res, invalidProblem(findings))
+    env.stamps.received(req.headers[stampHeader])
     const { remainingMs, from, ...fields } = body.val as ForwardedCompletion
     const completion: Completion = { ...fields, deadline: env.now() + remainingMs }
     const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true, from }))
--- a/packages/node/src/core/messages.ts
+++ b/packages/node/src/core/messages.ts
@@ -46,6 +46,8 @@
   incarnation: number
   /** Configuration revision that the sender has in force. */
   revision: number
+  /** Hybrid logical time at which the shell sent it. */
+  stamp?: string
   message: PeerMessage
 }
 
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -4,11 +4,12 @@
 import { Agent, type Dispatcher } from 'undici'
 import type { EngineReport } from '@yuccawharf/platform'
 import type { ClassConfig, Settings } from '@yuccawharf/schema'
+import { createHybridClock, type HybridClock } from '@yuccawharf/timeline'
 import { createAnswerHub } from './answer-hub'
 import { createAnswerLocator } from './answer-locator'
 import { createCompletionRoutes } from './completion-routes'
 import { createControlRoutes, type ControlRoutesEnv } from './control-routes'
-import type { CoreAction, CoreEvent } from './core/messages'
+import type { CoreAction, CoreEvent, Envelope } from './core/messages'
 import type { CorePort } from './core-port'
 import { createCoreRuntime } from './core-runtime'
 import { createAttainment } from './attainment'
@@ -20,6 +21,7 @@
 import { createPeerHandler, createPeerSender, openDatagramPort, splitAddress, trpcPath } from './peer-rpc'
 import { createPlatformShells } from './platform-shells'
 import { createServiceRoutes } from './service-routes'
+import { createStamps } from './stamps'
 
 /** The parts of the admin interface that the core does not give. */
 export type AdminPort = Pick<ControlRoutesEnv, 'status' | 'applyConfig' | 'readConfig' | 'configHistory' | 'timeline'> & {
@@ -29,6 +31,8 @@
 /** What the shells know beyond the core. */
 export type ShellView = {
   now (): number
+  /** Stamps the node's events and messages. */
+  clock: HybridClock
   directory: Directory
   draining (): boolean
   /** Time since the log answered; null before the first answer. */
@@ -111,9 +115,11 @@
   const reports = new Map<string, EngineReport>()
   let logContactAt: number | undefined
   const enginePolls = createEnginePolls()
+  const clock = createHybridClock()
+  const stamps = createStamps(clock, now)
   const runtime = createCoreRuntime(step, perform)
   const report = runtime.report
-  const datagrams = await openDatagramPort(address, id, envelope => report({ type: 'message', envelope }))
+  const datagrams = await openDatagramPort(address, id, receive)
   let ready = false
   let drainStarted: number | undefined
   let stopping: Promise<void> | undefined
@@ -127,6 +133,11 @@
     return core.step(event, now())
   }
 
+  function receive (envelope: Envelope): void {
+    stamps.received(envelope.stamp)
+    report({ type: 'message', envelope })
+  }
+
   function after (ms: number, run: () => void): void {
     if (ms <= 0) {
       setImmediate(run)
@@ -145,9 +156,9 @@
   }
 
   const answerLimits = { replayBytes: limits.replayBytes ?? defaultReplayBytes, replayMs: limits.replayMs ?? defaultReplayMs }
-  const hub = createAnswerHub({ finished: attainment.add, now, dispatcher, limits: answerLimits, engineAddress: directory.address, report, after })
+  const hub = createAnswerHub({ stamps, finished: attainment.add, now, dispatcher, limits: answerLimits, engineAddress: directory.address, report, after })
   const locator = createAnswerLocator(dispatcher, directory, id)
-  const forwarder = createForwarder({ self: id, now, hub, locator, report, after })
+  const forwarder = createForwarder({ stamps, self: id, now, hub, locator, report, after })
   const services = createServiceRoutes({ now, services: settings.services ?? {}, requestBytes, maxRunning, report, accepting })
   const shells = createPlatformShells({
     dispatcher,
@@ -160,6 +171,7 @@
   const peers = createPeerSender(dispatcher, (to, err) => logger.debug(`message to node ${to} failed: ${(err as Error).message}`))
   const view: ShellView = {
     now,
+    clock,
     directory,
     draining: () => drainStarted !== undefined,
     logContactAgeMs: () => logContactAt === undefined ? null : now() - logContactAt,
@@ -167,10 +179,10 @@
     attained: (className, target) => attainment.of(className, target as ClassConfig, now())
   }
   const admin = options.admin(view, dispatcher)
-  const deliverToPeer = createPeerHandler(id, envelope => report({ type: 'message', envelope }))
+  const deliverToPeer = createPeerHandler(id, receive)
 
   const routes: Route[] = [
-    ...createCompletionRoutes({ now, hub, forwarder, locator, directory, dispatcher, requestBytes, maxRunning, report, accepting, loadHints: () => core.loadHints?.(now()) ?? [] }),
+    ...createCompletionRoutes({ stamps, now, hub, forwarder, locator, directory, dispatcher, requestBytes, maxRunning, report, accepting, loadHints: () => core.loadHints?.(now()) ?? [] }),
     ...services.routes,
     ...createControlRoutes({ now, core, requestBytes, ...admin }),
     { method: '*', pattern: /^\/peer\/trpc\/(.+)$/, handle: async ({ req, res, url }) => await deliverToPeer(req, res, url.pathname.slice(trpcPath.length)) }
@@ -178,7 +190,7 @@
   const server = createHttpServer(createRequestHandler(routes, err => logger.error('request failed', err)), options.httpLimits ?? defaultHttpLimits)
 
   function send (action: CoreAction & { type: 'send' }): void {
-    const { envelope } = action
+    const envelope = { ...action.envelope, stamp: stamps.next() }
     const to = action.address ?? directory.address(envelope.to)
     if (to === undefined) return
     if (envelope.message.type === 'membership') datagrams.send(envelope, to)
--- a/packages/node/src/peer-datagram.test.ts
+++ b/packages/node/src/peer-datagram.test.ts
@@ -8,7 +8,7 @@
   type: 'membership',
   datagram: { type: 'ping', from: 'node-1', probe: 3, updates: [{ id: 'node-1', address: '10.0.0.1:7400', incarnation: 5, refutation: 0, state: 'alive', leaving: false }] }
 }
-const envelope: Envelope = { from: 'node-1', to: 'node-2', incarnation: 5, revision: -1, message }
+const envelope: Envelope = { from: 'node-1', to: 'node-2', incarnation: 5, revision: -1, stamp: '1780000000000.3', message }
 
 test('gives back the envelope that was sent', () => {
   assert.equal(decodeDatagram(Buffer.from(encodeDatagram(envelope))), envelope)
--- a/packages/node/src/peer-datagram.ts
+++ b/packages/node/src/peer-datagram.ts
@@ -7,10 +7,10 @@
  * @param envelope - with a membership message; only those travel as datagrams
  * @returns the datagram
  */
-export function encodeDatagram ({ from, to, incarnation, revision, message }: Envelope): string {
+export function encodeDatagram ({ from, to, incarnation, revision, stamp, message }: Envelope): string {
   const { type, datagram } = message as CoreMessage & { type: 'membership' }
   if (type !== 'membership') throw new Error(`message ${String(type)} cannot be sent as a datagram`)
-  return JSON.stringify([from, to, incarnation, revision, packMembership(datagram)])
+  return JSON.stringify([from, to, incarnation, revision, packMembership(datagram), stamp])
 }
 
 /** @returns undefined when any part of the datagram is malformed */
@@ -22,10 +22,10 @@
     return undefined
   }
   if (!Array.isArray(value)) return undefined
-  const [from, to, incarnation, revision, packed] = value as unknown[]
+  const [from, to, incarnation, revision, packed, stamp] = value as unknown[]
   const datagram = unpackMembership(packed)
   const valid = typeof from === 'string' && typeof to === 'string' && Number.isSafeInteger(incarnation) && Number.isSafeInteger(revision)
   if (!valid || datagram === undefined) return undefined
   const message: CoreMessage = { type: 'membership', datagram }
-  return { from, to, incarnation: incarnation as number, revision: revision as number, message }
+  return { from, to, incarnation: incarnation as number, revision: revision as number, message, ...(typeof stamp === 'string' ? { stamp } : {}) }
 }
