--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -1,9 +1,10 @@
 /** One term of one engine at its owner: the scheduler, the pins of predecessors and the evictions. */
-import { createEvictions, createPins, type EvictionAction, type EvictionIntent, type OwnerTerm, type Predecessor, type RunningRequest } from '@yuccawharf/coordination'
+import { createPins, type EvictionIntent, type OwnerTerm, type Predecessor, type RunningRequest } from '@yuccawharf/coordination'
 import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
 import type { ClassConfig } from '@yuccawharf/schema'
 import { createScheduler, parseHandle, type EngineLoadHint, type EngineScheduler, type SchedulerAction, type SchedulerEvent, type ServingRequest } from '@yuccawharf/serving'
 import type { CoreContext } from './core-context'
+import { createEngineEvictions } from './engine-evictions'
 import { createLostRequests } from './lost-requests'
 import type { Completion, CoreEvent } from './messages'
 
@@ -84,7 +85,6 @@
   const { engine, term } = owned
   const { checksFencing, reportLagMs } = ctx.traits(engine)
   const pins = createPins({ term, reportLagMs, predecessors, termOfHandle })
-  const evictions = createEvictions({ engine, term, checksFencing, inherited, reportLagMs, retryMs: evictionRetryMs })
   const inheritedHandles = new Set(inherited.map(({ handle }) => handle))
   const requests = new Map<string, Tracked>()
   const adopted = new Set<string>()
@@ -109,9 +109,6 @@
   const command = (value: EngineCommand, done: (result: EngineCommandResult, now: number) => void): void =>
     env.command(engine, value, term, done)
 
-  const unloadNow = (handle: string): void =>
-    command({ type: 'unload', handle }, (result, at) => performEvictions(evictions.commandResult(handle, result, at), at))
-
   const checkUnused = (handle: string): void => {
     const inUse = [...requests.values()].some(request => request.handle === handle)
     ctx.check(!inUse, `eviction of ${handle} on ${engine}, which a running request uses`)
@@ -122,33 +119,14 @@
     ctx.check(isFree(handle), `eviction of ${handle} on ${engine}, which a predecessor or a lost request may be using`)
   }
 
-  const performEviction = (action: EvictionAction, now: number): void => {
-    switch (action.type) {
-      case 'raise-fence':
-        unloadNow(action.handle)
-        return
-      case 'unload':
-        checkUnused(action.handle)
-        ctx.record('unload', { engine, adapter: action.handle })
-        unloadNow(action.handle)
-        return
-      case 'append': {
-        const { record } = action
-        env.append([record], (result, at) => record.type === 'evict' && performEvictions(evictions.appended(record.handle, result, at), at))
-        return
-      }
-      case 'result':
-        stepScheduler({ type: 'unload-result', handle: action.handle, result: action.result }, now)
-        return
-      case 'term-over':
-        env.staleFence(engine, now)
-    }
-  }
-
-  const performEvictions = (actions: EvictionAction[], now: number): void => {
-    actions.forEach(action => performEviction(action, now))
-    begin(now)
-  }
+  const evictions = createEngineEvictions(ctx, {
+    append: env.append,
+    command,
+    checkUnused,
+    result: (handle, result, now) => stepScheduler({ type: 'unload-result', handle, result }, now),
+    stepped: now => begin(now),
+    termOver: now => env.staleFence(engine, now)
+  }, { engine, term, checksFencing, inherited, reportLagMs, retryMs: evictionRetryMs })
 
   const evict = (handle: string, now: number): void => {
     if (over) {
@@ -157,11 +135,7 @@
     if (evictions.isUsable(handle)) {
       checkEviction(handle)
     }
-    if (ctx.hooks.skipIntentReadBack === true) {
-      command({ type: 'unload', handle }, (result, at) => stepScheduler({ type: 'unload-result', handle, result }, at))
-      return
-    }
-    performEvictions(evictions.evict(handle, now), now)
+    evictions.evict(handle, now)
   }
 
   const dispatch = (requestId: string, handle: string, priority: number, now: number): void => {
@@ -410,7 +384,7 @@
     engine,
     term,
     pins,
-    start: now => performEvictions(evictions.start(now), now),
+    start: now => evictions.start(now),
     submit (entry, now) {
       if (!isAccepting()) {
         env.resubmit(entry, now)
@@ -472,7 +446,7 @@
         return
       }
       lastReport = report
-      performEvictions(evictions.report(report, now), now)
+      evictions.report(report, now)
       if (scheduler !== undefined) {
         absorb(report, now)
       }
@@ -486,7 +460,7 @@
     permit: (permitId, expiresAt, now) => scheduler === undefined || over
       ? env.returnPermit(permitId, true, now)
       : stepScheduler({ type: 'permit', permitId, expiresAt }, now),
-    intentRead: (intent, authorised, now) => performEvictions(evictions.intentRead(intent, authorised, now), now),
+    intentRead: evictions.intentRead,
     classes: now => stepScheduler({ type: 'classes', classes: env.classes() }, now),
     pause (reason, now) {
       paused.add(reason)
@@ -504,7 +478,7 @@
     ],
     tick (now) {
       if (!over) {
-        performEvictions(evictions.tick(now), now)
+        evictions.tick(now)
         stepScheduler({ type: 'tick' }, now)
       }
       const late = waiting.filter(({ completion }) => now >= completion.deadline)
--- a/packages/node/src/core/engines.ts
+++ b/packages/node/src/core/engines.ts
@@ -277,6 +277,16 @@
     streams.append('ownership', ownershipSnapshot(log.entries(), log.next - 1, `${cfg.node}/${cfg.incarnation}/${log.next}`), () => {})
   }
 
+  const decide = (now: number): void => {
+    takeOver(now)
+    for (const owner of current.values()) {
+      provePredecessors(owner, now)
+      confirm(owner, now)
+    }
+    sendNotices(now)
+    appendSnapshot(now)
+  }
+
   const predecessorsDown = (engine: string, now: number): boolean => {
     const processes = log.predecessors(engine)
     return processes.length > 0 && processes.every(process => peers.status(process, now) === 'down')
@@ -284,17 +294,11 @@
 
   return {
     tick (now) {
+      current.forEach(owner => owner.tick(now))
       if (now >= decideAt) {
         decideAt = now + decideEveryMs
-        takeOver(now)
-      }
-      for (const owner of current.values()) {
-        owner.tick(now)
-        provePredecessors(owner, now)
-        confirm(owner, now)
+        decide(now)
       }
-      sendNotices(now)
-      appendSnapshot(now)
     },
     list (engines) {
       listed = engines.filter(({ region }) => region === cfg.region)
--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -1,4 +1,5 @@
 /** Composes the decisions of one node. No I/O: events in, actions out, time passed in. */
+import { rendezvousRank } from '@yuccawharf/serving'
 import { createCompletions } from './completions'
 import { createConfiguration, type Configuration } from './configuration'
 import type { CoreHooks, NodeCoreConfig } from './core-config'
@@ -9,7 +10,7 @@
 import type { CoreAction, CoreEvent, Envelope, NodeCore } from './messages'
 import { createOrders } from './orders'
 import type { CoreMessage } from './peer-messages'
-import { createPeers, type Peers } from './peers'
+import { createPeers, type NodeView, type Peers } from './peers'
 import { createPermits } from './permits'
 import { createRouting, type Place } from './routing'
 
@@ -48,6 +49,8 @@
 }
 
 const keepAddressesMs = 5_000
+/** Addresses per answer: enough for a caller to go on when several nodes fail at once. */
+const maxAddresses = 8
 const hintsEveryMs = 1_000
 /** A leaving node waits this long for its successors to acknowledge the end of its terms. */
 const handOverMs = 10_000
@@ -235,12 +238,15 @@
     }
   }
 
-  const ownerZones = (query: AddressQuery, now: number): { address: string, zone: string }[] => {
+  /** Owners of the engines that rank first for the adapter; without a model all nodes of the region. */
+  const nodesFor = (query: AddressQuery, now: number): NodeView[] => {
     const nodes = peers.accepting()
-    const places = query.model === undefined ? [] : routing.candidates(adapterName(query.model).model, now)
-    const owners = new Set(places.map(({ node }) => node))
-    const owning = nodes.filter(({ id }) => owners.has(id))
-    return owning.length > 0 ? owning : nodes.filter(({ region }) => region === cfg.region)
+    const { model, adapter } = adapterName(query.model ?? '')
+    const places = query.model === undefined ? [] : routing.candidates(model, now)
+    const engineOwners = new Map(places.map(({ engine, node }) => [engine, node]))
+    const ranked = rendezvousRank(adapter, [...engineOwners.keys()]).map(engine => engineOwners.get(engine))
+    const owning = [...new Set(ranked)].flatMap(owner => nodes.find(({ id }) => id === owner) ?? [])
+    return (owning.length > 0 ? owning : nodes.filter(({ region }) => region === cfg.region)).slice(0, maxAddresses)
   }
 
   return {
@@ -252,7 +258,7 @@
     },
     route: (model, adapter, name, now) => routing.places({ requestId: '', model, adapter, version: '', class: name, prompt: '', maxTokens: 0, deadline: now }, now),
     addresses (query, now) {
-      const nodes = ownerZones(query, now).map(({ address, zone }) => ({ address, zone }))
+      const nodes = nodesFor(query, now).map(({ address, zone }) => ({ address, zone }))
       const near = nodes.filter(({ zone }) => zone === query.zone)
       const far = nodes.filter(({ zone }) => zone !== query.zone)
       const prefix = query.service === undefined ? undefined : orders.keyPrefix()
--- a/packages/node/src/core/ownership-failures.test.ts
+++ b/packages/node/src/core/ownership-failures.test.ts
@@ -175,6 +175,18 @@
   until(world, () => world.node(owner).exited, 15_000)
 })
 
+test('addresses name live owners of the adapter\'s engines first and leave out nodes that failed or leave', () => {
+  const world = threeNodes()
+  const [first, second] = [ownerOf(world, 'e1'), ownerOf(world, 'e2')]
+  const addressesAt = (node: string): string[] =>
+    world.node(node).core.addresses({ model: 'base:a0@1' }, world.clock.now()).addresses.map(({ address }) => address)
+  const other = ['n1', 'n2', 'n3'].find(id => id !== first) ?? ''
+  assert.equal(new Set(addressesAt(other)), new Set([`${first}:1`, `${second}:1`]))
+  world.node(first).give({ type: 'drain' })
+  world.advance(3_000)
+  assert.not(addressesAt(other).includes(`${first}:1`))
+})
+
 test('a leaving engine gets no new work, and what was queued for it runs elsewhere', () => {
   const world = threeNodes()
   pressSlots(world, 'n1', 'x', 10)
