--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -9,7 +9,7 @@
 import type { CoreAction, CoreEvent, Envelope, NodeCore, ReceivedHint } from './messages'
 import { createOrders } from './orders'
 import type { CoreMessage } from './peer-messages'
-import { createPeers, type Peers } from './peers'
+import { createPeers, type NodeView, type Peers } from './peers'
 import { createPermits } from './permits'
 import { createRouting, type Place } from './routing'
 
@@ -237,7 +237,8 @@
     }
   }
 
-  const ownerZones = (query: AddressQuery, now: number): { address: string, zone: string }[] => {
+  /** Owners of the engines that rank first for the adapter; without a model all nodes of the region. */
+  const nodesFor = (query: AddressQuery, now: number): NodeView[] => {
     const nodes = peers.accepting()
     const places = query.model === undefined ? [] : routing.preferred(adapterName(query.model), now)
     const owners = new Set(places.map(({ node }) => node))
@@ -254,7 +255,7 @@
     },
     route: (model, adapter, name, now) => routing.places({ requestId: '', model, adapter, version: '', class: name, prompt: '', maxTokens: 0, deadline: now }, now),
     addresses (query, now) {
-      const nodes = ownerZones(query, now).map(({ address, zone }) => ({ address, zone }))
+      const nodes = nodesFor(query, now).map(({ address, zone }) => ({ address, zone }))
       const near = nodes.filter(({ zone }) => zone === query.zone)
       const far = nodes.filter(({ zone }) => zone !== query.zone)
       const prefix = query.service === undefined ? undefined : orders.keyPrefix()
