--- a/packages/node/src/completion-routes.ts
+++ b/packages/node/src/completion-routes.ts
@@ -18,7 +18,7 @@
   forwarder: Forwarder
   locator: AnswerLocator
   directory: Directory
-  dispatcher: { request (options: { origin: string, path: string, method: 'POST' }): Promise<{ statusCode: number, body: { dump (): Promise<unknown> } }> }
+  dispatcher: { request (options: { origin: string, path: string, method: 'POST' }): Promise<{ statusCode: number, body: { json (): Promise<unknown> } }> }
   requestBytes: number
   /** Largest number of requests that this node holds at once. */
   maxRunning: number
@@ -112,17 +112,21 @@
     return createProblem(404, 'unknown', 'Request not found', `no instance knows the request ${requestId}`)
   }
 
-  async function cancelAtPeer (node: string, requestId: string): Promise<number> {
+  /** @returns whether the request had not ended, or undefined when the node did not confirm */
+  async function cancelAtPeer (node: string, requestId: string): Promise<boolean | undefined> {
     const address = env.directory.address(node)
-    if (address === undefined) return 404
+    if (address === undefined) return undefined
     const path = `/peer/v1/completions/${encodeURIComponent(requestId)}/cancel`
     const response = await env.dispatcher.request({ origin: `http://${address}`, path, method: 'POST' })
-    await response.body.dump()
-    return response.statusCode
+    const body = await response.body.json() as { cancelled?: unknown }
+    return response.statusCode === 200 ? body.cancelled === true : undefined
   }
 
-  function cancelHere (answer: Answer): void {
-    env.report({ type: 'cancel', requestId: answer.requestId })
+  /** @returns false when the answer had ended before */
+  function cancelHere (answer: Answer): boolean {
+    const ended = answer.relay.end()
+    if (ended === undefined) env.report({ type: 'cancel', requestId: answer.requestId })
+    return ended === undefined || (ended.type === 'finished' && ended.reason === 'cancelled')
   }
 
   /** The cancellation is passed on; whether it came before the end shows in the answer's finish reason. */
@@ -131,11 +135,13 @@
     const place = answer === undefined ? await env.locator.locate(requestId) : undefined
     const peer = answer?.peer ?? (place?.type === 'peer' ? place.node : undefined)
     if (peer !== undefined) {
-      const status = await cancelAtPeer(peer, requestId).catch(() => 502)
-      if (status !== 200) return sendProblem(res, createProblem(502, 'unknown', 'Outcome unknown', 'the node that runs the request did not confirm the cancellation'))
-    } else if (answer !== undefined) cancelHere(answer)
-    else if (place?.type === 'engine') env.hub.cancelDispatch(place.engine, requestId)
-    else return sendProblem(res, unknownRequest(requestId))
+      const cancelled = await cancelAtPeer(peer, requestId).catch(() => undefined)
+      if (cancelled === undefined) return sendProblem(res, createProblem(502, 'unknown', 'Outcome unknown', 'the node that runs the request did not confirm the cancellation'))
+      return sendJson(res, 200, { id: requestId, cancelled })
+    }
+    if (answer !== undefined) return sendJson(res, 200, { id: requestId, cancelled: cancelHere(answer) })
+    if (place?.type !== 'engine') return sendProblem(res, unknownRequest(requestId))
+    env.hub.cancelDispatch(place.engine, requestId)
     sendJson(res, 200, { id: requestId, cancelled: true })
   }
 
@@ -171,8 +177,7 @@
   function cancelFromPeer ({ res, params: [requestId = ''] }: RouteContext): void {
     const answer = env.hub.get(requestId)
     if (answer === undefined) return sendProblem(res, unknownRequest(requestId))
-    cancelHere(answer)
-    sendJson(res, 200, { id: requestId, cancelled: true })
+    sendJson(res, 200, { id: requestId, cancelled: cancelHere(answer) })
   }
 
   return [
