Remove test hooks from the executable

Cause: the core's hooks for mutants were compiled into the binary, unset but reachable. Change: the build replaces each read of a hook by its value without hooks and fails when one is left.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -21,6 +21,21 @@
 /** Files with hooks for tests; none may reach the executable. */
 const testFile = /(^|\/)testing\/|\.test(-helper)?\.ts$/
 
+/** Reads of a hook, for example `ctx.hooks.evictPinned === true`. */
+const hookRead = /\b(?:ctx\.|cfg\.)?hooks\??\.\w+ (===|!==) true/g
+const hookedSource = /packages[\\/](?:node[\\/]src[\\/]core|coordination[\\/]src)[\\/][^\\/]+\.ts$/
+
+/** Replaces each read of a test hook by the value it has without hooks, so that no hook can be set in the executable. */
+const withoutHooks = {
+  name: 'without-hooks',
+  setup (builder) {
+    builder.onLoad({ filter: hookedSource }, ({ path }) => ({
+      contents: readFileSync(path, 'utf8').replace(hookRead, (_read, operator) => operator === '===' ? 'false' : 'true'),
+      loader: 'ts'
+    }))
+  }
+}
+
 async function createBundle () {
   const { metafile } = await build({
     entryPoints: [join(root, 'packages/cli/src/main.ts')],
@@ -30,6 +45,8 @@
     target: 'node20',
     format: 'cjs',
     metafile: true,
+    minifySyntax: true,
+    plugins: [withoutHooks],
     legalComments: 'none',
     // Bundled packages call createRequire and read their own place, which a CommonJS bundle lacks.
     define: { 'import.meta.url': 'yuccawharfUrl' },
@@ -40,6 +57,8 @@
     alias: { 'ts-results': 'ts-results/esm' },
     logLevel: 'warning'
   })
+  const left = readFileSync(bundle, 'utf8').match(/hooks\??\.(skip|send|evict|accept|ignore|dispatch)\w+/g)
+  if (left !== null) throw new Error(`hooks of tests would be in the executable: ${left.join(', ')}`)
   const hooks = Object.keys(metafile.inputs).filter(input => testFile.test(input))
   if (hooks.length > 0) throw new Error(`files of tests would be in the executable: ${hooks.join(', ')}`)
 }
