Tell the core why an engine refused, and which dispatch an event belongs to

Change: request-ended carries the refusal's code; it and first-token carry the handle. The test of a draining engine failed before the change.

--- a/packages/node/src/answer-hub.ts
+++ b/packages/node/src/answer-hub.ts
@@ -72,6 +72,21 @@
   return status === 404 || status === 503 || status === 400 || status === 429
 }
 
+const maxReasonCharacters = 200
+
+/** @returns the code of an engine's refusal, or the beginning of a body that has none */
+function refusalCode (body: string): string {
+  try {
+    const { error } = JSON.parse(body) as { error?: { code?: unknown } }
+    if (typeof error?.code === 'string') return error.code.slice(0, maxReasonCharacters)
+  } catch {}
+  return body.slice(0, maxReasonCharacters)
+}
+
+function handleOf ({ handle }: Answer): { handle?: string } {
+  return handle === undefined ? {} : { handle }
+}
+
 /** Creates the registry of answers. */
 export function createAnswerHub (env: HubEnv): AnswerHub {
   const answers = new Map<string, Answer>()
@@ -104,14 +119,14 @@
   /** Reacts to a batch of events: reports the first token and the end, and reads again after a gap. */
   function settle (answer: Answer, before: number, result: AcceptResult, lost: LostStream): void {
     const { relay, requestId } = answer
-    if (before === 0 && relay.lastSeq() > 0 && isOwnWork(answer)) env.report({ type: 'first-token', requestId })
+    if (before === 0 && relay.lastSeq() > 0 && isOwnWork(answer)) env.report({ type: 'first-token', requestId, ...handleOf(answer) })
     const ended = relay.end()
     if (ended !== undefined) {
       if (!isOwnWork(answer)) return
       const cancelled = ended.type === 'finished' && ended.reason === 'cancelled'
       if (ended.type === 'finished') noteFinished(answer)
       const outcome = ended.type === 'failed' ? 'broken' : cancelled ? 'cancelled' : 'done'
-      env.report({ type: 'request-ended', requestId, outcome, tokens: relay.lastSeq() })
+      env.report({ type: 'request-ended', requestId, outcome, tokens: relay.lastSeq(), ...handleOf(answer) })
       return
     }
     if (result === 'accepted' || result === 'repeated') return
@@ -129,10 +144,11 @@
     return answer.engine !== undefined && answer.completion !== undefined && answers.get(answer.requestId) === answer
   }
 
-  function endAttempt (answer: Answer, outcome: 'not-run' | 'broken'): void {
+  function endAttempt (answer: Answer, outcome: 'not-run' | 'broken', reason?: string): void {
     if (!isOwnWork(answer)) return
     answer.engine = undefined
-    env.report({ type: 'request-ended', requestId: answer.requestId, outcome, tokens: answer.relay.lastSeq() })
+    const why = reason === undefined ? {} : { reason }
+    env.report({ type: 'request-ended', requestId: answer.requestId, outcome, tokens: answer.relay.lastSeq(), ...why, ...handleOf(answer) })
   }
 
   /** Resumes from the engine; each attempt that makes progress starts the waits anew. */
@@ -159,7 +175,7 @@
       }
       // The engine runs this request id already: an earlier attempt whose response was lost.
       if (loss.status === 409) return resume(answer, order.engine, 0)
-      endAttempt(answer, provesNotRun(loss.status) ? 'not-run' : 'broken')
+      endAttempt(answer, provesNotRun(loss.status) ? 'not-run' : 'broken', refusalCode(loss.body))
     })
   }
 
@@ -208,6 +224,7 @@
       const answer = answers.get(order.requestId)
       if (answer === undefined || answer.relay.end() !== undefined) return
       answer.engine = order.engine
+      answer.handle = order.handle
       const address = env.engineAddress(order.engine)
       if (address === undefined) return endAttempt(answer, 'not-run')
       if (order.resumeAfter !== undefined || answer.completion === undefined) return resume(answer, order.engine, 0)
--- a/packages/node/src/answer.ts
+++ b/packages/node/src/answer.ts
@@ -23,6 +23,8 @@
   peer: string | undefined
   /** The engine that runs the request. */
   engine: string | undefined
+  /** Handle of the latest dispatch to an engine. */
+  handle: string | undefined
   source: AnswerSource | undefined
   readonly createdAt: number
   /** Time of the first token. */
@@ -71,6 +73,7 @@
     relay,
     peer: undefined,
     engine: undefined,
+    handle: undefined,
     source: undefined,
     createdAt: now,
     firstTokenAt: undefined,
--- a/packages/node/src/completions.test.ts
+++ b/packages/node/src/completions.test.ts
@@ -167,13 +167,16 @@
 
 test('a draining engine refuses and the request counts as not run', async () => {
   // Guards against a leaving engine being reported as a failure whose outcome is unknown.
-  await withCluster(async ({ url, engines }) => {
+  await withCluster(async ({ url, engines, cores }) => {
     engines.e1?.setDraining(true)
     const response = await post(url.n2 as string, { id: 'leaving' })
     assert.is(response.status, 503)
     assert.is(response.headers.get('retry-after'), '2')
     assert.is((await response.json() as { outcome: string }).outcome, 'not-run')
     assert.is(engines.e1?.stats().started, 0)
+    // The core tells the other nodes of the leaving engine, for which it needs the engine's own word.
+    const ended = cores.n1?.events.find(event => event.type === 'request-ended')
+    assert.is(ended?.type === 'request-ended' ? ended.reason : undefined, 'draining')
   })
 })
 
--- a/packages/node/src/core/completions.ts
+++ b/packages/node/src/core/completions.ts
@@ -12,7 +12,7 @@
   /** A request that its engine's owner did not run. */
   resubmit (entry: OwnedRequest, now: number): void
   cancel (requestId: string, now: number): void
-  firstToken (requestId: string, now: number): void
+  firstToken (requestId: string, handle: string | undefined, now: number): void
   ended (event: Extract<CoreEvent, { type: 'request-ended' }>, now: number): void
   tick (now: number): void
   /** From now on new requests are refused. */
@@ -130,7 +130,7 @@
       }
       ownerOf(requestId)?.cancel(requestId, now)
     },
-    firstToken: (requestId, now) => ownerOf(requestId)?.firstToken(requestId, now),
+    firstToken: (requestId, handle, now) => ownerOf(requestId)?.firstToken(requestId, handle, now),
     ended (event, now) {
       const owner = ownerOf(event.requestId)
       if (event.outcome === 'not-run' && event.reason?.includes('draining') === true && owner !== undefined) {
--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -31,7 +31,7 @@
   submit (entry: OwnedRequest, now: number): void
   has (requestId: string): boolean
   cancel (requestId: string, now: number): void
-  firstToken (requestId: string, now: number): void
+  firstToken (requestId: string, handle: string | undefined, now: number): void
   ended (event: EndedEvent, now: number): void
   report (report: EngineReport, predecessorsDown: boolean, now: number): void
   permit (permitId: string, expiresAt: number, now: number): void
@@ -252,7 +252,8 @@
 
   const stepEnded = (event: EndedEvent, now: number): void => {
     const reason = event.reason === undefined ? {} : { reason: event.reason }
-    const step = (): void => stepScheduler({ type: 'ended', requestId: event.requestId, outcome: event.outcome, tokens: event.tokens, ...reason }, now)
+    const handle = event.handle === undefined ? {} : { handle: event.handle }
+    const step = (): void => stepScheduler({ type: 'ended', requestId: event.requestId, outcome: event.outcome, tokens: event.tokens, ...reason, ...handle }, now)
     const runsAgain = event.outcome === 'not-run' || event.outcome === 'broken'
     if (runsAgain && !isAccepting()) {
       divert(event.requestId, step, now)
@@ -405,7 +406,7 @@
       }
       stepScheduler({ type: 'cancel', requestId }, now)
     },
-    firstToken: (requestId, now) => stepScheduler({ type: 'first-token', requestId }, now),
+    firstToken: (requestId, handle, now) => stepScheduler({ type: 'first-token', requestId, ...(handle === undefined ? {} : { handle }) }, now),
     ended (event, now) {
       const request = requests.get(event.requestId)
       if (request === undefined) {
--- a/packages/node/src/core/messages.ts
+++ b/packages/node/src/core/messages.ts
@@ -72,8 +72,9 @@
   | { type: 'engine-report', report: EngineReport }
   | { type: 'engine-unreachable', engine: string }
   | { type: 'engine-command-result', engine: string, token: number, result: EngineCommandResult }
-  | { type: 'first-token', requestId: string }
-  | { type: 'request-ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number, reason?: string }
+  /** `handle` is the one of the dispatch that the event belongs to. */
+  | { type: 'first-token', requestId: string, handle?: string }
+  | { type: 'request-ended', requestId: string, outcome: 'done' | 'cancelled' | 'not-run' | 'broken', tokens: number, handle?: string, reason?: string }
   | { type: 'service-result', orderId: string, result: ServiceResult }
   | { type: 'drain' }
 
--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -229,7 +229,7 @@
         return engines.report(event.report, now)
       case 'engine-unreachable': return
       case 'engine-command-result': return commandResult(event, now)
-      case 'first-token': return completions.firstToken(event.requestId, now)
+      case 'first-token': return completions.firstToken(event.requestId, event.handle, now)
       case 'request-ended':
         return completions.ended(event, now)
       case 'service-result': return orders.serviceResult(event.orderId, event.result, now)
