Ask the other nodes before a key counts as new in a log outage

While the log does not answer, the owner of the shard now asks every listed node whether it has handled the key. A failed append counts as a log that does not answer.

--- a/packages/node/src/core/log-streams.ts
+++ b/packages/node/src/core/log-streams.ts
@@ -68,7 +68,9 @@
     appendResult (token, result, now) {
       const append = appends.get(token)
       appends.delete(token)
-      if (result.type !== 'failed') {
+      if (result.type === 'failed') {
+        reachable = false
+      } else {
         followed.get(append?.stream ?? '')?.tail.wake()
       }
       append?.done(result, now)
--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -150,6 +150,8 @@
       case 'leaving': return instances.announced(message.instance, message.asOf, now)
       case 'claim-heads': return orders.headsReceived(message.heads)
       case 'order': return orders.received(from, message.order, now)
+      case 'key-query': return orders.keyAsked(from, message.orderId, message.key)
+      case 'key-answer': return orders.keyAnswered(from, message.orderId, message.seen)
       case 'order-confirm': return orders.confirmAsked(from, message.orderId)
       case 'order-confirmed': return orders.confirmed(message.orderId, message.wanted, now)
       case 'order-reply': return orders.replied(from, message.orderId, message.reply)
--- a/packages/node/src/core/order-failures.test.ts
+++ b/packages/node/src/core/order-failures.test.ts
@@ -114,6 +114,25 @@
   assert.is(world.service.executions(key), 1)
 })
 
+test('a node that paused and wakes in a log outage does not call a key new that another node has sent', () => {
+  const world = createOrderWorld()
+  world.nodes.forEach(node => { node.isolated = true })
+  world.advance(8_000)
+  const key = newKey(world, 'n1', 'iiiiiiii')
+  world.node('n2').pause()
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(1_000)
+  assert.is(outcome(world, 'o1'), '200')
+  world.log.setOutage(true)
+  world.nodes.forEach(node => { node.isolated = false })
+  world.node('n2').wake()
+  world.advance(100)
+  world.order('n2', { orderId: 'o2', key })
+  world.advance(12_000)
+  assert.ok(['unknown', '200'].includes(outcome(world, 'o2') ?? ''), `the answer is ${outcome(world, 'o2')}`)
+  assert.is(world.service.executions(key), 1)
+})
+
 test('an outcome recorded before the node forgot its desk answers after the shard moved', () => {
   const world = createOrderWorld()
   const key = newKey(world, 'n1', 'hhhhhhhh')
--- a/packages/node/src/core/order-shards.ts
+++ b/packages/node/src/core/order-shards.ts
@@ -2,6 +2,7 @@
 import { claimDeskDefaults, claimShards, claimStream, createClaimDesk, firstNode, orderKeyPrefix, parseOrderKey, type ClaimAction, type ClaimDesk, type LogTail } from '@yuccawharf/coordination'
 import type { ServiceResult } from '@yuccawharf/platform'
 import type { CoreContext } from './core-context'
+import { createKeyWitnesses } from './key-witnesses'
 import type { LogStreams } from './log-streams'
 import type { Order } from './messages'
 import { fromTransfer, replyWithBody, toReply, toSendResult } from './order-transfer'
@@ -21,6 +22,8 @@
   ownerOf (shard: number): string | undefined
   order (target: string, order: Order, now: number): void
   received (from: string, order: OrderTransfer, now: number): void
+  keyAsked (from: string, orderId: string, key: string): void
+  keyAnswered (from: string, orderId: string, seen: boolean): void
   confirmed (orderId: string, wanted: boolean, now: number): void
   /** @returns the instance that the order was sent to */
   serviceResult (orderId: string, result: ServiceResult, now: number): string | undefined
@@ -42,6 +45,8 @@
 
 type Sent = { key: string, attempt: string, shard: number, instance: string }
 
+const doubtful: OrderReply = { type: 'refused', refusal: { outcome: 'unknown', reason: 'the log does not answer, and another node may have run an order with the key', retryAfterMs: 1_000 } }
+
 const confirmEveryMs = 300
 const checkHeadsMs = 5_000
 /** Keys remembered for the check that none is sent twice. */
@@ -51,6 +56,7 @@
 
 export const createOrderShards = (ctx: CoreContext, streams: LogStreams, peers: Peers, env: OrderShardsEnv): OrderShards => {
   const { cfg, hooks } = ctx
+  const witnesses = createKeyWitnesses(ctx, peers)
   const shards = new Map<number, Shard>()
   const entries = new Map<string, Entry>()
   const unconfirmed = new Map<string, Unconfirmed>()
@@ -105,6 +111,15 @@
     env.answer(target, orderId, value)
   }
 
+  /** While the log cannot be read, "not run" also needs the word of the other nodes. */
+  const answer = (orderId: string, entry: Entry, value: OrderReply, now: number): void => {
+    const isNotRun = value.type === 'refused' && value.refusal.outcome === 'not-run'
+    if (!isNotRun || streams.reachable) {
+      return reply(orderId, entry, value)
+    }
+    witnesses.ask(orderId, entry.order.key ?? '', isNew => reply(orderId, entry, isNew ? value : doubtful), now)
+  }
+
   const notSent = (shard: number, action: SendAction, reason: string, now: number): void =>
     performAll(shard, shards.get(shard)?.desk.sent(action.attempt, { type: 'not-sent', reason }, now) ?? [], now)
 
@@ -172,7 +187,7 @@
       case 'answer': {
         const entry = entries.get(action.orderId)
         if (entry !== undefined) {
-          reply(action.orderId, entry, toReply(action.answer))
+          answer(action.orderId, entry, toReply(action.answer), now)
         }
       }
     }
@@ -267,6 +282,7 @@
       return
     }
     entries.set(value.orderId, { order: value, target })
+    witnesses.handled(value.key)
     if (hooks.sendAfterGiveUp === true) {
       hookEntries.set(value.key, { order: value, target })
     }
@@ -278,11 +294,14 @@
       updateShards()
       shards.forEach(({ desk }, shard) => performAll(shard, desk.tick(now), now))
       checkUnconfirmed(now)
+      witnesses.tick(now)
       tellHeads(now)
     },
     ownerOf,
     order,
     received: (from, transfer, now) => order(from, fromTransfer(transfer, now), now),
+    keyAsked: (from, orderId, key) => peers.send(from, { type: 'key-answer', orderId, seen: witnesses.hasHandled(key) }),
+    keyAnswered: witnesses.answered,
     confirmed (orderId, wanted, now) {
       const waiting = unconfirmed.get(orderId)
       if (waiting === undefined) {
--- a/packages/node/src/core/orders.ts
+++ b/packages/node/src/core/orders.ts
@@ -22,6 +22,8 @@
   replied (from: string, orderId: string, reply: OrderReply): void
   confirmAsked (from: string, orderId: string): void
   confirmed (orderId: string, wanted: boolean, now: number): void
+  keyAsked (from: string, orderId: string, key: string): void
+  keyAnswered (from: string, orderId: string, seen: boolean): void
   headsReceived (heads: { shard: number, offset: number }[]): void
   keyPrefix (): string | undefined
   /** This process was paused or cut off from its peers. */
@@ -248,6 +250,8 @@
     },
     confirmAsked: (from, orderId) => peers.send(from, { type: 'order-confirmed', orderId, wanted: transfers.has(orderId) }),
     confirmed: shards.confirmed,
+    keyAsked: shards.keyAsked,
+    keyAnswered: shards.keyAnswered,
     received: (from, order, now) => shards.received(from, order, now),
     replied,
     distrust: shards.distrust,
--- a/packages/node/src/core/peer-messages.ts
+++ b/packages/node/src/core/peer-messages.ts
@@ -36,4 +36,7 @@
   /** Before it sends, the shard's owner asks whether the caller still waits: the order may have been long under way. */
   | { type: 'order-confirm', orderId: string }
   | { type: 'order-confirmed', orderId: string, wanted: boolean }
+  /** Whether the receiver has handled an order with the key; asked while the log cannot tell. */
+  | { type: 'key-query', orderId: string, key: string }
+  | { type: 'key-answer', orderId: string, seen: boolean }
   | { type: 'order-reply', orderId: string, reply: OrderReply }
--- a/packages/node/src/core/peers.ts
+++ b/packages/node/src/core/peers.ts
@@ -24,6 +24,8 @@
   accepting (): NodeView[]
   /** All nodes that are not known to have failed, this one included. */
   live (): NodeView[]
+  /** Ids of the nodes in the newest instance list, whatever their state. */
+  listedNodes (): string[]
   address (node: string): string | undefined
   member (node: string): Member | undefined
   /** Changes whenever {@link Peers.accepting} may have changed. */
@@ -132,6 +134,7 @@
       return member.leaving ? 'leaving' : 'live'
     },
     hasLeftList,
+    listedNodes: () => [...listedNodes],
     accepting () {
       const others = membership.live().filter(member => member.listed && !member.leaving).map(viewOf)
       return leaving ? others : [self, ...others]
