--- a/packages/node/src/answer-source.ts
+++ b/packages/node/src/answer-source.ts
@@ -15,6 +15,8 @@
   events (events: AnswerEvent[]): void
   /** The other side answered with another status than 200; `body` is cut at 64 KiB. */
   refused (status: number, body: string): void
+  /** The response has begun. */
+  started? (headers: Record<string, string | string[] | undefined>): void
   /** The connection ended; `sent` is false when no byte of the request can have arrived. */
   closed (reason: string, sent: boolean): void
 }
@@ -60,8 +62,9 @@
       controller = started
       if (over) started.abort(new Error('aborted'))
     },
-    onResponseStart (_controller, statusCode) {
+    onResponseStart (_controller, statusCode, headers) {
       status = statusCode
+      handler.started?.(headers)
       if (paused) controller?.pause()
     },
     onResponseData (_controller, chunk) {
--- a/packages/node/src/completion-routes.ts
+++ b/packages/node/src/completion-routes.ts
@@ -5,14 +5,17 @@
 import { sendWholeAnswer, streamAnswer, type ReaderEnv } from './answer-readers'
 import { parseCompletionRequest, parseLastEventId, schemaFindings } from './completion-request'
 import type { AnswerLocator } from './answer-locator'
-import type { Completion, CoreEvent } from './core/messages'
+import type { Completion, CoreEvent, ReceivedHint } from './core/messages'
 import type { Directory } from './directory'
 import type { Forwarder } from './forwarder'
 import { readJson } from './http-body'
 import type { Route, RouteContext } from './http-router'
+import { formatLoadHints, loadHintHeader } from './load-hints'
 import { createProblem, invalidProblem, sendProblem, type Problem } from './problem'
+import { stampHeader, type Stamps } from './stamps'
 
 export type CompletionRoutesEnv = {
+  stamps: Stamps
   now (): number
   hub: AnswerHub
   forwarder: Forwarder
@@ -25,6 +28,8 @@
   report (event: CoreEvent): void
   /** Whether the node takes new requests. */
   accepting (): boolean
+  /** Load of this node's engines, sent with each response to a forwarded request. */
+  loadHints (): ReceivedHint[]
 }
 
 const charactersPerToken = 4
@@ -65,6 +70,8 @@
     }
   }
 
+  const peerReaders: ReaderEnv = { ...readers, responseHeaders: () => ({ [loadHintHeader]: formatLoadHints(env.loadHints()), [stampHeader]: env.stamps.next() }) }
+
   /** Registers the request, or finds the answer of the same request sent before. */
   function enter (completion: Completion, submit: (completion: Completion) => void): Answer | Problem {
     const known = env.hub.get(completion.requestId)
@@ -150,11 +157,12 @@
     if (body.err) return sendProblem(res, body.val)
     const findings = schemaFindings(validateForwardedCompletion, body.val, 'body')
     if (findings.length > 0) return sendProblem(res, invalidProblem(findings))
+    env.stamps.received(req.headers[stampHeader])
     const { remainingMs, from, ...fields } = body.val as ForwardedCompletion
     const completion: Completion = { ...fields, deadline: env.now() + remainingMs }
     const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true, from }))
     if ('status' in answer) return sendProblem(res, answer)
-    streamAnswer(answer, res, 0, readers)
+    streamAnswer(answer, res, 0, peerReaders)
   }
 
   function resumePeer ({ req, res, params: [requestId = ''] }: RouteContext): void {
