--- /dev/null
+++ b/packages/node/src/answer.test.ts
@@ -0,0 +1,24 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createAnswer } from './answer'
+import { createProblem, parseProblem } from './problem'
+
+const completion = { requestId: 'r1', model: 'base', adapter: 'red', version: '1', class: 'chat', prompt: 'hello', maxTokens: 5, deadline: 1000 }
+const limits = { replayBytes: 4096, replayMs: 1000 }
+const refusal = createProblem(503, 'not-run', 'Not run', 'the queue is full')
+
+function outcomeOf (mayHaveRun: boolean): string | undefined {
+  const answer = createAnswer('r1', completion, limits, 0)
+  answer.mayHaveRun = mayHaveRun
+  answer.fail(refusal, 1)
+  const ended = answer.relay.end()
+  return ended?.type === 'failed' ? parseProblem(ended.data).outcome : undefined
+}
+
+// Guards against P4: the refusal of a second attempt says nothing about the first one.
+test('a refusal is no proof after an attempt whose outcome is unknown', () => {
+  assert.is(outcomeOf(false), 'not-run')
+  assert.is(outcomeOf(true), 'unknown')
+})
+
+test.run()
--- a/packages/node/src/answer.ts
+++ b/packages/node/src/answer.ts
@@ -23,6 +23,8 @@
   peer: string | undefined
   /** The engine that runs the request. */
   engine: string | undefined
+  /** An earlier attempt reached another node and its outcome is not known, so a refusal of a later one is no proof (P4). */
+  mayHaveRun: boolean
   /** Handle of the latest dispatch to an engine. */
   handle: string | undefined
   source: AnswerSource | undefined
@@ -74,6 +76,7 @@
     peer: undefined,
     engine: undefined,
     handle: undefined,
+    mayHaveRun: false,
     source: undefined,
     createdAt: now,
     firstTokenAt: undefined,
@@ -97,7 +100,8 @@
       return result
     },
     fail (problem, at) {
-      relay.fail(problemData(problem), at)
+      const disproved = answer.mayHaveRun && problem.outcome === 'not-run'
+      relay.fail(problemData(disproved ? { ...problem, outcome: 'unknown', title: 'Outcome unknown' } : problem), at)
       notify()
     },
     adjustFlow () {
--- a/packages/node/src/forwarder.ts
+++ b/packages/node/src/forwarder.ts
@@ -54,15 +54,14 @@
     return retryDelaysMs[round]
   }
 
-  function giveUp (answer: Answer, mayHaveRun: boolean): void {
-    const outcome = mayHaveRun ? 'unknown' : 'not-run'
-    const problem = createProblem(mayHaveRun ? 502 : 503, outcome, mayHaveRun ? 'Outcome unknown' : 'Not run', 'the node that owns the engine does not answer')
+  function giveUp (answer: Answer): void {
+    const problem = createProblem(503, 'not-run', 'Not run', 'the node that owns the engine does not answer')
     answer.fail({ ...problem, retryAfterMs: 1000 }, env.now())
   }
 
-  function submitAgain (answer: Answer, mayHaveRun: boolean): void {
+  function submitAgain (answer: Answer): void {
     const delay = nextDelay(answer)
-    if (delay === undefined || answer.completion === undefined) return giveUp(answer, mayHaveRun)
+    if (delay === undefined || answer.completion === undefined) return giveUp(answer)
     const { completion, attempt } = answer
     env.after(delay, () => {
       if (answer.attempt !== attempt || answer.relay.end() !== undefined) return
@@ -77,7 +76,7 @@
       if (loss.type === 'closed' && loss.sent) return recover(answer)
       if (loss.type === 'closed' || loss.status === misdirectedStatus) {
         if (answer.relay.lastSeq() > 0) recover(answer)
-        else submitAgain(answer, false)
+        else submitAgain(answer)
         return
       }
       if (loss.status === 404) return recover(answer)
@@ -97,14 +96,15 @@
   }
 
   function recover (answer: Answer): void {
+    answer.mayHaveRun = true
     const delay = nextDelay(answer)
-    if (delay === undefined) return giveUp(answer, true)
+    if (delay === undefined) return giveUp(answer)
     const attempt = ++answer.attempt
     env.after(delay, () => {
       env.locator.locate(answer.requestId).then(place => {
         if (answer.attempt !== attempt || answer.relay.end() !== undefined) return
         if (place !== undefined) openPlace(answer, place)
-        else if (answer.relay.lastSeq() === 0 && answer.completion !== undefined) submitAgain(answer, true)
+        else if (answer.relay.lastSeq() === 0 && answer.completion !== undefined) submitAgain(answer)
         else recover(answer)
       }).catch(() => recover(answer))
     })
