--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -150,6 +150,8 @@
       case 'leaving': return instances.announced(message.instance, message.asOf, now)
       case 'claim-heads': return orders.headsReceived(message.heads)
       case 'order': return orders.received(from, message.order, now)
+      case 'key-query': return orders.keyAsked(from, message.orderId, message.key)
+      case 'key-answer': return orders.keyAnswered(from, message.orderId, message.seen)
       case 'order-confirm': return orders.confirmAsked(from, message.orderId)
       case 'order-confirmed': return orders.confirmed(message.orderId, message.wanted, now)
       case 'order-reply': return orders.replied(from, message.orderId, message.reply)
@@ -229,7 +231,7 @@
         return engines.report(event.report, now)
       case 'engine-unreachable': return
       case 'engine-command-result': return commandResult(event, now)
-      case 'first-token': return completions.firstToken(event.requestId, now)
+      case 'first-token': return completions.firstToken(event.requestId, event.handle, now)
       case 'request-ended':
         return completions.ended(event, now)
       case 'service-result': return orders.serviceResult(event.orderId, event.result, now)
