Prove 'not run' of a key only by a read sent after the call arrived

Change: a refusal needs a read sent after the arrival, or the word of all processes with no start or end since the last read; the entry node answers unknown. The new test gave not-run before and gives unknown after.

--- a/packages/node/src/core/order-failures.test.ts
+++ b/packages/node/src/core/order-failures.test.ts
@@ -97,6 +97,22 @@
   assert.is(world.service.executions(key), 1)
 })
 
+// Guards against P4: the node that handled a key may be the one that has ended, and then nobody can say so.
+test('while the log is down, the end of a node makes the answer to a new order unknown', () => {
+  const world = createOrderWorld()
+  const key = newKey(world, 'n1', 'hhhhhhhh')
+  world.order('n1', { orderId: 'o0', key: `${key}0` })
+  world.advance(1_000)
+  const owner = sender(world)
+  world.log.setOutage(true)
+  world.advance(1_000)
+  world.node(nodes.find(id => id !== 'n1' && id !== owner) ?? '').kill(500)
+  world.advance(8_000)
+  world.order('n1', { orderId: 'o1', key })
+  world.advance(2_000)
+  assert.is(outcome(world, 'o1'), 'unknown')
+})
+
 test('while the log is down new orders are refused as not run, and the same key runs once afterwards', () => {
   const world = createOrderWorld()
   const key = newKey(world, 'n1', 'gggggggg')
--- a/packages/node/src/core/order-shards.ts
+++ b/packages/node/src/core/order-shards.ts
@@ -36,7 +36,7 @@
 
 type Shard = { desk: ClaimDesk, tail: LogTail }
 
-type Entry = { order: Order, target: string }
+type Entry = { order: Order, target: string, arrivedAt: number }
 
 type SendAction = Extract<ClaimAction, { type: 'send' }>
 
@@ -111,13 +111,26 @@
     env.answer(target, orderId, value)
   }
 
-  /** While the log cannot be read, "not run" also needs the word of the other nodes. */
+  /** Time up to which the shard's stream is known: when the newest read that was answered was sent. */
+  const knownUntil = (key: string | undefined): number => {
+    const shard = parseOrderKey(key ?? '')?.shard ?? -1
+    const contact = shards.get(shard)?.tail.lastContact ?? -Infinity
+    return contact > distrustedAt ? contact : -Infinity
+  }
+
+  /**
+   * A claim may have been appended after the newest read. If that was sent before the call arrived,
+   * "not run" also needs the word of all processes that could have handled the key since.
+   */
   const answer = (orderId: string, entry: Entry, value: OrderReply, now: number): void => {
     const isNotRun = value.type === 'refused' && value.refusal.outcome === 'not-run'
-    if (!isNotRun || streams.reachable) {
+    const { key } = entry.order
+    const until = knownUntil(key)
+    if (!isNotRun || until >= entry.arrivedAt) {
       return reply(orderId, entry, value)
     }
-    witnesses.ask(orderId, entry.order.key ?? '', isNew => reply(orderId, entry, isNew ? value : doubtful), now)
+    // A process that has ended since cannot be asked.
+    witnesses.ask(orderId, key ?? '', isNew => reply(orderId, entry, isNew && peers.processesChangedAt < until ? value : doubtful), now)
   }
 
   const notSent = (shard: number, action: SendAction, reason: string, now: number): void =>
@@ -281,10 +294,11 @@
     if (entries.has(value.orderId)) {
       return
     }
-    entries.set(value.orderId, { order: value, target })
+    const entry = { order: value, target, arrivedAt: now }
+    entries.set(value.orderId, entry)
     witnesses.handled(value.key)
     if (hooks.sendAfterGiveUp === true) {
-      hookEntries.set(value.key, { order: value, target })
+      hookEntries.set(value.key, entry)
     }
     performAll(shard, open(shard).desk.order({ orderId: value.orderId, key: value.key, deadline: value.deadline }, now), now)
   }
--- a/packages/node/src/core/orders.ts
+++ b/packages/node/src/core/orders.ts
@@ -194,16 +194,16 @@
     call(entry, now)
   }
 
-  const expireTransfer = (orderId: string, pending: Transfer): void => {
+  const expireTransfer = (orderId: string): void => {
     transfers.delete(orderId)
-    const outcome = pending.sentTo.size === 0 ? 'not-run' : 'unknown'
-    finish(orderId, { type: 'refused', refusal: { outcome, reason: 'the deadline passed without an answer of the shard\'s owner' } })
+    // That this call was sent to nobody proves nothing about earlier calls with its key.
+    finish(orderId, { type: 'refused', refusal: { outcome: 'unknown', reason: 'the deadline passed without an answer of the shard\'s owner' } })
   }
 
   const tickTransfers = (now: number): void => {
     for (const [orderId, pending] of transfers) {
       if (now >= pending.order.deadline) {
-        expireTransfer(orderId, pending)
+        expireTransfer(orderId)
       } else if (pending.notRun.size === 0 && now - pending.sentAt >= resendMs) {
         transfer(pending, now)
       }
--- a/packages/node/src/core/peers.ts
+++ b/packages/node/src/core/peers.ts
@@ -30,6 +30,8 @@
   member (node: string): Member | undefined
   /** Changes whenever {@link Peers.accepting} may have changed. */
   readonly version: number
+  /** When a process was last seen to start or to end, in ms. */
+  readonly processesChangedAt: number
   readonly listed: boolean
   readonly leaving: boolean
   /** A newer process with this node's id exists. */
@@ -53,19 +55,32 @@
   const lastListed = new Map<string, number>()
   let listAsOf = -Infinity
   let version = 0
+  let processesChangedAt = -Infinity
+  const incarnations = new Map<string, number>()
   let leaving = false
   let superseded = false
 
   const envelope = (to: string, message: CoreMessage): Envelope =>
     ({ from: cfg.node, to, incarnation: cfg.incarnation, revision: env.revision(), message })
 
-  const perform = (action: MembershipAction): void => {
+  const noteProcess = ({ id, incarnation, state, listed }: Member, now: number): void => {
+    const known = incarnations.get(id)
+    // The list names a member before its first datagram tells the incarnation.
+    const isSame = known === incarnation || known === 0
+    if (!isSame || state === 'dead' || !listed) {
+      processesChangedAt = now
+    }
+    incarnations.set(id, incarnation)
+  }
+
+  const perform = (action: MembershipAction, now: number): void => {
     switch (action.type) {
       case 'datagram':
         ctx.emit({ type: 'send', envelope: envelope(action.to, { type: 'membership', datagram: action.message }), address: action.address })
         return
       case 'member-changed':
         version += 1
+        noteProcess(action.member, now)
         unknownSince.delete(action.member.id)
         ctx.record(`member-${action.member.state}`, {}, action.member.id)
         return
@@ -74,7 +89,7 @@
     }
   }
 
-  const performAll = (actions: MembershipAction[]): void => actions.forEach(perform)
+  const performAll = (actions: MembershipAction[], now: number): void => actions.forEach(action => perform(action, now))
 
   const noteListed = (snapshot: InstanceSnapshot): void => {
     listedNodes = new Set(snapshot.instances.filter(({ kind }) => kind === 'node').map(({ id }) => id))
@@ -94,21 +109,21 @@
     !listedNodes.has(node) && (lastListed.get(node) ?? -Infinity) >= incarnation
 
   return {
-    tick: now => performAll(membership.step({ type: 'tick' }, now)),
+    tick: now => performAll(membership.step({ type: 'tick' }, now), now),
     list (snapshot, now) {
       if (snapshot.asOf < listAsOf) {
         return
       }
       listAsOf = snapshot.asOf
       const nodes = snapshot.instances.filter(({ kind }) => kind === 'node')
-      performAll(membership.step({ type: 'instance-list', asOf: snapshot.asOf, nodes }, now))
+      performAll(membership.step({ type: 'instance-list', asOf: snapshot.asOf, nodes }, now), now)
       version += 1
       noteListed(snapshot)
     },
     receive (received, now) {
       const message = received.message as CoreMessage
       if (message.type === 'membership') {
-        performAll(membership.step({ type: 'datagram', message: message.datagram }, now))
+        performAll(membership.step({ type: 'datagram', message: message.datagram }, now), now)
       }
     },
     send (to, message) {
@@ -118,7 +133,7 @@
     leave (now) {
       leaving = true
       version += 1
-      performAll(membership.step({ type: 'leave' }, now))
+      performAll(membership.step({ type: 'leave' }, now), now)
     },
     status (process, now) {
       if (hasLeftList(process)) {
@@ -145,6 +160,9 @@
     get version () {
       return version
     },
+    get processesChangedAt () {
+      return processesChangedAt
+    },
     get listed () {
       return listAsOf > -Infinity
     },
