--- a/packages/node/src/core/orders.ts
+++ b/packages/node/src/core/orders.ts
@@ -48,6 +48,9 @@
 const retryBudget = { ratio: 0.1, burst: 10 }
 const breaker = { failures: 5, openMs: 2_000 }
 
+/** Operators know an order by its key; calls that may be repeated have none. */
+const nameOf = ({ key, orderId }: Order): string => key ?? orderId
+
 export const createOrders = (ctx: CoreContext, streams: LogStreams, peers: Peers, instances: Instances): Orders => {
   const { cfg } = ctx
   const calls = new Map<string, Call>()
@@ -82,7 +85,7 @@
   const sendTo = (instance: string, orderId: string, order: Order, now: number): void => {
     const since = instances.leavingSince(instance)
     ctx.check(since === undefined || now - since < 3_000, `order ${orderId} sent to the leaving instance ${instance}`)
-    ctx.record('send-order', { order: orderId }, instance)
+    ctx.record('send-order', { order: nameOf(order) }, instance)
     ctx.emit({ type: 'send-order', orderId, instance, req: order.req })
   }
 
@@ -106,9 +109,9 @@
     answer: (target, orderId, reply) => answer(target, orderId, reply)
   })
 
-  const finish = (orderId: string, result: { type: 'ok', response: ServiceResponse } | { type: 'refused', refusal: Refusal }): void => {
-    ctx.record('order-result', { order: orderId }, result.type === 'ok' ? String(result.response.status) : result.refusal.outcome)
-    ctx.emit({ type: 'order-result', orderId, result })
+  const finish = (order: Order, result: { type: 'ok', response: ServiceResponse } | { type: 'refused', refusal: Refusal }): void => {
+    ctx.record('order-result', { order: nameOf(order) }, result.type === 'ok' ? String(result.response.status) : result.refusal.outcome)
+    ctx.emit({ type: 'order-result', orderId: order.orderId, result })
   }
 
   const answer = (target: string, orderId: string, reply: OrderReply): void => {
@@ -133,7 +136,7 @@
     const pending = transfers.get(orderId)
     if (pending !== undefined && isFinal(pending, from, reply)) {
       transfers.delete(orderId)
-      finish(orderId, fromReply(reply))
+      finish(pending.order, fromReply(reply))
     }
   }
 
@@ -146,6 +149,7 @@
       return
     }
     pending.sentTo.add(owner)
+    ctx.record('forward-order', { order: nameOf(order) }, owner)
     if (owner === cfg.node) {
       shards.order(cfg.node, order, now)
     } else {
@@ -184,7 +188,7 @@
     }
     calls.delete(order.orderId)
     const ran = result.type === 'unknown' || entry.tried.size > 1
-    finish(order.orderId, { type: 'refused', refusal: { outcome: ran ? 'unknown' : 'not-run', reason: result.reason, retryAfterMs: 1_000 } })
+    finish(order, { type: 'refused', refusal: { outcome: ran ? 'unknown' : 'not-run', reason: result.reason, retryAfterMs: 1_000 } })
   }
 
   const startIdempotent = (order: Order, now: number): void => {
@@ -194,16 +198,16 @@
     call(entry, now)
   }
 
-  const expireTransfer = (orderId: string): void => {
-    transfers.delete(orderId)
+  const expireTransfer = (order: Order): void => {
+    transfers.delete(order.orderId)
     // That this call was sent to nobody proves nothing about earlier calls with its key.
-    finish(orderId, { type: 'refused', refusal: { outcome: 'unknown', reason: 'the deadline passed without an answer of the shard\'s owner' } })
+    finish(order, { type: 'refused', refusal: { outcome: 'unknown', reason: 'the deadline passed without an answer of the shard\'s owner' } })
   }
 
   const tickTransfers = (now: number): void => {
-    for (const [orderId, pending] of transfers) {
+    for (const pending of transfers.values()) {
       if (now >= pending.order.deadline) {
-        expireTransfer(orderId)
+        expireTransfer(pending.order)
       } else if (pending.notRun.size === 0 && now - pending.sentAt >= resendMs) {
         transfer(pending, now)
       }
@@ -223,7 +227,7 @@
     order (order, refusal, now) {
       if (refusal !== undefined) {
         // A node that may have missed claims cannot prove that a key has not run elsewhere.
-        return finish(order.orderId, { type: 'refused', refusal: { outcome: order.key === undefined ? 'not-run' : 'unknown', reason: refusal, retryAfterMs: 1_000 } })
+        return finish(order, { type: 'refused', refusal: { outcome: order.key === undefined ? 'not-run' : 'unknown', reason: refusal, retryAfterMs: 1_000 } })
       }
       if (order.key === undefined) {
         startIdempotent(order, now)
@@ -243,7 +247,7 @@
       noteResult(entry.instance, result, now)
       if (result.type === 'ok') {
         calls.delete(orderId)
-        finish(orderId, { type: 'ok', response: result.response })
+        finish(entry.order, { type: 'ok', response: result.response })
       } else {
         retry(entry, result, now)
       }
