--- a/packages/node/src/core/completions.ts
+++ b/packages/node/src/core/completions.ts
@@ -1,7 +1,7 @@
 /** Completions at one node: accepted here, forwarded to an engine's owner, or held until there is one. */
 import type { Configuration } from './configuration'
 import type { CoreContext } from './core-context'
-import type { EngineOwner, OwnedRequest } from './engine-owner'
+import type { EngineOwner, OwnedRequest } from './engine-owner-types'
 import type { Engines } from './engines'
 import type { Completion, CoreEvent, Refusal } from './messages'
 import type { Peers } from './peers'
--- /dev/null
+++ b/packages/node/src/core/engine-owner-types.ts
@@ -0,0 +1,53 @@
+/** What the owner of an engine does, and what it needs from the core. */
+import type { EvictionIntent, Pins, RunningRequest } from '@yuccawharf/coordination'
+import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { ClassConfig } from '@yuccawharf/schema'
+import type { EngineLoadHint } from '@yuccawharf/serving'
+import type { Completion, CoreEvent } from './messages'
+
+export type EngineOwnerEnv = {
+  append (values: unknown[], done: (result: AppendResult, now: number) => void): void
+  command (engine: string, command: EngineCommand, fence: number, done: (result: EngineCommandResult, now: number) => void): void
+  wantPermit (engine: string, urgency: number, now: number): void
+  returnPermit (permitId: string, unused: true | undefined, now: number): void
+  classes (): Record<string, ClassConfig>
+  /** The request did not run here and may run elsewhere. */
+  resubmit (entry: OwnedRequest, now: number): void
+  /** The engine said that a newer owner exists. */
+  staleFence (engine: string, now: number): void
+}
+
+export type OwnedRequest = { completion: Completion, from: string | undefined, forwarded: boolean }
+
+export type EndedEvent = Extract<CoreEvent, { type: 'request-ended' }>
+
+export type EngineOwner = {
+  readonly engine: string
+  readonly term: number
+  start (now: number): void
+  submit (entry: OwnedRequest, now: number): void
+  has (requestId: string): boolean
+  cancel (requestId: string, now: number): void
+  firstToken (requestId: string, handle: string | undefined, now: number): void
+  ended (event: EndedEvent, now: number): void
+  report (report: EngineReport, predecessorsDown: boolean, now: number): void
+  permit (permitId: string, expiresAt: number, now: number): void
+  intentRead (intent: EvictionIntent, authorised: boolean, now: number): void
+  classes (now: number): void
+  /** Sends no new work to the engine; queued requests go elsewhere. */
+  pause (reason: PauseReason, now: number): void
+  unpause (reason: PauseReason): void
+  /** Ends the term for good. */
+  end (now: number): void
+  /** Requests that were sent to the engine and have not ended. */
+  running (): RunningRequest[]
+  tick (now: number): void
+  hint (now: number): EngineLoadHint | undefined
+  readonly pins: Pins
+  readonly queued: number
+  /** Whether it takes new work. */
+  readonly accepting: boolean
+}
+
+/** `stale`: the engine has seen a newer owner than this node has read. */
+export type PauseReason = 'leaving' | 'stale'
--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -1,79 +1,17 @@
 /** One term of one engine at its owner: the scheduler, the pins of predecessors and the evictions. */
-import { createPins, type EvictionIntent, type OwnerTerm, type Predecessor, type RunningRequest } from '@yuccawharf/coordination'
-import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
-import type { ClassConfig } from '@yuccawharf/schema'
-import { createScheduler, parseHandle, type EngineLoadHint, type EngineScheduler, type SchedulerAction, type SchedulerEvent, type ServingRequest } from '@yuccawharf/serving'
+import { createPins, type EvictionIntent, type OwnerTerm, type Predecessor } from '@yuccawharf/coordination'
+import type { EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import { createScheduler, parseHandle, type EngineScheduler, type SchedulerAction, type SchedulerEvent } from '@yuccawharf/serving'
 import type { CoreContext } from './core-context'
 import { createEngineEvictions } from './engine-evictions'
+import type { EndedEvent, EngineOwner, EngineOwnerEnv, OwnedRequest, PauseReason } from './engine-owner-types'
 import { createLostRequests } from './lost-requests'
-import type { Completion, CoreEvent } from './messages'
-
-export type EngineOwnerEnv = {
-  append (values: unknown[], done: (result: AppendResult, now: number) => void): void
-  command (engine: string, command: EngineCommand, fence: number, done: (result: EngineCommandResult, now: number) => void): void
-  wantPermit (engine: string, urgency: number, now: number): void
-  returnPermit (permitId: string, unused: true | undefined, now: number): void
-  classes (): Record<string, ClassConfig>
-  /** The request did not run here and may run elsewhere. */
-  resubmit (entry: OwnedRequest, now: number): void
-  /** The engine said that a newer owner exists. */
-  staleFence (engine: string, now: number): void
-}
-
-export type OwnedRequest = { completion: Completion, from: string | undefined, forwarded: boolean }
-
-type EndedEvent = Extract<CoreEvent, { type: 'request-ended' }>
-
-export type EngineOwner = {
-  readonly engine: string
-  readonly term: number
-  start (now: number): void
-  submit (entry: OwnedRequest, now: number): void
-  has (requestId: string): boolean
-  cancel (requestId: string, now: number): void
-  firstToken (requestId: string, handle: string | undefined, now: number): void
-  ended (event: EndedEvent, now: number): void
-  report (report: EngineReport, predecessorsDown: boolean, now: number): void
-  permit (permitId: string, expiresAt: number, now: number): void
-  intentRead (intent: EvictionIntent, authorised: boolean, now: number): void
-  classes (now: number): void
-  /** Sends no new work to the engine; queued requests go elsewhere. */
-  pause (reason: PauseReason, now: number): void
-  unpause (reason: PauseReason): void
-  /** Ends the term for good. */
-  end (now: number): void
-  /** Requests that were sent to the engine and have not ended. */
-  running (): RunningRequest[]
-  tick (now: number): void
-  hint (now: number): EngineLoadHint | undefined
-  readonly pins: ReturnType<typeof createPins>
-  readonly queued: number
-  /** Whether it takes new work. */
-  readonly accepting: boolean
-}
-
-/** `stale`: the engine has seen a newer owner than this node has read. */
-export type PauseReason = 'leaving' | 'stale'
+import { servingRequest } from './serving-request'
+import { createWaitingRequests } from './waiting-requests'
 
 type Tracked = OwnedRequest & { handle?: string, incarnation?: number }
 
 const evictionRetryMs = 1_000
-const charactersPerToken = 4
-/** Characters of the prompt that identify a shared prefix; shorter ones are not worth a preference. */
-const prefixCharacters = 256
-
-export const servingRequest = (completion: Completion, now: number): ServingRequest => ({
-  requestId: completion.requestId,
-  adapter: completion.adapter,
-  version: completion.version,
-  class: completion.class,
-  promptTokens: Math.ceil(completion.prompt.length / charactersPerToken),
-  maxTokens: completion.maxTokens,
-  ...(completion.prompt.length < prefixCharacters ? {} : { prefix: completion.prompt.slice(0, prefixCharacters) }),
-  arrivedAt: now,
-  deadline: completion.deadline
-})
-
 const termOfHandle = (handle: string): number | undefined => parseHandle(handle)?.term
 
 /**
@@ -93,7 +31,7 @@
   const requeued = new Set<string>()
   const lostRequests = createLostRequests(reportLagMs)
   let lastReport: EngineReport | undefined
-  let waiting: OwnedRequest[] = []
+  const waiting = createWaitingRequests(ctx.cfg.queuedPerEngine)
   let scheduler: EngineScheduler | undefined
   let incarnation: number | undefined
   let schedulerIncarnation: number | undefined
@@ -227,9 +165,7 @@
   const divertQueued = (now: number): void => {
     const queued = [...requests].filter(([, { handle }]) => handle === undefined)
     queued.forEach(([requestId]) => divert(requestId, () => {}, now))
-    const entries = waiting
-    waiting = []
-    entries.forEach(entry => env.resubmit(entry, now))
+    waiting.takeAll().forEach(entry => env.resubmit(entry, now))
   }
 
   /** The engine may still run a request whose stream broke, so its handle stays pinned until reports show that it does not. */
@@ -319,9 +255,7 @@
       announceStart(lastReport, now)
       absorb(lastReport, now)
     }
-    const entries = waiting
-    waiting = []
-    entries.forEach(entry => accept(entry, now))
+    waiting.takeAll().forEach(entry => accept(entry, now))
   }
 
   /** The scheduler forgets the handles of the last start before anything else; others' handles come after they are pinned. */
@@ -391,17 +325,13 @@
         env.resubmit(entry, now)
       } else if (scheduler !== undefined && evictions.ready) {
         accept(entry, now)
-      } else if (waiting.length < ctx.cfg.queuedPerEngine) {
-        waiting.push(entry)
-      } else {
+      } else if (!waiting.add(entry)) {
         ctx.emit({ type: 'refuse', requestId: entry.completion.requestId, refusal: { outcome: 'not-run', reason: 'queue-full', retryAfterMs: 1_000 } })
       }
     },
-    has: requestId => requests.has(requestId) || waiting.some(({ completion }) => completion.requestId === requestId),
+    has: requestId => requests.has(requestId) || waiting.has(requestId),
     cancel (requestId, now) {
-      const before = waiting.length
-      waiting = waiting.filter(({ completion }) => completion.requestId !== requestId)
-      if (waiting.length < before) {
+      if (waiting.remove(requestId)) {
         ctx.emit({ type: 'refuse', requestId, refusal: { outcome: 'not-run', reason: 'cancelled' } })
       }
       stepScheduler({ type: 'cancel', requestId }, now)
@@ -482,13 +412,11 @@
         evictions.tick(now)
         stepScheduler({ type: 'tick' }, now)
       }
-      const late = waiting.filter(({ completion }) => now >= completion.deadline)
-      waiting = waiting.filter(({ completion }) => now < completion.deadline)
-      late.forEach(({ completion }) => ctx.emit({ type: 'refuse', requestId: completion.requestId, refusal: { outcome: 'not-run', reason: 'deadline-passed' } }))
+      waiting.takeLate(now).forEach(({ completion }) => ctx.emit({ type: 'refuse', requestId: completion.requestId, refusal: { outcome: 'not-run', reason: 'deadline-passed' } }))
     },
     hint: now => isAccepting() ? scheduler?.load(now) : undefined,
     get queued () {
-      return waiting.length + [...requests.values()].filter(({ handle }) => handle === undefined).length
+      return waiting.size + [...requests.values()].filter(({ handle }) => handle === undefined).length
     },
     get accepting () {
       return isAccepting()
--- a/packages/node/src/core/routing.ts
+++ b/packages/node/src/core/routing.ts
@@ -3,7 +3,7 @@
 import type { Configuration } from './configuration'
 import type { CoreContext } from './core-context'
 import type { Engines } from './engines'
-import { servingRequest } from './engine-owner'
+import { servingRequest } from './serving-request'
 import type { Instances } from './instances'
 import type { Completion } from './messages'
 import type { Peers } from './peers'
--- /dev/null
+++ b/packages/node/src/core/serving-request.ts
@@ -0,0 +1,19 @@
+/** The serving decisions' view of a completion. */
+import type { ServingRequest } from '@yuccawharf/serving'
+import type { Completion } from './messages'
+
+const charactersPerToken = 4
+/** Characters of the prompt that identify a shared prefix; shorter ones are not worth a preference. */
+const prefixCharacters = 256
+
+export const servingRequest = (completion: Completion, now: number): ServingRequest => ({
+  requestId: completion.requestId,
+  adapter: completion.adapter,
+  version: completion.version,
+  class: completion.class,
+  promptTokens: Math.ceil(completion.prompt.length / charactersPerToken),
+  maxTokens: completion.maxTokens,
+  ...(completion.prompt.length < prefixCharacters ? {} : { prefix: completion.prompt.slice(0, prefixCharacters) }),
+  arrivedAt: now,
+  deadline: completion.deadline
+})
--- /dev/null
+++ b/packages/node/src/core/waiting-requests.ts
@@ -0,0 +1,42 @@
+/** Requests that wait until the owner of an engine can take work, in order of arrival. */
+import type { OwnedRequest } from './engine-owner-types'
+
+export type WaitingRequests = {
+  /** @returns false when the queue is full */
+  add (entry: OwnedRequest): boolean
+  has (requestId: string): boolean
+  /** @returns false when the request does not wait */
+  remove (requestId: string): boolean
+  /** Takes all requests out. */
+  takeAll (): OwnedRequest[]
+  /** Takes out the requests whose deadline has passed. */
+  takeLate (now: number): OwnedRequest[]
+  readonly size: number
+}
+
+/** @param capacity - requests that may wait */
+export const createWaitingRequests = (capacity: number): WaitingRequests => {
+  const entries = new Map<string, OwnedRequest>()
+
+  const take = (taken: OwnedRequest[]): OwnedRequest[] => {
+    taken.forEach(({ completion }) => entries.delete(completion.requestId))
+    return taken
+  }
+
+  return {
+    add (entry) {
+      if (entries.size >= capacity) {
+        return false
+      }
+      entries.set(entry.completion.requestId, entry)
+      return true
+    },
+    has: requestId => entries.has(requestId),
+    remove: requestId => entries.delete(requestId),
+    takeAll: () => take([...entries.values()]),
+    takeLate: now => take([...entries.values()].filter(({ completion }) => now >= completion.deadline)),
+    get size () {
+      return entries.size
+    }
+  }
+}
