--- a/packages/node/src/core/configuration.ts
+++ b/packages/node/src/core/configuration.ts
@@ -23,6 +23,8 @@
 
 const snapshotMaxRecords = 2_000
 const snapshotTurnMs = 5_000
+/** Steps further apart than this mean that the process was paused, in ms; ticks come every 50 ms. */
+const pauseMs = 1_000
 /** Peers are asked at most this often, in ms. */
 const requestMs = 1_000
 
@@ -38,6 +40,8 @@
   let highestSeen = -1
   let ready = false
   let peerContact = -Infinity
+  let seenAt: number | undefined
+  let messagesCountFrom = -Infinity
   let askedAt = -Infinity
   let startedAt: number | undefined
   let classes: Record<string, ClassConfig> = {}
@@ -75,6 +79,14 @@
     failed: () => {}
   })
 
+  /** Messages that waited during a pause of this process tell the past, so they prove no contact for a while. */
+  const notePause = (now: number): void => {
+    if (seenAt !== undefined && now - seenAt > pauseMs) {
+      messagesCountFrom = now + pauseMs
+    }
+    seenAt = now
+  }
+
   const isBehind = (): boolean => highestSeen > revision
 
   const ask = (from: string, now: number): void => {
@@ -117,12 +129,14 @@
   return {
     tick (now) {
       startedAt ??= now
+      notePause(now)
       askWithoutLog(now)
       appendSnapshot(now)
     },
     heard (from, theirs, now) {
+      notePause(now)
       highestSeen = Math.max(highestSeen, theirs)
-      if (theirs === revision) {
+      if (theirs === revision && now >= messagesCountFrom) {
         peerContact = Math.max(peerContact, now)
       }
       if (theirs > revision) {
