Remember that an engine accepted a completion; run interrupted steps first in the soak

Change: an answer whose engine has answered 200, or whose attempt broke, turns a later not-run refusal into unknown, at the owner and at the entry node. The new test gave not-run before.

--- a/packages/node/src/answer-hub.ts
+++ b/packages/node/src/answer-hub.ts
@@ -101,7 +101,9 @@
         const before = answer.relay.lastSeq()
         settle(answer, before, answer.accept(events, env.now()), lost)
       },
-      started (headers) {
+      started (headers, status) {
+        // Whoever streams has taken the request; a later attempt may be refused, but it may have run (P4).
+        if (status === 200) answer.mayHaveRun = true
         const hints = headers[loadHintHeader]
         env.stamps.received(headers[stampHeader])
         if (typeof hints === 'string') env.report({ type: 'load-hints', hints: parseLoadHints(hints) })
@@ -146,6 +148,7 @@
 
   function endAttempt (answer: Answer, outcome: 'not-run' | 'broken', reason?: string): void {
     if (!isOwnWork(answer)) return
+    if (outcome === 'broken') answer.mayHaveRun = true
     answer.engine = undefined
     const why = reason === undefined ? {} : { reason }
     env.report({ type: 'request-ended', requestId: answer.requestId, outcome, tokens: answer.relay.lastSeq(), ...why, ...handleOf(answer) })
--- a/packages/node/src/answer-source.ts
+++ b/packages/node/src/answer-source.ts
@@ -16,7 +16,7 @@
   /** The other side answered with another status than 200; `body` is cut at 64 KiB. */
   refused (status: number, body: string): void
   /** The response has begun. */
-  started? (headers: Record<string, string | string[] | undefined>): void
+  started? (headers: Record<string, string | string[] | undefined>, status: number): void
   /** The connection ended; `sent` is false when no byte of the request can have arrived. */
   closed (reason: string, sent: boolean): void
 }
@@ -64,7 +64,7 @@
     },
     onResponseStart (_controller, statusCode, headers) {
       status = statusCode
-      handler.started?.(headers)
+      handler.started?.(headers, statusCode)
       if (paused) controller?.pause()
     },
     onResponseData (_controller, chunk) {
--- a/packages/node/src/completions.test.ts
+++ b/packages/node/src/completions.test.ts
@@ -165,6 +165,22 @@
   })
 })
 
+test('a refusal after an attempt that the engine had accepted is unknown, also through the owner', async () => {
+  // Guards against P4: the engine restarts with the request running and then refuses its repetition.
+  await withCluster(async ({ url, engines }) => {
+    const engine = engines.e1 as NonNullable<typeof engines.e1>
+    const waiting = post(url.n2 as string, { id: 'doubt' })
+    while (engine.stats().started === 0) await new Promise(resolve => setImmediate(resolve))
+    // The owner has read the beginning of the response once a second request has come back.
+    await fetch(`${url.n1 as string}/admin/status`)
+    engine.setDraining(true)
+    engine.restart(0)
+    const response = await waiting
+    assert.is(response.status, 503)
+    assert.is((await response.json() as { outcome: string }).outcome, 'unknown')
+  }, { engine: { stepBaseMs: 500 } })
+})
+
 test('a draining engine refuses and the request counts as not run', async () => {
   // Guards against a leaving engine being reported as a failure whose outcome is unknown.
   await withCluster(async ({ url, engines, cores }) => {
--- a/packages/node/src/forwarder.ts
+++ b/packages/node/src/forwarder.ts
@@ -75,6 +75,7 @@
       if (answer.relay.lastSeq() > before) rounds.delete(answer)
       if (loss.type === 'closed' && loss.sent) return recover(answer)
       if (loss.type === 'closed' || loss.status === misdirectedStatus) {
+        if (loss.type === 'refused' && parseProblem(loss.body, loss.status).outcome === 'unknown') answer.mayHaveRun = true
         if (answer.relay.lastSeq() > 0) recover(answer)
         else submitAgain(answer)
         return
--- a/packages/soak/src/process.ts
+++ b/packages/soak/src/process.ts
@@ -39,6 +39,8 @@
   let inbox: (() => void)[] = []
   /** Actions of the step during which the process was paused; they come first when it resumes. */
   let held: CoreAction[] = []
+  /** Event before whose step the process was paused. One thread runs one turn at a time, so its step comes first when it resumes. */
+  let interrupted: CoreEvent | undefined
   let ended = false
   let paused = false
   let resumedAt = -Infinity
@@ -52,9 +54,14 @@
     resumedAt = clock.now()
     const work = inbox
     const actions = held
+    const event = interrupted
     inbox = []
     held = []
+    interrupted = undefined
     actions.forEach(env.perform)
+    if (event !== undefined) {
+      step(event)
+    }
     // Different connections and timers are served in no fixed order after a pause.
     work.forEach(item => clock.after(chance.between(0, 20), () => run(item)))
   }
@@ -102,7 +109,7 @@
 
   const step = (event: CoreEvent): void => {
     if (takePlanned('before')) {
-      inbox.push(() => step(event))
+      interrupted = event
       return
     }
     const actions = stepOf(event)
--- a/packages/soak/src/profiles.test.ts
+++ b/packages/soak/src/profiles.test.ts
@@ -4,7 +4,7 @@
 
 const seeds = [1, 2, 3]
 /** Seeds that once showed a fault, see docs/decisions/soak-findings.md. */
-const foundSeeds: Partial<Record<ProfileName, number[]>> = { default: [24], unfenced: [113], orders: [43] }
+const foundSeeds: Partial<Record<ProfileName, number[]>> = { default: [24], unfenced: [113], 'log-outage': [27], orders: [43] }
 const steps = 5000
 
 for (const profile of Object.keys(profiles) as ProfileName[]) {
--- a/packages/soak/src/shell-streams.ts
+++ b/packages/soak/src/shell-streams.ts
@@ -66,9 +66,12 @@
     }
   }
 
+  /** A refusal is no proof when an earlier attempt may have run. */
+  const doubted = (answer: Answer, refusal: Refusal): Refusal =>
+    refusal.outcome === 'not-run' && answer.mayHaveRun ? { ...refusal, outcome: 'unknown' } : refusal
+
   const fail = (entry: Entry, refusal: Refusal): void => {
-    const notRun = refusal.outcome === 'not-run' && entry.answer.mayHaveRun
-    finish(entry.answer.completion.requestId, { type: 'refused', refusal: notRun ? { ...refusal, outcome: 'unknown' } : refusal })
+    finish(entry.answer.completion.requestId, { type: 'refused', refusal: doubted(entry.answer, refusal) })
   }
 
   const giveUp = (entry: Entry): void =>
@@ -191,11 +194,11 @@
       after(300, () => isCurrent(answer, attempt) && endAttempt(item, 'not-run', 'unreachable'))
       return
     }
-    answer.mayHaveRun = true
     clock.after(chance.between(1, 20) / 10, () => {
       const broken = (): void => { if (answer.attempt === attempt) resumeOwned(item) }
       const started = engine.model.generate({ requestId, handle, prompt, maxTokens, priority }, listen(answer, settleOwned(item), broken))
       if (started.type === 'ok') {
+        answer.mayHaveRun = true
         env.ran(requestId, engine, handle)
         return
       }
@@ -220,6 +223,7 @@
     }
     if (message.type === 'refused') {
       entry.peer = undefined
+      answer.mayHaveRun ||= message.refusal.misdirected === true && message.refusal.outcome === 'unknown'
       if (message.refusal.misdirected === true && answer.relay.lastSeq() === 0) {
         submitAgain(entry)
       } else {
@@ -338,13 +342,13 @@
       owned.delete(requestId)
       if (item?.reply !== undefined) {
         item.answer.attempt += 1
-        item.reply({ type: 'refused', refusal })
+        item.reply({ type: 'refused', refusal: doubted(item.answer, refusal) })
         return
       }
       const entry = entries.get(requestId)
       if (entry !== undefined) {
         entry.answer.attempt += 1
-        fail(entry, refusal)
+        fail(entry, item === undefined ? refusal : doubted(item.answer, refusal))
       }
     },
     running: () => [...owned].filter(([, item]) => item.live).map(([requestId]) => requestId),
