--- a/packages/bench/src/capacity/node-traffic.ts
+++ b/packages/bench/src/capacity/node-traffic.ts
@@ -1,11 +1,11 @@
 /** Traffic and processor time of one idle node, with the platform's stand-ins in a child process. */
 import { fork, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { createServer } from 'node:net'
 import { setTimeout as pause } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { createNode, type CompleteSettings } from '@yuccawharf/node'
 import { trafficRegion as region, type PlatformCounts, type PlatformReady } from './traffic-platform'
+import { freeAddress } from '@yuccawharf/stand-ins'
 
 export type NodeTraffic = {
   instances: number
@@ -23,14 +23,6 @@
 const warmUpMs = 14_000
 const measuredMs = 10_000
 
-async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as { port: number }
-  await new Promise<void>(resolve => { server.close(() => resolve()) })
-  return `127.0.0.1:${port}`
-}
-
 function settingsOf (address: string, log: string, instances: string, weightStore: string): CompleteSettings {
   return {
     node: { id: 'node-0', zone: 'zone-a', region, address, staleness: 'serve' },
--- a/packages/bench/src/path-latency.ts
+++ b/packages/bench/src/path-latency.ts
@@ -3,7 +3,8 @@
 import type { EngineModel, StreamListener } from '@yuccawharf/stand-ins'
 import { createPathClient, readMany, type StreamTarget } from './path-load'
 import { nodeSettings, pathName, startPathPlatform } from './path-platform'
-import { freeAddress, startNodeProcess, waitForOwner } from './path-processes'
+import { startNodeProcess, waitForOwner } from './path-processes'
+import { freeAddress } from '@yuccawharf/stand-ins'
 
 export type PathKind = 'direct' | 'one node' | 'two nodes'
 
--- a/packages/bench/src/path-processes.ts
+++ b/packages/bench/src/path-processes.ts
@@ -2,7 +2,6 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
@@ -56,15 +55,6 @@
   }
 }
 
-/** @returns an address of loopback that was free a moment ago */
-export async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as { port: number }
-  await new Promise<void>(resolve => { server.close(() => resolve()) })
-  return `127.0.0.1:${port}`
-}
-
 /** Starts `yuccawharf node` with the settings. */
 export async function startNodeProcess (settings: string, nodeArgs: string[] = []): Promise<BenchProcess> {
   const directory = mkdtempSync(join(tmpdir(), 'yuccawharf-bench-'))
--- a/packages/bench/src/path-throughput.ts
+++ b/packages/bench/src/path-throughput.ts
@@ -2,7 +2,8 @@
 import { Agent } from 'undici'
 import { createPathClient, readMany } from './path-load'
 import { nodeSettings, pathName } from './path-platform'
-import { freeAddress, startNodeProcess, startProcess, waitForOwner, type BenchProcess } from './path-processes'
+import { startNodeProcess, startProcess, waitForOwner, type BenchProcess } from './path-processes'
+import { freeAddress } from '@yuccawharf/stand-ins'
 
 export type ThroughputRow = {
   path: string
--- a/packages/cli/src/admin.test.ts
+++ b/packages/cli/src/admin.test.ts
@@ -1,13 +1,12 @@
 /** The commands against two real nodes with the platform's stand-ins. */
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createNode, type RunningNode } from '@yuccawharf/node'
 import { parseSettings } from '@yuccawharf/node/settings'
-import { createEngineModel, createInstanceListModel, createLogModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, type LogModel, type StandInServer } from '@yuccawharf/stand-ins'
+import { createEngineModel, createInstanceListModel, createLogModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, type LogModel, type StandInServer, freeAddress } from '@yuccawharf/stand-ins'
 import { run } from './run'
 
 type Context = { directory: string, servers: StandInServer[], nodes: RunningNode[], log: LogModel }
@@ -16,14 +15,6 @@
 const silent = { error () {}, warn () {}, info () {}, debug () {} }
 const readyTimeoutMs = 15_000
 
-async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as { port: number }
-  await new Promise(resolve => server.close(resolve))
-  return `127.0.0.1:${port}`
-}
-
 function settingsText (id: string, address: string, log: string, instances: string): string {
   return `[node]\nid = "${id}"\nzone = "a"\nregion = "r"\naddress = "${address}"\n[platform]\nlog = "${log}"\ninstances = "${instances}"\nweightStore = "http://127.0.0.1:1"\n`
 }
--- a/packages/cli/src/demo-platform.ts
+++ b/packages/cli/src/demo-platform.ts
@@ -1,9 +1,8 @@
 /** The demo's platform and nodes, all in one process on loopback. */
-import { createServer } from 'node:net'
 import { setTimeout as pause } from 'node:timers/promises'
 import { createNode, type CompleteSettings, type CreateNodeOptions, type RunningNode } from '@yuccawharf/node'
 import type { Instance } from '@yuccawharf/platform'
-import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, servePlainService, serveWeightStore, type EngineModel, type InstanceListModel, type PlainServiceModel, type StandInServer } from '@yuccawharf/stand-ins'
+import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, servePlainService, serveWeightStore, type EngineModel, type InstanceListModel, type PlainServiceModel, type StandInServer, freeAddress } from '@yuccawharf/stand-ins'
 
 export const demoModel = 'demo-base'
 export const demoZones = ['zone-a', 'zone-b', 'zone-c'] as const
@@ -30,14 +29,6 @@
   return `v${1 + adapter % 3}`
 }
 
-async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as { port: number }
-  await new Promise<void>(resolve => { server.close(() => resolve()) })
-  return `127.0.0.1:${port}`
-}
-
 function settingsOf (id: string, zone: string, address: string, urls: { log: string, instances: string, weightStore: string }): CompleteSettings {
   return {
     node: { id, zone, region, address, staleness: 'serve' },
--- a/packages/node/src/testing/cluster.ts
+++ b/packages/node/src/testing/cluster.ts
@@ -1,6 +1,5 @@
 /** Nodes with a fixed core and the platform's stand-ins, on loopback in one process, for tests of the shells. */
-import { createServer } from 'node:net'
-import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, servePlainService, type EngineModel, type EngineModelOptions, type PlainServiceModel, type StandInServer } from '@yuccawharf/stand-ins'
+import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, servePlainService, type EngineModel, type EngineModelOptions, type PlainServiceModel, type StandInServer, freeAddress } from '@yuccawharf/stand-ins'
 import type { Settings } from '@yuccawharf/schema'
 import { startNode, type AdminPort, type NodeOptions, type RunningNode } from '../daemon'
 import { createFixedCore } from './fixed-core'
@@ -29,15 +28,6 @@
 
 const silent = { error () {}, warn () {}, info () {}, debug () {} } as unknown as NonNullable<NodeOptions['logger']>
 
-/** @returns a port that was free a moment ago */
-export async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as { port: number }
-  await new Promise<void>(resolve => { server.close(() => resolve()) })
-  return port
-}
-
 /** Starts the stand-ins and the nodes. The plain service has the group `desk`. */
 export async function startCluster (options: ClusterOptions): Promise<Cluster> {
   const clock = createRealClock()
@@ -59,7 +49,7 @@
   list.put({ id: 'desk-1', kind: 'service', group: 'desk', address: desk.address, ...place })
   const addresses: Record<string, string> = {}
   for (const id of options.nodes) {
-    addresses[id] = `127.0.0.1:${await freePort()}`
+    addresses[id] = await freeAddress()
     list.put({ id, kind: 'node', group: 'node', address: addresses[id], ...place })
   }
   const nodes: Record<string, RunningNode> = {}
