--- a/packages/node/src/completion-routes.ts
+++ b/packages/node/src/completion-routes.ts
@@ -5,26 +5,31 @@
 import { sendWholeAnswer, streamAnswer, type ReaderEnv } from './answer-readers'
 import { parseCompletionRequest, parseLastEventId, schemaFindings } from './completion-request'
 import type { AnswerLocator } from './answer-locator'
-import type { Completion, CoreEvent } from './core/messages'
+import type { Completion, CoreEvent, ReceivedHint } from './core/messages'
 import type { Directory } from './directory'
 import type { Forwarder } from './forwarder'
 import { readJson } from './http-body'
 import type { Route, RouteContext } from './http-router'
+import { formatLoadHints, loadHintHeader } from './load-hints'
 import { createProblem, invalidProblem, sendProblem, type Problem } from './problem'
+import { stampHeader, type Stamps } from './stamps'
 
 export type CompletionRoutesEnv = {
+  stamps: Stamps
   now (): number
   hub: AnswerHub
   forwarder: Forwarder
   locator: AnswerLocator
   directory: Directory
-  dispatcher: { request (options: { origin: string, path: string, method: 'POST' }): Promise<{ statusCode: number, body: { dump (): Promise<unknown> } }> }
+  dispatcher: { request (options: { origin: string, path: string, method: 'POST' }): Promise<{ statusCode: number, body: { json (): Promise<unknown> } }> }
   requestBytes: number
   /** Largest number of requests that this node holds at once. */
   maxRunning: number
   report (event: CoreEvent): void
   /** Whether the node takes new requests. */
   accepting (): boolean
+  /** Load of this node's engines, sent with each response to a forwarded request. */
+  loadHints (): ReceivedHint[]
 }
 
 const charactersPerToken = 4
@@ -65,6 +70,8 @@
     }
   }
 
+  const peerReaders: ReaderEnv = { ...readers, responseHeaders: () => ({ [loadHintHeader]: formatLoadHints(env.loadHints()), [stampHeader]: env.stamps.next() }) }
+
   /** Registers the request, or finds the answer of the same request sent before. */
   function enter (completion: Completion, submit: (completion: Completion) => void): Answer | Problem {
     const known = env.hub.get(completion.requestId)
@@ -112,17 +119,21 @@
     return createProblem(404, 'unknown', 'Request not found', `no instance knows the request ${requestId}`)
   }
 
-  async function cancelAtPeer (node: string, requestId: string): Promise<number> {
+  /** @returns whether the request had not ended, or undefined when the node did not confirm */
+  async function cancelAtPeer (node: string, requestId: string): Promise<boolean | undefined> {
     const address = env.directory.address(node)
-    if (address === undefined) return 404
+    if (address === undefined) return undefined
     const path = `/peer/v1/completions/${encodeURIComponent(requestId)}/cancel`
     const response = await env.dispatcher.request({ origin: `http://${address}`, path, method: 'POST' })
-    await response.body.dump()
-    return response.statusCode
+    const body = await response.body.json() as { cancelled?: unknown }
+    return response.statusCode === 200 ? body.cancelled === true : undefined
   }
 
-  function cancelHere (answer: Answer): void {
-    env.report({ type: 'cancel', requestId: answer.requestId })
+  /** @returns false when the answer had ended before */
+  function cancelHere (answer: Answer): boolean {
+    const ended = answer.relay.end()
+    if (ended === undefined) env.report({ type: 'cancel', requestId: answer.requestId })
+    return ended === undefined || (ended.type === 'finished' && ended.reason === 'cancelled')
   }
 
   /** The cancellation is passed on; whether it came before the end shows in the answer's finish reason. */
@@ -131,11 +142,13 @@
     const place = answer === undefined ? await env.locator.locate(requestId) : undefined
     const peer = answer?.peer ?? (place?.type === 'peer' ? place.node : undefined)
     if (peer !== undefined) {
-      const status = await cancelAtPeer(peer, requestId).catch(() => 502)
-      if (status !== 200) return sendProblem(res, createProblem(502, 'unknown', 'Outcome unknown', 'the node that runs the request did not confirm the cancellation'))
-    } else if (answer !== undefined) cancelHere(answer)
-    else if (place?.type === 'engine') env.hub.cancelDispatch(place.engine, requestId)
-    else return sendProblem(res, unknownRequest(requestId))
+      const cancelled = await cancelAtPeer(peer, requestId).catch(() => undefined)
+      if (cancelled === undefined) return sendProblem(res, createProblem(502, 'unknown', 'Outcome unknown', 'the node that runs the request did not confirm the cancellation'))
+      return sendJson(res, 200, { id: requestId, cancelled })
+    }
+    if (answer !== undefined) return sendJson(res, 200, { id: requestId, cancelled: cancelHere(answer) })
+    if (place?.type !== 'engine') return sendProblem(res, unknownRequest(requestId))
+    env.hub.cancelDispatch(place.engine, requestId)
     sendJson(res, 200, { id: requestId, cancelled: true })
   }
 
@@ -144,11 +157,12 @@
     if (body.err) return sendProblem(res, body.val)
     const findings = schemaFindings(validateForwardedCompletion, body.val, 'body')
     if (findings.length > 0) return sendProblem(res, invalidProblem(findings))
+    env.stamps.received(req.headers[stampHeader])
     const { remainingMs, from, ...fields } = body.val as ForwardedCompletion
     const completion: Completion = { ...fields, deadline: env.now() + remainingMs }
     const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true, from }))
     if ('status' in answer) return sendProblem(res, answer)
-    streamAnswer(answer, res, 0, readers)
+    streamAnswer(answer, res, 0, peerReaders)
   }
 
   function resumePeer ({ req, res, params: [requestId = ''] }: RouteContext): void {
@@ -171,8 +185,7 @@
   function cancelFromPeer ({ res, params: [requestId = ''] }: RouteContext): void {
     const answer = env.hub.get(requestId)
     if (answer === undefined) return sendProblem(res, unknownRequest(requestId))
-    cancelHere(answer)
-    sendJson(res, 200, { id: requestId, cancelled: true })
+    sendJson(res, 200, { id: requestId, cancelled: cancelHere(answer) })
   }
 
   return [
