Remove the sender of forwarded completions, which nothing reads

Load hints travel in response headers since the cut of the control traffic, so the sender's id was carried through the core for nothing; and routing.refused was never called. The forwarded body loses its field `from`.

--- a/packages/node/src/completion-routes.ts
+++ b/packages/node/src/completion-routes.ts
@@ -158,9 +158,9 @@
     const findings = schemaFindings(validateForwardedCompletion, body.val, 'body')
     if (findings.length > 0) return sendProblem(res, invalidProblem(findings))
     env.stamps.received(req.headers[stampHeader])
-    const { remainingMs, from, ...fields } = body.val as ForwardedCompletion
+    const { remainingMs, ...fields } = body.val as ForwardedCompletion
     const completion: Completion = { ...fields, deadline: env.now() + remainingMs }
-    const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true, from }))
+    const answer = enter(completion, () => env.report({ type: 'submit', completion, forwarded: true }))
     if ('status' in answer) return sendProblem(res, answer)
     streamAnswer(answer, res, 0, peerReaders)
   }
--- a/packages/node/src/core/completions.ts
+++ b/packages/node/src/core/completions.ts
@@ -8,7 +8,7 @@
 import type { Place, Routing } from './routing'
 
 export type Completions = {
-  submit (completion: Completion, forwarded: boolean, from: string | undefined, now: number): void
+  submit (completion: Completion, forwarded: boolean, now: number): void
   /** A request that its engine's owner did not run. */
   resubmit (entry: OwnedRequest, now: number): void
   cancel (requestId: string, now: number): void
@@ -98,7 +98,7 @@
   const ownerOf = (requestId: string): EngineOwner | undefined => engines.all().find(owner => owner.has(requestId))
 
   return {
-    submit (completion, forwarded, from, now) {
+    submit (completion, forwarded, now) {
       const { requestId } = completion
       if (ownerOf(requestId) !== undefined || heldRequests.has(requestId)) {
         return
@@ -114,7 +114,7 @@
       if (invalid !== undefined) {
         return refuse(requestId, { outcome: 'invalid', reason: invalid })
       }
-      place({ completion, forwarded, from }, now)
+      place({ completion, forwarded }, now)
     },
     resubmit (entry, now) {
       const { requestId, deadline } = entry.completion
--- a/packages/node/src/core/engine-owner-types.ts
+++ b/packages/node/src/core/engine-owner-types.ts
@@ -17,7 +17,7 @@
   staleFence (engine: string, now: number): void
 }
 
-export type OwnedRequest = { completion: Completion, from: string | undefined, forwarded: boolean }
+export type OwnedRequest = { completion: Completion, forwarded: boolean }
 
 export type EndedEvent = Extract<CoreEvent, { type: 'request-ended' }>
 
--- a/packages/node/src/core/messages.ts
+++ b/packages/node/src/core/messages.ts
@@ -65,8 +65,8 @@
   | { type: 'message', envelope: Envelope }
   /** Load of engines as their owner said in a response. */
   | { type: 'load-hints', hints: ReceivedHint[] }
-  /** `forwarded` by the node `from`: the request is not forwarded again. */
-  | { type: 'submit', completion: Completion, forwarded?: true, from?: string }
+  /** A request that another node `forwarded` is not forwarded again. */
+  | { type: 'submit', completion: Completion, forwarded?: true }
   | { type: 'cancel', requestId: string }
   | { type: 'order', order: Order }
   | { type: 'engine-report', report: EngineReport }
--- a/packages/node/src/core/node-core.ts
+++ b/packages/node/src/core/node-core.ts
@@ -223,7 +223,7 @@
         return engines.list(instances.ofKind('engine'), now)
       case 'message': return receive(event.envelope, now)
       case 'load-hints': return event.hints.forEach(({ ageMs, ...hint }) => routing.hint({ ...hint, at: now - ageMs }, now))
-      case 'submit': return completions.submit(event.completion, event.forwarded === true, event.from, now)
+      case 'submit': return completions.submit(event.completion, event.forwarded === true, now)
       case 'cancel': return completions.cancel(event.requestId, now)
       case 'order': return orders.order(event.order, exiting || peers.superseded ? 'the node is leaving' : configuration.refusal(now), now)
       case 'engine-report':
--- a/packages/node/src/core/routing.ts
+++ b/packages/node/src/core/routing.ts
@@ -21,7 +21,6 @@
   /** Places of an adapter in the order of its placement, for address responses; counts no request and ignores load. */
   preferred (name: { model: string, adapter: string }, now: number): Place[]
   hint (hint: EngineLoadHint, now: number): void
-  refused (engine: string, retryAfterMs: number, now: number): void
 }
 
 export const createRouting = (ctx: CoreContext, configuration: Configuration, instances: Instances, engines: Engines, peers: Peers): Routing => {
@@ -83,7 +82,6 @@
       const rank = routerFor(model, places, now).rank(adapter)
       return rank.flatMap(engine => places.find(place => place.engine === engine) ?? [])
     },
-    hint: (hint, now) => routers.forEach(({ router }) => router.step({ type: 'hint', hint }, now)),
-    refused: (engine, retryAfterMs, now) => routers.forEach(({ router }) => router.step({ type: 'refused', engine, retryAfterMs }, now))
+    hint: (hint, now) => routers.forEach(({ router }) => router.step({ type: 'hint', hint }, now))
   }
 }
--- a/packages/node/src/core/testing/world.ts
+++ b/packages/node/src/core/testing/world.ts
@@ -113,7 +113,7 @@
       case 'forward': {
         const completion = answers.completion(action.requestId)
         if (completion !== undefined) {
-          clock.after(messageMs, () => nodes.get(action.node)?.give({ type: 'submit', completion, forwarded: true, from: id }))
+          clock.after(messageMs, () => nodes.get(action.node)?.give({ type: 'submit', completion, forwarded: true }))
         }
         return
       }
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -158,7 +158,7 @@
   const answerLimits = { replayBytes: limits.replayBytes ?? defaultReplayBytes, replayMs: limits.replayMs ?? defaultReplayMs }
   const hub = createAnswerHub({ stamps, finished: attainment.add, now, dispatcher, limits: answerLimits, engineAddress: directory.address, report, after })
   const locator = createAnswerLocator(dispatcher, directory, id)
-  const forwarder = createForwarder({ stamps, self: id, now, hub, locator, report, after })
+  const forwarder = createForwarder({ stamps, now, hub, locator, report, after })
   const services = createServiceRoutes({ now, services: settings.services ?? {}, requestBytes, maxRunning, report, accepting })
   const shells = createPlatformShells({
     dispatcher,
--- a/packages/node/src/forwarder.ts
+++ b/packages/node/src/forwarder.ts
@@ -12,7 +12,6 @@
 
 export type ForwarderEnv = {
   stamps: Stamps
-  self: string
   now (): number
   hub: AnswerHub
   locator: AnswerLocator
@@ -32,9 +31,9 @@
 /** Waits before the next attempt, in ms. Their sum exceeds the time of a takeover (3 s to suspect a node, 2 s per rank). */
 const retryDelaysMs = [0, 100, 300, 1000, 2000, 3000, 4000, 5000]
 
-function forwardRequest (address: string, completion: Completion, self: string, now: number, stamp: string): SourceRequest {
+function forwardRequest (address: string, completion: Completion, now: number, stamp: string): SourceRequest {
   const { deadline, ...fields } = completion
-  const body = JSON.stringify({ ...fields, remainingMs: deadline - now, from: self })
+  const body = JSON.stringify({ ...fields, remainingMs: deadline - now })
   const headers = { 'content-type': 'application/json', 'x-request-id': completion.requestId, [stampHeader]: stamp }
   return { origin: `http://${address}`, path: '/peer/v1/completions', method: 'POST', headers, body }
 }
@@ -116,7 +115,7 @@
       const answer = env.hub.get(requestId)
       if (answer?.completion === undefined || answer.relay.end() !== undefined) return
       answer.peer = node
-      env.hub.open(answer, forwardRequest(address, answer.completion, env.self, env.now(), env.stamps.next()), lostStream(answer))
+      env.hub.open(answer, forwardRequest(address, answer.completion, env.now(), env.stamps.next()), lostStream(answer))
     },
     recover,
     async find (requestId, after) {
--- a/packages/soak/src/shell-streams.ts
+++ b/packages/soak/src/shell-streams.ts
@@ -30,7 +30,7 @@
 export type StreamShell = {
   submit (completion: Completion): void
   /** A request that the entry process of another node forwards. */
-  accept (completion: Completion, from: string, reply: (message: OwnerReply) => void): void
+  accept (completion: Completion, reply: (message: OwnerReply) => void): void
   dispatch (action: Extract<CoreAction, { type: 'dispatch' }>): void
   cancelDispatch (action: Extract<CoreAction, { type: 'cancel-dispatch' }>): void
   forward (action: Extract<CoreAction, { type: 'forward' }>): void
@@ -293,9 +293,9 @@
       entries.set(completion.requestId, { answer: createAnswer(completion, env.skipSequenceCheck), peer: undefined })
       report({ type: 'submit', completion })
     },
-    accept (completion, from, reply) {
+    accept (completion, reply) {
       owned.set(completion.requestId, { answer: createAnswer(completion, env.skipSequenceCheck), reply, live: false })
-      report({ type: 'submit', completion, forwarded: true, from })
+      report({ type: 'submit', completion, forwarded: true })
     },
     dispatch ({ engine: id, requestId, handle, priority, resumeAfter }) {
       const engine = engines.get(id)
@@ -335,7 +335,7 @@
       const broken = (): void => after(1, () => lost(entry, attempt, { sent: true }))
       const reply = (message: OwnerReply): void => network.stream(node, env.node, () => process.run(() => received(entry, message, attempt)), broken)
       const refusedConnection = (): void => after(1, () => lost(entry, attempt, { sent: false }))
-      network.stream(env.node, node, () => peer.process.run(() => peer.streams.accept(entry.answer.completion, env.node, reply)), refusedConnection)
+      network.stream(env.node, node, () => peer.process.run(() => peer.streams.accept(entry.answer.completion, reply)), refusedConnection)
     },
     refuse ({ requestId, refusal }) {
       const item = owned.get(requestId)
