--- a/packages/bench/src/capacity/role-load.ts
+++ b/packages/bench/src/capacity/role-load.ts
@@ -1,7 +1,7 @@
 /** Cost of the other roles of a node at one size each, measured on the product's own modules. */
 import { createClaimDesk, claimDeskDefaults, createConfigReducer, createOwnershipLog, snapshotRecords, validateConfig, type ConfigReducer } from '@yuccawharf/coordination'
 import { createPermitHolder, createRouter, createScheduler, type EngineLoadHint } from '@yuccawharf/serving'
-import type { LogEntry } from '@yuccawharf/platform'
+import type { LogEntry } from '@yuccawharf/clients'
 import { heapOf, medianMicros } from './measure'
 
 /** One measured size: processor time of one operation in microseconds, heap of the whole state in bytes. */
--- a/packages/bench/src/fakes.ts
+++ b/packages/bench/src/fakes.ts
@@ -1,5 +1,5 @@
 /** Virtual clock, weight store and engines of the policy benchmark. */
-import type { EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { EngineCommandResult, EngineReport } from '@yuccawharf/clients'
 import type { CacheEvent, ServingRequest } from '@yuccawharf/serving'
 import type { Random } from './arrivals'
 import type { Workload } from './workload'
--- a/packages/cli/src/demo-platform.ts
+++ b/packages/cli/src/demo-platform.ts
@@ -1,7 +1,7 @@
 /** The demo's platform and nodes, all in one process on loopback. */
 import { setTimeout as pause } from 'node:timers/promises'
 import { createNode, type CompleteSettings, type CreateNodeOptions, type RunningNode } from '@yuccawharf/node'
-import type { Instance } from '@yuccawharf/platform'
+import type { Instance } from '@yuccawharf/clients'
 import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, serveEngine, serveInstanceList, serveLog, servePlainService, serveWeightStore, type EngineModel, type InstanceListModel, type PlainServiceModel, type StandInServer, freeAddress } from '@yuccawharf/stand-ins'
 
 export const demoModel = 'demo-base'
--- a/packages/cli/src/node-client.ts
+++ b/packages/cli/src/node-client.ts
@@ -1,5 +1,5 @@
 /** Requests of the command-line tool to the nodes. */
-import { createHttpClient, parseJson, type HttpFailure } from '@yuccawharf/platform'
+import { createHttpClient, parseJson, type HttpFailure } from '@yuccawharf/clients'
 import { validateProblem, type Problem, type Validator } from '@yuccawharf/schema'
 
 /** `not-run` proves that nothing was applied, `unknown` means that it may have been, now or later. */
--- a/packages/cli/src/timeline-command.ts
+++ b/packages/cli/src/timeline-command.ts
@@ -1,6 +1,6 @@
 /** `timeline`: merges the events of nodes and files. */
 import { readFileSync, writeFileSync } from 'node:fs'
-import { parseJson } from '@yuccawharf/platform'
+import { parseJson } from '@yuccawharf/clients'
 import { validateTimelineReply, type TimelineReply } from '@yuccawharf/schema'
 import { createTrace, filterNames, formatEvent, matches, mergeTimelines, type TimelineFilter } from '@yuccawharf/timeline'
 import { exitCode, listOf, printJson, textOf, type Command, type CommandContext, type ExitCode } from './command'
--- a/packages/coordination/src/claims-desk.ts
+++ b/packages/coordination/src/claims-desk.ts
@@ -5,7 +5,7 @@
  * attempt that wrote it. An attempt that gave up never sends; when its claim wins later, it is
  * abandoned so that another attempt can.
  */
-import type { AppendResult, LogPage } from '@yuccawharf/platform'
+import type { AppendResult, LogPage } from '@yuccawharf/clients'
 import type { OutcomeRecord } from '@yuccawharf/schema'
 import { createClaimsBatch, type OrderRecord } from './claims-batch'
 import { claimStream, parseOrderKey } from './claims-key'
--- a/packages/coordination/src/claims-log.ts
+++ b/packages/coordination/src/claims-log.ts
@@ -1,5 +1,5 @@
 /** Reducer of one claims stream: for each key the winning attempt and its outcome. */
-import type { LogEntry } from '@yuccawharf/platform'
+import type { LogEntry } from '@yuccawharf/clients'
 import { validateRecords, type AbandonRecord, type ClaimRecord, type OutcomeRecord } from '@yuccawharf/schema'
 import { parseOrderKey } from './claims-key'
 
--- a/packages/coordination/src/claims.test.ts
+++ b/packages/coordination/src/claims.test.ts
@@ -1,4 +1,4 @@
-import type { AppendResult, LogEntry, LogPage } from '@yuccawharf/platform'
+import type { AppendResult, LogEntry, LogPage } from '@yuccawharf/clients'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { claimDeskDefaults, createClaimDesk, createClaimsLog, parseOrderKey, type ClaimAction, type ClaimDesk, type ClaimDeskConfig } from './claims'
--- a/packages/coordination/src/config-follower.ts
+++ b/packages/coordination/src/config-follower.ts
@@ -2,7 +2,7 @@
  * One node's copy of the configuration: follows the log, catches up from peers while the log does
  * not answer, appends snapshots in turn, and knows whether the copy is fresh enough to act on.
  */
-import type { LogPage } from '@yuccawharf/platform'
+import type { LogPage } from '@yuccawharf/clients'
 import type { SnapshotRecord } from '@yuccawharf/schema'
 import type { RandomGenerator } from 'pure-rand'
 import type { BackoffConfig } from './backoff'
--- a/packages/coordination/src/config-reducer.ts
+++ b/packages/coordination/src/config-reducer.ts
@@ -2,7 +2,7 @@
  * Reduces the configuration stream to the configuration in force. The result depends only on the
  * records, so every node that has read the same records has the same state and outcomes.
  */
-import type { LogEntry } from '@yuccawharf/platform'
+import type { LogEntry } from '@yuccawharf/clients'
 import { PerKeyReadSetControl, type ConcurrencyControl, type RevisionView } from './config-concurrency'
 import { createSnapshotAssembler, type SnapshotAssembler } from './config-snapshot'
 import type { Change, ChangeOutcome, ConfigEntry, ConfigFinding, ConfigState, ConfigValidator, ConfigView } from './config-types'
--- a/packages/coordination/src/log-tail.test.ts
+++ b/packages/coordination/src/log-tail.test.ts
@@ -1,7 +1,7 @@
 import { xoroshiro128plus } from 'pure-rand'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { LogPage } from '@yuccawharf/platform'
+import type { LogPage } from '@yuccawharf/clients'
 import { createLogTail, type LogTail } from './log-tail'
 
 const tailOf = (pollMs = 100): LogTail => createLogTail({
--- a/packages/coordination/src/log-tail.ts
+++ b/packages/coordination/src/log-tail.ts
@@ -2,7 +2,7 @@
  * Follows one log stream. The caller performs the reads; the tail decides when to read, passes
  * each record on once and in order, and knows how old its view of the log is.
  */
-import type { LogEntry, LogPage } from '@yuccawharf/platform'
+import type { LogEntry, LogPage } from '@yuccawharf/clients'
 import type { RandomGenerator } from 'pure-rand'
 import { jitteredDelayMs, type BackoffConfig } from './backoff'
 
--- a/packages/coordination/src/ownership-evictions.ts
+++ b/packages/coordination/src/ownership-evictions.ts
@@ -6,7 +6,7 @@
  * For engines that ignore the number, the intent is appended to the log first and sent only when
  * it was read back without a newer owner record before it.
  */
-import type { AppendResult, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { AppendResult, EngineCommandResult, EngineReport } from '@yuccawharf/clients'
 import type { EvictRecord, EvictedRecord } from '@yuccawharf/schema'
 import type { EvictionIntent } from './ownership-log'
 
--- a/packages/coordination/src/ownership-log.ts
+++ b/packages/coordination/src/ownership-log.ts
@@ -2,7 +2,7 @@
  * Reducer of the `ownership` stream: which owner records are valid, which processes owned an
  * engine before, and which evictions were authorised and may still reach the engine.
  */
-import type { LogEntry } from '@yuccawharf/platform'
+import type { LogEntry } from '@yuccawharf/clients'
 import { validateRecords, type EvictRecord, type EvictedRecord, type OwnerRecord, type SnapshotRecord } from '@yuccawharf/schema'
 import { createSnapshotParts, type OwnershipEntry } from './ownership-snapshot'
 
--- a/packages/coordination/src/ownership-pins.ts
+++ b/packages/coordination/src/ownership-pins.ts
@@ -5,7 +5,7 @@
  * end of its term, and a report taken later shows no request on it that the owner does not know.
  * A paused process acknowledges nothing, so a pause of any length keeps its handles pinned.
  */
-import type { EngineReport } from '@yuccawharf/platform'
+import type { EngineReport } from '@yuccawharf/clients'
 import type { Predecessor, ProcessId } from './ownership-log'
 
 export type RunningRequest = { requestId: string, handle: string }
--- a/packages/coordination/src/ownership-takeover.ts
+++ b/packages/coordination/src/ownership-takeover.ts
@@ -2,7 +2,7 @@
  * Decides when one node appends an owner record. A wrong decision costs a void record or a
  * needless change of owner; the order of the log alone decides who the owner is.
  */
-import type { AppendResult } from '@yuccawharf/platform'
+import type { AppendResult } from '@yuccawharf/clients'
 import type { OwnerRecord } from '@yuccawharf/schema'
 import type { ProcessId } from './ownership-log'
 
--- a/packages/coordination/src/ownership.test.ts
+++ b/packages/coordination/src/ownership.test.ts
@@ -1,4 +1,4 @@
-import type { EngineReport, LogEntry } from '@yuccawharf/platform'
+import type { EngineReport, LogEntry } from '@yuccawharf/clients'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createEvictions, createOwnershipLog, createPins, createTakeover, ownershipSnapshot, takeoverDefaults, type EngineCandidacy, type EvictionsConfig, type OwnershipLog } from './ownership'
--- /dev/null
+++ b/packages/gateway/src/client-exchange.ts
@@ -0,0 +1,118 @@
+/** One client request and the response to it: answered at most once, cut when it cannot be completed. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Route, ServiceSpec } from './cluster-types'
+import type { RawHeaders, RequestFacts } from './platform-interface'
+
+/** `not-run` promises that the request has not run and will not. */
+export type RefusalStatus = { status: number, outcome: 'not-run' | 'unknown' | 'invalid' }
+
+export type ExchangeContext = {
+  req: IncomingMessage
+  res: ServerResponse
+  facts: RequestFacts
+  route: Route
+  service: ServiceSpec
+  body: Buffer | null
+  arrivedAt: number
+  /** The client's deadline or the route's timeout, whichever is first. */
+  deadlineAt: number
+}
+
+export type ClientExchange = ExchangeContext & {
+  /** A final answer was given, or the client has left. */
+  readonly ended: boolean
+  readonly clientLeft: boolean
+  readonly headersSent: boolean
+  /** Called once when the client leaves before its answer is complete. */
+  onLeave (listener: () => void): void
+  refuse (answer: RefusalStatus, reason: string, retryAfterMs?: number): void
+  head (status: number, headers: RawHeaders): void
+  /** @returns false when the client reads slowly; `onDrain` follows */
+  write (chunk: Buffer): boolean
+  onDrain (listener: () => void): void
+  end (chunk?: Buffer): void
+  /** Closes the connection, so that an incomplete response cannot look complete. */
+  cut (): void
+  outcome (): string
+}
+
+export type ExchangeOptions = {
+  /** Value of the header that says when to come back. */
+  retryAfter (ms: number): string
+  /** Responses end their connection, because this node is leaving. */
+  closing (): boolean
+}
+
+const titles: Record<RefusalStatus['outcome'], string> = { 'not-run': 'Not run', unknown: 'Outcome unknown', invalid: 'Invalid request' }
+
+/** @returns the body of a refusal, as a problem document (RFC 9457) */
+export function refusalBody ({ status, outcome }: RefusalStatus, reason: string): string {
+  return JSON.stringify({ type: `urn:yuccawharf:problem:${outcome}`, title: titles[outcome], status, detail: reason, outcome })
+}
+
+/** Sends a refusal to a request for which there is no exchange. */
+export function sendRefusal (res: ServerResponse, answer: RefusalStatus, reason: string, headers: Record<string, string> = {}): void {
+  if (res.headersSent || res.destroyed) return
+  const body = refusalBody(answer, reason)
+  res.writeHead(answer.status, { 'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(body), ...headers })
+  res.end(body)
+}
+
+export function createClientExchange (ctx: ExchangeContext, options: ExchangeOptions): ClientExchange {
+  const { res } = ctx
+  let ended = false
+  let left = false
+  let outcome = 'open'
+  const leaveListeners: (() => void)[] = []
+
+  const requestId = ctx.facts.id === '' ? [] : ['Request-Id', ctx.facts.id]
+
+  res.on('close', () => {
+    if (ended) return
+    ended = true
+    left = true
+    outcome = 'client-left'
+    for (const listener of leaveListeners) listener()
+  })
+
+  function finish (how: string): boolean {
+    if (ended) return false
+    ended = true
+    outcome = how
+    return true
+  }
+
+  function closeHeader (): Record<string, string> {
+    return options.closing() ? { connection: 'close' } : {}
+  }
+
+  return {
+    ...ctx,
+    get ended () { return ended },
+    get clientLeft () { return left },
+    get headersSent () { return res.headersSent },
+    onLeave: listener => { leaveListeners.push(listener) },
+    refuse (answer, reason, retryAfterMs) {
+      if (!finish(`refused-${answer.status}`)) return
+      const retry = retryAfterMs === undefined ? {} : { 'retry-after': options.retryAfter(retryAfterMs) }
+      sendRefusal(res, answer, reason, { ...Object.fromEntries(requestId.length === 0 ? [] : [requestId]), ...retry, ...closeHeader() })
+    },
+    head (status, headers) {
+      if (ended || res.headersSent) return
+      if (options.closing()) res.shouldKeepAlive = false
+      res.writeHead(status, headers)
+    },
+    write: chunk => ended ? true : res.write(chunk),
+    onDrain: listener => { res.once('drain', listener) },
+    end (chunk) {
+      if (!finish('answered')) return
+      if (chunk === undefined) res.end()
+      else res.end(chunk)
+    },
+    cut () {
+      if (!finish('cut')) return
+      res.destroy()
+    },
+    outcome: () => outcome
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/engine-owner.ts
@@ -0,0 +1,208 @@
+/** The engines that this node owns: claims in the fleet log, the scheduler, and its commands to the engines. */
+import type { AdapterVersion, BackendServer, EngineSpec } from './cluster-types'
+import type { DecisionLog } from './decision-log'
+import { createEngineOwnership, createLogFreshness, type EngineOwnership, type FleetMember, type LogFreshness } from './engine-ownership'
+import { createEngineScheduler, type EngineStatus, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
+import type { GatewayMetrics } from './gateway-metrics'
+import type { EngineControl, FleetLog } from './platform-interface'
+import type { PlaceMessage } from './places'
+
+export type EngineOwnerOptions = {
+  name: string
+  zone: string
+  incarnation: number
+  leaseMs: number
+  versionMs: number
+  now (): number
+  log: DecisionLog
+  metrics: GatewayMetrics
+  fleetLog: FleetLog
+  /** Offset up to which this process has read the fleet log. */
+  logPosition (): number | undefined
+  engines: EngineControl
+  /** Engines of all services that take requests, with their limits. */
+  known (): { server: BackendServer, spec: EngineSpec }[]
+  members (): FleetMember[]
+  /** Sends an answer to the node that holds the request. @returns whether it arrived */
+  tell (node: string, message: PlaceMessage): Promise<boolean>
+  /** Records were appended: the log should be read now. */
+  appended (): void
+}
+
+export type EngineOwner = {
+  ownership: EngineOwnership
+  freshness: LogFreshness
+  received (from: string, message: PlaceMessage): void
+  setVersion (version: AdapterVersion): void
+  nodeLost (node: string): void
+  /** Claims, deadlines, reports; to be called every few tens of ms. */
+  tick (): void
+  /** The set of engines or of their owners may have changed. */
+  refresh (): void
+  /** Stops commands and claims, because this node is leaving. */
+  leave (): void
+  status (): { engines: (EngineStatus & { commandable: boolean })[], waiting: number }
+  owns (): boolean
+}
+
+/** Answers that are kept in case the request for a place arrives again, in ms. */
+const keepAnswersMs = 4000
+/** Pause between two tries to claim engines, in ms: long enough for the log to show the first. */
+const claimPauseMs = 400
+
+type Answer = { message: PlaceMessage, at: number }
+
+export function createEngineOwner (options: EngineOwnerOptions): EngineOwner {
+  const { now, log } = options
+  const freshness = createLogFreshness()
+  const ownership = createEngineOwnership({ name: options.name, incarnation: options.incarnation, zone: options.zone, leaseMs: options.leaseMs }, now())
+  const answers = new Map<string, Answer>()
+  let leaving = false
+  let claimAt = 0
+
+  function mayCommand (engine: string, at: number): boolean {
+    const from = ownership.commandsFrom(engine)
+    return !leaving && from !== undefined && from <= at && freshness.isFresh(at)
+  }
+
+  const scheduler = createEngineScheduler({ versionMs: options.versionMs, mayCommand })
+
+  function answer (node: string, message: PlaceMessage & { id: string }): void {
+    answers.set(message.id, { message, at: now() })
+    options.tell(node, message).then(arrived => {
+      // A node that cannot be reached cannot use the place.
+      if (!arrived && message.kind === 'granted') {
+        log.warn('grant-not-delivered', { id: message.id, asker: node })
+        perform(scheduler.ended(message.id, 'cancelled', now()))
+      }
+    }).catch(err => { log.error('grant-failed', { id: message.id, reason: (err as Error).message }) })
+  }
+
+  async function command (action: SchedulerAction & { type: 'command' }): Promise<void> {
+    const server = options.known().find(({ server }) => server.id === action.engine)?.server
+    const term = ownership.owner(action.engine)
+    if (server === undefined || term === undefined || !mayCommand(action.engine, now())) {
+      // Not sent, so nothing changed at the engine.
+      return perform(scheduler.commandResult(action.engine, 'conflict', now()))
+    }
+    const { operation, model, adapter, version, expectedCount } = action.command
+    const sentAt = now()
+    const result = await options.engines.command(server, {
+      operation,
+      model,
+      ...(adapter === undefined ? {} : { adapter }),
+      ...(version === undefined ? {} : { version }),
+      expectedCount,
+      holder: options.name,
+      fencingToken: term.token
+    })
+    options.metrics.command(operation, result)
+    log.info('engine-command', { engine: action.engine, operation, model, adapter, version, expectedCount, token: term.token, logAgeMs: Math.round(freshness.ageMs(sentAt)), result, tookMs: Math.round(now() - sentAt) })
+    perform(scheduler.commandResult(action.engine, result, now()))
+  }
+
+  async function report (engine: string): Promise<void> {
+    const server = options.known().find(({ server }) => server.id === engine)?.server
+    const found = server === undefined ? undefined : await options.engines.report(server)
+    log.info('engine-report', { engine, found: found !== undefined, commandCount: found?.commandCount, queued: found?.queued, active: found?.active })
+    perform(scheduler.reported(engine, found, now()))
+  }
+
+  function perform (actions: SchedulerAction[]): void {
+    for (const action of actions) {
+      switch (action.type) {
+        case 'grant':
+          options.metrics.queueWait(action.waitedMs / 1000)
+          log.info('place-granted', { id: action.request, asker: action.node, server: action.engine, version: action.version, waitedMs: Math.round(action.waitedMs), running: action.running, prefillMs: Math.round(action.prefillMs) })
+          answer(action.node, { kind: 'granted', id: action.request, engine: action.engine, ...(action.version === undefined ? {} : { version: action.version }) })
+          break
+        case 'refuse':
+          options.metrics.refused(action.reason)
+          log.info('place-refused', { id: action.request, asker: action.node, reason: action.reason, waitedMs: Math.round(action.waitedMs), retryAfterMs: action.retryAfterMs, waiting: scheduler.waiting() })
+          answer(action.node, { kind: 'refused', id: action.request, reason: action.reason, retryAfterMs: action.retryAfterMs })
+          break
+        case 'command':
+          command(action).catch(err => { log.error('engine-command-failed', { engine: action.engine, reason: (err as Error).message }) })
+          break
+        case 'report':
+          report(action.engine).catch(err => { log.error('engine-report-failed', { engine: action.engine, reason: (err as Error).message }) })
+      }
+    }
+  }
+
+  function owned (): { server: BackendServer, spec: EngineSpec }[] {
+    const ids = new Set(ownership.owned().map(({ engine }) => engine))
+    return options.known().filter(({ server }) => ids.has(server.id))
+  }
+
+  function refresh (): void {
+    const known = options.known()
+    const mine = owned()
+    scheduler.setShare(known.length === 0 ? 1 : mine.length / known.length)
+    perform(scheduler.setEngines(mine, now()))
+    options.metrics.gauge('engines_owned', mine.length)
+  }
+
+  async function claim (): Promise<void> {
+    const at = options.logPosition()
+    if (leaving || at === undefined || now() < claimAt) return
+    const claims = ownership.claims(options.known().map(({ server }) => server), options.members(), now())
+    if (claims.length === 0) return
+    claimAt = now() + claimPauseMs
+    const records = claims.map(({ engine, after }) => ({
+      key: `owner/${engine}`,
+      value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation, ...(after === undefined ? {} : { after }) }
+    }))
+    const result = await options.fleetLog.append(records, at)
+    log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), at, result: result.val })
+    options.appended()
+  }
+
+  function dropAnswers (): void {
+    for (const [id, { at }] of answers) {
+      if (now() - at < keepAnswersMs) return
+      answers.delete(id)
+    }
+  }
+
+  function acquire (node: string, place: (PlaceMessage & { kind: 'acquire' })['place']): void {
+    const known = answers.get(place.id)
+    if (known !== undefined) {
+      options.tell(node, known.message).catch(err => { log.error('grant-failed', { id: place.id, reason: (err as Error).message }) })
+      return
+    }
+    const { objectiveInMs, deadlineInMs, ...rest } = place
+    const req: ScheduledRequest = { ...rest, node, objectiveAt: now() + objectiveInMs, deadlineAt: now() + deadlineInMs }
+    perform(scheduler.submit(req, now()))
+  }
+
+  return {
+    ownership,
+    freshness,
+    received (from, message) {
+      switch (message.kind) {
+        case 'acquire': return acquire(from, message.place)
+        case 'cancel': return perform(scheduler.cancel(message.id, now()))
+        case 'first-event': return perform(scheduler.firstEvent(message.id, now()))
+        case 'ended': return perform(scheduler.ended(message.id, message.outcome, now()))
+      }
+    },
+    setVersion: version => perform(scheduler.setVersion(version, now())),
+    nodeLost: node => perform(scheduler.nodeLost(node, now())),
+    tick () {
+      dropAnswers()
+      perform(scheduler.tick(now()))
+      claim().catch(err => { log.error('claim-failed', { reason: (err as Error).message }) })
+      options.metrics.gauge('waiting', scheduler.waiting())
+    },
+    refresh,
+    leave () {
+      leaving = true
+    },
+    status: () => ({
+      engines: scheduler.status(now()).map(engine => ({ ...engine, commandable: mayCommand(engine.id, now()) })),
+      waiting: scheduler.waiting()
+    }),
+    owns: () => ownership.owned().length > 0
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/engine-ownership.ts
@@ -0,0 +1,152 @@
+/**
+ * Which node gives commands to an engine. The newest owner record of an engine in the fleet log
+ * names its owner; its offset is the fencing token. Engines may ignore tokens, so a successor waits
+ * until no command of its predecessor can arrive any more, and an owner that has not seen the end
+ * of the log recently gives none.
+ */
+import { firstNode } from '@yuccawharf/coordination'
+import type { BackendServer } from './cluster-types'
+import type { FeedRecord, FleetRecord, Unreadable } from './platform-interface'
+
+/** Time since its last reading of the log after which an owner gives no commands, in ms: two missed reads of a second each. */
+export const logFreshMs = 2200
+/** Margin for a command's way to the engine and for clocks that run at different rates, in ms. */
+const marginMs = 200
+/** Time for nodes that start together to learn of each other before the first claims, in ms. */
+const settleMs = 600
+
+export type FleetMember = { name: string, zone: string, incarnation: number, state: 'alive' | 'leaving' | 'dead' }
+
+export type OwnerTerm = { engine: string, node: string, incarnation: number, token: number }
+
+export type OwnershipConfig = { name: string, incarnation: number, zone: string, leaseMs: number }
+
+/** `after` names the other node whose commands may still be on their way. */
+export type Claim = { engine: string, reason: 'unowned' | 'owner-dead' | 'owner-leaving', after?: string }
+
+export type EngineOwnership = {
+  apply (records: readonly FeedRecord<FleetRecord | Unreadable>[], now: number): void
+  /** Engines that this node should claim now. */
+  claims (engines: readonly BackendServer[], members: readonly FleetMember[], now: number): Claim[]
+  owner (engine: string): OwnerTerm | undefined
+  /** Engines whose newest owner record names this process. */
+  owned (): OwnerTerm[]
+  /** Time from which this process may give the engine commands; undefined while it is not the owner. */
+  commandsFrom (engine: string): number | undefined
+  /** Engines with an owner record. */
+  engines (): string[]
+}
+
+type Term = OwnerTerm & { commandsFrom: number, after?: string }
+
+export function createEngineOwnership (cfg: OwnershipConfig, startedAt: number): EngineOwnership {
+  const terms = new Map<string, Term>()
+  /** Engines claimed because their owner was leaving: it has stopped giving commands by itself. */
+  const handedOver = new Set<string>()
+
+  function isSelf ({ node, incarnation }: { node: string, incarnation: number }): boolean {
+    return node === cfg.name && incarnation === cfg.incarnation
+  }
+
+  function waitMs (record: FleetRecord & { type: 'owner' }): number {
+    // One machine is one holder, whatever process of it gave the commands before.
+    if (record.after === undefined) return 0
+    return cfg.leaseMs + marginMs + (handedOver.has(record.engine) ? 0 : logFreshMs)
+  }
+
+  function put (record: FleetRecord & { type: 'owner' }, offset: number, now: number): void {
+    const previous = terms.get(record.engine)
+    if (previous !== undefined && previous.token >= offset) return
+    const commandsFrom = isSelf(record) ? now + waitMs(record) : Infinity
+    const after = record.after === undefined ? {} : { after: record.after }
+    terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token: offset, commandsFrom, ...after })
+    handedOver.delete(record.engine)
+  }
+
+  function claimReason (term: Term | undefined, members: readonly FleetMember[]): Claim['reason'] | undefined {
+    if (term === undefined) return 'unowned'
+    // An earlier process of this machine owned the engine.
+    if (term.node === cfg.name) return term.incarnation === cfg.incarnation ? undefined : 'owner-dead'
+    const owner = members.find(({ name }) => name === term.node)
+    if (owner === undefined || owner.state === 'dead') return 'owner-dead'
+    // A newer process of the owner's machine claims its engines itself.
+    return owner.state === 'leaving' ? 'owner-leaving' : undefined
+  }
+
+  return {
+    apply (records, now) {
+      for (const { key, offset, value } of records) {
+        if (value?.type === 'owner') put(value, offset, now)
+        else if (value === undefined) terms.delete(key.replace(/^owner\//, ''))
+      }
+    },
+    claims (engines, members, now) {
+      if (now - startedAt < settleMs) return []
+      const self: FleetMember = { name: cfg.name, zone: cfg.zone, incarnation: cfg.incarnation, state: 'alive' }
+      const candidates = [self, ...members.filter(({ name, state }) => state === 'alive' && name !== cfg.name)]
+      const ranked = candidates.map(({ name, zone }) => ({ id: name, group: zone }))
+      return engines.flatMap((engine): Claim[] => {
+        const term = terms.get(engine.id)
+        const reason = claimReason(term, members)
+        if (reason === undefined) return []
+        const own = term?.node === cfg.name
+        // Engines of one zone get one owner, which then sees all places for an adapter in its zone.
+        if (!own && firstNode(`zone:${engine.zone}`, ranked, engine.zone)?.id !== cfg.name) return []
+        if (reason === 'owner-leaving') handedOver.add(engine.id)
+        const after = own ? term.after : term?.node
+        return [{ engine: engine.id, reason, ...(after === undefined ? {} : { after }) }]
+      })
+    },
+    owner: engine => terms.get(engine),
+    owned: () => [...terms.values()].filter(isSelf),
+    commandsFrom (engine) {
+      const term = terms.get(engine)
+      return term !== undefined && isSelf(term) ? term.commandsFrom : undefined
+    },
+    engines: () => [...terms.keys()]
+  }
+}
+
+/**
+ * How recently this process has seen the end of the fleet log, by its own reads or by what peers
+ * say of theirs, and whether the process was suspended meanwhile.
+ */
+export type LogFreshness = {
+  /** A read that was sent at `sentAt` has been answered and applied. */
+  read (sentAt: number, next: number): void
+  /** A peer read up to `next`, `ageMs` before its message was sent. */
+  vouched (next: number, ageMs: number, now: number): void
+  /** The process was suspended: earlier reads prove nothing. */
+  suspended (now: number): void
+  isFresh (now: number): boolean
+  ageMs (now: number): number
+}
+
+/** Longest way of a peer's message, in ms; a message that waited longer cannot be told from a new one. */
+const vouchDelayMs = 300
+
+export function createLogFreshness (): LogFreshness {
+  let freshAt = -Infinity
+  let ignoreBefore = -Infinity
+  let position = -1
+
+  function refresh (at: number): void {
+    if (at >= ignoreBefore) freshAt = Math.max(freshAt, at)
+  }
+
+  return {
+    read (sentAt, next) {
+      position = Math.max(position, next)
+      refresh(sentAt)
+    },
+    vouched (next, ageMs, now) {
+      if (next <= position) refresh(now - ageMs - vouchDelayMs)
+    },
+    suspended (now) {
+      ignoreBefore = now
+      freshAt = -Infinity
+    },
+    isFresh: now => now - freshAt <= logFreshMs,
+    ageMs: now => now - freshAt
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/event-splitter.ts
@@ -0,0 +1,37 @@
+/** Cuts a stream of server-sent events at event ends, so that only whole events are handed on. */
+
+export type EventSplitter = {
+  /** @returns the bytes of the events that the chunk completes */
+  push (chunk: Buffer): Buffer | undefined
+  /** Bytes after the last whole event. */
+  rest (): Buffer
+  /** Id of the last whole event, if it had one. */
+  lastId (): string | undefined
+}
+
+const idLine = /(?:^|\n)id: ?([^\r\n]*)/g
+
+function eventsEnd (bytes: Buffer): number {
+  const plain = bytes.lastIndexOf('\n\n')
+  const returns = bytes.lastIndexOf('\r\n\r\n')
+  return Math.max(plain < 0 ? 0 : plain + 2, returns < 0 ? 0 : returns + 4)
+}
+
+export function createEventSplitter (): EventSplitter {
+  let rest: Buffer = Buffer.alloc(0)
+  let id: string | undefined
+
+  return {
+    push (chunk) {
+      const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk])
+      const end = eventsEnd(bytes)
+      rest = bytes.subarray(end)
+      if (end === 0) return undefined
+      const whole = bytes.subarray(0, end)
+      for (const [, value] of whole.toString('latin1').matchAll(idLine)) id = value
+      return whole
+    },
+    rest: () => rest,
+    lastId: () => id
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/feed-follower.ts
@@ -0,0 +1,137 @@
+/** Follows a feed: the newest records first, then each change; starts again when history was dropped. */
+import { fullJitterMs } from '@yuccawharf/coordination'
+import type { Feed, FeedRecord } from './platform-interface'
+
+export type FollowerEvents<Value> = {
+  /** The newest record of each key. */
+  replaced (records: FeedRecord<Value>[], next: number): void
+  /** Records in order; empty when a read found none. */
+  changed (records: FeedRecord<Value>[], next: number): void
+  /** A call succeeded; `sentAt` is when it was sent. */
+  answered (sentAt: number, next: number): void
+  /** The feed became unreachable, or reachable again. */
+  lost (reason: string): void
+  regained (lostForMs: number): void
+  call (result: 'ok' | 'unavailable' | 'expired'): void
+}
+
+export type FollowerOptions = {
+  now (): number
+  random (): number
+  /** Time that the store may hold a read until a record arrives, in ms. */
+  waitMs (): number
+  /** Pause after a read, in ms. */
+  pauseMs: number
+}
+
+/** Bounds of the pause after a failed call, in ms: a store that is away for seconds is found again within half a second. */
+const retryBaseMs = 100
+const retryMaxMs = 500
+/** Time that the own read gets to show what a peer has read, in ms. */
+const behindMs = 250
+/** Failed calls after which the feed counts as lost. */
+const failuresToLose = 2
+
+export type Follower = {
+  stop (): void
+  /** Records up to this offset are known; undefined before the first answer. */
+  position (): number | undefined
+  /** Ends the current pause, for example after an append of this process. */
+  wake (): void
+  /** A peer has read up to `next`: ends a read that does not show it, as its connection may have gone silent. */
+  behind (next: number): void
+}
+
+export function followFeed<Value> (feed: Feed<Value>, events: FollowerEvents<Value>, options: FollowerOptions): Follower {
+  let stopped = false
+  let position: number | undefined
+  let failures = 0
+  let lostAt: number | undefined
+  let wake: (() => void) | undefined
+  let reading: AbortController | undefined
+  let behindTimer: NodeJS.Timeout | undefined
+
+  const pause = (ms: number): Promise<void> => new Promise(resolve => {
+    const timer = setTimeout(resolve, ms)
+    wake = () => {
+      clearTimeout(timer)
+      resolve()
+    }
+  })
+
+  function succeeded (sentAt: number, next: number): void {
+    if (lostAt !== undefined) {
+      events.regained(options.now() - lostAt)
+      lostAt = undefined
+    }
+    failures = 0
+    events.call('ok')
+    position = next
+    events.answered(sentAt, next)
+  }
+
+  async function failed (reason: string): Promise<void> {
+    events.call('unavailable')
+    failures += 1
+    if (failures === failuresToLose) {
+      lostAt = options.now()
+      events.lost(reason)
+    }
+    await pause(retryBaseMs + fullJitterMs(failures, retryBaseMs, retryMaxMs, options.random()))
+  }
+
+  async function readNewest (): Promise<void> {
+    const sentAt = options.now()
+    const result = await feed.newest()
+    if (stopped) return
+    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : 'history was dropped')
+    events.replaced(result.val.records, result.val.next)
+    succeeded(sentAt, result.val.next)
+  }
+
+  async function readChanges (from: number): Promise<void> {
+    const sentAt = options.now()
+    reading = new AbortController()
+    const result = await feed.read(from, options.waitMs(), reading.signal)
+    const interrupted = reading.signal.aborted
+    reading = undefined
+    if (stopped || (interrupted && result.err)) return
+    if (result.err && result.val.type === 'expired') {
+      events.call('expired')
+      position = undefined
+      return
+    }
+    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : '')
+    events.changed(result.val.records, result.val.next)
+    succeeded(sentAt, result.val.next)
+    if (options.pauseMs > 0) await pause(options.pauseMs)
+  }
+
+  const isStopped = (): boolean => stopped
+
+  async function run (): Promise<void> {
+    for (;;) {
+      if (isStopped()) return
+      if (position === undefined) await readNewest()
+      else await readChanges(position)
+    }
+  }
+
+  run().catch(err => { throw err })
+  return {
+    stop () {
+      stopped = true
+      reading?.abort()
+      wake?.()
+    },
+    position: () => position,
+    wake: () => wake?.(),
+    behind (next) {
+      if (behindTimer !== undefined || position === undefined || next <= position) return
+      behindTimer = setTimeout(() => {
+        behindTimer = undefined
+        if (position !== undefined && next > position) reading?.abort()
+      }, behindMs)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet.ts
@@ -0,0 +1,99 @@
+/** The gateway's nodes: who they are, from the fleet log, and which of them are alive, by probing each other. */
+import { createMembership, membershipDefaults, packMembership, unpackMembership, type Membership, type MembershipAction } from '@yuccawharf/coordination'
+import { xoroshiro128plus } from 'pure-rand'
+import type { DecisionLog } from './decision-log'
+import type { DirectoryNode } from './directory'
+import type { FleetMember } from './engine-ownership'
+import type { FeedRecord, FleetRecord, Unreadable } from './platform-interface'
+
+export type NodeRecord = FleetRecord & { type: 'node' }
+
+export type FleetOptions = {
+  self: NodeRecord
+  now (): number
+  log: DecisionLog
+  /** Sends a datagram that need not arrive. */
+  notify (address: string, payload: unknown): void
+  lost (node: string): void
+}
+
+export type Fleet = {
+  apply (records: readonly FeedRecord<FleetRecord | Unreadable>[]): void
+  /** A membership datagram of a peer. */
+  received (payload: unknown): void
+  tick (): void
+  leave (): void
+  members (): FleetMember[]
+  /** Nodes that clients may use, this one included. */
+  directory (selfReady: boolean): DirectoryNode[]
+  /** Peers that are not dead. */
+  peers (): NodeRecord[]
+  address (node: string): string | undefined
+  size (): number
+}
+
+export function createFleet (options: FleetOptions): Fleet {
+  const { self, now } = options
+  const nodes = new Map<string, NodeRecord>()
+  const membership: Membership = createMembership({
+    self: { id: self.name, address: self.address, incarnation: self.incarnation },
+    ...membershipDefaults,
+    random: xoroshiro128plus(self.incarnation ^ (self.incarnation / 2 ** 32))
+  })
+
+  function perform (actions: MembershipAction[]): void {
+    for (const action of actions) {
+      if (action.type === 'datagram') options.notify(action.address, packMembership(action.message))
+      else if (action.type === 'member-changed') changed(action.member)
+      else options.log.warn('node-superseded', { incarnation: action.incarnation })
+    }
+  }
+
+  function changed ({ id, state, leaving, incarnation }: { id: string, state: string, leaving: boolean, incarnation: number }): void {
+    options.log.info('member-changed', { member: id, state, leaving, incarnation })
+    if (state === 'dead') options.lost(id)
+  }
+
+  function list (): void {
+    const listed = [...nodes.values()].map(node => ({ id: node.name, address: node.address, zone: node.zone, region: '', state: 'live' as const }))
+    perform(membership.step({ type: 'instance-list', asOf: now(), nodes: listed }, now()))
+  }
+
+  function alive (name: string): boolean {
+    const member = membership.member(name)
+    return member !== undefined && member.state !== 'dead'
+  }
+
+  return {
+    apply (records) {
+      let news = false
+      for (const { value } of records) {
+        if (value?.type !== 'node' || value.name === self.name) continue
+        nodes.set(value.name, value)
+        news = true
+      }
+      if (news) list()
+    },
+    received (payload) {
+      const message = unpackMembership(payload)
+      if (message !== undefined) perform(membership.step({ type: 'datagram', message }, now()))
+    },
+    tick: () => perform(membership.step({ type: 'tick' }, now())),
+    leave: () => perform(membership.step({ type: 'leave' }, now())),
+    members: () => [...nodes.values()].map(({ name, zone, incarnation }): FleetMember => {
+      const member = membership.member(name)
+      const state = !alive(name) ? 'dead' : member?.leaving === true ? 'leaving' : 'alive'
+      return { name, zone, incarnation: member?.incarnation ?? incarnation, state }
+    }),
+    directory (selfReady) {
+      const others = [...nodes.values()].map(node => {
+        const member = membership.member(node.name)
+        return { name: node.name, front: node.front, zone: node.zone, capacity: node.capacity, ready: member !== undefined && member.state === 'alive' && !member.leaving }
+      })
+      return [{ name: self.name, front: self.front, zone: self.zone, capacity: self.capacity, ready: selfReady }, ...others]
+    },
+    peers: () => [...nodes.values()].filter(({ name }) => alive(name)),
+    address: node => nodes.get(node)?.address,
+    size: () => nodes.size + 1
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/front-server.ts
@@ -0,0 +1,137 @@
+/** The HTTP server for clients: limits, body, route, and the exchange that answers. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { createClientExchange, refusalBody, sendRefusal, type ClientExchange } from './client-exchange'
+import type { DecisionLog } from './decision-log'
+import type { HeaderCodec } from './platform-interface'
+import { chooseTarget, type RouteTable } from './route-table'
+
+export type FrontServerEnv = {
+  now (): number
+  codec: HeaderCodec
+  log: DecisionLog
+  /** Undefined until a configuration is known. */
+  routes (): RouteTable | undefined
+  /** The node is leaving: responses end their connection. */
+  closing (): boolean
+  /** The node no longer takes requests. */
+  closed (): boolean
+  forward (exchange: ClientExchange): Promise<void>
+  ended (exchange: ClientExchange): void
+}
+
+export type FrontServer = {
+  server: Server
+  running (): number
+  /** Applies the limits of a new configuration. */
+  configure (): void
+}
+
+/** Bound of the parser; the configured limit, which may change, is checked on each request. */
+const maxHeaderBytes = 64 * 1024
+/** Clients use connections up to four fifths of the configured idle time, so the server keeps them a little longer than all of it, in ms. */
+const keepAliveMarginMs = 2000
+const defaultKeepAliveMs = 20_000
+/** Pause between two checks for slow senders, in ms. */
+const connectionCheckMs = 1000
+const notConfiguredRetryMs = 500
+const leavingRetryMs = 100
+
+function headerBytes (raw: string[]): number {
+  return raw.reduce((sum, text) => sum + text.length + 2, 0)
+}
+
+type Body = { type: 'read', bytes: Buffer | null } | { type: 'too-large' } | { type: 'cut' }
+
+function readBody (req: IncomingMessage, maxBytes: number): Promise<Body> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let size = 0
+    const announced = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= maxBytes) chunks.push(chunk)
+      else resolve({ type: 'too-large' })
+    })
+    req.on('end', () => resolve({ type: 'read', bytes: announced ? Buffer.concat(chunks) : null }))
+    req.on('close', () => { if (!req.complete) resolve({ type: 'cut' }) })
+  })
+}
+
+/** Answers input that is not HTTP, or too slow or large, and closes the connection. */
+function refuseConnection (err: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy()
+    return
+  }
+  const status = err.code === 'HPE_HEADER_OVERFLOW' ? 431 : err.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
+  const body = refusalBody({ status, outcome: 'invalid' }, `the request could not be read: ${err.code ?? err.message}`)
+  socket.end(`HTTP/1.1 ${status} Refused\r\ncontent-type: application/problem+json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+}
+
+export function createFrontServer (env: FrontServerEnv): FrontServer {
+  let running = 0
+
+  async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const arrivedAt = env.now()
+    const closeHeaders: Record<string, string> = env.closing() ? { connection: 'close' } : {}
+    const table = env.routes()
+    const refuse = (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): void => {
+      env.log.info('request-refused', { id: req.headers['request-id'] as string | undefined, status, reason, configVersion: table?.config.version })
+      const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': env.codec.retryAfter(retryAfterMs) }
+      sendRefusal(res, { status, outcome }, reason, { ...retry, ...closeHeaders })
+      req.resume()
+    }
+    if (table === undefined) return refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryMs)
+    if (env.closed()) return refuse(503, 'not-run', 'the node is leaving', leavingRetryMs)
+    const { limits } = table.config
+    if (headerBytes(req.rawHeaders) > limits.headerBytes) return refuse(431, 'invalid', `the headers exceed ${limits.headerBytes} bytes`)
+    const route = table.match(req.headers.host ?? '', req.url ?? '/')
+    if (route === undefined) return refuse(404, 'invalid', 'no route matches host and path')
+    const facts = env.codec.request(req.rawHeaders)
+    if (facts.id === '') return refuse(400, 'invalid', 'the request has no id')
+    const body = await readBody(req, limits.bodyBytes)
+    if (body.type === 'cut') return
+    if (body.type === 'too-large') return refuse(413, 'invalid', `the body exceeds ${limits.bodyBytes} bytes`)
+    const target = chooseTarget(route, facts.id)
+    const service = target === undefined ? undefined : table.service(target)
+    if (service === undefined) return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryMs)
+    const deadlineAt = arrivedAt + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
+    const exchange = createClientExchange({ req, res, facts, route, service, body: body.bytes, arrivedAt, deadlineAt }, { retryAfter: env.codec.retryAfter, closing: env.closing })
+    try {
+      await env.forward(exchange)
+    } finally {
+      env.ended(exchange)
+    }
+  }
+
+  const server = createServer({
+    maxHeaderSize: maxHeaderBytes,
+    keepAliveTimeout: defaultKeepAliveMs,
+    connectionsCheckingInterval: connectionCheckMs,
+    // Long bodies are bounded by the client's deadline.
+    requestTimeout: 0,
+    noDelay: true
+  }, (req, res) => {
+    running += 1
+    req.on('error', () => {})
+    res.on('error', () => {})
+    handle(req, res).catch(err => {
+      env.log.error('request-failed', { reason: (err as Error).stack ?? String(err) })
+      sendRefusal(res, { status: 500, outcome: 'unknown' }, 'the node could not handle the request')
+      if (!res.writableEnded) res.destroy()
+    }).finally(() => { running -= 1 })
+  })
+  server.on('clientError', refuseConnection)
+
+  return {
+    server,
+    running: () => running,
+    configure () {
+      const limits = env.routes()?.config.limits
+      if (limits === undefined) return
+      server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs
+      server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -0,0 +1,42 @@
+/** Counters and latency histograms, served as text on the metrics address. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Upper bounds of the latency histograms, in seconds: from one network hop to the longest deadlines. */
+const latencyBuckets = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1, 1.5, 2.5, 4, 6, 10, 15]
+
+export type GatewayMetrics = {
+  requestEnded (service: string, outcome: string, seconds: number): void
+  firstEvent (service: string, seconds: number): void
+  queueWait (seconds: number): void
+  refused (reason: string): void
+  command (operation: string, result: string): void
+  storeCall (feed: string, result: string): void
+  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready', value: number): void
+  text (): Promise<string>
+}
+
+export function createGatewayMetrics (): GatewayMetrics {
+  const registers = [new Registry()]
+  const requests = new Counter({ name: 'yuccawharf_requests_total', help: 'Requests by service and outcome.', labelNames: ['service', 'outcome'], registers })
+  const durations = new Histogram({ name: 'yuccawharf_request_seconds', help: 'Time from arrival to the end of the response.', labelNames: ['service', 'outcome'], buckets: latencyBuckets, registers })
+  const firsts = new Histogram({ name: 'yuccawharf_first_event_seconds', help: 'Time from arrival to the first event of a stream.', labelNames: ['service'], buckets: latencyBuckets, registers })
+  const waits = new Histogram({ name: 'yuccawharf_queue_seconds', help: 'Time in the queue of an engine owner.', buckets: latencyBuckets, registers })
+  const refusals = new Counter({ name: 'yuccawharf_refusals_total', help: 'Requests refused as not run, by reason.', labelNames: ['reason'], registers })
+  const commands = new Counter({ name: 'yuccawharf_engine_commands_total', help: 'Commands to engines by operation and result.', labelNames: ['operation', 'result'], registers })
+  const calls = new Counter({ name: 'yuccawharf_store_calls_total', help: 'Calls to the platform store by feed and result.', labelNames: ['feed', 'result'], registers })
+  const gauges = new Gauge({ name: 'yuccawharf_state', help: 'Current values.', labelNames: ['name'], registers })
+
+  return {
+    requestEnded (service, outcome, seconds) {
+      requests.inc({ service, outcome })
+      durations.observe({ service, outcome }, seconds)
+    },
+    firstEvent: (service, seconds) => { firsts.observe({ service }, seconds) },
+    queueWait: seconds => { waits.observe(seconds) },
+    refused: reason => { refusals.inc({ reason }) },
+    command: (operation, result) => { commands.inc({ operation, result }) },
+    storeCall: (feed, result) => { calls.inc({ feed, result }) },
+    gauge: (name, value) => { gauges.set({ name }, value) },
+    text: async () => await registers[0]!.metrics()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,422 @@
+/** One node of the gateway: composes the decisions with their connections to clients, backend servers, peers and the store. */
+import { createServer, type Server } from 'node:http'
+import { createRetryBudget, type RetryBudget } from '@yuccawharf/coordination'
+import type { ClientExchange } from './client-exchange'
+import type { AdapterVersion, BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
+import type { DecisionLog } from './decision-log'
+import { chooseAddresses } from './directory'
+import type { KnownEngine } from './engine-choice'
+import { forwardToEngine } from './engine-forwarder'
+import { createEngineOwner } from './engine-owner'
+import { followFeed, type Follower, type FollowerEvents } from './feed-follower'
+import { createFleet, type NodeRecord } from './fleet'
+import { createFrontServer } from './front-server'
+import type { GatewayMetrics } from './gateway-metrics'
+import { createPeerLink } from './peer-link'
+import { createPlaces, type PlaceMessage } from './places'
+import { forwardPlain } from './plain-forwarder'
+import type { FeedRecord, Listen, OperatorRecord, Platform } from './platform-interface'
+import { createRouteTable, type RouteTable } from './route-table'
+import { createServerRegistry, type RegistryChange } from './server-registry'
+import { createServicePool, type ServicePool } from './service-pool'
+import { createStatusBoard } from './status-board'
+import { createSuspensionGuard } from './suspension-guard'
+import { createUpstream } from './upstream'
+
+export type GatewayOptions = {
+  platform: Platform
+  log: DecisionLog
+  metrics: GatewayMetrics
+  /** Port of the metrics address and its path. */
+  metricsAddress: { port: number, path: string }
+  /** Steady clock, in ms. */
+  now (): number
+  random (): number
+}
+
+export type Gateway = {
+  start (): Promise<void>
+  /** Takes no new clients, finishes what runs, then resolves. */
+  stop (): Promise<void>
+}
+
+/** Pace of deadlines, reports and claims, in ms. */
+const tickMs = 50
+/** Pace of membership, in ms. */
+const memberTickMs = 200
+/** Pace of what owners tell all nodes, in ms; at least once in the second time without a change. */
+const statusMs = 250
+const statusMaxMs = 1000
+/** Pause between two reads of the servers' entries, in ms: two reads fit into the time in which a leaving server must get no more requests. */
+const serverReadMs = 850
+/** A waiting read returns at once on a change; its length only bounds what a silent connection hides, in ms. */
+const longWaitMs = 25_000
+/** Owners prove by their reads that they know the end of the log, in ms. */
+const ownerWaitMs = 800
+const ownerConfigWaitMs = 2500
+/** How long clients keep an address answer, in ms: a node that leaves finishes after that. */
+const addressKeepMs = 2000
+/** Time in which a leaving node still takes requests, in ms: until clients have asked for addresses again. */
+const leavingAcceptMs = 3000
+/** Time before the platform ends the process, in ms, at which a leaving node ends what still runs. */
+const stopMarginMs = 700
+/** Share of the shared allowance for repeats that the nodes together may use. */
+const budgetShare = 0.8
+/** Share of a server's connections that the nodes together may use. */
+const connectionShare = 0.9
+const minConnections = 4
+
+export function createGateway (options: GatewayOptions): Gateway {
+  const { platform, log, metrics, now } = options
+  const { settings } = platform
+  const startedAt = Date.now()
+  const registry = createServerRegistry()
+  const pools = new Map<string, ServicePool>()
+  const budgets = new Map<string, RetryBudget>()
+  const versions = new Map<string, AdapterVersion>()
+  const board = createStatusBoard()
+  const followers: Follower[] = []
+  const timers: NodeJS.Timeout[] = []
+  let table: RouteTable | undefined
+  let serversKnown = false
+  let leavingSince: number | undefined
+
+  const self: NodeRecord = {
+    type: 'node',
+    name: settings.name,
+    address: `${settings.ip}:${settings.peerPorts[0]}`,
+    zone: settings.zone,
+    incarnation: startedAt,
+    front: `${settings.front.host}:${settings.front.port}`,
+    capacity: settings.cpuShare
+  }
+
+  const link = createPeerLink({
+    self: { node: self.name, incarnation: self.incarnation },
+    host: settings.ip,
+    port: settings.peerPorts[0],
+    now,
+    received (from, { kind, payload }) {
+      if (kind === 'member') fleet.received(payload)
+      else if (kind === 'place') receivedPlace(from.node, payload as PlaceMessage)
+      else if (kind === 'status') receivedStatus(from.node, payload)
+    },
+    faulty: reason => { log.warn('peer-message-failed', { reason }) }
+  })
+
+  const fleet = createFleet({
+    self,
+    now,
+    log,
+    notify: (address, payload) => { link.notify(address, { kind: 'member', payload }) },
+    lost: node => owner.nodeLost(node)
+  })
+
+  const upstream = createUpstream({ now, connections: connectionsTo })
+
+  /** Engines of all services with their limits. */
+  function knownEngines (): { server: BackendServer, spec: EngineSpec }[] {
+    if (table === undefined) return []
+    return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine })))
+  }
+
+  const owner = createEngineOwner({
+    name: self.name,
+    zone: self.zone,
+    incarnation: self.incarnation,
+    leaseMs: settings.bounds.leaseMs,
+    versionMs: settings.bounds.versionMs,
+    now,
+    log,
+    metrics,
+    fleetLog: platform.fleet,
+    logPosition: () => fleetFollower?.position(),
+    engines: platform.engines,
+    known: knownEngines,
+    members: () => fleet.members(),
+    tell: tellNode,
+    appended: () => fleetFollower?.wake()
+  })
+
+  const places = createPlaces({
+    now,
+    zone: self.zone,
+    engines: enginesOf,
+    server: id => registry.get(id),
+    tell: tellNode,
+    log: log.info
+  })
+
+  function enginesOf (service: string): KnownEngine[] {
+    return registry.ready(service).map(server => {
+      const term = owner.ownership.owner(server.id)
+      const alive = term !== undefined && (term.node === self.name || fleet.members().some(({ name, state }) => name === term.node && state !== 'dead'))
+      return { server, ...(alive ? { owner: term.node } : {}), ...board.known(server.id, now()) }
+    })
+  }
+
+  async function tellNode (node: string, message: PlaceMessage): Promise<boolean> {
+    if (node === self.name) {
+      // Not at once: the caller finishes its own step first.
+      setImmediate(() => receivedPlace(self.name, message))
+      return true
+    }
+    const address = fleet.address(node)
+    return address === undefined ? false : await link.deliver(address, { kind: 'place', payload: message })
+  }
+
+  function receivedPlace (from: string, message: PlaceMessage): void {
+    if (message.kind === 'granted' || message.kind === 'refused') places.answered(from, message)
+    else owner.received(from, message)
+  }
+
+  function receivedStatus (from: string, payload: unknown): void {
+    const status = board.received(from, payload, now())
+    if (status === undefined) return
+    owner.freshness.vouched(status.fleetNext, status.fleetAgeMs, now())
+    fleetFollower?.behind(status.fleetNext)
+    operatorFollower?.behind(status.operatorNext)
+  }
+
+  function sendStatus (): void {
+    const status = { engines: owner.status().engines, fleetNext: fleetFollower?.position() ?? -1, fleetAgeMs: owner.freshness.ageMs(now()), operatorNext: operatorFollower?.position() ?? -1 }
+    board.own(self.name, status.engines, now())
+    if (!owner.owns()) return
+    const messages = board.encode(status, now(), statusMaxMs)
+    for (const { address } of fleet.peers()) {
+      for (const payload of messages) link.notify(address, { kind: 'status', payload })
+    }
+  }
+
+  function connectionsTo (service: string): number {
+    const limit = table?.service(service)?.maxConnections ?? minConnections
+    return Math.max(minConnections, Math.floor(limit * connectionShare / fleet.size()))
+  }
+
+  function budgetOf (service: string): RetryBudget {
+    const known = budgets.get(service)
+    if (known !== undefined) return known
+    const { retryRatio, retrySlack } = settings.bounds
+    const created = createRetryBudget({ ratio: retryRatio * budgetShare, burst: Math.max(1, retrySlack * budgetShare / fleet.size()) })
+    budgets.set(service, created)
+    return created
+  }
+
+  function poolOf (service: string): ServicePool {
+    const known = pools.get(service)
+    if (known !== undefined) return known
+    const created = createServicePool()
+    pools.set(service, created)
+    return created
+  }
+
+  async function forward (exchange: ClientExchange): Promise<void> {
+    log.info('request', { id: exchange.facts.id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: exchange.facts.demand?.adapter })
+    if (exchange.service.engine !== undefined && exchange.facts.demand !== undefined) {
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, places, log, budget: budgetOf, firstEvent: metrics.firstEvent })
+    }
+    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, servers: registry.ready, pool: poolOf, budget: budgetOf })
+  }
+
+  const front = createFrontServer({
+    now,
+    codec: platform.headers,
+    log,
+    routes: () => table,
+    closing: () => leavingSince !== undefined,
+    closed: () => leavingSince !== undefined && now() - leavingSince > leavingAcceptMs,
+    forward,
+    ended (exchange) {
+      const afterMs = now() - exchange.arrivedAt
+      metrics.requestEnded(exchange.service.name, exchange.outcome(), afterMs / 1000)
+      log.info('request-ended', { id: exchange.facts.id, service: exchange.service.name, outcome: exchange.outcome(), afterMs: Math.round(afterMs) })
+    }
+  })
+
+  function isReady (): boolean {
+    return table !== undefined && serversKnown && leavingSince === undefined
+  }
+
+  function applyConfig (config: ClusterConfig, offset: number): void {
+    if (table !== undefined && config.version <= table.config.version) return
+    table = createRouteTable(config)
+    front.configure()
+    metrics.gauge('config_version', config.version)
+    log.info('config-applied', { version: config.version, offset, routes: config.routes.length, services: config.services.length })
+    owner.refresh()
+  }
+
+  function applyOperator (records: FeedRecord<OperatorRecord>[]): void {
+    for (const { key, offset, value } of records) {
+      if (value === undefined || value.type === 'other') continue
+      if (value.type === 'config') applyConfig(value.config, offset)
+      else if (value.type === 'adapter-version') {
+        const { model, adapter, version } = value
+        versions.set(key, { model, adapter, version })
+        log.info('adapter-version', { model, adapter, version, offset })
+        owner.setVersion({ model, adapter, version })
+      } else log.warn('operator-record-unreadable', { key, offset, reason: value.reason })
+    }
+  }
+
+  function applyServers (changes: RegistryChange[]): void {
+    for (const change of changes) {
+      if (change.type === 'unreadable') log.warn('server-entry-unreadable', { key: change.key, reason: change.reason })
+      else log.info('server-changed', { server: change.server.id, change: change.type, service: change.server.service, address: change.server.address, zone: change.server.zone })
+    }
+    if (changes.length === 0) return
+    upstream.retain(registry.all())
+    const ids = new Set(registry.all().map(({ id }) => id))
+    for (const pool of pools.values()) pool.retain(ids)
+    owner.refresh()
+  }
+
+  function watch (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'call'> {
+    return {
+      lost: reason => { log.warn('dependency-lost', { dependency: feed, reason }) },
+      regained (lostForMs) {
+        log.info('dependency-regained', { dependency: feed, lostForMs: Math.round(lostForMs) })
+        regained()
+      },
+      call: result => { metrics.storeCall(feed, result) }
+    }
+  }
+
+  let fleetFollower: Follower | undefined
+  let operatorFollower: Follower | undefined
+
+  function startFollowers (): void {
+    const base = { now, random: options.random }
+    operatorFollower = followFeed(platform.operator, {
+      ...watch('operator', () => {}),
+      replaced: applyOperator,
+      changed: applyOperator,
+      answered () {}
+    }, { ...base, waitMs: () => owner.owns() ? ownerConfigWaitMs : longWaitMs, pauseMs: 0 })
+    const serverFollower = followFeed(platform.servers, {
+      ...watch('servers', () => registry.storeReturned(now())),
+      replaced: records => applyServers(registry.replace(records, now())),
+      changed: records => applyServers(registry.apply(records, now())),
+      answered () { serversKnown = true }
+    }, { ...base, waitMs: () => 0, pauseMs: serverReadMs })
+    const applyFleet: FollowerEvents<Parameters<typeof fleet.apply>[0][number]['value'] & object>['changed'] = records => {
+      fleet.apply(records)
+      owner.ownership.apply(records, now())
+      if (records.length > 0) owner.refresh()
+    }
+    fleetFollower = followFeed(platform.fleet, {
+      ...watch('fleet', () => {}),
+      replaced: applyFleet,
+      changed: applyFleet,
+      answered: (sentAt, next) => { owner.freshness.read(sentAt, next) }
+    }, { ...base, waitMs: () => owner.owns() ? ownerWaitMs : longWaitMs, pauseMs: 0 })
+    followers.push(operatorFollower, serverFollower, fleetFollower)
+  }
+
+  async function register (): Promise<void> {
+    for (;;) {
+      const result = await platform.fleet.append([{ key: `node/${self.name}`, value: self }])
+      if (result.ok || leavingSince !== undefined) return
+      log.warn('registration-failed', { reason: result.val })
+      await new Promise(resolve => setTimeout(resolve, 300 + 300 * options.random()))
+    }
+  }
+
+  function listenOn (server: Server, { host, port }: Listen): Promise<void> {
+    return new Promise((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, () => {
+        server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  const readyServer = createServer((req, res) => {
+    const ready = req.url === platform.ingress.readyPath && isReady()
+    res.writeHead(ready ? 200 : 503).end()
+  })
+
+  const directoryServer = createServer((req, res) => {
+    const query = platform.ingress.addressQuery(req.method ?? 'GET', req.url ?? '/')
+    if (query === undefined) {
+      res.writeHead(404).end()
+      return
+    }
+    const addresses = chooseAddresses(fleet.directory(isReady()), query.zone)
+    if (addresses.length === 0) {
+      res.writeHead(503).end()
+      return
+    }
+    const body = platform.ingress.addressAnswer({ addresses, keepForMs: Math.min(addressKeepMs, settings.bounds.addressKeepMaxMs) })
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
+  })
+
+  const metricsServer = createServer((req, res) => {
+    if (req.url !== options.metricsAddress.path) {
+      res.writeHead(404).end()
+      return
+    }
+    metrics.text().then(text => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text), err => {
+      log.error('metrics-failed', { reason: (err as Error).message })
+      res.writeHead(500).end()
+    })
+  })
+
+  const suspension = createSuspensionGuard({ now, wallClock: Date.now })
+
+  function startTimers (): void {
+    timers.push(setInterval(() => {
+      const gapMs = suspension.check()
+      if (gapMs > 0) {
+        log.warn('process-suspended', { gapMs: Math.round(gapMs) })
+        owner.freshness.suspended(now())
+      }
+      applyServers(registry.tick(now()))
+      owner.tick()
+    }, tickMs))
+    timers.push(setInterval(() => fleet.tick(), memberTickMs))
+    timers.push(setInterval(sendStatus, statusMs))
+    timers.push(setInterval(() => metrics.gauge('running', front.running()), statusMaxMs))
+  }
+
+  async function finish (): Promise<void> {
+    const endAt = now() + settings.bounds.graceMs - stopMarginMs
+    while (now() < endAt) {
+      if (front.running() === 0 && now() - leavingSince! > leavingAcceptMs) return
+      await new Promise(resolve => setTimeout(resolve, tickMs))
+    }
+    log.warn('stopping-with-requests', { running: front.running() })
+  }
+
+  return {
+    async start () {
+      log.info('starting', { zone: settings.zone, address: self.address, front: self.front, incarnation: self.incarnation })
+      await link.listen()
+      startFollowers()
+      startTimers()
+      register().catch(err => { log.error('registration-failed', { reason: (err as Error).message }) })
+      await Promise.all([
+        listenOn(front.server, settings.front),
+        listenOn(readyServer, settings.ready),
+        listenOn(directoryServer, settings.directory),
+        listenOn(metricsServer, { host: settings.ip, port: options.metricsAddress.port })
+      ])
+      log.info('started', {})
+    },
+    async stop () {
+      leavingSince = now()
+      log.info('stopping', { running: front.running(), graceMs: settings.bounds.graceMs })
+      fleet.leave()
+      owner.leave()
+      await finish()
+      for (const server of [front.server, directoryServer, readyServer, metricsServer]) server.close()
+      for (const timer of timers) clearInterval(timer)
+      for (const follower of followers) follower.stop()
+      link.close()
+      upstream.close()
+      log.info('stopped', {})
+      await log.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,6 @@
+/** Serving in front of many backend servers: routes, engines with adapters, plain services. */
+export * from './cluster-types'
+export * from './decision-log'
+export * from './gateway'
+export * from './gateway-metrics'
+export * from './platform-interface'
--- /dev/null
+++ b/packages/gateway/src/peer-link.ts
@@ -0,0 +1,134 @@
+/**
+ * Messages between nodes as datagrams. A reliable message is repeated until it is acknowledged and
+ * handed on once; the answer to a grant costs one round trip instead of a connection, and a silent
+ * connection cannot hold up the messages behind it.
+ */
+import { createSocket, type Socket } from 'node:dgram'
+
+export type PeerMessage = { kind: string, payload: unknown }
+export type PeerId = { node: string, incarnation: number }
+
+export type PeerLinkOptions = {
+  self: PeerId
+  host: string
+  port: number
+  now (): number
+  received (from: PeerId, message: PeerMessage, address: string): void
+  faulty (reason: string): void
+}
+
+export type PeerLink = {
+  listen (): Promise<void>
+  /** Sent once. */
+  notify (address: string, message: PeerMessage): void
+  /** @returns whether the peer acknowledged it */
+  deliver (address: string, message: PeerMessage): Promise<boolean>
+  close (): void
+}
+
+/** Pauses before a message is repeated, in ms: a round trip between zones takes 1 to 3 ms, a busy peer some tens. */
+const repeatAfterMs = [25, 50, 100, 150]
+/** Numbers of received messages that are remembered for each peer. */
+const rememberedMax = 4096
+/** Largest datagram, in bytes, that is sent unfragmented on common links. */
+export const maxDatagramBytes = 1400
+
+type Frame = [node: string, incarnation: number, number: number, kind: string, payload: unknown]
+type Unacked = { resolve (acked: boolean): void, timer: NodeJS.Timeout }
+
+const ackKind = 'ack'
+
+function parseFrame (bytes: Buffer): Frame | undefined {
+  try {
+    const value = JSON.parse(bytes.toString('utf8')) as unknown
+    if (!Array.isArray(value)) return undefined
+    const [node, incarnation, number, kind] = value as unknown[]
+    return typeof node === 'string' && Number.isSafeInteger(incarnation) && Number.isSafeInteger(number) && typeof kind === 'string' ? value as Frame : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function splitAddress (address: string): [string, number] {
+  const colon = address.lastIndexOf(':')
+  return [address.slice(0, colon), Number(address.slice(colon + 1))]
+}
+
+export function createPeerLink (options: PeerLinkOptions): PeerLink {
+  const { self } = options
+  const socket: Socket = createSocket('udp4')
+  const unacked = new Map<number, Unacked>()
+  /** Numbers of delivered messages by peer process. */
+  const seen = new Map<string, Set<number>>()
+  let lastNumber = 0
+
+  function transmit (address: string, number: number, { kind, payload }: PeerMessage): void {
+    const [host, port] = splitAddress(address)
+    const frame: Frame = [self.node, self.incarnation, number, kind, payload]
+    socket.send(JSON.stringify(frame), port, host, err => {
+      if (err !== null && err !== undefined) options.faulty(err.message)
+    })
+  }
+
+  function isNew (peer: string, number: number): boolean {
+    const numbers = seen.get(peer) ?? new Set<number>()
+    seen.set(peer, numbers)
+    if (numbers.has(number)) return false
+    numbers.add(number)
+    if (numbers.size > rememberedMax) numbers.delete(numbers.values().next().value!)
+    return true
+  }
+
+  socket.on('message', (bytes, { address, port }) => {
+    const frame = parseFrame(bytes)
+    if (frame === undefined) return options.faulty('datagram is not a message of a node')
+    const [node, incarnation, number, kind, payload] = frame
+    if (kind === ackKind) {
+      const pending = unacked.get(Number(payload))
+      if (pending === undefined) return
+      clearTimeout(pending.timer)
+      unacked.delete(Number(payload))
+      return pending.resolve(true)
+    }
+    const sender = `${address}:${port}`
+    if (number > 0) {
+      transmit(sender, 0, { kind: ackKind, payload: number })
+      if (!isNew(`${node}/${incarnation}`, number)) return
+    }
+    options.received({ node, incarnation }, { kind, payload }, sender)
+  })
+  socket.on('error', err => { options.faulty(err.message) })
+
+  return {
+    listen: () => new Promise((resolve, reject) => {
+      socket.once('error', reject)
+      socket.bind(options.port, options.host, () => {
+        socket.off('error', reject)
+        resolve()
+      })
+    }),
+    notify: (address, message) => { transmit(address, 0, message) },
+    deliver: (address, message) => new Promise(resolve => {
+      const number = ++lastNumber
+      const repeat = (attempt: number): void => {
+        transmit(address, number, message)
+        const pauseMs = repeatAfterMs[attempt]!
+        const timer = setTimeout(() => {
+          if (attempt + 1 < repeatAfterMs.length) return repeat(attempt + 1)
+          unacked.delete(number)
+          resolve(false)
+        }, pauseMs)
+        unacked.set(number, { resolve, timer })
+      }
+      repeat(0)
+    }),
+    close () {
+      for (const { timer, resolve } of unacked.values()) {
+        clearTimeout(timer)
+        resolve(false)
+      }
+      unacked.clear()
+      socket.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/places.ts
@@ -0,0 +1,153 @@
+/**
+ * Places at engines: asks the owner of a suitable engine, and another owner when the first refuses
+ * or does not answer. Without any owner the node chooses an engine by what it last heard.
+ */
+import type { BackendServer, ModelDemand } from './cluster-types'
+import { cacheScope } from './prompt-cache'
+import { chooseUnowned, createUseCounter, rankOwners, type KnownEngine } from './engine-choice'
+import type { RefusalReason, RunOutcome, ScheduledRequest } from './engine-scheduler'
+
+export type PlaceRequest = Omit<ScheduledRequest, 'id' | 'node' | 'objectiveAt' | 'deadlineAt'> & {
+  /** Unique to this request for a place. */
+  placeId: string
+  requestId: string
+  objectiveAt: number
+  deadlineAt: number
+}
+
+export type Place = {
+  placeId: string
+  server: BackendServer
+  version?: number
+  /** Node that decided; absent when this node chose without an owner. */
+  owner?: string
+}
+
+export type PlaceAnswer =
+  | { type: 'place', place: Place }
+  | { type: 'refused', reason: RefusalReason | 'no-owner', retryAfterMs: number }
+
+/** What owners and nodes say to each other about places; times are durations, since clocks differ. */
+export type PlaceMessage =
+  | { kind: 'acquire', place: Omit<ScheduledRequest, 'node' | 'objectiveAt' | 'deadlineAt'> & { objectiveInMs: number, deadlineInMs: number } }
+  | { kind: 'cancel', id: string }
+  | { kind: 'first-event', id: string }
+  | { kind: 'ended', id: string, outcome: RunOutcome }
+  | { kind: 'granted', id: string, engine: string, version?: number }
+  | { kind: 'refused', id: string, reason: RefusalReason, retryAfterMs: number }
+
+export type PlacesEnv = {
+  now (): number
+  zone: string
+  engines (service: string): KnownEngine[]
+  server (id: string): BackendServer | undefined
+  /** @returns whether the owner has it; for the own node at once */
+  tell (owner: string, message: PlaceMessage): Promise<boolean>
+  log (event: string, fields: Record<string, string | number | boolean | undefined>): void
+}
+
+export type Places = {
+  acquire (req: PlaceRequest): Promise<PlaceAnswer>
+  /** The request for a place is no longer wanted. */
+  abandon (placeId: string): void
+  firstEvent (place: Place): void
+  ended (place: Place, outcome: RunOutcome): void
+  /** Answer of an owner. */
+  answered (owner: string, message: PlaceMessage & { kind: 'granted' | 'refused' }): void
+}
+
+/** Owners that are asked for one request; each costs a round trip. */
+const maxOwners = 3
+/** An owner that has not answered is asked again at this pace, in ms: it may have ended. */
+const askAgainMs = 400
+const noOwnerRetryMs = 700
+
+type Pending = { owner: string, settle (answer: PlaceAnswer | 'lost'): void }
+
+export function createPlaces (env: PlacesEnv): Places {
+  const pending = new Map<string, Pending>()
+  const uses = createUseCounter()
+  /** Requests that this node has sent without an owner, by engine. */
+  const unowned = new Map<string, number>()
+
+  function message (req: PlaceRequest): PlaceMessage {
+    const { placeId, requestId, objectiveAt, deadlineAt, ...rest } = req
+    const now = env.now()
+    return { kind: 'acquire', place: { ...rest, id: placeId, objectiveInMs: Math.round(objectiveAt - now), deadlineInMs: Math.round(deadlineAt - now) } }
+  }
+
+  /** @returns `lost` when the owner does not acknowledge the request */
+  function ask (owner: string, req: PlaceRequest): Promise<PlaceAnswer | 'lost'> {
+    return new Promise(resolve => {
+      let timer: NodeJS.Timeout | undefined
+      const settle = (answer: PlaceAnswer | 'lost'): void => {
+        clearTimeout(timer)
+        pending.delete(req.placeId)
+        resolve(answer)
+      }
+      const send = async (): Promise<void> => {
+        const acknowledged = await env.tell(owner, message(req))
+        if (!pending.has(req.placeId)) return
+        if (!acknowledged) return settle('lost')
+        timer = setTimeout(() => { send().catch(() => settle('lost')) }, askAgainMs)
+      }
+      pending.set(req.placeId, { owner, settle })
+      send().catch(() => settle('lost'))
+    })
+  }
+
+  function chooseAlone (req: PlaceRequest): PlaceAnswer {
+    const server = chooseUnowned(env.engines(req.service), req.demand, env.zone, req.excluded, id => unowned.get(id) ?? 0)
+    if (server === undefined || (req.only !== undefined && !req.only.includes(server.id))) return { type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryMs }
+    unowned.set(server.id, (unowned.get(server.id) ?? 0) + 1)
+    env.log('place-without-owner', { id: req.requestId, server: server.id })
+    return { type: 'place', place: { placeId: req.placeId, server } }
+  }
+
+  function recentUses ({ model, adapter }: ModelDemand): number {
+    return adapter === undefined ? Infinity : uses.add(cacheScope({ model, adapter }), env.now())
+  }
+
+  function tellOwner (owner: string, text: PlaceMessage): void {
+    env.tell(owner, text).catch(() => {})
+  }
+
+  return {
+    async acquire (req) {
+      const owners = rankOwners(env.engines(req.service), req.demand, env.zone, recentUses(req.demand)).slice(0, maxOwners)
+      let refusal: PlaceAnswer | undefined
+      for (const owner of owners) {
+        const answer = await ask(owner, req)
+        env.log('owner-answered', { id: req.requestId, owner, answer: answer === 'lost' ? 'lost' : answer.type === 'place' ? answer.place.server.id : answer.reason })
+        if (answer === 'lost') continue
+        if (answer.type === 'place') return answer
+        if (refusal === undefined || refusal.type !== 'refused' || answer.retryAfterMs < refusal.retryAfterMs) refusal = answer
+      }
+      return refusal ?? chooseAlone(req)
+    },
+    abandon (placeId) {
+      const waiting = pending.get(placeId)
+      if (waiting === undefined) return
+      waiting.settle({ type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryMs })
+      tellOwner(waiting.owner, { kind: 'cancel', id: placeId })
+    },
+    firstEvent ({ owner, placeId }) {
+      if (owner !== undefined) tellOwner(owner, { kind: 'first-event', id: placeId })
+    },
+    ended ({ owner, placeId, server }, outcome) {
+      if (owner !== undefined) return tellOwner(owner, { kind: 'ended', id: placeId, outcome })
+      unowned.set(server.id, Math.max(0, (unowned.get(server.id) ?? 0) - 1))
+    },
+    answered (owner, answer) {
+      const waiting = pending.get(answer.id)
+      const server = answer.kind === 'granted' ? env.server(answer.engine) : undefined
+      if (answer.kind === 'granted' && (waiting === undefined || server === undefined)) {
+        // The client has left or another owner was asked meanwhile, or the engine is not known here.
+        tellOwner(owner, { kind: 'ended', id: answer.id, outcome: 'cancelled' })
+        return waiting?.settle({ type: 'refused', reason: 'no-engine', retryAfterMs: noOwnerRetryMs })
+      }
+      if (answer.kind === 'granted') waiting!.settle({ type: 'place', place: { placeId: answer.id, server: server!, owner, ...(answer.version === undefined ? {} : { version: answer.version }) } })
+      else waiting?.settle({ type: 'refused', reason: answer.reason, retryAfterMs: answer.retryAfterMs })
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -0,0 +1,153 @@
+/** Requests to plain services: choice of a server, and repeats where the route allows them. */
+import type { RetryBudget } from '@yuccawharf/coordination'
+import { startAttempt, type Attempt, type AttemptResult } from './attempt'
+import type { ClientExchange } from './client-exchange'
+import type { BackendServer } from './cluster-types'
+import type { DecisionLog } from './decision-log'
+import type { HeaderCodec } from './platform-interface'
+import type { AttemptOutcome, ServicePool } from './service-pool'
+import type { Upstream } from './upstream'
+
+export type PlainForwarderEnv = {
+  now (): number
+  random (): number
+  zone: string
+  codec: HeaderCodec
+  upstream: Upstream
+  log: DecisionLog
+  servers (service: string): BackendServer[]
+  pool (service: string): ServicePool
+  budget (service: string): RetryBudget
+}
+
+/** Connections that fail before anything is sent cost no server work; more than this many point at a lasting fault. */
+const maxUnsent = 4
+/** A repeat must leave the second server this much time, in ms. */
+const minRepeatMs = 50
+/** Without a response by then an idempotent request goes to another server: a multiple of the latency objective. */
+const repeatAfterObjectives = 1.2
+/** Wait that a client is asked for when all servers are full, in ms: about one request's work. */
+const fullRetryMs = 150
+const noServerRetryMs = 500
+const maxResponseBytes = 16 * 1024 * 1024
+
+type Step =
+  | { type: 'done' }
+  | { type: 'again' }
+
+export async function forwardPlain (exchange: ClientExchange, env: PlainForwarderEnv): Promise<void> {
+  const { route, service, facts } = exchange
+  const pool = env.pool(service.name)
+  const budget = env.budget(service.name)
+  const idempotent = route.kind === 'idempotent'
+  const sentTo = new Set<string>()
+  const avoided = new Set<string>()
+  let unsent = 0
+  /** An earlier attempt may have run. */
+  let maybeRun = false
+  let current: Attempt | undefined
+
+  budget.attempted()
+  exchange.onLeave(() => { current?.abort('client left') })
+  const deadline = setTimeout(() => {
+    // The attempt in progress may be running.
+    if (current !== undefined) maybeRun = true
+    current?.abort('deadline')
+    giveUp('deadline')
+  }, Math.max(0, exchange.deadlineAt - env.now()))
+
+  function giveUp (reason: string, retryAfterMs?: number): void {
+    if (exchange.ended) return
+    env.log.info('request-refused', { id: facts.id, service: service.name, reason, maybeRun, sentTo: [...sentTo], afterMs: Math.round(env.now() - exchange.arrivedAt) })
+    if (maybeRun) exchange.refuse({ status: reason === 'deadline' ? 504 : 502, outcome: 'unknown' }, reason)
+    else exchange.refuse({ status: 503, outcome: 'not-run' }, reason, retryAfterMs ?? noServerRetryMs)
+  }
+
+  function outcomeOf (result: AttemptResult): AttemptOutcome {
+    if (result.type === 'response') return result.status < 500 ? 'ok' : 'failed'
+    if (result.type === 'not-run') return result.status === 421 ? 'failed' : 'full'
+    return result.type === 'aborted' ? 'ok' : 'failed'
+  }
+
+  function mayRepeat (): boolean {
+    return idempotent && sentTo.size < route.attempts && exchange.deadlineAt - env.now() > minRepeatMs && env.servers(service.name).some(({ id }) => !sentTo.has(id)) && budget.take()
+  }
+
+  async function send (server: BackendServer): Promise<AttemptResult> {
+    const startedAt = env.now()
+    sentTo.add(server.id)
+    pool.started(server.id)
+    const attempt = startAttempt({
+      codec: env.codec,
+      upstream: env.upstream,
+      now: env.now,
+      server,
+      requestId: facts.id,
+      req: {
+        method: exchange.req.method ?? 'GET',
+        path: exchange.req.url ?? '/',
+        headers: env.codec.attempt(facts, { instanceId: server.id, remainingMs: exchange.deadlineAt - startedAt }),
+        body: exchange.body
+      },
+      maxBodyBytes: maxResponseBytes,
+      warn: env.log.warn
+    })
+    current = attempt
+    let slow = false
+    const canMove = idempotent && sentTo.size < route.attempts
+    const patience = canMove ? setTimeout(() => { slow = true; attempt.abort('slow server') }, Math.min(route.objectiveMs * repeatAfterObjectives, (exchange.deadlineAt - startedAt) / 2)) : undefined
+    const result = await attempt.result
+    clearTimeout(patience)
+    current = undefined
+    pool.ended(server.id, slow ? 'failed' : outcomeOf(result), env.now() - startedAt, env.now())
+    return slow && result.type === 'aborted' ? { type: 'failed', reason: 'slow server', begun: false } : result
+  }
+
+  function answer (status: number, headers: string[], body: Buffer): void {
+    exchange.head(status, [...headers.filter((_, at) => headers[at - at % 2]!.toLowerCase() !== 'content-length'), 'Content-Length', String(body.length)])
+    exchange.end(body)
+  }
+
+  function handle (server: BackendServer, result: AttemptResult): Step {
+    if (exchange.ended || result.type === 'aborted') return { type: 'done' }
+    env.log.info('attempt-ended', { id: facts.id, service: service.name, server: server.id, result: result.type, status: 'status' in result ? result.status : undefined, reason: 'reason' in result ? result.reason : undefined, afterMs: Math.round(env.now() - exchange.arrivedAt) })
+    switch (result.type) {
+      case 'not-sent':
+        sentTo.delete(server.id)
+        avoided.add(server.id)
+        unsent += 1
+        if (unsent <= maxUnsent) return { type: 'again' }
+        giveUp('no server could be reached')
+        return { type: 'done' }
+      case 'not-run':
+        // The request has not run there, but the route counts it as sent.
+        if (sentTo.size < route.attempts && budget.take()) return { type: 'again' }
+        giveUp(result.status === 421 ? 'server was replaced' : 'servers are full', fullRetryMs)
+        return { type: 'done' }
+      case 'failed':
+        maybeRun = true
+        if (mayRepeat()) return { type: 'again' }
+        giveUp(result.reason)
+        return { type: 'done' }
+      case 'response':
+        if (result.status >= 500 && mayRepeat()) {
+          maybeRun = true
+          return { type: 'again' }
+        }
+        answer(result.status, result.headers, result.body)
+        return { type: 'done' }
+      default:
+        return { type: 'done' }
+    }
+  }
+
+  try {
+    while (!exchange.ended) {
+      const server = pool.choose(env.servers(service.name), env.zone, new Set([...sentTo, ...avoided]), env.random(), env.now())
+      if (server === undefined) return giveUp('no server')
+      if (handle(server, await send(server)).type === 'done') return
+    }
+  } finally {
+    clearTimeout(deadline)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/prompt-cache.ts
@@ -0,0 +1,68 @@
+/** Estimate of the prompt parts that an engine keeps: per adapter, least recently used parts go first. */
+import type { ModelDemand } from './cluster-types'
+
+export type PromptCache = {
+  /** Tokens at the start of the prompt that need not be read again. */
+  cachedTokens (demand: ModelDemand): number
+  /** A request with this prompt is sent to the engine. */
+  use (demand: ModelDemand): void
+  /** The adapter was unloaded, which drops its parts. */
+  drop (scope: string): void
+  clear (): void
+}
+
+/** @returns the name under which an engine keeps prompt parts: model and adapter */
+export function cacheScope ({ model, adapter }: { model: string, adapter?: string }): string {
+  return adapter === undefined ? model : `${model}/${adapter}`
+}
+
+/** @param capacityTokens - memory for parts that no running request uses, in tokens */
+export function createPromptCache (capacityTokens: number): PromptCache {
+  // A Map iterates in insertion order, so the first key is the least recently used one.
+  const parts = new Map<string, { scope: string, tokens: number }>()
+  let total = 0
+
+  function remove (key: string): void {
+    total -= parts.get(key)?.tokens ?? 0
+    parts.delete(key)
+  }
+
+  function trim (): void {
+    for (const key of parts.keys()) {
+      if (total <= capacityTokens) return
+      remove(key)
+    }
+  }
+
+  return {
+    cachedTokens (demand) {
+      const scope = cacheScope(demand)
+      let cached = 0
+      // A part counts only if all parts before it are kept.
+      for (const part of demand.parts) {
+        if (!parts.has(`${scope}#${part.id}`)) break
+        cached += part.tokens
+      }
+      return cached
+    },
+    use (demand) {
+      const scope = cacheScope(demand)
+      for (const part of demand.parts) {
+        const key = `${scope}#${part.id}`
+        remove(key)
+        parts.set(key, { scope, tokens: part.tokens })
+        total += part.tokens
+      }
+      trim()
+    },
+    drop (scope) {
+      for (const [key, part] of parts) {
+        if (part.scope === scope) remove(key)
+      }
+    },
+    clear () {
+      parts.clear()
+      total = 0
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/route-table.ts
@@ -0,0 +1,59 @@
+/** Route lookup: host, then the longest path prefix; split by weight. */
+import { hashText } from '@yuccawharf/coordination'
+import type { ClusterConfig, Route, ServiceSpec } from './cluster-types'
+
+export type RouteTable = {
+  readonly config: ClusterConfig
+  /** @returns undefined when no route matches */
+  match (host: string, url: string): Route | undefined
+  service (name: string): ServiceSpec | undefined
+}
+
+const maxHash = 0x1_0000_0000
+
+/** @returns the host without its port, in lower case */
+export function hostName (host: string): string {
+  const colon = host.indexOf(':')
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase()
+}
+
+function pathOf (url: string): string {
+  const mark = url.indexOf('?')
+  return mark < 0 ? url : url.slice(0, mark)
+}
+
+/**
+ * Chooses the service of a request. The same key gives the same service while the weights stay.
+ *
+ * @param key - id of the request
+ * @returns undefined when the route has no target
+ */
+export function chooseTarget (route: Route, key: string): string | undefined {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0)
+  let left = hashText(key) / maxHash * total
+  for (const { service, weight } of route.targets) {
+    left -= weight
+    if (left < 0) return service
+  }
+  return route.targets.at(-1)?.service
+}
+
+export function createRouteTable (config: ClusterConfig): RouteTable {
+  const byHost = new Map<string, Route[]>()
+  for (const route of config.routes) {
+    const routes = byHost.get(route.host) ?? []
+    routes.push(route)
+    byHost.set(route.host, routes)
+  }
+  for (const routes of byHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+  const services = new Map(config.services.map(service => [service.name, service]))
+
+  return {
+    config,
+    match (host, url) {
+      const path = pathOf(url)
+      return byHost.get(hostName(host))?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+    },
+    service: name => services.get(name)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/status-board.ts
@@ -0,0 +1,92 @@
+/** What owners say of their engines and of the logs they read, as known at this node. */
+import type { KnownEngine } from './engine-choice'
+import type { EngineStatus } from './engine-scheduler'
+import { maxDatagramBytes } from './peer-link'
+
+export type OwnedEngineStatus = EngineStatus & { commandable: boolean }
+
+export type OwnerStatus = {
+  engines: OwnedEngineStatus[]
+  /** Offset up to which the sender has read the fleet log, and the age of that reading in ms. */
+  fleetNext: number
+  fleetAgeMs: number
+  operatorNext: number
+}
+
+type PackedEngine = [id: string, scopes: string[], backlogMs: number, running: number, commandable: 0 | 1]
+type PackedStatus = { engines: PackedEngine[], fleetNext: number, fleetAgeMs: number, operatorNext: number }
+
+export type StatusBoard = {
+  /** @returns the positions of the sender, or undefined when the message is malformed or from no owner */
+  received (from: string, payload: unknown, now: number): Omit<OwnerStatus, 'engines'> | undefined
+  own (node: string, engines: OwnedEngineStatus[], now: number): void
+  /** @returns messages, each small enough for a datagram; none when nothing has changed for less than `maxMs` */
+  encode (status: OwnerStatus, now: number, maxMs: number): PackedStatus[]
+  known (engine: string, now: number): Pick<KnownEngine, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'ageMs'>
+}
+
+type Entry = { commandable: boolean, scopes: Set<string>, backlogMs: number, running: number, at: number }
+
+/** Backlogs that differ by less do not change a choice, in ms. */
+const backlogStepMs = 50
+/** A status this old says nothing of the backlog any more, in ms. */
+const backlogValidMs = 3000
+/** Bytes of a datagram for the frame around the status. */
+const frameBytes = 150
+
+function pack ({ id, scopes, backlogMs, running, commandable }: OwnedEngineStatus): PackedEngine {
+  return [id, scopes, Math.round(backlogMs / backlogStepMs) * backlogStepMs, running, commandable ? 1 : 0]
+}
+
+function isPacked (value: unknown): value is PackedStatus {
+  const status = value as Partial<PackedStatus> | null
+  return typeof status === 'object' && status !== null && Array.isArray(status.engines) && [status.fleetNext, status.fleetAgeMs, status.operatorNext].every(Number.isFinite)
+}
+
+export function createStatusBoard (): StatusBoard {
+  const entries = new Map<string, Entry>()
+  let lastText = ''
+  let lastSentAt = -Infinity
+
+  function put ([id, scopes, backlogMs, running, commandable]: PackedEngine, now: number): void {
+    entries.set(id, { scopes: new Set(scopes), backlogMs, running, commandable: commandable === 1, at: now })
+  }
+
+  return {
+    received (_from, payload, now) {
+      if (!isPacked(payload)) return undefined
+      for (const engine of payload.engines) put(engine, now)
+      return payload
+    },
+    own (_node, engines, now) {
+      for (const engine of engines) put(pack(engine), now)
+    },
+    encode (status, now, maxMs) {
+      const engines = status.engines.map(pack)
+      // Counts of running requests change all the time and alone are not worth a message.
+      const text = JSON.stringify([engines.map(([id, scopes, backlogMs, , commandable]) => [id, scopes, backlogMs, commandable]), status.operatorNext, status.fleetNext])
+      if (text === lastText && now - lastSentAt < maxMs) return []
+      lastText = text
+      lastSentAt = now
+      const positions = { fleetNext: status.fleetNext, fleetAgeMs: Number.isFinite(status.fleetAgeMs) ? Math.round(status.fleetAgeMs) : 1e9, operatorNext: status.operatorNext }
+      const messages: PackedStatus[] = []
+      let bytes = Infinity
+      for (const engine of engines) {
+        const size = JSON.stringify(engine).length + 1
+        if (bytes + size > maxDatagramBytes - frameBytes) {
+          messages.push({ engines: [], ...positions })
+          bytes = 0
+        }
+        messages.at(-1)!.engines.push(engine)
+        bytes += size
+      }
+      return messages
+    },
+    known (engine, now) {
+      const entry = entries.get(engine)
+      if (entry === undefined) return { commandable: true, scopes: new Set(), backlogMs: 0, running: 0, ageMs: Infinity }
+      const valid = now - entry.at < backlogValidMs
+      return { commandable: entry.commandable, scopes: entry.scopes, backlogMs: valid ? entry.backlogMs : 0, running: valid ? entry.running : 0, ageMs: now - entry.at }
+    }
+  }
+}
--- a/packages/node/src/admin-desk.ts
+++ b/packages/node/src/admin-desk.ts
@@ -1,7 +1,7 @@
 /** What the command-line tool asks a node for: configuration, its history, status and events. */
 import type { Dispatcher } from 'undici'
 import { createConfigReducer, validateConfig, type ChangeOutcome } from '@yuccawharf/coordination'
-import { createLogClient } from '@yuccawharf/platform'
+import { createLogClient } from '@yuccawharf/clients'
 import { createTimelineRecorder } from '@yuccawharf/timeline'
 import type { ConfigApplyReply, ConfigApplyRequest, HistoryEntry, StatusReply } from '@yuccawharf/schema'
 import type { QueryableCore } from './core/node-core'
--- a/packages/node/src/core/engine-evictions.ts
+++ b/packages/node/src/core/engine-evictions.ts
@@ -1,6 +1,6 @@
 /** Carries out the evictions of one term: commands to the engine and records in the log. */
 import { createEvictions, type EvictionAction, type EvictionIntent, type EvictionsConfig } from '@yuccawharf/coordination'
-import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/clients'
 import type { EvictedRecord, EvictRecord } from '@yuccawharf/schema'
 import type { CoreContext } from './core-context'
 
--- a/packages/node/src/core/engine-owner-types.ts
+++ b/packages/node/src/core/engine-owner-types.ts
@@ -1,6 +1,6 @@
 /** What the owner of an engine does, and what it needs from the core. */
 import type { EvictionIntent, Pins, RunningRequest } from '@yuccawharf/coordination'
-import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/clients'
 import type { ClassConfig } from '@yuccawharf/schema'
 import type { EngineLoadHint } from '@yuccawharf/serving'
 import type { Completion, CoreEvent } from './messages'
--- a/packages/node/src/core/engine-owner.ts
+++ b/packages/node/src/core/engine-owner.ts
@@ -1,6 +1,6 @@
 /** One term of one engine at its owner: the scheduler, the pins of predecessors and the evictions. */
 import { createPins, type EvictionIntent, type OwnerTerm, type Predecessor } from '@yuccawharf/coordination'
-import type { EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/platform'
+import type { EngineCommand, EngineCommandResult, EngineReport } from '@yuccawharf/clients'
 import { createScheduler, parseHandle, type EngineScheduler, type SchedulerAction, type SchedulerEvent } from '@yuccawharf/serving'
 import type { CoreContext } from './core-context'
 import { createEngineEvictions } from './engine-evictions'
--- a/packages/node/src/core/engines.ts
+++ b/packages/node/src/core/engines.ts
@@ -1,6 +1,6 @@
 /** Ownership of engines at one node: takeovers, the terms that this process holds, and the ones it held. */
 import { createOwnershipLog, createSnapshotSchedule, createTakeover, firstNode, ownershipSnapshot, rankNodes, takeoverDefaults, type EngineCandidacy, type OwnershipChange, type OwnerTerm, type ProcessId, type RunningRequest, type TailProgress } from '@yuccawharf/coordination'
-import type { EngineReport, Instance } from '@yuccawharf/platform'
+import type { EngineReport, Instance } from '@yuccawharf/clients'
 import type { CoreContext } from './core-context'
 import { createEngineOwner } from './engine-owner'
 import type { EngineOwner, EngineOwnerEnv } from './engine-owner-types'
--- a/packages/node/src/core/golden.test.ts
+++ b/packages/node/src/core/golden.test.ts
@@ -4,7 +4,7 @@
  * `UPDATE_GOLDEN=1` writes the files anew.
  */
 import { readFileSync, writeFileSync } from 'node:fs'
-import type { InstanceSnapshot, LogPage } from '@yuccawharf/platform'
+import type { InstanceSnapshot, LogPage } from '@yuccawharf/clients'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { nodeCoreDefaults, type NodeCoreConfig } from './core-config'
--- a/packages/node/src/core/instances.ts
+++ b/packages/node/src/core/instances.ts
@@ -1,5 +1,5 @@
 /** Back ends of the newest instance list, and which of them are leaving as far as any node has said. */
-import type { Instance, InstanceKind, InstanceSnapshot } from '@yuccawharf/platform'
+import type { Instance, InstanceKind, InstanceSnapshot } from '@yuccawharf/clients'
 import type { CoreContext } from './core-context'
 import type { Peers } from './peers'
 
--- a/packages/node/src/core/log-streams.ts
+++ b/packages/node/src/core/log-streams.ts
@@ -1,6 +1,6 @@
 /** The log streams that a core follows, and the results of its appends. */
 import { createLogTail, type LogTail, type TailProgress } from '@yuccawharf/coordination'
-import type { AppendResult, LogPage } from '@yuccawharf/platform'
+import type { AppendResult, LogPage } from '@yuccawharf/clients'
 import type { CoreContext } from './core-context'
 
 export type StreamReader = {
--- a/packages/node/src/core/lost-requests.ts
+++ b/packages/node/src/core/lost-requests.ts
@@ -3,7 +3,7 @@
  * until its reports show that it does not.
  */
 import type { RunningRequest } from '@yuccawharf/coordination'
-import type { EngineReport } from '@yuccawharf/platform'
+import type { EngineReport } from '@yuccawharf/clients'
 
 export type LostRequests = {
   add (requestId: string, handle: string): void
--- a/packages/node/src/core/messages.ts
+++ b/packages/node/src/core/messages.ts
@@ -3,7 +3,7 @@
  * between these values and I/O; the core itself performs none.
  */
 import type { EngineLoadHint } from '@yuccawharf/serving'
-import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport, InstanceSnapshot, LogPage, ServiceRequest, ServiceResponse, ServiceResult } from '@yuccawharf/platform'
+import type { AppendResult, EngineCommand, EngineCommandResult, EngineReport, InstanceSnapshot, LogPage, ServiceRequest, ServiceResponse, ServiceResult } from '@yuccawharf/clients'
 
 /** A completion as it reaches the owner of an engine. */
 export type Completion = {
--- a/packages/node/src/core/order-shards.ts
+++ b/packages/node/src/core/order-shards.ts
@@ -1,6 +1,6 @@
 /** The claims shards that this node owns, by rendezvous hashing. The log keeps orders safe when two nodes both think they own a shard. */
 import { claimDeskDefaults, claimShards, claimStream, createClaimDesk, firstNode, orderKeyPrefix, parseOrderKey, type ClaimAction, type ClaimDesk, type LogTail } from '@yuccawharf/coordination'
-import type { ServiceResult } from '@yuccawharf/platform'
+import type { ServiceResult } from '@yuccawharf/clients'
 import type { CoreContext } from './core-context'
 import { createKeyWitnesses } from './key-witnesses'
 import type { LogStreams } from './log-streams'
--- a/packages/node/src/core/order-transfer.ts
+++ b/packages/node/src/core/order-transfer.ts
@@ -1,7 +1,7 @@
 /** Orders and their answers in the form in which they travel between nodes and in the log. */
 import { createHash } from 'node:crypto'
 import type { OrderAnswer, SendResult } from '@yuccawharf/coordination'
-import type { ServiceResponse, ServiceResult } from '@yuccawharf/platform'
+import type { ServiceResponse, ServiceResult } from '@yuccawharf/clients'
 import type { Order, Refusal } from './messages'
 import type { OrderReply, OrderTransfer } from './peer-messages'
 
--- a/packages/node/src/core/orders.ts
+++ b/packages/node/src/core/orders.ts
@@ -3,7 +3,7 @@
  * go to the owner of the key's shard, where the log decides who sends them.
  */
 import { createCircuitBreaker, createRetryBudget, parseOrderKey, retryAfterMs, type CircuitBreaker, type RetryBudget } from '@yuccawharf/coordination'
-import type { ServiceResponse, ServiceResult } from '@yuccawharf/platform'
+import type { ServiceResponse, ServiceResult } from '@yuccawharf/clients'
 import type { CoreContext } from './core-context'
 import type { Instances } from './instances'
 import type { Order, Refusal } from './messages'
--- a/packages/node/src/core/peers.ts
+++ b/packages/node/src/core/peers.ts
@@ -1,6 +1,6 @@
 /** Other nodes: membership, envelopes, and when each peer of the same revision was last heard. */
 import { createMembership, membershipDefaults, type Member, type MembershipAction, type ProcessId } from '@yuccawharf/coordination'
-import type { InstanceSnapshot } from '@yuccawharf/platform'
+import type { InstanceSnapshot } from '@yuccawharf/clients'
 import type { CoreContext } from './core-context'
 import type { Envelope } from './messages'
 import type { CoreMessage } from './peer-messages'
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { Agent, type Dispatcher } from 'undici'
-import type { EngineReport } from '@yuccawharf/platform'
+import type { EngineReport } from '@yuccawharf/clients'
 import type { ClassConfig, Settings } from '@yuccawharf/schema'
 import { createHybridClock, type HybridClock } from '@yuccawharf/timeline'
 import { createAnswerHub } from './answer-hub'
--- a/packages/node/src/directory.ts
+++ b/packages/node/src/directory.ts
@@ -1,5 +1,5 @@
 /** Addresses of instances, from the newest instance list. */
-import type { Instance, InstanceKind, InstanceSnapshot } from '@yuccawharf/platform'
+import type { Instance, InstanceKind, InstanceSnapshot } from '@yuccawharf/clients'
 
 export type Directory = {
   update (snapshot: InstanceSnapshot): void
--- a/packages/node/src/service-routes.ts
+++ b/packages/node/src/service-routes.ts
@@ -1,7 +1,7 @@
 /** Calls of plain services: the core decides on orders, idempotent calls included. */
 import { randomUUID } from 'node:crypto'
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
-import type { ServiceResponse } from '@yuccawharf/platform'
+import type { ServiceResponse } from '@yuccawharf/clients'
 import type { Settings } from '@yuccawharf/schema'
 import type { CoreAction, CoreEvent, Order } from './core/messages'
 import { readBody } from './http-body'
--- a/packages/serving/src/load-planner.ts
+++ b/packages/serving/src/load-planner.ts
@@ -1,5 +1,5 @@
 /** Permits, loads and evictions of one engine: turns waiting requests into engine commands. */
-import type { EngineCommandResult } from '@yuccawharf/platform'
+import type { EngineCommandResult } from '@yuccawharf/clients'
 import { formatHandle } from './handles'
 import { invariant } from './invariant'
 import { evictableSlots, isPinned, loadCandidates, prefetchCandidate } from './load-choice'
--- a/packages/serving/src/messages.ts
+++ b/packages/serving/src/messages.ts
@@ -3,7 +3,7 @@
  * adapter loads and the router of an entry node. All times are ms of the caller's clock.
  */
 import type { ClassConfig } from '@yuccawharf/schema'
-import type { EngineCommandResult, EngineReport, ResidentAdapter } from '@yuccawharf/platform'
+import type { EngineCommandResult, EngineReport, ResidentAdapter } from '@yuccawharf/clients'
 
 /** A request waiting at the owner of an engine. */
 export type ServingRequest = {
--- a/packages/serving/src/scheduler.test.ts
+++ b/packages/serving/src/scheduler.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { EngineReport } from '@yuccawharf/platform'
+import type { EngineReport } from '@yuccawharf/clients'
 import { createScheduler } from './scheduler'
 import type { EngineScheduler, SchedulerAction, SchedulerConfig, SchedulerEvent, ServingRequest } from './messages'
 
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -3,7 +3,7 @@
  * A pure state machine. Every submitted request ends exactly once: by a `refuse` action or by an
  * `ended` event that is not followed by `requeued`.
  */
-import type { EngineReport } from '@yuccawharf/platform'
+import type { EngineReport } from '@yuccawharf/clients'
 import prand from 'pure-rand'
 import { batchWaitMs, createServiceTimes, loadWaitMs, refusalRetryMs } from './admission'
 import type { AdmissionState } from './admission'
--- a/packages/serving/src/slots.ts
+++ b/packages/serving/src/slots.ts
@@ -2,7 +2,7 @@
  * The adapter slots of one engine as its owner knows them. A handle occupies its slot from the load
  * command until the engine has confirmed the unload, the load was refused, or reports show that it is gone.
  */
-import type { EngineReport, ResidentAdapter } from '@yuccawharf/platform'
+import type { EngineReport, ResidentAdapter } from '@yuccawharf/clients'
 import { adapterKey, parseHandle } from './handles'
 import { invariant } from './invariant'
 
--- a/packages/soak/src/config-oracle.ts
+++ b/packages/soak/src/config-oracle.ts
@@ -3,7 +3,7 @@
  * the ground truth of P8.
  */
 import type { Change } from '@yuccawharf/coordination'
-import type { LogEntry } from '@yuccawharf/platform'
+import type { LogEntry } from '@yuccawharf/clients'
 
 export type ConfigOracle = {
   apply (entry: LogEntry): void
--- a/packages/soak/src/node-process.ts
+++ b/packages/soak/src/node-process.ts
@@ -1,6 +1,6 @@
 /** One process of a node in the world: the core under test inside simulated shells. */
 import { createNodeCore, nodeCoreDefaults, type CoreAction, type Order, type QueryableCore } from '@yuccawharf/node'
-import type { EngineCommandResult, ServiceResult } from '@yuccawharf/platform'
+import type { EngineCommandResult, ServiceResult } from '@yuccawharf/clients'
 import type { Mutation } from './mutants'
 import { createLogShell, type LogShell } from './shell-log'
 import { createStreamShell, type StreamShell, type StreamShellEnv } from './shell-streams'
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -1,6 +1,6 @@
 /** Everything outside the nodes, as models on one virtual clock, with the ground truth of the checks. */
 import type { Change } from '@yuccawharf/coordination'
-import type { EngineCommand, Instance, InstanceSnapshot, ServiceRequest } from '@yuccawharf/platform'
+import type { EngineCommand, Instance, InstanceSnapshot, ServiceRequest } from '@yuccawharf/clients'
 import { createChance, createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createVirtualClock, createWeightStoreModel, type Chance, type EngineModel, type InstanceListModel, type LogModel, type PlainServiceModel, type VirtualClock, type WeightStoreModel } from '@yuccawharf/stand-ins'
 import { createChecker, type Checker } from './checker'
 import { configContent, createConfigOracle, type ConfigOracle } from './config-oracle'
--- a/packages/stand-ins/src/engine-model.ts
+++ b/packages/stand-ins/src/engine-model.ts
@@ -1,5 +1,5 @@
 /** Model of a model engine: continuous batching, adapter slots, resumable streams, cold restarts. */
-import type { EngineCommand, EngineCommandResult, EngineReport, GenerateRequest } from '@yuccawharf/platform'
+import type { EngineCommand, EngineCommandResult, EngineReport, GenerateRequest } from '@yuccawharf/clients'
 import type { Clock } from './clock'
 import { createPrefixCacheModel, hashText, type CacheEvent } from './prefix-cache-model'
 import type { WeightStoreModel } from './weight-store-model'
--- a/packages/stand-ins/src/http-servers.test.ts
+++ b/packages/stand-ins/src/http-servers.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createEngineClient, createInstanceListClient, createLogClient, createPlainServiceClient, createWeightStoreClient, GenerateError, type GenerateEvent } from '@yuccawharf/platform'
+import { createEngineClient, createInstanceListClient, createLogClient, createPlainServiceClient, createWeightStoreClient, GenerateError, type GenerateEvent } from '@yuccawharf/clients'
 import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, expectedText, serveEngine, serveInstanceList, serveLog, servePlainService, serveWeightStore, type EngineModel } from './index'
 
 const clock = createRealClock()
--- a/packages/stand-ins/src/instance-list-model.ts
+++ b/packages/stand-ins/src/instance-list-model.ts
@@ -1,5 +1,5 @@
 /** Model of the instance list: changes become visible after a lag. */
-import type { Instance, InstanceSnapshot } from '@yuccawharf/platform'
+import type { Instance, InstanceSnapshot } from '@yuccawharf/clients'
 import type { Clock } from './clock'
 
 export type InstanceListModel = {
--- a/packages/stand-ins/src/log-model.ts
+++ b/packages/stand-ins/src/log-model.ts
@@ -1,5 +1,5 @@
 /** Model of the log service: named streams, bounded retention, outages and lost responses. */
-import type { AppendResult, LogEntry, LogPage, ReadResult } from '@yuccawharf/platform'
+import type { AppendResult, LogEntry, LogPage, ReadResult } from '@yuccawharf/clients'
 import { createChance, type Clock } from './clock'
 
 export type LogModelOptions = {
--- a/packages/stand-ins/src/models.test.ts
+++ b/packages/stand-ins/src/models.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { AppendResult, EngineCommandResult, ReadResult } from '@yuccawharf/platform'
+import type { AppendResult, EngineCommandResult, ReadResult } from '@yuccawharf/clients'
 import { createEngineModel, createInstanceListModel, createLogModel, createVirtualClock, createWeightStoreModel, expectedText, type EngineModelOptions, type StreamListener } from './index'
 
 function createEngine (options: Partial<EngineModelOptions> = {}) {
--- a/packages/stand-ins/src/plain-service-model.ts
+++ b/packages/stand-ins/src/plain-service-model.ts
@@ -1,5 +1,5 @@
 /** Model of a plain service that counts how often each order was executed. */
-import type { ServiceRequest, ServiceResponse } from '@yuccawharf/platform'
+import type { ServiceRequest, ServiceResponse } from '@yuccawharf/clients'
 import type { Clock } from './clock'
 
 export type PlainServiceModel = {
--- /dev/null
+++ b/scripts/build-platform.mjs
@@ -0,0 +1,18 @@
+/** Builds `target/yuccawharf.cjs`, the bundle that deploy/system.toml runs on the users' platform. */
+import { mkdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { build } from 'esbuild'
+import { bundleOptions } from './bundle-options.mjs'
+
+const root = fileURLToPath(new URL('..', import.meta.url))
+const target = join(root, 'target')
+
+mkdirSync(target, { recursive: true })
+await build({
+  ...bundleOptions,
+  entryPoints: [join(root, 'platform/src/main.ts')],
+  outfile: join(target, 'yuccawharf.cjs'),
+  minify: true,
+  keepNames: true
+})
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -8,6 +8,7 @@
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
 import { inject } from 'postject'
+import { bundleOptions } from './bundle-options.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const dist = join(root, 'dist')
@@ -40,22 +41,9 @@
   const { metafile } = await build({
     entryPoints: [join(root, 'packages/cli/src/main.ts')],
     outfile: bundle,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
     metafile: true,
-    minifySyntax: true,
     plugins: [withoutHooks],
-    legalComments: 'none',
-    // Bundled packages call createRequire and read their own place, which a CommonJS bundle lacks.
-    define: { 'import.meta.url': 'yuccawharfUrl' },
-    banner: { js: "const yuccawharfUrl = require('node:url').pathToFileURL(process.execPath).href;" },
-    // Optional native part of hot-shots for Unix sockets; metrics go over UDP.
-    external: ['unix-dgram'],
-    // The UMD form of ts-results requires its parts through a parameter, which a bundler cannot follow.
-    alias: { 'ts-results': 'ts-results/esm' },
-    logLevel: 'warning'
+    ...bundleOptions
   })
   const left = readFileSync(bundle, 'utf8').match(/hooks\??\.(skip|send|evict|accept|ignore|dispatch)\w+/g)
   if (left !== null) throw new Error(`hooks of tests would be in the executable: ${left.join(', ')}`)
--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -1,6 +1,7 @@
 /**
  * Generates TypeScript types, standalone validators and the settings reference from
- * `schema/*.schema.json` into `packages/schema/src/generated`, and `docs/settings.md`. With `--check` it writes nothing and exits 1 when the
+ * `schema/*.schema.json` into `packages/schema/src/generated`, and `docs/settings.md`; the formats of
+ * the platform from `platform/schema` into `platform/src/generated`. With `--check` it writes nothing and exits 1 when the
  * committed files differ from what the schemas give.
  */
 import { existsSync, mkdirSync, readdirSync, readFileSync, writeFileSync } from 'node:fs'
@@ -12,14 +13,16 @@
 import { settingsPage, settingsReference } from './settings-reference'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
-const schemaDir = join(root, 'schema')
-const outDir = join(root, 'packages/schema/src/generated')
+const productSchemas: Target = { schemaDir: join(root, 'schema'), outDir: join(root, 'packages/schema/src/generated') }
+/** Formats of the platform stay in its folder, so that nothing else can import them. */
+const platformSchemas: Target = { schemaDir: join(root, 'platform/schema'), outDir: join(root, 'platform/src/generated') }
 const settingsPagePath = join(root, 'docs/settings.md')
 const banner = '/* Generated from schema/ by `npm run generate`. Do not edit. */'
 // ajv's standalone module is CommonJS, so its default export arrives wrapped in some loaders.
 const standaloneCode = ((standaloneModule as unknown as { default?: typeof standaloneModule }).default ?? standaloneModule)
 
 type GeneratedFile = { name: string, text: string }
+type Target = { schemaDir: string, outDir: string }
 
 function exportName (file: string): string {
   const words = basename(file, '.schema.json').split('-')
@@ -77,23 +80,24 @@
   return { name: 'reference.ts', text: `${banner}\n${type}\n${table('settingsReference', settings)}\n${table('configReference', config)}\n` }
 }
 
-function readSchemas (): Map<string, AnySchemaObject> {
+function readSchemas ({ schemaDir }: Target): Map<string, AnySchemaObject> {
   const files = readdirSync(schemaDir).filter(file => file.endsWith('.schema.json')).sort()
   return new Map(files.map(file => [file, JSON.parse(readFileSync(join(schemaDir, file), 'utf8')) as AnySchemaObject]))
 }
 
-async function generate (schemas: Map<string, AnySchemaObject>): Promise<GeneratedFile[]> {
+async function generate (schemas: Map<string, AnySchemaObject>, extra: GeneratedFile[]): Promise<GeneratedFile[]> {
   const types = await Promise.all([...schemas].map(([file, schema]) => generateTypes(file, structuredClone(schema))))
-  const index = [...[...schemas.keys()].map(file => basename(file, '.schema.json')), 'reference'].map(name => `export * from './${name}'`)
+  const modules = [...[...schemas.keys()].map(file => basename(file, '.schema.json')), ...extra.map(({ name }) => basename(name, '.ts'))]
+  const index = modules.map(name => `export * from './${name}'`)
   return [
     ...types,
     ...generateValidators(schemas),
-    generateReference(schemas.get('settings.schema.json')!, schemas.get('config.schema.json')!),
+    ...extra,
     { name: 'index.ts', text: `${banner}\n${index.join('\n')}\nexport * from './validators.js'\n` }
   ]
 }
 
-function differingFiles (files: GeneratedFile[]): string[] {
+function differingFiles ({ outDir }: Target, files: GeneratedFile[]): string[] {
   const expected = new Set(files.map(file => file.name))
   const stale = existsSync(outDir) ? readdirSync(outDir).filter(name => !expected.has(name)) : []
   const changed = files.filter(({ name, text }) => {
@@ -103,19 +107,25 @@
   return [...changed.map(file => file.name), ...stale]
 }
 
-const schemas = readSchemas()
-const files = await generate(schemas)
+const schemas = readSchemas(productSchemas)
 const settingsSchema = schemas.get('settings.schema.json')!
+const reference = generateReference(settingsSchema, schemas.get('config.schema.json')!)
+const outputs: [Target, GeneratedFile[]][] = [
+  [productSchemas, await generate(schemas, [reference])],
+  [platformSchemas, await generate(readSchemas(platformSchemas), [])]
+]
 const page = settingsPage(settingsReference(settingsSchema), String(settingsSchema.description))
 if (process.argv.includes('--check')) {
-  const differing = differingFiles(files)
+  const differing = outputs.flatMap(([target, files]) => differingFiles(target, files))
   if (!existsSync(settingsPagePath) || readFileSync(settingsPagePath, 'utf8') !== page) differing.push('docs/settings.md')
   if (differing.length > 0) {
     console.error(`generated code is out of date, run "npm run generate": ${differing.join(', ')}`)
     process.exitCode = 1
   }
 } else {
-  mkdirSync(outDir, { recursive: true })
-  for (const { name, text } of files) writeFileSync(join(outDir, name), text)
+  for (const [{ outDir }, files] of outputs) {
+    mkdirSync(outDir, { recursive: true })
+    for (const { name, text } of files) writeFileSync(join(outDir, name), text)
+  }
   writeFileSync(settingsPagePath, page)
 }
--- a/scripts/measure-engine-stream.ts
+++ b/scripts/measure-engine-stream.ts
@@ -3,7 +3,7 @@
  * Run `serve` and `read URL raw|client` in two processes; both run for a bounded time.
  */
 import { request } from 'undici'
-import { createEngineClient } from '@yuccawharf/platform'
+import { createEngineClient } from '@yuccawharf/clients'
 import { createEngineModel, createRealClock, createWeightStoreModel, serveEngine } from '@yuccawharf/stand-ins'
 
 const streams = 64
