--- a/packages/gateway/src/adapter-loads.ts
+++ b/packages/gateway/src/adapter-loads.ts
@@ -4,7 +4,7 @@
  * cannot carry them.
  */
 import { cacheScope } from './prompt-cache'
-import { isIdle, placeLimit, usedPlaces, type AdapterCopy, type EngineState } from './engine-state'
+import { backlogMs, isIdle, placeLimit, usedPlaces, type AdapterCopy, type EngineState } from './engine-state'
 
 export type WantedAdapter = {
   scope: string
@@ -79,7 +79,7 @@
     if (loadingCount(engine, false) >= loadsPerEngine) continue
     const evicted = present ?? (usedPlaces(engine) < placeLimit(engine) ? undefined : victim(engine, keep))
     if (evicted === undefined && usedPlaces(engine) >= placeLimit(engine)) continue
-    const cost = Math.max(0, engine.prefillFreeAt - ctx.now) + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostMs
+    const cost = backlogMs(engine, ctx.now) + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostMs
     if (cost >= bestCost) continue
     bestCost = cost
     best = evicted === undefined ? { type: 'load', engine, wanted } : { type: 'unload', engine, copy: evicted }
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -15,12 +15,14 @@
   scopes: ReadonlySet<string>
   backlogMs: number
   running: number
+  /** Time until an adapter that its owner's engines do not hold could be there, in ms. */
+  loadWaitMs: number
   /** Age of what the owner said, in ms; Infinity when it has said nothing. */
   ageMs: number
 }
 
-/** Costs as time, in ms: one load from the weight store; the bytes of a request between zones; each running request. */
-const loadCostMs = 300
+/** Costs as time, in ms: the price of a load from the weight store, beside its duration; the bytes of a request between zones; each running request. */
+const loadCostMs = 100
 const otherZoneCostMs = 120
 const hotOtherZoneCostMs = 400
 const runningCostMs = 4
@@ -31,7 +33,7 @@
   const near = engine.server.zone === zone
   const held = scope === undefined || engine.scopes.has(scope)
   if (!held && !engine.commandable) return Infinity
-  return engine.backlogMs + engine.running * runningCostMs + (held ? 0 : loadCostMs) + (near ? 0 : hot ? hotOtherZoneCostMs : otherZoneCostMs)
+  return engine.backlogMs + engine.running * runningCostMs + (held ? 0 : loadCostMs + engine.loadWaitMs) + (near ? 0 : hot ? hotOtherZoneCostMs : otherZoneCostMs)
 }
 
 /**
--- /dev/null
+++ b/packages/gateway/src/engine-loads.ts
@@ -0,0 +1,283 @@
+/**
+ * Loads and unloads that the owner of engines decides on: adapters that waiting requests want, newer
+ * versions, base models of engines that started empty; and what the results of commands mean.
+ */
+import type { EngineCommandResult } from './cluster-types'
+import { coldLoads, decideLoad, type WantedAdapter } from './adapter-loads'
+import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
+import { backlogMs, forgetCopy, hasRoom, isIdle, type AdapterCopy, type EngineState, type PendingCommand } from './engine-state'
+import { cacheScope } from './prompt-cache'
+
+export type Waiting = ScheduledRequest & { scope: string, arrivedAt: number }
+export type NewestVersion = { version: number, announcedAt: number }
+
+/** State that the queue and the loads of one owner share. */
+export type SchedulerState = {
+  engines: Map<string, EngineState>
+  versions: Map<string, NewestVersion>
+  /** Estimated durations of loads from the weight store and from an engine's memory, in ms. */
+  coldLoadMs: number
+  warmLoadMs: number
+  /** Share of all engines that this node owns. */
+  share: number
+}
+
+export type EngineLoads = {
+  /** @param blocked - requests that wait for an adapter or for room */
+  decide (blocked: Waiting[], now: number): SchedulerAction[]
+  commandResult (engine: EngineState, result: EngineCommandResult, now: number): void
+  /** A request ran on a copy that was being loaded. */
+  loadConfirmed (copy: AdapterCopy): void
+  /** An engine refused a request because its adapter is not there. */
+  copyMissing (engine: EngineState, scope: string, now: number): void
+  isCurrent (copy: AdapterCopy, scope: string): boolean
+  isUsable (copy: AdapterCopy, scope: string, now: number): boolean
+  /** Time until an adapter that nobody holds could be there, in ms. */
+  loadWaitMs (blocked: Waiting[]): number
+}
+
+/** An adapter is loaded a second time when its copies make requests wait this much longer than a load, in ms. */
+const replicateAfterMs = 150
+/** Loads over all engines up to which each takes its usual time. */
+const storeLoadLimit = 8
+/** Pause before the next try when a load turns out to be unfinished, in ms. */
+const loadRetryMs = 40
+/** A response to a command may be lost although it is carried out; a report older than this may not show it, in ms. */
+export const uncertainMs = 450
+/** Copies of an older version are used until this long before a new version must be in force, in ms. */
+const versionMarginMs = 1500
+/** A load of a base model is checked at this pace, in ms. */
+export const modelCheckMs = 1000
+/** Uses in recent time from which a newer version is loaded before a request asks for it. */
+const replaceUses = 0.5
+/** Bounds of the estimated duration of a load, in ms. */
+const minColdLoadMs = 50
+const maxColdLoadMs = 2000
+const minWarmLoadMs = 10
+const maxWarmLoadMs = 300
+/** The estimate falls by this with each load that was ready in time, and rises tenfold as fast with each that was not. */
+const confirmFactor = 0.99
+
+export function createEngineLoads (cfg: SchedulerConfig, state: SchedulerState): EngineLoads {
+  const { engines, versions } = state
+  /** Adapters in use whose last older copy was unloaded and whose newer version is not on its way yet. */
+  const replacing = new Map<string, WantedAdapter>()
+
+  function isCurrent (copy: AdapterCopy, scope: string): boolean {
+    const newest = versions.get(scope)
+    if (newest === undefined) return true
+    return copy.version === undefined ? copy.loadStartedAt > newest.announcedAt : copy.version >= newest.version
+  }
+
+  function isUsable (copy: AdapterCopy, scope: string, now: number): boolean {
+    if (copy.state === 'unloading' || copy.retiring === true || copy.readyAt > now) return false
+    return isCurrent(copy, scope) || now < versions.get(scope)!.announcedAt + cfg.versionMs - versionMarginMs
+  }
+
+  function wantedAdapters (blocked: Waiting[], now: number): WantedAdapter[] {
+    const wanted = new Map<string, WantedAdapter>()
+    for (const req of blocked) {
+      const { model, adapter } = req.demand
+      if (adapter === undefined || isLoading(req.scope)) continue
+      const copies = usableHolders(req, now)
+      const waitMs = copies.length === 0 ? Infinity : Math.min(...copies.map(engine => hasRoom(engine, req.demand) ? backlogMs(engine, now) : Infinity))
+      if (waitMs < (copies.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
+      const version = versions.get(req.scope)?.version
+      const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
+      // The most urgent class counts most; a request that is already late counts least.
+      entry.weight += (req.objectiveAt > now ? 4 : 1) / (1 + req.priority)
+      wanted.set(req.scope, entry)
+    }
+    return [...wanted.values()].sort((left, right) => right.weight - left.weight)
+  }
+
+  function isLoading (scope: string): boolean {
+    for (const { copies, pending } of engines.values()) {
+      if (copies.get(scope)?.state === 'loading') return true
+      if (pending?.operation === 'load' && pending.adapter !== undefined && cacheScope(pending) === scope) return true
+    }
+    return false
+  }
+
+  /** Adapters in use of which only older versions are held. */
+  function outdatedAdapters (now: number): WantedAdapter[] {
+    const outdated: WantedAdapter[] = []
+    for (const [scope, { version }] of versions) {
+      let use = 0
+      let held: AdapterCopy | undefined
+      let current = isLoading(scope)
+      for (const engine of engines.values()) {
+        const copy = engine.copies.get(scope)
+        if (copy === undefined) continue
+        current ||= isCurrent(copy, scope)
+        use += copy.use
+        held = copy
+      }
+      if (!current && held !== undefined && use >= replaceUses) outdated.push({ scope, model: held.model, adapter: held.adapter, version, weight: use })
+    }
+    for (const { scope } of outdated) retireOne(scope, now)
+    return outdated
+  }
+
+  /** With an older copy on every engine, the least busy one stops taking requests so that it can be replaced. */
+  function retireOne (scope: string, now: number): void {
+    const usable = [...engines.values()].filter(engine => engine.suspectUntil <= now)
+    const copies = usable.flatMap(engine => engine.copies.get(scope) ?? [])
+    if (copies.length === 0 || copies.length < usable.length || copies.some(copy => copy.retiring === true)) return
+    copies.sort((left, right) => left.running - right.running)
+    copies[0]!.retiring = true
+  }
+
+  function canCommand (engine: EngineState, now: number): boolean {
+    return engine.pending === undefined && engine.commandCount !== undefined && engine.suspectUntil <= now && engine.server.state === 'ready' && cfg.mayCommand(engine.server.id, now)
+  }
+
+  function command (engine: EngineState, operation: PendingCommand['operation'], target: { model: string, adapter?: string, version?: number }, now: number): SchedulerAction {
+    const { model, adapter, version } = target
+    const pending: PendingCommand = {
+      operation,
+      model,
+      ...(adapter === undefined ? {} : { adapter }),
+      ...(version === undefined || operation === 'unload' ? {} : { version }),
+      expectedCount: engine.commandCount!,
+      sentAt: now
+    }
+    engine.pending = pending
+    return { type: 'command', engine: engine.server.id, command: pending }
+  }
+
+  function loadActions (blocked: Waiting[], now: number): SchedulerAction[] {
+    const actions: SchedulerAction[] = []
+    const keep = new Set(blocked.map(({ scope }) => scope))
+    const ctx = { now, commandable: (engine: EngineState) => canCommand(engine, now), coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, coldLoadLimit: Math.max(1, Math.ceil(storeLoadLimit * state.share)) }
+    const wantedNow = wantedAdapters(blocked, now)
+    const more = [...replacing.values()].filter(({ scope }) => !keep.has(scope))
+    for (const wanted of [...wantedNow, ...more, ...outdatedAdapters(now)]) {
+      const candidates = [...engines.values()].filter(engine => {
+        const copy = engine.copies.get(wanted.scope)
+        return copy === undefined || !isCurrent(copy, wanted.scope)
+      })
+      const decision = decideLoad(wanted, candidates, keep, ctx)
+      if (decision === undefined) continue
+      actions.push(decision.type === 'load' ? command(decision.engine, 'load', wanted, now) : command(decision.engine, 'unload', decision.copy, now))
+    }
+    return actions
+  }
+
+  /** An engine that started empty needs its base models before anything else. */
+  function modelActions (blocked: Waiting[], now: number): SchedulerAction[] {
+    return [...engines.values()].flatMap(engine => {
+      if (!canCommand(engine, now)) return []
+      const heldMb = engine.spec.models.filter(({ name }) => engine.models.has(name)).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
+      const missing = engine.spec.models.find(model => !engine.models.has(model.name) && heldMb + model.weightsMb <= engine.spec.weightsMb)
+      if (missing === undefined || (engine.models.size > 0 && !blocked.some(req => req.demand.model === missing.name))) return []
+      return engine.modelLoadUntil !== undefined && engine.modelLoadUntil > now ? [] : [command(engine, 'load', { model: missing.name }, now)]
+    })
+  }
+
+  /** Copies of older versions that must not be used any more leave as soon as nothing runs on them. */
+  function unloadOutdated (now: number): SchedulerAction[] {
+    return [...engines.values()].flatMap(engine => {
+      if (!canCommand(engine, now)) return []
+      for (const [scope, copy] of engine.copies) {
+        if (isIdle(engine, scope, copy) && !isCurrent(copy, scope) && !isUsable(copy, scope, now)) return [command(engine, 'unload', copy, now)]
+      }
+      return []
+    })
+  }
+
+  /** The engine has no such adapter yet, or no longer. */
+  function copyMissing (engine: EngineState, scope: string, now: number): void {
+    const copy = engine.copies.get(scope)
+    if (copy === undefined) return
+    if (copy.state === 'loading') {
+      copy.readyAt = now + loadRetryMs
+      if (copy.warm) state.warmLoadMs = Math.min(state.warmLoadMs * 1.1, maxWarmLoadMs)
+      else state.coldLoadMs = Math.min(state.coldLoadMs * 1.1, maxColdLoadMs)
+    } else {
+      copy.readyAt = now + uncertainMs
+    }
+    engine.reportAt = Math.min(engine.reportAt ?? Infinity, now + uncertainMs)
+  }
+
+  function acceptedCommand (engine: EngineState, { operation, model, adapter, version }: PendingCommand, now: number): void {
+    if (adapter === undefined) {
+      engine.modelLoadUntil = now + modelCheckMs
+      engine.reportAt = now + modelCheckMs
+      return
+    }
+    const scope = cacheScope({ model, adapter })
+    if (operation === 'unload') {
+      const copy = engine.copies.get(scope)
+      if (copy !== undefined) copy.state = 'unloading'
+      engine.reportAt = Math.min(engine.reportAt ?? Infinity, now + uncertainMs)
+      return
+    }
+    replacing.delete(scope)
+    const warm = engine.held.has(scope)
+    const slowdown = warm ? 1 : Math.max(1, coldLoads(engines.values()) / Math.max(1, storeLoadLimit * state.share))
+    engine.copies.set(scope, {
+      model,
+      adapter,
+      ...(version === undefined ? {} : { version }),
+      state: 'loading',
+      warm,
+      loadStartedAt: now,
+      readyAt: now + (warm ? state.warmLoadMs : state.coldLoadMs) * slowdown,
+      lastUsedAt: now,
+      running: 0,
+      use: 1
+    })
+  }
+
+  function usableHolders (req: Waiting, now: number): EngineState[] {
+    return [...engines.values()].filter(engine => {
+      const copy = engine.copies.get(req.scope)
+      return engine.suspectUntil <= now && !req.excluded.includes(engine.server.id) && copy !== undefined && isUsable(copy, req.scope, now)
+    })
+  }
+
+  function unloaded (engine: EngineState, scope: string): void {
+    const copy = engine.copies.get(scope)
+    forgetCopy(engine, scope)
+    const newest = versions.get(scope)
+    if (copy === undefined || newest === undefined || isCurrent(copy, scope)) return
+    engine.held.delete(scope)
+    const { model, adapter, use } = copy
+    if (use >= replaceUses) replacing.set(scope, { scope, model, adapter, version: newest.version, weight: use })
+  }
+
+  function commandResult (engine: EngineState, result: EngineCommandResult, now: number): void {
+    const { pending } = engine
+    if (pending === undefined) return
+    delete engine.pending
+    if (result === 'accepted') {
+      engine.commandCount = pending.expectedCount + 1
+      acceptedCommand(engine, pending, now)
+    } else if (result === 'holds' && pending.operation === 'unload') {
+      engine.commandCount = pending.expectedCount + 1
+      if (pending.adapter !== undefined) unloaded(engine, cacheScope(pending))
+    } else {
+      // Until a report shows what was carried out, no further command is given.
+      engine.commandCount = undefined
+      engine.reportAt = now + uncertainMs
+    }
+  }
+
+  return {
+    decide: (blocked, now) => [...modelActions(blocked, now), ...loadActions(blocked, now), ...unloadOutdated(now)],
+    commandResult,
+    copyMissing,
+    loadConfirmed (copy) {
+      if (copy.warm) state.warmLoadMs = Math.max(minWarmLoadMs, state.warmLoadMs * confirmFactor)
+      else state.coldLoadMs = Math.max(minColdLoadMs, state.coldLoadMs * confirmFactor)
+    },
+    isCurrent,
+    isUsable,
+    loadWaitMs (blocked) {
+      const wanted = new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope)).map(({ scope }) => scope))
+      const limit = Math.max(1, storeLoadLimit * state.share)
+      return state.coldLoadMs * (1 + (wanted.size + coldLoads(engines.values())) / limit)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -0,0 +1,198 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { BackendServer, EngineReport, EngineSpec, HeldModel } from './cluster-types'
+import { createEngineScheduler, type EngineScheduler, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
+
+const test = suite('engine scheduler')
+
+const spec: EngineSpec = { slots: 64, kvTokens: 232_000, weightsMb: 74_700, adapterSlots: 8, loadsPerSecond: 3, models: [{ name: 'base', weightsMb: 72_700, adapterMb: 66 }] }
+
+function engine (id: string, adapters: string[] = [], over: Partial<BackendServer> = {}): BackendServer {
+  const models: HeldModel[] = [{ name: 'base', adapters: adapters.map(name => ({ name, version: 1 })) }]
+  return { id, bornAt: 1, service: 'llm', address: `${id}:1`, zone: 'a', state: 'ready', slots: 64, models, ...over }
+}
+
+function request (id: string, adapter: string | undefined, over: Partial<ScheduledRequest> = {}): ScheduledRequest {
+  return {
+    id,
+    node: 'n1',
+    service: 'llm',
+    demand: { model: 'base', ...(adapter === undefined ? {} : { adapter }), promptTokens: 3000, outputTokens: 50, parts: [{ id: `own-${id}`, tokens: 3000 }] },
+    priority: 1,
+    objectiveAt: 1000,
+    deadlineAt: 6000,
+    excluded: [],
+    ...over
+  }
+}
+
+function report (commandCount: number, adapters: string[], over: Partial<EngineReport> = {}): EngineReport {
+  return { bornAt: 1, commandCount, models: [{ name: 'base', adapters: adapters.map(name => ({ name, version: 1 })) }], loading: [], busy: false, queued: 0, active: 0, ...over }
+}
+
+const kinds = (actions: SchedulerAction[]): string[] => actions.map(({ type }) => type)
+const only = <Type extends SchedulerAction['type']>(actions: SchedulerAction[], type: Type): (SchedulerAction & { type: Type })[] =>
+  actions.filter((action): action is SchedulerAction & { type: Type } => action.type === type)
+
+function owned (servers: BackendServer[], reports: Record<string, string[]>, now = 0): EngineScheduler {
+  const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => true })
+  scheduler.setEngines(servers.map(server => ({ server, spec })), now)
+  for (const { id } of servers) scheduler.reported(id, report(0, reports[id] ?? []), now)
+  return scheduler
+}
+
+// Guards against an idle engine counting as busy, which refuses or holds all requests.
+test('sends a request at once to an idle engine that holds the adapter', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  const [grant] = only(scheduler.submit(request('r1', 'a1'), 10), 'grant')
+  assert.is(grant?.engine, 'e1')
+  assert.is(grant?.waitedMs, 0)
+})
+
+// Guards against a request that is sent before its adapter is there, and against one that is never sent.
+test('loads a missing adapter and sends the request when the load should be done', () => {
+  const scheduler = owned([engine('e1')], { e1: [] })
+  const [command] = only(scheduler.submit(request('r1', 'a1'), 10), 'command')
+  assert.is(command?.command.operation, 'load')
+  assert.is(command?.command.adapter, 'a1')
+  assert.equal(kinds(scheduler.commandResult('e1', 'accepted', 12)), [])
+  assert.equal(kinds(scheduler.tick(100)), [])
+  assert.is(only(scheduler.tick(400), 'grant')[0]?.request, 'r1')
+})
+
+// Guards against an engine that is told to load more adapters than it has places for, which ends it.
+test('never has more adapters and loads than places, unloading idle ones first', () => {
+  const held = Array.from({ length: 8 }, (_, at) => `a${at}`)
+  const scheduler = owned([engine('e1', held)], { e1: held })
+  const [unload] = only(scheduler.submit(request('r1', 'new'), 10), 'command')
+  assert.is(unload?.command.operation, 'unload')
+  const [load] = only(scheduler.commandResult('e1', 'holds', 12), 'command')
+  assert.is(load?.command.operation, 'load')
+  assert.is(load?.command.expectedCount, 1)
+})
+
+// Guards against a late command that is carried out after newer ones: each names the number of commands before it.
+test('gives no command after an unanswered one until a report shows what was carried out', () => {
+  const scheduler = owned([engine('e1')], { e1: [] })
+  scheduler.submit(request('r1', 'a1'), 10)
+  assert.equal(kinds(scheduler.commandResult('e1', 'unknown', 700)), [])
+  const actions = scheduler.tick(1200)
+  assert.equal(kinds(actions), ['report'])
+  const [again] = only(scheduler.reported('e1', report(0, []), 1250), 'command')
+  assert.is(again?.command.expectedCount, 0, 'the unanswered command can no longer be carried out once this one is')
+  const other = owned([engine('e1')], { e1: [] })
+  other.submit(request('r1', 'a1'), 10)
+  other.commandResult('e1', 'unknown', 700)
+  other.tick(1200)
+  const granted = other.reported('e1', report(1, ['a1']), 1250)
+  assert.is(only(granted, 'grant')[0]?.request, 'r1')
+})
+
+// Guards against a report that is older than the newest command being taken for the engine's state.
+test('ignores reports older than its newest command', () => {
+  const scheduler = owned([engine('e1')], { e1: [] })
+  scheduler.submit(request('r1', 'a1'), 10)
+  scheduler.commandResult('e1', 'accepted', 12)
+  scheduler.reported('e1', report(0, []), 20)
+  assert.is(only(scheduler.tick(400), 'grant').length, 1)
+})
+
+// Guards against evicting an adapter that a running request uses.
+test('does not unload adapters in use', () => {
+  const held = Array.from({ length: 8 }, (_, at) => `a${at}`)
+  const scheduler = owned([engine('e1', held)], { e1: held })
+  held.forEach((adapter, at) => {
+    scheduler.submit(request(`r${at}`, adapter, { demand: { model: 'base', adapter, promptTokens: 100, outputTokens: 10, parts: [] } }), 10)
+  })
+  assert.equal(only(scheduler.submit(request('r9', 'new'), 20), 'command'), [])
+  const freed = only(scheduler.ended('r3', 'ok', 30), 'command')
+  assert.is(freed[0]?.command.adapter, 'a3')
+})
+
+// Guards against an engine at its memory limit getting more work, which would pause what runs there.
+test('counts room in tokens, not only in requests', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  const big = (id: string): ScheduledRequest => request(id, 'a1', { demand: { model: 'base', adapter: 'a1', promptTokens: 110_000, outputTokens: 100, parts: [] }, deadlineAt: 60_000 })
+  assert.is(only(scheduler.submit(big('r1'), 0), 'grant').length, 1)
+  scheduler.firstEvent('r1', 3500)
+  assert.is(only(scheduler.submit(big('r2'), 3500), 'grant').length, 0)
+  assert.is(only(scheduler.ended('r1', 'ok', 4000), 'grant')[0]?.request, 'r2')
+})
+
+// Guards against less urgent work going first in a surge.
+test('sends the most urgent waiting request first when an engine becomes free', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  const long = { model: 'base', adapter: 'a1', promptTokens: 20_000, outputTokens: 50, parts: [] }
+  scheduler.submit(request('running', 'a1', { demand: long }), 0)
+  scheduler.submit(request('draft', 'a1', { priority: 1, objectiveAt: 2000 }), 10)
+  scheduler.submit(request('short', 'a1', { priority: 0, objectiveAt: 2000 }), 20)
+  const granted = only(scheduler.firstEvent('running', 500), 'grant').map(({ request }) => request)
+  assert.is(granted[0], 'short')
+})
+
+// Guards against holding a request that cannot be served in time until its deadline.
+test('refuses at once what the queue cannot serve before its deadline', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  for (let at = 0; at < 40; at++) scheduler.submit(request(`r${at}`, 'a1', { demand: { model: 'base', adapter: 'a1', promptTokens: 20_000, outputTokens: 50, parts: [] }, deadlineAt: 60_000 }), 0)
+  const [refusal] = only(scheduler.submit(request('late', 'a1', { deadlineAt: 1000, priority: 2 }), 0), 'refuse')
+  assert.is(refusal?.reason, 'too-late')
+  assert.ok(refusal !== undefined && refusal.retryAfterMs > 1000, 'the wait is what the queue implies')
+})
+
+// Guards against a request on an older version after the time in which the new one must be in force.
+test('replaces an older version: unloads it when idle and asks for the new one by number', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  scheduler.submit(request('r1', 'a1'), 0)
+  scheduler.firstEvent('r1', 90)
+  const announced = only(scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, 100), 'command')
+  assert.equal(announced, [], 'a running request keeps its copy')
+  const [unload] = only(scheduler.ended('r1', 'ok', 300), 'command')
+  assert.is(unload?.command.operation, 'unload')
+  const [load] = only(scheduler.commandResult('e1', 'holds', 302), 'command')
+  assert.equal([load?.command.operation, load?.command.version], ['load', 2])
+  scheduler.commandResult('e1', 'accepted', 304)
+  scheduler.submit(request('r2', 'a1', { objectiveAt: 2000 }), 310)
+  const [grant] = only(scheduler.tick(700), 'grant')
+  assert.equal([grant?.request, grant?.version], ['r2', 2])
+})
+
+// Guards against an owner that gives commands while another may still do so.
+test('without leave to command it serves what is held and refuses the rest', () => {
+  const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => false })
+  scheduler.setEngines([{ server: engine('e1', ['a1']), spec }], 0)
+  scheduler.reported('e1', report(0, ['a1']), 0)
+  assert.is(only(scheduler.submit(request('r1', 'a1'), 0), 'grant').length, 1)
+  assert.is(only(scheduler.submit(request('r2', 'a2'), 0), 'refuse')[0]?.reason, 'cannot-load')
+})
+
+// Guards against sending more work to an engine that has gone silent, and against waiting for it for ever.
+test('asks a silent engine for a report and avoids it when there is none', () => {
+  const scheduler = owned([engine('e1', ['a1']), engine('e2', ['a1'])], { e1: ['a1'], e2: ['a1'] })
+  const first = only(scheduler.submit(request('r1', 'a1'), 0), 'grant')[0]!.engine
+  const actions = scheduler.tick(2000)
+  assert.equal(only(actions, 'report').map(({ engine }) => engine), [first])
+  scheduler.reported(first, undefined, 2700)
+  const other = only(scheduler.submit(request('r2', 'a1', { objectiveAt: 4000 }), 2710), 'grant')[0]!.engine
+  assert.is.not(other, first)
+})
+
+// Guards against an engine that restarted under its id being taken for the one before.
+test('a restarted engine holds nothing until it reports, and gets its base model first', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  scheduler.setEngines([{ server: engine('e1', [], { bornAt: 9, models: [] }), spec }], 100)
+  assert.is(only(scheduler.submit(request('r1', 'a1'), 110), 'grant').length, 0)
+  scheduler.tick(200)
+  const [command] = only(scheduler.reported('e1', { ...report(0, []), bornAt: 9, models: [] }, 210), 'command')
+  assert.equal([command?.command.operation, command?.command.model, command?.command.adapter], ['load', 'base', undefined])
+})
+
+// Guards against places that stay taken when the node that used them is gone.
+test('frees the places of a lost node', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  scheduler.submit(request('r1', 'a1'), 0)
+  assert.is(scheduler.status(0)[0]?.running, 1)
+  scheduler.nodeLost('n1', 10)
+  assert.is(scheduler.status(10)[0]?.running, 0)
+})
+
+test.run()
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -3,83 +3,15 @@
  * when, what is loaded for the others, and which requests are refused because they cannot be served
  * in time. Requests wait here, not at the engines, so that the most urgent one is always next.
  */
-import type { AdapterVersion, BackendServer, EngineCommandResult, EngineReport, EngineSpec, ModelDemand } from './cluster-types'
-import { coldLoads, decideLoad, type WantedAdapter } from './adapter-loads'
-import { adoptModels, applyReport, createEngineState, forgetCopy, hasRoom, isIdle, noteFailure, noteSuccess, prefillMs, restart, suspect, type AdapterCopy, type EngineState, type PendingCommand } from './engine-state'
+import { createEngineLoads, modelCheckMs, uncertainMs, type SchedulerState, type Waiting } from './engine-loads'
+import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
+import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, learnPrefillRate, noteFailure, noteSuccess, prefillMs, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
-export type ScheduledRequest = {
-  id: string
-  /** Node that holds the client's request. */
-  node: string
-  service: string
-  demand: ModelDemand
-  /** 0 is the most urgent. */
-  priority: number
-  objectiveAt: number
-  deadlineAt: number
-  /** Engines that it must not go to. */
-  excluded: string[]
-  /** The only engines that it may go to, when it has used up its attempts. */
-  only?: string[]
-}
-
-export type RefusalReason = 'no-engine' | 'cannot-load' | 'too-late' | 'queue-full'
-
-export type SchedulerAction =
-  | { type: 'grant', request: string, node: string, engine: string, address: string, version?: number, waitedMs: number, running: number, prefillMs: number }
-  | { type: 'refuse', request: string, node: string, retryAfterMs: number, reason: RefusalReason, waitedMs: number }
-  | { type: 'command', engine: string, command: PendingCommand }
-  | { type: 'report', engine: string }
-
-/** How a granted request ended, as the node that sent it saw it. */
-export type RunOutcome =
-  | 'ok'
-  /** An error response, or a response that broke off. */
-  | 'failed'
-  /** Refused as not run because the engine is full or the adapter is not there yet. */
-  | 'not-run'
-  /** Another server, or no such adapter or version: not run. */
-  | 'misdirected'
-  /** No connection: not sent. */
-  | 'unreachable'
-  /** The client left, or the request was never sent. */
-  | 'cancelled'
-
-export type EngineStatus = { id: string, scopes: string[], backlogMs: number, running: number }
-
-export type SchedulerConfig = {
-  /** Time in which a new version must be in use everywhere, in ms. */
-  versionMs: number
-  /** Whether this node may give the engine commands now. */
-  mayCommand (engine: string, now: number): boolean
-}
-
-export type EngineScheduler = {
-  /** The engines that this node owns now; requests for others are no longer decided here. */
-  setEngines (engines: { server: BackendServer, spec: EngineSpec }[], now: number): SchedulerAction[]
-  /** Share of all engines that this node owns, which bounds its part of the loads on their way. */
-  setShare (share: number): void
-  setVersion (version: AdapterVersion, now: number): SchedulerAction[]
-  submit (req: ScheduledRequest, now: number): SchedulerAction[]
-  cancel (id: string, now: number): SchedulerAction[]
-  firstEvent (id: string, now: number): SchedulerAction[]
-  ended (id: string, outcome: RunOutcome, now: number): SchedulerAction[]
-  /** The node that held these requests is gone. */
-  nodeLost (node: string, now: number): SchedulerAction[]
-  commandResult (engine: string, result: EngineCommandResult, now: number): SchedulerAction[]
-  reported (engine: string, report: EngineReport | undefined, now: number): SchedulerAction[]
-  tick (now: number): SchedulerAction[]
-  status (now: number): EngineStatus[]
-  waiting (): number
-  /** Drops all requests, for example when the node stops being an owner. @returns refusals */
-  drain (now: number): SchedulerAction[]
-}
+export * from './engine-scheduler-types'
 
 /** Prompt reading that may be queued at an engine, in ms; more would let a later, more urgent request wait there. */
 const maxBacklogMs = 250
-/** An adapter is loaded a second time when its copies make requests wait this much longer than a load, in ms. */
-const replicateAfterMs = 150
 /** Waiting requests; beyond that, none could be served before its deadline. */
 const maxWaiting = 2000
 /** Shortest time in which a request can be served once it is sent, in ms. */
@@ -90,56 +22,29 @@
 /** First estimates of a load's duration, in ms; corrected by what happens. */
 const initialColdLoadMs = 260
 const initialWarmLoadMs = 30
-/** Pause before the next try when a load turns out to be unfinished, in ms. */
-const loadRetryMs = 40
-/** Loads over all engines up to which each takes its usual time. */
-const storeLoadLimit = 8
-/** A response to a command may be lost although it is carried out; a report older than this may not show it, in ms. */
-const uncertainMs = 450
 /** Time without a first event beyond the estimate after which the engine is asked for a report, in ms. */
 const stallMs = 1200
 const stallProbeGapMs = 1000
-/** Copies of an older version are used until this long before a new version must be in force, in ms. */
-const versionMarginMs = 1500
 /** The use of an adapter decays by half in this time, in ms. */
 const useHalfLifeMs = 8000
-/** A load of a base model is checked at this pace, in ms. */
-const modelCheckMs = 1000
-
-type Waiting = ScheduledRequest & { scope: string, arrivedAt: number }
-type Newest = { version: number, announcedAt: number }
 
 export function createEngineScheduler (cfg: SchedulerConfig): EngineScheduler {
-  const engines = new Map<string, EngineState>()
+  const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, share: 1 }
+  const { engines, versions } = state
+  const loads = createEngineLoads(cfg, state)
+  const { isCurrent, isUsable } = loads
   const waiting = new Map<string, Waiting>()
   /** Engine of each granted request. */
   const granted = new Map<string, string>()
-  const versions = new Map<string, Newest>()
-  let coldLoadMs = initialColdLoadMs
-  let warmLoadMs = initialWarmLoadMs
-  let share = 1
+  /** Requests that no engine could take at the last decision. */
+  let blocked: Waiting[] = []
   let lastDecayAt = -Infinity
 
-  function isCurrent (copy: AdapterCopy, scope: string): boolean {
-    const newest = versions.get(scope)
-    if (newest === undefined) return true
-    return copy.version === undefined ? copy.loadStartedAt > newest.announcedAt : copy.version >= newest.version
-  }
-
-  function isUsable (copy: AdapterCopy, scope: string, now: number): boolean {
-    if (copy.state === 'unloading' || copy.retiring === true || copy.readyAt > now) return false
-    return isCurrent(copy, scope) || now < versions.get(scope)!.announcedAt + cfg.versionMs - versionMarginMs
-  }
-
   function reachable (engine: EngineState, req: Waiting, now: number): boolean {
     return engine.server.service === req.service && engine.server.state === 'ready' && engine.suspectUntil <= now &&
       engine.models.has(req.demand.model) && !req.excluded.includes(engine.server.id) && (req.only === undefined || req.only.includes(engine.server.id))
   }
 
-  function backlogMs (engine: EngineState, now: number): number {
-    return Math.max(0, engine.prefillFreeAt - now)
-  }
-
   /** Engines that hold the request's adapter. */
   function holders (req: Waiting, now: number): EngineState[] {
     return [...engines.values()].filter(engine => {
@@ -170,8 +75,17 @@
   function grant (req: Waiting, engine: EngineState, now: number): SchedulerAction {
     waiting.delete(req.id)
     const readMs = prefillMs(engine, req.demand)
-    engine.prefillFreeAt = Math.max(now, engine.prefillFreeAt) + readMs
-    engine.runs.set(req.id, { id: req.id, node: req.node, scope: req.scope, demand: req.demand, sentAt: now, deadlineAt: req.deadlineAt, expectedFirstAt: engine.prefillFreeAt })
+    engine.runs.set(req.id, {
+      id: req.id,
+      node: req.node,
+      scope: req.scope,
+      demand: req.demand,
+      sentAt: now,
+      deadlineAt: req.deadlineAt,
+      uncachedTokens: uncachedTokens(engine, req.demand),
+      prefillMs: readMs,
+      expectedFirstAt: now + backlogMs(engine, now) + readMs
+    })
     delete engine.runTokens
     engine.cache.use(req.demand)
     granted.set(req.id, engine.server.id)
@@ -234,116 +148,6 @@
     return startMs > slackMs ? refuse(req, 'too-late', startMs - Math.max(0, slackMs), now) : undefined
   }
 
-  function wantedAdapters (blocked: Waiting[], now: number): WantedAdapter[] {
-    const wanted = new Map<string, WantedAdapter>()
-    for (const req of blocked) {
-      const { model, adapter } = req.demand
-      if (adapter === undefined || isLoading(req.scope)) continue
-      const copies = holders(req, now)
-      const waitMs = copies.length === 0 ? Infinity : Math.min(...copies.map(engine => hasRoom(engine, req.demand) ? backlogMs(engine, now) : Infinity))
-      if (waitMs < (copies.length === 0 ? 0 : coldLoadMs + replicateAfterMs)) continue
-      const version = versions.get(req.scope)?.version
-      const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
-      // The most urgent class counts most; a request that is already late counts least.
-      entry.weight += (req.objectiveAt > now ? 4 : 1) / (1 + req.priority)
-      wanted.set(req.scope, entry)
-    }
-    return [...wanted.values()].sort((left, right) => right.weight - left.weight)
-  }
-
-  function isLoading (scope: string): boolean {
-    for (const { copies, pending } of engines.values()) {
-      if (copies.get(scope)?.state === 'loading') return true
-      if (pending?.operation === 'load' && pending.adapter !== undefined && cacheScope(pending) === scope) return true
-    }
-    return false
-  }
-
-  /** Adapters in use of which only older versions are held. */
-  function outdatedAdapters (now: number): WantedAdapter[] {
-    const outdated: WantedAdapter[] = []
-    for (const [scope, { version }] of versions) {
-      let use = 0
-      let held: AdapterCopy | undefined
-      let current = isLoading(scope)
-      for (const engine of engines.values()) {
-        const copy = engine.copies.get(scope)
-        if (copy === undefined) continue
-        current ||= isCurrent(copy, scope)
-        use += copy.use
-        held = copy
-      }
-      if (!current && held !== undefined && use >= 0.5) outdated.push({ scope, model: held.model, adapter: held.adapter, version, weight: use })
-    }
-    for (const { scope } of outdated) retireOne(scope, now)
-    return outdated
-  }
-
-  /** With an older copy on every engine, the least busy one stops taking requests so that it can be replaced. */
-  function retireOne (scope: string, now: number): void {
-    const usable = [...engines.values()].filter(engine => engine.suspectUntil <= now)
-    const copies = usable.flatMap(engine => engine.copies.get(scope) ?? [])
-    if (copies.length === 0 || copies.length < usable.length || copies.some(copy => copy.retiring === true)) return
-    copies.sort((left, right) => left.running - right.running)
-    copies[0]!.retiring = true
-  }
-
-  function canCommand (engine: EngineState, now: number): boolean {
-    return engine.pending === undefined && engine.commandCount !== undefined && engine.suspectUntil <= now && engine.server.state === 'ready' && cfg.mayCommand(engine.server.id, now)
-  }
-
-  function command (engine: EngineState, operation: PendingCommand['operation'], target: { model: string, adapter?: string, version?: number }, now: number): SchedulerAction {
-    const { model, adapter, version } = target
-    const pending: PendingCommand = {
-      operation,
-      model,
-      ...(adapter === undefined ? {} : { adapter }),
-      ...(version === undefined || operation === 'unload' ? {} : { version }),
-      expectedCount: engine.commandCount!,
-      sentAt: now
-    }
-    engine.pending = pending
-    return { type: 'command', engine: engine.server.id, command: pending }
-  }
-
-  function loadActions (blocked: Waiting[], now: number): SchedulerAction[] {
-    const actions: SchedulerAction[] = []
-    const keep = new Set(blocked.map(({ scope }) => scope))
-    const ctx = { now, commandable: (engine: EngineState) => canCommand(engine, now), coldLoadMs, warmLoadMs, coldLoadLimit: Math.max(1, Math.ceil(storeLoadLimit * share)) }
-    for (const wanted of [...wantedAdapters(blocked, now), ...outdatedAdapters(now)]) {
-      const candidates = [...engines.values()].filter(engine => {
-        const copy = engine.copies.get(wanted.scope)
-        return copy === undefined || !isCurrent(copy, wanted.scope)
-      })
-      const decision = decideLoad(wanted, candidates, keep, ctx)
-      if (decision === undefined) continue
-      actions.push(decision.type === 'load' ? command(decision.engine, 'load', wanted, now) : command(decision.engine, 'unload', decision.copy, now))
-    }
-    return actions
-  }
-
-  /** An engine that started empty needs its base models before anything else. */
-  function modelActions (now: number): SchedulerAction[] {
-    return [...engines.values()].flatMap(engine => {
-      if (!canCommand(engine, now)) return []
-      const heldMb = engine.spec.models.filter(({ name }) => engine.models.has(name)).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
-      const missing = engine.spec.models.find(model => !engine.models.has(model.name) && heldMb + model.weightsMb <= engine.spec.weightsMb)
-      if (missing === undefined || (engine.models.size > 0 && ![...waiting.values()].some(req => req.demand.model === missing.name))) return []
-      return engine.modelLoadUntil !== undefined && engine.modelLoadUntil > now ? [] : [command(engine, 'load', { model: missing.name }, now)]
-    })
-  }
-
-  /** Copies of older versions that must not be used any more leave as soon as nothing runs on them. */
-  function unloadOutdated (now: number): SchedulerAction[] {
-    return [...engines.values()].flatMap(engine => {
-      if (!canCommand(engine, now)) return []
-      for (const [scope, copy] of engine.copies) {
-        if (isIdle(engine, scope, copy) && !isCurrent(copy, scope) && !isUsable(copy, scope, now)) return [command(engine, 'unload', copy, now)]
-      }
-      return []
-    })
-  }
-
   function reportActions (now: number): SchedulerAction[] {
     return [...engines.values()].flatMap(engine => {
       if (engine.reporting || engine.reportAt === undefined || engine.reportAt > now) return []
@@ -355,7 +159,7 @@
 
   function decide (now: number): SchedulerAction[] {
     const actions: SchedulerAction[] = []
-    const blocked: Waiting[] = []
+    blocked = []
     let aheadMs = 0
     for (const req of inOrder(now)) {
       const engine = bestEngine(req, now)
@@ -371,7 +175,7 @@
       blocked.push(req)
       aheadMs += req.demand.promptTokens / meanPrefillRate()
     }
-    actions.push(...modelActions(now), ...loadActions(blocked, now), ...unloadOutdated(now), ...reportActions(now))
+    actions.push(...loads.decide(blocked, now), ...reportActions(now))
     return actions
   }
 
@@ -393,60 +197,6 @@
     return engine
   }
 
-  /** The engine has no such adapter yet, or no longer. */
-  function copyMissing (engine: EngineState, scope: string, now: number): void {
-    const copy = engine.copies.get(scope)
-    if (copy === undefined) return
-    if (copy.state === 'loading') {
-      copy.readyAt = now + loadRetryMs
-      if (copy.warm) warmLoadMs = Math.min(warmLoadMs * 1.1, initialColdLoadMs)
-      else coldLoadMs = Math.min(coldLoadMs * 1.1, 4 * initialColdLoadMs)
-    } else {
-      copy.readyAt = now + uncertainMs
-    }
-    engine.reportAt = Math.min(engine.reportAt ?? Infinity, now + uncertainMs)
-  }
-
-  function prefillDone (engine: EngineState, now: number): void {
-    const unread = [...engine.runs.values()].some(run => run.firstEventAt === undefined)
-    if (!unread) engine.prefillFreeAt = Math.min(engine.prefillFreeAt, now)
-  }
-
-  function learnRate (engine: EngineState, expectedMs: number, actualMs: number): void {
-    if (expectedMs < 20 || actualMs <= 0) return
-    const ratio = Math.min(2, Math.max(0.5, expectedMs / actualMs))
-    engine.prefillRate = Math.min(200, Math.max(5, engine.prefillRate * ratio ** 0.05))
-  }
-
-  function acceptedCommand (engine: EngineState, { operation, model, adapter, version }: PendingCommand, now: number): void {
-    if (adapter === undefined) {
-      engine.modelLoadUntil = now + modelCheckMs
-      engine.reportAt = now + modelCheckMs
-      return
-    }
-    const scope = cacheScope({ model, adapter })
-    if (operation === 'unload') {
-      const copy = engine.copies.get(scope)
-      if (copy !== undefined) copy.state = 'unloading'
-      engine.reportAt = Math.min(engine.reportAt ?? Infinity, now + uncertainMs)
-      return
-    }
-    const warm = engine.held.has(scope)
-    const slowdown = warm ? 1 : Math.max(1, coldLoads(engines.values()) / Math.max(1, storeLoadLimit * share))
-    engine.copies.set(scope, {
-      model,
-      adapter,
-      ...(version === undefined ? {} : { version }),
-      state: 'loading',
-      warm,
-      loadStartedAt: now,
-      readyAt: now + (warm ? warmLoadMs : coldLoadMs) * slowdown,
-      lastUsedAt: now,
-      running: 0,
-      use: 1
-    })
-  }
-
   function decayUse (now: number): void {
     const factor = 0.5 ** (Math.min(now - lastDecayAt, useHalfLifeMs) / useHalfLifeMs)
     lastDecayAt = now
@@ -458,7 +208,7 @@
   function probeStalled (engine: EngineState, now: number): void {
     if (engine.reporting || engine.reportAt !== undefined || now - (engine.probedAt ?? -Infinity) < stallProbeGapMs) return
     for (const run of engine.runs.values()) {
-      if (run.firstEventAt !== undefined || now - run.expectedFirstAt < stallMs) continue
+      if (run.firstEventAt !== undefined || now - run.expectedFirstAt < stallMs || run.expectedFirstAt < engine.lastFirstAt) continue
       engine.probedAt = now
       engine.reportAt = now
       return
@@ -495,13 +245,15 @@
       return decide(now)
     },
     setShare (value) {
-      share = value
+      state.share = value
     },
     setVersion ({ model, adapter, version }, now) {
       const scope = cacheScope({ model, adapter })
       const known = versions.get(scope)
       if (known !== undefined && known.version >= version) return []
       versions.set(scope, { version, announcedAt: now })
+      // What engines keep in memory is an older version.
+      for (const engine of engines.values()) engine.held.delete(scope)
       return decide(now)
     },
     submit (req, now) {
@@ -520,26 +272,27 @@
       const run = engine?.runs.get(id)
       if (engine === undefined || run === undefined) return []
       run.firstEventAt = now
-      learnRate(engine, run.expectedFirstAt - run.sentAt, now - run.sentAt)
+      engine.lastFirstAt = now
+      learnPrefillRate(engine, run, now)
       noteSuccess(engine)
       const copy = engine.copies.get(run.scope)
       if (copy?.state === 'loading') {
         copy.state = 'resident'
-        if (copy.warm) warmLoadMs = Math.max(10, warmLoadMs * 0.98)
-        else coldLoadMs = Math.max(50, coldLoadMs * 0.98)
+        loads.loadConfirmed(copy)
       }
-      prefillDone(engine, now)
       return decide(now)
     },
     ended (id, outcome, now) {
       const run = engines.get(granted.get(id) ?? '')?.runs.get(id)
       const engine = release(id)
-      if (engine === undefined || run === undefined) return waiting.delete(id) ? [] : []
-      prefillDone(engine, now)
+      if (engine === undefined || run === undefined) {
+        waiting.delete(id)
+        return []
+      }
       if (outcome === 'ok') noteSuccess(engine)
       else if (outcome === 'failed') noteFailure(engine)
       else if (outcome === 'unreachable') suspect(engine, now)
-      else if (outcome === 'misdirected' || outcome === 'not-run') copyMissing(engine, run.scope, now)
+      else if (outcome === 'misdirected' || outcome === 'not-run') loads.copyMissing(engine, run.scope, now)
       return decide(now)
     },
     nodeLost (node, now) {
@@ -555,26 +308,8 @@
     },
     commandResult (id, result, now) {
       const engine = engines.get(id)
-      const pending = engine?.pending
-      if (engine === undefined || pending === undefined) return []
-      delete engine.pending
-      const scope = pending.adapter === undefined ? undefined : cacheScope(pending)
-      if (result === 'accepted') {
-        engine.commandCount = pending.expectedCount + 1
-        acceptedCommand(engine, pending, now)
-      } else if (result === 'holds') {
-        if (pending.operation === 'unload') {
-          engine.commandCount = pending.expectedCount + 1
-          if (scope !== undefined) forgetCopy(engine, scope)
-        } else {
-          engine.commandCount = undefined
-          engine.reportAt = now + uncertainMs
-        }
-      } else {
-        // Until a report shows what was carried out, no further command is given.
-        engine.commandCount = undefined
-        engine.reportAt = now + uncertainMs
-      }
+      if (engine === undefined) return []
+      loads.commandResult(engine, result, now)
       return decide(now)
     },
     reported (id, report, now) {
@@ -586,7 +321,7 @@
         return decide(now)
       }
       engine.suspectUntil = -Infinity
-      if (!applyReport(engine, report, coldLoadMs, now)) engine.reportAt = now + uncertainMs
+      if (!applyReport(engine, report, state.coldLoadMs, now)) engine.reportAt = now + uncertainMs
       if (engine.models.size === 0 && (report.busy || engine.modelLoadUntil !== undefined)) {
         engine.reportAt = now + modelCheckMs
         if (report.busy) engine.modelLoadUntil = now + modelCheckMs
@@ -604,7 +339,8 @@
       id: engine.server.id,
       scopes: [...engine.copies].filter(([scope, copy]) => copy.state !== 'unloading' && isCurrent(copy, scope)).map(([scope]) => scope),
       backlogMs: Math.round(engine.suspectUntil > now ? Math.max(maxBacklogMs * 4, backlogMs(engine, now)) : backlogMs(engine, now)),
-      running: engine.runs.size
+      running: engine.runs.size,
+      loadWaitMs: Math.round(loads.loadWaitMs(blocked))
     })),
     waiting: () => waiting.size,
     drain (now) {
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -27,6 +27,9 @@
   demand: ModelDemand
   sentAt: number
   deadlineAt: number
+  /** Tokens of the prompt that were not kept when the request was sent, and the estimated time to read them in ms. */
+  uncachedTokens: number
+  prefillMs: number
   /** Estimated time of the first event when the request was sent. */
   expectedFirstAt: number
   firstEventAt?: number
@@ -58,8 +61,8 @@
   /** Cached sum of {@link runningTokens}; undefined after a change. */
   runTokens?: number
   cache: PromptCache
-  /** Time at which the prompts sent so far will have been read. */
-  prefillFreeAt: number
+  /** Time of the newest first event of a stream. */
+  lastFirstAt: number
   /** Prompt tokens read in a ms. */
   prefillRate: number
   /** Share of recent requests that failed, 0 to 1. */
@@ -74,6 +77,11 @@
 const initialPrefillRate = 30
 /** Share of the memory that running requests may take; the rest absorbs outputs that exceed their estimate. */
 export const kvShare = 0.9
+/** Time of a first event beyond reading the prompt, in ms: the network and one step of the batch. */
+const firstEventOverheadMs = 15
+/** Shorter prompts say little about the reading speed. */
+const minLearnTokens = 1000
+const rateStep = 0.015
 /** Adapters that an engine is assumed to keep in its memory after unloading. */
 const heldMax = 40
 const suspectMinMs = 500
@@ -94,7 +102,7 @@
     reportAt: now,
     runs: new Map(),
     cache: createPromptCache(spec.kvTokens / 2),
-    prefillFreeAt: now,
+    lastFirstAt: -Infinity,
     prefillRate: initialPrefillRate,
     failureRate: 0,
     suspectUntil: -Infinity,
@@ -180,7 +188,7 @@
   delete state.runTokens
   delete state.pending
   delete state.modelLoadUntil
-  state.prefillFreeAt = now
+  state.lastFirstAt = -Infinity
   state.suspectUntil = -Infinity
   state.suspectMs = suspectMinMs
   state.reportAt = now
@@ -222,12 +230,47 @@
 
 /** Tokens that a request adds to the engine's memory. */
 export function addedTokens (state: EngineState, demand: ModelDemand): number {
-  return Math.max(0, demand.promptTokens - state.cache.cachedTokens(demand)) + demand.outputTokens
+  return uncachedTokens(state, demand) + demand.outputTokens
+}
+
+/** Tokens of a prompt that the engine has to read. */
+export function uncachedTokens (state: EngineState, demand: ModelDemand): number {
+  return Math.max(0, demand.promptTokens - state.cache.cachedTokens(demand))
 }
 
 /** Time to read what is not cached of a prompt, in ms. */
 export function prefillMs (state: EngineState, demand: ModelDemand): number {
-  return Math.max(0, demand.promptTokens - state.cache.cachedTokens(demand)) / state.prefillRate
+  return uncachedTokens(state, demand) / state.prefillRate
+}
+
+/** Silence beyond the estimate after which an engine counts as stalled, in ms. */
+const stallMs = 500
+
+/**
+ * Time until the prompts sent so far will have been read, in ms. Requests whose answer is overdue
+ * while later ones were answered are left out: their answers are lost, not late.
+ */
+export function backlogMs (state: EngineState, now: number): number {
+  let unreadMs = 0
+  let oldestSentAt = Infinity
+  let overdueMs = 0
+  for (const run of state.runs.values()) {
+    if (run.firstEventAt !== undefined || run.expectedFirstAt + stallMs < state.lastFirstAt) continue
+    unreadMs += run.prefillMs
+    oldestSentAt = Math.min(oldestSentAt, run.sentAt)
+    overdueMs = Math.max(overdueMs, now - run.expectedFirstAt)
+  }
+  if (unreadMs === 0) return 0
+  if (overdueMs > stallMs) return Math.max(unreadMs, overdueMs)
+  return Math.max(0, unreadMs - (now - Math.max(oldestSentAt, state.lastFirstAt)))
+}
+
+/** A run's first event arrived: corrects the reading speed. */
+export function learnPrefillRate (state: EngineState, run: Run, now: number): void {
+  const actualMs = now - run.sentAt - firstEventOverheadMs
+  if (run.uncachedTokens < minLearnTokens || actualMs <= 0) return
+  // Contention only ever makes reading look slower, so the estimate follows the faster observations: a fifth of them exceed it.
+  state.prefillRate *= run.uncachedTokens / actualMs > state.prefillRate ? 1 + 4 * rateStep : 1 - rateStep
 }
 
 export function hasRoom (state: EngineState, demand: ModelDemand): boolean {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,7 @@
 import { createPeerLink } from './peer-link'
 import { createPlaces, type PlaceMessage } from './places'
 import { forwardPlain } from './plain-forwarder'
-import type { FeedRecord, Listen, OperatorRecord, Platform } from './platform-interface'
+import type { FeedRecord, Listen, NodeSettings, OperatorRecord, Platform } from './platform-interface'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePool, type ServicePool } from './service-pool'
@@ -36,6 +36,8 @@
 
 export type Gateway = {
   start (): Promise<void>
+  /** Applies the bounds and seeds of new settings; addresses stay until the process starts again. */
+  reload (settings: NodeSettings): void
   /** Takes no new clients, finishes what runs, then resolves. */
   stop (): Promise<void>
 }
@@ -57,7 +59,7 @@
 /** How long clients keep an address answer, in ms: a node that leaves finishes after that. */
 const addressKeepMs = 2000
 /** Time in which a leaving node still takes requests, in ms: until clients have asked for addresses again. */
-const leavingAcceptMs = 3000
+const leavingAcceptMs = 2500
 /** Time before the platform ends the process, in ms, at which a leaving node ends what still runs. */
 const stopMarginMs = 700
 /** Share of the shared allowance for repeats that the nodes together may use. */
@@ -404,6 +406,12 @@
       ])
       log.info('started', {})
     },
+    reload (next) {
+      const changed = Object.keys(next).filter(key => JSON.stringify(next[key as keyof NodeSettings]) !== JSON.stringify(settings[key as keyof NodeSettings]))
+      Object.assign(settings.bounds, next.bounds)
+      settings.seeds = next.seeds
+      log.info('settings-reloaded', { changed })
+    },
     async stop () {
       leavingSince = now()
       log.info('stopping', { running: front.running(), graceMs: settings.bounds.graceMs })
