--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -32,8 +32,10 @@
   copyMissing (engine: EngineState, scope: string, now: number): void
   isCurrent (copy: AdapterCopy, scope: string): boolean
   isUsable (copy: AdapterCopy, scope: string, now: number): boolean
-  /** Time until an adapter that nobody holds could be there, in ms. */
-  loadWaitMs (blocked: Waiting[]): number
+  /** Number of adapters that requests wait for and that are not on their way. */
+  missing (blocked: Waiting[]): number
+  /** Time until an adapter could be there whose load comes after others, in ms. */
+  loadWaitMs (loadsAhead: number): number
 }
 
 /** An adapter is loaded a second time when its copies make requests wait this much longer than a load, in ms. */
@@ -66,7 +68,9 @@
   function isCurrent (copy: AdapterCopy, scope: string): boolean {
     const newest = versions.get(scope)
     if (newest === undefined) return true
-    return copy.version === undefined ? copy.loadStartedAt > newest.announcedAt : copy.version >= newest.version
+    // A copy of unknown version may be older, unless it was ordered after the announcement was seen.
+    if (copy.version === undefined) return Number.isFinite(newest.announcedAt) && copy.loadStartedAt > newest.announcedAt
+    return copy.version >= newest.version
   }
 
   function isUsable (copy: AdapterCopy, scope: string, now: number): boolean {
@@ -274,10 +278,7 @@
     },
     isCurrent,
     isUsable,
-    loadWaitMs (blocked) {
-      const wanted = new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope)).map(({ scope }) => scope))
-      const limit = Math.max(1, storeLoadLimit * state.share)
-      return state.coldLoadMs * (1 + (wanted.size + coldLoads(engines.values())) / limit)
-    }
+    missing: blocked => new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope)).map(({ scope }) => scope)).size,
+    loadWaitMs: loadsAhead => state.coldLoadMs * (1 + (loadsAhead + coldLoads(engines.values())) / Math.max(1, storeLoadLimit * state.share))
   }
 }
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -1,5 +1,5 @@
 /** The engines that this node owns: claims in the fleet log, the scheduler, and its commands to the engines. */
-import type { AdapterVersion, BackendServer, EngineSpec } from './cluster-types'
+import type { AdapterVersion, BackendServer, EngineCommand, EngineCommandResult, EngineSpec } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import { createEngineOwnership, createLogFreshness, type EngineOwnership, type FleetMember, type LogFreshness } from './engine-ownership'
 import { createEngineScheduler, type EngineStatus, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
@@ -33,7 +33,7 @@
   ownership: EngineOwnership
   freshness: LogFreshness
   received (from: string, message: PlaceMessage): void
-  setVersion (version: AdapterVersion): void
+  setVersion (version: AdapterVersion, recent: boolean): void
   nodeLost (node: string): void
   /** Claims, deadlines, reports; to be called every few tens of ms. */
   tick (): void
@@ -50,6 +50,14 @@
 /** Pause between two tries to claim engines, in ms: long enough for the log to show the first. */
 const claimPauseMs = 400
 
+/** Times that a command without an answer is sent; each carries the same number of commands before it, so at most one is accepted. */
+const commandAttempts = 3
+
+/** A repeat that finds the number of commands changed means that an earlier attempt was accepted: nobody else gives commands. */
+function commandOutcome (result: EngineCommandResult, attempt: number): EngineCommandResult {
+  return result === 'conflict' && attempt > 1 ? 'accepted' : result
+}
+
 type Answer = { message: PlaceMessage, at: number }
 
 export function createEngineOwner (options: EngineOwnerOptions): EngineOwner {
@@ -86,8 +94,7 @@
       return perform(scheduler.commandResult(action.engine, 'conflict', now()))
     }
     const { operation, model, adapter, version, expectedCount } = action.command
-    const sentAt = now()
-    const result = await options.engines.command(server, {
+    const text: EngineCommand = {
       operation,
       model,
       ...(adapter === undefined ? {} : { adapter }),
@@ -95,10 +102,16 @@
       expectedCount,
       holder: options.name,
       fencingToken: term.token
-    })
-    options.metrics.command(operation, result)
-    log.info('engine-command', { engine: action.engine, operation, model, adapter, version, expectedCount, token: term.token, logAgeMs: Math.round(freshness.ageMs(sentAt)), result, tookMs: Math.round(now() - sentAt) })
-    perform(scheduler.commandResult(action.engine, result, now()))
+    }
+    for (let attempt = 1; ; attempt++) {
+      const sentAt = now()
+      const found = await options.engines.command(server, text)
+      const result = commandOutcome(found, attempt)
+      options.metrics.command(operation, result)
+      log.info('engine-command', { engine: action.engine, operation, model, adapter, version, expectedCount, attempt, token: term.token, logAgeMs: Math.round(freshness.ageMs(sentAt)), result: found, tookMs: Math.round(now() - sentAt) })
+      const repeat = result === 'unknown' && attempt < commandAttempts && mayCommand(action.engine, now())
+      if (!repeat) return perform(scheduler.commandResult(action.engine, result, now()))
+    }
   }
 
   async function report (engine: string): Promise<void> {
@@ -187,7 +200,7 @@
         case 'ended': return perform(scheduler.ended(message.id, message.outcome, now()))
       }
     },
-    setVersion: version => perform(scheduler.setVersion(version, now())),
+    setVersion: (version, recent) => perform(scheduler.setVersion(version, recent, now())),
     nodeLost: node => perform(scheduler.nodeLost(node, now())),
     tick () {
       dropAnswers()
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -62,7 +62,8 @@
   setEngines (engines: { server: BackendServer, spec: EngineSpec }[], now: number): SchedulerAction[]
   /** Share of all engines that this node owns, which bounds its part of the loads on their way. */
   setShare (share: number): void
-  setVersion (version: AdapterVersion, now: number): SchedulerAction[]
+  /** @param recent - announced just now; otherwise it may have to be in force already */
+  setVersion (version: AdapterVersion, recent: boolean, now: number): SchedulerAction[]
   submit (req: ScheduledRequest, now: number): SchedulerAction[]
   cancel (id: string, now: number): SchedulerAction[]
   firstEvent (id: string, now: number): SchedulerAction[]
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -144,7 +144,7 @@
   const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
   scheduler.submit(request('r1', 'a1'), 0)
   scheduler.firstEvent('r1', 90)
-  const announced = only(scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, 100), 'command')
+  const announced = only(scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, true, 100), 'command')
   assert.equal(announced, [], 'a running request keeps its copy')
   const [unload] = only(scheduler.ended('r1', 'ok', 300), 'command')
   assert.is(unload?.command.operation, 'unload')
@@ -156,6 +156,13 @@
   assert.equal([grant?.request, grant?.version], ['r2', 2])
 })
 
+// Guards against a node that starts, or was cut off, using an older version for the grace of an announcement that is not new.
+test('does not use an older copy when the announcement may have been in force for long', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, false, 100)
+  assert.equal(only(scheduler.submit(request('r1', 'a1'), 110), 'grant'), [])
+})
+
 // Guards against an owner that gives commands while another may still do so.
 test('without leave to command it serves what is held and refuses the rest', () => {
   const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => false })
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -17,6 +17,8 @@
 /** Shortest time in which a request can be served once it is sent, in ms. */
 const minRunMs = 60
 const minRetryAfterMs = 200
+/** Share of the remaining time within which a request that has missed its objective must be able to start. */
+const lateSlackShare = 0.5
 /** Time a caller should stay away while no engine can be used, in ms: engines return within seconds. */
 const noEngineRetryMs = 1000
 /** First estimates of a load's duration, in ms; corrected by what happens. */
@@ -140,11 +142,14 @@
     })
   }
 
-  function refusalOf (req: Waiting, aheadMs: number, now: number): SchedulerAction | undefined {
-    const startMs = earliestStartMs(req, aheadMs, now)
+  /** @param loadsAhead - adapters whose loads come before this request's */
+  function refusalOf (req: Waiting, aheadMs: number, loadsAhead: number, now: number): SchedulerAction | undefined {
+    const held = hasCopy(req, now)
+    const startMs = Math.max(earliestStartMs(req, aheadMs, now), held ? 0 : loads.loadWaitMs(loadsAhead))
     if (startMs === Infinity) return refuse(req, 'no-engine', noEngineRetryMs, now)
-    if (!hasCopy(req, now) && !canLoadAnywhere(req, now)) return refuse(req, 'cannot-load', noEngineRetryMs, now)
-    const slackMs = req.deadlineAt - now - minRunMs
+    if (!held && !canLoadAnywhere(req, now)) return refuse(req, 'cannot-load', noEngineRetryMs, now)
+    // A request that is late already is kept only if half of its time is enough: others overtake it.
+    const slackMs = (req.deadlineAt - now - minRunMs) * (req.objectiveAt > now ? 1 : lateSlackShare)
     return startMs > slackMs ? refuse(req, 'too-late', startMs - Math.max(0, slackMs), now) : undefined
   }
 
@@ -161,13 +166,15 @@
     const actions: SchedulerAction[] = []
     blocked = []
     let aheadMs = 0
+    const loadScopes = new Set<string>()
     for (const req of inOrder(now)) {
       const engine = bestEngine(req, now)
       if (engine !== undefined) {
         actions.push(grant(req, engine, now))
         continue
       }
-      const refusal = refusalOf(req, aheadMs, now)
+      if (!hasCopy(req, now)) loadScopes.add(req.scope)
+      const refusal = refusalOf(req, aheadMs, loadScopes.size, now)
       if (refusal !== undefined) {
         actions.push(refusal)
         continue
@@ -247,11 +254,11 @@
     setShare (value) {
       state.share = value
     },
-    setVersion ({ model, adapter, version }, now) {
+    setVersion ({ model, adapter, version }, recent, now) {
       const scope = cacheScope({ model, adapter })
       const known = versions.get(scope)
       if (known !== undefined && known.version >= version) return []
-      versions.set(scope, { version, announcedAt: now })
+      versions.set(scope, { version, announcedAt: recent ? now : -Infinity })
       // What engines keep in memory is an older version.
       for (const engine of engines.values()) engine.held.delete(scope)
       return decide(now)
@@ -340,7 +347,7 @@
       scopes: [...engine.copies].filter(([scope, copy]) => copy.state !== 'unloading' && isCurrent(copy, scope)).map(([scope]) => scope),
       backlogMs: Math.round(engine.suspectUntil > now ? Math.max(maxBacklogMs * 4, backlogMs(engine, now)) : backlogMs(engine, now)),
       running: engine.runs.size,
-      loadWaitMs: Math.round(loads.loadWaitMs(blocked))
+      loadWaitMs: Math.round(loads.loadWaitMs(loads.missing(blocked)))
     })),
     waiting: () => waiting.size,
     drain (now) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http'
 import { createRetryBudget, type RetryBudget } from '@yuccawharf/coordination'
 import type { ClientExchange } from './client-exchange'
-import type { AdapterVersion, BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
+import type { BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import { chooseAddresses } from './directory'
 import type { KnownEngine } from './engine-choice'
@@ -16,6 +16,7 @@
 import { createPlaces, type PlaceMessage } from './places'
 import { forwardPlain } from './plain-forwarder'
 import type { FeedRecord, Listen, NodeSettings, OperatorRecord, Platform } from './platform-interface'
+import { cacheScope } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePool, type ServicePool } from './service-pool'
@@ -75,7 +76,8 @@
   const registry = createServerRegistry()
   const pools = new Map<string, ServicePool>()
   const budgets = new Map<string, RetryBudget>()
-  const versions = new Map<string, AdapterVersion>()
+  /** Newest known version of adapters that were replaced, by model and adapter. */
+  const versions = new Map<string, number>()
   const board = createStatusBoard()
   const followers: Follower[] = []
   const timers: NodeJS.Timeout[] = []
@@ -145,6 +147,7 @@
     zone: self.zone,
     engines: enginesOf,
     server: id => registry.get(id),
+    newestVersion: scope => versions.get(scope),
     tell: tellNode,
     log: log.info
   })
@@ -248,15 +251,16 @@
     owner.refresh()
   }
 
-  function applyOperator (records: FeedRecord<OperatorRecord>[]): void {
+  /** @param recent - the records were written just now; others may have been in force for a while */
+  function applyOperator (records: FeedRecord<OperatorRecord>[], recent: boolean): void {
     for (const { key, offset, value } of records) {
       if (value === undefined || value.type === 'other') continue
       if (value.type === 'config') applyConfig(value.config, offset)
       else if (value.type === 'adapter-version') {
         const { model, adapter, version } = value
-        versions.set(key, { model, adapter, version })
-        log.info('adapter-version', { model, adapter, version, offset })
-        owner.setVersion({ model, adapter, version })
+        versions.set(cacheScope({ model, adapter }), version)
+        log.info('adapter-version', { model, adapter, version, offset, recent })
+        owner.setVersion({ model, adapter, version }, recent)
       } else log.warn('operator-record-unreadable', { key, offset, reason: value.reason })
     }
   }
@@ -286,14 +290,19 @@
 
   let fleetFollower: Follower | undefined
   let operatorFollower: Follower | undefined
+  let operatorInTouch = false
 
   function startFollowers (): void {
     const base = { now, random: options.random }
     operatorFollower = followFeed(platform.operator, {
       ...watch('operator', () => {}),
-      replaced: applyOperator,
-      changed: applyOperator,
-      answered () {}
+      replaced: records => applyOperator(records, false),
+      changed: records => applyOperator(records, operatorInTouch),
+      answered () { operatorInTouch = true },
+      lost (reason) {
+        operatorInTouch = false
+        log.warn('dependency-lost', { dependency: 'operator', reason })
+      }
     }, { ...base, waitMs: () => owner.owns() ? ownerConfigWaitMs : longWaitMs, pauseMs: 0 })
     const serverFollower = followFeed(platform.servers, {
       ...watch('servers', () => registry.storeReturned(now())),
--- a/packages/gateway/src/places.ts
+++ b/packages/gateway/src/places.ts
@@ -41,6 +41,8 @@
   zone: string
   engines (service: string): KnownEngine[]
   server (id: string): BackendServer | undefined
+  /** Newest announced version of an adapter, if it was ever replaced. */
+  newestVersion (scope: string): number | undefined
   /** @returns whether the owner has it; for the own node at once */
   tell (owner: string, message: PlaceMessage): Promise<boolean>
   log (event: string, fields: Record<string, string | number | boolean | undefined>): void
@@ -101,7 +103,9 @@
     if (server === undefined || (req.only !== undefined && !req.only.includes(server.id))) return { type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryMs }
     unowned.set(server.id, (unowned.get(server.id) ?? 0) + 1)
     env.log('place-without-owner', { id: req.requestId, server: server.id })
-    return { type: 'place', place: { placeId: req.placeId, server } }
+    // Without an owner nobody knows which version the engine holds: it refuses another one.
+    const version = env.newestVersion(cacheScope(req.demand))
+    return { type: 'place', place: { placeId: req.placeId, server, ...(version === undefined ? {} : { version }) } }
   }
 
   function recentUses ({ model, adapter }: ModelDemand): number {
