--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -5,7 +5,7 @@
 import type { EngineCommandResult } from './cluster-types'
 import { coldLoads, decideLoad, type WantedAdapter } from './adapter-loads'
 import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
-import { backlogMs, forgetCopy, hasRoom, isIdle, type AdapterCopy, type EngineState, type PendingCommand } from './engine-state'
+import { backlogMs, forgetCopy, hasRoom, isIdle, placeLimit, type AdapterCopy, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
 export type Waiting = ScheduledRequest & { scope: string, arrivedAt: number }
@@ -18,6 +18,8 @@
   /** Estimated durations of loads from the weight store and from an engine's memory, in ms. */
   coldLoadMs: number
   warmLoadMs: number
+  /** Mean time that a request runs, in ms. */
+  meanRunMs: number
   /** Share of all engines that this node owns. */
   share: number
 }
@@ -50,6 +52,8 @@
 const versionMarginMs = 1500
 /** A load of a base model is checked at this pace, in ms. */
 export const modelCheckMs = 1000
+/** Weight of a waiting request that can still meet its objective, against one that cannot. */
+const onTimeWeight = 4
 /** Uses in recent time from which a newer version is loaded before a request asks for it. */
 const replaceUses = 0.5
 /** Bounds of the estimated duration of a load, in ms. */
@@ -88,8 +92,7 @@
       if (waitMs < (copies.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
       const version = versions.get(req.scope)?.version
       const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
-      // The most urgent class counts most; a request that is already late counts least.
-      entry.weight += (req.objectiveAt > now ? 4 : 1) / (1 + req.priority)
+      entry.weight += req.objectiveAt > now ? onTimeWeight : 1
       wanted.set(req.scope, entry)
     }
     return [...wanted.values()].sort((left, right) => right.weight - left.weight)
@@ -241,6 +244,18 @@
     })
   }
 
+  function countPlaces (): { places: number, idle: number } {
+    let places = 0
+    let idle = 0
+    for (const engine of engines.values()) {
+      const limit = placeLimit(engine)
+      places += limit
+      idle += Math.max(0, limit - engine.copies.size)
+      for (const [scope, copy] of engine.copies) idle += isIdle(engine, scope, copy) ? 1 : 0
+    }
+    return { places, idle }
+  }
+
   function unloaded (engine: EngineState, scope: string): void {
     const copy = engine.copies.get(scope)
     forgetCopy(engine, scope)
@@ -279,6 +294,12 @@
     isCurrent,
     isUsable,
     missing: blocked => new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope)).map(({ scope }) => scope)).size,
-    loadWaitMs: loadsAhead => state.coldLoadMs * (1 + (loadsAhead + coldLoads(engines.values())) / Math.max(1, storeLoadLimit * state.share))
+    loadWaitMs (loadsAhead) {
+      const storeMs = state.coldLoadMs * (1 + (loadsAhead + coldLoads(engines.values())) / Math.max(1, storeLoadLimit * state.share))
+      const { places, idle } = countPlaces()
+      // Without an idle place, one becomes free whenever a run ends.
+      const placeMs = places === 0 ? 0 : Math.max(0, loadsAhead - idle) * state.meanRunMs / places
+      return storeMs + placeMs
+    }
   }
 }
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -159,15 +159,18 @@
   async function claim (): Promise<void> {
     const at = options.logPosition()
     if (leaving || at === undefined || now() < claimAt) return
+    const settled = ownership.settled(now())
     const claims = ownership.claims(options.known().map(({ server }) => server), options.members(), now())
-    if (claims.length === 0) return
+    if (claims.length + settled.length === 0) return
     claimAt = now() + claimPauseMs
     const records = claims.map(({ engine, after }) => ({
       key: `owner/${engine}`,
       value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation, ...(after === undefined ? {} : { after }) }
     }))
-    const result = await options.fleetLog.append(records, at)
-    log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), at, result: result.val })
+    // From here on a new process of this machine need not wait for the former owner again.
+    const confirmations = settled.map(engine => ({ key: `owner/${engine}`, value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation } }))
+    const result = await options.fleetLog.append([...records, ...confirmations], at)
+    log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), settled, at, result: result.val })
     options.appended()
   }
 
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -31,6 +31,8 @@
   owner (engine: string): OwnerTerm | undefined
   /** Engines whose newest owner record names this process. */
   owned (): OwnerTerm[]
+  /** Owned engines whose former owner can give no more commands, which the log does not say yet. */
+  settled (now: number): string[]
   /** Time from which this process may give the engine commands; undefined while it is not the owner. */
   commandsFrom (engine: string): number | undefined
   /** Engines with an owner record. */
@@ -57,7 +59,8 @@
   function put (record: FleetRecord & { type: 'owner' }, offset: number, now: number): void {
     const previous = terms.get(record.engine)
     if (previous !== undefined && previous.token >= offset) return
-    const commandsFrom = isSelf(record) ? now + waitMs(record) : Infinity
+    const ownAlready = previous !== undefined && isSelf(previous) && isSelf(record)
+    const commandsFrom = ownAlready ? previous.commandsFrom : isSelf(record) ? now + waitMs(record) : Infinity
     const after = record.after === undefined ? {} : { after: record.after }
     terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token: offset, commandsFrom, ...after })
     handedOver.delete(record.engine)
@@ -103,6 +106,7 @@
       const term = terms.get(engine)
       return term !== undefined && isSelf(term) ? term.commandsFrom : undefined
     },
+    settled: now => [...terms.values()].filter(term => isSelf(term) && term.after !== undefined && term.commandsFrom < now).map(({ engine }) => engine),
     engines: () => [...terms.keys()]
   }
 }
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -27,11 +27,15 @@
 /** Time without a first event beyond the estimate after which the engine is asked for a report, in ms. */
 const stallMs = 1200
 const stallProbeGapMs = 1000
+/** First estimate of the time that a request runs, in ms. */
+const initialRunMs = 1500
+/** Weight of the newest run in the mean. */
+const runWeight = 0.05
 /** The use of an adapter decays by half in this time, in ms. */
 const useHalfLifeMs = 8000
 
 export function createEngineScheduler (cfg: SchedulerConfig): EngineScheduler {
-  const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, share: 1 }
+  const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, meanRunMs: initialRunMs, share: 1 }
   const { engines, versions } = state
   const loads = createEngineLoads(cfg, state)
   const { isCurrent, isUsable } = loads
@@ -117,10 +121,18 @@
     return { type: 'refuse', request: req.id, node: req.node, reason, retryAfterMs: Math.round(Math.max(minRetryAfterMs, retryAfterMs)), waitedMs: now - req.arrivedAt }
   }
 
-  /** Requests that can still meet their objective go first, then by urgency, then by the time that is left. */
+  /**
+   * Requests that can still meet their objective go first, then by the time that is left for it: all
+   * classes are delayed alike in a surge, those with shorter objectives least.
+   */
   function inOrder (now: number): Waiting[] {
-    const key = (req: Waiting): number => (req.objectiveAt > now ? 0 : 1)
-    return [...waiting.values()].sort((left, right) => key(left) - key(right) || left.priority - right.priority || left.objectiveAt - right.objectiveAt)
+    const late = new Map<string, boolean>()
+    for (const req of waiting.values()) {
+      const loadMs = hasCopy(req, now) ? 0 : state.coldLoadMs
+      late.set(req.id, now + loadMs + req.demand.promptTokens / meanPrefillRate() > req.objectiveAt)
+    }
+    const rank = (req: Waiting): number => late.get(req.id) === true ? 1 : 0
+    return [...waiting.values()].sort((left, right) => rank(left) - rank(right) || left.objectiveAt - right.objectiveAt || left.priority - right.priority)
   }
 
   /** Earliest start of a request behind `aheadMs` of prompt reading, in ms from now. */
@@ -192,13 +204,14 @@
     return engines.size === 0 ? 1 : sum / engines.size
   }
 
-  function release (id: string): EngineState | undefined {
+  function release (id: string, now: number): EngineState | undefined {
     const engine = engines.get(granted.get(id) ?? '')
     granted.delete(id)
     const run = engine?.runs.get(id)
     if (engine === undefined || run === undefined) return undefined
     engine.runs.delete(id)
     delete engine.runTokens
+    if (run.firstEventAt !== undefined) state.meanRunMs += runWeight * (now - run.sentAt - state.meanRunMs)
     const copy = engine.copies.get(run.scope)
     if (copy !== undefined) copy.running = Math.max(0, copy.running - 1)
     return engine
@@ -225,7 +238,7 @@
   function dropExpired (now: number): void {
     for (const engine of engines.values()) {
       for (const run of engine.runs.values()) {
-        if (now > run.deadlineAt + 1000) release(run.id)
+        if (now > run.deadlineAt + 1000) release(run.id, now)
       }
     }
   }
@@ -272,7 +285,7 @@
     },
     cancel (id, now) {
       if (waiting.delete(id)) return []
-      return release(id) === undefined ? [] : decide(now)
+      return release(id, now) === undefined ? [] : decide(now)
     },
     firstEvent (id, now) {
       const engine = engines.get(granted.get(id) ?? '')
@@ -291,7 +304,7 @@
     },
     ended (id, outcome, now) {
       const run = engines.get(granted.get(id) ?? '')?.runs.get(id)
-      const engine = release(id)
+      const engine = release(id, now)
       if (engine === undefined || run === undefined) {
         waiting.delete(id)
         return []
@@ -308,7 +321,7 @@
       }
       for (const engine of engines.values()) {
         for (const run of engine.runs.values()) {
-          if (run.node === node) release(run.id)
+          if (run.node === node) release(run.id, now)
         }
       }
       return decide(now)
