--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -48,7 +48,7 @@
     const cost = engineCost(engine, scope, zone, recentUses >= hotUses)
     costs.set(engine.owner, Math.min(costs.get(engine.owner) ?? Infinity, cost))
   }
-  return [...costs].sort(([, left], [, right]) => left - right).map(([owner]) => owner)
+  return [...costs].filter(([, cost]) => cost < Infinity).sort(([, left], [, right]) => left - right).map(([owner]) => owner)
 }
 
 /**
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -39,8 +39,10 @@
   tick (): void
   /** The set of engines or of their owners may have changed. */
   refresh (): void
-  /** Stops commands and claims, because this node is leaving. */
+  /** Claims nothing more, because this node is leaving. */
   leave (): void
+  /** Gives no more commands, because the process ends. */
+  end (): void
   status (): { engines: (EngineStatus & { commandable: boolean })[], waiting: number }
   owns (): boolean
 }
@@ -66,11 +68,12 @@
   const ownership = createEngineOwnership({ name: options.name, incarnation: options.incarnation, zone: options.zone, leaseMs: options.leaseMs }, now())
   const answers = new Map<string, Answer>()
   let leaving = false
+  let ended = false
   let claimAt = 0
 
   function mayCommand (engine: string, at: number): boolean {
     const from = ownership.commandsFrom(engine)
-    return !leaving && from !== undefined && from <= at && freshness.isFresh(at)
+    return !ended && from !== undefined && from <= at && freshness.isFresh(at)
   }
 
   const scheduler = createEngineScheduler({ versionMs: options.versionMs, mayCommand })
@@ -215,6 +218,9 @@
     leave () {
       leaving = true
     },
+    end () {
+      ended = true
+    },
     status: () => ({
       engines: scheduler.status(now()).map(engine => ({ ...engine, commandable: mayCommand(engine.id, now()) })),
       waiting: scheduler.waiting()
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -8,8 +8,8 @@
 import type { BackendServer } from './cluster-types'
 import type { FeedRecord, FleetRecord, Unreadable } from './platform-interface'
 
-/** Time since its last reading of the log after which an owner gives no commands, in ms: two missed reads of a second each. */
-export const logFreshMs = 2200
+/** Time since its last reading of the log after which an owner gives no commands, in ms: one read of 800 ms and one that is late. */
+export const logFreshMs = 1300
 /** Margin for a command's way to the engine and for clocks that run at different rates, in ms. */
 const marginMs = 200
 /** Time for nodes that start together to learn of each other before the first claims, in ms. */
@@ -22,7 +22,7 @@
 export type OwnershipConfig = { name: string, incarnation: number, zone: string, leaseMs: number }
 
 /** `after` names the other node whose commands may still be on their way. */
-export type Claim = { engine: string, reason: 'unowned' | 'owner-dead' | 'owner-leaving', after?: string }
+export type Claim = { engine: string, reason: 'unowned' | 'owner-dead' | 'restarted', after?: string }
 
 export type EngineOwnership = {
   apply (records: readonly FeedRecord<FleetRecord | Unreadable>[], now: number): void
@@ -35,45 +35,46 @@
   settled (now: number): string[]
   /** Time from which this process may give the engine commands; undefined while it is not the owner. */
   commandsFrom (engine: string): number | undefined
-  /** Engines with an owner record. */
-  engines (): string[]
+  /** A node says that its process ends and gives no more commands. */
+  stopped (node: string, incarnation: number, now: number): void
 }
 
 type Term = OwnerTerm & { commandsFrom: number, after?: string }
 
 export function createEngineOwnership (cfg: OwnershipConfig, startedAt: number): EngineOwnership {
   const terms = new Map<string, Term>()
-  /** Engines claimed because their owner was leaving: it has stopped giving commands by itself. */
-  const handedOver = new Set<string>()
+  /** Processes that said that they end, by node. */
+  const stops = new Map<string, { incarnation: number, at: number }>()
 
   function isSelf ({ node, incarnation }: { node: string, incarnation: number }): boolean {
     return node === cfg.name && incarnation === cfg.incarnation
   }
 
-  function waitMs (record: FleetRecord & { type: 'owner' }): number {
+  /** Time from which no command of the former owner can arrive and a lease has passed since. */
+  function leaseEndsAt (record: FleetRecord & { type: 'owner' }, previous: Term | undefined, now: number): number {
     // One machine is one holder, whatever process of it gave the commands before.
-    if (record.after === undefined) return 0
-    return cfg.leaseMs + marginMs + (handedOver.has(record.engine) ? 0 : logFreshMs)
+    if (record.after === undefined) return now
+    const stop = stops.get(record.after)
+    const stopped = stop !== undefined && previous !== undefined && previous.node === record.after && stop.incarnation === previous.incarnation
+    return Math.max(now, (stopped ? stop.at : now + logFreshMs) + cfg.leaseMs + marginMs)
   }
 
   function put (record: FleetRecord & { type: 'owner' }, offset: number, now: number): void {
     const previous = terms.get(record.engine)
     if (previous !== undefined && previous.token >= offset) return
     const ownAlready = previous !== undefined && isSelf(previous) && isSelf(record)
-    const commandsFrom = ownAlready ? previous.commandsFrom : isSelf(record) ? now + waitMs(record) : Infinity
+    const commandsFrom = ownAlready ? previous.commandsFrom : isSelf(record) ? leaseEndsAt(record, previous, now) : Infinity
     const after = record.after === undefined ? {} : { after: record.after }
     terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token: offset, commandsFrom, ...after })
-    handedOver.delete(record.engine)
   }
 
   function claimReason (term: Term | undefined, members: readonly FleetMember[]): Claim['reason'] | undefined {
     if (term === undefined) return 'unowned'
     // An earlier process of this machine owned the engine.
-    if (term.node === cfg.name) return term.incarnation === cfg.incarnation ? undefined : 'owner-dead'
+    if (term.node === cfg.name) return term.incarnation === cfg.incarnation ? undefined : 'restarted'
+    // An owner that is leaving keeps its engines: its next process can go on at once, another node only after a lease.
     const owner = members.find(({ name }) => name === term.node)
-    if (owner === undefined || owner.state === 'dead') return 'owner-dead'
-    // A newer process of the owner's machine claims its engines itself.
-    return owner.state === 'leaving' ? 'owner-leaving' : undefined
+    return owner === undefined || owner.state === 'dead' ? 'owner-dead' : undefined
   }
 
   return {
@@ -84,7 +85,6 @@
       }
     },
     claims (engines, members, now) {
-      if (now - startedAt < settleMs) return []
       const self: FleetMember = { name: cfg.name, zone: cfg.zone, incarnation: cfg.incarnation, state: 'alive' }
       const candidates = [self, ...members.filter(({ name, state }) => state === 'alive' && name !== cfg.name)]
       const ranked = candidates.map(({ name, zone }) => ({ id: name, group: zone }))
@@ -93,9 +93,9 @@
         const reason = claimReason(term, members)
         if (reason === undefined) return []
         const own = term?.node === cfg.name
+        if (!own && now - startedAt < settleMs) return []
         // Engines of one zone get one owner, which then sees all places for an adapter in its zone.
         if (!own && firstNode(`zone:${engine.zone}`, ranked, engine.zone)?.id !== cfg.name) return []
-        if (reason === 'owner-leaving') handedOver.add(engine.id)
         const after = own ? term.after : term?.node
         return [{ engine: engine.id, reason, ...(after === undefined ? {} : { after }) }]
       })
@@ -107,7 +107,9 @@
       return term !== undefined && isSelf(term) ? term.commandsFrom : undefined
     },
     settled: now => [...terms.values()].filter(term => isSelf(term) && term.after !== undefined && term.commandsFrom < now).map(({ engine }) => engine),
-    engines: () => [...terms.keys()]
+    stopped (node, incarnation, now) {
+      stops.set(node, { incarnation, at: now })
+    }
   }
 }
 
@@ -116,8 +118,8 @@
  * say of theirs, and whether the process was suspended meanwhile.
  */
 export type LogFreshness = {
-  /** A read that was sent at `sentAt` has been answered and applied. */
-  read (sentAt: number, next: number): void
+  /** A read has been answered and applied; its answer shows the log as of `asOf`. */
+  read (asOf: number, next: number): void
   /** A peer read up to `next`, `ageMs` before its message was sent. */
   vouched (next: number, ageMs: number, now: number): void
   /** The process was suspended: earlier reads prove nothing. */
@@ -139,9 +141,9 @@
   }
 
   return {
-    read (sentAt, next) {
+    read (asOf, next) {
       position = Math.max(position, next)
-      refresh(sentAt)
+      refresh(asOf)
     },
     vouched (next, ageMs, now) {
       if (next <= position) refresh(now - ageMs - vouchDelayMs)
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -7,8 +7,8 @@
   replaced (records: FeedRecord<Value>[], next: number): void
   /** Records in order; empty when a read found none. */
   changed (records: FeedRecord<Value>[], next: number): void
-  /** A call succeeded; `sentAt` is when it was sent. */
-  answered (sentAt: number, next: number): void
+  /** A call succeeded; its answer shows the feed at least as of `asOf`. */
+  answered (asOf: number, next: number): void
   /** The feed became unreachable, or reachable again. */
   lost (reason: string): void
   regained (lostForMs: number): void
@@ -59,7 +59,7 @@
     }
   })
 
-  function succeeded (sentAt: number, next: number): void {
+  function succeeded (asOf: number, next: number): void {
     if (lostAt !== undefined) {
       events.regained(options.now() - lostAt)
       lostAt = undefined
@@ -67,7 +67,7 @@
     failures = 0
     events.call('ok')
     position = next
-    events.answered(sentAt, next)
+    events.answered(asOf, next)
   }
 
   async function failed (reason: string): Promise<void> {
@@ -92,7 +92,8 @@
   async function readChanges (from: number): Promise<void> {
     const sentAt = options.now()
     reading = new AbortController()
-    const result = await feed.read(from, options.waitMs(), reading.signal)
+    const waitMs = options.waitMs()
+    const result = await feed.read(from, waitMs, reading.signal)
     const interrupted = reading.signal.aborted
     reading = undefined
     if (stopped || (interrupted && result.err)) return
@@ -103,7 +104,9 @@
     }
     if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : '')
     events.changed(result.val.records, result.val.next)
-    succeeded(sentAt, result.val.next)
+    // A read that found nothing was answered when its wait had passed, so it shows the end of the wait.
+    const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
+    succeeded(waited ? sentAt + waitMs : sentAt, result.val.next)
     if (options.pauseMs > 0) await pause(options.pauseMs)
   }
 
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -1,11 +1,14 @@
 /** The gateway's nodes: who they are, from the fleet log, and which of them are alive, by probing each other. */
-import { createMembership, membershipDefaults, packMembership, unpackMembership, type Membership, type MembershipAction } from '@yuccawharf/coordination'
+import { createMembership, packMembership, unpackMembership, type Membership, type MembershipAction } from '@yuccawharf/coordination'
 import { xoroshiro128plus } from 'pure-rand'
 import type { DecisionLog } from './decision-log'
 import type { DirectoryNode } from './directory'
 import type { FleetMember } from './engine-ownership'
 import type { FeedRecord, FleetRecord, Unreadable } from './platform-interface'
 
+/** A node that is gone is known to be dead about two seconds later; its engines wait for that long for an owner, in ms. */
+const probing = { periodMs: 500, ackMs: 200, suspicionMs: 1200, indirect: 3 }
+
 export type NodeRecord = FleetRecord & { type: 'node' }
 
 export type FleetOptions = {
@@ -29,6 +32,8 @@
   /** Peers that are not dead. */
   peers (): NodeRecord[]
   address (node: string): string | undefined
+  /** Address at which the node hands out what it read from the store. */
+  control (node: string): string | undefined
   size (): number
 }
 
@@ -37,7 +42,7 @@
   const nodes = new Map<string, NodeRecord>()
   const membership: Membership = createMembership({
     self: { id: self.name, address: self.address, incarnation: self.incarnation },
-    ...membershipDefaults,
+    ...probing,
     random: xoroshiro128plus(self.incarnation ^ (self.incarnation / 2 ** 32))
   })
 
@@ -94,6 +99,7 @@
     },
     peers: () => [...nodes.values()].filter(({ name }) => alive(name)),
     address: node => nodes.get(node)?.address,
+    control: node => nodes.get(node)?.control,
     size: () => nodes.size + 1
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,9 +13,10 @@
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
 import { createPeerLink } from './peer-link'
+import { askPeerState, createFeedMirror, createStateServer, type PeerSnapshot } from './peer-state'
 import { createPlaces, type PlaceMessage } from './places'
 import { forwardPlain } from './plain-forwarder'
-import type { FeedRecord, Listen, NodeSettings, OperatorRecord, Platform } from './platform-interface'
+import type { FeedRecord, FleetRecord, Listen, NodeSettings, OperatorRecord, Platform, Unreadable } from './platform-interface'
 import { cacheScope } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
@@ -50,6 +51,8 @@
 /** Pace of what owners tell all nodes, in ms; at least once in the second time without a change. */
 const statusMs = 250
 const statusMaxMs = 1000
+/** Pace at which a node without a configuration asks its seeds, in ms. */
+const seedsMs = 600
 /** Pause between two reads of the servers' entries, in ms: two reads fit into the time in which a leaving server must get no more requests. */
 const serverReadMs = 850
 /** A waiting read returns at once on a change; its length only bounds what a silent connection hides, in ms. */
@@ -79,6 +82,7 @@
   /** Newest known version of adapters that were replaced, by model and adapter. */
   const versions = new Map<string, number>()
   const board = createStatusBoard()
+  const mirror = createFeedMirror()
   const followers: Follower[] = []
   const timers: NodeJS.Timeout[] = []
   let table: RouteTable | undefined
@@ -92,7 +96,8 @@
     zone: settings.zone,
     incarnation: startedAt,
     front: `${settings.front.host}:${settings.front.port}`,
-    capacity: settings.cpuShare
+    capacity: settings.cpuShare,
+    ...(settings.control === undefined ? {} : { control: `${settings.control.host}:${settings.control.port}` })
   }
 
   const link = createPeerLink({
@@ -104,6 +109,7 @@
       if (kind === 'member') fleet.received(payload)
       else if (kind === 'place') receivedPlace(from.node, payload as PlaceMessage)
       else if (kind === 'status') receivedStatus(from.node, payload)
+      else if (kind === 'stopped') owner.ownership.stopped(from.node, from.incarnation, now())
     },
     faulty: reason => { log.warn('peer-message-failed', { reason }) }
   })
@@ -181,6 +187,43 @@
     owner.freshness.vouched(status.fleetNext, status.fleetAgeMs, now())
     fleetFollower?.behind(status.fleetNext)
     operatorFollower?.behind(status.operatorNext)
+    const known = operatorFollower?.position()
+    if (!operatorInTouch && (known === undefined || status.operatorNext > Math.max(known, peerOperatorNext))) {
+      const control = fleet.control(from)
+      if (control !== undefined) learnFromPeers([control])
+    }
+  }
+
+  /** Takes the newest records from the first peer that answers, while the store cannot be read. */
+  function learnFromPeers (addresses: string[]): void {
+    if (askingPeers) return
+    askingPeers = true
+    const ask = async (): Promise<void> => {
+      for (const address of addresses) {
+        const snapshot = await askPeerState(address)
+        if (snapshot === undefined || operatorInTouch) continue
+        log.info('state-from-peer', { peer: address, operatorNext: snapshot.operator.next, servers: snapshot.servers.records.length })
+        return adopt(snapshot)
+      }
+    }
+    ask().catch(err => { log.error('peer-state-failed', { reason: (err as Error).message }) }).finally(() => { askingPeers = false })
+  }
+
+  function adopt ({ operator, servers, fleet: nodes }: PeerSnapshot): void {
+    peerOperatorNext = operator.next
+    applyOperator(operator.records, false)
+    applyServers(registry.apply(servers.records, now()))
+    serversKnown ||= servers.records.length > 0
+    fleet.apply(nodes.records)
+    owner.ownership.apply(nodes.records, now())
+    owner.refresh()
+  }
+
+  /** A node that starts while the store turns it away asks the nodes that its settings name. */
+  function askSeeds (): void {
+    if (table !== undefined && serversKnown) return
+    const others = settings.seeds.filter(address => address !== self.control)
+    if (others.length > 0) learnFromPeers(others)
   }
 
   function sendStatus (): void {
@@ -291,13 +334,22 @@
   let fleetFollower: Follower | undefined
   let operatorFollower: Follower | undefined
   let operatorInTouch = false
+  let askingPeers = false
+  /** Offset up to which a peer's operator records were taken. */
+  let peerOperatorNext = -1
 
   function startFollowers (): void {
     const base = { now, random: options.random }
     operatorFollower = followFeed(platform.operator, {
       ...watch('operator', () => {}),
-      replaced: records => applyOperator(records, false),
-      changed: records => applyOperator(records, operatorInTouch),
+      replaced (records, next) {
+        mirror.replace('operator', records, next)
+        applyOperator(records, false)
+      },
+      changed (records, next) {
+        mirror.keep('operator', records, next)
+        applyOperator(records, operatorInTouch)
+      },
       answered () { operatorInTouch = true },
       lost (reason) {
         operatorInTouch = false
@@ -306,20 +358,32 @@
     }, { ...base, waitMs: () => owner.owns() ? ownerConfigWaitMs : longWaitMs, pauseMs: 0 })
     const serverFollower = followFeed(platform.servers, {
       ...watch('servers', () => registry.storeReturned(now())),
-      replaced: records => applyServers(registry.replace(records, now())),
-      changed: records => applyServers(registry.apply(records, now())),
+      replaced (records, next) {
+        mirror.replace('servers', records, next)
+        applyServers(registry.replace(records, now()))
+      },
+      changed (records, next) {
+        mirror.keep('servers', records, next)
+        applyServers(registry.apply(records, now()))
+      },
       answered () { serversKnown = true }
     }, { ...base, waitMs: () => 0, pauseMs: serverReadMs })
-    const applyFleet: FollowerEvents<Parameters<typeof fleet.apply>[0][number]['value'] & object>['changed'] = records => {
+    const applyFleet = (records: FeedRecord<FleetRecord | Unreadable>[]): void => {
       fleet.apply(records)
       owner.ownership.apply(records, now())
       if (records.length > 0) owner.refresh()
     }
     fleetFollower = followFeed(platform.fleet, {
       ...watch('fleet', () => {}),
-      replaced: applyFleet,
-      changed: applyFleet,
-      answered: (sentAt, next) => { owner.freshness.read(sentAt, next) }
+      replaced (records, next) {
+        mirror.replace('fleet', records, next)
+        applyFleet(records)
+      },
+      changed (records, next) {
+        mirror.keep('fleet', records, next)
+        applyFleet(records)
+      },
+      answered: (asOf, next) => { owner.freshness.read(asOf, next) }
     }, { ...base, waitMs: () => owner.owns() ? ownerWaitMs : longWaitMs, pauseMs: 0 })
     followers.push(operatorFollower, serverFollower, fleetFollower)
   }
@@ -374,6 +438,7 @@
     })
   })
 
+  const stateServer = createStateServer(mirror)
   const suspension = createSuspensionGuard({ now, wallClock: Date.now })
 
   function startTimers (): void {
@@ -388,6 +453,7 @@
     }, tickMs))
     timers.push(setInterval(() => fleet.tick(), memberTickMs))
     timers.push(setInterval(sendStatus, statusMs))
+    timers.push(setInterval(askSeeds, seedsMs))
     timers.push(setInterval(() => metrics.gauge('running', front.running()), statusMaxMs))
   }
 
@@ -411,6 +477,7 @@
         listenOn(front.server, settings.front),
         listenOn(readyServer, settings.ready),
         listenOn(directoryServer, settings.directory),
+        ...(settings.control === undefined ? [] : [listenOn(stateServer, settings.control)]),
         listenOn(metricsServer, { host: settings.ip, port: options.metricsAddress.port })
       ])
       log.info('started', {})
@@ -427,7 +494,9 @@
       fleet.leave()
       owner.leave()
       await finish()
-      for (const server of [front.server, directoryServer, readyServer, metricsServer]) server.close()
+      owner.end()
+      await Promise.all(fleet.peers().map(({ address }) => link.deliver(address, { kind: 'stopped', payload: null })))
+      for (const server of [front.server, directoryServer, readyServer, metricsServer, stateServer]) server.close()
       for (const timer of timers) clearInterval(timer)
       for (const follower of followers) follower.stop()
       link.close()
--- a/packages/gateway/src/places.ts
+++ b/packages/gateway/src/places.ts
@@ -63,12 +63,16 @@
 /** An owner that has not answered is asked again at this pace, in ms: it may have ended. */
 const askAgainMs = 400
 const noOwnerRetryMs = 700
+/** An owner that did not acknowledge a request is asked last for this time, in ms. */
+const avoidMs = 1000
 
 type Pending = { owner: string, settle (answer: PlaceAnswer | 'lost'): void }
 
 export function createPlaces (env: PlacesEnv): Places {
   const pending = new Map<string, Pending>()
   const uses = createUseCounter()
+  /** Owners that did not acknowledge, with the time until which others are asked first. */
+  const avoided = new Map<string, number>()
   /** Requests that this node has sent without an owner, by engine. */
   const unowned = new Map<string, number>()
 
@@ -118,12 +122,18 @@
 
   return {
     async acquire (req) {
-      const owners = rankOwners(env.engines(req.service), req.demand, env.zone, recentUses(req.demand)).slice(0, maxOwners)
+      const ranked = rankOwners(env.engines(req.service), req.demand, env.zone, recentUses(req.demand))
+      const isAvoided = (owner: string): boolean => (avoided.get(owner) ?? 0) > env.now()
+      const owners = [...ranked.filter(owner => !isAvoided(owner)), ...ranked.filter(isAvoided)].slice(0, maxOwners)
       let refusal: PlaceAnswer | undefined
       for (const owner of owners) {
         const answer = await ask(owner, req)
         env.log('owner-answered', { id: req.requestId, owner, answer: answer === 'lost' ? 'lost' : answer.type === 'place' ? answer.place.server.id : answer.reason })
-        if (answer === 'lost') continue
+        if (answer === 'lost') {
+          avoided.set(owner, env.now() + avoidMs)
+          continue
+        }
+        avoided.delete(owner)
         if (answer.type === 'place') return answer
         if (refusal === undefined || refusal.type !== 'refused' || answer.retryAfterMs < refusal.retryAfterMs) refusal = answer
       }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -25,7 +25,7 @@
 
 /** Records of the gateway's own nodes; the first is written by each node about itself, the others by engine owners. */
 export type FleetRecord =
-  | { type: 'node', name: string, address: string, zone: string, incarnation: number, front: string, capacity: number }
+  | { type: 'node', name: string, address: string, zone: string, incarnation: number, front: string, capacity: number, control?: string }
   /** `after` names the other node that gave the engine commands before; it stays in the records of later processes of the same node. */
   | { type: 'owner', engine: string, node: string, incarnation: number, after?: string }
 
