Take a response without a length as cut when its connection is reset

A connection that had carried a foreign response stayed in the pool while it was idle. Change: the connector marks resets before undici ends the response; a distrusted server gets a new pool. Tests: attempt.test.ts, which fails without the mark.

--- /dev/null
+++ b/packages/gateway/src/attempt.test.ts
@@ -0,0 +1,147 @@
+import { createServer, type Server, type Socket } from 'node:net'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { startAttempt, type AttemptOptions, type AttemptResult } from './attempt'
+import type { BackendServer } from './cluster-types'
+import { testCodec } from './testing'
+import { createUpstream, type Upstream } from './upstream'
+
+const test = suite('attempt')
+
+type Answer = (socket: Socket, requestText: string, count: number) => void
+
+let server: Server
+let upstream: Upstream
+let backend: BackendServer
+let connections: number
+
+async function listen (answer: Answer): Promise<void> {
+  connections = 0
+  server = createServer(socket => {
+    connections += 1
+    let count = 0
+    socket.on('error', () => {})
+    socket.on('data', bytes => {
+      count += 1
+      answer(socket, bytes.toString('latin1'), count)
+    })
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as { port: number }
+  backend = { id: 's1', bornAt: 1, service: 'svc', address: `127.0.0.1:${port}`, zone: 'a', state: 'ready', slots: 4, models: [] }
+  upstream = createUpstream({ now: () => performance.now(), connections: () => 4 })
+}
+
+test.after.each(() => {
+  upstream?.close()
+  server?.close()
+})
+
+async function run (requestId: string, over: Partial<AttemptOptions> = {}): Promise<AttemptResult> {
+  return await startAttempt({
+    codec: testCodec,
+    upstream,
+    now: () => performance.now(),
+    server: backend,
+    requestId,
+    req: { method: 'GET', path: '/x?q=%20a', headers: ['X-Id', requestId], body: null },
+    maxBodyBytes: 1e6,
+    warn () {},
+    ...over
+  }).result
+}
+
+const head = (id: string, more: string): string => `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Seal: s\r\n${more}\r\n`
+
+// Guards against a changed path or query, which the server would take for another request.
+test('passes method, path and query on as they are and returns the whole body', async () => {
+  let seen = ''
+  await listen((socket, text) => {
+    seen = text.split('\r\n')[0]!
+    socket.write(head('r1', 'Content-Length: 2\r\n') + 'ok')
+  })
+  const result = await run('r1')
+  assert.is(seen, 'GET /x?q=%20a HTTP/1.1')
+  assert.ok(result.type === 'response' && result.body.toString() === 'ok')
+})
+
+// Guards against a truncated response that looks whole to the client.
+test('fails when the connection ends inside a body with a length', async () => {
+  await listen(socket => { socket.end(head('r1', 'Content-Length: 10\r\n') + 'short') })
+  assert.is((await run('r1')).type, 'failed')
+})
+
+test('takes a body without a length as whole when the connection ends regularly', async () => {
+  await listen(socket => { socket.end(head('r1', 'Connection: close\r\n') + 'whole') })
+  const result = await run('r1')
+  assert.ok(result.type === 'response' && result.body.toString() === 'whole')
+})
+
+// Guards against a body without a length being taken as whole when its connection is reset.
+test('fails when a body without a length ends with a reset', async () => {
+  await listen(socket => {
+    socket.write(head('r1', 'Connection: close\r\n') + 'part')
+    setTimeout(() => socket.resetAndDestroy(), 30)
+  })
+  assert.is((await run('r1')).type, 'failed')
+})
+
+// Guards against handing one client the response to another client's request.
+test('rejects a response that bears another request id, and does not reuse connections for a while', async () => {
+  await listen((socket, text) => {
+    const id = /X-Id: (\w+)/.exec(text)?.[1] ?? ''
+    socket.write(head(id === 'r2' ? 'r1' : id, 'Content-Length: 2\r\n') + 'ok')
+  })
+  assert.is((await run('r1')).type, 'response')
+  assert.is((await run('r2')).type, 'failed')
+  const before = connections
+  await run('r3')
+  await run('r4')
+  assert.is(connections, before + 2)
+})
+
+// Guards against bytes after a complete response becoming the answer to the next request.
+test('does not take extra bytes after a response for the next response', async () => {
+  await listen((socket, text) => {
+    const id = /X-Id: (\w+)/.exec(text)?.[1] ?? ''
+    socket.write(head(id, 'Content-Length: 2\r\n') + 'ok' + head('r2', 'Content-Length: 3\r\n') + 'bad')
+  })
+  assert.is((await run('r1')).type, 'response')
+  const second = await run('r2')
+  assert.not.ok(second.type === 'response' && second.body.toString() === 'bad')
+})
+
+test('rejects a success without the server signature', async () => {
+  await listen(socket => { socket.write('HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok') })
+  assert.is((await run('r1')).type, 'failed')
+})
+
+// Guards against promising a client that its request has not run when the server did not prove it.
+test('takes a refusal as not run only with the server proof', async () => {
+  await listen((socket, text) => {
+    const proof = text.includes('r1') ? 'X-Not-Run: 1\r\n' : ''
+    socket.write(`HTTP/1.1 503 Busy\r\nX-Id: ${text.includes('r1') ? 'r1' : 'r2'}\r\n${proof}Content-Length: 0\r\n\r\n`)
+  })
+  assert.is((await run('r1')).type, 'not-run')
+  assert.is((await run('r2')).type, 'failed')
+})
+
+test('reports a refused connection as not sent', async () => {
+  await listen(() => {})
+  await new Promise(resolve => server.close(resolve))
+  assert.is((await run('r1')).type, 'not-sent')
+})
+
+// Guards against half an event reaching the client before the stream goes on at another server.
+test('hands on whole events only and says when a stream broke', async () => {
+  await listen(socket => {
+    socket.write(head('r1', 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n') + '18\r\nid: 1\ndata: a\n\nid: 2\ndat\r\n')
+    setTimeout(() => socket.resetAndDestroy(), 30)
+  })
+  const events: string[] = []
+  const result = await run('r1', { streamed: { head () {}, events (bytes) { return events.push(bytes.toString()) > 0 } } })
+  assert.equal(events, ['id: 1\ndata: a\n\n'])
+  assert.ok(result.type === 'failed' && result.begun)
+})
+
+test.run()
--- /dev/null
+++ b/packages/gateway/src/testing/index.ts
@@ -0,0 +1,2 @@
+/** Helpers for tests of the gateway. */
+export * from './test-codec'
--- /dev/null
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -0,0 +1,26 @@
+/** Headers with plain names, so that tests of the gateway do not depend on a platform. */
+import type { HeaderCodec, RawHeaders } from '../platform-interface'
+
+function valueOf (raw: RawHeaders, wanted: string): string | undefined {
+  for (let at = 0; at + 1 < raw.length; at += 2) {
+    if (raw[at]!.toLowerCase() === wanted) return raw[at + 1]
+  }
+  return undefined
+}
+
+export const testCodec: HeaderCodec = {
+  request: raw => ({ id: valueOf(raw, 'x-id') ?? '', headers: raw }),
+  attempt: (facts, { instanceId, remainingMs }) => [...facts.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs))],
+  response (_status, raw) {
+    const requestId = valueOf(raw, 'x-id')
+    return {
+      ...(requestId === undefined ? {} : { requestId }),
+      sealed: valueOf(raw, 'x-seal') !== undefined,
+      notRun: valueOf(raw, 'x-not-run') !== undefined,
+      closes: valueOf(raw, 'connection') === 'close',
+      encoded: valueOf(raw, 'content-encoding') !== undefined,
+      headers: raw
+    }
+  },
+  retryAfter: ms => String(ms / 1000)
+}
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,5 +1,5 @@
 /** Requests to backend servers: one at a time on a connection, responses handed on as they arrive. */
-import { Pool, type Dispatcher } from 'undici'
+import { buildConnector, Pool, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { RawHeaders } from './platform-interface'
 
@@ -51,12 +51,34 @@
 /** Time without reuse of connections after a response that belonged to another request, in ms. */
 const distrustMs = 10_000
 
-type Entry = { pool: Pool, distrustUntil: number }
+type Entry = { pool: Pool, distrustUntil: number, watch: ResetWatch }
 
 function keyOf (server: BackendServer): string {
   return `${server.id}@${server.address}#${server.bornAt}`
 }
 
+/** Whether a connection is being reset at this moment. */
+type ResetWatch = { resetting: boolean }
+
+/**
+ * Connector that notices resets before undici does: undici ends a response without a length as whole
+ * when its connection is reset, although only a regular end of the connection completes it.
+ */
+function connectWatched (watch: ResetWatch): buildConnector.connector {
+  const connect = buildConnector({ timeout: connectTimeoutMs })
+  return (options, callback) => {
+    connect(options, (...[err, socket]) => {
+      if (err !== null) return callback(err, null)
+      socket.on('error', () => {
+        watch.resetting = true
+        // The end of the response is reported within the same event.
+        queueMicrotask(() => { watch.resetting = false })
+      })
+      callback(null, socket)
+    })
+  }
+}
+
 function flatHeaders (headers: Record<string, string | string[] | undefined>): RawHeaders {
   const flat: RawHeaders = []
   for (const [name, value] of Object.entries(headers)) {
@@ -78,17 +100,18 @@
     const key = keyOf(server)
     const known = entries.get(key)
     if (known !== undefined) return known
+    const watch = { resetting: false }
     const pool = new Pool(`http://${server.address}`, {
       connections: options.connections(server.service),
       pipelining: 1,
-      connect: { timeout: connectTimeoutMs },
+      connect: connectWatched(watch),
       keepAliveTimeout: idleMs,
       keepAliveTimeoutThreshold: idleMarginMs,
       // Deadlines are kept by the caller, which knows how long the client waits.
       headersTimeout: 0,
       bodyTimeout: 0
     })
-    const created = { pool, distrustUntil: -Infinity }
+    const created = { pool, distrustUntil: -Infinity, watch }
     entries.set(key, created)
     return created
   }
@@ -120,7 +143,8 @@
         onResponseEnd () {
           if (ended) return
           ended = true
-          handler.complete()
+          if (entry.watch.resetting) handler.failed({ sent: true, reason: 'reset within a response without a length' })
+          else handler.complete()
         },
         onResponseError (_started, err) {
           if (ended) return
@@ -140,6 +164,9 @@
       }
     },
     distrust (server, now) {
+      // Idle connections may hold more bytes of other responses; requests in progress keep theirs.
+      destroy(entryOf(server))
+      entries.delete(keyOf(server))
       entryOf(server).distrustUntil = now + distrustMs
     },
     retain (servers) {
