--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -13,12 +13,9 @@
 let server: Server
 let upstream: Upstream
 let backend: BackendServer
-let connections: number
 
 async function listen (answer: Answer): Promise<void> {
-  connections = 0
   server = createServer(socket => {
-    connections += 1
     let count = 0
     socket.on('error', () => {})
     socket.on('data', bytes => {
@@ -88,16 +85,19 @@
 
 // Guards against handing one client the response to another client's request.
 test('rejects a response that bears another request id, and does not reuse connections for a while', async () => {
+  const usedBy: Socket[] = []
   await listen((socket, text) => {
+    usedBy.push(socket)
     const id = /X-Id: (\w+)/.exec(text)?.[1] ?? ''
     socket.write(head(id === 'r2' ? 'r1' : id, 'Content-Length: 2\r\n') + 'ok')
   })
   assert.is((await run('r1')).type, 'response')
   assert.is((await run('r2')).type, 'failed')
-  const before = connections
   await run('r3')
   await run('r4')
-  assert.is(connections, before + 2)
+  const [first, second, third, fourth] = usedBy
+  assert.is(new Set([third, fourth]).size, 2)
+  assert.not.ok([first, second].includes(third) || [first, second].includes(fourth))
 })
 
 // Guards against bytes after a complete response becoming the answer to the next request.
