Go on commanding engines while most nodes cannot reach the log; ownership tests

Change: owners ask all nodes to read the log; while more than half cannot, they go on. A claim of a dead owner's engines needs more than half of the nodes too, so both cannot happen without a common node.

--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -23,6 +23,8 @@
   /** Engines of all services that take requests, with their limits. */
   known (): { server: BackendServer, spec: EngineSpec }[]
   members (): FleetMember[]
+  /** Asks all nodes, this one included, whether they can read the fleet log now. */
+  probeLog (): void
   /** Sends an answer to the node that holds the request. @returns whether it arrived */
   tell (node: string, message: PlaceMessage): Promise<boolean>
   /** Records were appended: the log should be read now. */
@@ -52,6 +54,9 @@
 /** Pause between two tries to claim engines, in ms: long enough for the log to show the first. */
 const claimPauseMs = 400
 
+/** Age of the last reading of the log from which the nodes are asked about it, in ms: an owner's reads end every 800 ms. */
+const probeAfterMs = 1000
+const probePauseMs = 350
 /** Times that a command without an answer is sent; each carries the same number of commands before it, so at most one is accepted. */
 const commandAttempts = 3
 
@@ -70,10 +75,11 @@
   let leaving = false
   let ended = false
   let claimAt = 0
+  let probeAt = 0
 
   function mayCommand (engine: string, at: number): boolean {
     const from = ownership.commandsFrom(engine)
-    return !ended && from !== undefined && from <= at && freshness.isFresh(at)
+    return !ended && from !== undefined && from <= at && freshness.isCertain(at, options.members().length + 1)
   }
 
   const scheduler = createEngineScheduler({ versionMs: options.versionMs, mayCommand })
@@ -177,6 +183,13 @@
     options.appended()
   }
 
+  /** With the log out of sight, asks whether it is so for most nodes. */
+  function probe (): void {
+    if (now() < probeAt || ownership.owned().length === 0 || freshness.ageMs(now()) < probeAfterMs) return
+    probeAt = now() + probePauseMs
+    options.probeLog()
+  }
+
   function dropAnswers (): void {
     for (const [id, { at }] of answers) {
       if (now() - at < keepAnswersMs) return
@@ -211,6 +224,7 @@
     tick () {
       dropAnswers()
       perform(scheduler.tick(now()))
+      probe()
       claim().catch(err => { log.error('claim-failed', { reason: (err as Error).message }) })
       options.metrics.gauge('waiting', scheduler.waiting())
     },
--- /dev/null
+++ b/packages/gateway/src/engine-ownership.test.ts
@@ -0,0 +1,123 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { BackendServer } from './cluster-types'
+import { createEngineOwnership, createLogFreshness, logFreshMs, type EngineOwnership, type FleetMember } from './engine-ownership'
+import type { FleetRecord } from './platform-interface'
+
+const test = suite('engine ownership')
+
+const leaseMs = 3000
+const engine = (id: string, zone = 'a'): BackendServer => ({ id, bornAt: 1, service: 'llm', address: `${id}:1`, zone, state: 'ready', slots: 1, models: [] })
+const member = (name: string, over: Partial<FleetMember> = {}): FleetMember => ({ name, zone: 'a', incarnation: 1, state: 'alive', ...over })
+
+function owner (name: string, incarnation = 1): EngineOwnership {
+  return createEngineOwnership({ name, incarnation, zone: 'a', leaseMs }, 0)
+}
+
+function record (engineId: string, node: string, incarnation: number, offset: number, after?: string): { key: string, offset: number, value: FleetRecord } {
+  return { key: `owner/${engineId}`, offset, value: { type: 'owner', engine: engineId, node, incarnation, ...(after === undefined ? {} : { after }) } }
+}
+
+test('one node of a zone claims all engines of the zone', () => {
+  const members = ['n1', 'n2', 'n3'].map(name => member(name))
+  const claimants = ['n1', 'n2', 'n3'].filter(name => owner(name).claims([engine('e1'), engine('e2')], members, 1000).length > 0)
+  assert.is(claimants.length, 1)
+  assert.is(owner(claimants[0]!).claims([engine('e1'), engine('e2')], members, 1000).length, 2)
+})
+
+// Guards against a node that starts alone taking all engines before it has heard of the others.
+test('does not claim before nodes that start together know each other', () => {
+  assert.equal(owner('n1').claims([engine('e1')], [], 100), [])
+})
+
+// Guards against orders of two holders within one lease, on engines that do not check tokens.
+test('a successor of another node waits until no command of it can arrive and a lease has passed', () => {
+  const successor = owner('n2')
+  successor.apply([record('e1', 'n1', 1, 5)], 0)
+  assert.equal(successor.claims([engine('e1')], [member('n1', { state: 'dead' }), member('n3', { zone: 'b' }), member('n4', { zone: 'b' })], 1000), [{ engine: 'e1', reason: 'owner-dead', after: 'n1' }])
+  successor.apply([record('e1', 'n2', 1, 9, 'n1')], 1000)
+  assert.ok(successor.commandsFrom('e1')! >= 1000 + logFreshMs + leaseMs)
+})
+
+test('the wait counts from the end of a former owner that said that it stops', () => {
+  const successor = owner('n2')
+  successor.apply([record('e1', 'n1', 1, 5)], 0)
+  successor.stopped('n1', 1, 500)
+  successor.apply([record('e1', 'n2', 1, 9, 'n1')], 2500)
+  const from = successor.commandsFrom('e1')!
+  assert.ok(from >= 500 + leaseMs && from < 500 + leaseMs + 1000)
+})
+
+// Guards against trusting the word of an earlier process when a later one of the same node gave commands.
+test('the word of another process of the former owner does not shorten the wait', () => {
+  const successor = owner('n2')
+  successor.apply([record('e1', 'n1', 2, 5)], 0)
+  successor.stopped('n1', 1, 0)
+  successor.apply([record('e1', 'n2', 1, 9, 'n1')], 1000)
+  assert.ok(successor.commandsFrom('e1')! >= 1000 + logFreshMs + leaseMs)
+})
+
+test('a new process of the same node goes on at once, but repeats a wait that was not over', () => {
+  const next = owner('n1', 2)
+  next.apply([record('e1', 'n1', 1, 5), record('e2', 'n1', 1, 6, 'n9')], 0)
+  assert.equal(next.claims([engine('e1'), engine('e2')], [], 10), [{ engine: 'e1', reason: 'restarted' }, { engine: 'e2', reason: 'restarted', after: 'n9' }])
+  next.apply([record('e1', 'n1', 2, 7), record('e2', 'n1', 2, 8, 'n9')], 20)
+  assert.is(next.commandsFrom('e1'), 20)
+  assert.ok(next.commandsFrom('e2')! >= 20 + leaseMs)
+})
+
+test('leaves engines to an owner that is leaving or has just started anew', () => {
+  const other = owner('n2')
+  other.apply([record('e1', 'n1', 1, 5)], 0)
+  assert.equal(other.claims([engine('e1')], [member('n1', { state: 'leaving' })], 1000), [])
+  assert.equal(other.claims([engine('e1')], [member('n1', { incarnation: 2 })], 1000), [])
+})
+
+// Guards against a node that is cut off from most others taking engines whose owner still works.
+test('does not take engines of a dead owner without most nodes', () => {
+  const alone = owner('n2')
+  alone.apply([record('e1', 'n1', 1, 5)], 0)
+  const dead = ['n1', 'n3', 'n4'].map(name => member(name, { state: 'dead' }))
+  assert.equal(alone.claims([engine('e1')], dead, 1000), [])
+})
+
+test('stops when a newer record names another node', () => {
+  const old = owner('n1')
+  old.apply([record('e1', 'n1', 1, 5)], 0)
+  assert.is(old.commandsFrom('e1'), 0)
+  old.apply([record('e1', 'n2', 1, 9, 'n1')], 100)
+  assert.is(old.commandsFrom('e1'), undefined)
+})
+
+// Guards against an owner that was suspended, or cut off, giving commands after another took over.
+test('is certain only while the end of the log was seen recently', () => {
+  const freshness = createLogFreshness()
+  assert.not.ok(freshness.isCertain(0, 9))
+  freshness.read(1000, 10)
+  assert.ok(freshness.isCertain(1000 + logFreshMs, 9))
+  assert.not.ok(freshness.isCertain(1001 + logFreshMs, 9))
+  freshness.vouched(10, 0, 3000)
+  assert.ok(freshness.isCertain(3500, 9))
+  freshness.vouched(11, 0, 5000)
+  assert.not.ok(freshness.isCertain(5000, 9), 'the peer has read further than this node')
+  freshness.read(6000, 11)
+  freshness.suspended(6100)
+  assert.not.ok(freshness.isCertain(6100, 9))
+  freshness.read(6050, 11)
+  assert.not.ok(freshness.isCertain(6100, 9), 'the read was sent before the suspension')
+})
+
+// Guards against all loads stopping for the whole of a store outage that everybody sees.
+test('goes on without the log while most nodes cannot reach it', () => {
+  const freshness = createLogFreshness()
+  for (const node of ['n1', 'n2', 'n3', 'n4']) freshness.unreachable(node, 5000)
+  assert.not.ok(freshness.isCertain(5100, 9))
+  freshness.unreachable('n5', 5000)
+  assert.ok(freshness.isCertain(5100, 9))
+  assert.not.ok(freshness.isCertain(7000, 9))
+  freshness.unreachable('n5', 7000)
+  freshness.suspended(7100)
+  assert.not.ok(freshness.isCertain(7100, 1))
+})
+
+test.run()
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -87,11 +87,13 @@
     claims (engines, members, now) {
       const self: FleetMember = { name: cfg.name, zone: cfg.zone, incarnation: cfg.incarnation, state: 'alive' }
       const candidates = [self, ...members.filter(({ name, state }) => state === 'alive' && name !== cfg.name)]
+      // Owners go on without the log while most nodes cannot reach it; a claim needs most nodes as well.
+      const withMost = candidates.length > (members.filter(({ name }) => name !== cfg.name).length + 1) / 2
       const ranked = candidates.map(({ name, zone }) => ({ id: name, group: zone }))
       return engines.flatMap((engine): Claim[] => {
         const term = terms.get(engine.id)
         const reason = claimReason(term, members)
-        if (reason === undefined) return []
+        if (reason === undefined || (reason === 'owner-dead' && !withMost)) return []
         const own = term?.node === cfg.name
         if (!own && now - startedAt < settleMs) return []
         // Engines of one zone get one owner, which then sees all places for an adapter in its zone.
@@ -124,10 +126,21 @@
   vouched (next: number, ageMs: number, now: number): void
   /** The process was suspended: earlier reads prove nothing. */
   suspended (now: number): void
-  isFresh (now: number): boolean
+  /** A node, this one included, has just tried to read the log in vain. */
+  unreachable (node: string, now: number): void
+  /**
+   * Whether no other owner can have been recorded: the end of the log was seen recently, or most
+   * nodes cannot reach the log. A node claims engines only together with most nodes, so one that
+   * still reaches the log would have to be among those that answered.
+   *
+   * @param nodes - size of the fleet
+   */
+  isCertain (now: number, nodes: number): boolean
   ageMs (now: number): number
 }
 
+/** Time for which a failed read of a node counts, in ms: nodes are asked several times in it. */
+const unreachableValidMs = 1000
 /** Longest way of a peer's message, in ms; a message that waited longer cannot be told from a new one. */
 const vouchDelayMs = 300
 
@@ -135,6 +148,13 @@
   let freshAt = -Infinity
   let ignoreBefore = -Infinity
   let position = -1
+  const unreachableAt = new Map<string, number>()
+
+  function countUnreachable (now: number): number {
+    let count = 0
+    for (const at of unreachableAt.values()) count += now - at < unreachableValidMs ? 1 : 0
+    return count
+  }
 
   function refresh (at: number): void {
     if (at >= ignoreBefore) freshAt = Math.max(freshAt, at)
@@ -151,8 +171,12 @@
     suspended (now) {
       ignoreBefore = now
       freshAt = -Infinity
+      unreachableAt.clear()
+    },
+    unreachable (node, now) {
+      unreachableAt.set(node, now)
     },
-    isFresh: now => now - freshAt <= logFreshMs,
+    isCertain: (now, nodes) => now - freshAt <= logFreshMs || countUnreachable(now) > nodes / 2,
     ageMs: now => now - freshAt
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,4 @@
 /** One node of the gateway: composes the decisions with their connections to clients, backend servers, peers and the store. */
-import { createServer, type Server } from 'node:http'
 import { createRetryBudget, type RetryBudget } from '@yuccawharf/coordination'
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
@@ -12,15 +11,17 @@
 import { createFleet, type NodeRecord } from './fleet'
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
+import { createLogProbe, type LogState } from './log-probe'
 import { createPeerLink } from './peer-link'
 import { askPeerState, createFeedMirror, createStateServer, type PeerSnapshot } from './peer-state'
 import { createPlaces, type PlaceMessage } from './places'
 import { forwardPlain } from './plain-forwarder'
-import type { FeedRecord, FleetRecord, Listen, NodeSettings, OperatorRecord, Platform, Unreadable } from './platform-interface'
+import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, Unreadable } from './platform-interface'
 import { cacheScope } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePool, type ServicePool } from './service-pool'
+import { createDirectoryServer, createMetricsServer, createReadyServer, listenOn } from './side-servers'
 import { createStatusBoard } from './status-board'
 import { createSuspensionGuard } from './suspension-guard'
 import { createUpstream } from './upstream'
@@ -109,6 +110,8 @@
       if (kind === 'member') fleet.received(payload)
       else if (kind === 'place') receivedPlace(from.node, payload as PlaceMessage)
       else if (kind === 'status') receivedStatus(from.node, payload)
+      else if (kind === 'log-probe') answerProbe(from.node)
+      else if (kind === 'log-state') receivedLogState(from.node, payload)
       else if (kind === 'stopped') owner.ownership.stopped(from.node, from.incarnation, now())
     },
     faulty: reason => { log.warn('peer-message-failed', { reason }) }
@@ -144,6 +147,10 @@
     engines: platform.engines,
     known: knownEngines,
     members: () => fleet.members(),
+    probeLog () {
+      for (const { address } of fleet.peers()) link.notify(address, { kind: 'log-probe', payload: null })
+      answerProbe(self.name)
+    },
     tell: tellNode,
     appended: () => fleetFollower?.wake()
   })
@@ -226,6 +233,21 @@
     if (others.length > 0) learnFromPeers(others)
   }
 
+  /** Answers a peer, or this node itself, whether the fleet log can be read now. */
+  function answerProbe (asker: string): void {
+    logProbe.read().then(state => {
+      const address = fleet.address(asker)
+      if (asker === self.name) receivedLogState(self.name, state)
+      else if (address !== undefined) link.notify(address, { kind: 'log-state', payload: state })
+    }).catch(err => { log.error('log-probe-failed', { reason: (err as Error).message }) })
+  }
+
+  function receivedLogState (from: string, payload: unknown): void {
+    const state = payload as Partial<LogState> | null
+    if (state?.type === 'read' && Number.isSafeInteger(state.next)) owner.freshness.vouched(state.next!, Number(state.ageMs ?? 0), now())
+    else if (state?.type === 'unreachable') owner.freshness.unreachable(from, now())
+  }
+
   function sendStatus (): void {
     const status = { engines: owner.status().engines, fleetNext: fleetFollower?.position() ?? -1, fleetAgeMs: owner.freshness.ageMs(now()), operatorNext: operatorFollower?.position() ?? -1 }
     board.own(self.name, status.engines, now())
@@ -397,48 +419,14 @@
     }
   }
 
-  function listenOn (server: Server, { host, port }: Listen): Promise<void> {
-    return new Promise((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, host, () => {
-        server.off('error', reject)
-        resolve()
-      })
-    })
-  }
-
-  const readyServer = createServer((req, res) => {
-    const ready = req.url === platform.ingress.readyPath && isReady()
-    res.writeHead(ready ? 200 : 503).end()
-  })
-
-  const directoryServer = createServer((req, res) => {
-    const query = platform.ingress.addressQuery(req.method ?? 'GET', req.url ?? '/')
-    if (query === undefined) {
-      res.writeHead(404).end()
-      return
-    }
-    const addresses = chooseAddresses(fleet.directory(isReady()), query.zone)
-    if (addresses.length === 0) {
-      res.writeHead(503).end()
-      return
-    }
-    const body = platform.ingress.addressAnswer({ addresses, keepForMs: Math.min(addressKeepMs, settings.bounds.addressKeepMaxMs) })
-    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
-  })
-
-  const metricsServer = createServer((req, res) => {
-    if (req.url !== options.metricsAddress.path) {
-      res.writeHead(404).end()
-      return
-    }
-    metrics.text().then(text => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text), err => {
-      log.error('metrics-failed', { reason: (err as Error).message })
-      res.writeHead(500).end()
-    })
-  })
-
+  const readyServer = createReadyServer(platform.ingress, isReady)
+  const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log)
+  const directoryServer = createDirectoryServer(platform.ingress, ({ zone }) => ({
+    addresses: chooseAddresses(fleet.directory(isReady()), zone),
+    keepForMs: Math.min(addressKeepMs, settings.bounds.addressKeepMaxMs)
+  }))
   const stateServer = createStateServer(mirror)
+  const logProbe = createLogProbe({ now, feed: platform.fleet, position: () => fleetFollower?.position() })
   const suspension = createSuspensionGuard({ now, wallClock: Date.now })
 
   function startTimers (): void {
--- /dev/null
+++ b/packages/gateway/src/side-servers.ts
@@ -0,0 +1,51 @@
+/** The HTTP servers beside the one for client requests: readiness, addresses, metrics. */
+import { createServer, type Server } from 'node:http'
+import type { DecisionLog } from './decision-log'
+import type { GatewayMetrics } from './gateway-metrics'
+import type { AddressAnswer, AddressQuery, IngressCodec, Listen } from './platform-interface'
+
+/** Resolves when the server listens. @throws when the address cannot be used */
+export function listenOn (server: Server, { host, port }: Listen): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
+
+/** Answers the platform's checks with 200 while the node is ready and 503 otherwise. */
+export function createReadyServer (ingress: IngressCodec, isReady: () => boolean): Server {
+  return createServer((req, res) => {
+    res.writeHead(req.url === ingress.readyPath && isReady() ? 200 : 503).end()
+  })
+}
+
+/** Tells clients which addresses to use; 503 while this node knows none. */
+export function createDirectoryServer (ingress: IngressCodec, answer: (query: AddressQuery) => AddressAnswer): Server {
+  return createServer((req, res) => {
+    const query = ingress.addressQuery(req.method ?? 'GET', req.url ?? '/')
+    const found = query === undefined ? undefined : answer(query)
+    if (found === undefined || found.addresses.length === 0) {
+      res.writeHead(found === undefined ? 404 : 503).end()
+      return
+    }
+    const body = ingress.addressAnswer(found)
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
+  })
+}
+
+/** Serves the counters and histograms as text. */
+export function createMetricsServer (metrics: GatewayMetrics, path: string, log: DecisionLog): Server {
+  return createServer((req, res) => {
+    if (req.url !== path) {
+      res.writeHead(404).end()
+      return
+    }
+    metrics.text().then(text => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text), err => {
+      log.error('metrics-failed', { reason: (err as Error).message })
+      res.writeHead(500).end()
+    })
+  })
+}
