--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -83,6 +83,14 @@
   assert.is((await run('r1')).type, 'failed')
 })
 
+// Guards against a reset that is read together with the last bytes, which Node.js reports as a regular end.
+test('fails when the reset arrives together with the bytes before it', async () => {
+  await listen(socket => {
+    socket.write(head('r1', 'Connection: close\r\n') + 'part', () => { socket.resetAndDestroy() })
+  })
+  assert.is((await run('r1')).type, 'failed')
+})
+
 // Guards against handing one client the response to another client's request.
 test('rejects a response that bears another request id, and does not reuse connections for a while', async () => {
   const usedBy: Socket[] = []
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -69,11 +69,14 @@
   return (options, callback) => {
     connect(options, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
-      socket.on('error', () => {
+      const mark = (): void => {
         watch.resetting = true
         // The end of the response is reported within the same event.
         queueMicrotask(() => { watch.resetting = false })
-      })
+      }
+      socket.on('error', mark)
+      // A reset that is read together with data before it is reported as a regular end, but the connection has no peer any more.
+      socket.on('end', () => { if (socket.remotePort === undefined) mark() })
       callback(null, socket)
     })
   }
