Test the gateway's decisions and the platform's formats; keep the platform's names in its folder; remove unused code

Removed, as nothing used it: config-follower (the core has its own), boundedNode, deadlineAt, the readers of engine and service settings, the weight store client. Their tests went with them; the settings test checks the same values directly, the stand-in's test reads the weight store by plain HTTP.

--- a/packages/clients/src/clients.test.ts
+++ b/packages/clients/src/clients.test.ts
@@ -5,7 +5,6 @@
 import type { ServiceResult } from './interfaces'
 import { createPlainServiceClient } from './plain-service-client'
 import { httpResponse, startRawServer, type AfterBytes } from './raw-server.test-helper'
-import { createWeightStoreClient } from './weight-store-client'
 
 const order = { method: 'POST', path: '/orders?x=1', headers: { 'content-type': 'text/plain', 'idempotency-key': 'k' }, body: Buffer.from('order') }
 
@@ -99,16 +98,4 @@
   }
 })
 
-test('the weight store tells missing and failed apart', async () => {
-  const results: [string, string][] = [[httpResponse(200, '{"bytes":5}'), 'ok'], [httpResponse(404, ''), 'missing'], [httpResponse(503, ''), 'failed'], [httpResponse(200, '{"bytes":-1}'), 'failed'], [httpResponse(200, '{"bytes":'), 'failed'], ['', 'failed']]
-  for (const [bytes, type] of results) {
-    const server = await startRawServer(bytes, 'end')
-    const client = createWeightStoreClient({ baseUrl: `${server.url}/weights/` })
-    assert.is((await client.describe('a/b', '1 2')).type, type, bytes)
-    assert.match(server.received(), 'GET /weights/adapters/a%2Fb/1%202 HTTP/1.1')
-    await client.close()
-    await server.close()
-  }
-})
-
 test.run()
--- a/packages/clients/src/interfaces.ts
+++ b/packages/clients/src/interfaces.ts
@@ -105,11 +105,6 @@
   }
 }
 
-export interface WeightStore {
-  /** @returns the size in bytes, `missing`, or `failed` when the store does not answer */
-  describe (adapter: string, version: string): Promise<{ type: 'ok', bytes: number } | { type: 'missing' } | { type: 'failed', reason: string }>
-}
-
 export type InstanceKind = 'engine' | 'service' | 'node'
 export type InstanceState = 'live' | 'leaving'
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -2,7 +2,6 @@
 export * from './backoff'
 export * from './claims'
 export * from './config-concurrency'
-export * from './config-follower'
 export * from './config-reducer'
 export * from './config-snapshot'
 export * from './config-types'
--- a/packages/coordination/src/rendezvous.test.ts
+++ b/packages/coordination/src/rendezvous.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { boundedNode, firstNode, rankNodes, type RendezvousNode } from './rendezvous'
+import { firstNode, rankNodes, type RendezvousNode } from './rendezvous'
 
 const nodesOf = (count: number): RendezvousNode[] =>
   Array.from({ length: count }, (_, index) => ({ id: `node-${index}`, group: `zone-${index % 3}` }))
@@ -45,19 +45,8 @@
   assert.is(firstNode('adapter-1', nodes, 'zone-2')?.id, ranked[0]?.id)
 })
 
-test('bounded load keeps a popular node below the bound', () => {
-  const nodes = nodesOf(6)
-  const loads = new Map<string, number>()
-  for (const key of keys) {
-    const id = boundedNode(key, nodes, node => loads.get(node.id) ?? 0, 1.05)?.id ?? ''
-    loads.set(id, (loads.get(id) ?? 0) + 1)
-  }
-  assert.ok(Math.max(...loads.values()) <= Math.ceil(1.05 * 6001 / 6))
-})
-
 test('without nodes there is no owner', () => {
   assert.is(firstNode('key', []), undefined)
-  assert.is(boundedNode('key', [], () => 0, 1.25), undefined)
 })
 
 test.run()
--- a/packages/coordination/src/rendezvous.ts
+++ b/packages/coordination/src/rendezvous.ts
@@ -68,27 +68,3 @@
   }
   return best?.node
 }
-
-/**
- * Bounded-load variant: the first node in rank whose load is below `factor` times the average.
- *
- * @param key - what is placed
- * @param nodes - candidates, in any order
- * @param loadOf - load already placed on a node, in any unit
- * @param factor - at least 1; 1.25 lets a node exceed the average by a quarter
- * @param preferredGroup - nodes of this group come first
- * @returns undefined when there are no nodes
- */
-export const boundedNode = <Node extends RendezvousNode>(
-  key: string,
-  nodes: readonly Node[],
-  loadOf: (node: Node) => number,
-  factor: number,
-  preferredGroup?: string
-): Node | undefined => {
-  const total = nodes.reduce((sum, node) => sum + loadOf(node), 0)
-  // Counts the key itself, so that the bound is at least 1 and some node is always below it.
-  const bound = Math.ceil(factor * (total + 1) / Math.max(nodes.length, 1))
-  const ranked = rankNodes(key, nodes, preferredGroup)
-  return ranked.find(node => loadOf(node) < bound) ?? ranked[0]
-}
--- a/packages/coordination/src/retry.test.ts
+++ b/packages/coordination/src/retry.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createCircuitBreaker, createRetryBudget, deadlineAt, fullJitterMs, maySendAgain, remainingMs, retryAfterMs } from './retry'
+import { createCircuitBreaker, createRetryBudget, fullJitterMs, maySendAgain, remainingMs, retryAfterMs } from './retry'
 
 test('a budget of 10 % stops retries from multiplying the load of a failing back end', () => {
   const budget = createRetryBudget({ ratio: 0.1, burst: 5 })
@@ -56,7 +56,7 @@
 })
 
 test('a deadline travels as remaining time, so that clocks of processes need not agree', () => {
-  assert.is(deadlineAt(remainingMs(5_000, 4_000), 77_000), 78_000)
+  assert.is(remainingMs(5_000, 4_000), 1_000)
   assert.is(remainingMs(5_000, 6_000), 0)
 })
 
--- a/packages/coordination/src/retry.ts
+++ b/packages/coordination/src/retry.ts
@@ -103,9 +103,6 @@
 /** @returns the remaining time to send along with a request, in ms, or 0 when the deadline has passed */
 export const remainingMs = (deadline: number, now: number): number => Math.max(0, deadline - now)
 
-/** @returns the deadline by the receiver's clock for a remaining time that was sent along, in ms */
-export const deadlineAt = (remaining: number, now: number): number => now + Math.max(0, remaining)
-
 /** How far a failed call came. `not-sent` proves that no byte left the process. */
 export type CallProgress = 'not-sent' | 'refused' | 'maybe-sent'
 
--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -1,7 +1,7 @@
 /** One client request and the response to it: answered at most once, cut when it cannot be completed. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Route, ServiceSpec } from './cluster-types'
-import type { RawHeaders, RequestFacts } from './platform-interface'
+import type { HeaderCodec, RawHeaders, RequestFacts } from './platform-interface'
 
 /** `not-run` promises that the request has not run and will not. */
 export type RefusalStatus = { status: number, outcome: 'not-run' | 'unknown' | 'invalid' }
@@ -37,8 +37,7 @@
 }
 
 export type ExchangeOptions = {
-  /** Value of the header that says when to come back. */
-  retryAfter (ms: number): string
+  codec: HeaderCodec
   /** Responses end their connection, because this node is leaving. */
   closing (): boolean
 }
@@ -65,8 +64,6 @@
   let outcome = 'open'
   const leaveListeners: (() => void)[] = []
 
-  const requestId = ctx.facts.id === '' ? [] : ['Request-Id', ctx.facts.id]
-
   res.on('close', () => {
     if (ended) return
     ended = true
@@ -94,8 +91,8 @@
     onLeave: listener => { leaveListeners.push(listener) },
     refuse (answer, reason, retryAfterMs) {
       if (!finish(`refused-${answer.status}`)) return
-      const retry = retryAfterMs === undefined ? {} : { 'retry-after': options.retryAfter(retryAfterMs) }
-      sendRefusal(res, answer, reason, { ...Object.fromEntries(requestId.length === 0 ? [] : [requestId]), ...retry, ...closeHeader() })
+      const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': options.codec.retryAfter(retryAfterMs) }
+      sendRefusal(res, answer, reason, { ...options.codec.identify(ctx.facts.id), ...retry, ...closeHeader() })
     },
     head (status, headers) {
       if (ended || res.headersSent) return
--- /dev/null
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -0,0 +1,74 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Err, Ok } from 'ts-results/result.js'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { followFeed, type Follower } from './feed-follower'
+import type { Feed, FeedPage, FeedRecord } from './platform-interface'
+
+const test = suite('feed follower')
+
+type Call = { type: 'newest' } | { type: 'read', from: number, signal: AbortSignal | undefined }
+type Answer = ReturnType<Feed<string>['read']>
+
+const record = (offset: number): FeedRecord<string> => ({ key: 'k', offset, value: `v${offset}` })
+const page = (next: number, ...offsets: number[]): FeedPage<string> => ({ records: offsets.map(record), next })
+
+let follower: Follower | undefined
+test.after.each(() => { follower?.stop() })
+
+function follow (answers: ((call: Call) => Answer)[]): { events: string[], calls: Call[] } {
+  const events: string[] = []
+  const calls: Call[] = []
+  const answer = (call: Call): Answer => {
+    calls.push(call)
+    return answers[calls.length - 1]?.(call) ?? new Promise(() => {})
+  }
+  const feed: Feed<string> = { newest: () => answer({ type: 'newest' }), read: (from, _waitMs, signal) => answer({ type: 'read', from, signal }) }
+  follower = followFeed(feed, {
+    replaced: records => { events.push(`replaced ${records.length}`) },
+    changed: records => { events.push(`changed ${records.map(({ offset }) => offset).join(',')}`) },
+    answered () {},
+    lost: () => { events.push('lost') },
+    regained: () => { events.push('regained') },
+    call () {}
+  }, { now: () => performance.now(), random: () => 0, waitMs: () => 1000, pauseMs: 0 })
+  return { events, calls }
+}
+
+test('reads the newest records, then each change from there on', async () => {
+  const { events, calls } = follow([async () => Ok(page(5, 4)), async () => Ok(page(7, 5, 6))])
+  await sleep(20)
+  assert.equal(events, ['replaced 1', 'changed 5,6'])
+  assert.is((calls[2] as { from: number }).from, 7)
+})
+
+// Guards against a node that misses every change after the store has dropped its history.
+test('starts again from the newest records when the history was dropped', async () => {
+  const { events } = follow([async () => Ok(page(5, 4)), async () => Err({ type: 'expired' }), async () => Ok(page(90, 88, 89))])
+  await sleep(20)
+  assert.equal(events, ['replaced 1', 'replaced 2'])
+})
+
+test('reports an outage once, and its end', async () => {
+  const unavailable = async (): Answer => Err({ type: 'unavailable', reason: '503' })
+  const { events } = follow([async () => Ok(page(5)), unavailable, unavailable, unavailable, async () => Ok(page(6, 5))])
+  await sleep(500)
+  assert.equal(events, ['replaced 0', 'lost', 'changed 5', 'regained'])
+})
+
+// Guards against waiting for a change on a connection that has gone silent while peers have read it.
+test('ends a waiting read that does not show what a peer has read', async () => {
+  const hang = (call: Call): Answer => new Promise(resolve => {
+    if (call.type === 'read') call.signal?.addEventListener('abort', () => resolve(Err({ type: 'unavailable', reason: 'cancelled' })))
+  })
+  const { events, calls } = follow([async () => Ok(page(5, 4)), hang, async () => Ok(page(9, 8))])
+  await sleep(20)
+  follower!.behind(5)
+  await sleep(350)
+  assert.is(calls.length, 2, 'a peer that has read no further proves nothing')
+  follower!.behind(9)
+  await sleep(350)
+  assert.equal(events, ['replaced 1', 'changed 8'])
+})
+
+test.run()
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -77,9 +77,10 @@
     const closeHeaders: Record<string, string> = env.closing() ? { connection: 'close' } : {}
     const table = env.routes()
     const refuse = (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): void => {
-      env.log.info('request-refused', { id: req.headers['request-id'] as string | undefined, status, reason, configVersion: table?.config.version })
+      const { id } = env.codec.request(req.rawHeaders)
+      env.log.info('request-refused', { id, status, reason, configVersion: table?.config.version })
       const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': env.codec.retryAfter(retryAfterMs) }
-      sendRefusal(res, { status, outcome }, reason, { ...retry, ...closeHeaders })
+      sendRefusal(res, { status, outcome }, reason, { ...env.codec.identify(id), ...retry, ...closeHeaders })
       req.resume()
     }
     if (table === undefined) return refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryMs)
@@ -97,7 +98,7 @@
     const service = target === undefined ? undefined : table.service(target)
     if (service === undefined) return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryMs)
     const deadlineAt = arrivedAt + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
-    const exchange = createClientExchange({ req, res, facts, route, service, body: body.bytes, arrivedAt, deadlineAt }, { retryAfter: env.codec.retryAfter, closing: env.closing })
+    const exchange = createClientExchange({ req, res, facts, route, service, body: body.bytes, arrivedAt, deadlineAt }, { codec: env.codec, closing: env.closing })
     try {
       await env.forward(exchange)
     } finally {
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -84,6 +84,8 @@
   request (raw: RawHeaders): RequestFacts
   attempt (facts: RequestFacts, attempt: AttemptHeaders): RawHeaders
   response (status: number, raw: RawHeaders): ResponseFacts
+  /** @returns headers by which a client knows the request that a refusal answers */
+  identify (id: string): Record<string, string>
   /** @returns the value of `Retry-After` */
   retryAfter (ms: number): string
 }
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -22,5 +22,6 @@
       headers: raw
     }
   },
+  identify: id => ({ 'X-Id': id }),
   retryAfter: ms => String(ms / 1000)
 }
--- a/packages/node/src/settings.test.ts
+++ b/packages/node/src/settings.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { xoroshiro128plus, unsafeUniformIntDistribution } from 'pure-rand'
-import { engineSettingsOf, formatFinding, parseSettings, serviceSettingsOf, splitAddress } from './settings'
+import { formatFinding, parseSettings, splitAddress } from './settings'
 
 const good = `
 [node]
@@ -27,9 +27,9 @@
   assert.is(settings.limits.queuedPerEngine, 2000)
   assert.is(settings.node.staleness, 'serve')
   assert.is(settings.metrics, undefined)
-  assert.equal(engineSettingsOf(settings, 'e 1'), { checksFencing: true, reportLagMs: 500 })
-  assert.equal(engineSettingsOf(settings, 'constructor'), { checksFencing: false, reportLagMs: 500 })
-  assert.equal(serviceSettingsOf(settings, 'desk'), { nonIdempotent: ['POST /orders'], timeoutMs: 10000 })
+  assert.equal(settings.engines['e 1'], { checksFencing: true, reportLagMs: 500 })
+  assert.equal(settings.engineDefaults, { checksFencing: false, reportLagMs: 500 })
+  assert.equal(settings.services.desk, { nonIdempotent: ['POST /orders'], timeoutMs: 10000 })
 })
 
 // Guards against an operator who repairs one finding after another because only the first is shown.
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -121,13 +121,3 @@
 export function loadSettings (file: string): Result<CompleteSettings, TomlFinding[]> {
   return readTomlFile(file).andThen(text => parseSettings(text, file))
 }
-
-/** @returns the settings of an engine by its instance id */
-export function engineSettingsOf (settings: CompleteSettings, engine: string): Required<EngineSettings> {
-  return Object.hasOwn(settings.engines, engine) ? settings.engines[engine]! : settings.engineDefaults
-}
-
-/** @returns the settings of a plain service by its group */
-export function serviceSettingsOf (settings: CompleteSettings, group: string): Required<ServiceSettings> {
-  return Object.hasOwn(settings.services, group) ? settings.services[group]! : tableDefaults('services.*') as Required<ServiceSettings>
-}
--- a/packages/stand-ins/src/http-servers.test.ts
+++ b/packages/stand-ins/src/http-servers.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createEngineClient, createInstanceListClient, createLogClient, createPlainServiceClient, createWeightStoreClient, GenerateError, type GenerateEvent } from '@yuccawharf/clients'
+import { createEngineClient, createHttpClient, createInstanceListClient, createLogClient, createPlainServiceClient, GenerateError, parseJson, type GenerateEvent } from '@yuccawharf/clients'
 import { createEngineModel, createInstanceListModel, createLogModel, createPlainServiceModel, createRealClock, createWeightStoreModel, expectedText, serveEngine, serveInstanceList, serveLog, servePlainService, serveWeightStore, type EngineModel } from './index'
 
 const clock = createRealClock()
@@ -137,16 +137,20 @@
   const weights = createWeightStoreModel({ clock, catalogue: adapter => adapter === 'poem' ? 9 : undefined })
   const servers = [await serveInstanceList(list), await serveWeightStore(weights)]
   const listClient = createInstanceListClient({ baseUrl: servers[0]!.url })
-  const weightClient = createWeightStoreClient({ baseUrl: servers[1]!.url })
+  const weightClient = createHttpClient({ baseUrl: servers[1]!.url })
+  const describe = async (adapter: string): Promise<unknown> => {
+    const result = await weightClient.exchange({ method: 'GET', path: `/adapters/${adapter}/1` })
+    return result.type === 'ok' ? [result.response.status, parseJson(result.response.body)] : result.type
+  }
   list.put({ id: 'e1', kind: 'engine', address: '127.0.0.1:1', zone: 'a', region: 'r', group: 'g', state: 'live' })
   list.leave('e1')
   assert.is((await listClient.fetch())?.instances[0]?.state, 'leaving')
   list.setOutage(true)
   assert.is(await listClient.fetch(), undefined)
-  assert.equal(await weightClient.describe('poem', '1'), { type: 'ok', bytes: 9 })
-  assert.equal(await weightClient.describe('other', '1'), { type: 'missing' })
+  assert.equal(await describe('poem'), [200, { bytes: 9 }])
+  assert.is((await describe('other') as unknown[])[0], 404)
   weights.setOutage(true)
-  assert.is((await weightClient.describe('poem', '1')).type, 'failed')
+  assert.is((await describe('poem') as unknown[])[0], 503)
   for (const client of [listClient, weightClient]) await client.close()
   for (const server of servers) await server.close()
 })
