--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoads, modelCheckMs, uncertainMs, type SchedulerState, type Waiting } from './engine-loads'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, learnPrefillRate, noteFailure, noteSuccess, prefillMs, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
+import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, interferenceMs, learnPrefillRate, noteFailure, notePrefill, noteSuccess, prefillMs, prefillShare, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
 export * from './engine-scheduler-types'
@@ -69,7 +69,9 @@
       const copy = engine.copies.get(req.scope)
       // A copy of an older version is avoided while a current one exists.
       const stale = copy !== undefined && !isCurrent(copy, req.scope) ? 1000 : 0
-      const cost = (backlogMs(engine, now) + prefillMs(engine, req.demand)) * (1 + 4 * engine.failureRate) + engine.runs.size + stale
+      const promptMs = prefillMs(engine, req.demand)
+      const interference = interferenceMs({ promptMs, outputTokens: req.demand.outputTokens }, engine.runs.size, prefillShare(engine, now))
+      const cost = (backlogMs(engine, now) + promptMs + interference) * (1 + 4 * engine.failureRate) + stale
       if (cost < bestCost) {
         best = engine
         bestCost = cost
@@ -93,6 +95,7 @@
       expectedFirstAt: now + backlogMs(engine, now) + readMs
     })
     delete engine.runTokens
+    notePrefill(engine, readMs, now)
     engine.cache.use(req.demand)
     granted.set(req.id, engine.server.id)
     const copy = engine.copies.get(req.scope)
@@ -360,6 +363,7 @@
       scopes: [...engine.copies].filter(([scope, copy]) => copy.state !== 'unloading' && isCurrent(copy, scope)).map(([scope]) => scope),
       backlogMs: Math.round(engine.suspectUntil > now ? Math.max(maxBacklogMs * 4, backlogMs(engine, now)) : backlogMs(engine, now)),
       running: engine.runs.size,
+      prefillShare: Math.round(prefillShare(engine, now) * 10) / 10,
       loadWaitMs: Math.round(loads.loadWaitMs(loads.missing(blocked)))
     })),
     waiting: () => waiting.size,
