--- a/packages/gateway/src/cluster-types.ts
+++ b/packages/gateway/src/cluster-types.ts
@@ -15,6 +15,8 @@
   timeoutMs: number
   /** Latency objective, in ms: to the whole response, or to the first event of a stream. */
   objectiveMs: number
+  /** Time without an event, the first one included, after which clients leave a stream, in ms. */
+  patienceMs: number
   /** 0 is the most urgent. */
   priority: number
   targets: RouteTarget[]
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -37,6 +37,8 @@
   let maybeRun = false
   let lastEventId = facts.lastEventId
   let eventsBegun = false
+  /** Arrival of the request, or the last event that the client got. */
+  let waitingSince = exchange.arrivedAt
   /** Sent with the first event, so that a server that fails before it can still be replaced. */
   let head: { status: number, headers: RawHeaders } | undefined
   let current: { place: Place, attempt: Attempt } | undefined
@@ -75,6 +77,7 @@
       demand: demand!,
       priority: route.priority,
       objectiveAt: exchange.arrivedAt + route.objectiveMs,
+      startBy: Math.min(exchange.deadlineAt, waitingSince + route.patienceMs),
       deadlineAt: exchange.deadlineAt,
       excluded: [...excluded],
       ...(sentTo.size >= route.attempts ? { only: [...sentTo] } : {})
@@ -96,6 +99,7 @@
       sendHead()
       env.firstEvent(service.name, (env.now() - exchange.arrivedAt) / 1000)
     }
+    waitingSince = env.now()
     if (lastId !== undefined) lastEventId = lastId
     if (exchange.write(bytes)) return true
     exchange.onDrain(() => { if (current?.place === place) current.attempt.resume() })
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -203,8 +203,8 @@
       options.tell(node, known.message).catch(err => { log.error('grant-failed', { id: place.id, reason: (err as Error).message }) })
       return
     }
-    const { objectiveInMs, deadlineInMs, ...rest } = place
-    const req: ScheduledRequest = { ...rest, node, objectiveAt: now() + objectiveInMs, deadlineAt: now() + deadlineInMs }
+    const { objectiveInMs, startInMs, deadlineInMs, ...rest } = place
+    const req: ScheduledRequest = { ...rest, node, objectiveAt: now() + objectiveInMs, startBy: now() + startInMs, deadlineAt: now() + deadlineInMs }
     perform(scheduler.submit(req, now()))
   }
 
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -11,6 +11,9 @@
   /** 0 is the most urgent. */
   priority: number
   objectiveAt: number
+  /** Latest useful time of the first event. */
+  startBy: number
+  /** Latest end. */
   deadlineAt: number
   /** Engines that it must not go to. */
   excluded: string[]
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -20,6 +20,7 @@
     demand: { model: 'base', ...(adapter === undefined ? {} : { adapter }), promptTokens: 3000, outputTokens: 50, parts: [{ id: `own-${id}`, tokens: 3000 }] },
     priority: 1,
     objectiveAt: 1000,
+    startBy: over.deadlineAt ?? 6000,
     deadlineAt: 6000,
     excluded: [],
     ...over
@@ -139,6 +140,22 @@
   assert.ok(refusal !== undefined && refusal.retryAfterMs > 1000, 'the wait is what the queue implies')
 })
 
+// Guards against a request that others overtake until its client has left, without ever being told to come back.
+test('refuses a request that was overtaken for half of the time after its objective', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  const long = { model: 'base', adapter: 'a1', promptTokens: 9000, outputTokens: 50, parts: [] }
+  scheduler.submit(request('old', 'a1', { demand: long, deadlineAt: 60_000, objectiveAt: 60_000 }), 0)
+  scheduler.submit(request('overtaken', 'a1', { demand: long, objectiveAt: 100, deadlineAt: 4800 }), 0)
+  const ends: SchedulerAction[] = []
+  for (let now = 200; now <= 4800; now += 200) {
+    ends.push(...scheduler.submit(request(`new-${now}`, 'a1', { demand: long, objectiveAt: now + 1000, deadlineAt: now + 4800 }), now))
+    ends.push(...scheduler.tick(now))
+  }
+  const refusal = only(ends, 'refuse').find(({ request }) => request === 'overtaken')
+  assert.is(refusal?.reason, 'too-late')
+  assert.ok(refusal !== undefined && refusal.waitedMs < 3000)
+})
+
 // Guards against a request on an older version after the time in which the new one must be in force.
 test('replaces an older version: unloads it when idle and asks for the new one by number', () => {
   const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
@@ -193,6 +210,17 @@
   assert.equal([command?.command.operation, command?.command.model, command?.command.adapter], ['load', 'base', undefined])
 })
 
+// Guards against a long stream whose place is given away because only its first event was due by then.
+test('keeps the place of a stream until its deadline', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  scheduler.submit(request('r1', 'a1', { startBy: 4800, deadlineAt: 15_000 }), 0)
+  scheduler.firstEvent('r1', 100)
+  scheduler.tick(9000)
+  assert.is(scheduler.status(9000)[0]?.running, 1)
+  scheduler.tick(17_000)
+  assert.is(scheduler.status(17_000)[0]?.running, 0)
+})
+
 // Guards against places that stay taken when the node that used them is gone.
 test('frees the places of a lost node', () => {
   const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -17,8 +17,6 @@
 /** Shortest time in which a request can be served once it is sent, in ms. */
 const minRunMs = 60
 const minRetryAfterMs = 200
-/** Share of the remaining time within which a request that has missed its objective must be able to start. */
-const lateSlackShare = 0.5
 /** Time a caller should stay away while no engine can be used, in ms: engines return within seconds. */
 const noEngineRetryMs = 1000
 /** First estimates of a load's duration, in ms; corrected by what happens. */
@@ -163,8 +161,10 @@
     const startMs = Math.max(earliestStartMs(req, aheadMs, now), held ? 0 : loads.loadWaitMs(loadsAhead))
     if (startMs === Infinity) return refuse(req, 'no-engine', noEngineRetryMs, now)
     if (!held && !canLoadAnywhere(req, now)) return refuse(req, 'cannot-load', noEngineRetryMs, now)
-    // A request that is late already is kept only if half of its time is enough: others overtake it.
-    const slackMs = (req.deadlineAt - now - minRunMs) * (req.objectiveAt > now ? 1 : lateSlackShare)
+    const slackMs = req.startBy - now - minRunMs
+    // Others overtake a request that is late already, so what is left of its time says little; it goes when half of it is over.
+    const lateMs = now - req.objectiveAt
+    if (lateMs > 0 && lateMs > slackMs) return refuse(req, 'too-late', startMs, now)
     return startMs > slackMs ? refuse(req, 'too-late', startMs - Math.max(0, slackMs), now) : undefined
   }
 
--- a/packages/gateway/src/places.ts
+++ b/packages/gateway/src/places.ts
@@ -7,12 +7,10 @@
 import { chooseUnowned, createUseCounter, rankOwners, type KnownEngine } from './engine-choice'
 import type { RefusalReason, RunOutcome, ScheduledRequest } from './engine-scheduler'
 
-export type PlaceRequest = Omit<ScheduledRequest, 'id' | 'node' | 'objectiveAt' | 'deadlineAt'> & {
+export type PlaceRequest = Omit<ScheduledRequest, 'id' | 'node'> & {
   /** Unique to this request for a place. */
   placeId: string
   requestId: string
-  objectiveAt: number
-  deadlineAt: number
 }
 
 export type Place = {
@@ -29,7 +27,7 @@
 
 /** What owners and nodes say to each other about places; times are durations, since clocks differ. */
 export type PlaceMessage =
-  | { kind: 'acquire', place: Omit<ScheduledRequest, 'node' | 'objectiveAt' | 'deadlineAt'> & { objectiveInMs: number, deadlineInMs: number } }
+  | { kind: 'acquire', place: Omit<ScheduledRequest, 'node' | 'objectiveAt' | 'startBy' | 'deadlineAt'> & { objectiveInMs: number, startInMs: number, deadlineInMs: number } }
   | { kind: 'cancel', id: string }
   | { kind: 'first-event', id: string }
   | { kind: 'ended', id: string, outcome: RunOutcome }
@@ -77,9 +75,9 @@
   const unowned = new Map<string, number>()
 
   function message (req: PlaceRequest): PlaceMessage {
-    const { placeId, requestId, objectiveAt, deadlineAt, ...rest } = req
+    const { placeId, requestId, objectiveAt, startBy, deadlineAt, ...rest } = req
     const now = env.now()
-    return { kind: 'acquire', place: { ...rest, id: placeId, objectiveInMs: Math.round(objectiveAt - now), deadlineInMs: Math.round(deadlineAt - now) } }
+    return { kind: 'acquire', place: { ...rest, id: placeId, objectiveInMs: Math.round(objectiveAt - now), startInMs: Math.round(startBy - now), deadlineInMs: Math.round(deadlineAt - now) } }
   }
 
   /** @returns `lost` when the owner does not acknowledge the request */
--- a/packages/gateway/src/route-table.test.ts
+++ b/packages/gateway/src/route-table.test.ts
@@ -7,7 +7,7 @@
 const test = suite('route table and directory')
 
 const route = (name: string, host: string, pathPrefix: string, targets = [{ service: 'svc', weight: 1 }]): Route =>
-  ({ name, host, pathPrefix, targets, kind: 'idempotent', timeoutMs: 1000, objectiveMs: 100, priority: 0, attempts: 1, resumable: false })
+  ({ name, host, pathPrefix, targets, kind: 'idempotent', timeoutMs: 1000, objectiveMs: 100, patienceMs: 2000, priority: 0, attempts: 1, resumable: false })
 
 const table = createRouteTable({
   version: 1,
