Estimate load times from loads that ended, and try an unfinished load with one request

Ruled out: places that stay taken (one request ran), commands held back (log age under 0.7 s). Test: engine-scheduler.test.ts, which fails on the former code.

--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -58,11 +58,14 @@
 const replaceUses = 0.5
 /** Bounds of the estimated duration of a load, in ms. */
 const minColdLoadMs = 50
-const maxColdLoadMs = 2000
 const minWarmLoadMs = 10
-const maxWarmLoadMs = 300
-/** The estimate falls by this with each load that was ready in time, and rises tenfold as fast with each that was not. */
-const confirmFactor = 0.99
+const maxLoadMs = 1000
+/** A load that was done when it was tried may have been done a little earlier, so the estimate follows a somewhat smaller value. */
+const confirmFactor = 0.97
+/** Weight of the newest load in the estimate. */
+const loadWeight = 0.1
+/** Time in which an engine would have refused a request for an adapter that is not there yet, in ms: a round trip between zones. */
+const probeMs = 15
 
 export function createEngineLoads (cfg: SchedulerConfig, state: SchedulerState): EngineLoads {
   const { engines, versions } = state
@@ -79,6 +82,8 @@
 
   function isUsable (copy: AdapterCopy, scope: string, now: number): boolean {
     if (copy.state === 'unloading' || copy.retiring === true || copy.readyAt > now) return false
+    // One request finds out whether a load is done; an engine refuses at once.
+    if (copy.state === 'loading' && copy.probeSentAt !== undefined && now - copy.probeSentAt < probeMs) return false
     return isCurrent(copy, scope) || now < versions.get(scope)!.announcedAt + cfg.versionMs - versionMarginMs
   }
 
@@ -199,8 +204,7 @@
     if (copy === undefined) return
     if (copy.state === 'loading') {
       copy.readyAt = now + loadRetryMs
-      if (copy.warm) state.warmLoadMs = Math.min(state.warmLoadMs * 1.1, maxWarmLoadMs)
-      else state.coldLoadMs = Math.min(state.coldLoadMs * 1.1, maxColdLoadMs)
+      delete copy.probeSentAt
     } else {
       copy.readyAt = now + uncertainMs
     }
@@ -288,8 +292,9 @@
     commandResult,
     copyMissing,
     loadConfirmed (copy) {
-      if (copy.warm) state.warmLoadMs = Math.max(minWarmLoadMs, state.warmLoadMs * confirmFactor)
-      else state.coldLoadMs = Math.max(minColdLoadMs, state.coldLoadMs * confirmFactor)
+      const loadedMs = Math.min(maxLoadMs, (copy.probeSentAt ?? copy.readyAt) - copy.loadStartedAt) * confirmFactor
+      if (copy.warm) state.warmLoadMs += loadWeight * (Math.max(minWarmLoadMs, loadedMs) - state.warmLoadMs)
+      else state.coldLoadMs += loadWeight * (Math.max(minColdLoadMs, loadedMs) - state.coldLoadMs)
     },
     isCurrent,
     isUsable,
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -98,6 +98,22 @@
   assert.is(only(scheduler.tick(400), 'grant').length, 1)
 })
 
+// Guards against refusals of one unfinished load making all later loads look too slow to be tried at all.
+test('sends one request to find out whether a load is done, and keeps its estimate when it is not', () => {
+  const scheduler = owned([engine('e1')], { e1: [] })
+  for (let at = 0; at < 20; at++) scheduler.submit(request(`r${at}`, 'a1', { demand: { model: 'base', adapter: 'a1', promptTokens: 10, outputTokens: 10, parts: [] }, deadlineAt: 60_000 }), 0)
+  scheduler.commandResult('e1', 'accepted', 0)
+  const before = scheduler.status(0)[0]!.loadWaitMs
+  for (let now = 300; now < 800; now += 50) {
+    const grants = only(scheduler.tick(now), 'grant')
+    assert.ok(grants.length <= 1)
+    for (const { request } of grants) scheduler.ended(request, 'misdirected', now + 2)
+  }
+  assert.ok(scheduler.status(800)[0]!.loadWaitMs <= before)
+  assert.is(only(scheduler.tick(850), 'grant').length, 1)
+  assert.ok(only(scheduler.tick(900), 'grant').length > 1, 'without a refusal the others follow')
+})
+
 // Guards against evicting an adapter that a running request uses.
 test('does not unload adapters in use', () => {
   const held = Array.from({ length: 8 }, (_, at) => `a${at}`)
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -101,6 +101,7 @@
       copy.running += 1
       copy.use += 1
       copy.lastUsedAt = now
+      if (copy.state === 'loading') copy.probeSentAt ??= now
     }
     const newest = versions.get(req.scope)
     const version = copy !== undefined && newest !== undefined && isCurrent(copy, req.scope) ? newest.version : undefined
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -16,6 +16,8 @@
   running: number
   /** Requests in recent time, decayed: how much the copy is worth keeping. */
   use: number
+  /** Time at which the first request was sent to a copy whose load should be done. */
+  probeSentAt?: number
   /** Takes no new requests, so that it can be replaced by a newer version. */
   retiring?: boolean
 }
