--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -34,6 +34,8 @@
   copyMissing (engine: EngineState, scope: string, now: number): void
   isCurrent (copy: AdapterCopy, scope: string): boolean
   isUsable (copy: AdapterCopy, scope: string, now: number): boolean
+  /** Time from which a load that is not done counts as done. */
+  usableAt (copy: AdapterCopy | undefined): number
   /** Number of adapters that requests wait for and that are not on their way. */
   missing (blocked: Waiting[]): number
   /** Time until an adapter could be there whose load comes after others, in ms. */
@@ -298,6 +300,7 @@
     },
     isCurrent,
     isUsable,
+    usableAt: copy => copy?.state !== 'loading' ? -Infinity : Math.max(copy.readyAt, (copy.probeSentAt ?? -Infinity) + probeMs),
     missing: blocked => new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope)).map(({ scope }) => scope)).size,
     loadWaitMs (loadsAhead) {
       const storeMs = state.coldLoadMs * (1 + (loadsAhead + coldLoads(engines.values())) / Math.max(1, storeLoadLimit * state.share))
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -76,6 +76,7 @@
   let ended = false
   let claimAt = 0
   let probeAt = 0
+  let nextTimer: NodeJS.Timeout | undefined
 
   function mayCommand (engine: string, at: number): boolean {
     const from = ownership.commandsFrom(engine)
@@ -150,6 +151,17 @@
           report(action.engine).catch(err => { log.error('engine-report-failed', { engine: action.engine, reason: (err as Error).message }) })
       }
     }
+    scheduleNext()
+  }
+
+  /** Decides again as soon as a load should be done, not only at the next tick. */
+  function scheduleNext (): void {
+    const at = scheduler.nextAt(now())
+    if (at === undefined || nextTimer !== undefined) return
+    nextTimer = setTimeout(() => {
+      nextTimer = undefined
+      perform(scheduler.tick(now()))
+    }, Math.max(1, Math.ceil(at - now())))
   }
 
   function owned (): { server: BackendServer, spec: EngineSpec }[] {
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -368,6 +368,17 @@
       loadWaitMs: Math.round(loads.loadWaitMs(loads.missing(blocked)))
     })),
     waiting: () => waiting.size,
+    nextAt (now) {
+      if (blocked.length === 0) return undefined
+      let next = Infinity
+      for (const req of blocked) {
+        for (const { copies } of engines.values()) {
+          const at = loads.usableAt(copies.get(req.scope))
+          if (at > now) next = Math.min(next, at)
+        }
+      }
+      return next === Infinity ? undefined : next
+    },
     drain (now) {
       return [...waiting.values()].map(req => refuse(req, 'no-engine', minRetryAfterMs, now))
     }
