Find the store's return by short calls, and restart waiting reads of the other feeds

Change: without an answer the next calls do not wait; a feed that is lost or regained restarts the reads of the others. Test: feed-follower.test.ts.

--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -49,6 +49,26 @@
   assert.equal(events, ['replaced 1', 'replaced 2'])
 })
 
+// Guards against a call that was sent in an outage hanging for its whole wait after the end of the outage.
+test('asks without a wait while the store does not answer, and starts anew when told', async () => {
+  const waits: number[] = []
+  const feed: Feed<string> = {
+    newest: async () => Ok(page(5)),
+    read: async (_from, waitMs, signal) => {
+      waits.push(waitMs)
+      if (waits.length === 1) return Err({ type: 'unavailable', reason: '503' })
+      if (waits.length === 2) return Ok(page(5))
+      return await new Promise(resolve => signal?.addEventListener('abort', () => resolve(Err({ type: 'unavailable', reason: 'cancelled' }))))
+    }
+  }
+  follower = followFeed(feed, { replaced () {}, changed () {}, answered () {}, lost () {}, regained () {}, call () {} }, { now: () => performance.now(), random: () => 0, waitMs: () => 1000, pauseMs: 0 })
+  await sleep(200)
+  assert.equal(waits, [1000, 0, 1000])
+  follower.restart()
+  await sleep(20)
+  assert.equal(waits, [1000, 0, 1000, 1000])
+})
+
 test('reports an outage once, and its end', async () => {
   const unavailable = async (): Answer => Err({ type: 'unavailable', reason: '503' })
   const { events } = follow([async () => Ok(page(5)), unavailable, unavailable, unavailable, async () => Ok(page(6, 5))])
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -38,6 +38,8 @@
   position (): number | undefined
   /** Ends the current pause, for example after an append of this process. */
   wake (): void
+  /** Ends the current read or pause and starts anew: another feed of the store was lost or regained. */
+  restart (): void
   /** A peer has read up to `next`: ends a read that does not show it, as its connection may have gone silent. */
   behind (next: number): void
 }
@@ -92,7 +94,8 @@
   async function readChanges (from: number): Promise<void> {
     const sentAt = options.now()
     reading = new AbortController()
-    const waitMs = options.waitMs()
+    // While the store does not answer, a short call finds its return; a waiting one would hang for its whole time.
+    const waitMs = failures > 0 ? 0 : options.waitMs()
     const result = await feed.read(from, waitMs, reading.signal)
     const interrupted = reading.signal.aborted
     reading = undefined
@@ -129,6 +132,10 @@
     },
     position: () => position,
     wake: () => wake?.(),
+    restart () {
+      reading?.abort()
+      wake?.()
+    },
     behind (next) {
       if (behindTimer !== undefined || position === undefined || next <= position) return
       behindTimer = setTimeout(() => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -342,11 +342,22 @@
     owner.refresh()
   }
 
+  /** The feeds share one store, but a read that waits shows its loss or return only when its wait ends. */
+  function restartOthers (feed: string): void {
+    for (const [name, follower] of [['operator', operatorFollower], ['servers', serverFollower], ['fleet', fleetFollower]] as const) {
+      if (name !== feed) follower?.restart()
+    }
+  }
+
   function watch (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'call'> {
     return {
-      lost: reason => { log.warn('dependency-lost', { dependency: feed, reason }) },
+      lost (reason) {
+        log.warn('dependency-lost', { dependency: feed, reason })
+        restartOthers(feed)
+      },
       regained (lostForMs) {
         log.info('dependency-regained', { dependency: feed, lostForMs: Math.round(lostForMs) })
+        restartOthers(feed)
         regained()
       },
       call: result => { metrics.storeCall(feed, result) }
@@ -355,6 +366,7 @@
 
   let fleetFollower: Follower | undefined
   let operatorFollower: Follower | undefined
+  let serverFollower: Follower | undefined
   let operatorInTouch = false
   let askingPeers = false
   /** Offset up to which a peer's operator records were taken. */
@@ -376,9 +388,10 @@
       lost (reason) {
         operatorInTouch = false
         log.warn('dependency-lost', { dependency: 'operator', reason })
+        restartOthers('operator')
       }
     }, { ...base, waitMs: () => owner.owns() ? ownerConfigWaitMs : longWaitMs, pauseMs: 0 })
-    const serverFollower = followFeed(platform.servers, {
+    serverFollower = followFeed(platform.servers, {
       ...watch('servers', () => registry.storeReturned(now())),
       replaced (records, next) {
         mirror.replace('servers', records, next)
