--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -47,7 +47,7 @@
 /** Loads over all engines up to which each takes its usual time. */
 const storeLoadLimit = 8
 /** Pause before the next try when a load turns out to be unfinished, in ms. */
-const loadRetryMs = 40
+const loadRetryMs = 25
 /** A response to a command may be lost although it is carried out; a report older than this may not show it, in ms. */
 export const uncertainMs = 450
 /** Copies of an older version are used until this long before a new version must be in force, in ms. */
@@ -62,10 +62,9 @@
 const minColdLoadMs = 50
 const minWarmLoadMs = 10
 const maxLoadMs = 1000
-/** A load that was done when it was tried may have been done a little earlier, so the estimate follows a somewhat smaller value. */
-const confirmFactor = 0.97
-/** Weight of the newest load in the estimate. */
-const loadWeight = 0.1
+/** Changes of the estimate by the first try of a load: about two of five tries come too early, which costs less than the waiting of all others. */
+const confirmedFactor = 0.99
+const missedFactor = 1.015
 /** Time in which an engine would have refused a request for an adapter that is not there yet, in ms: a round trip between zones. */
 const probeMs = 15
 
@@ -205,6 +204,8 @@
     const copy = engine.copies.get(scope)
     if (copy === undefined) return
     if (copy.state === 'loading') {
+      // Only the first try says whether the estimate was right.
+      if (copy.readyAt <= copy.estimatedAt) adjustEstimate(copy, missedFactor)
       copy.readyAt = now + loadRetryMs
       delete copy.probeSentAt
     } else {
@@ -229,6 +230,7 @@
     replacing.delete(scope)
     const warm = engine.held.has(scope)
     const slowdown = warm ? 1 : Math.max(1, coldLoads(engines.values()) / Math.max(1, storeLoadLimit * state.share))
+    const estimatedAt = now + (warm ? state.warmLoadMs : state.coldLoadMs) * slowdown
     engine.copies.set(scope, {
       model,
       adapter,
@@ -236,7 +238,8 @@
       state: 'loading',
       warm,
       loadStartedAt: now,
-      readyAt: now + (warm ? state.warmLoadMs : state.coldLoadMs) * slowdown,
+      readyAt: estimatedAt,
+      estimatedAt,
       lastUsedAt: now,
       running: 0,
       use: 1
@@ -250,6 +253,11 @@
     })
   }
 
+  function adjustEstimate (copy: AdapterCopy, factor: number): void {
+    if (copy.warm) state.warmLoadMs = Math.min(maxLoadMs, Math.max(minWarmLoadMs, state.warmLoadMs * factor))
+    else state.coldLoadMs = Math.min(maxLoadMs, Math.max(minColdLoadMs, state.coldLoadMs * factor))
+  }
+
   function countPlaces (): { places: number, idle: number } {
     let places = 0
     let idle = 0
@@ -294,9 +302,7 @@
     commandResult,
     copyMissing,
     loadConfirmed (copy) {
-      const loadedMs = Math.min(maxLoadMs, (copy.probeSentAt ?? copy.readyAt) - copy.loadStartedAt) * confirmFactor
-      if (copy.warm) state.warmLoadMs += loadWeight * (Math.max(minWarmLoadMs, loadedMs) - state.warmLoadMs)
-      else state.coldLoadMs += loadWeight * (Math.max(minColdLoadMs, loadedMs) - state.coldLoadMs)
+      if (copy.readyAt <= copy.estimatedAt) adjustEstimate(copy, confirmedFactor)
     },
     isCurrent,
     isUsable,
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -10,8 +10,9 @@
   /** Loaded from the engine's memory, not from the weight store. */
   warm: boolean
   loadStartedAt: number
-  /** Estimated end of the load. */
+  /** Time of the next try, and the first estimate of the load's end. */
   readyAt: number
+  estimatedAt: number
   lastUsedAt: number
   running: number
   /** Requests in recent time, decayed: how much the copy is worth keeping. */
@@ -141,6 +142,7 @@
         warm: true,
         loadStartedAt: known?.loadStartedAt ?? now,
         readyAt: Math.min(known?.readyAt ?? now, now),
+        estimatedAt: known?.estimatedAt ?? -Infinity,
         lastUsedAt: known?.lastUsedAt ?? now,
         running: known?.running ?? 0,
         use: known?.use ?? 0
@@ -180,6 +182,7 @@
       warm: known?.warm ?? false,
       loadStartedAt: known?.loadStartedAt ?? now,
       readyAt: known !== undefined && known.readyAt > now ? known.readyAt : now + loadMs / 2,
+      estimatedAt: known?.estimatedAt ?? -Infinity,
       lastUsedAt: now,
       running: 0,
       use: known?.use ?? 1
