--- a/packages/gateway/src/adapter-loads.ts
+++ b/packages/gateway/src/adapter-loads.ts
@@ -3,9 +3,8 @@
  * adapters asked for at once on engines with few places, and adapters so popular that one engine
  * cannot carry them.
  */
-import type { ModelDemand } from './cluster-types'
 import { cacheScope } from './prompt-cache'
-import { backlogMs, interferenceMs, isIdle, placeLimit, prefillMs, prefillShare, usedPlaces, type AdapterCopy, type EngineState } from './engine-state'
+import { backlogMs, isIdle, placeLimit, usedPlaces, type AdapterCopy, type EngineState } from './engine-state'
 
 export type WantedAdapter = {
   scope: string
@@ -14,8 +13,6 @@
   version?: number
   /** Sum of the weights of the waiting requests. */
   weight: number
-  /** The first request that waits for it, if any. */
-  demand?: ModelDemand
 }
 
 export type LoadDecision =
@@ -82,8 +79,7 @@
     if (loadingCount(engine, false) >= loadsPerEngine) continue
     const evicted = present ?? (usedPlaces(engine) < placeLimit(engine) ? undefined : victim(engine, keep))
     if (evicted === undefined && usedPlaces(engine) >= placeLimit(engine)) continue
-    const interference = wanted.demand === undefined ? 0 : interferenceMs({ promptMs: prefillMs(engine, wanted.demand), outputTokens: wanted.demand.outputTokens }, engine.runs.size, prefillShare(engine, ctx.now))
-    const cost = interference + backlogMs(engine, ctx.now) + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostMs
+    const cost = backlogMs(engine, ctx.now) + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostMs
     if (cost >= bestCost) continue
     bestCost = cost
     best = evicted === undefined ? { type: 'load', engine, wanted } : { type: 'unload', engine, copy: evicted }
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -3,7 +3,6 @@
  * the own zone; a rare one goes to the zone that has it, which costs bytes between zones but no load.
  */
 import type { BackendServer, ModelDemand } from './cluster-types'
-import { interferenceMs } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
 /** What an owner last said of one of its engines. */
@@ -16,28 +15,25 @@
   scopes: ReadonlySet<string>
   backlogMs: number
   running: number
-  prefillShare: number
   /** Time until an adapter that its owner's engines do not hold could be there, in ms. */
   loadWaitMs: number
   /** Age of what the owner said, in ms; Infinity when it has said nothing. */
   ageMs: number
 }
 
-/** Costs as time, in ms: the price of a load from the weight store, beside its duration; the bytes of a request between zones. */
+/** Costs as time, in ms: the price of a load from the weight store, beside its duration; the bytes of a request between zones; each running request. */
 const loadCostMs = 100
 const otherZoneCostMs = 120
 const hotOtherZoneCostMs = 400
-/** Reading speed that an asking node assumes, in tokens per ms; the owner knows the engine's own. */
-const usualPrefillRate = 35
+const runningCostMs = 4
 /** Requests for an adapter in recent time from which a copy in the own zone pays off. */
 const hotUses = 4
 
-function engineCost (engine: KnownEngine, { promptTokens, outputTokens }: ModelDemand, scope: string | undefined, zone: string, hot: boolean): number {
+function engineCost (engine: KnownEngine, scope: string | undefined, zone: string, hot: boolean): number {
   const near = engine.server.zone === zone
   const held = scope === undefined || engine.scopes.has(scope)
   if (!held && !engine.commandable) return Infinity
-  const interference = interferenceMs({ promptMs: promptTokens / usualPrefillRate, outputTokens }, engine.running, engine.prefillShare)
-  return engine.backlogMs + interference + (held ? 0 : loadCostMs + engine.loadWaitMs) + (near ? 0 : hot ? hotOtherZoneCostMs : otherZoneCostMs)
+  return engine.backlogMs + engine.running * runningCostMs + (held ? 0 : loadCostMs + engine.loadWaitMs) + (near ? 0 : hot ? hotOtherZoneCostMs : otherZoneCostMs)
 }
 
 /**
@@ -49,7 +45,7 @@
   const costs = new Map<string, number>()
   for (const engine of engines) {
     if (engine.owner === undefined) continue
-    const cost = engineCost(engine, demand, scope, zone, recentUses >= hotUses)
+    const cost = engineCost(engine, scope, zone, recentUses >= hotUses)
     costs.set(engine.owner, Math.min(costs.get(engine.owner) ?? Infinity, cost))
   }
   return [...costs].filter(([, cost]) => cost < Infinity).sort(([, left], [, right]) => left - right).map(([owner]) => owner)
@@ -67,7 +63,7 @@
   for (const engine of engines) {
     if (excluded.includes(engine.server.id)) continue
     if (scope !== undefined && !engine.scopes.has(scope)) continue
-    const cost = engineCost(engine, demand, scope, zone, false) + inProgress(engine.server.id) * loadCostMs
+    const cost = engineCost(engine, scope, zone, false) + inProgress(engine.server.id) * loadCostMs
     if (cost < bestCost) {
       best = engine.server
       bestCost = cost
--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -97,7 +97,7 @@
       const waitMs = copies.length === 0 ? Infinity : Math.min(...copies.map(engine => hasRoom(engine, req.demand) ? backlogMs(engine, now) : Infinity))
       if (waitMs < (copies.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
       const version = versions.get(req.scope)?.version
-      const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0, demand: req.demand }
+      const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
       entry.weight += req.objectiveAt > now ? onTimeWeight : 1
       wanted.set(req.scope, entry)
     }
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -49,8 +49,6 @@
   scopes: string[]
   backlogMs: number
   running: number
-  /** Share of recent time that the engine spent on reading prompts. */
-  prefillShare: number
   /** Time until an adapter that nobody holds could be there, in ms. */
   loadWaitMs: number
 }
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,13 +5,17 @@
  */
 import { createEngineLoads, modelCheckMs, uncertainMs, type SchedulerState, type Waiting } from './engine-loads'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, interferenceMs, learnPrefillRate, noteFailure, notePrefill, noteSuccess, prefillMs, prefillShare, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
+import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, learnPrefillRate, noteFailure, noteSuccess, prefillMs, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
 export * from './engine-scheduler-types'
 
 /** Prompt reading that may be queued at an engine, in ms; more would let a later, more urgent request wait there. */
 const maxBacklogMs = 250
+/** An engine that fails all its requests costs this many times more than its delay, in addition to it. */
+const failureCost = 4
+/** Cost of a copy of an older version, in ms: more than any delay for which a request would wait. */
+const staleCostMs = 1000
 /** Waiting requests; beyond that, none could be served before its deadline. */
 const maxWaiting = 2000
 /** Shortest time in which a request can be served once it is sent, in ms. */
@@ -66,10 +70,8 @@
       if (backlogMs(engine, now) > maxBacklogMs || !hasRoom(engine, req.demand)) continue
       const copy = engine.copies.get(req.scope)
       // A copy of an older version is avoided while a current one exists.
-      const stale = copy !== undefined && !isCurrent(copy, req.scope) ? 1000 : 0
-      const promptMs = prefillMs(engine, req.demand)
-      const interference = interferenceMs({ promptMs, outputTokens: req.demand.outputTokens }, engine.runs.size, prefillShare(engine, now))
-      const cost = (backlogMs(engine, now) + promptMs + interference) * (1 + 4 * engine.failureRate) + stale
+      const stale = copy !== undefined && !isCurrent(copy, req.scope) ? staleCostMs : 0
+      const cost = (backlogMs(engine, now) + prefillMs(engine, req.demand)) * (1 + failureCost * engine.failureRate) + engine.runs.size + stale
       if (cost < bestCost) {
         best = engine
         bestCost = cost
@@ -93,7 +95,6 @@
       expectedFirstAt: now + backlogMs(engine, now) + readMs
     })
     delete engine.runTokens
-    notePrefill(engine, readMs, now)
     engine.cache.use(req.demand)
     granted.set(req.id, engine.server.id)
     const copy = engine.copies.get(req.scope)
@@ -364,7 +365,6 @@
       scopes: [...engine.copies].filter(([scope, copy]) => copy.state !== 'unloading' && isCurrent(copy, scope)).map(([scope]) => scope),
       backlogMs: Math.round(engine.suspectUntil > now ? Math.max(maxBacklogMs * 4, backlogMs(engine, now)) : backlogMs(engine, now)),
       running: engine.runs.size,
-      prefillShare: Math.round(prefillShare(engine, now) * 10) / 10,
       loadWaitMs: Math.round(loads.loadWaitMs(loads.missing(blocked)))
     })),
     waiting: () => waiting.size,
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -66,9 +66,6 @@
   cache: PromptCache
   /** Time of the newest first event of a stream. */
   lastFirstAt: number
-  /** Prompt reading that was granted in recent time, in ms, decayed; and the time of the last change. */
-  recentPrefillMs: number
-  prefillNotedAt: number
   /** Prompt tokens read in a ms. */
   prefillRate: number
   /** Share of recent requests that failed, 0 to 1. */
@@ -85,12 +82,6 @@
 export const kvShare = 0.9
 /** Time of a first event beyond reading the prompt, in ms: the network and one step of the batch. */
 const firstEventOverheadMs = 15
-const shareHalfLifeMs = 1500
-const maxShare = 0.9
-/** Time of one token in a batch of usual size without prompts to read, in ms. */
-const tokenMs = 7
-/** Weight of delays after the first event, which count less than the first event itself. */
-const interferenceWeight = 0.3
 /** Shorter prompts say little about the reading speed. */
 const minLearnTokens = 1000
 const rateStep = 0.015
@@ -115,8 +106,6 @@
     runs: new Map(),
     cache: createPromptCache(spec.kvTokens / 2),
     lastFirstAt: -Infinity,
-    recentPrefillMs: 0,
-    prefillNotedAt: now,
     prefillRate: initialPrefillRate,
     failureRate: 0,
     suspectUntil: -Infinity,
@@ -281,28 +270,6 @@
   return Math.max(0, unreadMs - (now - Math.max(oldestSentAt, state.lastFirstAt)))
 }
 
-/** Share of recent time that the engine spent on reading prompts, 0 to 1. */
-export function prefillShare (state: EngineState, now: number): number {
-  const decayed = state.recentPrefillMs * 0.5 ** ((now - state.prefillNotedAt) / shareHalfLifeMs)
-  // The decayed sum of a constant load is the load times the half life divided by ln 2.
-  return Math.min(maxShare, decayed * Math.LN2 / shareHalfLifeMs)
-}
-
-export function notePrefill (state: EngineState, readMs: number, now: number): void {
-  state.recentPrefillMs = state.recentPrefillMs * 0.5 ** ((now - state.prefillNotedAt) / shareHalfLifeMs) + readMs
-  state.prefillNotedAt = now
-}
-
-/**
- * Delay that a request and the others of its engine cause each other, in ms: its prompt is read
- * between the tokens of all running requests, and its own tokens wait while prompts are read. Long
- * outputs therefore gather on engines with few prompts to read, and long prompts on engines with few
- * running requests.
- */
-export function interferenceMs ({ promptMs, outputTokens }: { promptMs: number, outputTokens: number }, running: number, share: number): number {
-  return interferenceWeight * (promptMs * running + outputTokens * tokenMs * share / (1 - share))
-}
-
 /** A run's first event arrived: corrects the reading speed. */
 export function learnPrefillRate (state: EngineState, run: Run, now: number): void {
   const actualMs = now - run.sentAt - firstEventOverheadMs
--- a/packages/gateway/src/status-board.ts
+++ b/packages/gateway/src/status-board.ts
@@ -13,7 +13,7 @@
   operatorNext: number
 }
 
-type PackedEngine = [id: string, scopes: string[], backlogMs: number, running: number, commandable: 0 | 1, loadWaitMs: number, prefillShare: number]
+type PackedEngine = [id: string, scopes: string[], backlogMs: number, running: number, commandable: 0 | 1, loadWaitMs: number]
 type PackedStatus = { engines: PackedEngine[], fleetNext: number, fleetAgeMs: number, operatorNext: number }
 
 export type StatusBoard = {
@@ -22,10 +22,10 @@
   own (node: string, engines: OwnedEngineStatus[], now: number): void
   /** @returns messages, each small enough for a datagram; none when nothing has changed for less than `maxMs` */
   encode (status: OwnerStatus, now: number, maxMs: number): PackedStatus[]
-  known (engine: string, now: number): Pick<KnownEngine, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'loadWaitMs' | 'prefillShare' | 'ageMs'>
+  known (engine: string, now: number): Pick<KnownEngine, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'loadWaitMs' | 'ageMs'>
 }
 
-type Entry = { commandable: boolean, scopes: Set<string>, backlogMs: number, running: number, loadWaitMs: number, prefillShare: number, at: number }
+type Entry = { commandable: boolean, scopes: Set<string>, backlogMs: number, running: number, loadWaitMs: number, at: number }
 
 /** Backlogs that differ by less do not change a choice, in ms. */
 const backlogStepMs = 50
@@ -40,8 +40,8 @@
   return Math.round(ms / backlogStepMs) * backlogStepMs
 }
 
-function pack ({ id, scopes, backlogMs, running, commandable, loadWaitMs, prefillShare }: OwnedEngineStatus): PackedEngine {
-  return [id, scopes, toStep(backlogMs), running, commandable ? 1 : 0, toStep(loadWaitMs), prefillShare]
+function pack ({ id, scopes, backlogMs, running, commandable, loadWaitMs }: OwnedEngineStatus): PackedEngine {
+  return [id, scopes, toStep(backlogMs), running, commandable ? 1 : 0, toStep(loadWaitMs)]
 }
 
 function isPacked (value: unknown): value is PackedStatus {
@@ -54,8 +54,8 @@
   let lastText = ''
   let lastSentAt = -Infinity
 
-  function put ([id, scopes, backlogMs, running, commandable, loadWaitMs, prefillShare]: PackedEngine, now: number): void {
-    entries.set(id, { scopes: new Set(scopes), backlogMs, running, loadWaitMs, prefillShare, commandable: commandable === 1, at: now })
+  function put ([id, scopes, backlogMs, running, commandable, loadWaitMs]: PackedEngine, now: number): void {
+    entries.set(id, { scopes: new Set(scopes), backlogMs, running, loadWaitMs, commandable: commandable === 1, at: now })
   }
 
   return {
@@ -90,9 +90,9 @@
     },
     known (engine, now) {
       const entry = entries.get(engine)
-      if (entry === undefined) return { commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: usualLoadMs, prefillShare: 0, ageMs: Infinity }
+      if (entry === undefined) return { commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: usualLoadMs, ageMs: Infinity }
       const valid = now - entry.at < backlogValidMs
-      return { commandable: entry.commandable, scopes: entry.scopes, backlogMs: valid ? entry.backlogMs : 0, running: valid ? entry.running : 0, loadWaitMs: valid ? entry.loadWaitMs : usualLoadMs, prefillShare: valid ? entry.prefillShare : 0, ageMs: now - entry.at }
+      return { commandable: entry.commandable, scopes: entry.scopes, backlogMs: valid ? entry.backlogMs : 0, running: valid ? entry.running : 0, loadWaitMs: valid ? entry.loadWaitMs : usualLoadMs, ageMs: now - entry.at }
     }
   }
 }
