--- /dev/null
+++ b/packages/gateway/src/gateway.test.ts
@@ -0,0 +1,222 @@
+/** Whole nodes on loopback against a platform in memory. */
+import { createServer } from 'node:net'
+import { request, type IncomingHttpHeaders, type IncomingMessage, type ServerResponse } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createDecisionLog } from './decision-log'
+import { createGateway, type Gateway } from './gateway'
+import { createGatewayMetrics } from './gateway-metrics'
+import type { NodeSettings } from './platform-interface'
+import { createFakePlatform, startBackend, testConfig, type FakeBackend, type FakePlatform } from './testing'
+
+const test = suite('gateway node')
+
+type Answer = { status: number, headers: IncomingHttpHeaders, body: string, cut: boolean }
+
+let platform: FakePlatform
+let gateway: Gateway
+let backends: FakeBackend[]
+let lines: { event: string, [field: string]: unknown }[]
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    return server
+  }))
+  const ports = servers.map(server => (server.address() as { port: number }).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+async function start (): Promise<void> {
+  const [front, ready, directory, control, metrics, peers] = await freePorts(6) as [number, number, number, number, number, number]
+  const at = (port: number): { host: string, port: number } => ({ host: '127.0.0.1', port })
+  const settings: NodeSettings = {
+    name: 'n1',
+    zone: 'a',
+    ip: '127.0.0.1',
+    peerPorts: [peers, peers],
+    front: at(front),
+    ready: at(ready),
+    directory: at(directory),
+    control: at(control),
+    seeds: [],
+    heartbeatMs: 1000,
+    cpuShare: 1,
+    maxDescriptors: 1000,
+    memoryMb: 300,
+    bounds: { drainMs: 2000, graceMs: 4000, configApplyMs: 2000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, leaseMs: 3000, versionMs: 5000, addressKeepMaxMs: 5000 }
+  }
+  lines = []
+  backends = []
+  platform = createFakePlatform(settings)
+  const log = createDecisionLog('n1', { write: line => { lines.push(JSON.parse(line) as typeof lines[number]) }, flush: async () => {}, dropped: () => 0 })
+  gateway = createGateway({ platform, log, metrics: createGatewayMetrics(), metricsAddress: { port: metrics, path: '/metrics' }, now: () => performance.now(), random: Math.random })
+  await gateway.start()
+}
+
+async function backend (id: string, service: string, handle: (req: IncomingMessage, res: ServerResponse) => void): Promise<FakeBackend> {
+  const started = await startBackend(id, service, handle, service === 'llm' ? { models: [{ name: 'base', adapters: [] }] } : {})
+  backends.push(started)
+  platform.servers.append(id, { type: 'server', server: started.server, sequence: 1 })
+  return started
+}
+
+function configure (): void {
+  platform.operator.append('config', { type: 'config', config: testConfig })
+}
+
+async function until (condition: () => boolean | Promise<boolean>, ms = 4000): Promise<void> {
+  const end = performance.now() + ms
+  while (!await condition()) {
+    if (performance.now() > end) throw new Error('the condition did not come true in time')
+    await sleep(20)
+  }
+}
+
+function ask (port: number, path: string, headers: Record<string, string> = {}, method = 'GET', leaveAfterMs?: number): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const req = request({ host: '127.0.0.1', port, path, method, headers: { host: 'a.example', ...headers }, agent: false }, res => {
+      const chunks: Buffer[] = []
+      const done = (cut: boolean): void => resolve({ status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks).toString(), cut })
+      res.on('data', (chunk: Buffer) => chunks.push(chunk))
+      res.on('end', () => done(false))
+      res.on('error', () => done(true))
+    })
+    req.on('error', reject)
+    if (leaveAfterMs !== undefined) setTimeout(() => req.destroy(), leaveAfterMs)
+    req.end()
+  })
+}
+
+const front = (path: string, id: string, more: Record<string, string> = {}, method?: string, leaveAfterMs?: number): Promise<Answer> =>
+  ask(platform.settings.front.port, path, { 'x-id': id, ...more }, method, leaveAfterMs)
+
+/** The node is ready and knows all backend servers that were started. */
+const isServing = async (): Promise<boolean> => backends.every(({ server }) => lines.some(line => line.event === 'server-changed' && line.server === server.id)) && await isReady()
+
+const isReady = async (): Promise<boolean> => (await ask(platform.settings.ready.port, '/ready')).status === 200
+
+/** Answers as a backend server does. */
+function answer (req: IncomingMessage, res: ServerResponse, status: number, body: string): void {
+  res.writeHead(status, { 'x-id': req.headers['x-id'] ?? '', 'x-seal': 's', 'content-length': body.length }).end(body)
+}
+
+test.before.each(start)
+test.after.each(async () => {
+  if (!lines.some(({ event }) => event === 'stopped')) await gateway.stop()
+  for (const started of backends) started.close()
+})
+
+// Guards against refusing with 404 what a configuration that is not known yet may allow.
+test('answers 503 as not run until a configuration is known, and 404 for what it does not allow', async () => {
+  const early = await front('/read/x', 'r1')
+  assert.equal([early.status, (JSON.parse(early.body) as { outcome: string }).outcome, early.headers['retry-after'] !== undefined], [503, 'not-run', true])
+  assert.is(await isReady(), false)
+  configure()
+  await backend('s1', 'desk', (req, res) => answer(req, res, 200, 'ok'))
+  await until(isServing)
+  assert.is((await front('/other/x', 'r2')).status, 404)
+  const served = await front('/read/x', 'r3')
+  assert.equal([served.status, served.body], [200, 'ok'])
+})
+
+// Guards against a call that runs twice, and against calling it "not run" when its answer was lost.
+test('repeats only what may be repeated when an answer is lost', async () => {
+  configure()
+  await backend('s1', 'desk', req => { req.socket.destroy() })
+  await backend('s2', 'desk', req => { req.socket.destroy() })
+  await until(isServing)
+  const order = await front('/order/x', 'r1', {}, 'POST')
+  assert.is(order.status, 502)
+  assert.is(backends[0]!.requests.length + backends[1]!.requests.length, 1)
+  await front('/read/x', 'r2')
+  assert.is(backends[0]!.requests.length + backends[1]!.requests.length, 3)
+})
+
+// Guards against servers that work on for clients that have left.
+test('closes the connection to the server when the client leaves', async () => {
+  let closed = false
+  configure()
+  await backend('s1', 'desk', req => { req.socket.on('close', () => { closed = true }) })
+  await until(isServing)
+  await front('/order/x', 'r1', {}, 'POST', 100).catch(() => {})
+  await until(() => closed, 600)
+})
+
+// Guards against an answer after the route's timeout, and against "not run" for what may be running.
+test('answers 504 at the route timeout while a server is silent', async () => {
+  configure()
+  await backend('s1', 'desk', () => {})
+  await until(isServing)
+  const startedAt = performance.now()
+  const { status } = await front('/order/x', 'r1', {}, 'POST')
+  assert.is(status, 504)
+  assert.ok(performance.now() - startedAt < 2400)
+})
+
+test('claims an engine, loads the adapter that a request names, and streams its events', async () => {
+  configure()
+  await backend('e1', 'llm', (req, res) => {
+    if (!platform.engines.adapters.has(String(req.headers['x-adapter']))) return answer(req, res, 421, '')
+    res.writeHead(200, { 'x-id': req.headers['x-id'] ?? '', 'x-seal': 's', 'content-type': 'text/event-stream' })
+    res.write('id: 1\ndata: a\n\n')
+    setTimeout(() => res.end('id: 2\ndata: b\n\n'), 30)
+  })
+  await until(() => lines.some(({ event }) => event === 'engine-report'))
+  await until(isServing)
+  const { status, body } = await front('/draft/x', 'r1', { 'x-adapter': 'a7' }, 'POST')
+  assert.equal([status, body], [200, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'])
+  assert.equal(platform.engines.commands, ['load a7'])
+})
+
+// Guards against a stream that ended early looking complete to the client.
+test('cuts the client when a stream breaks that may not go on elsewhere', async () => {
+  configure()
+  await backend('e1', 'llm', (req, res) => {
+    res.writeHead(200, { 'x-id': req.headers['x-id'] ?? '', 'x-seal': 's', 'content-type': 'text/event-stream' })
+    res.write('id: 1\ndata: a\n\n')
+    setTimeout(() => req.socket.destroy(), 50)
+  })
+  await until(() => lines.some(({ event }) => event === 'engine-report'))
+  const { cut, body } = await front('/draft/x', 'r1', { 'x-adapter': 'a7' }, 'POST')
+  assert.equal([cut, body], [true, 'id: 1\ndata: a\n\n'])
+})
+
+// Guards against losing requests at a planned stop, and against new ones arriving at a node that ends.
+test('a node that stops finishes what runs and is no longer ready', async () => {
+  configure()
+  await backend('s1', 'desk', (req, res) => { setTimeout(() => answer(req, res, 200, 'late'), 500) })
+  await until(isServing)
+  const running = front('/order/x', 'r1', {}, 'POST')
+  await sleep(100)
+  const stopped = gateway.stop()
+  await sleep(50)
+  assert.is(await isReady(), false)
+  assert.equal([(await running).body, (await running).headers.connection], ['late', 'close'])
+  await stopped
+})
+
+// Guards against a node that refuses everything because the store is away.
+test('goes on with what it knows while the store is down', async () => {
+  configure()
+  await backend('s1', 'desk', (req, res) => answer(req, res, 200, 'ok'))
+  await until(isServing)
+  platform.operator.setDown(true)
+  platform.servers.setDown(true)
+  await sleep(1500)
+  assert.is((await front('/read/x', 'r1')).status, 200)
+  assert.is(await isReady(), true)
+})
+
+test('tells clients which addresses to use', async () => {
+  configure()
+  await backend('s1', 'desk', (req, res) => answer(req, res, 200, 'ok'))
+  await until(isServing)
+  const { body } = await ask(platform.settings.directory.port, '/addresses')
+  assert.equal(JSON.parse(body), { addresses: [`127.0.0.1:${platform.settings.front.port}`], keepForMs: 2000 })
+})
+
+test.run()
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -9,7 +9,12 @@
 }
 
 export const testCodec: HeaderCodec = {
-  request: raw => ({ id: valueOf(raw, 'x-id') ?? '', headers: raw }),
+  request (raw) {
+    const adapter = valueOf(raw, 'x-adapter')
+    const demand = { model: 'base', ...(adapter === undefined ? {} : { adapter }), promptTokens: 100, outputTokens: 10, parts: [] }
+    const headers = raw.filter((_, at) => !['connection', 'host', 'content-length', 'transfer-encoding'].includes(raw[at - at % 2]!.toLowerCase()))
+    return { id: valueOf(raw, 'x-id') ?? '', headers, ...(adapter === undefined ? {} : { demand }) }
+  },
   attempt: (facts, { instanceId, remainingMs }) => [...facts.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs))],
   response (_status, raw) {
     const requestId = valueOf(raw, 'x-id')
@@ -19,7 +24,7 @@
       notRun: valueOf(raw, 'x-not-run') !== undefined,
       closes: valueOf(raw, 'connection') === 'close',
       encoded: valueOf(raw, 'content-encoding') !== undefined,
-      headers: raw
+      headers: raw.filter((_, at) => !['connection', 'keep-alive', 'transfer-encoding'].includes(raw[at - at % 2]!.toLowerCase()))
     }
   },
   identify: id => ({ 'X-Id': id }),
