Spread the engines of a zone over several owners and read the servers' entries once a zone

Cause: on the grown site one owner a zone had 21 engines on a node with a third of a core, and announced them to 72 peers up to four times a second; peers took it for dead when traffic began. Each of 73 nodes read the servers' entries.

Change: an owner for each 12 engines of a zone, on the strongest nodes only; announcements at a pace that falls with the number of nodes; one reader of the servers' entries in each zone passes changes on as datagrams, the others read when it falls silent or a message is missing; the bound of loads on their way grows with the number of engines. The feeds' wiring moved to feeds.ts.

--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -20,8 +20,8 @@
   warmLoadMs: number
   /** Mean time that a request runs, in ms. */
   meanRunMs: number
-  /** Share of all engines that this node owns. */
-  share: number
+  /** Loads from the weight store that this owner may have on their way. */
+  storeLoads: number
 }
 
 export type EngineLoads = {
@@ -44,8 +44,14 @@
 
 /** An adapter is loaded a second time when its copies make requests wait this much longer than a load, in ms. */
 const replicateAfterMs = 150
-/** Loads over all engines up to which each takes its usual time. */
-const storeLoadLimit = 8
+/** Loads of adapters from the weight store, over all engines, up to which each takes its usual time: 8 with 8 engines and fewer, 40 with 63 on the operators' sheets. */
+const minStoreLoads = 8
+const storeLoadsPerEngine = 0.63
+
+/** @returns loads from the weight store that all owners together may have on their way */
+export function storeLoadLimit (engines: number): number {
+  return Math.max(minStoreLoads, engines * storeLoadsPerEngine)
+}
 /** Pause before the next try when a load turns out to be unfinished, in ms. */
 const loadRetryMs = 25
 /** A response to a command may be lost although it is carried out; a report older than this may not show it, in ms. */
@@ -162,7 +168,7 @@
   function loadActions (blocked: Waiting[], now: number): SchedulerAction[] {
     const actions: SchedulerAction[] = []
     const keep = new Set(blocked.map(({ scope }) => scope))
-    const ctx = { now, commandable: (engine: EngineState) => canCommand(engine, now), coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, coldLoadLimit: Math.max(1, Math.ceil(storeLoadLimit * state.share)) }
+    const ctx = { now, commandable: (engine: EngineState) => canCommand(engine, now), coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, coldLoadLimit: Math.max(1, Math.ceil(state.storeLoads)) }
     const wantedNow = wantedAdapters(blocked, now)
     const more = [...replacing.values()].filter(({ scope }) => !keep.has(scope))
     for (const wanted of [...wantedNow, ...more, ...outdatedAdapters(now)]) {
@@ -229,7 +235,7 @@
     }
     replacing.delete(scope)
     const warm = engine.held.has(scope)
-    const slowdown = warm ? 1 : Math.max(1, coldLoads(engines.values()) / Math.max(1, storeLoadLimit * state.share))
+    const slowdown = warm ? 1 : Math.max(1, coldLoads(engines.values()) / Math.max(1, state.storeLoads))
     const estimatedAt = now + (warm ? state.warmLoadMs : state.coldLoadMs) * slowdown
     engine.copies.set(scope, {
       model,
@@ -309,7 +315,7 @@
     usableAt: copy => copy?.state !== 'loading' ? -Infinity : Math.max(copy.readyAt, (copy.probeSentAt ?? -Infinity) + probeMs),
     missing: blocked => new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope)).map(({ scope }) => scope)).size,
     loadWaitMs (loadsAhead) {
-      const storeMs = state.coldLoadMs * (1 + (loadsAhead + coldLoads(engines.values())) / Math.max(1, storeLoadLimit * state.share))
+      const storeMs = state.coldLoadMs * (1 + (loadsAhead + coldLoads(engines.values())) / Math.max(1, state.storeLoads))
       const { places, idle } = countPlaces()
       // Without an idle place, one becomes free whenever a run ends.
       const placeMs = places === 0 ? 0 : Math.max(0, loadsAhead - idle) * state.meanRunMs / places
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -11,6 +11,7 @@
   name: string
   zone: string
   incarnation: number
+  capacity: number
   leaseMs: number
   versionMs: number
   now (): number
@@ -23,6 +24,8 @@
   /** Engines of all services that take requests, with their limits. */
   known (): { server: BackendServer, spec: EngineSpec }[]
   members (): FleetMember[]
+  /** Number of nodes, this one included. */
+  fleetSize (): number
   /** Asks all nodes, this one included, whether they can read the fleet log now. */
   probeLog (): void
   /** Sends an answer to the node that holds the request. @returns whether it arrived */
@@ -70,7 +73,7 @@
 export function createEngineOwner (options: EngineOwnerOptions): EngineOwner {
   const { now, log } = options
   const freshness = createLogFreshness()
-  const ownership = createEngineOwnership({ name: options.name, incarnation: options.incarnation, zone: options.zone, leaseMs: options.leaseMs }, now())
+  const ownership = createEngineOwnership({ name: options.name, incarnation: options.incarnation, zone: options.zone, capacity: options.capacity, leaseMs: options.leaseMs }, now())
   const answers = new Map<string, Answer>()
   let leaving = false
   let ended = false
@@ -80,7 +83,7 @@
 
   function mayCommand (engine: string, at: number): boolean {
     const from = ownership.commandsFrom(engine)
-    return !ended && from !== undefined && from <= at && freshness.isCertain(at, options.members().length + 1)
+    return !ended && from !== undefined && from <= at && freshness.isCertain(at, options.fleetSize())
   }
 
   const scheduler = createEngineScheduler({ versionMs: options.versionMs, mayCommand })
@@ -172,7 +175,7 @@
   function refresh (): void {
     const known = options.known()
     const mine = owned()
-    scheduler.setShare(known.length === 0 ? 1 : mine.length / known.length)
+    scheduler.setShare(mine.length, known.length)
     perform(scheduler.setEngines(mine, now()))
     options.metrics.gauge('engines_owned', mine.length)
   }
--- a/packages/gateway/src/engine-ownership.test.ts
+++ b/packages/gateway/src/engine-ownership.test.ts
@@ -8,10 +8,10 @@
 
 const leaseMs = 3000
 const engine = (id: string, zone = 'a'): BackendServer => ({ id, bornAt: 1, service: 'llm', address: `${id}:1`, zone, state: 'ready', slots: 1, models: [] })
-const member = (name: string, over: Partial<FleetMember> = {}): FleetMember => ({ name, zone: 'a', incarnation: 1, state: 'alive', ...over })
+const member = (name: string, over: Partial<FleetMember> = {}): FleetMember => ({ name, zone: 'a', incarnation: 1, capacity: 1, state: 'alive', ...over })
 
 function owner (name: string, incarnation = 1): EngineOwnership {
-  return createEngineOwnership({ name, incarnation, zone: 'a', leaseMs }, 0)
+  return createEngineOwnership({ name, incarnation, zone: 'a', capacity: 1, leaseMs }, 0)
 }
 
 function record (engineId: string, node: string, incarnation: number, offset: number, after?: string): { key: string, offset: number, value: FleetRecord } {
@@ -25,6 +25,21 @@
   assert.is(owner(claimants[0]!).claims([engine('e1'), engine('e2')], members, 1000).length, 2)
 })
 
+// Guards against one owner that has more engines than it can decide for.
+test('many engines of a zone are spread over several owners, each claimed once', () => {
+  const names = ['n1', 'n2', 'n3', 'n4', 'n5', 'n6']
+  const engines = Array.from({ length: 36 }, (_, index) => engine(`e${index}`))
+  const claimed = names.map(name => owner(name).claims(engines, names.map(other => member(other)), 1000).map(claim => claim.engine))
+  assert.equal(claimed.flat().sort(), engines.map(({ id }) => id).sort())
+  assert.equal(claimed.map(({ length }) => length).filter(count => count > 0), [12, 12, 12])
+})
+
+// Guards against decisions for many engines on the weakest machine of a zone.
+test('a node with a fraction of the power of others does not become an owner', () => {
+  const members = [member('n2', { capacity: 4 }), member('n3', { capacity: 1 })]
+  assert.equal(owner('n1').claims([engine('e1'), engine('e2')], members, 1000), [])
+})
+
 // Guards against a node that starts alone taking all engines before it has heard of the others.
 test('does not claim before nodes that start together know each other', () => {
   assert.equal(owner('n1').claims([engine('e1')], [], 100), [])
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -4,7 +4,7 @@
  * until no command of its predecessor can arrive any more, and an owner that has not seen the end
  * of the log recently gives none.
  */
-import { firstNode } from '@yuccawharf/coordination'
+import { rankNodes } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
 import type { FeedRecord, FleetRecord, Unreadable } from './platform-interface'
 
@@ -12,14 +12,19 @@
 export const logFreshMs = 1300
 /** Margin for a command's way to the engine and for clocks that run at different rates, in ms. */
 const marginMs = 200
+/** Engines of a zone that one owner takes before the zone gets another: enough that it sees most places for an adapter, few enough that its decisions take a small part of a core. */
+const enginesPerOwner = 12
+/** Only nodes with this share of the capacity of the strongest node of their zone become owners. */
+const ownerCapacityShare = 0.5
 /** Time for nodes that start together to learn of each other before the first claims, in ms. */
 const settleMs = 600
 
-export type FleetMember = { name: string, zone: string, incarnation: number, state: 'alive' | 'leaving' | 'dead' }
+/** `capacity` compares the processing power of nodes. */
+export type FleetMember = { name: string, zone: string, incarnation: number, capacity: number, state: 'alive' | 'leaving' | 'dead' }
 
 export type OwnerTerm = { engine: string, node: string, incarnation: number, token: number }
 
-export type OwnershipConfig = { name: string, incarnation: number, zone: string, leaseMs: number }
+export type OwnershipConfig = { name: string, incarnation: number, zone: string, capacity: number, leaseMs: number }
 
 /** `after` names the other node whose commands may still be on their way. */
 export type Claim = { engine: string, reason: 'unowned' | 'owner-dead' | 'restarted', after?: string }
@@ -41,6 +46,26 @@
 
 type Term = OwnerTerm & { commandsFrom: number, after?: string }
 
+/**
+ * Node that should own each engine. The engines of a zone get as few owners as can carry them, since
+ * an owner sees only its own engines' places. Nodes that know different fleets or engines may
+ * disagree; the log then keeps the first claim.
+ */
+function ownersOf (engines: readonly BackendServer[], candidates: readonly FleetMember[]): Map<string, string> {
+  const zones = new Map<string, string[]>()
+  for (const { id, zone } of engines) zones.set(zone, [...zones.get(zone) ?? [], id])
+  const owners = new Map<string, string>()
+  for (const [zone, ids] of zones) {
+    const inZone = candidates.filter(node => node.zone === zone)
+    const near = inZone.length > 0 ? inZone : candidates
+    const strongest = Math.max(...near.map(({ capacity }) => capacity))
+    const strong = near.filter(({ capacity }) => capacity >= strongest * ownerCapacityShare)
+    const ranked = rankNodes(`zone:${zone}`, strong.map(({ name }) => ({ id: name }))).slice(0, Math.ceil(ids.length / enginesPerOwner))
+    ids.sort().forEach((id, index) => owners.set(id, ranked[index % ranked.length]!.id))
+  }
+  return owners
+}
+
 export function createEngineOwnership (cfg: OwnershipConfig, startedAt: number): EngineOwnership {
   const terms = new Map<string, Term>()
   /** Processes that said that they end, by node. */
@@ -85,19 +110,24 @@
       }
     },
     claims (engines, members, now) {
-      const self: FleetMember = { name: cfg.name, zone: cfg.zone, incarnation: cfg.incarnation, state: 'alive' }
+      const reasons = new Map<string, Claim['reason']>()
+      for (const { id } of engines) {
+        const reason = claimReason(terms.get(id), members)
+        if (reason !== undefined) reasons.set(id, reason)
+      }
+      if (reasons.size === 0) return []
+      const self: FleetMember = { name: cfg.name, zone: cfg.zone, incarnation: cfg.incarnation, capacity: cfg.capacity, state: 'alive' }
       const candidates = [self, ...members.filter(({ name, state }) => state === 'alive' && name !== cfg.name)]
       // Owners go on without the log while most nodes cannot reach it; a claim needs most nodes as well.
       const withMost = candidates.length > (members.filter(({ name }) => name !== cfg.name).length + 1) / 2
-      const ranked = candidates.map(({ name, zone }) => ({ id: name, group: zone }))
+      const owners = ownersOf(engines, candidates)
       return engines.flatMap((engine): Claim[] => {
         const term = terms.get(engine.id)
-        const reason = claimReason(term, members)
+        const reason = reasons.get(engine.id)
         if (reason === undefined || (reason === 'owner-dead' && !withMost)) return []
         const own = term?.node === cfg.name
         if (!own && now - startedAt < settleMs) return []
-        // Engines of one zone get one owner, which then sees all places for an adapter in its zone.
-        if (!own && firstNode(`zone:${engine.zone}`, ranked, engine.zone)?.id !== cfg.name) return []
+        if (!own && owners.get(engine.id) !== cfg.name) return []
         const after = own ? term.after : term?.node
         return [{ engine: engine.id, reason, ...(after === undefined ? {} : { after }) }]
       })
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -63,8 +63,8 @@
 export type EngineScheduler = {
   /** The engines that this node owns now; requests for others are no longer decided here. */
   setEngines (engines: { server: BackendServer, spec: EngineSpec }[], now: number): SchedulerAction[]
-  /** Share of all engines that this node owns, which bounds its part of the loads on their way. */
-  setShare (share: number): void
+  /** Numbers of engines that this node owns and of all, which bound its part of the loads on their way. */
+  setShare (owned: number, all: number): void
   /** @param recent - announced just now; otherwise it may have to be in force already */
   setVersion (version: AdapterVersion, recent: boolean, now: number): SchedulerAction[]
   submit (req: ScheduledRequest, now: number): SchedulerAction[]
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -3,7 +3,7 @@
  * when, what is loaded for the others, and which requests are refused because they cannot be served
  * in time. Requests wait here, not at the engines, so that the most urgent one is always next.
  */
-import { createEngineLoads, modelCheckMs, uncertainMs, type SchedulerState, type Waiting } from './engine-loads'
+import { createEngineLoads, storeLoadLimit, modelCheckMs, uncertainMs, type SchedulerState, type Waiting } from './engine-loads'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
 import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, learnPrefillRate, noteFailure, noteSuccess, prefillMs, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
 import { cacheScope } from './prompt-cache'
@@ -37,7 +37,7 @@
 const useHalfLifeMs = 8000
 
 export function createEngineScheduler (cfg: SchedulerConfig): EngineScheduler {
-  const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, meanRunMs: initialRunMs, share: 1 }
+  const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, meanRunMs: initialRunMs, storeLoads: storeLoadLimit(0) }
   const { engines, versions } = state
   const loads = createEngineLoads(cfg, state)
   const { isCurrent, isUsable } = loads
@@ -269,8 +269,8 @@
       }
       return decide(now)
     },
-    setShare (value) {
-      state.share = value
+    setShare (owned, all) {
+      state.storeLoads = all === 0 ? storeLoadLimit(0) : storeLoadLimit(all) * owned / all
     },
     setVersion ({ model, adapter, version }, recent, now) {
       const scope = cacheScope({ model, adapter })
--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -16,7 +16,7 @@
 let follower: Follower | undefined
 test.after.each(() => { follower?.stop() })
 
-function follow (answers: ((call: Call) => Answer)[]): { events: string[], calls: Call[] } {
+function follow (answers: ((call: Call) => Answer)[], pauseMs = 0): { events: string[], calls: Call[] } {
   const events: string[] = []
   const calls: Call[] = []
   const answer = (call: Call): Answer => {
@@ -31,7 +31,7 @@
     lost: () => { events.push('lost') },
     regained: () => { events.push('regained') },
     call () {}
-  }, { now: () => performance.now(), random: () => 0, waitMs: () => 1000, pauseMs: 0 })
+  }, { now: () => performance.now(), random: () => 0, waitMs: () => 1000, pauseMs: () => pauseMs })
   return { events, calls }
 }
 
@@ -61,7 +61,7 @@
       return await new Promise(resolve => signal?.addEventListener('abort', () => resolve(Err({ type: 'unavailable', reason: 'cancelled' }))))
     }
   }
-  follower = followFeed(feed, { replaced () {}, changed () {}, answered () {}, lost () {}, regained () {}, call () {} }, { now: () => performance.now(), random: () => 0, waitMs: () => 1000, pauseMs: 0 })
+  follower = followFeed(feed, { replaced () {}, changed () {}, answered () {}, lost () {}, regained () {}, call () {} }, { now: () => performance.now(), random: () => 0, waitMs: () => 1000, pauseMs: () => pauseMs })
   await sleep(200)
   assert.equal(waits, [1000, 0, 1000])
   follower.restart()
@@ -91,4 +91,36 @@
   assert.equal(events, ['replaced 1', 'changed 8'])
 })
 
+const pauseMs = 60
+
+// Guards against calls to the store that grow with the number of nodes.
+test('reads nothing itself while a peer passes changes on, and again when it falls silent', async () => {
+  const { calls } = follow([async () => Ok(page(5, 4)), async () => Ok(page(5))], pauseMs)
+  await sleep(pauseMs / 2)
+  const before = calls.length
+  for (let next = 6; next < 12; next++) {
+    assert.ok(follower!.relayed(next - 1, next))
+    await sleep(pauseMs / 3)
+  }
+  assert.is(calls.length, before)
+  await sleep(2 * pauseMs)
+  assert.is(calls.length, before + 1)
+  assert.is((calls.at(-1) as { from: number }).from, 11)
+})
+
+// Guards against a change that is lost with a datagram.
+test('reads at once when a peer has changes that are missing here', async () => {
+  const { calls } = follow([async () => Ok(page(5, 4)), async () => Ok(page(5))], 10 * pauseMs)
+  await sleep(pauseMs / 2)
+  assert.not.ok(follower!.relayed(7, 9))
+  await sleep(pauseMs / 2)
+  assert.is((calls.at(-1) as { from: number }).from, 5)
+})
+
+test('takes nothing from a peer that knows less', async () => {
+  follow([async () => Ok(page(5, 4)), async () => Ok(page(5))], pauseMs)
+  await sleep(pauseMs / 2)
+  assert.not.ok(follower!.relayed(2, 4))
+})
+
 test.run()
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -20,8 +20,8 @@
   random (): number
   /** Time that the store may hold a read until a record arrives, in ms. */
   waitMs (): number
-  /** Pause after a read, in ms. */
-  pauseMs: number
+  /** Pause after a read, or after what a peer has read instead, in ms. */
+  pauseMs (): number
 }
 
 /** Bounds of the pause after a failed call, in ms: a store that is away for seconds is found again within half a second. */
@@ -40,6 +40,12 @@
   wake (): void
   /** Ends the current read or pause and starts anew: another feed of the store was lost or regained. */
   restart (): void
+  /**
+   * A peer has read the changes between two positions, which spares this process a read.
+   *
+   * @returns whether the changes follow on what is known; if some are missing, they are read at once
+   */
+  relayed (from: number, next: number): boolean
   /** A peer has read up to `next`: ends a read that does not show it, as its connection may have gone silent. */
   behind (next: number): void
 }
@@ -50,15 +56,25 @@
   let failures = 0
   let lostAt: number | undefined
   let wake: (() => void) | undefined
+  let pauseUntil = -Infinity
   let reading: AbortController | undefined
   let behindTimer: NodeJS.Timeout | undefined
 
   const pause = (ms: number): Promise<void> => new Promise(resolve => {
-    const timer = setTimeout(resolve, ms)
-    wake = () => {
+    let timer: NodeJS.Timeout | undefined
+    const end = (): void => {
       clearTimeout(timer)
+      wake = undefined
       resolve()
     }
+    const check = (): void => {
+      const leftMs = pauseUntil - options.now()
+      if (leftMs <= 0) return end()
+      timer = setTimeout(check, Math.ceil(leftMs))
+    }
+    pauseUntil = options.now() + ms
+    wake = end
+    check()
   })
 
   function succeeded (asOf: number, next: number): void {
@@ -110,7 +126,7 @@
     // A read that found nothing was answered when its wait had passed, so it shows the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
     succeeded(waited ? sentAt + waitMs : sentAt, result.val.next)
-    if (options.pauseMs > 0) await pause(options.pauseMs)
+    await pause(options.pauseMs())
   }
 
   const isStopped = (): boolean => stopped
@@ -131,6 +147,17 @@
       wake?.()
     },
     position: () => position,
+    relayed (from, next) {
+      // While a read is under way its result says as much.
+      if (position === undefined || failures > 0 || wake === undefined || next < position) return false
+      if (from > position) {
+        wake()
+        return false
+      }
+      position = next
+      pauseUntil = options.now() + options.pauseMs()
+      return true
+    },
     wake: () => wake?.(),
     restart () {
       reading?.abort()
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -34,6 +34,8 @@
   address (node: string): string | undefined
   /** Address at which the node hands out what it read from the store. */
   control (node: string): string | undefined
+  /** Whether a peer is known and not dead. */
+  alive (node: string): boolean
   size (): number
 }
 
@@ -85,10 +87,10 @@
     },
     tick: () => perform(membership.step({ type: 'tick' }, now())),
     leave: () => perform(membership.step({ type: 'leave' }, now())),
-    members: () => [...nodes.values()].map(({ name, zone, incarnation }): FleetMember => {
+    members: () => [...nodes.values()].map(({ name, zone, incarnation, capacity }): FleetMember => {
       const member = membership.member(name)
       const state = !alive(name) ? 'dead' : member?.leaving === true ? 'leaving' : 'alive'
-      return { name, zone, incarnation: member?.incarnation ?? incarnation, state }
+      return { name, zone, incarnation: member?.incarnation ?? incarnation, capacity, state }
     }),
     directory (selfReady) {
       const others = [...nodes.values()].map(node => {
@@ -100,6 +102,7 @@
     peers: () => [...nodes.values()].filter(({ name }) => alive(name)),
     address: node => nodes.get(node)?.address,
     control: node => nodes.get(node)?.control,
+    alive: node => nodes.has(node) && alive(node),
     size: () => nodes.size + 1
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type { KnownEngine } from './engine-choice'
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
-import { followFeed, type Follower, type FollowerEvents } from './feed-follower'
+import { createFeeds } from './feeds'
 import { createFleet, type NodeRecord } from './fleet'
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
@@ -16,7 +16,7 @@
 import { askPeerState, createFeedMirror, createStateServer, type PeerSnapshot } from './peer-state'
 import { createPlaces, type PlaceMessage } from './places'
 import { forwardPlain } from './plain-forwarder'
-import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, Unreadable } from './platform-interface'
+import type { FeedRecord, NodeSettings, OperatorRecord, Platform } from './platform-interface'
 import { cacheScope } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
@@ -49,18 +49,14 @@
 const tickMs = 50
 /** Pace of membership, in ms. */
 const memberTickMs = 200
-/** Pace of what owners tell all nodes, in ms; at least once in the second time without a change. */
+/** Pace of what owners tell all nodes, in ms, and slower by the second time for each node; the message costs each owner one datagram a node. */
 const statusMs = 250
+const statusPerNodeMs = 10
+const statusIntervalMaxMs = 2000
+/** Owners repeat their status after this time without a change, in ms. */
 const statusMaxMs = 1000
 /** Pace at which a node without a configuration asks its seeds, in ms. */
 const seedsMs = 600
-/** Pause between two reads of the servers' entries, in ms: two reads fit into the time in which a leaving server must get no more requests. */
-const serverReadMs = 850
-/** A waiting read returns at once on a change; its length only bounds what a silent connection hides, in ms. */
-const longWaitMs = 25_000
-/** Owners prove by their reads that they know the end of the log, in ms. */
-const ownerWaitMs = 800
-const ownerConfigWaitMs = 2500
 /** How long clients keep an address answer, in ms: a node that leaves finishes after that. */
 const addressKeepMs = 2000
 /** Time in which a leaving node still takes requests, in ms: until clients have asked for addresses again. */
@@ -84,11 +80,14 @@
   const versions = new Map<string, number>()
   const board = createStatusBoard()
   const mirror = createFeedMirror()
-  const followers: Follower[] = []
   const timers: NodeJS.Timeout[] = []
   let table: RouteTable | undefined
   let serversKnown = false
   let leavingSince: number | undefined
+  let statusAt = -Infinity
+  let askingPeers = false
+  /** Offset up to which a peer's operator records were taken. */
+  let peerOperatorNext = -1
 
   const self: NodeRecord = {
     type: 'node',
@@ -110,6 +109,7 @@
       if (kind === 'member') fleet.received(payload)
       else if (kind === 'place') receivedPlace(from.node, payload as PlaceMessage)
       else if (kind === 'status') receivedStatus(from.node, payload)
+      else if (kind === 'servers') feeds.relayed(payload)
       else if (kind === 'log-probe') answerProbe(from.node)
       else if (kind === 'log-state') receivedLogState(from.node, payload)
       else if (kind === 'stopped') owner.ownership.stopped(from.node, from.incarnation, now())
@@ -137,22 +137,24 @@
     name: self.name,
     zone: self.zone,
     incarnation: self.incarnation,
+    capacity: self.capacity,
     leaseMs: settings.bounds.leaseMs,
     versionMs: settings.bounds.versionMs,
     now,
     log,
     metrics,
     fleetLog: platform.fleet,
-    logPosition: () => fleetFollower?.position(),
+    logPosition: () => feeds.fleetNext(),
     engines: platform.engines,
     known: knownEngines,
     members: () => fleet.members(),
+    fleetSize: () => fleet.size(),
     probeLog () {
       for (const { address } of fleet.peers()) link.notify(address, { kind: 'log-probe', payload: null })
       answerProbe(self.name)
     },
     tell: tellNode,
-    appended: () => fleetFollower?.wake()
+    appended: () => feeds.appended()
   })
 
   const places = createPlaces({
@@ -168,7 +170,7 @@
   function enginesOf (service: string): KnownEngine[] {
     return registry.ready(service).map(server => {
       const term = owner.ownership.owner(server.id)
-      const alive = term !== undefined && (term.node === self.name || fleet.members().some(({ name, state }) => name === term.node && state !== 'dead'))
+      const alive = term !== undefined && (term.node === self.name || fleet.alive(term.node))
       return { server, ...(alive ? { owner: term.node } : {}), ...board.known(server.id, now()) }
     })
   }
@@ -192,10 +194,9 @@
     const status = board.received(from, payload, now())
     if (status === undefined) return
     owner.freshness.vouched(status.fleetNext, status.fleetAgeMs, now())
-    fleetFollower?.behind(status.fleetNext)
-    operatorFollower?.behind(status.operatorNext)
-    const known = operatorFollower?.position()
-    if (!operatorInTouch && (known === undefined || status.operatorNext > Math.max(known, peerOperatorNext))) {
+    feeds.behind(status.fleetNext, status.operatorNext)
+    const known = feeds.operatorNext()
+    if (!feeds.operatorInTouch() && (known === undefined || status.operatorNext > Math.max(known, peerOperatorNext))) {
       const control = fleet.control(from)
       if (control !== undefined) learnFromPeers([control])
     }
@@ -208,7 +209,7 @@
     const ask = async (): Promise<void> => {
       for (const address of addresses) {
         const snapshot = await askPeerState(address)
-        if (snapshot === undefined || operatorInTouch) continue
+        if (snapshot === undefined || feeds.operatorInTouch()) continue
         log.info('state-from-peer', { peer: address, operatorNext: snapshot.operator.next, servers: snapshot.servers.records.length })
         return adopt(snapshot)
       }
@@ -249,7 +250,9 @@
   }
 
   function sendStatus (): void {
-    const status = { engines: owner.status().engines, fleetNext: fleetFollower?.position() ?? -1, fleetAgeMs: owner.freshness.ageMs(now()), operatorNext: operatorFollower?.position() ?? -1 }
+    if (now() < statusAt) return
+    statusAt = now() + Math.min(statusIntervalMaxMs, statusPerNodeMs * fleet.size())
+    const status = { engines: owner.status().engines, fleetNext: feeds.fleetNext() ?? -1, fleetAgeMs: owner.freshness.ageMs(now()), operatorNext: feeds.operatorNext() ?? -1 }
     board.own(self.name, status.engines, now())
     if (!owner.owns()) return
     const messages = board.encode(status, now(), statusMaxMs)
@@ -342,86 +345,32 @@
     owner.refresh()
   }
 
-  /** The feeds share one store, but a read that waits shows its loss or return only when its wait ends. */
-  function restartOthers (feed: string): void {
-    for (const [name, follower] of [['operator', operatorFollower], ['servers', serverFollower], ['fleet', fleetFollower]] as const) {
-      if (name !== feed) follower?.restart()
-    }
-  }
-
-  function watch (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'call'> {
-    return {
-      lost (reason) {
-        log.warn('dependency-lost', { dependency: feed, reason })
-        restartOthers(feed)
-      },
-      regained (lostForMs) {
-        log.info('dependency-regained', { dependency: feed, lostForMs: Math.round(lostForMs) })
-        restartOthers(feed)
-        regained()
-      },
-      call: result => { metrics.storeCall(feed, result) }
-    }
-  }
-
-  let fleetFollower: Follower | undefined
-  let operatorFollower: Follower | undefined
-  let serverFollower: Follower | undefined
-  let operatorInTouch = false
-  let askingPeers = false
-  /** Offset up to which a peer's operator records were taken. */
-  let peerOperatorNext = -1
-
-  function startFollowers (): void {
-    const base = { now, random: options.random }
-    operatorFollower = followFeed(platform.operator, {
-      ...watch('operator', () => {}),
-      replaced (records, next) {
-        mirror.replace('operator', records, next)
-        applyOperator(records, false)
-      },
-      changed (records, next) {
-        mirror.keep('operator', records, next)
-        applyOperator(records, operatorInTouch)
-      },
-      answered () { operatorInTouch = true },
-      lost (reason) {
-        operatorInTouch = false
-        log.warn('dependency-lost', { dependency: 'operator', reason })
-        restartOthers('operator')
+  const feeds = createFeeds({
+    platform,
+    log,
+    metrics,
+    mirror,
+    now,
+    random: options.random,
+    owns: () => owner.owns(),
+    members: () => fleet.members(),
+    announce (news) {
+      for (const { address, zone } of fleet.peers()) {
+        if (zone === settings.zone) link.notify(address, { kind: 'servers', payload: news })
       }
-    }, { ...base, waitMs: () => owner.owns() ? ownerConfigWaitMs : longWaitMs, pauseMs: 0 })
-    serverFollower = followFeed(platform.servers, {
-      ...watch('servers', () => registry.storeReturned(now())),
-      replaced (records, next) {
-        mirror.replace('servers', records, next)
-        applyServers(registry.replace(records, now()))
-      },
-      changed (records, next) {
-        mirror.keep('servers', records, next)
-        applyServers(registry.apply(records, now()))
-      },
-      answered () { serversKnown = true }
-    }, { ...base, waitMs: () => 0, pauseMs: serverReadMs })
-    const applyFleet = (records: FeedRecord<FleetRecord | Unreadable>[]): void => {
+    },
+    operator: applyOperator,
+    servers: records => applyServers(registry.apply(records, now())),
+    allServers: records => applyServers(registry.replace(records, now())),
+    serversKnown () { serversKnown = true },
+    fleet (records) {
       fleet.apply(records)
       owner.ownership.apply(records, now())
       if (records.length > 0) owner.refresh()
-    }
-    fleetFollower = followFeed(platform.fleet, {
-      ...watch('fleet', () => {}),
-      replaced (records, next) {
-        mirror.replace('fleet', records, next)
-        applyFleet(records)
-      },
-      changed (records, next) {
-        mirror.keep('fleet', records, next)
-        applyFleet(records)
-      },
-      answered: (asOf, next) => { owner.freshness.read(asOf, next) }
-    }, { ...base, waitMs: () => owner.owns() ? ownerWaitMs : longWaitMs, pauseMs: 0 })
-    followers.push(operatorFollower, serverFollower, fleetFollower)
-  }
+    },
+    fleetRead: (asOf, next) => owner.freshness.read(asOf, next),
+    storeReturned: agoMs => registry.storeReturned(now() - agoMs)
+  })
 
   async function register (): Promise<void> {
     for (;;) {
@@ -439,7 +388,7 @@
     keepForMs: Math.min(addressKeepMs, settings.bounds.addressKeepMaxMs)
   }))
   const stateServer = createStateServer(mirror)
-  const logProbe = createLogProbe({ now, feed: platform.fleet, position: () => fleetFollower?.position() })
+  const logProbe = createLogProbe({ now, feed: platform.fleet, position: () => feeds.fleetNext() })
   const suspension = createSuspensionGuard({ now, wallClock: Date.now })
 
   function startTimers (): void {
@@ -471,7 +420,7 @@
     async start () {
       log.info('starting', { zone: settings.zone, address: self.address, front: self.front, incarnation: self.incarnation })
       await link.listen()
-      startFollowers()
+      feeds.start()
       startTimers()
       register().catch(err => { log.error('registration-failed', { reason: (err as Error).message }) })
       await Promise.all([
@@ -499,7 +448,7 @@
       await Promise.all(fleet.peers().map(({ address }) => link.deliver(address, { kind: 'stopped', payload: null })))
       for (const server of [front.server, directoryServer, readyServer, metricsServer, stateServer]) server.close()
       for (const timer of timers) clearInterval(timer)
-      for (const follower of followers) follower.stop()
+      feeds.stop()
       link.close()
       upstream.close()
       log.info('stopped', {})
