Bring an adapter that nobody has to one owner from all nodes

Cause: nodes brought a rare adapter to an owner of their own zone, so each zone loaded and kept its own copy; with far more adapters than places that costs loads and places.

Change: rendezvous hashing names the owner for an adapter that nobody holds, among all owners, or among those of the zone for one in frequent use.

--- /dev/null
+++ b/packages/gateway/src/engine-choice.test.ts
@@ -0,0 +1,54 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { rankOwners, type KnownEngine } from './engine-choice'
+import { cacheScope } from './prompt-cache'
+
+const test = suite('engine choice')
+
+const demand = (adapter: string) => ({ model: 'base', adapter, promptTokens: 100, outputTokens: 10, parts: [] })
+
+function engine (id: string, zone: string, owner: string, over: Partial<KnownEngine> = {}): KnownEngine {
+  return { server: { id, bornAt: 1, service: 'llm', address: `${id}:1`, zone, state: 'ready', slots: 64, models: [] }, owner, commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: 250, ageMs: 0, ...over }
+}
+
+const zones = ['a', 'b', 'c']
+const idle = zones.flatMap(zone => [engine(`${zone}1`, zone, `owner-${zone}`), engine(`${zone}2`, zone, `owner-${zone}`)])
+const adapters = Array.from({ length: 30 }, (_, at) => `x${at}`)
+
+// Guards against a load of a rare adapter in each zone that asks for it.
+test('all zones bring an adapter that nobody has to the same owner, and adapters spread over the owners', () => {
+  const homes = adapters.map(adapter => {
+    const firsts = new Set(zones.map(zone => rankOwners(idle, demand(adapter), zone, 1)[0]))
+    assert.is(firsts.size, 1)
+    return [...firsts][0]
+  })
+  assert.is(new Set(homes).size, zones.length)
+})
+
+test('an adapter in frequent use gets a copy in the own zone', () => {
+  for (const adapter of adapters) assert.is(rankOwners(idle, demand(adapter), 'b', 50)[0], 'owner-b')
+})
+
+test('a request goes to the owner that has its adapter', () => {
+  const scope = cacheScope(demand('x1'))
+  for (const holder of zones) {
+    const engines = idle.map(known => known.server.id === `${holder}2` ? { ...known, scopes: new Set([scope]) } : known)
+    for (const zone of zones) assert.is(rankOwners(engines, demand('x1'), zone, 1)[0], `owner-${holder}`)
+  }
+})
+
+// Guards against waiting for one overloaded owner while others have room.
+test('a load goes elsewhere when its usual owner would make it wait', () => {
+  for (const adapter of adapters) {
+    const usual = rankOwners(idle, demand(adapter), 'a', 1)[0]!
+    const busy = idle.map(known => known.owner === usual ? { ...known, loadWaitMs: 2000 } : known)
+    assert.is.not(rankOwners(busy, demand(adapter), 'a', 1)[0], usual)
+  }
+})
+
+test('an owner that may give no commands gets no loads', () => {
+  const engines = idle.map(known => known.owner === 'owner-a' ? { ...known, commandable: false } : known)
+  for (const adapter of adapters) assert.not.ok(rankOwners(engines, demand(adapter), 'a', 1).includes('owner-a'))
+})
+
+test.run()
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -1,7 +1,10 @@
 /**
- * Which engine owner a node asks for a place. An adapter that is asked for often is worth a copy in
- * the own zone; a rare one goes to the zone that has it, which costs bytes between zones but no load.
+ * Which engine owner a node asks for a place. The load that this answers: far more adapters than
+ * places, most of them rarely used. An adapter that is asked for often is worth a copy in the own
+ * zone; a rare one goes to the owner that has it, wherever that is, and one that nobody has to the
+ * same owner from all nodes, so that it takes one place and one load.
  */
+import { firstNode } from '@yuccawharf/coordination'
 import type { BackendServer, ModelDemand } from './cluster-types'
 import { cacheScope } from './prompt-cache'
 
@@ -26,14 +29,28 @@
 const otherZoneCostMs = 120
 const hotOtherZoneCostMs = 400
 const runningCostMs = 4
+/** Cost of a load at another owner than the one to which all nodes bring the adapter: the place that a second copy takes, in ms. */
+const secondCopyCostMs = 200
 /** Requests for an adapter in recent time from which a copy in the own zone pays off. */
 const hotUses = 4
 
-function engineCost (engine: KnownEngine, scope: string | undefined, zone: string, hot: boolean): number {
-  const near = engine.server.zone === zone
-  const held = scope === undefined || engine.scopes.has(scope)
-  if (!held && !engine.commandable) return Infinity
-  return engine.backlogMs + engine.running * runningCostMs + (held ? 0 : loadCostMs + engine.loadWaitMs) + (near ? 0 : hot ? hotOtherZoneCostMs : otherZoneCostMs)
+/** @param home - owner to which the adapter is brought when nobody has it */
+function engineCost (engine: KnownEngine, scope: string | undefined, zone: string, hot: boolean, home?: string): number {
+  const far = engine.server.zone === zone ? 0 : hot ? hotOtherZoneCostMs : otherZoneCostMs
+  const busy = engine.backlogMs + engine.running * runningCostMs
+  if (scope === undefined || engine.scopes.has(scope)) return busy + far
+  if (!engine.commandable) return Infinity
+  if (home === undefined) return busy + far + loadCostMs + engine.loadWaitMs
+  return busy + loadCostMs + engine.loadWaitMs + (engine.owner === home ? 0 : secondCopyCostMs + far)
+}
+
+/** Owner to which nodes bring an adapter that no engine has: one of the zone for an adapter in frequent use, otherwise one of all. */
+function homeOf (engines: readonly KnownEngine[], scope: string, zone: string, hot: boolean): string | undefined {
+  const owners = new Set<string>()
+  for (const { owner, server, commandable } of engines) {
+    if (owner !== undefined && commandable && (!hot || server.zone === zone)) owners.add(owner)
+  }
+  return firstNode(scope, [...owners].map(id => ({ id })))?.id
 }
 
 /**
@@ -42,10 +59,12 @@
  */
 export function rankOwners (engines: readonly KnownEngine[], demand: ModelDemand, zone: string, recentUses: number): string[] {
   const scope = demand.adapter === undefined ? undefined : cacheScope(demand)
+  const hot = recentUses >= hotUses
+  const home = scope === undefined ? undefined : homeOf(engines, scope, zone, hot)
   const costs = new Map<string, number>()
   for (const engine of engines) {
     if (engine.owner === undefined) continue
-    const cost = engineCost(engine, scope, zone, recentUses >= hotUses)
+    const cost = engineCost(engine, scope, zone, hot, home)
     costs.set(engine.owner, Math.min(costs.get(engine.owner) ?? Infinity, cost))
   }
   return [...costs].filter(([, cost]) => cost < Infinity).sort(([, left], [, right]) => left - right).map(([owner]) => owner)
