Read prompts with breaks so that other streams do not pause too long

Cause: while an engine reads prompts, each of its steps takes as long as a piece of a prompt (about 110 ms), and an event holds 4 or 5 tokens, one a step. Prompts that followed each other without a break for over half a second made all streams of the engine pause for more than 600 ms, which is late.

Change: an owner sends a prompt to an engine that is reading only while the reading since its last break stays below 0.8 of the shortest pause that is on time; otherwise the prompt waits until the earlier ones have begun to be answered. Reports no longer make a copy idle to which a request was sent while it was loading (found by the played load: its place was given away). The new tests were seen failing without each change.

--- a/packages/gateway/src/cluster-types.ts
+++ b/packages/gateway/src/cluster-types.ts
@@ -17,6 +17,8 @@
   objectiveMs: number
   /** Time without an event, the first one included, after which clients leave a stream, in ms. */
   patienceMs: number
+  /** Longest pause between two events of a stream that is on time, in ms; absent when the operators name none. */
+  pauseMs?: number
   /** 0 is the most urgent. */
   priority: number
   targets: RouteTarget[]
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -39,6 +39,8 @@
   let eventsBegun = false
   /** Arrival of the request, or the last event that the client got. */
   let waitingSince = exchange.arrivedAt
+  let firstEventAfterMs: number | undefined
+  let longestPauseMs = 0
   /** Sent with the first event, so that a server that fails before it can still be replaced. */
   let head: { status: number, headers: RawHeaders } | undefined
   let current: { place: Place, attempt: Attempt } | undefined
@@ -78,6 +80,7 @@
       priority: route.priority,
       objectiveAt: exchange.arrivedAt + route.objectiveMs,
       startBy: Math.min(exchange.deadlineAt, waitingSince + route.patienceMs),
+      ...(route.pauseMs === undefined ? {} : { pauseMs: route.pauseMs }),
       deadlineAt: exchange.deadlineAt,
       excluded: [...excluded],
       ...(sentTo.size >= route.attempts ? { only: [...sentTo] } : {})
@@ -99,7 +102,10 @@
       sendHead()
       env.firstEvent(service.name, (env.now() - exchange.arrivedAt) / 1000)
     }
-    waitingSince = env.now()
+    const at = env.now()
+    if (firstEventAfterMs === undefined) firstEventAfterMs = Math.round(at - exchange.arrivedAt)
+    else longestPauseMs = Math.max(longestPauseMs, Math.round(at - waitingSince))
+    waitingSince = at
     if (lastId !== undefined) lastEventId = lastId
     if (exchange.write(bytes)) return true
     exchange.onDrain(() => { if (current?.place === place) current.attempt.resume() })
@@ -168,6 +174,8 @@
       status: 'status' in result ? result.status : undefined,
       reason: 'reason' in result ? result.reason : undefined,
       version: place.version,
+      firstEventAfterMs,
+      longestPauseMs: firstEventAfterMs === undefined ? undefined : longestPauseMs,
       afterMs: Math.round(env.now() - exchange.arrivedAt)
     })
     if (exchange.ended) return false
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -13,6 +13,8 @@
   objectiveAt: number
   /** Latest useful time of the first event. */
   startBy: number
+  /** Longest pause between two events that is on time, in ms. */
+  pauseMs?: number
   /** Latest end. */
   deadlineAt: number
   /** Engines that it must not go to. */
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -138,6 +138,41 @@
 })
 
 // Guards against less urgent work going first in a surge.
+// Guards against streams that pause while one prompt after the other is read.
+test('makes a prompt wait for a break in the reading that would make other streams late', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  const long = (id: string): ScheduledRequest => {
+    const base = request(id, 'a1', { pauseMs: 600 })
+    return { ...base, demand: { ...base.demand, promptTokens: 6000, parts: [{ id: `own-${id}`, tokens: 6000 }] } }
+  }
+  const short = request('r4', 'a1', { pauseMs: 600 })
+  assert.is(only(scheduler.submit(long('r1'), 0), 'grant').length, 1)
+  assert.is(only(scheduler.submit(long('r2'), 10), 'grant').length, 1)
+  assert.is(only(scheduler.submit(long('r3'), 210), 'grant').length, 0, 'a third would be read until 600 ms after the first began')
+  assert.is(only(scheduler.submit(short, 215), 'grant').length, 0, '500 ms without a break')
+  assert.is(only(scheduler.firstEvent('r1', 220), 'grant').length, 0)
+  assert.equal(only(scheduler.firstEvent('r2', 410), 'grant').map(({ request }) => request), ['r3', 'r4'])
+})
+
+test('reads one long prompt after the other where no stream can be late', () => {
+  const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
+  for (const id of ['r1', 'r2', 'r3']) assert.is(only(scheduler.submit(request(id, 'a1'), 0), 'grant').length, 1)
+})
+
+// Guards against the place of an adapter that requests use counting as free after a report.
+test('a report does not make a copy idle that a request was sent to while it was loading', () => {
+  const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => true })
+  scheduler.setEngines([{ server: engine('e1'), spec: { ...spec, adapterSlots: 1 } }], 0)
+  scheduler.reported('e1', report(0, []), 0)
+  scheduler.submit(request('r1', 'a1'), 0)
+  scheduler.commandResult('e1', 'accepted', 5)
+  assert.is(only(scheduler.tick(400), 'grant').length, 1)
+  scheduler.reported('e1', report(1, [], { loading: [{ model: 'base', adapter: 'a1' }] }), 405)
+  scheduler.firstEvent('r1', 600)
+  assert.equal(only(scheduler.submit(request('r2', 'other'), 610), 'command'), [])
+  assert.is(only(scheduler.ended('r1', 'ok', 700), 'command')[0]?.command.operation, 'unload')
+})
+
 test('sends the most urgent waiting request first when an engine becomes free', () => {
   const scheduler = owned([engine('e1', ['a1'])], { e1: ['a1'] })
   const long = { model: 'base', adapter: 'a1', promptTokens: 20_000, outputTokens: 50, parts: [] }
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoads, storeLoadLimit, modelCheckMs, uncertainMs, type SchedulerState, type Waiting } from './engine-loads'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, learnPrefillRate, noteFailure, noteSuccess, prefillMs, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
+import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, learnPrefillRate, noteFailure, noteSuccess, keepsPauses, noteReading, prefillMs, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
 export * from './engine-scheduler-types'
@@ -67,7 +67,7 @@
     let best: EngineState | undefined
     let bestCost = Infinity
     for (const engine of holders(req, now)) {
-      if (backlogMs(engine, now) > maxBacklogMs || !hasRoom(engine, req.demand)) continue
+      if (backlogMs(engine, now) > maxBacklogMs || !hasRoom(engine, req.demand) || !keepsPauses(engine, req.demand, now)) continue
       const copy = engine.copies.get(req.scope)
       // A copy of an older version is avoided while a current one exists.
       const stale = copy !== undefined && !isCurrent(copy, req.scope) ? staleCostMs : 0
@@ -83,6 +83,7 @@
   function grant (req: Waiting, engine: EngineState, now: number): SchedulerAction {
     waiting.delete(req.id)
     const readMs = prefillMs(engine, req.demand)
+    noteReading(engine, now)
     engine.runs.set(req.id, {
       id: req.id,
       node: req.node,
@@ -92,7 +93,8 @@
       deadlineAt: req.deadlineAt,
       uncachedTokens: uncachedTokens(engine, req.demand),
       prefillMs: readMs,
-      expectedFirstAt: now + backlogMs(engine, now) + readMs
+      expectedFirstAt: now + backlogMs(engine, now) + readMs,
+      ...(req.pauseMs === undefined ? {} : { pauseMs: req.pauseMs })
     })
     delete engine.runTokens
     engine.cache.use(req.demand)
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -36,6 +36,8 @@
   /** Estimated time of the first event when the request was sent. */
   expectedFirstAt: number
   firstEventAt?: number
+  /** Longest pause between two events that is on time, in ms. */
+  pauseMs?: number
 }
 
 export type PendingCommand = { operation: 'load' | 'unload', model: string, adapter?: string, version?: number, expectedCount: number, sentAt: number }
@@ -64,6 +66,8 @@
   /** Cached sum of {@link runningTokens}; undefined after a change. */
   runTokens?: number
   cache: PromptCache
+  /** Time from which the engine has been reading prompts without a break. */
+  readingSince: number
   /** Time of the newest first event of a stream. */
   lastFirstAt: number
   /** Prompt tokens read in a ms. */
@@ -105,6 +109,7 @@
     reportAt: now,
     runs: new Map(),
     cache: createPromptCache(spec.kvTokens / 2),
+    readingSince: now,
     lastFirstAt: -Infinity,
     prefillRate: initialPrefillRate,
     failureRate: 0,
@@ -173,8 +178,9 @@
       readyAt: known !== undefined && known.readyAt > now ? known.readyAt : now + loadMs / 2,
       estimatedAt: known?.estimatedAt ?? -Infinity,
       lastUsedAt: now,
-      running: 0,
-      use: known?.use ?? 1
+      running: known?.running ?? 0,
+      use: known?.use ?? 1,
+      ...(known?.probeSentAt === undefined ? {} : { probeSentAt: known.probeSentAt })
     })
   }
   state.commandCount = report.commandCount
@@ -270,6 +276,34 @@
   return Math.max(0, unreadMs - (now - Math.max(oldestSentAt, state.lastFirstAt)))
 }
 
+function isReading (state: EngineState): boolean {
+  for (const run of state.runs.values()) {
+    if (run.firstEventAt === undefined && run.expectedFirstAt + stallMs >= state.lastFirstAt) return true
+  }
+  return false
+}
+
+/** A request is about to be sent: notes when a break in the reading ends. */
+export function noteReading (state: EngineState, now: number): void {
+  if (!isReading(state)) state.readingSince = now
+}
+
+/** Part of the longest pause of a stream for which its engine may read prompts without a break; the rest covers steps and estimates that are too short. */
+const unbrokenShare = 0.8
+
+/**
+ * Whether a prompt can be read without pauses in the engine's other streams that make them late.
+ * While prompts are read, each step takes as long as reading a piece of them, so streams pause when
+ * prompts follow each other without a break. One step without reading is break enough: the engine
+ * takes the next prompt once it has begun to answer all earlier ones.
+ */
+export function keepsPauses (state: EngineState, demand: ModelDemand, now: number): boolean {
+  if (!isReading(state)) return true
+  let pauseMs = Infinity
+  for (const run of state.runs.values()) pauseMs = Math.min(pauseMs, run.pauseMs ?? Infinity)
+  return now - state.readingSince + backlogMs(state, now) + prefillMs(state, demand) <= pauseMs * unbrokenShare
+}
+
 /** A run's first event arrived: corrects the reading speed. */
 export function learnPrefillRate (state: EngineState, run: Run, now: number): void {
   const actualMs = now - run.sentAt - firstEventOverheadMs
--- /dev/null
+++ b/packages/gateway/src/testing/load-play.test.ts
@@ -0,0 +1,63 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { rankOwners } from '../engine-choice'
+import { playLoad, type PlayedLoad, type PlayResult } from './load-play'
+
+const test = suite('gateway under load')
+
+/** Drafts with long prompts beside short questions with long answers, for far more adapters than places. */
+const officeDay: PlayedLoad = {
+  seed: 1,
+  seconds: 20,
+  zones: ['a', 'b', 'c'],
+  enginesPerZone: 3,
+  ownersPerZone: 1,
+  adapterSlots: 8,
+  adapters: 3000,
+  skew: 1.2,
+  storeLoads: 8,
+  coldLoadMs: 250,
+  statusMs: 250,
+  tellsPauses: true,
+  classes: [
+    { name: 'draft', perSecond: 15, sharedParts: [{ tokens: 2520, texts: 3 }, { tokens: 3780, texts: 57 }], ownTokens: 2890, outputTokens: 50, priority: 2, objectiveMs: 1000, deadlineMs: 6000, worth: 2, lateWorth: 0.6 },
+    { name: 'question', perSecond: 15, sharedParts: [{ tokens: 200, texts: 30 }], ownTokens: 630, outputTokens: 290, priority: 0, objectiveMs: 800, deadlineMs: 15_000, worth: 1, lateWorth: 0.3 }
+  ]
+}
+
+const seeds = [1, 2, 3]
+
+function playSeeds (over: Partial<PlayedLoad>): PlayResult[] {
+  return seeds.map(seed => playLoad({ ...officeDay, ...over, seed }))
+}
+
+function total (results: PlayResult[], value: (result: PlayResult) => number): number {
+  return results.reduce((sum, result) => sum + value(result), 0)
+}
+
+// Guards against streams that pause for as long as other prompts are read.
+test('answers pause less and clients get more when prompts are read with breaks', () => {
+  const paused = (result: PlayResult): number => result.classes['question']!.paused
+  const [told, blind] = [playSeeds({}), playSeeds({ tellsPauses: false })]
+  assert.ok(total(told, paused) < total(blind, paused) / 2, `${total(told, paused)} against ${total(blind, paused)} paused`)
+  assert.ok(total(told, ({ worthShare }) => worthShare) > total(blind, ({ worthShare }) => worthShare))
+})
+
+// Guards against one copy, and one load from the weight store, in each zone for adapters that hardly anyone uses.
+test('rare adapters are loaded less often when all nodes bring them to one owner', () => {
+  const [home, nearest] = [playSeeds({}), playSeeds({ rank: (engines, demand, zone) => rankOwners(engines, demand, zone, Infinity) })]
+  assert.ok(total(home, ({ coldLoads }) => coldLoads) < total(nearest, ({ coldLoads }) => coldLoads))
+  assert.ok(total(home, ({ worthShare }) => worthShare) >= total(nearest, ({ worthShare }) => worthShare) - 0.01 * seeds.length)
+})
+
+// Guards against refusals while places are free, and against requests that are lost on the way.
+test('a light load is served without refusals, and every request is accounted for', () => {
+  for (const result of playSeeds({ classes: officeDay.classes.map(cls => ({ ...cls, perSecond: cls.perSecond / 5 })) })) {
+    for (const { asked, onTime, late, refused, failed } of Object.values(result.classes)) {
+      assert.is(onTime + late + refused + failed, asked)
+      assert.is(refused + failed, 0)
+    }
+  }
+})
+
+test.run()
