Weigh the reading of prompts when adapters are placed, and decide with less work

Cause: an engine that reads prompts most of the time advances its streams one step for each piece of a prompt; they hold their places for many seconds, so the places run out and waiting requests are refused. Loads went to the engine with the shortest queue at that moment, and popular adapters stayed on one engine.

Change: recent reading counts as cost when an engine for a load is chosen, and as waiting when a second copy is considered. One decision gathers what it needs of all engines once instead of once for each waiting request.

--- a/packages/gateway/src/adapter-loads.ts
+++ b/packages/gateway/src/adapter-loads.ts
@@ -3,8 +3,7 @@
  * adapters asked for at once on engines with few places, and adapters so popular that one engine
  * cannot carry them.
  */
-import { cacheScope } from './prompt-cache'
-import { backlogMs, isIdle, placeLimit, usedPlaces, type AdapterCopy, type EngineState } from './engine-state'
+import { backlogMs, isIdle, placeLimit, readingShare, usedPlaces, type AdapterCopy, type EngineState } from './engine-state'
 
 export type WantedAdapter = {
   scope: string
@@ -23,6 +22,8 @@
 const coldLoadsPerEngine = 2
 /** Loads on their way to one engine, those from its memory included; the engine takes no more. */
 const loadsPerEngine = 4
+/** Cost of a place at an engine that reads prompts all the time, in ms: a run of the usual length takes that much longer there. */
+const readingCostMs = 600
 /** Worth of one recent request to a copy that would be evicted, as time in ms. */
 const evictionCostMs = 60
 
@@ -54,6 +55,8 @@
   now: number
   /** The engine takes commands of this owner, and none is under way. */
   commandable (engine: EngineState): boolean
+  /** Loads from the weight store of this owner that are on their way. */
+  coldLoads: number
   coldLoadMs: number
   warmLoadMs: number
   /** Loads from the weight store that this owner may have on their way. */
@@ -68,7 +71,7 @@
 export function decideLoad (wanted: WantedAdapter, engines: readonly EngineState[], keep: ReadonlySet<string>, ctx: LoadContext): LoadDecision | undefined {
   let best: LoadDecision | undefined
   let bestCost = Infinity
-  const coldFull = coldLoads(engines) >= ctx.coldLoadLimit
+  const coldFull = ctx.coldLoads >= ctx.coldLoadLimit
   for (const engine of engines) {
     if (!engine.models.has(wanted.model) || engine.suspectUntil > ctx.now || !ctx.commandable(engine)) continue
     const present = engine.copies.get(wanted.scope)
@@ -79,15 +82,10 @@
     if (loadingCount(engine, false) >= loadsPerEngine) continue
     const evicted = present ?? (usedPlaces(engine) < placeLimit(engine) ? undefined : victim(engine, keep))
     if (evicted === undefined && usedPlaces(engine) >= placeLimit(engine)) continue
-    const cost = backlogMs(engine, ctx.now) + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostMs
+    const cost = backlogMs(engine, ctx.now) + readingShare(engine, ctx.now) * readingCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostMs
     if (cost >= bestCost) continue
     bestCost = cost
     best = evicted === undefined ? { type: 'load', engine, wanted } : { type: 'unload', engine, copy: evicted }
   }
   return best
 }
-
-/** @returns model and adapter of a copy as one name */
-export function scopeOf (copy: AdapterCopy): string {
-  return cacheScope(copy)
-}
--- a/packages/gateway/src/engine-loads.ts
+++ b/packages/gateway/src/engine-loads.ts
@@ -5,7 +5,7 @@
 import type { EngineCommandResult } from './cluster-types'
 import { coldLoads, decideLoad, type WantedAdapter } from './adapter-loads'
 import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
-import { backlogMs, forgetCopy, hasRoom, isIdle, placeLimit, type AdapterCopy, type EngineState, type PendingCommand } from './engine-state'
+import { backlogMs, forgetCopy, hasRoom, isIdle, placeLimit, readingShare, type AdapterCopy, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
 export type Waiting = ScheduledRequest & { scope: string, arrivedAt: number }
@@ -24,9 +24,21 @@
   storeLoads: number
 }
 
+/** What one decision needs to know of all engines, gathered once. */
+export type EnginesView = {
+  /** Engines by the adapters that they hold or load. */
+  copies: Map<string, EngineState[]>
+  /** Adapters whose load was ordered without an answer yet. */
+  ordered: Set<string>
+  coldLoads: number
+  places: number
+  idlePlaces: number
+}
+
 export type EngineLoads = {
+  view (): EnginesView
   /** @param blocked - requests that wait for an adapter or for room */
-  decide (blocked: Waiting[], now: number): SchedulerAction[]
+  decide (blocked: Waiting[], view: EnginesView, now: number): SchedulerAction[]
   commandResult (engine: EngineState, result: EngineCommandResult, now: number): void
   /** A request ran on a copy that was being loaded. */
   loadConfirmed (copy: AdapterCopy): void
@@ -37,13 +49,15 @@
   /** Time from which a load that is not done counts as done. */
   usableAt (copy: AdapterCopy | undefined): number
   /** Number of adapters that requests wait for and that are not on their way. */
-  missing (blocked: Waiting[]): number
+  missing (blocked: Waiting[], view: EnginesView): number
   /** Time until an adapter could be there whose load comes after others, in ms. */
-  loadWaitMs (loadsAhead: number): number
+  loadWaitMs (loadsAhead: number, view: EnginesView): number
 }
 
 /** An adapter is loaded a second time when its copies make requests wait this much longer than a load, in ms. */
 const replicateAfterMs = 150
+/** Wait that an engine which reads prompts all the time stands for, in ms: its streams advance one step for each piece of a prompt, and hold their places for as long. */
+const readingWaitMs = 500
 /** Loads of adapters from the weight store, over all engines, up to which each takes its usual time: 8 with 8 engines and fewer, 40 with 63 on the operators' sheets. */
 const minStoreLoads = 8
 const storeLoadsPerEngine = 0.63
@@ -94,13 +108,31 @@
     return isCurrent(copy, scope) || now < versions.get(scope)!.announcedAt + cfg.versionMs - versionMarginMs
   }
 
-  function wantedAdapters (blocked: Waiting[], now: number): WantedAdapter[] {
+  function viewEngines (): EnginesView {
+    const view: EnginesView = { copies: new Map(), ordered: new Set(), coldLoads: coldLoads(engines.values()), places: 0, idlePlaces: 0 }
+    for (const engine of engines.values()) {
+      const { pending } = engine
+      if (pending?.operation === 'load' && pending.adapter !== undefined) view.ordered.add(cacheScope(pending))
+      const limit = placeLimit(engine)
+      view.places += limit
+      view.idlePlaces += Math.max(0, limit - engine.copies.size)
+      for (const [scope, copy] of engine.copies) {
+        const known = view.copies.get(scope)
+        if (known === undefined) view.copies.set(scope, [engine])
+        else known.push(engine)
+        if (isIdle(engine, scope, copy)) view.idlePlaces += 1
+      }
+    }
+    return view
+  }
+
+  function wantedAdapters (blocked: Waiting[], view: EnginesView, now: number): WantedAdapter[] {
     const wanted = new Map<string, WantedAdapter>()
     for (const req of blocked) {
       const { model, adapter } = req.demand
-      if (adapter === undefined || isLoading(req.scope)) continue
-      const copies = usableHolders(req, now)
-      const waitMs = copies.length === 0 ? Infinity : Math.min(...copies.map(engine => hasRoom(engine, req.demand) ? backlogMs(engine, now) : Infinity))
+      if (adapter === undefined || isLoading(req.scope, view)) continue
+      const copies = usableHolders(req, view, now)
+      const waitMs = copies.length === 0 ? Infinity : Math.min(...copies.map(engine => hasRoom(engine, req.demand) ? backlogMs(engine, now) + readingShare(engine, now) * readingWaitMs : Infinity))
       if (waitMs < (copies.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
       const version = versions.get(req.scope)?.version
       const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
@@ -110,24 +142,19 @@
     return [...wanted.values()].sort((left, right) => right.weight - left.weight)
   }
 
-  function isLoading (scope: string): boolean {
-    for (const { copies, pending } of engines.values()) {
-      if (copies.get(scope)?.state === 'loading') return true
-      if (pending?.operation === 'load' && pending.adapter !== undefined && cacheScope(pending) === scope) return true
-    }
-    return false
+  function isLoading (scope: string, view: EnginesView): boolean {
+    return view.ordered.has(scope) || (view.copies.get(scope)?.some(({ copies }) => copies.get(scope)?.state === 'loading') ?? false)
   }
 
   /** Adapters in use of which only older versions are held. */
-  function outdatedAdapters (now: number): WantedAdapter[] {
+  function outdatedAdapters (view: EnginesView, now: number): WantedAdapter[] {
     const outdated: WantedAdapter[] = []
     for (const [scope, { version }] of versions) {
       let use = 0
       let held: AdapterCopy | undefined
-      let current = isLoading(scope)
-      for (const engine of engines.values()) {
-        const copy = engine.copies.get(scope)
-        if (copy === undefined) continue
+      let current = isLoading(scope, view)
+      for (const engine of view.copies.get(scope) ?? []) {
+        const copy = engine.copies.get(scope)!
         current ||= isCurrent(copy, scope)
         use += copy.use
         held = copy
@@ -165,19 +192,22 @@
     return { type: 'command', engine: engine.server.id, command: pending }
   }
 
-  function loadActions (blocked: Waiting[], now: number): SchedulerAction[] {
+  function loadActions (blocked: Waiting[], view: EnginesView, now: number): SchedulerAction[] {
     const actions: SchedulerAction[] = []
+    const open = [...engines.values()].filter(engine => canCommand(engine, now))
+    if (open.length === 0) return actions
     const keep = new Set(blocked.map(({ scope }) => scope))
-    const ctx = { now, commandable: (engine: EngineState) => canCommand(engine, now), coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, coldLoadLimit: Math.max(1, Math.ceil(state.storeLoads)) }
-    const wantedNow = wantedAdapters(blocked, now)
+    const ctx = { now, commandable: (engine: EngineState) => engine.pending === undefined, coldLoads: view.coldLoads, coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, coldLoadLimit: Math.max(1, Math.ceil(state.storeLoads)) }
+    const wantedNow = wantedAdapters(blocked, view, now)
     const more = [...replacing.values()].filter(({ scope }) => !keep.has(scope))
-    for (const wanted of [...wantedNow, ...more, ...outdatedAdapters(now)]) {
-      const candidates = [...engines.values()].filter(engine => {
+    for (const wanted of [...wantedNow, ...more, ...outdatedAdapters(view, now)]) {
+      const candidates = open.filter(engine => {
         const copy = engine.copies.get(wanted.scope)
         return copy === undefined || !isCurrent(copy, wanted.scope)
       })
       const decision = decideLoad(wanted, candidates, keep, ctx)
       if (decision === undefined) continue
+      if (decision.type === 'load' && !decision.engine.held.has(wanted.scope)) ctx.coldLoads += 1
       actions.push(decision.type === 'load' ? command(decision.engine, 'load', wanted, now) : command(decision.engine, 'unload', decision.copy, now))
     }
     return actions
@@ -252,11 +282,9 @@
     })
   }
 
-  function usableHolders (req: Waiting, now: number): EngineState[] {
-    return [...engines.values()].filter(engine => {
-      const copy = engine.copies.get(req.scope)
-      return engine.suspectUntil <= now && !req.excluded.includes(engine.server.id) && copy !== undefined && isUsable(copy, req.scope, now)
-    })
+  function usableHolders (req: Waiting, view: EnginesView, now: number): EngineState[] {
+    const copies = view.copies.get(req.scope) ?? []
+    return copies.filter(engine => engine.suspectUntil <= now && !req.excluded.includes(engine.server.id) && isUsable(engine.copies.get(req.scope)!, req.scope, now))
   }
 
   function adjustEstimate (copy: AdapterCopy, factor: number): void {
@@ -264,18 +292,6 @@
     else state.coldLoadMs = Math.min(maxLoadMs, Math.max(minColdLoadMs, state.coldLoadMs * factor))
   }
 
-  function countPlaces (): { places: number, idle: number } {
-    let places = 0
-    let idle = 0
-    for (const engine of engines.values()) {
-      const limit = placeLimit(engine)
-      places += limit
-      idle += Math.max(0, limit - engine.copies.size)
-      for (const [scope, copy] of engine.copies) idle += isIdle(engine, scope, copy) ? 1 : 0
-    }
-    return { places, idle }
-  }
-
   function unloaded (engine: EngineState, scope: string): void {
     const copy = engine.copies.get(scope)
     forgetCopy(engine, scope)
@@ -304,7 +320,8 @@
   }
 
   return {
-    decide: (blocked, now) => [...modelActions(blocked, now), ...loadActions(blocked, now), ...unloadOutdated(now)],
+    view: viewEngines,
+    decide: (blocked, view, now) => [...modelActions(blocked, now), ...loadActions(blocked, view, now), ...unloadOutdated(now)],
     commandResult,
     copyMissing,
     loadConfirmed (copy) {
@@ -313,12 +330,11 @@
     isCurrent,
     isUsable,
     usableAt: copy => copy?.state !== 'loading' ? -Infinity : Math.max(copy.readyAt, (copy.probeSentAt ?? -Infinity) + probeMs),
-    missing: blocked => new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope)).map(({ scope }) => scope)).size,
-    loadWaitMs (loadsAhead) {
-      const storeMs = state.coldLoadMs * (1 + (loadsAhead + coldLoads(engines.values())) / Math.max(1, state.storeLoads))
-      const { places, idle } = countPlaces()
+    missing: (blocked, view) => new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope, view)).map(({ scope }) => scope)).size,
+    loadWaitMs (loadsAhead, view) {
+      const storeMs = state.coldLoadMs * (1 + (loadsAhead + view.coldLoads) / Math.max(1, state.storeLoads))
       // Without an idle place, one becomes free whenever a run ends.
-      const placeMs = places === 0 ? 0 : Math.max(0, loadsAhead - idle) * state.meanRunMs / places
+      const placeMs = view.places === 0 ? 0 : Math.max(0, loadsAhead - view.idlePlaces) * state.meanRunMs / view.places
       return storeMs + placeMs
     }
   }
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -82,6 +82,4 @@
   waiting (): number
   /** Time of the next decision that waits for a load, if any. */
   nextAt (now: number): number | undefined
-  /** Drops all requests, for example when the node stops being an owner. @returns refusals */
-  drain (now: number): SchedulerAction[]
 }
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -159,6 +159,25 @@
   for (const id of ['r1', 'r2', 'r3']) assert.is(only(scheduler.submit(request(id, 'a1'), 0), 'grant').length, 1)
 })
 
+/** Prompts of 5000 tokens, each read before the next one comes. */
+function keepReading (scheduler: EngineScheduler, adapter: string, count: number): number {
+  for (let at = 0; at < count; at++) {
+    const now = at * 170
+    const base = request(`busy${at}`, adapter, { objectiveAt: now + 1000, startBy: now + 6000, deadlineAt: now + 20_000 })
+    assert.is(only(scheduler.submit({ ...base, demand: { ...base.demand, promptTokens: 5000, parts: [{ id: `own-${at}`, tokens: 5000 }] } }, now), 'grant').length, 1)
+    scheduler.firstEvent(`busy${at}`, now + 165)
+  }
+  return count * 170
+}
+
+// Guards against new adapters on an engine whose streams hardly advance because it reads prompts all the time.
+test('loads an adapter at the engine that reads least, even when no prompt waits there right now', () => {
+  const scheduler = owned([engine('e1', ['a1']), engine('e2')], { e1: ['a1'], e2: [] })
+  const now = keepReading(scheduler, 'a1', 20)
+  const target = only(scheduler.submit(request('r1', 'new', { objectiveAt: now + 1000, startBy: now + 6000, deadlineAt: now + 6000 }), now), 'command')
+  assert.equal(target.map(({ engine, command }) => [engine, command.operation]), [['e2', 'load']])
+})
+
 // Guards against the place of an adapter that requests use counting as free after a report.
 test('a report does not make a copy idle that a request was sent to while it was loading', () => {
   const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => true })
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -3,7 +3,7 @@
  * when, what is loaded for the others, and which requests are refused because they cannot be served
  * in time. Requests wait here, not at the engines, so that the most urgent one is always next.
  */
-import { createEngineLoads, storeLoadLimit, modelCheckMs, uncertainMs, type SchedulerState, type Waiting } from './engine-loads'
+import { createEngineLoads, storeLoadLimit, modelCheckMs, uncertainMs, type EnginesView, type SchedulerState, type Waiting } from './engine-loads'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
 import { adoptModels, applyReport, backlogMs, createEngineState, hasRoom, learnPrefillRate, noteFailure, noteSuccess, keepsPauses, noteReading, prefillMs, restart, suspect, uncachedTokens, type EngineState } from './engine-state'
 import { cacheScope } from './prompt-cache'
@@ -54,19 +54,16 @@
   }
 
   /** Engines that hold the request's adapter. */
-  function holders (req: Waiting, now: number): EngineState[] {
-    return [...engines.values()].filter(engine => {
-      if (!reachable(engine, req, now)) return false
-      if (req.demand.adapter === undefined) return true
-      const copy = engine.copies.get(req.scope)
-      return copy !== undefined && isUsable(copy, req.scope, now)
-    })
+  function holders (req: Waiting, view: EnginesView, now: number): EngineState[] {
+    if (req.demand.adapter === undefined) return [...engines.values()].filter(engine => reachable(engine, req, now))
+    const copies = view.copies.get(req.scope) ?? []
+    return copies.filter(engine => reachable(engine, req, now) && isUsable(engine.copies.get(req.scope)!, req.scope, now))
   }
 
-  function bestEngine (req: Waiting, now: number): EngineState | undefined {
+  function bestEngine (req: Waiting, view: EnginesView, now: number): EngineState | undefined {
     let best: EngineState | undefined
     let bestCost = Infinity
-    for (const engine of holders(req, now)) {
+    for (const engine of holders(req, view, now)) {
       if (backlogMs(engine, now) > maxBacklogMs || !hasRoom(engine, req.demand) || !keepsPauses(engine, req.demand, now)) continue
       const copy = engine.copies.get(req.scope)
       // A copy of an older version is avoided while a current one exists.
@@ -83,7 +80,7 @@
   function grant (req: Waiting, engine: EngineState, now: number): SchedulerAction {
     waiting.delete(req.id)
     const readMs = prefillMs(engine, req.demand)
-    noteReading(engine, now)
+    noteReading(engine, req.demand, now)
     engine.runs.set(req.id, {
       id: req.id,
       node: req.node,
@@ -130,11 +127,12 @@
    * Requests that can still meet their objective go first, then by the time that is left for it: all
    * classes are delayed alike in a surge, those with shorter objectives least.
    */
-  function inOrder (now: number): Waiting[] {
+  function inOrder (view: EnginesView, now: number): Waiting[] {
+    const rate = meanPrefillRate()
     const late = new Map<string, boolean>()
     for (const req of waiting.values()) {
-      const loadMs = hasCopy(req, now) ? 0 : state.coldLoadMs
-      late.set(req.id, now + loadMs + req.demand.promptTokens / meanPrefillRate() > req.objectiveAt)
+      const loadMs = hasCopy(req, view, now) ? 0 : state.coldLoadMs
+      late.set(req.id, now + loadMs + req.demand.promptTokens / rate > req.objectiveAt)
     }
     const rank = (req: Waiting): number => late.get(req.id) === true ? 1 : 0
     return [...waiting.values()].sort((left, right) => rank(left) - rank(right) || left.objectiveAt - right.objectiveAt || left.priority - right.priority)
@@ -142,27 +140,32 @@
 
   /** Earliest start of a request behind `aheadMs` of prompt reading, in ms from now. */
   function earliestStartMs (req: Waiting, aheadMs: number, now: number): number {
-    const usable = [...engines.values()].filter(engine => reachable(engine, req, now))
-    if (usable.length === 0) return Infinity
-    return aheadMs / usable.length + Math.min(...usable.map(engine => backlogMs(engine, now)))
+    let usable = 0
+    let leastMs = Infinity
+    for (const engine of engines.values()) {
+      if (!reachable(engine, req, now)) continue
+      usable += 1
+      leastMs = Math.min(leastMs, backlogMs(engine, now))
+    }
+    return usable === 0 ? Infinity : aheadMs / usable + leastMs
   }
 
   function canLoadAnywhere (req: Waiting, now: number): boolean {
     return [...engines.values()].some(engine => reachable(engine, req, now) && cfg.mayCommand(engine.server.id, now))
   }
 
-  function hasCopy (req: Waiting, now: number): boolean {
+  function hasCopy (req: Waiting, view: EnginesView, now: number): boolean {
     if (req.demand.adapter === undefined) return true
-    return [...engines.values()].some(engine => {
-      const copy = engine.copies.get(req.scope)
-      return copy !== undefined && reachable(engine, req, now) && (copy.state === 'loading' || isUsable(copy, req.scope, now))
+    return (view.copies.get(req.scope) ?? []).some(engine => {
+      const copy = engine.copies.get(req.scope)!
+      return reachable(engine, req, now) && (copy.state === 'loading' || isUsable(copy, req.scope, now))
     })
   }
 
   /** @param loadsAhead - adapters whose loads come before this request's */
-  function refusalOf (req: Waiting, aheadMs: number, loadsAhead: number, now: number): SchedulerAction | undefined {
-    const held = hasCopy(req, now)
-    const startMs = Math.max(earliestStartMs(req, aheadMs, now), held ? 0 : loads.loadWaitMs(loadsAhead))
+  function refusalOf (req: Waiting, view: EnginesView, aheadMs: number, loadsAhead: number, now: number): SchedulerAction | undefined {
+    const held = hasCopy(req, view, now)
+    const startMs = Math.max(earliestStartMs(req, aheadMs, now), held ? 0 : loads.loadWaitMs(loadsAhead, view))
     if (startMs === Infinity) return refuse(req, 'no-engine', noEngineRetryMs, now)
     if (!held && !canLoadAnywhere(req, now)) return refuse(req, 'cannot-load', noEngineRetryMs, now)
     const slackMs = req.startBy - now - minRunMs
@@ -186,22 +189,24 @@
     blocked = []
     let aheadMs = 0
     const loadScopes = new Set<string>()
-    for (const req of inOrder(now)) {
-      const engine = bestEngine(req, now)
+    const view = loads.view()
+    const rate = meanPrefillRate()
+    for (const req of inOrder(view, now)) {
+      const engine = bestEngine(req, view, now)
       if (engine !== undefined) {
         actions.push(grant(req, engine, now))
         continue
       }
-      if (!hasCopy(req, now)) loadScopes.add(req.scope)
-      const refusal = refusalOf(req, aheadMs, loadScopes.size, now)
+      if (!hasCopy(req, view, now)) loadScopes.add(req.scope)
+      const refusal = refusalOf(req, view, aheadMs, loadScopes.size, now)
       if (refusal !== undefined) {
         actions.push(refusal)
         continue
       }
       blocked.push(req)
-      aheadMs += req.demand.promptTokens / meanPrefillRate()
+      aheadMs += req.demand.promptTokens / rate
     }
-    actions.push(...loads.decide(blocked, now), ...reportActions(now))
+    actions.push(...loads.decide(blocked, view, now), ...reportActions(now))
     return actions
   }
 
@@ -362,13 +367,17 @@
       for (const engine of engines.values()) probeStalled(engine, now)
       return decide(now)
     },
-    status: now => [...engines.values()].map(engine => ({
-      id: engine.server.id,
-      scopes: [...engine.copies].filter(([scope, copy]) => copy.state !== 'unloading' && isCurrent(copy, scope)).map(([scope]) => scope),
-      backlogMs: Math.round(engine.suspectUntil > now ? Math.max(maxBacklogMs * 4, backlogMs(engine, now)) : backlogMs(engine, now)),
-      running: engine.runs.size,
-      loadWaitMs: Math.round(loads.loadWaitMs(loads.missing(blocked)))
-    })),
+    status (now) {
+      const view = loads.view()
+      const loadWaitMs = Math.round(loads.loadWaitMs(loads.missing(blocked, view), view))
+      return [...engines.values()].map(engine => ({
+        id: engine.server.id,
+        scopes: [...engine.copies].filter(([scope, copy]) => copy.state !== 'unloading' && isCurrent(copy, scope)).map(([scope]) => scope),
+        backlogMs: Math.round(engine.suspectUntil > now ? Math.max(maxBacklogMs * 4, backlogMs(engine, now)) : backlogMs(engine, now)),
+        running: engine.runs.size,
+        loadWaitMs
+      }))
+    },
     waiting: () => waiting.size,
     nextAt (now) {
       if (blocked.length === 0) return undefined
@@ -380,9 +389,6 @@
         }
       }
       return next === Infinity ? undefined : next
-    },
-    drain (now) {
-      return [...waiting.values()].map(req => refuse(req, 'no-engine', minRetryAfterMs, now))
     }
   }
 }
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -66,6 +66,8 @@
   /** Cached sum of {@link runningTokens}; undefined after a change. */
   runTokens?: number
   cache: PromptCache
+  /** Reading time of recent prompts, decayed, as of a time; in ms. */
+  recentReading: { ms: number, at: number }
   /** Time from which the engine has been reading prompts without a break. */
   readingSince: number
   /** Time of the newest first event of a stream. */
@@ -109,6 +111,7 @@
     reportAt: now,
     runs: new Map(),
     cache: createPromptCache(spec.kvTokens / 2),
+    recentReading: { ms: 0, at: now },
     readingSince: now,
     lastFirstAt: -Infinity,
     prefillRate: initialPrefillRate,
@@ -284,8 +287,21 @@
 }
 
 /** A request is about to be sent: notes when a break in the reading ends. */
-export function noteReading (state: EngineState, now: number): void {
+export function noteReading (state: EngineState, demand: ModelDemand, now: number): void {
   if (!isReading(state)) state.readingSince = now
+  state.recentReading = { ms: decayedReadingMs(state, now) + prefillMs(state, demand), at: now }
+}
+
+/** Recent reading counts half after this time, in ms: about as long as a stream runs. */
+const readingHalfLifeMs = 2000
+
+function decayedReadingMs ({ recentReading: { ms, at } }: EngineState, now: number): number {
+  return ms * 0.5 ** ((now - at) / readingHalfLifeMs)
+}
+
+/** @returns share of recent time that the engine has spent reading prompts, 0 to about 1 */
+export function readingShare (state: EngineState, now: number): number {
+  return decayedReadingMs(state, now) * Math.LN2 / readingHalfLifeMs
 }
 
 /** Part of the longest pause of a stream for which its engine may read prompts without a break; the rest covers steps and estimates that are too short. */
