Remove fields that nothing reads and give whole answers one place

ResponseFacts.closes, ServiceSpec.healthPath and three settings were decoded and used by nothing; whole answers with their length were built in two forwarders.

--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -31,6 +31,8 @@
   write (chunk: Buffer): boolean
   onDrain (listener: () => void): void
   end (chunk?: Buffer): void
+  /** A whole response with its length. */
+  answer (status: number, headers: RawHeaders, body: Buffer): void
   /** Closes the connection, so that an incomplete response cannot look complete. */
   cut (): void
   outcome (): string
@@ -83,6 +85,18 @@
     return options.closing() ? { connection: 'close' } : {}
   }
 
+  function head (status: number, headers: RawHeaders): void {
+    if (ended || res.headersSent) return
+    if (options.closing()) res.shouldKeepAlive = false
+    res.writeHead(status, headers)
+  }
+
+  function end (chunk?: Buffer): void {
+    if (!finish('answered')) return
+    if (chunk === undefined) res.end()
+    else res.end(chunk)
+  }
+
   return {
     ...ctx,
     get ended () { return ended },
@@ -94,17 +108,14 @@
       const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': options.codec.retryAfter(retryAfterMs) }
       sendRefusal(res, answer, reason, { ...options.codec.identify(ctx.facts.id), ...retry, ...closeHeader() })
     },
-    head (status, headers) {
-      if (ended || res.headersSent) return
-      if (options.closing()) res.shouldKeepAlive = false
-      res.writeHead(status, headers)
-    },
+    head,
     write: chunk => ended ? true : res.write(chunk),
     onDrain: listener => { res.once('drain', listener) },
-    end (chunk) {
-      if (!finish('answered')) return
-      if (chunk === undefined) res.end()
-      else res.end(chunk)
+    end,
+    answer (status, headers, body) {
+      const others = headers.filter((_, at) => headers[at - at % 2]!.toLowerCase() !== 'content-length')
+      head(status, [...others, 'Content-Length', String(body.length)])
+      end(body)
     },
     cut () {
       if (!finish('cut')) return
--- a/packages/gateway/src/cluster-types.ts
+++ b/packages/gateway/src/cluster-types.ts
@@ -45,7 +45,6 @@
 
 export type ServiceSpec = {
   name: string
-  healthPath: string
   /** Connections that a server accepts from all callers together. */
   maxConnections: number
   engine?: EngineSpec
--- a/packages/gateway/src/decision-log.ts
+++ b/packages/gateway/src/decision-log.ts
@@ -26,7 +26,7 @@
 export type LineWriter = { write (line: string): void, flush (): Promise<void>, dropped (): number }
 
 /** @param writeBytes - writes all bytes; resolves when they are written */
-export function createLineWriter (writeBytes: (bytes: Buffer) => Promise<void>): LineWriter {
+function createLineWriter (writeBytes: (bytes: Buffer) => Promise<void>): LineWriter {
   let lines: string[] = []
   let bytes = 0
   let dropped = 0
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -198,8 +198,7 @@
           exchange.cut()
           return false
         }
-        exchange.head(result.status, [...result.headers.filter((_, at) => result.headers[at - at % 2]!.toLowerCase() !== 'content-length'), 'Content-Length', String(result.body.length)])
-        exchange.end(result.body)
+        exchange.answer(result.status, result.headers, result.body)
         return false
       case 'failed':
         maybeRun = true
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -85,7 +85,7 @@
 /** Reading speed assumed before the first measurement, in tokens per ms: about that of a 70 B model on two accelerators. */
 const initialPrefillRate = 30
 /** Share of the memory that running requests may take; the rest absorbs outputs that exceed their estimate. */
-export const kvShare = 0.9
+const kvShare = 0.9
 /** Time of a first event beyond reading the prompt, in ms: the network and one step of the batch. */
 const firstEventOverheadMs = 15
 /** Shorter prompts say little about the reading speed. */
@@ -223,7 +223,7 @@
 }
 
 /** Tokens that the running requests need: shared parts of one adapter once, own parts and outputs each. */
-export function runningTokens (state: EngineState): number {
+function runningTokens (state: EngineState): number {
   state.runTokens ??= sumTokens(state)
   return state.runTokens
 }
@@ -243,7 +243,7 @@
 }
 
 /** Tokens that a request adds to the engine's memory. */
-export function addedTokens (state: EngineState, demand: ModelDemand): number {
+function addedTokens (state: EngineState, demand: ModelDemand): number {
   return uncachedTokens(state, demand) + demand.outputTokens
 }
 
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -43,10 +43,7 @@
     directory: at(directory),
     control: at(control),
     seeds: [],
-    heartbeatMs: 1000,
     cpuShare: 1,
-    maxDescriptors: 1000,
-    memoryMb: 300,
     bounds: { drainMs: 2000, graceMs: 4000, configApplyMs: 2000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, leaseMs: 3000, versionMs: 5000, addressKeepMaxMs: 5000 }
   }
   lines = []
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -103,11 +103,6 @@
     return slow && result.type === 'aborted' ? { type: 'failed', reason: 'slow server', begun: false } : result
   }
 
-  function answer (status: number, headers: string[], body: Buffer): void {
-    exchange.head(status, [...headers.filter((_, at) => headers[at - at % 2]!.toLowerCase() !== 'content-length'), 'Content-Length', String(body.length)])
-    exchange.end(body)
-  }
-
   function handle (server: BackendServer, result: AttemptResult): Step {
     if (exchange.ended || result.type === 'aborted') return { type: 'done' }
     env.log.info('attempt-ended', { id: facts.id, service: service.name, server: server.id, result: result.type, status: 'status' in result ? result.status : undefined, reason: 'reason' in result ? result.reason : undefined, afterMs: Math.round(env.now() - exchange.arrivedAt) })
@@ -134,7 +129,7 @@
           maybeRun = true
           return { type: 'again' }
         }
-        answer(result.status, result.headers, result.body)
+        exchange.answer(result.status, result.headers, result.body)
         return { type: 'done' }
       default:
         return { type: 'done' }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -74,7 +74,6 @@
   sealed: boolean
   /** The server proves that it did not run the request. */
   notRun: boolean
-  closes: boolean
   encoded: boolean
   headers: RawHeaders
 }
@@ -128,11 +127,8 @@
   control?: Listen
   /** Control addresses of other nodes; they may be stale. */
   seeds: string[]
-  heartbeatMs: number
   /** Share of a core that the process may use. */
   cpuShare: number
-  maxDescriptors: number
-  memoryMb: number
   bounds: Bounds
 }
 
--- a/packages/gateway/src/route-table.ts
+++ b/packages/gateway/src/route-table.ts
@@ -12,7 +12,7 @@
 const maxHash = 0x1_0000_0000
 
 /** @returns the host without its port, in lower case */
-export function hostName (host: string): string {
+function hostName (host: string): string {
   const colon = host.indexOf(':')
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase()
 }
--- a/packages/gateway/src/testing/fake-platform.ts
+++ b/packages/gateway/src/testing/fake-platform.ts
@@ -134,8 +134,8 @@
     { name: 'draft', host: 'a.example', pathPrefix: '/draft/', kind: 'streaming', timeoutMs: 5000, objectiveMs: 1000, patienceMs: 4000, priority: 1, attempts: 1, resumable: false, targets: [{ service: 'llm', weight: 1 }] }
   ],
   services: [
-    { name: 'desk', healthPath: '/', maxConnections: 50 },
-    { name: 'llm', healthPath: '/', maxConnections: 50, engine: { slots: 8, kvTokens: 100_000, weightsMb: 1000, adapterSlots: 2, loadsPerSecond: 1, models: [{ name: 'base', weightsMb: 900, adapterMb: 1 }] } }
+    { name: 'desk', maxConnections: 50 },
+    { name: 'llm', maxConnections: 50, engine: { slots: 8, kvTokens: 100_000, weightsMb: 1000, adapterSlots: 2, loadsPerSecond: 1, models: [{ name: 'base', weightsMb: 900, adapterMb: 1 }] } }
   ],
   limits: { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 }
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -22,7 +22,6 @@
       ...(requestId === undefined ? {} : { requestId }),
       sealed: valueOf(raw, 'x-seal') !== undefined,
       notRun: valueOf(raw, 'x-not-run') !== undefined,
-      closes: valueOf(raw, 'connection') === 'close',
       encoded: valueOf(raw, 'content-encoding') !== undefined,
       headers: raw.filter((_, at) => !['connection', 'keep-alive', 'transfer-encoding'].includes(raw[at - at % 2]!.toLowerCase()))
     }
