Let requests wait while restarted owners take their engines back

A claim that another record overtook waited 400 ms.

Change: in the first three seconds of a process requests ask again every 80 ms, at most until their objective, when no owner has an engine; overtaken claims are repeated after 80 ms. A request that leaves meanwhile is not asked for again.

--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -56,6 +56,8 @@
 const keepAnswersMs = 4000
 /** Pause between two tries to claim engines, in ms: long enough for the log to show the first. */
 const claimPauseMs = 400
+/** Pause after another node's record came first, in ms: the log is read within a few ms. */
+const claimConflictPauseMs = 80
 
 /** Age of the last reading of the log from which the nodes are asked about it, in ms: an owner's reads end every 800 ms. */
 const probeAfterMs = 1000
@@ -195,6 +197,7 @@
     const confirmations = settled.map(engine => ({ key: `owner/${engine}`, value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation } }))
     const result = await options.fleetLog.append([...records, ...confirmations], at)
     log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), settled, at, result: result.val })
+    if (result.err && result.val === 'conflict') claimAt = now() + claimConflictPauseMs
     options.appended()
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -49,6 +49,8 @@
 const tickMs = 50
 /** Pace of claims and of removals after an outage at nodes that own nothing, in ms: wake-ups cost time on small nodes. */
 const idleTickMs = 250
+/** Time after the start in which nodes that start together claim engines, in ms: learning of each other, and a few tries. */
+const settlingMs = 3000
 /** Pace of membership, in ms. */
 const memberTickMs = 200
 /** Pace of what owners tell all nodes, in ms, and slower by the second time for each node; the message costs each owner one datagram a node. */
@@ -75,6 +77,7 @@
   const { platform, log, metrics, now } = options
   const { settings } = platform
   const startedAt = Date.now()
+  const startedAtSteady = now()
   const registry = createServerRegistry()
   const pools = new Map<string, ServicePool>()
   const budgets = new Map<string, RetryBudget>()
@@ -165,11 +168,16 @@
     zone: self.zone,
     engines: enginesOf,
     server: id => registry.get(id),
+    settling,
     newestVersion: scope => versions.get(scope),
     tell: tellNode,
     log: log.info
   })
 
+  function settling (): boolean {
+    return now() - startedAtSteady < settlingMs
+  }
+
   function enginesOf (service: string): KnownEngine[] {
     return registry.ready(service).map(server => {
       const term = owner.ownership.owner(server.id)
@@ -396,7 +404,7 @@
 
   function startTimers (): void {
     const tick = (): void => {
-      tickTimer = setTimeout(tick, owner.owns() ? tickMs : idleTickMs)
+      tickTimer = setTimeout(tick, owner.owns() || settling() ? tickMs : idleTickMs)
       const gapMs = suspension.check()
       if (gapMs > 0) {
         log.warn('process-suspended', { gapMs: Math.round(gapMs) })
--- a/packages/gateway/src/places.ts
+++ b/packages/gateway/src/places.ts
@@ -39,6 +39,8 @@
   zone: string
   engines (service: string): KnownEngine[]
   server (id: string): BackendServer | undefined
+  /** The process has just started: after an outage of all nodes, owners are about to take their engines back. */
+  settling (): boolean
   /** Newest announced version of an adapter, if it was ever replaced. */
   newestVersion (scope: string): number | undefined
   /** @returns whether the owner has it; for the own node at once */
@@ -61,6 +63,8 @@
 /** An owner that has not answered is asked again at this pace, in ms: it may have ended. */
 const askAgainMs = 400
 const noOwnerRetryMs = 700
+/** Pause before owners are asked again that had no engine because they have just started, in ms. */
+const settlingRetryMs = 80
 /** An owner that did not acknowledge a request is asked last for this time, in ms. */
 const avoidMs = 1000
 
@@ -68,6 +72,10 @@
 
 export function createPlaces (env: PlacesEnv): Places {
   const pending = new Map<string, Pending>()
+  /** Name under which owners know a request for a place at present. */
+  const rounds = new Map<string, string>()
+  /** Requests that wait until owners that have just started can be asked again. */
+  const paused = new Map<string, () => void>()
   const uses = createUseCounter()
   /** Owners that did not acknowledge, with the time until which others are asked first. */
   const avoided = new Map<string, number>()
@@ -118,26 +126,56 @@
     env.tell(owner, text).catch(() => {})
   }
 
+  async function askOwners (req: PlaceRequest): Promise<PlaceAnswer> {
+    const ranked = rankOwners(env.engines(req.service), req.demand, env.zone, recentUses(req.demand))
+    const isAvoided = (owner: string): boolean => (avoided.get(owner) ?? 0) > env.now()
+    const owners = [...ranked.filter(owner => !isAvoided(owner)), ...ranked.filter(isAvoided)].slice(0, maxOwners)
+    let refusal: PlaceAnswer | undefined
+    for (const owner of owners) {
+      const answer = await ask(owner, req)
+      env.log('owner-answered', { id: req.requestId, owner, answer: answer === 'lost' ? 'lost' : answer.type === 'place' ? answer.place.server.id : answer.reason })
+      if (answer === 'lost') {
+        avoided.set(owner, env.now() + avoidMs)
+        continue
+      }
+      avoided.delete(owner)
+      if (answer.type === 'place') return answer
+      if (refusal === undefined || refusal.type !== 'refused' || answer.retryAfterMs < refusal.retryAfterMs) refusal = answer
+    }
+    return refusal ?? chooseAlone(req)
+  }
+
+  /** @returns whether the request is still wanted */
+  function pause (placeId: string): Promise<boolean> {
+    return new Promise(resolve => {
+      const end = (wanted: boolean): void => {
+        clearTimeout(timer)
+        paused.delete(placeId)
+        resolve(wanted)
+      }
+      const timer = setTimeout(() => end(true), settlingRetryMs)
+      paused.set(placeId, () => end(false))
+    })
+  }
+
   return {
     async acquire (req) {
-      const ranked = rankOwners(env.engines(req.service), req.demand, env.zone, recentUses(req.demand))
-      const isAvoided = (owner: string): boolean => (avoided.get(owner) ?? 0) > env.now()
-      const owners = [...ranked.filter(owner => !isAvoided(owner)), ...ranked.filter(isAvoided)].slice(0, maxOwners)
-      let refusal: PlaceAnswer | undefined
-      for (const owner of owners) {
-        const answer = await ask(owner, req)
-        env.log('owner-answered', { id: req.requestId, owner, answer: answer === 'lost' ? 'lost' : answer.type === 'place' ? answer.place.server.id : answer.reason })
-        if (answer === 'lost') {
-          avoided.set(owner, env.now() + avoidMs)
-          continue
-        }
-        avoided.delete(owner)
-        if (answer.type === 'place') return answer
-        if (refusal === undefined || refusal.type !== 'refused' || answer.retryAfterMs < refusal.retryAfterMs) refusal = answer
+      for (let round = 1; ; round++) {
+        // An owner repeats its answer to a request that it knows.
+        const placeId = round === 1 ? req.placeId : `${req.placeId}.${round}`
+        rounds.set(req.placeId, placeId)
+        const answer = await askOwners({ ...req, placeId })
+        const unready = answer.type === 'refused' && (answer.reason === 'no-engine' || answer.reason === 'no-owner')
+        const again = unready && rounds.has(req.placeId) && env.settling() && env.now() + settlingRetryMs < Math.min(req.objectiveAt, req.startBy)
+        if (again && await pause(req.placeId)) continue
+        rounds.delete(req.placeId)
+        return answer
       }
-      return refusal ?? chooseAlone(req)
     },
-    abandon (placeId) {
+    abandon (requested) {
+      const placeId = rounds.get(requested) ?? requested
+      rounds.delete(requested)
+      paused.get(requested)?.()
       const waiting = pending.get(placeId)
       if (waiting === undefined) return
       waiting.settle({ type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryMs })
