--- /dev/null
+++ b/packages/gateway/src/feeds.test.ts
@@ -0,0 +1,111 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { DecisionLog } from './decision-log'
+import type { FleetMember } from './engine-ownership'
+import { createFeeds, type Feeds } from './feeds'
+import { createGatewayMetrics } from './gateway-metrics'
+import { createFeedMirror } from './peer-state'
+import type { FeedRecord, NodeSettings, Platform, ServerRecord } from './platform-interface'
+import { createFakePlatform } from './testing'
+
+const test = suite('feeds')
+
+const drainMs = 500
+const log = { info () {}, warn () {}, error () {} } as unknown as DecisionLog
+
+type Node = { name: string, feeds: Feeds, states: Map<string, string>, reads: () => number, returned: number[], cut: boolean, deaf: boolean }
+
+const shared = createFakePlatform({ name: 'any', zone: 'a', bounds: { drainMs } } as unknown as NodeSettings)
+let nodes: Node[] = []
+
+function startNode (name: string): Node {
+  let reads = 0
+  const node: Node = { name, states: new Map(), reads: () => reads, returned: [], cut: false, deaf: false } as unknown as Node
+  const servers: Platform['servers'] = {
+    newest: () => shared.servers.newest(),
+    read: (from, waitMs, signal) => {
+      reads += 1
+      return node.cut ? Promise.resolve(shared.servers.read(from, waitMs, AbortSignal.abort())) : shared.servers.read(from, waitMs, signal)
+    }
+  }
+  const learn = (records: FeedRecord<ServerRecord>[]): void => {
+    for (const { key, value } of records) node.states.set(key, value?.type === 'server' ? value.server.state : 'removed')
+  }
+  node.feeds = createFeeds({
+    platform: { ...shared, servers, settings: { ...shared.settings, name } },
+    log,
+    metrics: createGatewayMetrics(),
+    mirror: createFeedMirror(),
+    now: () => performance.now(),
+    random: () => 0.5,
+    owns: () => false,
+    members: () => nodes.filter(other => other !== node).map((other): FleetMember => ({ name: other.name, zone: 'a', incarnation: 1, capacity: 1, state: 'alive' })),
+    announce: news => { for (const other of nodes) if (other !== node && !other.deaf) other.feeds.relayed(JSON.parse(JSON.stringify(news))) },
+    operator () {},
+    servers: learn,
+    allServers: learn,
+    serversKnown () {},
+    fleet () {},
+    fleetRead () {},
+    storeReturned: agoMs => { node.returned.push(agoMs) }
+  })
+  return node
+}
+
+function write (id: string, state: 'ready' | 'draining', sequence: number): void {
+  shared.servers.append(id, { type: 'server', sequence, server: { id, bornAt: 1, service: 'desk', address: `${id}:1`, zone: 'a', state, slots: 4, models: [] } })
+}
+
+test.before.each(async () => {
+  write('s1', 'ready', 1)
+  nodes = []
+  nodes = ['n1', 'n2'].map(startNode)
+  for (const { feeds } of nodes) feeds.start()
+  await sleep(drainMs)
+})
+test.after.each(() => { for (const { feeds } of nodes) feeds.stop() })
+
+function readerAndOther (): [Node, Node] {
+  const [first, second] = nodes as [Node, Node]
+  return first.reads() > second.reads() ? [first, second] : [second, first]
+}
+
+// Guards against calls to the store that grow with the number of nodes, and against nodes that miss what the reader saw.
+test('one node reads for both, and both know a leaving server in time', async () => {
+  await sleep(2 * drainMs)
+  const [reader, other] = readerAndOther()
+  const before = [reader.reads(), other.reads()] as const
+  for (let beat = 2; beat < 18; beat++) {
+    write('s1', 'ready', beat)
+    await sleep(drainMs / 4)
+  }
+  assert.ok(reader.reads() - before[0] >= 4)
+  assert.ok(other.reads() - before[1] <= (reader.reads() - before[0]) / 3, `${other.reads() - before[1]} reads`)
+  write('s1', 'draining', 18)
+  await sleep(drainMs)
+  assert.equal(nodes.map(({ states }) => states.get('s1')), ['draining', 'draining'])
+})
+
+// Guards against a zone that learns nothing because its reader, or its messages, are gone.
+test('a node that hears nothing from the reader reads itself in time', async () => {
+  const [, other] = readerAndOther()
+  other.deaf = true
+  await sleep(drainMs)
+  write('s1', 'draining', 2)
+  await sleep(drainMs)
+  assert.is(other.states.get('s1'), 'draining')
+})
+
+// Guards against dropping servers whose entries lapsed while the store was away, on the word of a node that saw the outage.
+test('tells the zone that the store was away', async () => {
+  const [reader, other] = readerAndOther()
+  reader.cut = true
+  await sleep(4 * drainMs)
+  reader.cut = false
+  await sleep(4 * drainMs)
+  assert.ok(reader.returned.length > 0)
+  assert.ok(other.returned.length > 0)
+})
+
+test.run()
