End loads that no request tests on their own

Cause: a replica stayed "loading" until a request or a report confirmed it, and an accepted load asks for no report. When the requests that caused a load were refused or cancelled meanwhile, the replica counted as a load in progress for good: it held its slot, could not be evicted, and after two of them the owner gave the engine no further load.

Change: a load without a running request counts as done one usual load duration after its estimated end. If it is not, the engine refuses the first request, as before.

Test: "a load that no request waits for any more ends on its own" failed at the third request before the change.

--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -43,6 +43,8 @@
   commandFinished (engine: EngineState, result: EngineCommandResult, now: number): void
   /** A request ran on a replica that was counted as loading. */
   loadConfirmed (replica: AdapterReplica): void
+  /** Counts loads as done that no request has tested some time after their estimated end. */
+  settleLoads (now: number): void
   /** An engine refused a request because it does not have the adapter. */
   replicaMissing (engine: EngineState, scope: string, now: number): void
   isCurrent (replica: AdapterReplica, scope: string): boolean
@@ -290,6 +292,17 @@
     })
   }
 
+  /** A load ends without a request, but only requests and reports show it, and a report costs as much as a health check. */
+  function settleLoads (now: number): void {
+    for (const { replicas } of engines.values()) {
+      for (const replica of replicas.values()) {
+        if (replica.state !== 'loading' || replica.running > 0) continue
+        const marginMs = replica.warm ? commandVisibilityMs : state.coldLoadMs
+        if (now > Math.max(replica.estimatedReadyAt, replica.readyAt) + marginMs) replica.state = 'resident'
+      }
+    }
+  }
+
   function usableEngines (req: WaitingRequest, view: EnginesView, now: number): EngineState[] {
     const candidates = view.enginesByScope.get(req.scope) ?? []
     return candidates.filter(engine => engine.avoidedUntil <= now && !req.excluded.includes(engine.server.id) && isUsable(engine.replicas.get(req.scope)!, req.scope, now))
@@ -331,6 +344,7 @@
     view: viewEngines,
     decide: (blocked, view, now) => [...baseModelActions(blocked, now), ...loadActions(blocked, view, now), ...outdatedUnloads(now)],
     commandFinished,
+    settleLoads,
     replicaMissing,
     loadConfirmed (replica) {
       if (replica.readyAt <= replica.estimatedReadyAt) adjustEstimate(replica, confirmedLoadFactor)
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -115,6 +115,22 @@
   assert.ok(filterActions(scheduler.tick(900), 'grant').length > 1, 'without a refusal the others are granted')
 })
 
+// Guards against an owner that stops loading: adapters whose requests were cancelled during the load keep their slots and count as loading.
+test('a load that no request waits for any more ends on its own', () => {
+  const scheduler = createScheduler([engine('e1')], { e1: [] })
+  for (let index = 0; index < 12; index++) {
+    const now = index * 1000
+    const [command] = filterActions(scheduler.submit(request(`r${index}`, `a${index}`, { objectiveAt: now + 1000, startBy: now + 6000, deadlineAt: now + 6000 }), now), 'command')
+    assert.ok(command !== undefined, `no command for request ${index}`)
+    let { operation } = command.command
+    if (operation === 'unload') operation = filterActions(scheduler.commandFinished('e1', 'holds', now + 2), 'command')[0]!.command.operation
+    assert.is(operation, 'load')
+    scheduler.commandFinished('e1', 'accepted', now + 4)
+    scheduler.cancel(`r${index}`, now + 10)
+    for (let at = now + 50; at < now + 1000; at += 50) scheduler.tick(at)
+  }
+})
+
 // Guards against evicting an adapter that a running request uses.
 test('does not unload adapters in use', () => {
   const loaded = Array.from({ length: 8 }, (_, index) => `a${index}`)
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -366,6 +366,7 @@
     tick (now) {
       decayUse(now)
       releaseExpired(now)
+      planner.settleLoads(now)
       for (const engine of engines.values()) scheduleStallReport(engine, now)
       return decide(now)
     },
