Learn the limit of concurrent loads from their durations

Cause: the number of adapter loads that the weight store serves at full speed was a constant fitted to the first sites (8, or 0.63 an engine). The store does not state it; the sheets have 8 for 6 and 8 engines, 24 for 8, 104 for 42 and 32 for 55. Besides, a load counted as in progress until the first event of the request that tested it, and an engine was given two loads at a time although it accepts four.

Change: load-limit.ts, one limit per owner. It grows by one with each group of loads that takes the usual time while the limit delays others, and shrinks by a quarter when the lower quartile of the durations exceeds the shortest ones by a fifth. Owners take by need; a limit follows the number of engines. A load counts until the engine has accepted the first request for it.

Measured by the tests (load-limit.test.ts), mean of concurrent loads under lasting demand lies within 0.9 and 1.5 of the store's number for 8 loads and 9 engines, 24 and 8, 104 and 40, 32 and 55.

--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -3,8 +3,9 @@
  * versions, and base models of engines that started empty. Applies the results of the commands.
  */
 import type { EngineCommandResult } from './cluster-types'
-import { countColdLoads, decideLoad, type WantedAdapter } from './load-placement'
+import { countColdLoads, decideLoad, earlyRefusalMs, isProbed, type WantedAdapter } from './load-placement'
 import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
+import type { LoadLimit } from './load-limit'
 import { backlogMs, removeReplica, hasCapacity, isIdle, adapterSlotLimit, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
@@ -20,8 +21,8 @@
   warmLoadMs: number
   /** Mean duration of a request at an engine, in ms. */
   meanRunMs: number
-  /** Number of concurrent cold loads allowed to this owner. */
-  maxColdLoads: number
+  /** Limit of this owner's concurrent cold loads. */
+  coldLoadLimit: LoadLimit
 }
 
 /** Summary of all engines, computed once for each decision. */
@@ -37,7 +38,7 @@
 }
 
 export type EngineLoadPlanner = {
-  view (): EnginesView
+  view (now: number): EnginesView
   /** @param blocked - requests that wait for an adapter or for capacity */
   decide (blocked: WaitingRequest[], view: EnginesView, now: number): SchedulerAction[]
   commandFinished (engine: EngineState, result: EngineCommandResult, now: number): void
@@ -65,14 +66,6 @@
 const replicateAfterMs = 150
 /** Delay added for an engine that prefills without a break, in ms. Its streams advance one step for each chunk of a prompt and keep their slots longer. */
 const continuousPrefillWaitMs = 500
-/** Concurrent cold loads, over all engines, up to which each takes its usual time. The deployment documents state 8 for up to 8 engines and 40 for 63. */
-const minFleetColdLoads = 8
-const fleetColdLoadsPerEngine = 0.63
-
-/** @returns number of concurrent cold loads allowed to all owners together */
-export function fleetColdLoadLimit (engines: number): number {
-  return Math.max(minFleetColdLoads, engines * fleetColdLoadsPerEngine)
-}
 /** Delay before the next request is sent to a replica that turned out to be still loading, in ms. */
 const loadRetryMs = 25
 /** Delay after which a report shows the effect of a command, in ms. A command may be carried out although its response was lost. */
@@ -95,8 +88,6 @@
  */
 const confirmedLoadFactor = 0.99
 const earlyTryFactor = 1.015
-/** Time within which an engine refuses a request for an adapter that is not loaded yet, in ms: a round trip between zones. */
-const earlyRefusalMs = 15
 
 export function createEngineLoadPlanner (cfg: SchedulerConfig, state: SchedulerState): EngineLoadPlanner {
   const { engines, versions } = state
@@ -114,12 +105,12 @@
   function isUsable (replica: AdapterReplica, scope: string, now: number): boolean {
     if (replica.state === 'unloading' || replica.retiring === true || replica.readyAt > now) return false
     // A single request tests whether the load is done: an engine refuses at once if it is not.
-    if (replica.state === 'loading' && replica.probeSentAt !== undefined && now - replica.probeSentAt < earlyRefusalMs) return false
+    if (replica.state === 'loading' && isProbed(replica, now)) return false
     return isCurrent(replica, scope) || now < versions.get(scope)!.announcedAt + cfg.versionMs - versionMarginMs
   }
 
-  function viewEngines (): EnginesView {
-    const view: EnginesView = { enginesByScope: new Map(), pendingLoads: new Set(), coldLoads: countColdLoads(engines.values()), adapterSlots: 0, availableSlots: 0 }
+  function viewEngines (now: number): EnginesView {
+    const view: EnginesView = { enginesByScope: new Map(), pendingLoads: new Set(), coldLoads: countColdLoads(engines.values(), now), adapterSlots: 0, availableSlots: 0 }
     for (const engine of engines.values()) {
       const { pending } = engine
       if (pending?.operation === 'load' && pending.adapter !== undefined) view.pendingLoads.add(cacheScope(pending))
@@ -207,7 +198,7 @@
     const commandableEngines = [...engines.values()].filter(engine => canCommand(engine, now))
     if (commandableEngines.length === 0) return actions
     const neededScopes = new Set(blocked.map(({ scope }) => scope))
-    const ctx = { now, commandable: (engine: EngineState) => engine.pending === undefined, coldLoads: view.coldLoads, coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, maxColdLoads: Math.max(1, Math.ceil(state.maxColdLoads)) }
+    const ctx = { now, commandable: (engine: EngineState) => engine.pending === undefined, coldLoads: view.coldLoads, coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, maxColdLoads: state.coldLoadLimit.value(), limitReached: false }
     const wantedNow = wantedAdapters(blocked, view, now)
     const replacements = [...pendingReplacements.values()].filter(({ scope }) => !neededScopes.has(scope))
     for (const wanted of [...wantedNow, ...replacements, ...outdatedAdapters(view, now)]) {
@@ -220,6 +211,7 @@
       if (decision.type === 'load' && !decision.engine.warmAdapters.has(wanted.scope)) ctx.coldLoads += 1
       actions.push(decision.type === 'load' ? createCommand(decision.engine, 'load', wanted, now) : createCommand(decision.engine, 'unload', decision.replica, now))
     }
+    if (ctx.limitReached) state.coldLoadLimit.reached()
     return actions
   }
 
@@ -275,7 +267,7 @@
     }
     pendingReplacements.delete(scope)
     const warm = engine.warmAdapters.has(scope)
-    const slowdown = warm ? 1 : Math.max(1, countColdLoads(engines.values()) / Math.max(1, state.maxColdLoads))
+    const slowdown = warm ? 1 : Math.max(1, countColdLoads(engines.values(), now) / state.coldLoadLimit.value())
     const estimatedReadyAt = now + (warm ? state.warmLoadMs : state.coldLoadMs) * slowdown
     engine.replicas.set(scope, {
       model,
@@ -348,13 +340,14 @@
     replicaMissing,
     loadConfirmed (replica) {
       if (replica.readyAt <= replica.estimatedReadyAt) adjustEstimate(replica, confirmedLoadFactor)
+      if (!replica.warm && replica.probeSentAt !== undefined) state.coldLoadLimit.loaded(replica.probeSentAt - replica.loadStartedAt)
     },
     isCurrent,
     isUsable,
     usableAt: replica => replica?.state !== 'loading' ? -Infinity : Math.max(replica.readyAt, (replica.probeSentAt ?? -Infinity) + earlyRefusalMs),
     countMissingAdapters: (blocked, view) => new Set(blocked.filter(req => req.demand.adapter !== undefined && !isLoading(req.scope, view)).map(({ scope }) => scope)).size,
     loadWaitMs (loadsAhead, view) {
-      const loadMs = state.coldLoadMs * (1 + (loadsAhead + view.coldLoads) / Math.max(1, state.maxColdLoads))
+      const loadMs = state.coldLoadMs * (1 + (loadsAhead + view.coldLoads) / state.coldLoadLimit.value())
       // If no slot is available, one becomes free whenever a request ends.
       const slotWaitMs = view.adapterSlots === 0 ? 0 : Math.max(0, loadsAhead - view.availableSlots) * state.meanRunMs / view.adapterSlots
       return loadMs + slotWaitMs
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -175,9 +175,7 @@
   }
 
   function refresh (): void {
-    const allEngines = options.listEngines()
     const owned = ownedEngines()
-    scheduler.setShare(owned.length, allEngines.length)
     perform(scheduler.setEngines(owned, now()))
     options.metrics.gauge('engines_owned', owned.length)
   }
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -65,13 +65,6 @@
 export type EngineScheduler = {
   /** Sets the engines that this node owns. Requests are granted only to these. */
   setEngines (engines: { server: BackendServer, spec: EngineSpec }[], now: number): SchedulerAction[]
-  /**
-   * Sets this node's share of the concurrent cold loads.
-   *
-   * @param owned - number of engines that this node owns
-   * @param all - number of all engines
-   */
-  setShare (owned: number, all: number): void
   /** @param recent - whether the version was announced just now; if not, it may already be mandatory */
   setVersion (version: AdapterVersion, recent: boolean, now: number): SchedulerAction[]
   submit (req: ScheduledRequest, now: number): SchedulerAction[]
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -3,9 +3,10 @@
  * is granted, and which adapters are loaded for the others. Refuses requests that cannot be served in
  * time. Requests wait here, not at the engines, so that the most urgent one is always next.
  */
-import { createEngineLoadPlanner, fleetColdLoadLimit, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
+import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
 import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, updatePrefillRate, recordFailure, recordSuccess, fitsPauseLimits, recordPrefill, prefillMs, resetEngine, avoidEngine, uncachedTokens, type EngineState } from './engine-state'
+import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
 
 export * from './engine-scheduler-types'
@@ -38,7 +39,7 @@
 const useHalfLifeMs = 8000
 
 export function createEngineScheduler (cfg: SchedulerConfig): EngineScheduler {
-  const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, meanRunMs: initialRunMs, maxColdLoads: fleetColdLoadLimit(0) }
+  const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, meanRunMs: initialRunMs, coldLoadLimit: createLoadLimit() }
   const { engines, versions } = state
   const planner = createEngineLoadPlanner(cfg, state)
   const { isCurrent, isUsable } = planner
@@ -191,7 +192,7 @@
     blocked = []
     let aheadMs = 0
     const loadScopes = new Set<string>()
-    const view = planner.view()
+    const view = planner.view(now)
     const rate = meanPrefillTokensPerMs()
     for (const req of inServiceOrder(view, now)) {
       const engine = bestEngine(req, view, now)
@@ -265,6 +266,7 @@
         for (const run of engine.runs.keys()) granted.delete(run)
         engines.delete(id)
       }
+      state.coldLoadLimit.setEngines(owned.length)
       for (const { server, spec } of owned) {
         const engine = engines.get(server.id)
         if (engine === undefined) {
@@ -278,9 +280,6 @@
       }
       return decide(now)
     },
-    setShare (owned, all) {
-      state.maxColdLoads = all === 0 ? fleetColdLoadLimit(0) : fleetColdLoadLimit(all) * owned / all
-    },
     setVersion ({ model, adapter, version }, recent, now) {
       const scope = cacheScope({ model, adapter })
       const current = versions.get(scope)
@@ -371,7 +370,7 @@
       return decide(now)
     },
     status (now) {
-      const view = planner.view()
+      const view = planner.view(now)
       const loadWaitMs = Math.round(planner.loadWaitMs(planner.countMissingAdapters(blocked, view), view))
       return [...engines.values()].map(engine => ({
         id: engine.server.id,
--- a/packages/gateway/src/load-placement.ts
+++ b/packages/gateway/src/load-placement.ts
@@ -3,6 +3,7 @@
  * is meant for engines with few adapter slots: many rarely used adapters are requested at the same
  * time, and some adapters are too popular for one engine.
  */
+import { maxLoadsPerEngine } from './load-limit'
 import { backlogMs, isIdle, adapterSlotLimit, prefillShare, usedAdapterSlots, type AdapterReplica, type EngineState } from './engine-state'
 
 export type WantedAdapter = {
@@ -18,26 +19,34 @@
   | { type: 'load', engine: EngineState, wanted: WantedAdapter }
   | { type: 'unload', engine: EngineState, replica: AdapterReplica }
 
-/** Concurrent cold loads of one engine; more would only slow each other down. */
-const maxColdLoadsPerEngine = 2
-/** Concurrent loads that an engine accepts, warm ones included. */
-const maxLoadsPerEngine = 4
+/** Time within which an engine refuses a request for an adapter that is not loaded yet, in ms: a round trip between zones. */
+export const earlyRefusalMs = 15
 /** Cost of an engine that prefills without a break, in ms: a request of the usual length takes that much longer there. */
 const continuousPrefillCostMs = 600
 /** Cost of an eviction for each recent request to the evicted replica, in ms. */
 const evictionCostPerUseMs = 60
 
-function countLoading (state: EngineState, coldOnly: boolean): number {
+/** Whether the engine may still refuse the request that tests a load. */
+export function isProbed ({ probeSentAt }: AdapterReplica, now: number): boolean {
+  return probeSentAt !== undefined && now - probeSentAt < earlyRefusalMs
+}
+
+/** Whether a load takes bandwidth of the store or memory: not any more once the engine has accepted a request for the adapter. */
+function isInTransit (replica: AdapterReplica, now: number): boolean {
+  return replica.state === 'loading' && (replica.probeSentAt === undefined || isProbed(replica, now))
+}
+
+function countLoads (state: EngineState, now: number, counts: (replica: AdapterReplica) => boolean): number {
   let count = 0
   for (const replica of state.replicas.values()) {
-    if (replica.state === 'loading' && !(coldOnly && replica.warm)) count += 1
+    if (isInTransit(replica, now) && counts(replica)) count += 1
   }
   return count
 }
 
-export function countColdLoads (engines: Iterable<EngineState>): number {
+export function countColdLoads (engines: Iterable<EngineState>, now: number): number {
   let count = 0
-  for (const engine of engines) count += countLoading(engine, true)
+  for (const engine of engines) count += countLoads(engine, now, ({ warm }) => !warm)
   return count
 }
 
@@ -61,6 +70,8 @@
   warmLoadMs: number
   /** Number of concurrent cold loads allowed to this owner. */
   maxColdLoads: number
+  /** Set if the limit prevents a load. */
+  limitReached: boolean
 }
 
 /**
@@ -78,8 +89,11 @@
     // An outdated replica is unloaded first, so it must be idle; a current one needs no load here.
     if (existing !== undefined && !isIdle(engine, wanted.scope, existing)) continue
     const warm = engine.warmAdapters.has(wanted.scope)
-    if (!warm && (atColdLoadLimit || countLoading(engine, true) >= maxColdLoadsPerEngine)) continue
-    if (countLoading(engine, false) >= maxLoadsPerEngine) continue
+    if (countLoads(engine, ctx.now, () => true) >= maxLoadsPerEngine) continue
+    if (!warm && atColdLoadLimit) {
+      ctx.limitReached = true
+      continue
+    }
     const evicted = existing ?? (usedAdapterSlots(engine) < adapterSlotLimit(engine) ? undefined : evictionCandidate(engine, neededScopes))
     if (evicted === undefined && usedAdapterSlots(engine) >= adapterSlotLimit(engine)) continue
     const cost = backlogMs(engine, ctx.now) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs
--- a/packages/gateway/src/testing/load-simulation.ts
+++ b/packages/gateway/src/testing/load-simulation.ts
@@ -425,7 +425,6 @@
     next()
   }
   for (const owner of owners) {
-    owner.scheduler.setShare(owner.engines.length, engines.length)
     perform(owner, owner.scheduler.setEngines(owner.engines.map(({ server }) => ({ server, spec })), 0))
     const tick = (): void => {
       perform(owner, owner.scheduler.tick(now()))
