Bring nodes with slow links up to date after the store refused them

The node's own read position stays behind, and the read that catches up holds several configurations, 600 KB over a link of 7 Mbit/s, while every call was cut one second after its start and repeated from the beginning. Other feeds were regained at 11.8 s, the operator's at 20.2 s. The state from peers was cut after 0.5 s in the same way.

The age of a failed read now travels with the answer. - Zones of more than 64 ready nodes give each client other addresses; before, all clients got the same 64.

--- a/packages/clients/src/clients.test.ts
+++ b/packages/clients/src/clients.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { classifyError, createHttpClient } from './http-client'
@@ -45,6 +47,33 @@
   assert.is((await call('', 'hang', late.signal)).result.type, 'unknown')
 })
 
+// Guards against a large response over a slow link that is cut, read again from the start and never complete.
+test('a body that arrives at the stated rate may exceed the time limit, one with a byte now and then may not', async () => {
+  const answer = async (chunkBytes: number): Promise<{ type: string, tookMs: number }> => {
+    const server = createServer((_req, res) => {
+      res.writeHead(200, { 'content-length': 20 * chunkBytes })
+      let sent = 0
+      const timer = setInterval(() => {
+        if (++sent === 20) clearInterval(timer)
+        res.write(Buffer.alloc(chunkBytes))
+      }, 100)
+      res.on('close', () => clearInterval(timer))
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const client = createHttpClient({ baseUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
+    const startedAt = performance.now()
+    const result = await client.exchange({ method: 'GET', path: '/', timeoutMs: 300, minBodyRate: 1000 })
+    await client.close()
+    server.closeAllConnections()
+    server.close()
+    return { type: result.type, tookMs: performance.now() - startedAt }
+  }
+  const [fast, slow] = await Promise.all([answer(500), answer(1)])
+  assert.is(fast.type, 'ok')
+  assert.is(slow.type, 'unknown')
+  assert.ok(slow.tookMs < 1600, `${slow.tookMs} ms`)
+})
+
 // Guards against connection headers being forwarded, which would make the receiver misread the body.
 test('connection headers are not forwarded in either direction', async () => {
   const response = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: keep-alive, x-hop\r\nx-hop: 1\r\nkeep-alive: timeout=9\r\nx-kept: a\r\nset-cookie: c\r\n\r\nok'
--- a/packages/clients/src/http-client.ts
+++ b/packages/clients/src/http-client.ts
@@ -13,6 +13,11 @@
   body?: string | Uint8Array
   /** Longest time from the call to the end of the response, in ms. */
   timeoutMs?: number
+  /**
+   * If set, `timeoutMs` ends with the headers, and the body may take as long as it arrives at this
+   * rate or faster, in bytes/s. A large response over a slow link is then not cut and repeated.
+   */
+  minBodyRate?: number
   signal?: AbortSignal
 }
 
@@ -76,15 +81,21 @@
   return single
 }
 
+/** Interval at which the rate of a body is checked, in ms. */
+const rateIntervalMs = 1000
+
 /**
  * Reads a complete body.
+ *
+ * @param received - called with the size of each chunk
  * @returns undefined if it exceeds `maxBytes`; the connection is then closed
  */
-export async function readBody (body: Readable, maxBytes: number): Promise<Buffer | undefined> {
+export async function readBody (body: Readable, maxBytes: number, received: (bytes: number) => void = () => {}): Promise<Buffer | undefined> {
   const chunks: Buffer[] = []
   let bytes = 0
   for await (const chunk of body as AsyncIterable<Buffer>) {
     bytes += chunk.length
+    received(chunk.length)
     // Leaving the loop destroys the body and with it the connection.
     if (bytes > maxBytes) return undefined
     chunks.push(chunk)
@@ -114,12 +125,22 @@
       if (req.signal?.aborted === true) return { type: 'not-sent', reason: 'cancelled before it was sent' }
       const abort = new AbortController()
       const limit = req.timeoutMs ?? timeoutMs
-      const timer = setTimeout(() => abort.abort(new Error(`no response within ${limit} ms`)), limit)
+      let timer = setTimeout(() => abort.abort(new Error(`no response within ${limit} ms`)), limit)
+      let intervalBytes = 0
+      const requireRate = (minRate: number): void => {
+        clearTimeout(timer)
+        timer = setTimeout(() => {
+          if (intervalBytes < minRate * rateIntervalMs / 1000) return abort.abort(new Error(`the body arrives at less than ${minRate} bytes/s`))
+          intervalBytes = 0
+          requireRate(minRate)
+        }, rateIntervalMs)
+      }
       const cancel = (): void => abort.abort(new Error('cancelled'))
       req.signal?.addEventListener('abort', cancel, { once: true })
       try {
         const { statusCode, headers, body } = await send(req, abort.signal, limit)
-        const bytes = await readBody(body, maxBytes)
+        if (req.minBodyRate !== undefined) requireRate(req.minBodyRate)
+        const bytes = await readBody(body, maxBytes, count => { intervalBytes += count })
         if (bytes === undefined) return { type: 'unknown', reason: `response exceeds ${maxBytes} bytes` }
         return { type: 'ok', response: { status: statusCode, headers: singleHeaders(headers), body: bytes } }
       } catch (err) {
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -6,6 +6,7 @@
 import type { GatewayMetrics } from './gateway-metrics'
 import type { EngineControl, FleetLog } from './platform-interface'
 import type { GrantMessage } from './grant-client'
+import { createLogProbeSchedule } from './log-probe'
 
 export type EngineOwnerOptions = {
   name: string
@@ -26,8 +27,8 @@
   members (): FleetMember[]
   /** Number of nodes, this one included. */
   fleetSize (): number
-  /** Asks all nodes, this one included, whether they can read the fleet log. */
-  probeLog (): void
+  /** Asks nodes whether they can read the fleet log: a few random ones, or all nodes, this one included. */
+  probeLog (nodes: 'some' | 'all'): void
   /** Sends a reply to the node that received the request. @returns whether it was delivered */
   send (node: string, message: GrantMessage): Promise<boolean>
   /** Called after records were appended, so that the log is read at once. */
@@ -59,9 +60,6 @@
 /** The same delay if another node's append came first, in ms: the log is read within a few ms. */
 const claimConflictRetryMs = 80
 
-/** Age of the last read of the log from which the nodes are asked about it, in ms: an owner's reads end every 800 ms. */
-const logProbeAgeMs = 1000
-const logProbeIntervalMs = 350
 /** Number of attempts for a command without a response. All state the same expected count, so the engine accepts at most one. */
 const maxCommandAttempts = 3
 
@@ -80,7 +78,7 @@
   let claimsStopped = false
   let commandsStopped = false
   let nextClaimAt = 0
-  let nextProbeAt = 0
+  const probeSchedule = createLogProbeSchedule()
   let nextTimer: NodeJS.Timeout | undefined
 
   function mayCommand (engine: string, at: number): boolean {
@@ -201,9 +199,9 @@
 
   /** If this node cannot read the log, asks whether other nodes can. */
   function probe (): void {
-    if (now() < nextProbeAt || ownership.owned().length === 0 || freshness.ageMs(now()) < logProbeAgeMs) return
-    nextProbeAt = now() + logProbeIntervalMs
-    options.probeLog()
+    if (ownership.owned().length === 0) return
+    const nodes = probeSchedule.nodesToAsk(freshness.ageMs(now()), now())
+    if (nodes !== 'none') options.probeLog(nodes)
   }
 
   function dropOldReplies (): void {
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -1,5 +1,4 @@
 /** Follows a feed: reads the newest records first, then each change; starts over if the store has dropped the changes in between. */
-import { fullJitterDelayMs } from '@yuccawharf/coordination'
 import type { Feed, FeedRecord } from './platform-interface'
 
 export type FollowerEvents<Value> = {
@@ -17,16 +16,18 @@
 
 export type FollowerOptions = {
   now (): number
-  random (): number
   /** How long the store may delay a read until a record arrives, in ms. */
   waitMs (): number
   /** Pause after a read, or after an update from a peer in place of a read, in ms. */
   pauseMs (): number
+  /**
+   * Pause after a failed call, in ms.
+   *
+   * @param failures - consecutive failures, from 1
+   */
+  retryPauseMs (failures: number): number
 }
 
-/** Bounds of the pause after a failed call, in ms: after an outage of seconds the store is reached again within half a second. */
-const retryBaseMs = 100
-const retryMaxMs = 500
 /** Time for the current read to catch up with a peer before it is aborted, in ms. */
 const behindGraceMs = 250
 /** Consecutive failed calls after which the feed counts as lost. */
@@ -95,7 +96,7 @@
       lostAt = options.now()
       events.lost(reason)
     }
-    await pause(retryBaseMs + fullJitterDelayMs(failures, retryBaseMs, retryMaxMs, options.random()))
+    await pause(options.retryPauseMs(failures))
   }
 
   async function readNewest (): Promise<void> {
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -1,10 +1,11 @@
 /** Follows the store's feeds for one node: the operator's records, the servers' entries and the fleet log. */
 import type { DecisionLog } from './decision-log'
 import type { FleetMember } from './engine-ownership'
-import { followFeed, type Follower, type FollowerEvents } from './feed-follower'
+import { followFeed, type Follower, type FollowerEvents, type FollowerOptions } from './feed-follower'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { FeedCache } from './peer-state'
 import type { FeedRecord, FleetRecord, OperatorRecord, Platform, ServerRecord, UnreadableRecord } from './platform-interface'
+import { createStoreOutage } from './store-outage'
 import { createServerRelay, isServerUpdate, isZoneReader, type ServerUpdate } from './server-relay'
 
 export type FeedsOptions = {
@@ -70,13 +71,14 @@
   const { platform, log, cache, now } = options
   const { settings } = platform
   const relay = createServerRelay()
+  const outage = createStoreOutage()
   let operator: Follower | undefined
   let servers: Follower | undefined
   let fleet: Follower | undefined
   let operatorReachable = false
   let recoveredAt = -Infinity
 
-  /** The feeds share one store, but a long poll detects its loss or recovery only when its wait ends. */
+  /** A long poll whose connection stalled in the outage would not end before its wait does. */
   function restartOthers (feed: string): void {
     for (const [name, follower] of [['operator', operator], ['servers', servers], ['fleet', fleet]] as const) {
       if (name !== feed) follower?.restart()
@@ -87,10 +89,11 @@
     return {
       lost (reason) {
         log.warn('dependency-lost', { dependency: feed, reason })
-        restartOthers(feed)
+        outage.lost(feed)
       },
       regained (lostForMs) {
         log.info('dependency-regained', { dependency: feed, lostForMs: Math.round(lostForMs) })
+        outage.succeeded(feed)
         restartOthers(feed)
         regained()
       },
@@ -115,7 +118,7 @@
 
   return {
     start () {
-      const base = { now, random: options.random }
+      const base = (feed: string): Pick<FollowerOptions, 'now' | 'retryPauseMs'> => ({ now, retryPauseMs: failures => outage.failed(feed, failures, options.random()) })
       operator = followFeed(platform.operator, {
         ...outageEvents('operator', () => {}),
         replaced (records, next) {
@@ -130,9 +133,9 @@
         lost (reason) {
           operatorReachable = false
           log.warn('dependency-lost', { dependency: 'operator', reason })
-          restartOthers('operator')
+          outage.lost('operator')
         }
-      }, { ...base, waitMs: () => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs, pauseMs: () => 0 })
+      }, { ...base('operator'), waitMs: () => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs, pauseMs: () => 0 })
       servers = followFeed(platform.servers, {
         ...outageEvents('servers', () => {
           recoveredAt = now()
@@ -149,7 +152,7 @@
           options.servers(records)
         },
         succeeded: options.serversLoaded
-      }, { ...base, waitMs: () => 0, pauseMs: serverPauseMs })
+      }, { ...base('servers'), waitMs: () => 0, pauseMs: serverPauseMs })
       fleet = followFeed(platform.fleet, {
         ...outageEvents('fleet', () => {}),
         replaced (records, next) {
@@ -162,7 +165,7 @@
         },
         succeeded: options.fleetRead
       }, {
-        ...base,
+        ...base('fleet'),
         waitMs: () => options.ownsEngines() ? ownerWaitMs : longWaitMs,
         pauseMs: () => options.ownsEngines() ? 0 : Math.min(fleetPauseMaxMs, fleetPausePerNodeMs * options.members().length)
       })
@@ -172,7 +175,7 @@
     },
     operatorNext: () => operator?.position(),
     fleetNext: () => fleet?.position(),
-    operatorReachable: () => operatorReachable,
+    operatorReachable: () => operatorReachable && !outage.active(),
     appended: () => fleet?.wake(),
     behind (fleetNext, operatorNext) {
       fleet?.behind(fleetNext)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
 import type { DecisionLog } from './decision-log'
-import { chooseAddresses } from './directory'
+import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
@@ -70,6 +70,8 @@
 const leavingAcceptMs = 2500
 /** A leaving node ends the remaining requests this long before the platform ends the process, in ms. */
 const stopMarginMs = 700
+/** Number of peers that an owner asks first whether they can read the log. */
+const logProbeSample = 4
 /** Share of the configured retry budget that all nodes together may use. */
 const retryBudgetShare = 0.8
 /** Share of a server's connection limit that all nodes together may use. */
@@ -158,9 +160,10 @@
     listEngines,
     members: () => fleet.members(),
     fleetSize: () => fleet.size(),
-    probeLog () {
-      for (const { address } of fleet.peers()) link.notify(address, { kind: 'log-probe', payload: null })
-      replyToProbe(self.name)
+    probeLog (nodes) {
+      const peers = fleet.peers()
+      for (const { address } of nodes === 'all' ? peers : drawSample(peers, logProbeSample, options.random)) link.notify(address, { kind: 'log-probe', payload: null })
+      if (nodes === 'all') replyToProbe(self.name)
     },
     send: sendToNode,
     appended: () => feeds.appended()
@@ -260,7 +263,7 @@
   function receiveLogState (from: string, payload: unknown): void {
     const state = payload as Partial<LogState> | null
     if (state?.type === 'read' && Number.isSafeInteger(state.next)) owner.freshness.peerRead(state.next!, Number(state.ageMs ?? 0), now())
-    else if (state?.type === 'unreachable') owner.freshness.unreachable(from, now())
+    else if (state?.type === 'unreachable') owner.freshness.unreachable(from, now() - Math.max(0, Number(state.ageMs) || 0))
   }
 
   function sendStatus (): void {
@@ -398,7 +401,7 @@
   const readyServer = createReadyServer(platform.ingress, isReady)
   const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log)
   const directoryServer = createDirectoryServer(platform.ingress, ({ zone }) => ({
-    addresses: chooseAddresses(fleet.directory(isReady()), zone),
+    addresses: chooseAddresses(fleet.directory(isReady()), zone, options.random),
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
   }))
   const snapshotServer = createSnapshotServer(feedCache)
--- a/packages/gateway/src/log-probe.ts
+++ b/packages/gateway/src/log-probe.ts
@@ -4,7 +4,8 @@
 export type LogState =
   /** The log was read up to `next`, `ageMs` ago. */
   | { type: 'read', next: number, ageMs: number }
-  | { type: 'unreachable' }
+  /** A read failed `ageMs` ago. */
+  | { type: 'unreachable', ageMs: number }
 
 export type LogProbe = { read (): Promise<LogState> }
 
@@ -12,6 +13,8 @@
 const readTimeoutMs = 400
 /** Time for which a result is reused, in ms. */
 const resultTtlMs = 250
+/** Time from the start of a failed read for which its result is reused, in ms: shorter than the interval at which an owner asks all nodes. */
+const failureTtlMs = 400
 
 export function createLogProbe ({ now, feed, position }: { now (): number, feed: Feed<unknown>, position (): number | undefined }): LogProbe {
   let current: Promise<{ at: number, next?: number }> | undefined
@@ -24,11 +27,50 @@
     return result.ok ? { at, next: result.val.next } : { at }
   }
 
+  function startProbe (): Promise<{ at: number, next?: number }> {
+    const startedAt = now()
+    let ttlMs = failureTtlMs
+    return probe().then(result => {
+      ttlMs = result.next === undefined ? failureTtlMs - (now() - startedAt) : resultTtlMs
+      return result
+    }).finally(() => { setTimeout(() => { current = undefined }, Math.max(0, ttlMs)) })
+  }
+
   return {
     async read () {
-      current ??= probe().finally(() => { setTimeout(() => { current = undefined }, resultTtlMs) })
+      current ??= startProbe()
       const { at, next } = await current
-      return next === undefined ? { type: 'unreachable' } : { type: 'read', next, ageMs: Math.round(now() - at) }
+      const ageMs = Math.round(now() - at)
+      return next === undefined ? { type: 'unreachable', ageMs } : { type: 'read', next, ageMs }
+    }
+  }
+}
+
+/** Age of an owner's last read of the log from which it asks a few nodes, in ms: an owner's reads end every 800 ms. */
+const askSomeAgeMs = 900
+/** Age from which it asks all nodes, in ms. Only an outage for most nodes needs all; otherwise one of a few usually reads the log. */
+const askAllAgeMs = 1050
+const askSomeIntervalMs = 350
+/** Interval between questions to all nodes, in ms: each of them calls the store, and a failed read counts for 1000 ms. */
+const askAllIntervalMs = 500
+
+export type LogProbeSchedule = {
+  /** @param ageMs - age of the last read of the log that this owner knows of */
+  nodesToAsk (ageMs: number, now: number): 'none' | 'some' | 'all'
+}
+
+export function createLogProbeSchedule (): LogProbeSchedule {
+  let nextSomeAt = -Infinity
+  let nextAllAt = -Infinity
+  return {
+    nodesToAsk (ageMs, now) {
+      if (ageMs >= askAllAgeMs && now >= nextAllAt) {
+        nextAllAt = now + askAllIntervalMs
+        return 'all'
+      }
+      if (ageMs < askSomeAgeMs || ageMs >= askAllAgeMs || now < nextSomeAt) return 'none'
+      nextSomeAt = now + askSomeIntervalMs
+      return 'some'
     }
   }
 }
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -21,8 +21,10 @@
 }
 
 const statePath = '/state'
-/** Timeout of a fetch in ms; a reachable peer responds within a few ms. */
+/** Time limit for the start of a response, in ms; a reachable peer responds within a few ms. */
 const fetchTimeoutMs = 500
+/** Slowest rate at which a response may arrive, in bytes/s: a tenth of a slow link. */
+const minFetchRate = 100_000
 
 export function createFeedCache (): FeedCache {
   const feeds = new Map<FeedName, { next: number, records: Map<string, FeedRecord<unknown>> }>()
@@ -75,7 +77,7 @@
 export async function fetchPeerSnapshot (address: string): Promise<PeerSnapshot | undefined> {
   const client = createHttpClient({ baseUrl: `http://${address}`, timeoutMs: fetchTimeoutMs })
   try {
-    const result = await client.exchange({ method: 'GET', path: statePath })
+    const result = await client.exchange({ method: 'GET', path: statePath, minBodyRate: minFetchRate })
     if (result.type !== 'ok' || result.response.status !== 200) return undefined
     const value = parseJson(result.response.body)
     return isSnapshot(value) ? value : undefined
--- a/packages/gateway/src/route-table.test.ts
+++ b/packages/gateway/src/route-table.test.ts
@@ -42,10 +42,10 @@
 
 test('clients get the ready nodes of their zone, or those of all zones if their zone has fewer than two', () => {
   const nodes = [node('a1', 'a'), node('a2', 'a'), node('b1', 'b'), node('b2', 'b', false)]
-  assert.equal(chooseAddresses(nodes, 'a'), ['a1', 'a2'])
-  assert.equal(chooseAddresses(nodes, 'b'), ['a1', 'a2', 'b1'])
-  assert.equal(chooseAddresses(nodes, undefined), ['a1', 'a2', 'b1'])
-  assert.equal(chooseAddresses([node('a1', 'a', false)], 'a'), [])
+  assert.equal(chooseAddresses(nodes, 'a', () => 0), ['a1', 'a2'])
+  assert.equal(chooseAddresses(nodes, 'b', () => 0), ['a1', 'a2', 'b1'])
+  assert.equal(chooseAddresses(nodes, undefined, () => 0), ['a1', 'a2', 'b1'])
+  assert.equal(chooseAddresses([node('a1', 'a', false)], 'a', () => 0), [])
 })
 
 test.run()
