Close connections that send bytes without end, and never refuse inside a response

Cause, shown by tests on real sockets that failed first: - Interim responses without end, a status line without end and an event of a stream without end were read until the client's deadline; 64 connections with such an event took more than 192 MiB. - Bytes that are no request, on a connection whose response was in progress, got a 400 in the middle of that response or in its place.

Change: a connection to a server is closed after 64 KiB that lead to no response head and no part of a body, and a stream after an event of 256 KiB; the attempt counts as failed, so the request may have run. Front servers close a connection without a word while a response is due on it, and state 408 as not run.

Heads, header lines, bodies, chunks and trailers without end held before as well.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -44,6 +44,9 @@
   resume (): void
 }
 
+/** Largest event of a stream, in bytes. An event without end would otherwise fill the memory of the node. */
+const maxEventBytes = 256 * 1024
+
 const retryLaterStatuses = new Set([408, 421, 429, 503])
 
 export function startAttempt (options: AttemptOptions): Attempt {
@@ -92,6 +95,10 @@
       bytes += chunk.length
       if (streaming) {
         const completeEvents = splitter.push(chunk)
+        if (splitter.restBytes() > maxEventBytes) {
+          call.abort('event is too large')
+          return fail('event is too large')
+        }
         if (completeEvents === undefined) return
         eventsSent = true
         if (!stream!.events(completeEvents, splitter.lastId())) call.pause()
--- /dev/null
+++ b/packages/gateway/src/front-server.test.ts
@@ -0,0 +1,93 @@
+/** Tests the front server on real sockets with clients that misbehave. */
+import { once } from 'node:events'
+import { connect, type AddressInfo, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { ClientExchange } from './client-exchange'
+import type { DecisionLog } from './decision-log'
+import { createFrontServer, type FrontServer } from './front-server'
+import { createRouteTable } from './route-table'
+import { testConfig } from './testing'
+import { testCodec } from './testing/test-codec'
+
+const test = suite('front server')
+
+const log = { info () {}, warn () {}, error () {} } as unknown as DecisionLog
+let front: FrontServer
+let exchanges: ClientExchange[]
+let socket: Socket
+let received: string
+let closed: boolean
+
+const requestText = (id: string, headers = ''): string => `GET /draft/1 HTTP/1.1\r\nhost: a.example\r\nx-id: ${id}\r\n${headers}\r\n`
+
+test.before.each(async () => {
+  exchanges = []
+  received = ''
+  closed = false
+  const table = createRouteTable({ ...testConfig, limits: { ...testConfig.limits, headerTimeoutMs: 100 } })
+  front = createFrontServer({
+    now: () => performance.now(),
+    codec: testCodec,
+    log,
+    routes: () => table,
+    closing: () => false,
+    closed: () => false,
+    forward: async exchange => { exchanges.push(exchange) },
+    ended () {}
+  })
+  front.configure()
+  await new Promise<void>(resolve => front.server.listen(0, '127.0.0.1', resolve))
+  socket = connect((front.server.address() as AddressInfo).port, '127.0.0.1')
+  socket.on('data', chunk => { received += chunk.toString('latin1') })
+  socket.on('error', () => {})
+  socket.on('close', () => { closed = true })
+})
+test.after.each(() => {
+  socket.destroy()
+  front.server.closeAllConnections()
+  front.server.close()
+})
+
+// Guards against a refusal inside the response to an earlier request: its client would take it for a part of the body.
+test('bytes that are no request after a request in progress close the connection without further bytes', async () => {
+  socket.write(requestText('r1'))
+  await sleep(50)
+  exchanges[0]!.head(200, ['x-id', 'r1', 'content-length', '100'])
+  exchanges[0]!.write(Buffer.from('part'))
+  await sleep(50)
+  socket.write('\x00\x01 no request\r\n\r\n')
+  await sleep(100)
+  assert.is(received.split('HTTP/1.1').length - 1, 1, received)
+  assert.ok(received.endsWith('part'))
+  assert.ok(closed)
+})
+
+// Guards against a refusal in place of the response to an earlier request, which may still run.
+test('bytes that are no request before the response to a request in progress get no refusal', async () => {
+  socket.write(requestText('r1'))
+  await sleep(50)
+  socket.write('\x00\x01 no request\r\n\r\n')
+  await sleep(100)
+  assert.is(received, '')
+  assert.ok(closed)
+})
+
+test('bytes that are no request on an idle connection are refused as invalid', async () => {
+  socket.write('\x00\x01 no request\r\n\r\n')
+  await sleep(100)
+  assert.match(received, /^HTTP\/1\.1 400 /)
+  assert.match(received, /"outcome":"invalid"/)
+  assert.ok(closed)
+})
+
+// Guards against a node under load that reads a request late and states that the client was at fault.
+test('a request whose head arrives too slowly is refused as not run', async () => {
+  socket.write('GET /draft/1 HTTP/1.1\r\nhost: a.ex')
+  await Promise.race([once(socket, 'data'), sleep(6000)])
+  assert.match(received, /^HTTP\/1\.1 408 /)
+  assert.match(received, /"outcome":"not-run"/)
+})
+
+test.run()
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -1,7 +1,8 @@
 /** HTTP server for clients: enforces limits, reads the body, finds the route and creates the exchange. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { createClientExchange, refusalBody, sendRefusal, type ClientExchange } from './client-exchange'
+import { trackResponses } from '@yuccawharf/clients'
+import { createClientExchange, refusalBody, sendRefusal, type ClientExchange, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
 import type { HeaderCodec } from './platform-interface'
 import { chooseTarget, type RouteTable } from './route-table'
@@ -62,14 +63,17 @@
   })
 }
 
+const unreadableStatuses: Record<string, RefusalStatus> = {
+  HPE_HEADER_OVERFLOW: { status: 431, outcome: 'invalid' },
+  // The request was not read, and the node may be too busy to read it.
+  ERR_HTTP_REQUEST_TIMEOUT: { status: 408, outcome: 'not-run' }
+}
+
 /** Rejects input that is not HTTP, too slow or too large, and closes the connection. */
 function refuseConnection (err: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy()
-    return
-  }
-  const status = err.code === 'HPE_HEADER_OVERFLOW' ? 431 : err.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400
-  const body = refusalBody({ status, outcome: 'invalid' }, `the request could not be read: ${err.code ?? err.message}`)
+  const refusal = unreadableStatuses[err.code ?? ''] ?? { status: 400, outcome: 'invalid' }
+  const { status } = refusal
+  const body = refusalBody(refusal, `the request could not be read: ${err.code ?? err.message}`)
   socket.end(`HTTP/1.1 ${status} Refused\r\ncontent-type: application/problem+json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
 }
 
@@ -127,7 +131,12 @@
       if (!res.writableEnded) res.destroy()
     }).finally(() => { running -= 1 })
   })
-  server.on('clientError', refuseConnection)
+  const responses = trackResponses(server)
+  server.on('clientError', (err, socket) => {
+    // A refusal would be read as part of the response in progress, or in place of it.
+    if (!socket.writable || responses.isResponding(socket)) socket.destroy()
+    else refuseConnection(err, socket as Socket)
+  })
 
   return {
     server,
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,4 +1,5 @@
 /** Requests to backend servers over HTTP/1.1 without pipelining; response data is forwarded as it arrives. */
+import type { Socket } from 'node:net'
 import { buildConnector, Pool, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { RawHeaders } from './platform-interface'
@@ -50,24 +51,54 @@
 /** Time without connection reuse after a rejected response, such as one that belongs to another request, in ms. */
 const noReuseMs = 10_000
 
-type Entry = { pool: Pool, noReuseUntil: number, watch: ResetWatch }
+type Entry = { pool: Pool, noReuseUntil: number, watch: ConnectionWatch }
 
 function keyOf (server: BackendServer): string {
   return `${server.id}@${server.address}#${server.bornAt}`
 }
 
-/** `resetting`: a connection is being reset within the current event. */
-type ResetWatch = { resetting: boolean }
+/** Bytes that a server may send without completing a response head or sending a part of a body. */
+const maxBytesWithoutProgress = 64 * 1024
+
+/** State of the connections of one pool within the current event. */
+type ConnectionWatch = {
+  /** A connection is being reset. */
+  resetting: boolean
+  /** Count of the connection whose bytes are being parsed. */
+  reading?: { bytesWithoutProgress: number }
+}
+
+/**
+ * Closes a connection on which bytes arrive that lead to no response. undici limits the size of header
+ * fields, but neither of a status line nor of the number of interim responses.
+ */
+function limitUselessBytes (socket: Socket, watch: ConnectionWatch): void {
+  const count = { bytesWithoutProgress: 0 }
+  const read = socket.read.bind(socket)
+  // undici parses what this returns within the same event, so the callbacks of a response know their connection.
+  socket.read = size => {
+    const chunk = read(size) as Buffer | null
+    if (chunk === null) return chunk
+    watch.reading = count
+    count.bytesWithoutProgress += chunk.length
+    if (count.bytesWithoutProgress - chunk.length > maxBytesWithoutProgress) {
+      socket.destroy(new Error(`${count.bytesWithoutProgress} bytes without a response`))
+      return null
+    }
+    return chunk
+  }
+}
 
 /**
  * Creates a connector that detects resets before undici does. When a connection is reset, undici
  * reports a response without a length as complete, although only a regular close completes it.
  */
-function createWatchedConnector (watch: ResetWatch): buildConnector.connector {
+function createWatchedConnector (watch: ConnectionWatch): buildConnector.connector {
   const connect = buildConnector({ timeout: connectTimeoutMs })
   return (options, callback) => {
     connect(options, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
+      limitUselessBytes(socket, watch)
       const markReset = (): void => {
         watch.resetting = true
         // undici reports the end of the response within the same event.
@@ -102,7 +133,7 @@
     const key = keyOf(server)
     const existing = entries.get(key)
     if (existing !== undefined) return existing
-    const watch = { resetting: false }
+    const watch: ConnectionWatch = { resetting: false }
     const pool = new Pool(`http://${server.address}`, {
       connections: options.connections(server.service),
       pipelining: 1,
@@ -129,6 +160,7 @@
       let controller: Dispatcher.DispatchController | undefined
       let ended = false
       const state: { aborted?: string } = {}
+      const progressed = (): void => { if (entry.watch.reading !== undefined) entry.watch.reading.bytesWithoutProgress = 0 }
 
       entry.pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body, reset: entry.noReuseUntil > options.now() }, {
         onRequestStart (started) {
@@ -137,12 +169,16 @@
         },
         onResponseStart (started, status, parsed) {
           // Ignores interim (1xx) responses.
-          if (!ended && status >= 200) handler.headers(status, rawHeaders(started, parsed))
+          if (status < 200) return
+          progressed()
+          if (!ended) handler.headers(status, rawHeaders(started, parsed))
         },
         onResponseData (_started, chunk) {
+          progressed()
           if (!ended) handler.data(chunk)
         },
         onResponseEnd () {
+          progressed()
           if (ended) return
           ended = true
           if (entry.watch.resetting) handler.failed({ sent: true, reason: 'reset within a response without a length' })
--- a/packages/node/src/http-router.ts
+++ b/packages/node/src/http-router.ts
@@ -1,6 +1,7 @@
 /** HTTP server of a node: routing, limits on header size and receive times, and isolation of failing requests. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { trackResponses } from '@yuccawharf/clients'
 import { createProblem, sendProblem } from './problem'
 
 export type RouteContext = {
@@ -87,13 +88,9 @@
 
 /** Sends a problem for input that isn't HTTP, or is too slow or too large, and closes the connection. */
 function refuseConnection (err: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy()
-    return
-  }
   const status = clientErrors[err.code ?? ''] ?? '400 Bad Request'
   const [code = '400', ...title] = status.split(' ')
-  const body = JSON.stringify(createProblem(Number(code), 'invalid', title.join(' '), `the request could not be read: ${err.code ?? err.message}`))
+  const body = JSON.stringify(createProblem(Number(code), code === '408' ? 'not-run' : 'invalid', title.join(' '), `the request could not be read: ${err.code ?? err.message}`))
   socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/problem+json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
 }
 
@@ -108,6 +105,11 @@
     connectionsCheckingInterval: 1000,
     noDelay: true
   }, handler)
-  server.on('clientError', refuseConnection)
+  const responses = trackResponses(server)
+  server.on('clientError', (err, socket) => {
+    // A refusal would be read as part of the response in progress, or in place of it.
+    if (!socket.writable || responses.isResponding(socket)) socket.destroy()
+    else refuseConnection(err, socket as Socket)
+  })
   return server
 }
