Make a break for long prompts, and spend less on large fleets

Changes: - The engine that would be best but for the lack of a break takes no later prompts while such a request waits (engine-scheduler). - Scopes in a status are grouped by model: the status of 12 engines with 10 adapters each takes 2 datagrams instead of 3. - The lists of members and peers and the choice of the zone's reader are computed once per change.

--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -93,13 +93,12 @@
     terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token: offset, commandsFrom, ...after })
   }
 
-  function claimReason (term: TermState | undefined, members: readonly FleetMember[]): Claim['reason'] | undefined {
+  function claimReason (term: TermState | undefined, states: ReadonlyMap<string, FleetMember['state']>): Claim['reason'] | undefined {
     if (term === undefined) return 'unowned'
     // An earlier process of this node owned the engine.
     if (term.node === cfg.name) return term.incarnation === cfg.incarnation ? undefined : 'restarted'
     // An owner that is leaving keeps its engines: its next process can continue at once, another node only after a lease.
-    const owner = members.find(({ name }) => name === term.node)
-    return owner === undefined || owner.state === 'dead' ? 'owner-dead' : undefined
+    return (states.get(term.node) ?? 'dead') === 'dead' ? 'owner-dead' : undefined
   }
 
   return {
@@ -111,8 +110,9 @@
     },
     claims (engines, members, now) {
       const reasons = new Map<string, Claim['reason']>()
+      const states = new Map(members.map(({ name, state }) => [name, state]))
       for (const { id } of engines) {
-        const reason = claimReason(terms.get(id), members)
+        const reason = claimReason(terms.get(id), states)
         if (reason !== undefined) reasons.set(id, reason)
       }
       if (reasons.size === 0) return []
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -62,11 +62,21 @@
     return candidates.filter(engine => isEligible(engine, req, now) && isUsable(engine.replicas.get(req.scope)!, req.scope, now))
   }
 
-  function bestEngine (req: WaitingRequest, view: EnginesView, now: number): EngineState | undefined {
+  /**
+   * @param reserved - engines that take no further prompts until they have had a break. The engine that
+   * would be best but for the lack of a break is added for a request that no engine can take: otherwise
+   * short prompts fill each gap, and a long one waits until it is late.
+   */
+  function bestEngine (req: WaitingRequest, view: EnginesView, reserved: Set<EngineState>, now: number): EngineState | undefined {
     let best: EngineState | undefined
     let bestCost = Infinity
+    let needsBreak: EngineState | undefined
     for (const engine of enginesWithAdapter(req, view, now)) {
-      if (backlogMs(engine, now) > maxBacklogMs || !hasCapacity(engine, req.demand) || !fitsPauseLimits(engine, req.demand, now)) continue
+      if (reserved.has(engine) || !hasCapacity(engine, req.demand)) continue
+      if (backlogMs(engine, now) > maxBacklogMs || !fitsPauseLimits(engine, req.demand, now)) {
+        if (needsBreak === undefined || backlogMs(engine, now) < backlogMs(needsBreak, now)) needsBreak = engine
+        continue
+      }
       const replica = engine.replicas.get(req.scope)
       // A replica of an older version is avoided while a current one exists.
       const outdatedMs = replica !== undefined && !isCurrent(replica, req.scope) ? outdatedCostMs : 0
@@ -76,6 +86,7 @@
         bestCost = cost
       }
     }
+    if (best === undefined && needsBreak !== undefined) reserved.add(needsBreak)
     return best
   }
 
@@ -194,8 +205,9 @@
     const loadScopes = new Set<string>()
     const view = planner.view(now)
     const rate = meanPrefillTokensPerMs()
+    const reserved = new Set<EngineState>()
     for (const req of inServiceOrder(view, now)) {
-      const engine = bestEngine(req, view, now)
+      const engine = bestEngine(req, view, reserved, now)
       if (engine !== undefined) {
         actions.push(grant(req, engine, now))
         continue
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -16,7 +16,7 @@
   now (): number
   random (): number
   ownsEngines (): boolean
-  /** The other nodes. */
+  /** The other nodes; the same array until they change. */
   members (): FleetMember[]
   /** Sends what was read of the servers' entries to the other nodes of the zone. */
   sendToZone (update: ServerUpdate): void
@@ -101,8 +101,16 @@
     }
   }
 
+  let rankedMembers: FleetMember[] | undefined
+  let isReader = false
+
   function isServerReader (): boolean {
-    return isZoneReader(settings, options.members())
+    const members = options.members()
+    if (members !== rankedMembers) {
+      rankedMembers = members
+      isReader = isZoneReader(settings, members)
+    }
+    return isReader
   }
 
   function serverPauseMs (): number {
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -56,7 +56,17 @@
     }
   }
 
+  /** Results of `members` and `peers` until a record or the state of a member changes; both are used several times a second. */
+  let cachedMembers: FleetMember[] | undefined
+  let cachedPeers: NodeRecord[] | undefined
+
+  function clearCaches (): void {
+    cachedMembers = undefined
+    cachedPeers = undefined
+  }
+
   function memberChanged ({ id, state, leaving, incarnation }: { id: string, state: string, leaving: boolean, incarnation: number }): void {
+    clearCaches()
     options.log.info('member-changed', { member: id, state, leaving, incarnation })
     if (state === 'dead') options.nodeLost(id)
   }
@@ -79,7 +89,9 @@
         nodes.set(value.name, value)
         updated = true
       }
-      if (updated) updateMembership()
+      if (!updated) return
+      clearCaches()
+      updateMembership()
     },
     receive (payload) {
       const message = unpackMembership(payload)
@@ -87,11 +99,14 @@
     },
     tick: () => perform(membership.step({ type: 'tick' }, now())),
     leave: () => perform(membership.step({ type: 'leave' }, now())),
-    members: () => [...nodes.values()].map(({ name, zone, incarnation, capacity }): FleetMember => {
-      const member = membership.member(name)
-      const state = !isMemberAlive(name) ? 'dead' : member?.leaving === true ? 'leaving' : 'alive'
-      return { name, zone, incarnation: member?.incarnation ?? incarnation, capacity, state }
-    }),
+    members: () => {
+      cachedMembers ??= [...nodes.values()].map(({ name, zone, incarnation, capacity }): FleetMember => {
+        const member = membership.member(name)
+        const state = !isMemberAlive(name) ? 'dead' : member?.leaving === true ? 'leaving' : 'alive'
+        return { name, zone, incarnation: member?.incarnation ?? incarnation, capacity, state }
+      })
+      return cachedMembers
+    },
     directory (selfReady) {
       const others = [...nodes.values()].map(node => {
         const member = membership.member(node.name)
@@ -99,7 +114,10 @@
       })
       return [{ name: self.name, front: self.front, zone: self.zone, capacity: self.capacity, ready: selfReady }, ...others]
     },
-    peers: () => [...nodes.values()].filter(({ name }) => isMemberAlive(name)),
+    peers: () => {
+      cachedPeers ??= [...nodes.values()].filter(({ name }) => isMemberAlive(name))
+      return cachedPeers
+    },
     address: node => nodes.get(node)?.address,
     control: node => nodes.get(node)?.control,
     isAlive: node => nodes.has(node) && isMemberAlive(node),
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -14,7 +14,8 @@
   operatorNext: number
 }
 
-type PackedEngine = [id: string, scopes: string[], backlogMs: number, running: number, commandable: 0 | 1, loadWaitMs: number]
+/** `scopes` are grouped, because names of models are long and repeat: each group is a model followed by its adapters. */
+type PackedEngine = [id: string, scopes: string[][], backlogMs: number, running: number, commandable: 0 | 1, loadWaitMs: number]
 type PackedStatus = { engines: PackedEngine[], fleetNext: number, fleetAgeMs: number, operatorNext: number }
 
 export type OwnerStatusCache = {
@@ -41,8 +42,27 @@
   return Math.round(ms / backlogStepMs) * backlogStepMs
 }
 
+const scopeSeparator = '/'
+
+/** Scopes without an adapter form a group with an empty model. */
+function packScopes (scopes: readonly string[]): string[][] {
+  const groups = new Map<string, string[]>()
+  for (const scope of scopes) {
+    const end = scope.indexOf(scopeSeparator)
+    const model = scope.slice(0, Math.max(0, end))
+    const group = groups.get(model) ?? [model]
+    groups.set(model, group)
+    group.push(scope.slice(end + 1))
+  }
+  return [...groups.values()]
+}
+
+function unpackScopes (groups: readonly string[][]): string[] {
+  return groups.flatMap(([model, ...names]) => names.map(name => model === '' ? name : `${model}${scopeSeparator}${name}`))
+}
+
 function pack ({ id, scopes, backlogMs, running, commandable, loadWaitMs }: OwnedEngineStatus): PackedEngine {
-  return [id, scopes, roundToStep(backlogMs), running, commandable ? 1 : 0, roundToStep(loadWaitMs)]
+  return [id, packScopes(scopes), roundToStep(backlogMs), running, commandable ? 1 : 0, roundToStep(loadWaitMs)]
 }
 
 function isPacked (value: unknown): value is PackedStatus {
@@ -56,7 +76,7 @@
   let lastSentAt = -Infinity
 
   function store ([id, scopes, backlogMs, running, commandable, loadWaitMs]: PackedEngine, now: number): void {
-    entries.set(id, { scopes: new Set(scopes), backlogMs, running, loadWaitMs, commandable: commandable === 1, at: now })
+    entries.set(id, { scopes: new Set(unpackScopes(scopes)), backlogMs, running, loadWaitMs, commandable: commandable === 1, at: now })
   }
 
   return {
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -13,6 +13,7 @@
   ...bundleOptions,
   entryPoints: [join(root, 'platform/src/main.ts')],
   outfile: join(target, 'yuccawharf.cjs'),
-  minify: true,
-  keepNames: true
+  // Names are kept as written. The option that restores names after minification costs a call for each closure.
+  minifyWhitespace: true,
+  minifySyntax: true
 })
