--- a/packages/gateway/src/late-response.test.ts
+++ b/packages/gateway/src/late-response.test.ts
@@ -37,7 +37,7 @@
   { name: 'after a 204', answer: 'HTTP/1.1 204 No Content\r\nx-id: r1\r\nx-seal: s\r\n\r\n', before: first },
   { name: 'a body after a 304', answer: 'HTTP/1.1 304 Not Modified\r\nx-id: r1\r\nx-seal: s\r\n\r\n', before: `first${first}` },
   { name: 'a body after a HEAD', method: 'HEAD', answer: first, before: first },
-  { name: 'a length that ends in the next response', answer: first, before: `HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\ncontent-length: 40\r\n\r\nfirst` },
+  { name: 'a length that ends in the next response', answer: first, before: 'HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\ncontent-length: 40\r\n\r\nfirst' },
   { name: 'a refusal of the first request', answer: first, before: notRun('r1') },
   { name: 'a refusal without an id', answer: first, before: 'HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n' }
 ]
