--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -15,12 +15,15 @@
   | { type: 'not-run', status: number }
   /** A complete response; a status of 400 or more is an error of the server itself. */
   | { type: 'response', status: number, headers: RawHeaders, body: Buffer }
-  /** All events were forwarded. */
-  | { type: 'streamed' }
+  /** All events were forwarded. `incompleteBytes`: size of what followed the last complete event. */
+  | { type: 'streamed', framing: BodyFraming, incompleteBytes: number }
   /** The request may have run. `eventsSent`: some of its events were forwarded. */
   | { type: 'failed', reason: string, eventsSent: boolean }
   | { type: 'aborted' }
 
+/** What marks the end of a body (RFC 9112, section 6.3). */
+export type BodyFraming = 'length' | 'chunked' | 'connection-close'
+
 export type AttemptOptions = {
   codec: HeaderCodec
   upstream: Upstream
@@ -49,12 +52,19 @@
 
 const retryLaterStatuses = new Set([408, 421, 429, 503])
 
+function framingOf (raw: RawHeaders): BodyFraming {
+  const names = new Set(raw.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()))
+  if (names.has('transfer-encoding')) return 'chunked'
+  return names.has('content-length') ? 'length' : 'connection-close'
+}
+
 export function startAttempt (options: AttemptOptions): Attempt {
   const { codec, server, upstream, stream } = options
   let resolveResult: (result: AttemptResult) => void = () => {}
   const result = new Promise<AttemptResult>(resolve => { resolveResult = resolve })
   let status = 0
   let metadata: ResponseMetadata | undefined
+  let framing: BodyFraming = 'connection-close'
   let streaming = false
   let eventsSent = false
   let bytes = 0
@@ -79,6 +89,7 @@
     headers (code, raw) {
       status = code
       metadata = codec.response(code, raw)
+      framing = framingOf(raw)
       const reason = rejectionReason(metadata)
       if (reason !== undefined) {
         upstream.disableReuse(server, options.now())
@@ -116,7 +127,7 @@
       if (streaming) {
         const rest = splitter.rest()
         if (rest.length > 0) stream!.events(rest, splitter.lastId())
-        return resolveResult({ type: 'streamed' })
+        return resolveResult({ type: 'streamed', framing, incompleteBytes: rest.length })
       }
       // A client reads these statuses as "not run", which the server has not confirmed.
       if (retryLaterStatuses.has(status)) return fail(`status ${status} without proof that the request has not run`)
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -176,6 +176,8 @@
       result: result.type,
       status: 'status' in result ? result.status : undefined,
       reason: 'reason' in result ? result.reason : undefined,
+      framing: 'framing' in result ? result.framing : undefined,
+      incompleteBytes: 'incompleteBytes' in result ? result.incompleteBytes : undefined,
       version: grant.version,
       firstEventAfterMs,
       longestPauseMs: firstEventAfterMs === undefined ? undefined : longestPauseMs,
