Fail a stream that ends inside an event

Cause: a response without a length and chunks ends with its connection. The attempt took a regular close for the end of the body whatever had arrived, sent the incomplete event on and ended the client's response as complete. Change: a stream that ends inside an event has failed, with any framing. It continues at another engine if its route allows that; otherwise the client's connection is closed without the end of the body. Since the ends of events decide now, all three line ends of the format are recognised, a lone line end after the last event counts as none, and a response of another type on a streaming route is passed on whole.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -15,8 +15,8 @@
   | { type: 'not-run', status: number }
   /** A complete response; a status of 400 or more is an error of the server itself. */
   | { type: 'response', status: number, headers: RawHeaders, body: Buffer }
-  /** All events were forwarded. `incompleteBytes`: size of what followed the last complete event. */
-  | { type: 'streamed', framing: BodyFraming, incompleteBytes: number }
+  /** All events were forwarded. */
+  | { type: 'streamed', framing: BodyFraming }
   /** The request may have run. `eventsSent`: some of its events were forwarded. */
   | { type: 'failed', reason: string, eventsSent: boolean }
   | { type: 'aborted' }
@@ -58,6 +58,12 @@
   return names.has('content-length') ? 'length' : 'connection-close'
 }
 
+/** A response without a type counts as one, because the route announces a stream. */
+function isEventStream (raw: RawHeaders): boolean {
+  const index = raw.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === 'content-type')
+  return index < 0 || raw[index + 1]!.trim().toLowerCase().startsWith('text/event-stream')
+}
+
 export function startAttempt (options: AttemptOptions): Attempt {
   const { codec, server, upstream, stream } = options
   let resolveResult: (result: AttemptResult) => void = () => {}
@@ -101,7 +107,7 @@
         resolveResult({ type: 'not-run', status })
         return
       }
-      streaming = stream !== undefined && status < 300
+      streaming = stream !== undefined && status < 300 && isEventStream(raw)
       if (streaming) stream!.head(status, metadata.headers)
     },
     data (chunk) {
@@ -125,9 +131,11 @@
     },
     complete () {
       if (streaming) {
+        // A regular close does not tell a complete body without a length from one that was broken off.
+        if (splitter.insideEvent()) return fail(`the stream ended inside an event, its framing is ${framing}`)
         const rest = splitter.rest()
         if (rest.length > 0) stream!.events(rest, splitter.lastId())
-        return resolveResult({ type: 'streamed', framing, incompleteBytes: rest.length })
+        return resolveResult({ type: 'streamed', framing })
       }
       // A client reads these statuses as "not run", which the server has not confirmed.
       if (retryLaterStatuses.has(status)) return fail(`status ${status} without proof that the request has not run`)
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -177,7 +177,6 @@
       status: 'status' in result ? result.status : undefined,
       reason: 'reason' in result ? result.reason : undefined,
       framing: 'framing' in result ? result.framing : undefined,
-      incompleteBytes: 'incompleteBytes' in result ? result.incompleteBytes : undefined,
       version: grant.version,
       firstEventAfterMs,
       longestPauseMs: firstEventAfterMs === undefined ? undefined : longestPauseMs,
--- a/packages/gateway/src/event-splitter.ts
+++ b/packages/gateway/src/event-splitter.ts
@@ -10,19 +10,28 @@
   rest (): Buffer
   /** Number of these bytes. */
   restBytes (): number
+  /** Whether a part of an event that is not complete has arrived. */
+  insideEvent (): boolean
   /** Last event id of the complete events, if one was set. */
   lastId (): string | undefined
 }
 
-const idLine = /(?:^|\n)id: ?([^\r\n]*)/g
+const idLine = /(?:^|[\r\n])id: ?([^\r\n]*)/g
 
-/** Longest end of an event, which may be split between two chunks: two line ends. */
-const maxEndBytes = 4
+/** Ends of a line followed by an empty line, for each of the line ends that the format allows. */
+const eventEnds = ['\n\n', '\n\r\n', '\r\r']
+/** Longest of `eventEnds`, which may be split between two chunks. */
+const maxEndBytes = 3
 
 function eventsEnd (bytes: Buffer): number {
-  const lfIndex = bytes.lastIndexOf('\n\n')
-  const crlfIndex = bytes.lastIndexOf('\r\n\r\n')
-  return Math.max(lfIndex < 0 ? 0 : lfIndex + 2, crlfIndex < 0 ? 0 : crlfIndex + 4)
+  return Math.max(...eventEnds.map(end => {
+    const index = bytes.lastIndexOf(end)
+    return index < 0 ? 0 : index + end.length
+  }))
+}
+
+function isLineEnd (byte: number): boolean {
+  return byte === 0x0a || byte === 0x0d
 }
 
 export function createEventSplitter (): EventSplitter {
@@ -54,6 +63,7 @@
     },
     rest: () => Buffer.concat(chunks),
     restBytes: () => size,
+    insideEvent: () => chunks.some(chunk => !chunk.every(isLineEnd)),
     lastId: () => id
   }
 }
