--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -33,7 +33,7 @@
   end (chunk?: Buffer): void
   /** Sends a complete response with its length. */
   respond (status: number, headers: RawHeaders, body: Buffer): void
-  /** Destroys the connection, so that an incomplete response cannot look complete. */
+  /** Closes the connection of a response that cannot be completed. */
   abort (): void
   outcome (): string
 }
@@ -59,6 +59,13 @@
   res.end(body)
 }
 
+/** Closes the connection of an incomplete response, so that it does not look complete. */
+export function abortResponse (res: ServerResponse): void {
+  // A client without chunks, such as one of HTTP/1.0, takes a regular close for the end of the body.
+  if (res.headersSent && !res.chunkedEncoding) res.socket?.resetAndDestroy()
+  res.destroy()
+}
+
 export function createClientExchange (ctx: ExchangeContext, options: ExchangeOptions): ClientExchange {
   const { res } = ctx
   let ended = false
@@ -119,7 +126,7 @@
     },
     abort () {
       if (!finish('cut')) return
-      res.destroy()
+      abortResponse(res)
     },
     outcome: () => outcome
   }
--- a/packages/gateway/src/front-server.test.ts
+++ b/packages/gateway/src/front-server.test.ts
@@ -90,4 +90,19 @@
   assert.match(received, /"outcome":"not-run"/)
 })
 
+// Guards against an aborted stream that a client without chunks takes for a complete one.
+test('an aborted response that only its close would end is reset', async () => {
+  const errors: string[] = []
+  socket.on('error', (err: NodeJS.ErrnoException) => errors.push(err.code ?? err.message))
+  socket.write('GET /draft/1 HTTP/1.0\r\nhost: a.example\r\nx-id: r1\r\n\r\n')
+  await sleep(50)
+  exchanges[0]!.head(200, ['x-id', 'r1'])
+  exchanges[0]!.write(Buffer.from('id: 1\ndata: a\n\n'))
+  await sleep(50)
+  exchanges[0]!.abort()
+  await sleep(50)
+  assert.ok(received.endsWith('data: a\n\n'))
+  assert.equal(errors, ['ECONNRESET'])
+})
+
 test.run()
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { trackResponses } from '@yuccawharf/clients'
-import { createClientExchange, refusalBody, sendRefusal, type ClientExchange, type RefusalStatus } from './client-exchange'
+import { abortResponse, createClientExchange, refusalBody, sendRefusal, type ClientExchange, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
 import type { HeaderCodec } from './platform-interface'
 import { chooseTarget, type RouteTable } from './route-table'
@@ -128,7 +128,7 @@
     handle(req, res).catch(err => {
       env.log.error('request-failed', { reason: (err as Error).stack ?? String(err) })
       sendRefusal(res, { status: 500, outcome: 'unknown' }, 'the node could not handle the request')
-      if (!res.writableEnded) res.destroy()
+      if (!res.writableEnded) abortResponse(res)
     }).finally(() => { running -= 1 })
   })
   const responses = trackResponses(server)
