--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -133,6 +133,7 @@
       if (streaming) {
         // A regular close does not tell a complete body without a length from one that was broken off.
         if (splitter.insideEvent()) return fail(`the stream ended inside an event, its framing is ${framing}`)
+        if (!eventsSent && framing === 'connection-close') return fail('the stream ended before its first event')
         const rest = splitter.rest()
         if (rest.length > 0) stream!.events(rest, splitter.lastId())
         return resolveResult({ type: 'streamed', framing })
--- a/packages/gateway/src/broken-stream.test.ts
+++ b/packages/gateway/src/broken-stream.test.ts
@@ -62,6 +62,17 @@
   })
 }
 
+// Guards against a server that ends after the head of its response: the client would get a complete stream of no events.
+test('a stream without a length that ends before its first event is not complete', async () => {
+  const { result } = await stream(socket => { socket.end(head('Connection: close\r\n')) })
+  assert.is(result.type, 'failed')
+})
+
+test('an empty stream with a length is complete', async () => {
+  const { result } = await stream(socket => { socket.end(head('Content-Length: 0\r\n')) })
+  assert.is(result.type, 'streamed')
+})
+
 test('a stream without a length that ends after an event is complete', async () => {
   const { result, forwarded } = await stream(socket => { socket.end(`${head('Connection: close\r\n')}${first}id: 2\r\ndata: b\r\n\r\n`) })
   assert.is(result.type, 'streamed')
