Log the shared prompt parts of requests and lost connections to engines

The record of second1 does not show what the requests on a lost engine had in common: no line names the parts of a prompt, and a failed attempt does not say whether the server broke off. request has sharedParts now, attempt-ended has connectionLost.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -17,8 +17,8 @@
   | { type: 'response', status: number, headers: RawHeaders, body: Buffer }
   /** All events were forwarded. */
   | { type: 'streamed', framing: BodyFraming }
-  /** The request may have run. `eventsSent`: some of its events were forwarded. */
-  | { type: 'failed', reason: string, eventsSent: boolean }
+  /** The request may have run. `eventsSent`: some of its events were forwarded; `connectionLost`: the server broke off. */
+  | { type: 'failed', reason: string, eventsSent: boolean, connectionLost: boolean }
   | { type: 'aborted' }
 
 /** What marks the end of a body (RFC 9112, section 6.3). */
@@ -77,8 +77,8 @@
   const chunks: Buffer[] = []
   const splitter = createEventSplitter()
 
-  function fail (reason: string): void {
-    resolveResult({ type: 'failed', reason, eventsSent })
+  function fail (reason: string, connectionLost = false): void {
+    resolveResult({ type: 'failed', reason, eventsSent, connectionLost })
   }
 
   /** @returns why the response must not be forwarded to the client, or undefined if it may be */
@@ -132,8 +132,8 @@
     complete () {
       if (streaming) {
         // A regular close does not tell a complete body without a length from one that was broken off.
-        if (splitter.insideEvent()) return fail(`the stream ended inside an event, its framing is ${framing}`)
-        if (!eventsSent && framing === 'connection-close') return fail('the stream ended before its first event')
+        if (splitter.insideEvent()) return fail(`the stream ended inside an event, its framing is ${framing}`, framing === 'connection-close')
+        if (!eventsSent && framing === 'connection-close') return fail('the stream ended before its first event', true)
         const rest = splitter.rest()
         if (rest.length > 0) stream!.events(rest, splitter.lastId())
         return resolveResult({ type: 'streamed', framing })
@@ -143,7 +143,7 @@
       resolveResult({ type: 'response', status, headers: metadata?.headers ?? [], body: Buffer.concat(chunks) })
     },
     failed ({ sent, reason }) {
-      if (sent) fail(reason)
+      if (sent) fail(reason, true)
       else resolveResult({ type: 'not-sent', reason })
     }
   })
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -176,6 +176,7 @@
       result: result.type,
       status: 'status' in result ? result.status : undefined,
       reason: 'reason' in result ? result.reason : undefined,
+      connectionLost: 'connectionLost' in result ? result.connectionLost : undefined,
       framing: 'framing' in result ? result.framing : undefined,
       version: grant.version,
       firstEventAfterMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,7 @@
 import { fetchPeerSnapshot, createFeedCache, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import { forwardPlain } from './plain-forwarder'
 import type { FeedRecord, NodeSettings, OperatorRecord, Platform } from './platform-interface'
-import { cacheScope } from './prompt-cache'
+import { cacheScope, sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePool, type ServicePool } from './service-pool'
@@ -77,6 +77,8 @@
 /** Share of a server's connection limit that all nodes together may use. */
 const connectionShare = 0.9
 const minConnections = 4
+/** Number of prompt parts that the log names for a request. */
+const maxLoggedParts = 8
 
 export function createGateway (options: GatewayOptions): Gateway {
   const { platform, log, metrics, now } = options
@@ -301,7 +303,8 @@
   }
 
   async function forward (exchange: ClientExchange): Promise<void> {
-    log.info('request', { id: exchange.metadata.id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: exchange.metadata.demand?.adapter })
+    const { id, demand } = exchange.metadata
+    log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
       return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, budget: budgetOf, firstEvent: metrics.firstEvent })
     }
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -101,7 +101,7 @@
     clearTimeout(slowTimer)
     current = undefined
     pool.ended(server.id, slow ? 'failed' : outcomeOf(result), env.now() - startedAt, env.now())
-    return slow && result.type === 'aborted' ? { type: 'failed', reason: 'slow server', eventsSent: false } : result
+    return slow && result.type === 'aborted' ? { type: 'failed', reason: 'slow server', eventsSent: false, connectionLost: false } : result
   }
 
   function handle (server: BackendServer, result: AttemptResult): Step {
--- a/packages/gateway/src/prompt-cache.ts
+++ b/packages/gateway/src/prompt-cache.ts
@@ -16,6 +16,11 @@
   return adapter === undefined ? model : `${model}/${adapter}`
 }
 
+/** @returns ids of the parts that the prompt may share with other requests: all but the last */
+export function sharedPartIds ({ parts }: ModelDemand): string[] {
+  return parts.slice(0, -1).map(({ id }) => id)
+}
+
 /** @param capacityTokens - memory for parts that no running request uses, in tokens */
 export function createPromptCache (capacityTokens: number): PromptCache {
   // A Map iterates in insertion order, so the first key is the least recently used one.
