--- /dev/null
+++ b/packages/gateway/src/crashing-prompt.test.ts
@@ -0,0 +1,173 @@
+/** A prompt part that crashes every engine that answers it, sent to two nodes whose zones have engines of their own. */
+import { createServer } from 'node:net'
+import { request, type IncomingMessage, type ServerResponse } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createDecisionLog } from './decision-log'
+import { createGateway, type Gateway } from './gateway'
+import { createGatewayMetrics } from './gateway-metrics'
+import type { NodeSettings } from './platform-interface'
+import { createFakePlatform, startBackend, testConfig, type FakeBackend, type FakePlatform } from './testing'
+
+const test = suite('crashing prompts')
+
+const zones = ['a', 'b']
+/** Time after a fault in which a node need not have learned of it, in ms. */
+const contactMs = 3000
+/** Requests that may reach engines after the fifth crash and that time. */
+const maxLateRequests = 3
+const restartMs = 400
+const crashAfterMs = 30
+
+type Outcome = { sentAt: number, status: number, complete: boolean, body: string }
+
+let platform: FakePlatform
+let gateways: Gateway[]
+let fronts: number[]
+let engines: FakeBackend[]
+let lines: { event: string, [field: string]: unknown }[]
+/** Times at which engines crashed, and at which requests that crash engines reached them. */
+let crashes: number[]
+let arrivals: number[]
+let stopped: boolean
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    return server
+  }))
+  const ports = servers.map(server => (server.address() as { port: number }).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+function settingsOf (zone: string, ports: number[]): NodeSettings {
+  const [front, ready, directory, control, , peers] = ports as [number, number, number, number, number, number]
+  const loopback = (port: number): { host: string, port: number } => ({ host: '127.0.0.1', port })
+  return {
+    name: `node-${zone}`,
+    zone,
+    ip: '127.0.0.1',
+    peerPorts: [peers, peers],
+    front: loopback(front),
+    ready: loopback(ready),
+    directory: loopback(directory),
+    control: loopback(control),
+    seeds: [],
+    cpuShare: 1,
+    bounds: { drainMs: 2000, graceMs: 1000, configApplyMs: 2000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, leaseMs: 3000, versionMs: 5000, addressTtlMaxMs: 5000 }
+  }
+}
+
+async function startEngine (id: string, zone: string): Promise<void> {
+  const engine = await startBackend(id, 'llm', (req, res) => answer(id, zone, engine, req, res), { zone, models: [{ name: 'base', adapters: [] }] })
+  if (stopped) return engine.close()
+  engines.push(engine)
+  platform.servers.append(id, { type: 'server', server: engine.server, sequence: 1 })
+}
+
+function answer (id: string, zone: string, engine: FakeBackend, req: IncomingMessage, res: ServerResponse): void {
+  if (!String(req.headers['x-parts']).includes('crash')) {
+    res.writeHead(200, { 'x-id': req.headers['x-id'] ?? '', 'x-seal': 's', 'content-type': 'text/event-stream' })
+    res.write('id: 1\ndata: a\n\n')
+    setTimeout(() => { if (!res.destroyed) res.end('id: 2\ndata: b\n\n') }, 400)
+    return
+  }
+  arrivals.push(performance.now())
+  setTimeout(() => {
+    if (!engine.http.listening) return
+    crashes.push(performance.now())
+    engine.close()
+    setTimeout(() => {
+      platform.servers.append(id, undefined)
+      startEngine(`${id}+`, zone).catch(err => { throw err })
+    }, restartMs)
+  }, crashAfterMs)
+}
+
+let sent = 0
+
+function send (parts: string): Promise<Outcome> {
+  const port = fronts[sent % fronts.length]!
+  const id = `r${++sent}`
+  const sentAt = performance.now()
+  return new Promise(resolve => {
+    const req = request({ host: '127.0.0.1', port, path: '/draft/x', method: 'POST', agent: false, headers: { host: 'a.example', 'x-id': id, 'x-parts': `system,${parts},${id}` } }, res => {
+      let body = ''
+      const done = (complete: boolean): void => resolve({ sentAt, status: res.statusCode ?? 0, complete, body })
+      res.on('data', chunk => { body += String(chunk) })
+      res.on('end', () => done(true))
+      res.on('error', () => done(false))
+    })
+    req.on('error', () => resolve({ sentAt, status: 0, complete: false, body: '' }))
+    req.end()
+  })
+}
+
+async function sendEvery (intervalMs: number, untilAt: number, parts: () => string): Promise<Outcome[]> {
+  const outcomes: Promise<Outcome>[] = []
+  while (performance.now() < untilAt) {
+    outcomes.push(send(parts()))
+    await sleep(intervalMs)
+  }
+  return await Promise.all(outcomes)
+}
+
+test.before.each(async () => {
+  lines = []
+  engines = []
+  crashes = []
+  arrivals = []
+  stopped = false
+  gateways = []
+  fronts = []
+  const log = createDecisionLog('nodes', { write: line => { lines.push(JSON.parse(line) as typeof lines[number]) }, flush: async () => {}, dropped: () => 0 })
+  const shared = createFakePlatform(settingsOf('a', await freePorts(6)))
+  platform = shared
+  for (const zone of zones) {
+    const ports = await freePorts(6)
+    const settings = settingsOf(zone, ports)
+    fronts.push(settings.front.port)
+    const gateway = createGateway({ platform: { ...shared, settings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
+    gateways.push(gateway)
+    await gateway.start()
+  }
+  platform.operator.append('config', { type: 'config', config: testConfig })
+  for (const zone of zones) {
+    for (const number of [1, 2, 3]) await startEngine(`${zone}${number}`, zone)
+  }
+  const servedBy = async (): Promise<number> => (await Promise.all(fronts.map(async () => await send('start')))).filter(({ status }) => status === 200).length
+  const end = performance.now() + 8000
+  while (await servedBy() < fronts.length) {
+    if (performance.now() > end) throw new Error('the nodes do not serve')
+    await sleep(50)
+  }
+})
+test.after.each(async () => {
+  stopped = true
+  for (const engine of engines) engine.close()
+  await Promise.all(gateways.map(gateway => gateway.stop()))
+})
+
+// Guards against a prompt part that takes down engine after engine, and against refusing sound requests with it.
+test('requests with a part that crashes engines stop reaching them, and sound ones that share their other parts are served', async () => {
+  const endAt = performance.now() + 12_000
+  let count = 0
+  const [refused, sound] = await Promise.all([
+    sendEvery(150, endAt, () => 'crash'),
+    sendEvery(40, endAt, () => `document-${count++ % 7}`)
+  ])
+  const fifthCrashAt = crashes[4] ?? crashes.at(-1)!
+  const late = arrivals.filter(at => at > fifthCrashAt + contactMs)
+  assert.ok(late.length <= maxLateRequests, `${late.length} requests reached engines later than ${contactMs} ms after the fifth of ${crashes.length} crashes`)
+  const afterwards = sound.filter(({ sentAt }) => sentAt > fifthCrashAt + 2 * contactMs)
+  const served = afterwards.filter(({ status, complete }) => status === 200 && complete)
+  assert.ok(afterwards.length > 20 && served.length > afterwards.length / 2, `${served.length} of ${afterwards.length} sound requests were served`)
+  const last = refused.at(-1)!
+  assert.is(last.status, 503)
+  assert.is((JSON.parse(last.body) as { outcome: string }).outcome, 'not-run')
+})
+
+test.run()
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -11,9 +11,11 @@
 export const testCodec: HeaderCodec = {
   request (raw) {
     const adapter = valueOf(raw, 'x-adapter')
-    const demand = { model: 'base', ...(adapter === undefined ? {} : { adapter }), promptTokens: 100, outputTokens: 10, parts: [] }
+    const partIds = valueOf(raw, 'x-parts')
+    const parts = (partIds ?? '').split(',').filter(id => id !== '').map(id => ({ id, tokens: 10 }))
+    const demand = { model: 'base', ...(adapter === undefined ? {} : { adapter }), promptTokens: 100, outputTokens: 10, parts }
     const headers = raw.filter((_, index) => !['connection', 'host', 'content-length', 'transfer-encoding'].includes(raw[index - index % 2]!.toLowerCase()))
-    return { id: valueOf(raw, 'x-id') ?? '', headers, ...(adapter === undefined ? {} : { demand }) }
+    return { id: valueOf(raw, 'x-id') ?? '', headers, ...(adapter === undefined && partIds === undefined ? {} : { demand }) }
   },
   attempt: (metadata, { instanceId, remainingMs }) => [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs))],
   response (_status, raw) {
