Block a prompt part that crashes engine after engine

Cause: no decision looked at what the requests on a lost engine had in common; each new request was a new one to the gateway. Class: a request that fails its server is passed on without memory of the failure. The record has one server for each request, so neither repeats of the gateway nor of clients explain it. Change: owners of engines collect evidence (crash-evidence, no I/O). A part is suspected of a crash if its request had sent no events for 300 ms when the engine broke off; a request that does clears all its parts. Three separate crashes block a part, five if it was sound before or cannot be told from another; of the parts in the most crashes the one in the fewest requests is taken. Owners share what they see. A blocked part is refused at once as not run, by owners and by the nodes that clients use, for ten minutes, with that time as Retry-After; after it one crash is enough. Nodes learn it by message and, for those that start later, by a record in the fleet log.

--- a/packages/gateway/src/crashing-prompt.test.ts
+++ b/packages/gateway/src/crashing-prompt.test.ts
@@ -170,4 +170,13 @@
   assert.is((JSON.parse(last.body) as { outcome: string }).outcome, 'not-run')
 })
 
+// Guards against nodes that start after the crashes, or that were cut off from the node that found the part.
+test('a part that is recorded as blocked reaches no engine', async () => {
+  await platform.fleet.append([{ key: 'blocked-part/llm/crash', value: { type: 'blocked-part', service: 'llm', part: 'crash', at: Date.now() } }])
+  while (lines.filter(({ event }) => event === 'prompt-part-blocked').length < fronts.length) await sleep(10)
+  const outcomes = await Promise.all([send('crash'), send('crash'), send('document')])
+  assert.equal(outcomes.map(({ status }) => status), [503, 503, 200])
+  assert.equal(arrivals, [])
+})
+
 test.run()
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget } from '@yuccawharf/coordination'
 import { startAttempt, type Attempt, type AttemptResult } from './attempt'
 import type { ClientExchange } from './client-exchange'
+import type { ModelDemand } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { RunOutcome } from './engine-scheduler'
 import type { Grant, GrantClient } from './grant-client'
@@ -19,6 +20,8 @@
   log: DecisionLog
   budget (service: string): RetryBudget
   firstEvent (service: string, seconds: number): void
+  /** @returns whether the prompt has a part that crashes engines, and for how much longer it is refused */
+  blockedPart (service: string, demand: ModelDemand): { part: string, remainingMs: number } | undefined
 }
 
 /** Maximum number of grants that one request acquires: an engine may refuse it while the adapter is still loading. */
@@ -71,7 +74,16 @@
     else exchange.refuse({ status: 503, outcome: 'not-run' }, reason, retryAfterMs)
   }
 
+  /** @returns whether the request was refused because of a part of its prompt */
+  function refuseBlockedPart (): boolean {
+    const blocked = env.blockedPart(service.name, demand!)
+    if (blocked === undefined) return false
+    giveUp(`prompt part ${blocked.part} crashes engines`, blocked.remainingMs)
+    return true
+  }
+
   async function acquireGrant (): Promise<Grant | undefined> {
+    if (refuseBlockedPart()) return undefined
     grantCount += 1
     const grantId = `${metadata.id}#${grantCount}`
     pendingGrantId = grantId
@@ -161,7 +173,7 @@
       case 'streamed': return 'ok'
       case 'response': return result.status < 500 ? 'ok' : 'failed'
       case 'aborted': return 'cancelled'
-      default: return 'failed'
+      case 'failed': return result.connectionLost ? 'disconnected' : 'failed'
     }
   }
 
@@ -231,6 +243,10 @@
         env.grants.ended(grant, 'cancelled')
         return
       }
+      if (refuseBlockedPart()) {
+        env.grants.ended(grant, 'cancelled')
+        return
+      }
       const result = await send(grant)
       env.grants.ended(grant, outcomeOf(result))
       if (!handle(grant, result)) return
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -1,12 +1,15 @@
 /** Manages the engines that this node owns: claims them in the fleet log, runs their scheduler and sends its commands. */
+import type { BlockedPart, BlockedParts } from './blocked-parts'
 import type { AdapterVersion, BackendServer, EngineCommand, EngineCommandResult, EngineSpec } from './cluster-types'
+import { createCrashEvidence, type EvidenceAction, type EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { createEngineOwnership, createLogFreshness, type EngineOwnership, type FleetMember, type LogFreshness } from './engine-ownership'
-import { createEngineScheduler, type EngineStatus, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
+import { createEngineScheduler, type EngineStatus, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { EngineControl, FleetLog } from './platform-interface'
 import type { GrantMessage } from './grant-client'
 import { createLogProbeSchedule } from './log-probe'
+import { sharedPartIds } from './prompt-cache'
 
 export type EngineOwnerOptions = {
   name: string
@@ -31,6 +34,11 @@
   probeLog (nodes: 'some' | 'all'): void
   /** Sends a reply to the node that received the request. @returns whether it was delivered */
   send (node: string, message: GrantMessage): Promise<boolean>
+  blockedParts: Pick<BlockedParts, 'find' | 'wasBlocked'>
+  /** A prompt part crashed several engines, so that no node may send it any more. */
+  blockPart (blocked: BlockedPart, engines: string[]): void
+  /** Tells the other owners of engines what this one has seen of a crash. */
+  shareEvidence (message: EvidenceMessage): void
   /** Called after records were appended, so that the log is read at once. */
   appended (): void
 }
@@ -39,6 +47,8 @@
   ownership: EngineOwnership
   freshness: LogFreshness
   receive (from: string, message: GrantMessage): void
+  /** Applies what another owner has seen of a crash. */
+  receiveEvidence (message: EvidenceMessage): void
   setVersion (version: AdapterVersion, recent: boolean): void
   nodeLost (node: string): void
   /** Handles claims, deadlines and reports; called every few tens of ms. */
@@ -70,11 +80,19 @@
 
 type SentReply = { message: GrantMessage, at: number }
 
+/** A request that waits for a grant. */
+type Submission = { node: string, service: string, parts: string[], deadlineAt: number }
+
 export function createEngineOwner (options: EngineOwnerOptions): EngineOwner {
   const { now, log } = options
   const freshness = createLogFreshness()
   const ownership = createEngineOwnership({ name: options.name, incarnation: options.incarnation, zone: options.zone, capacity: options.capacity, leaseMs: options.leaseMs }, now())
   const sentReplies = new Map<string, SentReply>()
+  const submissions = new Map<string, Submission>()
+  const evidence = createCrashEvidence({
+    isBlocked: (service, part) => options.blockedParts.find(service, [part], now()) !== undefined,
+    wasBlocked: options.blockedParts.wasBlocked
+  })
   let claimsStopped = false
   let commandsStopped = false
   let nextClaimAt = 0
@@ -134,15 +152,54 @@
     perform(scheduler.applyReport(engine, engineReport, now()))
   }
 
+  function performEvidence (actions: EvidenceAction[]): void {
+    for (const action of actions) {
+      if (action.type === 'block') {
+        options.blockPart({ service: action.service, part: action.part }, action.engines)
+        continue
+      }
+      const { message } = action
+      if (message.kind === 'loss') log.info('engine-lost', { ...message.loss })
+      options.shareEvidence(message)
+    }
+  }
+
+  /** Refuses a request whose prompt has a part that crashes engines. @returns whether it was refused */
+  function refuseBlockedPart (id: string, { node, service, parts }: Submission): boolean {
+    const blocked = options.blockedParts.find(service, parts, now())
+    if (blocked === undefined) return false
+    options.metrics.refused('blocked-part')
+    log.info('place-refused', { id, asker: node, reason: 'blocked-part', part: blocked.part, retryAfterMs: Math.round(blocked.remainingMs) })
+    reply(node, { kind: 'refused', id, reason: 'blocked-part', retryAfterMs: Math.round(blocked.remainingMs) })
+    return true
+  }
+
+  /** @returns whether the request may be sent to the engine */
+  function startRun (id: string, engine: string): boolean {
+    const submission = submissions.get(id)
+    submissions.delete(id)
+    if (submission === undefined) return true
+    if (refuseBlockedPart(id, submission)) return false
+    const bornAt = options.listEngines().find(({ server }) => server.id === engine)?.server.bornAt ?? 0
+    const { service, parts, deadlineAt } = submission
+    evidence.started({ id, service, engine: `${engine}#${bornAt}`, parts, deadlineAt })
+    return true
+  }
+
   function perform (actions: SchedulerAction[]): void {
     for (const action of actions) {
       switch (action.type) {
         case 'grant':
+          if (!startRun(action.request, action.engine)) {
+            perform(scheduler.ended(action.request, 'cancelled', now()))
+            break
+          }
           options.metrics.queueWait(action.waitedMs / 1000)
           log.info('place-granted', { id: action.request, asker: action.node, server: action.engine, version: action.version, waitedMs: Math.round(action.waitedMs), running: action.running, prefillMs: Math.round(action.prefillMs) })
           reply(action.node, { kind: 'granted', id: action.request, engine: action.engine, ...(action.version === undefined ? {} : { version: action.version }) })
           break
         case 'refuse':
+          submissions.delete(action.request)
           options.metrics.refused(action.reason)
           log.info('place-refused', { id: action.request, asker: action.node, reason: action.reason, waitedMs: Math.round(action.waitedMs), retryAfterMs: action.retryAfterMs, waiting: scheduler.waitingCount() })
           reply(action.node, { kind: 'refused', id: action.request, reason: action.reason, retryAfterMs: action.retryAfterMs })
@@ -218,25 +275,46 @@
       return
     }
     const { objectiveInMs, startInMs, deadlineInMs, ...rest } = request
+    const submission: Submission = { node, service: request.service, parts: sharedPartIds(request.demand), deadlineAt: now() + deadlineInMs }
+    if (refuseBlockedPart(request.id, submission)) return
+    submissions.set(request.id, submission)
     const req: ScheduledRequest = { ...rest, node, objectiveAt: now() + objectiveInMs, startBy: now() + startInMs, deadlineAt: now() + deadlineInMs }
     perform(scheduler.submit(req, now()))
   }
 
+  function ended (id: string, outcome: RunOutcome): void {
+    submissions.delete(id)
+    performEvidence(evidence.ended(id, outcome, now()))
+  }
+
   return {
     ownership,
     freshness,
     receive (from, message) {
       switch (message.kind) {
         case 'acquire': return acquire(from, message.place)
-        case 'cancel': return perform(scheduler.cancel(message.id, now()))
-        case 'first-event': return perform(scheduler.firstEvent(message.id, now()))
-        case 'ended': return perform(scheduler.ended(message.id, message.outcome, now()))
+        case 'cancel':
+          ended(message.id, 'cancelled')
+          return perform(scheduler.cancel(message.id, now()))
+        case 'first-event':
+          evidence.firstEvent(message.id, now())
+          return perform(scheduler.firstEvent(message.id, now()))
+        case 'ended':
+          ended(message.id, message.outcome)
+          return perform(scheduler.ended(message.id, message.outcome, now()))
       }
     },
+    receiveEvidence: message => performEvidence(evidence.receive(message, now())),
     setVersion: (version, recent) => perform(scheduler.setVersion(version, recent, now())),
-    nodeLost: node => perform(scheduler.nodeLost(node, now())),
+    nodeLost (node) {
+      for (const [id, submission] of submissions) {
+        if (submission.node === node) submissions.delete(id)
+      }
+      perform(scheduler.nodeLost(node, now()))
+    },
     tick () {
       dropOldReplies()
+      performEvidence(evidence.tick(now()))
       perform(scheduler.tick(now()))
       probe()
       claim().catch(err => { log.error('claim-failed', { reason: (err as Error).message }) })
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -23,7 +23,7 @@
   only?: string[]
 }
 
-export type RefusalReason = 'no-engine' | 'cannot-load' | 'too-late' | 'queue-full'
+export type RefusalReason = 'no-engine' | 'cannot-load' | 'too-late' | 'queue-full' | 'blocked-part'
 
 export type SchedulerAction =
   | { type: 'grant', request: string, node: string, engine: string, address: string, version?: number, waitedMs: number, running: number, prefillMs: number }
@@ -34,8 +34,10 @@
 /** How a granted request ended, according to the node that sent it. */
 export type RunOutcome =
   | 'ok'
-  /** Error response, or incomplete response. */
+  /** Error response, or a response that cannot be used. */
   | 'failed'
+  /** The engine broke off before the response was complete. */
+  | 'disconnected'
   /** Refused without being run, because the engine is full or the adapter is not loaded yet. */
   | 'not-run'
   /** Not run, because another server has the address or the engine lacks the adapter or version. */
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -335,7 +335,7 @@
         return []
       }
       if (outcome === 'ok') recordSuccess(engine)
-      else if (outcome === 'failed') recordFailure(engine)
+      else if (outcome === 'failed' || outcome === 'disconnected') recordFailure(engine)
       else if (outcome === 'unreachable') avoidEngine(engine, now)
       else if (outcome === 'misdirected' || outcome === 'not-run') planner.replicaMissing(engine, run.scope, now)
       return decide(now)
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -11,7 +11,7 @@
   refused (reason: string): void
   command (operation: string, result: string): void
   storeCall (feed: string, result: string): void
-  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready', value: number): void
+  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts', value: number): void
   text (): Promise<string>
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,8 +1,10 @@
 /** One gateway node: connects the decision modules with clients, backend servers, peers and the store. */
 import { createRetryBudget, type RetryBudget } from '@yuccawharf/coordination'
 import { createDirectoryServer, createMetricsServer, createReadyServer, listenOn } from './auxiliary-servers'
+import type { BlockedPart } from './blocked-parts'
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
+import type { EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
@@ -15,10 +17,11 @@
 import { createGrantClient, type GrantMessage } from './grant-client'
 import { createLogProbe, type LogState } from './log-probe'
 import { createOwnerStatusCache } from './owner-status-cache'
-import { createPeerLink } from './peer-link'
+import { createPartBlocking } from './part-blocking'
+import { createPeerLink, type PeerMessage } from './peer-link'
 import { fetchPeerSnapshot, createFeedCache, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import { forwardPlain } from './plain-forwarder'
-import type { FeedRecord, NodeSettings, OperatorRecord, Platform } from './platform-interface'
+import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
 import { cacheScope, sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
@@ -125,6 +128,8 @@
       else if (kind === 'servers') feeds.receiveServerUpdate(payload)
       else if (kind === 'log-probe') replyToProbe(from.node)
       else if (kind === 'log-state') receiveLogState(from.node, payload)
+      else if (kind === 'crash-evidence') owner.receiveEvidence(payload as EvidenceMessage)
+      else if (kind === 'blocked-part') partBlocking.receive(from.node, payload as BlockedPart)
       else if (kind === 'stopped') owner.ownership.nodeStopped(from.node, from.incarnation, now())
     },
     onError: reason => { log.warn('peer-message-failed', { reason }) }
@@ -146,6 +151,17 @@
     return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine })))
   }
 
+  const partBlocking = createPartBlocking({
+    now,
+    wallClock: Date.now,
+    log,
+    metrics,
+    notifyPeers (blocked) {
+      for (const { address } of fleet.peers()) deliverToPeer(address, { kind: 'blocked-part', payload: blocked })
+    },
+    record: (key, value) => appendRecord(key, value, 'block-not-recorded')
+  })
+
   const owner = createEngineOwner({
     name: self.name,
     zone: self.zone,
@@ -168,6 +184,14 @@
       if (nodes === 'all') replyToProbe(self.name)
     },
     send: sendToNode,
+    blockedParts: partBlocking,
+    blockPart: partBlocking.block,
+    shareEvidence (message) {
+      for (const node of otherOwners()) {
+        const address = fleet.address(node)
+        if (address !== undefined) deliverToPeer(address, { kind: 'crash-evidence', payload: message })
+      }
+    },
     appended: () => feeds.appended()
   })
 
@@ -204,6 +228,19 @@
     return address === undefined ? false : await link.deliver(address, { kind: 'place', payload: message })
   }
 
+  /** Nodes that own engines, without this one. */
+  function otherOwners (): Set<string> {
+    const nodes = new Set(listEngines().flatMap(({ server }) => owner.ownership.term(server.id)?.node ?? []))
+    nodes.delete(self.name)
+    return nodes
+  }
+
+  function deliverToPeer (address: string, message: PeerMessage): void {
+    link.deliver(address, message).then(delivered => {
+      if (!delivered) log.warn('peer-message-failed', { reason: `${message.kind} was not acknowledged by ${address}` })
+    }).catch(err => { log.error('peer-message-failed', { reason: (err as Error).message }) })
+  }
+
   function receiveGrantMessage (from: string, message: GrantMessage): void {
     if (message.kind === 'granted' || message.kind === 'refused') grants.receiveReply(from, message)
     else owner.receive(from, message)
@@ -241,8 +278,7 @@
     applyOperator(operator.records, false)
     applyServers(registry.apply(servers.records, now()))
     serversLoaded ||= servers.records.length > 0
-    fleet.apply(nodes.records)
-    owner.ownership.apply(nodes.records, now())
+    applyFleet(nodes.records)
     owner.refresh()
   }
 
@@ -306,7 +342,7 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, budget: budgetOf, firstEvent: metrics.firstEvent })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, budget: budgetOf, firstEvent: metrics.firstEvent, blockedPart: (service, demand) => partBlocking.find(service, sharedPartIds(demand), now()) })
     }
     await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, servers: registry.ready, pool: poolOf, budget: budgetOf })
   }
@@ -365,6 +401,12 @@
     owner.refresh()
   }
 
+  function applyFleet (records: FeedRecord<FleetRecord | UnreadableRecord>[]): void {
+    fleet.apply(records)
+    owner.ownership.apply(records, now())
+    partBlocking.apply(records)
+  }
+
   const feeds = createFeeds({
     platform,
     log,
@@ -384,19 +426,19 @@
     serversReplaced: records => applyServers(registry.replace(records, now())),
     serversLoaded () { serversLoaded = true },
     fleet (records) {
-      fleet.apply(records)
-      owner.ownership.apply(records, now())
+      applyFleet(records)
       if (records.length > 0) owner.refresh()
     },
     fleetRead: (asOf, next) => owner.freshness.read(asOf, next),
     storeRecovered: agoMs => registry.storeRecovered(now() - agoMs)
   })
 
-  async function register (): Promise<void> {
+  /** Appends a record to the fleet log, again and again until the store accepts it or this node leaves. */
+  async function appendRecord (key: string, value: FleetRecord, failureEvent: string): Promise<void> {
     for (;;) {
-      const result = await platform.fleet.append([{ key: `node/${self.name}`, value: self }])
+      const result = await platform.fleet.append([{ key, value }])
       if (result.ok || leavingSince !== undefined) return
-      log.warn('registration-failed', { reason: result.val })
+      log.warn(failureEvent, { key, reason: result.val })
       await new Promise(resolve => setTimeout(resolve, 300 + 300 * options.random()))
     }
   }
@@ -444,7 +486,7 @@
       await link.listen()
       feeds.start()
       startTimers()
-      register().catch(err => { log.error('registration-failed', { reason: (err as Error).message }) })
+      appendRecord(`node/${self.name}`, self, 'registration-failed').catch(err => { log.error('registration-failed', { reason: (err as Error).message }) })
       await Promise.all([
         listenOn(front.server, settings.front),
         listenOn(readyServer, settings.ready),
--- a/packages/gateway/src/grant-client.ts
+++ b/packages/gateway/src/grant-client.ts
@@ -139,7 +139,8 @@
         continue
       }
       avoided.delete(owner)
-      if (result.type === 'granted') return result
+      // All owners refuse a prompt part that crashes engines.
+      if (result.type === 'granted' || result.reason === 'blocked-part') return result
       if (refusal === undefined || refusal.type !== 'refused' || result.retryAfterMs < refusal.retryAfterMs) refusal = result
     }
     return refusal ?? grantWithoutOwner(req)
