Block a prompt part for all services

A part names its content, so one that crashed the engines of one service would crash those of another; with blocks by service each had to lose three engines of its own. Evidence is still weighed by service, because the sound requests of one say nothing about engines of another that all fail.

--- a/packages/gateway/src/blocked-parts.ts
+++ b/packages/gateway/src/blocked-parts.ts
@@ -1,17 +1,15 @@
 /** Prompt parts that crash engines and are refused for a while, as all nodes know them. */
 
-export type BlockedPart = { service: string, part: string }
-
 export type BlockedParts = {
   /**
    * @param ageMs - time since the part was blocked
    * @returns whether the part was not blocked before
    */
-  add (blocked: BlockedPart, ageMs: number, now: number): boolean
+  add (part: string, ageMs: number, now: number): boolean
   /** @returns the first of the parts that is blocked, and for how much longer */
-  find (service: string, parts: readonly string[], now: number): { part: string, remainingMs: number } | undefined
+  find (parts: readonly string[], now: number): { part: string, remainingMs: number } | undefined
   /** Whether the part is blocked or was until recently. */
-  wasBlocked (service: string, part: string): boolean
+  wasBlocked (part: string): boolean
   size (now: number): number
 }
 
@@ -21,31 +19,29 @@
 const rememberMs = 24 * 3_600_000
 
 export function createBlockedParts (): BlockedParts {
-  /** Time until which a part is blocked, by service and part. */
+  /** Time until which a part is blocked. */
   const until = new Map<string, number>()
-  const keyOf = (service: string, part: string): string => `${service}/${part}`
 
   return {
-    add ({ service, part }, ageMs, now) {
-      const key = keyOf(service, part)
+    add (part, ageMs, now) {
       for (const [old, expiresAt] of until) {
         if (now - expiresAt > rememberMs) until.delete(old)
       }
-      const known = until.get(key) ?? -Infinity
+      const known = until.get(part) ?? -Infinity
       const expiresAt = now - Math.max(0, ageMs) + blockMs
       if (now - expiresAt > rememberMs || expiresAt <= known) return false
-      until.set(key, expiresAt)
+      until.set(part, expiresAt)
       return known <= now && expiresAt > now
     },
-    find (service, parts, now) {
+    find (parts, now) {
       if (until.size === 0) return undefined
       for (const part of parts) {
-        const remainingMs = (until.get(keyOf(service, part)) ?? -Infinity) - now
+        const remainingMs = (until.get(part) ?? -Infinity) - now
         if (remainingMs > 0) return { part, remainingMs }
       }
       return undefined
     },
-    wasBlocked: (service, part) => until.has(keyOf(service, part)),
+    wasBlocked: part => until.has(part),
     size: now => [...until.values()].filter(expiresAt => expiresAt > now).length
   }
 }
--- a/packages/gateway/src/crash-evidence.ts
+++ b/packages/gateway/src/crash-evidence.ts
@@ -28,12 +28,12 @@
 export type EvidenceAction =
   | { type: 'share', message: EvidenceMessage }
   /** The part crashed these engines. */
-  | { type: 'block', service: string, part: string, engines: string[] }
+  | { type: 'block', part: string, engines: string[] }
 
 export type CrashEvidenceOptions = {
-  isBlocked (service: string, part: string): boolean
+  isBlocked (part: string): boolean
   /** Whether the part was blocked before; the next crash with it is enough then. */
-  wasBlocked (service: string, part: string): boolean
+  wasBlocked (part: string): boolean
 }
 
 export type CrashEvidence = {
@@ -145,7 +145,7 @@
   }
 
   function crashesNeeded ({ service, part }: Suspect): number {
-    if (options.wasBlocked(service, part)) return 1
+    if (options.wasBlocked(part)) return 1
     return soundParts.has(suspectKey(service, part)) ? crashesToBlockInDoubt : crashesToBlock
   }
 
@@ -162,17 +162,17 @@
   }
 
   function decide (now: number): EvidenceAction[] {
-    const blocked = culprits(now).map(({ service, part, crashes }) => ({ type: 'block' as const, service, part, engines: [...crashes.keys()] }))
-    for (const { service, part, engines } of blocked) {
+    return culprits(now).map(({ service, part, crashes }) => {
+      const engines = [...crashes.keys()]
       suspects.delete(suspectKey(service, part))
       for (const engine of engines) explain(engine, now)
-    }
-    return blocked
+      return { type: 'block', part, engines }
+    })
   }
 
   function recordLoss ({ service, engine, parts }: EngineLoss, now: number): void {
     if (explained.has(engine)) return
-    if (parts.some(part => options.isBlocked(service, part))) return explain(engine, now)
+    if (parts.some(part => options.isBlocked(part))) return explain(engine, now)
     for (const part of parts) {
       const key = suspectKey(service, part)
       const suspect = suspects.get(key) ?? { service, part, crashes: new Map<string, number>(), starts: 1 }
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -21,7 +21,7 @@
   budget (service: string): RetryBudget
   firstEvent (service: string, seconds: number): void
   /** @returns whether the prompt has a part that crashes engines, and for how much longer it is refused */
-  blockedPart (service: string, demand: ModelDemand): { part: string, remainingMs: number } | undefined
+  blockedPart (demand: ModelDemand): { part: string, remainingMs: number } | undefined
 }
 
 /** Maximum number of grants that one request acquires: an engine may refuse it while the adapter is still loading. */
@@ -76,7 +76,7 @@
 
   /** @returns whether the request was refused because of a part of its prompt */
   function refuseBlockedPart (): boolean {
-    const blocked = env.blockedPart(service.name, demand!)
+    const blocked = env.blockedPart(demand!)
     if (blocked === undefined) return false
     giveUp(`prompt part ${blocked.part} crashes engines`, blocked.remainingMs)
     return true
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -1,5 +1,5 @@
 /** Manages the engines that this node owns: claims them in the fleet log, runs their scheduler and sends its commands. */
-import type { BlockedPart, BlockedParts } from './blocked-parts'
+import type { BlockedParts } from './blocked-parts'
 import type { AdapterVersion, BackendServer, EngineCommand, EngineCommandResult, EngineSpec } from './cluster-types'
 import { createCrashEvidence, type EvidenceAction, type EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
@@ -36,7 +36,7 @@
   send (node: string, message: GrantMessage): Promise<boolean>
   blockedParts: Pick<BlockedParts, 'find' | 'wasBlocked'>
   /** A prompt part crashed several engines, so that no node may send it any more. */
-  blockPart (blocked: BlockedPart, engines: string[]): void
+  blockPart (part: string, engines: string[]): void
   /** Tells the other owners of engines what this one has seen of a crash. */
   shareEvidence (message: EvidenceMessage): void
   /** Called after records were appended, so that the log is read at once. */
@@ -90,7 +90,7 @@
   const sentReplies = new Map<string, SentReply>()
   const submissions = new Map<string, Submission>()
   const evidence = createCrashEvidence({
-    isBlocked: (service, part) => options.blockedParts.find(service, [part], now()) !== undefined,
+    isBlocked: part => options.blockedParts.find([part], now()) !== undefined,
     wasBlocked: options.blockedParts.wasBlocked
   })
   let claimsStopped = false
@@ -155,7 +155,7 @@
   function performEvidence (actions: EvidenceAction[]): void {
     for (const action of actions) {
       if (action.type === 'block') {
-        options.blockPart({ service: action.service, part: action.part }, action.engines)
+        options.blockPart(action.part, action.engines)
         continue
       }
       const { message } = action
@@ -165,8 +165,8 @@
   }
 
   /** Refuses a request whose prompt has a part that crashes engines. @returns whether it was refused */
-  function refuseBlockedPart (id: string, { node, service, parts }: Submission): boolean {
-    const blocked = options.blockedParts.find(service, parts, now())
+  function refuseBlockedPart (id: string, { node, parts }: Submission): boolean {
+    const blocked = options.blockedParts.find(parts, now())
     if (blocked === undefined) return false
     options.metrics.refused('blocked-part')
     log.info('place-refused', { id, asker: node, reason: 'blocked-part', part: blocked.part, retryAfterMs: Math.round(blocked.remainingMs) })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,6 @@
 /** One gateway node: connects the decision modules with clients, backend servers, peers and the store. */
 import { createRetryBudget, type RetryBudget } from '@yuccawharf/coordination'
 import { createDirectoryServer, createMetricsServer, createReadyServer, listenOn } from './auxiliary-servers'
-import type { BlockedPart } from './blocked-parts'
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
 import type { EvidenceMessage } from './crash-evidence'
@@ -129,7 +128,7 @@
       else if (kind === 'log-probe') replyToProbe(from.node)
       else if (kind === 'log-state') receiveLogState(from.node, payload)
       else if (kind === 'crash-evidence') owner.receiveEvidence(payload as EvidenceMessage)
-      else if (kind === 'blocked-part') partBlocking.receive(from.node, payload as BlockedPart)
+      else if (kind === 'blocked-part') partBlocking.receive(from.node, String(payload))
       else if (kind === 'stopped') owner.ownership.nodeStopped(from.node, from.incarnation, now())
     },
     onError: reason => { log.warn('peer-message-failed', { reason }) }
@@ -156,8 +155,8 @@
     wallClock: Date.now,
     log,
     metrics,
-    notifyPeers (blocked) {
-      for (const { address } of fleet.peers()) deliverToPeer(address, { kind: 'blocked-part', payload: blocked })
+    notifyPeers (part) {
+      for (const { address } of fleet.peers()) deliverToPeer(address, { kind: 'blocked-part', payload: part })
     },
     record: (key, value) => appendRecord(key, value, 'block-not-recorded')
   })
@@ -342,7 +341,7 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, budget: budgetOf, firstEvent: metrics.firstEvent, blockedPart: (service, demand) => partBlocking.find(service, sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, budget: budgetOf, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
     await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, servers: registry.ready, pool: poolOf, budget: budgetOf })
   }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -29,7 +29,7 @@
   /** `after` names the other node that sent the engine commands before; later processes of the same node keep it in their records. */
   | { type: 'owner', engine: string, node: string, incarnation: number, after?: string }
   /** A prompt part that crashes engines; `at` is the time at which it was blocked, Unix ms. */
-  | { type: 'blocked-part', service: string, part: string, at: number }
+  | { type: 'blocked-part', part: string, at: number }
 
 export interface FleetLog extends Feed<FleetRecord | UnreadableRecord> {
   /**
