Name the request in the line about a lost engine

engine-lost had the engine and the parts but not the request, so on-call engineers could not get from it to the other lines of that request. 19 of 19 tests concerned pass.

--- a/packages/gateway/src/crash-evidence.ts
+++ b/packages/gateway/src/crash-evidence.ts
@@ -18,7 +18,7 @@
 }
 
 /** A request whose engine broke off before the request could clear its parts. */
-export type EngineLoss = { service: string, engine: string, parts: string[] }
+export type EngineLoss = { id: string, service: string, engine: string, parts: string[] }
 
 export type ClearedParts = { service: string, parts: string[] }
 
@@ -216,9 +216,10 @@
       if (isSound(run, now) || (run.firstEventAt !== undefined && outcome === 'ok')) return markSound(run, now)
       if (outcome !== 'disconnected' || run.parts.length === 0) return []
       const { service, engine, parts } = run
+      const loss = { id, service, engine, parts }
       const settled = settleRuns(now)
-      recordLoss({ service, engine, parts }, now)
-      return [...settled, { type: 'share', message: { kind: 'loss', loss: { service, engine, parts } } }]
+      recordLoss(loss, now)
+      return [...settled, { type: 'share', message: { kind: 'loss', loss } }]
     },
     receive (message, now) {
       if (message.kind === 'cleared') {
