--- a/packages/gateway/src/crash-evidence.ts
+++ b/packages/gateway/src/crash-evidence.ts
@@ -1,8 +1,7 @@
 /**
- * Finds prompt parts that crash engines, for requests in any number that share one part and nothing
- * else. A crash breaks off all requests of its engine, and most of them are not its cause. A part is
- * therefore suspected of a crash only if the request with it had not sent events for a while, and a
- * request that has sent them clears all its parts.
+ * Finds prompt parts that crash the engines of all requests with them. A crash breaks off every request
+ * of its engine, and most of these are not its cause. A part is therefore suspected of a crash only if
+ * its request had not sent events for a while, and a request that has sent them clears all its parts.
  */
 
 import type { RunOutcome } from './engine-scheduler'
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,5 +1,4 @@
 /** Tests complete nodes on the loopback interface with an in-memory platform. */
-import { createServer } from 'node:net'
 import { Agent, request, type IncomingHttpHeaders, type IncomingMessage, type ServerResponse } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
@@ -8,7 +7,7 @@
 import { createGateway, type Gateway } from './gateway'
 import { createGatewayMetrics } from './gateway-metrics'
 import type { NodeSettings } from './platform-interface'
-import { createFakePlatform, startBackend, testConfig, type FakeBackend, type FakePlatform } from './testing'
+import { createFakePlatform, freePorts, startBackend, testConfig, type FakeBackend, type FakePlatform } from './testing'
 
 const test = suite('gateway node')
 
@@ -19,17 +18,6 @@
 let backends: FakeBackend[]
 let lines: { event: string, [field: string]: unknown }[]
 
-async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer()
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    return server
-  }))
-  const ports = servers.map(server => (server.address() as { port: number }).port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
-}
-
 async function start (): Promise<void> {
   const [front, ready, directory, control, metrics, peers] = await freePorts(6) as [number, number, number, number, number, number]
   const loopback = (port: number): { host: string, port: number } => ({ host: '127.0.0.1', port })
--- a/packages/gateway/src/testing/index.ts
+++ b/packages/gateway/src/testing/index.ts
@@ -1,4 +1,5 @@
 /** Test helpers of the gateway. */
 export * from './fake-platform'
+export * from './free-ports'
 export * from './load-simulation'
 export * from './test-codec'
