Log what backend servers state about their request limits

The platform's codec decodes the header, malformed values are logged as unusable, and each new, changed or lifted limit of a server gets a line 'server-statement'. No decision uses it yet. A limit is believed from each response that is passed on, except 421, which another server sends; it counts as lifted only by a success for a request that was sent after the limit was last stated.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -38,6 +38,8 @@
     events (bytes: Buffer, lastId: string | undefined): boolean
   }
   maxBodyBytes: number
+  /** The response is passed on or counts as a refusal of the server; called before its body arrives. */
+  responded? (status: number, metadata: ResponseMetadata, sentAt: number): void
   warn (event: string, fields: Record<string, string | number>): void
 }
 
@@ -66,6 +68,7 @@
 
 export function startAttempt (options: AttemptOptions): Attempt {
   const { codec, server, upstream, stream } = options
+  const sentAt = options.now()
   let resolveResult: (result: AttemptResult) => void = () => {}
   const result = new Promise<AttemptResult>(resolve => { resolveResult = resolve })
   let status = 0
@@ -103,6 +106,7 @@
         call.abort(reason)
         return fail(reason)
       }
+      options.responded?.(status, metadata, sentAt)
       if (metadata.notRun) {
         resolveResult({ type: 'not-run', status })
         return
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -5,11 +5,12 @@
 import type { RetryBudget } from '@yuccawharf/coordination'
 import { startAttempt, type Attempt, type AttemptResult } from './attempt'
 import type { ClientExchange } from './client-exchange'
-import type { ModelDemand } from './cluster-types'
+import type { BackendServer, ModelDemand } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { RunOutcome } from './engine-scheduler'
 import type { Grant, GrantClient } from './grant-client'
 import type { HeaderCodec, RawHeaders } from './platform-interface'
+import type { StatingResponse } from './server-statements'
 import type { Upstream } from './upstream'
 
 export type EngineForwarderEnv = {
@@ -18,6 +19,8 @@
   upstream: Upstream
   grants: GrantClient
   log: DecisionLog
+  /** Applies what a server states about itself in its response to the request. */
+  recordStatements (server: BackendServer, requestId: string, response: StatingResponse): void
   budget (service: string): RetryBudget
   firstEvent (service: string, seconds: number): void
   /** @returns whether the prompt has a part that crashes engines, and for how much longer it is refused */
@@ -158,6 +161,7 @@
         }
       },
       maxBodyBytes: maxResponseBytes,
+      responded: (status, response, sentAt) => env.recordStatements(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
       warn: env.log.warn
     })
     current = { grant, attempt }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,4 @@
 /** One gateway node: connects the decision modules with clients, backend servers, peers and the store. */
-import { createRetryBudget, type RetryBudget } from '@yuccawharf/coordination'
 import { createDirectoryServer, createMetricsServer, createReadyServer, listenOn } from './auxiliary-servers'
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
@@ -25,6 +24,8 @@
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePool, type ServicePool } from './service-pool'
+import { createServiceShares } from './service-shares'
+import { createStatementRecorder } from './statement-recorder'
 import { createSuspensionDetector } from './suspension-detector'
 import { createUpstream } from './upstream'
 
@@ -74,11 +75,6 @@
 const stopMarginMs = 700
 /** Number of peers that an owner asks first whether they can read the log. */
 const logProbeSample = 4
-/** Share of the configured retry budget that all nodes together may use. */
-const retryBudgetShare = 0.8
-/** Share of a server's connection limit that all nodes together may use. */
-const connectionShare = 0.9
-const minConnections = 4
 /** Number of prompt parts that the log names for a request. */
 const maxLoggedParts = 8
 
@@ -89,7 +85,6 @@
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
   const pools = new Map<string, ServicePool>()
-  const budgets = new Map<string, RetryBudget>()
   /** Current version of replaced adapters, by model and adapter. */
   const versions = new Map<string, number>()
   const ownerStatuses = createOwnerStatusCache()
@@ -142,7 +137,10 @@
     nodeLost: node => owner.nodeLost(node)
   })
 
-  const upstream = createUpstream({ now, connections: connectionsTo })
+  const statements = createStatementRecorder({ node: settings.name, now, log })
+
+  const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
+  const upstream = createUpstream({ now, connections: shares.connections })
 
   /** Ready engines of all services with their limits. */
   function listEngines (): { server: BackendServer, spec: EngineSpec }[] {
@@ -315,20 +313,6 @@
     }
   }
 
-  function connectionsTo (service: string): number {
-    const limit = table?.service(service)?.maxConnections ?? minConnections
-    return Math.max(minConnections, Math.floor(limit * connectionShare / fleet.size()))
-  }
-
-  function budgetOf (service: string): RetryBudget {
-    const existing = budgets.get(service)
-    if (existing !== undefined) return existing
-    const { retryRatio, retrySlack } = settings.bounds
-    const created = createRetryBudget({ ratio: retryRatio * retryBudgetShare, burst: Math.max(1, retrySlack * retryBudgetShare / fleet.size()) })
-    budgets.set(service, created)
-    return created
-  }
-
   function poolOf (service: string): ServicePool {
     const existing = pools.get(service)
     if (existing !== undefined) return existing
@@ -341,9 +325,9 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, budget: budgetOf, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, recordStatements: statements.record, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
-    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, servers: registry.ready, pool: poolOf, budget: budgetOf })
+    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, recordStatements: statements.record, servers: registry.ready, pool: poolOf, budget: shares.retryBudget })
   }
 
   const front = createFrontServer({
@@ -395,6 +379,7 @@
     }
     if (changes.length === 0) return
     upstream.retain(registry.all())
+    statements.retain(registry.all())
     const ids = new Set(registry.all().map(({ id }) => id))
     for (const pool of pools.values()) pool.retain(ids)
     owner.refresh()
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -5,6 +5,7 @@
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { HeaderCodec } from './platform-interface'
+import type { StatingResponse } from './server-statements'
 import type { AttemptOutcome, ServicePool } from './service-pool'
 import type { Upstream } from './upstream'
 
@@ -15,6 +16,8 @@
   codec: HeaderCodec
   upstream: Upstream
   log: DecisionLog
+  /** Applies what a server states about itself in its response to the request. */
+  recordStatements (server: BackendServer, requestId: string, response: StatingResponse): void
   servers (service: string): BackendServer[]
   pool (service: string): ServicePool
   budget (service: string): RetryBudget
@@ -91,6 +94,7 @@
         body: exchange.body
       },
       maxBodyBytes: maxResponseBytes,
+      responded: (status, response, sentAt) => env.recordStatements(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
       warn: env.log.warn
     })
     current = attempt
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -69,6 +69,14 @@
   lastEventId?: string
 }
 
+/** What a backend server states about itself in the headers of a response. */
+export type ServerStatements = {
+  /** Requests a second that the server accepts from all nodes together; above 0. */
+  requestsPerSecond?: number
+  /** Values that state nothing, because they are malformed or out of range, as `name: value`. */
+  unusable: string[]
+}
+
 /** Contents of the headers of a backend server's response. */
 export type ResponseMetadata = {
   requestId?: string
@@ -78,6 +86,7 @@
   notRun: boolean
   /** The body has a content encoding. */
   encoded: boolean
+  statements: ServerStatements
   headers: RawHeaders
 }
 
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -20,11 +20,13 @@
   attempt: (metadata, { instanceId, remainingMs }) => [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs))],
   response (_status, raw) {
     const requestId = valueOf(raw, 'x-id')
+    const limit = valueOf(raw, 'x-limit')
     return {
       ...(requestId === undefined ? {} : { requestId }),
       signed: valueOf(raw, 'x-seal') !== undefined,
       notRun: valueOf(raw, 'x-not-run') !== undefined,
       encoded: valueOf(raw, 'content-encoding') !== undefined,
+      statements: { ...(limit === undefined ? {} : { requestsPerSecond: Number(limit) }), unusable: [] },
       headers: raw.filter((_, index) => !['connection', 'keep-alive', 'transfer-encoding'].includes(raw[index - index % 2]!.toLowerCase()))
     }
   },
