--- /dev/null
+++ b/packages/gateway/src/testing/test-nodes.ts
@@ -0,0 +1,92 @@
+/** Complete nodes on the loopback interface that share an in-memory platform. */
+import { request } from 'node:http'
+import { createDecisionLog } from '../decision-log'
+import { createGateway, type Gateway } from '../gateway'
+import { createGatewayMetrics } from '../gateway-metrics'
+import type { Bounds, NodeSettings } from '../platform-interface'
+import { createFakePlatform, type FakePlatform } from './fake-platform'
+import { freePorts } from './free-ports'
+
+const testBounds: Bounds = { drainMs: 2000, graceMs: 1000, configApplyMs: 2000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, leaseMs: 3000, versionMs: 5000, addressTtlMaxMs: 5000 }
+
+const portCount = 6
+
+function settingsOf (name: string, zone: string, ports: number[], bounds: Partial<Bounds>): NodeSettings {
+  const [front, ready, directory, control, , peers] = ports as [number, number, number, number, number, number]
+  const loopback = (port: number): { host: string, port: number } => ({ host: '127.0.0.1', port })
+  return {
+    name,
+    zone,
+    ip: '127.0.0.1',
+    peerPorts: [peers, peers],
+    front: loopback(front),
+    ready: loopback(ready),
+    directory: loopback(directory),
+    control: loopback(control),
+    seeds: [],
+    cpuShare: 1,
+    bounds: { ...testBounds, ...bounds }
+  }
+}
+
+export type LogLine = { event: string, [field: string]: unknown }
+
+export type TestNodes = {
+  platform: FakePlatform
+  gateways: Gateway[]
+  settings: NodeSettings[]
+  /** Ports at which the nodes accept requests of clients. */
+  fronts: number[]
+  /** Log lines of all nodes. */
+  lines: LogLine[]
+  stop (): Promise<void>
+}
+
+/** @param zones - zone of each node */
+export async function startTestNodes (zones: string[], bounds: Partial<Bounds> = {}): Promise<TestNodes> {
+  const lines: LogLine[] = []
+  const settings: NodeSettings[] = []
+  const gateways: Gateway[] = []
+  const allPorts = await freePorts(portCount * zones.length)
+  let platform: FakePlatform | undefined
+  for (const [index, zone] of zones.entries()) {
+    const name = `node-${index + 1}`
+    const ports = allPorts.slice(index * portCount, (index + 1) * portCount)
+    const nodeSettings = settingsOf(name, zone, ports, bounds)
+    const log = createDecisionLog(name, { write: line => { lines.push(JSON.parse(line) as LogLine) }, flush: async () => {}, dropped: () => 0 })
+    settings.push(nodeSettings)
+    platform ??= createFakePlatform(nodeSettings)
+    const gateway = createGateway({ platform: { ...platform, settings: nodeSettings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
+    gateways.push(gateway)
+    await gateway.start()
+  }
+  return {
+    platform: platform!,
+    gateways,
+    settings,
+    fronts: settings.map(({ front }) => front.port),
+    lines,
+    stop: async () => { await Promise.all(gateways.map(gateway => gateway.stop())) }
+  }
+}
+
+/** `status` is 0 if the connection ended without a response. */
+export type TestOutcome = { id: string, sentAt: number, afterMs: number, status: number, complete: boolean, body: string, retryAfter?: string }
+
+/** Sends one request on a new connection. */
+export function sendTestRequest (port: number, path: string, id: string, headers: Record<string, string> = {}, method = 'POST'): Promise<TestOutcome> {
+  const sentAt = performance.now()
+  return new Promise(resolve => {
+    const done = (outcome: Pick<TestOutcome, 'status' | 'complete' | 'body' | 'retryAfter'>): void => resolve({ id, sentAt, afterMs: performance.now() - sentAt, ...outcome })
+    const req = request({ host: '127.0.0.1', port, path, method, agent: false, headers: { host: 'a.example', 'x-id': id, ...headers } }, res => {
+      let body = ''
+      const retryAfter = res.headers['retry-after']
+      const received = (complete: boolean): void => done({ status: res.statusCode ?? 0, complete, body, ...(retryAfter === undefined ? {} : { retryAfter }) })
+      res.on('data', chunk => { body += String(chunk) })
+      res.on('end', () => received(true))
+      res.on('error', () => received(false))
+    })
+    req.on('error', () => done({ status: 0, complete: false, body: '' }))
+    req.end()
+  })
+}
