--- a/packages/gateway/src/engine-choice.test.ts
+++ b/packages/gateway/src/engine-choice.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { rankOwners, type EngineCandidate } from './engine-choice'
+import { chooseWithoutOwner, rankOwners, type EngineCandidate } from './engine-choice'
 import { cacheScope } from './prompt-cache'
 
 const test = suite('engine choice')
@@ -51,4 +51,12 @@
   for (const adapter of adapters) assert.not.ok(rankOwners(engines, demand(adapter), 'a', 1).includes('owner-a'))
 })
 
+// Guards against nodes that each send to an engine that accepts only a few requests from all of them.
+test('an engine that states a limit is not used without its owner', () => {
+  const scopes = new Set([cacheScope(demand('x1'))])
+  const engines = [engine('e1', 'a', 'owner-a', { scopes, limited: true }), engine('e2', 'b', 'owner-b', { scopes })]
+  assert.is(chooseWithoutOwner(engines, demand('x1'), 'a', [], () => 0)?.id, 'e2')
+  assert.is(chooseWithoutOwner(engines.slice(0, 1), demand('x1'), 'a', [], () => 0), undefined)
+})
+
 test.run()
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -20,6 +20,8 @@
   running: number
   /** Estimated time until an adapter that none of the owner's engines has is loaded, in ms. */
   loadWaitMs: number
+  /** The engine states a limit, so that only its owner may decide who sends to it. */
+  limited?: boolean
   /** Age of the status, in ms; Infinity if the owner has sent none. */
   ageMs: number
 }
@@ -83,7 +85,7 @@
   let best: BackendServer | undefined
   let bestCost = Infinity
   for (const engine of engines) {
-    if (excluded.includes(engine.server.id)) continue
+    if (engine.limited === true || excluded.includes(engine.server.id)) continue
     if (scope !== undefined && !engine.scopes.has(scope)) continue
     const cost = engineCost(engine, scope, zone, false) + inProgress(engine.server.id) * loadCostMs
     if (cost < bestCost) {
--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -6,7 +6,7 @@
 import { countColdLoads, decideLoad, earlyRefusalMs, isProbed, type WantedAdapter } from './load-placement'
 import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
 import type { LoadLimit } from './load-limit'
-import { backlogMs, removeReplica, hasCapacity, isIdle, adapterSlotLimit, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
+import { backlogMs, removeReplica, hasCapacity, isIdle, adapterSlotLimit, limitIntervalMs, limitWaitMs, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
 
 export type WaitingRequest = ScheduledRequest & { scope: string, arrivedAt: number }
@@ -129,11 +129,18 @@
 
   function wantedAdapters (blocked: WaitingRequest[], view: EnginesView, now: number): WantedAdapter[] {
     const wanted = new Map<string, WantedAdapter>()
+    /** Requests that wait for an engine which states a limit. */
+    const queued = new Map<EngineState, number>()
+    const engineWaitMs = (engine: EngineState): number => {
+      const queuedMs = limitWaitMs(engine, now) + (queued.get(engine) ?? 0) * limitIntervalMs(engine)
+      return Math.max(queuedMs, backlogMs(engine, now) + prefillShare(engine, now) * continuousPrefillWaitMs)
+    }
     for (const req of blocked) {
       const { model, adapter } = req.demand
       if (adapter === undefined || isLoading(req.scope, view)) continue
       const usable = usableEngines(req, view, now)
-      const waitMs = usable.length === 0 ? Infinity : Math.min(...usable.map(engine => hasCapacity(engine, req.demand) ? backlogMs(engine, now) + prefillShare(engine, now) * continuousPrefillWaitMs : Infinity))
+      const waitMs = usable.length === 0 ? Infinity : Math.min(...usable.map(engine => hasCapacity(engine, req.demand) ? engineWaitMs(engine) : Infinity))
+      for (const engine of usable) queued.set(engine, (queued.get(engine) ?? 0) + 1)
       if (waitMs < (usable.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
       const version = versions.get(req.scope)?.version
       const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -1,10 +1,10 @@
 /** Manages the engines that this node owns: claims them in the fleet log, runs their scheduler and sends its commands. */
 import type { BlockedParts } from './blocked-parts'
-import type { AdapterVersion, BackendServer, EngineCommand, EngineCommandResult, EngineSpec } from './cluster-types'
+import type { AdapterVersion, EngineCommand, EngineCommandResult } from './cluster-types'
 import { createCrashEvidence, type EvidenceAction, type EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { createEngineOwnership, createLogFreshness, type EngineOwnership, type FleetMember, type LogFreshness } from './engine-ownership'
-import { createEngineScheduler, type EngineStatus, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
+import { createEngineScheduler, type EngineStatus, type OwnedEngine, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { EngineControl, FleetLog } from './platform-interface'
 import type { GrantMessage } from './grant-client'
@@ -26,7 +26,7 @@
   logPosition (): number | undefined
   engineControl: EngineControl
   /** Engines of all services that accept requests, with their limits. */
-  listEngines (): { server: BackendServer, spec: EngineSpec }[]
+  listEngines (): OwnedEngine[]
   members (): FleetMember[]
   /** Number of nodes, this one included. */
   fleetSize (): number
@@ -224,7 +224,7 @@
     }, Math.max(1, Math.ceil(at - now())))
   }
 
-  function ownedEngines (): { server: BackendServer, spec: EngineSpec }[] {
+  function ownedEngines (): OwnedEngine[] {
     const ids = new Set(ownership.owned().map(({ engine }) => engine))
     return options.listEngines().filter(({ server }) => ids.has(server.id))
   }
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -23,7 +23,8 @@
   only?: string[]
 }
 
-export type RefusalReason = 'no-engine' | 'cannot-load' | 'too-late' | 'queue-full' | 'blocked-part'
+/** `limited`: the engines that may take the request have got what they accept. */
+export type RefusalReason = 'limited' | 'no-engine' | 'cannot-load' | 'too-late' | 'queue-full' | 'blocked-part'
 
 export type SchedulerAction =
   | { type: 'grant', request: string, node: string, engine: string, address: string, version?: number, waitedMs: number, running: number, prefillMs: number }
@@ -64,9 +65,12 @@
   mayCommand (engine: string, now: number): boolean
 }
 
+/** `requestsPerSecond` is the limit that the engine states for all nodes together. */
+export type OwnedEngine = { server: BackendServer, spec: EngineSpec, requestsPerSecond?: number | undefined }
+
 export type EngineScheduler = {
   /** Sets the engines that this node owns. Requests are granted only to these. */
-  setEngines (engines: { server: BackendServer, spec: EngineSpec }[], now: number): SchedulerAction[]
+  setEngines (engines: OwnedEngine[], now: number): SchedulerAction[]
   /** @param recent - whether the version was announced just now; if not, it may already be mandatory */
   setVersion (version: AdapterVersion, recent: boolean, now: number): SchedulerAction[]
   submit (req: ScheduledRequest, now: number): SchedulerAction[]
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -317,4 +317,57 @@
   assert.is(scheduler.status(10)[0]?.running, 0)
 })
 
+// Guards against an engine that gets more requests than it states while another one is free.
+test('an engine that states a limit gets that many requests, and the others take the rest', () => {
+  const servers = [engine('e1'), engine('e2')]
+  const scheduler = createScheduler(servers, { e1: [], e2: [] })
+  scheduler.setEngines([{ server: servers[0]!, spec, requestsPerSecond: 2 }, { server: servers[1]!, spec }], 0)
+  const counts = new Map<string, number>()
+  for (let now = 0; now < 5000; now += 100) {
+    const id = `r${now}`
+    const actions = scheduler.submit(request(id, undefined, { objectiveAt: now + 1000, deadlineAt: now + 6000 }), now)
+    for (const { engine: granted } of filterActions(actions, 'grant')) counts.set(granted, (counts.get(granted) ?? 0) + 1)
+    for (const { request: ended } of filterActions(actions, 'grant')) scheduler.ended(ended, 'ok', now + 50)
+  }
+  assert.ok(counts.get('e1')! <= 11, `${counts.get('e1')} requests in 5 s at a limit of 2 a second`)
+  assert.is(counts.get('e1')! + counts.get('e2')!, 50)
+})
+
+// Guards against requests that wait at an owner for their turn until they are late, although other owners have engines without a limit.
+test('a request that would be late at engines with a limit is refused at once, with the time until one is free', () => {
+  const server = engine('e1')
+  const scheduler = createScheduler([server], { e1: [] })
+  scheduler.setEngines([{ server, spec, requestsPerSecond: 0.5 }], 0)
+  const submitAt = (id: string, now: number): SchedulerAction[] => scheduler.submit(request(id, undefined, { objectiveAt: now + 1000, deadlineAt: now + 6000 }), now)
+  assert.equal(actionTypes(submitAt('r1', 0)), ['grant'])
+  scheduler.ended('r1', 'ok', 50)
+  const [refusal] = filterActions(submitAt('r2', 100), 'refuse')
+  assert.equal([refusal?.reason, refusal?.retryAfterMs], ['limited', 1900])
+  assert.equal(actionTypes(submitAt('r3', 1200)), [])
+  assert.equal(actionTypes(scheduler.tick(1900)), [])
+  assert.is(scheduler.nextDecisionAt(1900), 2000)
+  assert.equal(actionTypes(scheduler.tick(2000)), ['grant'])
+})
+
+// Guards against an adapter that is served only as fast as the limit of its engine while others have room.
+test('an adapter whose engine states a limit is loaded on another engine', () => {
+  const servers = [engine('e1', ['a1']), engine('e2')]
+  const scheduler = createScheduler(servers, { e1: ['a1'], e2: [] })
+  scheduler.setEngines([{ server: servers[0]!, spec, requestsPerSecond: 1 }, { server: servers[1]!, spec }], 0)
+  assert.is(filterActions(scheduler.submit(request('r1', 'a1'), 0), 'grant')[0]?.engine, 'e1')
+  const [command] = filterActions(scheduler.submit(request('r2', 'a1'), 10), 'command')
+  assert.equal([command?.engine, command?.command.operation, command?.command.adapter], ['e2', 'load', 'a1'])
+})
+
+// Guards against an owner that forgets the limit when it learns of other engines, and against a limit of a former start.
+test('a limit lasts while it is stated, and ends with the start of the engine that stated it', () => {
+  const server = engine('e1')
+  const scheduler = createScheduler([server], { e1: [] })
+  scheduler.setEngines([{ server, spec, requestsPerSecond: 1 }], 0)
+  assert.equal(actionTypes(scheduler.submit(request('r1', undefined), 0)), ['grant'])
+  scheduler.setEngines([{ server, spec, requestsPerSecond: 1 }], 10)
+  assert.equal(actionTypes(scheduler.submit(request('r2', undefined, { objectiveAt: 2000 }), 20)), [])
+  assert.ok(actionTypes(scheduler.setEngines([{ server: { ...server, bornAt: 2 }, spec }], 30)).includes('grant'))
+})
+
 test.run()
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,9 +5,10 @@
  */
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, updatePrefillRate, recordFailure, recordSuccess, fitsPauseLimits, recordPrefill, prefillMs, resetEngine, avoidEngine, uncachedTokens, type EngineState } from './engine-state'
+import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, updatePrefillRate, recordFailure, recordSuccess, fitsPauseLimits, recordPrefill, prefillMs, resetEngine, avoidEngine, uncachedTokens, type EngineState } from './engine-state'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
+import { recordRequest } from './request-pace'
 
 export * from './engine-scheduler-types'
 
@@ -19,6 +20,10 @@
 const outdatedCostMs = 1000
 /** Limit of waiting requests; further ones could not be served before their deadline. */
 const maxWaitingRequests = 2000
+/** Longest wait of a request that is already late for an engine that states a limit, in ms. */
+const maxLateLimitWaitMs = 300
+/** Longest delay that is reported for an engine because of its limit alone, in ms. It is less than that of a load elsewhere, so that an adapter that is loaded there stays in use. */
+const maxReportedLimitMs = 400
 /** Shortest time from sending a request to its first event, in ms. */
 const minRunMs = 60
 const minRetryAfterMs = 200
@@ -38,6 +43,9 @@
 /** Half-life of an adapter's use, in ms. */
 const useHalfLifeMs = 8000
 
+/** Waiting requests that come before another one. */
+type QueueAhead = { prefillMs: number, requests: number }
+
 export function createEngineScheduler (cfg: SchedulerConfig): EngineScheduler {
   const state: SchedulerState = { engines: new Map(), versions: new Map(), coldLoadMs: initialColdLoadMs, warmLoadMs: initialWarmLoadMs, meanRunMs: initialRunMs, coldLoadLimit: createLoadLimit() }
   const { engines, versions } = state
@@ -72,7 +80,7 @@
     let bestCost = Infinity
     let needsBreak: EngineState | undefined
     for (const engine of enginesWithAdapter(req, view, now)) {
-      if (reserved.has(engine) || !hasCapacity(engine, req.demand)) continue
+      if (reserved.has(engine) || !hasCapacity(engine, req.demand) || limitWaitMs(engine, now) > 0) continue
       if (backlogMs(engine, now) > maxBacklogMs || !fitsPauseLimits(engine, req.demand, now)) {
         if (needsBreak === undefined || backlogMs(engine, now) < backlogMs(needsBreak, now)) needsBreak = engine
         continue
@@ -94,6 +102,7 @@
     waiting.delete(req.id)
     const requestPrefillMs = prefillMs(engine, req.demand)
     recordPrefill(engine, req.demand, now)
+    if (engine.limit !== undefined) recordRequest(engine.limit.pace, now)
     engine.runs.set(req.id, {
       id: req.id,
       node: req.node,
@@ -151,16 +160,28 @@
     return [...waiting.values()].sort((left, right) => rank(left) - rank(right) || left.objectiveAt - right.objectiveAt || left.priority - right.priority)
   }
 
-  /** Earliest start of a request that has `aheadMs` of prefill before it, in ms from now. */
-  function earliestStartMs (req: WaitingRequest, aheadMs: number, now: number): number {
+  /**
+   * @returns earliest start of a request that has `ahead` before it, in ms from now, and whether only
+   * engines that state a limit could take it
+   */
+  function earliestStart (req: WaitingRequest, ahead: QueueAhead, now: number): { startMs: number, limited: boolean } {
     let usable = 0
     let leastMs = Infinity
+    let limitedPerMs = 0
+    let leastLimitedMs = Infinity
     for (const engine of engines.values()) {
       if (!isEligible(engine, req, now)) continue
-      usable += 1
-      leastMs = Math.min(leastMs, backlogMs(engine, now))
+      if (engine.limit === undefined) {
+        usable += 1
+        leastMs = Math.min(leastMs, backlogMs(engine, now))
+      } else {
+        limitedPerMs += 1 / limitIntervalMs(engine)
+        leastLimitedMs = Math.min(leastLimitedMs, Math.max(backlogMs(engine, now), limitWaitMs(engine, now)))
+      }
     }
-    return usable === 0 ? Infinity : aheadMs / usable + leastMs
+    const startMs = usable === 0 ? Infinity : ahead.prefillMs / usable + leastMs
+    const limitedMs = limitedPerMs === 0 ? Infinity : ahead.requests / limitedPerMs + leastLimitedMs
+    return { startMs: Math.min(startMs, limitedMs), limited: usable === 0 && limitedPerMs > 0 }
   }
 
   function canLoadAnywhere (req: WaitingRequest, now: number): boolean {
@@ -176,12 +197,15 @@
   }
 
   /** @param loadsAhead - adapters whose loads come before this request's */
-  function checkRefusal (req: WaitingRequest, view: EnginesView, aheadMs: number, loadsAhead: number, now: number): SchedulerAction | undefined {
+  function checkRefusal (req: WaitingRequest, view: EnginesView, ahead: QueueAhead, loadsAhead: number, now: number): SchedulerAction | undefined {
     const replicaExists = hasReplica(req, view, now)
-    const startMs = Math.max(earliestStartMs(req, aheadMs, now), replicaExists ? 0 : planner.loadWaitMs(loadsAhead, view))
+    const earliest = earliestStart(req, ahead, now)
+    const startMs = Math.max(earliest.startMs, replicaExists ? 0 : planner.loadWaitMs(loadsAhead, view))
     if (startMs === Infinity) return refuse(req, 'no-engine', noEngineRetryAfterMs, now)
     if (!replicaExists && !canLoadAnywhere(req, now)) return refuse(req, 'cannot-load', noEngineRetryAfterMs, now)
     const slackMs = req.startBy - now - minRunMs
+    // Another owner may have an engine without a limit.
+    if (earliest.limited && startMs > Math.min(slackMs, Math.max(maxLateLimitWaitMs, req.objectiveAt - now - minRunMs))) return refuse(req, 'limited', startMs, now)
     // A request that is already late is overtaken by others, so its estimated start means little.
     // It is refused after half of the time from its objective to its latest start.
     const lateMs = now - req.objectiveAt
@@ -201,7 +225,7 @@
   function decide (now: number): SchedulerAction[] {
     const actions: SchedulerAction[] = []
     blocked = []
-    let aheadMs = 0
+    const ahead: QueueAhead = { prefillMs: 0, requests: 0 }
     const loadScopes = new Set<string>()
     const view = planner.view(now)
     const rate = meanPrefillTokensPerMs()
@@ -213,13 +237,14 @@
         continue
       }
       if (!hasReplica(req, view, now)) loadScopes.add(req.scope)
-      const refusal = checkRefusal(req, view, aheadMs, loadScopes.size, now)
+      const refusal = checkRefusal(req, view, ahead, loadScopes.size, now)
       if (refusal !== undefined) {
         actions.push(refusal)
         continue
       }
       blocked.push(req)
-      aheadMs += req.demand.promptTokens / rate
+      ahead.prefillMs += req.demand.promptTokens / rate
+      ahead.requests += 1
     }
     actions.push(...planner.decide(blocked, view, now), ...reportActions(now))
     return actions
@@ -262,6 +287,11 @@
     }
   }
 
+  function reportedBacklogMs (engine: EngineState, now: number): number {
+    const limitMs = limitWaitMs(engine, now) + Math.min(maxReportedLimitMs, limitIntervalMs(engine) / 2)
+    return Math.max(backlogMs(engine, now), limitMs, engine.avoidedUntil > now ? maxBacklogMs * 4 : 0)
+  }
+
   function releaseExpired (now: number): void {
     for (const engine of engines.values()) {
       for (const run of engine.runs.values()) {
@@ -279,15 +309,18 @@
         engines.delete(id)
       }
       state.coldLoadLimit.setEngines(owned.length)
-      for (const { server, spec } of owned) {
+      for (const { server, spec, requestsPerSecond } of owned) {
         const engine = engines.get(server.id)
         if (engine === undefined) {
-          engines.set(server.id, createEngineState(server, spec, now))
+          const created = createEngineState(server, spec, now)
+          setRequestLimit(created, requestsPerSecond, now)
+          engines.set(server.id, created)
           continue
         }
         engine.server = server
         engine.spec = spec
         if (server.bornAt !== 0 && engine.bornAt !== 0 && server.bornAt > engine.bornAt) resetEngine(engine, server.bornAt, now)
+        setRequestLimit(engine, requestsPerSecond, now)
         if (engine.models.size === 0 && server.models.length > 0) applyLoadedModels(engine, server.models, now)
       }
       return decide(now)
@@ -387,7 +420,7 @@
       return [...engines.values()].map(engine => ({
         id: engine.server.id,
         scopes: [...engine.replicas].filter(([scope, replica]) => replica.state !== 'unloading' && isCurrent(replica, scope)).map(([scope]) => scope),
-        backlogMs: Math.round(engine.avoidedUntil > now ? Math.max(maxBacklogMs * 4, backlogMs(engine, now)) : backlogMs(engine, now)),
+        backlogMs: Math.round(reportedBacklogMs(engine, now)),
         running: engine.runs.size,
         loadWaitMs
       }))
@@ -396,9 +429,11 @@
     nextDecisionAt (now) {
       if (blocked.length === 0) return undefined
       let next = Infinity
-      for (const req of blocked) {
-        for (const { replicas } of engines.values()) {
-          const at = planner.usableAt(replicas.get(req.scope))
+      for (const engine of engines.values()) {
+        const waitMs = limitWaitMs(engine, now)
+        if (waitMs > 0) next = Math.min(next, now + waitMs)
+        for (const req of blocked) {
+          const at = planner.usableAt(engine.replicas.get(req.scope))
           if (at > now) next = Math.min(next, at)
         }
       }
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -1,6 +1,7 @@
 /** State of an engine at its owner: adapters, the pending command, running requests and estimates of its speed. */
 import type { BackendServer, EngineReport, EngineSpec, LoadedModel, ModelDemand } from './cluster-types'
 import { cacheScope, createPromptCache, type PromptCache } from './prompt-cache'
+import { createRequestPace, paceWaitMs, type RequestPace } from './request-pace'
 
 export type AdapterReplica = {
   model: string
@@ -82,6 +83,8 @@
   avoidedUntil: number
   /** Duration of the next avoidance, in ms; doubles with each failed contact. */
   avoidanceMs: number
+  /** Limit that the engine states, in requests a second, and the pace that keeps to it. */
+  limit?: { requestsPerSecond: number, pace: RequestPace }
 }
 
 /** Prefill speed assumed before the first measurement: about that of a 70 B model on two accelerators. */
@@ -204,6 +207,7 @@
   delete state.runTokens
   delete state.pending
   delete state.modelLoadCheckAt
+  delete state.limit
   state.lastFirstEventAt = -Infinity
   state.avoidedUntil = -Infinity
   state.avoidanceMs = minAvoidanceMs
@@ -335,6 +339,21 @@
   return state.runs.size < state.spec.slots && runningTokens(state) + addedTokens(state, demand) <= state.spec.kvTokens * kvShare
 }
 
+export function setRequestLimit (state: EngineState, requestsPerSecond: number | undefined, now: number): void {
+  if (requestsPerSecond === undefined) delete state.limit
+  else if (state.limit?.requestsPerSecond !== requestsPerSecond) state.limit = { requestsPerSecond, pace: createRequestPace(requestsPerSecond, now, state.limit?.pace) }
+}
+
+/** @returns time until the engine accepts another request by the limit that it states, in ms */
+export function limitWaitMs ({ limit }: EngineState, now: number): number {
+  return limit === undefined ? 0 : paceWaitMs(limit.pace, now)
+}
+
+/** @returns time between two requests by the limit that the engine states, in ms; 0 without a limit */
+export function limitIntervalMs ({ limit }: EngineState): number {
+  return limit?.pace.intervalMs ?? 0
+}
+
 export function recordSuccess (state: EngineState): void {
   state.failureRate *= 1 - failureWeight
   state.avoidanceMs = minAvoidanceMs
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,11 +1,12 @@
 /** One gateway node: connects the decision modules with clients, backend servers, peers and the store. */
 import { createDirectoryServer, createMetricsServer, createReadyServer, listenOn } from './auxiliary-servers'
 import type { ClientExchange } from './client-exchange'
-import type { BackendServer, ClusterConfig, EngineSpec } from './cluster-types'
+import type { ClusterConfig } from './cluster-types'
 import type { EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
+import type { OwnedEngine } from './engine-scheduler'
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
 import { createFeeds } from './feeds'
@@ -22,10 +23,10 @@
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
 import { cacheScope, sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
+import { createServerLimits } from './server-limits'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePool, type ServicePool } from './service-pool'
 import { createServiceShares } from './service-shares'
-import { createStatementRecorder } from './statement-recorder'
 import { createSuspensionDetector } from './suspension-detector'
 import { createUpstream } from './upstream'
 
@@ -115,7 +116,9 @@
     host: settings.ip,
     port: settings.peerPorts[0],
     now,
-    received (from, { kind, payload }) {
+    received (from, message) {
+      const { kind, payload } = message
+      if (limits.receive(from.node, message)) return
       if (kind === 'member') fleet.receive(payload)
       else if (kind === 'place') receiveGrantMessage(from.node, payload as GrantMessage)
       else if (kind === 'status') receiveStatus(from.node, payload)
@@ -137,15 +140,24 @@
     nodeLost: node => owner.nodeLost(node)
   })
 
-  const statements = createStatementRecorder({ node: settings.name, now, log })
+  const limits = createServerLimits({
+    self,
+    now,
+    log,
+    fleet,
+    link,
+    deliver: deliverToPeer,
+    engineOwner: id => owner.ownership.term(id)?.node,
+    changed: () => owner.refresh()
+  })
 
   const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
   const upstream = createUpstream({ now, connections: shares.connections })
 
   /** Ready engines of all services with their limits. */
-  function listEngines (): { server: BackendServer, spec: EngineSpec }[] {
+  function listEngines (): OwnedEngine[] {
     if (table === undefined) return []
-    return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine })))
+    return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine, requestsPerSecond: limits.limit(server) })))
   }
 
   const partBlocking = createPartBlocking({
@@ -211,7 +223,7 @@
     return registry.ready(service).map(server => {
       const term = owner.ownership.term(server.id)
       const alive = term !== undefined && (term.node === self.name || fleet.isAlive(term.node))
-      return { server, ...(alive ? { owner: term.node } : {}), ...ownerStatuses.engineStatus(server.id, now()) }
+      return { server, ...(alive ? { owner: term.node } : {}), limited: limits.limit(server) !== undefined, ...ownerStatuses.engineStatus(server.id, now()) }
     })
   }
 
@@ -325,9 +337,9 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, recordStatements: statements.record, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, recordStatements: limits.record, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
-    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, recordStatements: statements.record, servers: registry.ready, pool: poolOf, budget: shares.retryBudget })
+    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, recordStatements: limits.record, servers: registry.ready, pool: poolOf, budget: shares.retryBudget, permits: limits })
   }
 
   const front = createFrontServer({
@@ -379,7 +391,7 @@
     }
     if (changes.length === 0) return
     upstream.retain(registry.all())
-    statements.retain(registry.all())
+    limits.retain(registry.all())
     const ids = new Set(registry.all().map(({ id }) => id))
     for (const pool of pools.values()) pool.retain(ids)
     owner.refresh()
--- a/packages/gateway/src/load-placement.ts
+++ b/packages/gateway/src/load-placement.ts
@@ -4,7 +4,7 @@
  * time, and some adapters are too popular for one engine.
  */
 import { maxLoadsPerEngine } from './load-limit'
-import { backlogMs, isIdle, adapterSlotLimit, prefillShare, usedAdapterSlots, type AdapterReplica, type EngineState } from './engine-state'
+import { backlogMs, isIdle, adapterSlotLimit, limitIntervalMs, limitWaitMs, prefillShare, usedAdapterSlots, type AdapterReplica, type EngineState } from './engine-state'
 
 export type WantedAdapter = {
   scope: string
@@ -96,7 +96,7 @@
     }
     const evicted = existing ?? (usedAdapterSlots(engine) < adapterSlotLimit(engine) ? undefined : evictionCandidate(engine, neededScopes))
     if (evicted === undefined && usedAdapterSlots(engine) >= adapterSlotLimit(engine)) continue
-    const cost = backlogMs(engine, ctx.now) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs
+    const cost = backlogMs(engine, ctx.now) + limitWaitMs(engine, ctx.now) + limitIntervalMs(engine) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs
     if (cost >= bestCost) continue
     bestCost = cost
     best = evicted === undefined ? { type: 'load', engine, wanted } : { type: 'unload', engine, replica: evicted }
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -1,10 +1,12 @@
 /** Forwards requests to plain services: chooses a server and retries where the route allows it. */
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { RetryBudget } from '@yuccawharf/coordination'
 import { startAttempt, type Attempt, type AttemptResult } from './attempt'
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { HeaderCodec } from './platform-interface'
+import { permitValidMs, type RequestPermits } from './request-permits'
 import type { StatingResponse } from './server-statements'
 import type { AttemptOutcome, ServicePool } from './service-pool'
 import type { Upstream } from './upstream'
@@ -21,6 +23,8 @@
   servers (service: string): BackendServer[]
   pool (service: string): ServicePool
   budget (service: string): RetryBudget
+  /** Permits for requests to servers that state a limit. */
+  permits: Pick<RequestPermits, 'acquire'>
 }
 
 /** Attempts that fail before anything is sent cost no server work; more failures than this indicate a persistent fault. */
@@ -32,6 +36,8 @@
 /** Retry-After when all servers are full, in ms: about the duration of one request. */
 const serversFullRetryAfterMs = 150
 const noServerRetryAfterMs = 500
+/** Share of the latency objective for which a request waits for the last server that may take it. */
+const permitWaitObjectives = 0.5
 const maxResponseBytes = 16 * 1024 * 1024
 
 type Step =
@@ -45,9 +51,13 @@
   const idempotent = route.kind === 'idempotent'
   const sentTo = new Set<string>()
   const unreachable = new Set<string>()
+  /** Time until a server that has got what it states may take a request, in ms. */
+  const withoutPermit = new Map<string, number>()
   let unsent = 0
   /** An earlier attempt may have run. */
   let maybeRun = false
+  /** An error of a server, passed on if no other server can be tried. */
+  let unusedResponse: AttemptResult & { type: 'response' } | undefined
   let current: Attempt | undefined
 
   budget.recordAttempt()
@@ -79,6 +89,7 @@
 
   async function send (server: BackendServer): Promise<AttemptResult> {
     const startedAt = env.now()
+    unusedResponse = undefined
     sentTo.add(server.id)
     pool.started(server.id)
     const attempt = startAttempt({
@@ -132,6 +143,7 @@
       case 'response':
         if (result.status >= 500 && tryRetry()) {
           maybeRun = true
+          unusedResponse = result
           return { type: 'retry' }
         }
         exchange.respond(result.status, result.headers, result.body)
@@ -141,10 +153,35 @@
     }
   }
 
+  /** @returns whether the request may be sent to the server now */
+  async function obtainPermit (server: BackendServer, isLast: boolean): Promise<boolean> {
+    const maxWaitMs = isLast ? Math.min(route.objectiveMs * permitWaitObjectives, exchange.deadlineAt - env.now() - minRetryMs) : 0
+    const permit = await env.permits.acquire(server, Math.max(0, maxWaitMs))
+    if (permit.type === 'denied') {
+      withoutPermit.set(server.id, permit.retryAfterMs)
+      env.log.info('permit-denied', { id: metadata.id, server: server.id, reason: permit.reason, retryAfterMs: Math.round(permit.retryAfterMs) })
+      return false
+    }
+    if (permit.startAt > env.now()) await sleep(permit.startAt - env.now())
+    const valid = env.now() < permit.startAt + permitValidMs
+    if (!valid) withoutPermit.set(server.id, serversFullRetryAfterMs)
+    return valid
+  }
+
+  function giveUpWithoutServer (): void {
+    if (unusedResponse !== undefined) exchange.respond(unusedResponse.status, unusedResponse.headers, unusedResponse.body)
+    else if (withoutPermit.size > 0) giveUp('servers have got what they accept', Math.min(...withoutPermit.values()))
+    else giveUp('no server')
+  }
+
   try {
     while (!exchange.ended) {
-      const server = pool.choose(env.servers(service.name), env.zone, new Set([...sentTo, ...unreachable]), env.random(), env.now())
-      if (server === undefined) return giveUp('no server')
+      const servers = env.servers(service.name)
+      const excluded = new Set([...sentTo, ...unreachable, ...withoutPermit.keys()])
+      const server = pool.choose(servers, env.zone, excluded, env.random(), env.now())
+      if (server === undefined) return giveUpWithoutServer()
+      if (!await obtainPermit(server, servers.filter(({ id }) => !excluded.has(id)).length === 1)) continue
+      if (exchange.ended) return
       if (handle(server, await send(server)).type === 'done') return
     }
   } finally {
--- /dev/null
+++ b/packages/gateway/src/request-permits.test.ts
@@ -0,0 +1,91 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { BackendServer } from './cluster-types'
+import { createRequestPermits, type RequestPermits } from './request-permits'
+
+const test = suite('request permits')
+
+const server: BackendServer = { id: 's1', bornAt: 1, service: 'desk', address: 's1:1', zone: 'a', state: 'ready', slots: 4, models: [] }
+
+let now: number
+let limits: Map<string, number>
+/** Nodes that do not reply. */
+let silent: Set<string>
+let nodes: Map<string, RequestPermits>
+
+function startNodes (names: string[]): void {
+  nodes = new Map(names.map(name => [name, createRequestPermits({
+    self: name,
+    incarnation: 1,
+    now: () => now,
+    peers: () => names.filter(other => other !== name),
+    limit: () => limits.get(name),
+    async send (node, message) {
+      if (silent.has(node)) return false
+      setImmediate(() => nodes.get(node)!.receive(name, message))
+      return true
+    },
+    onError: reason => { throw new Error(reason) }
+  })]))
+}
+
+test.before.each(() => {
+  now = 0
+  limits = new Map()
+  silent = new Set()
+  startNodes(['n1', 'n2', 'n3'])
+})
+
+async function countPermits (everyMs: number, ms: number, maxWaitMs = 0): Promise<number> {
+  let count = 0
+  for (const end = now + ms; now < end; now += everyMs) {
+    const results = await Promise.all([...nodes.values()].map(async permits => await permits.acquire(server, maxWaitMs)))
+    count += results.filter(({ type }) => type === 'permitted').length
+  }
+  return count
+}
+
+// Guards against nodes that each use the whole limit, and against a limit that is split into shares of which most are unused.
+test('nodes that know a limit get as many permits as it allows', async () => {
+  for (const name of nodes.keys()) limits.set(name, 5)
+  const count = await countPermits(20, 10_000)
+  assert.ok(count >= 48 && count <= 54, `${count} permits in 10 s at a limit of 5 a second`)
+  limits.delete('n2')
+  assert.is((await nodes.get('n2')!.acquire(server, 0)).type, 'permitted')
+})
+
+// Guards against a limit without effect because the node that gives the permits has started since it was stated.
+test('the pacer uses the limit that the asking node knows if it knows none', async () => {
+  const pacer = nodes.get('n1')!.pacer(server)
+  for (const name of nodes.keys()) {
+    if (name !== pacer) limits.set(name, 2)
+  }
+  const [asking] = [...nodes].filter(([name]) => name !== pacer)
+  let permitted = 0
+  for (; now < 5000; now += 50) permitted += (await asking![1].acquire(server, 0)).type === 'permitted' ? 1 : 0
+  assert.ok(permitted >= 9 && permitted <= 12, `${permitted} permits in 5 s at a limit of 2 a second`)
+})
+
+// Guards against requests without a permit while the pacer is away, and against a message for each of them.
+test('there is no permit while the pacer does not reply', async () => {
+  for (const name of nodes.keys()) limits.set(name, 5)
+  const pacer = nodes.get('n1')!.pacer(server)
+  silent.add(pacer)
+  const [, asking] = [...nodes].find(([name]) => name !== pacer)!
+  const first = await asking.acquire(server, 0)
+  assert.equal([first.type, first.type === 'denied' && first.reason], ['denied', 'no-pacer'])
+  silent.clear()
+  assert.is((await asking.acquire(server, 0)).type, 'denied')
+  now += 600
+  assert.is((await asking.acquire(server, 0)).type, 'permitted')
+})
+
+test('a request that may wait gets a permit for later', async () => {
+  for (const name of nodes.keys()) limits.set(name, 2)
+  const node = nodes.get('n1')!
+  assert.equal(await node.acquire(server, 0), { type: 'permitted', startAt: 0 })
+  assert.equal(await node.acquire(server, 600), { type: 'permitted', startAt: 500 })
+  assert.is((await node.acquire(server, 600)).type, 'denied')
+})
+
+test.run()
--- /dev/null
+++ b/packages/gateway/src/request-permits.ts
@@ -0,0 +1,147 @@
+/**
+ * Permits for requests to plain servers that state a limit for all nodes together. One node, the pacer
+ * of the server, gives them, because a share of a small limit for each of many nodes would leave most
+ * of it unused. Engines need none: their owner paces the grants.
+ */
+import { topNode } from '@yuccawharf/coordination'
+import type { BackendServer } from './cluster-types'
+import { createRequestPace, paceWaitMs, recordRequest, type RequestPace } from './request-pace'
+import type { ServerStart, SharedLimit } from './server-statements'
+
+export type PermitMessage =
+  | { kind: 'acquire', id: string, limit: SharedLimit, maxWaitMs: number }
+  | { kind: 'permitted', id: string, startInMs: number }
+  | { kind: 'denied', id: string, retryAfterMs: number }
+
+export type PermitResult =
+  /** The request must be sent within {@link permitValidMs} of `startAt`. */
+  | { type: 'permitted', startAt: number }
+  | { type: 'denied', reason: 'limit' | 'no-pacer', retryAfterMs: number }
+
+export type RequestPermitsOptions = {
+  /** Name of this node. */
+  self: string
+  /** Start of this process, so that replies to an earlier one are recognised. */
+  incarnation: number
+  now (): number
+  /** Names of the other nodes that are alive and not leaving. */
+  peers (): string[]
+  /** Limit as this node knows it, in requests a second. */
+  limit (server: ServerStart): number | undefined
+  /** @returns whether the node acknowledged the message */
+  send (node: string, message: PermitMessage): Promise<boolean>
+  onError (reason: string): void
+}
+
+export type RequestPermits = {
+  /** Node that gives the permits for a server. */
+  pacer (server: ServerStart): string
+  /**
+   * Obtains a permit for one request; granted at once if the server states no limit.
+   *
+   * @param maxWaitMs - longest useful time until the request is sent
+   */
+  acquire (server: BackendServer, maxWaitMs: number): Promise<PermitResult>
+  receive (from: string, message: PermitMessage): void
+  /** Removes the state of all other servers. */
+  retain (servers: readonly ServerStart[]): void
+}
+
+/** Time after its start in which a permit is valid, in ms. A node that was suspended meanwhile must ask again. */
+export const permitValidMs = 250
+/** Time to wait for the pacer's reply, in ms: a round trip and the retransmissions of a message. */
+const replyTimeoutMs = 400
+/** Delay suggested to clients while the pacer does not reply, in ms: it is replaced within about two seconds. */
+const noPacerRetryAfterMs = 500
+
+function keyOf ({ id, bornAt }: ServerStart): string {
+  return `${id}#${bornAt}`
+}
+
+export function createRequestPermits (options: RequestPermitsOptions): RequestPermits {
+  const { self, now } = options
+  /** Pace of each server that this node paces, and the limit that it follows. */
+  const paces = new Map<string, { pace: RequestPace, requestsPerSecond: number }>()
+  /** Time until which the pacer gives no permit for a server under a limit. */
+  const denials = new Map<string, { until: number, requestsPerSecond: number }>()
+  const pending = new Map<string, (result: PermitResult) => void>()
+  let lastId = 0
+
+  function paceOf (server: ServerStart, requestsPerSecond: number): RequestPace {
+    const key = keyOf(server)
+    const existing = paces.get(key)
+    if (existing?.requestsPerSecond === requestsPerSecond) return existing.pace
+    const pace = createRequestPace(requestsPerSecond, now(), existing?.pace)
+    paces.set(key, { pace, requestsPerSecond })
+    return pace
+  }
+
+  /** @param stated - limit as the asking node knows it; this node may have started since it was stated */
+  function issue (server: ServerStart, stated: number, maxWaitMs: number): PermitResult {
+    const pace = paceOf(server, options.limit(server) ?? stated)
+    const waitMs = paceWaitMs(pace, now())
+    if (waitMs > maxWaitMs) return { type: 'denied', reason: 'limit', retryAfterMs: waitMs }
+    recordRequest(pace, now())
+    return { type: 'permitted', startAt: now() + waitMs }
+  }
+
+  function pacer ({ id }: ServerStart): string {
+    return topNode(`pacer/${id}`, [self, ...options.peers()].map(name => ({ id: name })))!.id
+  }
+
+  function ask (node: string, limit: SharedLimit, maxWaitMs: number): Promise<PermitResult> {
+    return new Promise(resolve => {
+      const id = `${options.incarnation}.${++lastId}`
+      const finish = (result: PermitResult): void => {
+        clearTimeout(timer)
+        pending.delete(id)
+        resolve(result)
+      }
+      const noPacer = (): void => finish({ type: 'denied', reason: 'no-pacer', retryAfterMs: noPacerRetryAfterMs })
+      const timer = setTimeout(noPacer, replyTimeoutMs)
+      pending.set(id, finish)
+      options.send(node, { kind: 'acquire', id, limit, maxWaitMs: Math.round(maxWaitMs) })
+        .then(acknowledged => { if (!acknowledged) noPacer() })
+        .catch(err => {
+          options.onError((err as Error).message)
+          noPacer()
+        })
+    })
+  }
+
+  return {
+    pacer,
+    async acquire (server, maxWaitMs) {
+      const requestsPerSecond = options.limit(server)
+      if (requestsPerSecond === undefined) return { type: 'permitted', startAt: now() }
+      const denial = denials.get(keyOf(server))
+      const deniedMs = denial?.requestsPerSecond === requestsPerSecond ? denial.until - now() : 0
+      if (deniedMs > maxWaitMs) return { type: 'denied', reason: 'limit', retryAfterMs: deniedMs }
+      const node = pacer(server)
+      const { id, bornAt } = server
+      const result = node === self ? issue(server, requestsPerSecond, maxWaitMs) : await ask(node, { id, bornAt, requestsPerSecond }, maxWaitMs)
+      if (result.type === 'denied') denials.set(keyOf(server), { until: now() + result.retryAfterMs, requestsPerSecond })
+      return result
+    },
+    receive (from, message) {
+      if (message.kind === 'acquire') {
+        const { id, limit } = message
+        const result = issue(limit, limit.requestsPerSecond ?? Infinity, message.maxWaitMs)
+        const reply: PermitMessage = result.type === 'permitted' ? { kind: 'permitted', id, startInMs: result.startAt - now() } : { kind: 'denied', id, retryAfterMs: result.retryAfterMs }
+        options.send(from, reply).catch(err => options.onError((err as Error).message))
+        return
+      }
+      const finish = pending.get(message.id)
+      if (message.kind === 'permitted') finish?.({ type: 'permitted', startAt: now() + message.startInMs })
+      else finish?.({ type: 'denied', reason: 'limit', retryAfterMs: message.retryAfterMs })
+    },
+    retain (servers) {
+      const keys = new Set(servers.map(keyOf))
+      for (const state of [paces, denials]) {
+        for (const key of state.keys()) {
+          if (!keys.has(key)) state.delete(key)
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/server-limits.ts
@@ -0,0 +1,72 @@
+/** The limits that backend servers state: shares them with the other nodes, and gives permits for plain servers. */
+import type { DecisionLog } from './decision-log'
+import type { Fleet } from './fleet'
+import type { PeerLink, PeerMessage } from './peer-link'
+import { createRequestPermits, type PermitMessage, type RequestPermits } from './request-permits'
+import { createStatementRecorder, type StatementRecorder } from './statement-recorder'
+import type { ServerStart } from './server-statements'
+
+export type ServerLimitsOptions = {
+  /** Name and start of this node. */
+  self: { name: string, incarnation: number }
+  now (): number
+  log: DecisionLog
+  fleet: Pick<Fleet, 'peers' | 'members' | 'address'>
+  link: PeerLink
+  /** Delivers a message and logs a failure. */
+  deliver (address: string, message: PeerMessage): void
+  /** Node that owns the engine, if the server is one. */
+  engineOwner (server: string): string | undefined
+  /** The limit of a server has changed. */
+  changed (): void
+}
+
+export type ServerLimits = Pick<StatementRecorder, 'limit' | 'record'> & Pick<RequestPermits, 'acquire'> & {
+  /** @returns whether the message is about limits */
+  receive (from: string, message: PeerMessage): boolean
+  /** Removes the state of all other servers. */
+  retain (servers: readonly ServerStart[]): void
+}
+
+export function createServerLimits ({ self, now, log, fleet, link, deliver, engineOwner, changed }: ServerLimitsOptions): ServerLimits {
+  const statements = createStatementRecorder({
+    now,
+    log,
+    notifyPeers (limit) {
+      for (const { address } of fleet.peers()) deliver(address, { kind: 'server-limit', payload: limit })
+    },
+    notifyPacer (limit) {
+      const address = fleet.address(engineOwner(limit.id) ?? permits.pacer(limit))
+      if (address !== undefined) link.notify(address, { kind: 'server-limit', payload: limit })
+    },
+    changed
+  })
+  const permits = createRequestPermits({
+    self: self.name,
+    incarnation: self.incarnation,
+    now,
+    peers: () => fleet.members().flatMap(({ name, state }) => state === 'alive' ? name : []),
+    limit: statements.limit,
+    async send (node, message) {
+      const address = fleet.address(node)
+      return address === undefined ? false : await link.deliver(address, { kind: 'permit', payload: message })
+    },
+    onError: reason => { log.error('permit-failed', { reason }) }
+  })
+
+  return {
+    limit: statements.limit,
+    record: statements.record,
+    acquire: permits.acquire,
+    receive (from, { kind, payload }) {
+      if (kind === 'server-limit') statements.receive(from, payload)
+      else if (kind === 'permit') permits.receive(from, payload as PermitMessage)
+      else return false
+      return true
+    },
+    retain (servers) {
+      statements.retain(servers)
+      permits.retain(servers)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/server-statements.test.ts
@@ -0,0 +1,62 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createServerStatements, type StatingResponse } from './server-statements'
+
+const test = suite('server statements')
+
+const server = { id: 's1', bornAt: 1 }
+
+function response (requestsPerSecond: number | undefined, overrides: Partial<StatingResponse> = {}): StatingResponse {
+  return { status: 200, identified: true, sentAt: 0, statements: { ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }), unusable: [] }, ...overrides }
+}
+
+// Guards against a limit that is believed although another server stated it.
+test('a 421 states nothing about the server that the request was sent to', () => {
+  const statements = createServerStatements()
+  assert.is(statements.record(server, response(2, { status: 421 }), 0), undefined)
+  assert.is(statements.limit(server), undefined)
+})
+
+// Guards against a limit that outlives the server which stated it.
+test('a limit is about one start of a server', () => {
+  const statements = createServerStatements()
+  statements.record(server, response(2), 0)
+  assert.is(statements.limit({ ...server, bornAt: 2 }), undefined)
+  statements.retain([{ ...server, bornAt: 2 }])
+  assert.is(statements.limit(server), undefined)
+})
+
+// Guards against a limit that an older response, a late copy or an error page lifts.
+test('only a success for a request that was sent after the last statement lifts a limit', () => {
+  const statements = createServerStatements()
+  statements.record(server, response(2), 100)
+  const kept: Partial<StatingResponse>[] = [{ sentAt: 100 }, { sentAt: 150, identified: false }, { sentAt: 150, status: 503 }]
+  for (const overrides of kept) {
+    assert.is(statements.record(server, response(undefined, overrides), 200), undefined)
+    assert.is(statements.limit(server), 2)
+  }
+  assert.equal(statements.record(server, response(undefined, { sentAt: 150 }), 200), { type: 'change', limit: server })
+  assert.is(statements.limit(server), undefined)
+})
+
+// Guards against messages to all nodes for each response of a server that states another limit each time.
+test('changes are shared a few times a second, and an unchanged limit is repeated once a second', () => {
+  const statements = createServerStatements()
+  const types: (string | undefined)[] = []
+  for (let now = 0; now < 2000; now += 10) types.push(statements.record(server, response(2 + now % 7), now)?.type)
+  assert.ok(types.filter(type => type === 'change').length <= 10)
+  const repeats: (string | undefined)[] = []
+  for (let now = 3000; now < 6000; now += 10) repeats.push(statements.record(server, response(2), now)?.type)
+  assert.equal([repeats[0], repeats.filter(type => type === 'repeat').length], ['change', 2])
+})
+
+test('what another node knows is applied and not shared again', () => {
+  const statements = createServerStatements()
+  assert.is(statements.learn({ ...server, requestsPerSecond: 3 }, 0), true)
+  assert.is(statements.record(server, response(3), 10), undefined)
+  assert.is(statements.learn({ ...server, requestsPerSecond: 3 }, 20), false)
+  assert.is(statements.learn(server, 30), true)
+  assert.is(statements.limit(server), undefined)
+})
+
+test.run()
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -12,49 +12,78 @@
   statements: ServerStatements
 }
 
-export type StatementChange =
-  | { type: 'limit', server: string, requestsPerSecond: number, from: string }
-  | { type: 'limit-lifted', server: string, from: string }
+/** One start of a backend server, which its statements are about. */
+export type ServerStart = Pick<BackendServer, 'id' | 'bornAt'>
+
+/** Absent `requestsPerSecond`: the server no longer states a limit. */
+export type SharedLimit = ServerStart & { requestsPerSecond?: number }
+
+/** `change` is sent to all nodes; `repeat` to the one that paces the server's requests, which may have started since. */
+export type LimitNews = { type: 'change' | 'repeat', limit: SharedLimit }
 
 export type ServerStatementsState = {
   /**
    * Applies the statements of a response that is passed on.
    *
-   * @returns what has changed
+   * @returns what other nodes should know
+   */
+  record (server: ServerStart, response: StatingResponse, now: number): LimitNews | undefined
+  /**
+   * Applies what another node knows.
+   *
+   * @returns whether this changes what this node knows
    */
-  record (server: BackendServer, response: StatingResponse, now: number): StatementChange[]
+  learn (limit: SharedLimit, now: number): boolean
   /** Requests a second that the server accepts from all nodes together, if it states a limit. */
-  limit (server: BackendServer): number | undefined
+  limit (server: ServerStart): number | undefined
   /** Removes what other servers stated. */
-  retain (servers: readonly BackendServer[]): void
+  retain (servers: readonly ServerStart[]): void
 }
 
-type Entry = { requestsPerSecond: number, statedAt: number }
+type Entry = { requestsPerSecond: number, statedAt: number, sharedLimit?: number, sharedAt: number }
+
+/** Shortest time between two changes of one server's limit that are shared, in ms. A server may state another limit in each response. */
+const minShareIntervalMs = 200
+/** Time after which a limit that is still stated is shared again, in ms. */
+const repeatIntervalMs = 1000
 
-/** Statements are about one start of a server. */
-function keyOf ({ id, bornAt }: BackendServer): string {
+function keyOf ({ id, bornAt }: ServerStart): string {
   return `${id}#${bornAt}`
 }
 
-/** @param node - name of this node */
-export function createServerStatements (node: string): ServerStatementsState {
+export function createServerStatements (): ServerStatementsState {
   const entries = new Map<string, Entry>()
 
+  function recordLimit ({ id, bornAt }: ServerStart, requestsPerSecond: number, now: number): LimitNews | undefined {
+    const key = keyOf({ id, bornAt })
+    const entry: Entry = { sharedAt: -Infinity, ...entries.get(key), requestsPerSecond, statedAt: now }
+    entries.set(key, entry)
+    const changed = entry.sharedLimit !== requestsPerSecond
+    if (now - entry.sharedAt < (changed ? minShareIntervalMs : repeatIntervalMs)) return undefined
+    entry.sharedLimit = requestsPerSecond
+    entry.sharedAt = now
+    return { type: changed ? 'change' : 'repeat', limit: { id, bornAt, requestsPerSecond } }
+  }
+
   return {
     record (server, { status, identified, sentAt, statements }, now) {
       // Another server has the address.
-      if (status === 421) return []
-      const key = keyOf(server)
-      const known = entries.get(key)
-      const { requestsPerSecond } = statements
-      if (requestsPerSecond !== undefined) {
-        entries.set(key, { requestsPerSecond, statedAt: now })
-        return requestsPerSecond === known?.requestsPerSecond ? [] : [{ type: 'limit', server: server.id, requestsPerSecond, from: node }]
-      }
+      if (status === 421) return undefined
+      if (statements.requestsPerSecond !== undefined) return recordLimit(server, statements.requestsPerSecond, now)
+      const { id, bornAt } = server
+      const known = entries.get(keyOf(server))
       // A response to an earlier request may have been written before the limit was stated, and an error by other code.
-      if (known === undefined || !identified || status >= 300 || sentAt <= known.statedAt) return []
-      entries.delete(key)
-      return [{ type: 'limit-lifted', server: server.id, from: node }]
+      if (known === undefined || !identified || status >= 300 || sentAt <= known.statedAt) return undefined
+      entries.delete(keyOf(server))
+      return { type: 'change', limit: { id, bornAt } }
+    },
+    learn (limit, now) {
+      const key = keyOf(limit)
+      const { requestsPerSecond } = limit
+      if (requestsPerSecond === undefined) return entries.delete(key)
+      const changed = entries.get(key)?.requestsPerSecond !== requestsPerSecond
+      entries.set(key, { requestsPerSecond, statedAt: now, sharedLimit: requestsPerSecond, sharedAt: now })
+      return changed
     },
     limit: server => entries.get(keyOf(server))?.requestsPerSecond,
     retain (servers) {
@@ -65,3 +94,10 @@
     }
   }
 }
+
+/** @returns whether a message of another node is about a limit */
+export function isSharedLimit (value: unknown): value is SharedLimit {
+  const limit = value as Partial<SharedLimit> | null
+  return typeof limit === 'object' && limit !== null && typeof limit.id === 'string' && Number.isSafeInteger(limit.bornAt) &&
+    (limit.requestsPerSecond === undefined || (Number.isFinite(limit.requestsPerSecond) && limit.requestsPerSecond > 0))
+}
