Send a request again on a new connection after its server has refused it

Reported by other operators: a faulty server writes an earlier refusal once more on a kept connection. Shown here by repeated-refusal.test.ts: the copy has the request's own id, so it was taken for the response to the next attempt of the same request; that request ran five times at its engine (TWICE), and callers were told 'not run' for requests that had run (REFUSED).

Cause: engines refuse requests whose adapter is still loading, and the request is then sent again to the same engine, often on the same connection; nothing in the copy tells it from a new refusal. Change: such an attempt gets a connection of its own. Plain servers were not affected, they get a request once.

Test before: 'r0 ran 5 times'; now each of ten requests runs once and is served.

--- a/packages/gateway/src/broken-stream.test.ts
+++ b/packages/gateway/src/broken-stream.test.ts
@@ -12,7 +12,7 @@
 let server: Server
 let upstream: Upstream
 
-async function stream (respond: (socket: Socket) => void): Promise<{ result: AttemptResult, forwarded: string }> {
+async function stream (respond: (socket: Socket) => void, streaming = true): Promise<{ result: AttemptResult, forwarded: string }> {
   server = createServer(socket => {
     socket.on('error', () => {})
     socket.once('data', () => respond(socket))
@@ -29,7 +29,7 @@
     server: backend,
     requestId: 'r1',
     req: { method: 'POST', path: '/', headers: ['X-Id', 'r1'], body: null },
-    stream: { head () {}, events (bytes) { forwarded += bytes.toString(); return true } },
+    ...(streaming ? { stream: { head () {}, events (bytes: Buffer) { forwarded += bytes.toString(); return true } } } : {}),
     maxBodyBytes: 1e6,
     warn () {}
   }).result
@@ -95,4 +95,28 @@
   assert.ok(result.type === 'response' ? result.body.toString() === body : forwarded === body && result.type === 'streamed')
 })
 
+const brokenHeads: [name: string, response: string][] = [
+  ['in the status line', 'HTTP/1.1 200 O'],
+  ['in a header name', 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Se'],
+  ['in a header value', 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s'],
+  ['after a header', 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n'],
+  ['after a header that closes the connection', 'HTTP/1.1 200 OK\r\nConnection: close\r\nX-Id: r1\r\nX-Seal: s\r\n'],
+  ['before its last byte', 'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\nContent-Length: 0\r\n\r'],
+  ['in HTTP/1.0', 'HTTP/1.0 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n'],
+  ['after an interim response', 'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n'],
+  ['after an interim response that closes the connection', 'HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n'],
+  ['after a 100 in HTTP/1.0', 'HTTP/1.0 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n'],
+  ['before anything', '']
+]
+
+// Guards against a response with an empty or short body that looks complete.
+for (const [name, response] of brokenHeads) {
+  for (const streaming of [true, false]) {
+    test(`a response that ends inside its head has failed: ${name}, ${streaming ? 'streaming' : 'plain'}`, async () => {
+      const { result } = await stream(socket => { socket.end(response) }, streaming)
+      assert.is(result.type, 'failed')
+    })
+  }
+}
+
 test.run()
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -41,6 +41,8 @@
   const budget = env.budget(service.name)
   const sentTo = new Set<string>()
   const excluded = new Set<string>()
+  /** Engines that refused this request. A late copy of the refusal has the request's id too, so it must not be taken for another response. */
+  const refusedBy = new Set<string>()
   const resumable = route.resumable || route.kind === 'idempotent'
   let grantCount = 0
   let maybeRun = false
@@ -150,7 +152,8 @@
           ...(grant.version === undefined ? {} : { version: grant.version }),
           ...(lastEventId === undefined ? {} : { lastEventId })
         }),
-        body: exchange.body
+        body: exchange.body,
+        newConnection: refusedBy.has(server.id)
       },
       stream: {
         head: (status, headers) => { head = { status, headers } },
@@ -206,6 +209,7 @@
         excluded.add(server.id)
         return grantCount < maxGrants || (giveUp('no engine could be reached'), false)
       case 'not-run':
+        refusedBy.add(server.id)
         if (grantCount < maxGrants && budget.tryTake()) return true
         giveUp('engines refused the request')
         return false
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -25,7 +25,14 @@
   resume (): void
 }
 
-export type UpstreamRequest = { method: string, path: string, headers: RawHeaders, body: Buffer | null }
+export type UpstreamRequest = {
+  method: string
+  path: string
+  headers: RawHeaders
+  body: Buffer | null
+  /** Sends the request on a connection of its own, on which no other response can arrive. */
+  newConnection?: boolean
+}
 
 export type Upstream = {
   send (server: BackendServer, req: UpstreamRequest, handler: UpstreamHandler): UpstreamCall
@@ -129,13 +136,10 @@
 export function createUpstream (options: UpstreamOptions): Upstream {
   const entries = new Map<string, Entry>()
 
-  function entryOf (server: BackendServer): Entry {
-    const key = keyOf(server)
-    const existing = entries.get(key)
-    if (existing !== undefined) return existing
+  function createEntry (server: BackendServer, connections: number): Entry {
     const watch: ConnectionWatch = { resetting: false }
     const pool = new Pool(`http://${server.address}`, {
-      connections: options.connections(server.service),
+      connections,
       pipelining: 1,
       connect: createWatchedConnector(watch),
       keepAliveTimeout: idleMs,
@@ -144,7 +148,14 @@
       headersTimeout: 0,
       bodyTimeout: 0
     })
-    const created = { pool, noReuseUntil: -Infinity, watch }
+    return { pool, noReuseUntil: -Infinity, watch }
+  }
+
+  function entryOf (server: BackendServer): Entry {
+    const key = keyOf(server)
+    const existing = entries.get(key)
+    if (existing !== undefined) return existing
+    const created = createEntry(server, options.connections(server.service))
     entries.set(key, created)
     return created
   }
@@ -155,14 +166,14 @@
   }
 
   return {
-    send (server, { method, path, headers, body }, handler) {
-      const entry = entryOf(server)
+    send (server, { method, path, headers, body, newConnection = false }, handler) {
+      const entry = newConnection ? createEntry(server, 1) : entryOf(server)
       let controller: Dispatcher.DispatchController | undefined
       let ended = false
       const state: { aborted?: string } = {}
       const progressed = (): void => { if (entry.watch.reading !== undefined) entry.watch.reading.bytesWithoutProgress = 0 }
 
-      entry.pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body, reset: entry.noReuseUntil > options.now() }, {
+      entry.pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body, reset: newConnection || entry.noReuseUntil > options.now() }, {
         onRequestStart (started) {
           controller = started
           if (state.aborted !== undefined) started.abort(new Error(state.aborted))
@@ -191,6 +202,8 @@
         }
       })
 
+      if (newConnection) closePool(entry)
+
       return {
         abort (reason) {
           ended = true
