Pass on no length for a stream that may continue at another engine

Cause: the head of the first engine was passed on with its length. Change: no length where the route lets a stream continue elsewhere; the node frames it in chunks.

--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -51,6 +51,10 @@
   return JSON.stringify({ type: `urn:yuccawharf:problem:${outcome}`, title: titles[outcome], status, detail: reason, outcome })
 }
 
+export function withoutLength (headers: RawHeaders): RawHeaders {
+  return headers.filter((_, index) => headers[index - index % 2]!.toLowerCase() !== 'content-length')
+}
+
 /** Sends a refusal for a request that has no exchange. */
 export function sendRefusal (res: ServerResponse, refusal: RefusalStatus, reason: string, headers: Record<string, string> = {}): void {
   if (res.headersSent || res.destroyed) return
@@ -120,8 +124,7 @@
     onDrain: listener => { res.once('drain', listener) },
     end,
     respond (status, headers, body) {
-      const others = headers.filter((_, index) => headers[index - index % 2]!.toLowerCase() !== 'content-length')
-      head(status, [...others, 'Content-Length', String(body.length)])
+      head(status, [...withoutLength(headers), 'Content-Length', String(body.length)])
       end(body)
     },
     abort () {
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -4,7 +4,7 @@
  */
 import type { RetryBudget } from '@yuccawharf/coordination'
 import { startAttempt, type Attempt, type AttemptResult } from './attempt'
-import type { ClientExchange } from './client-exchange'
+import { withoutLength, type ClientExchange } from './client-exchange'
 import type { BackendServer, ModelDemand } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { RunOutcome } from './engine-scheduler'
@@ -112,7 +112,9 @@
   }
 
   function sendHead (): void {
-    if (head !== undefined && !exchange.headersSent) exchange.head(head.status, head.headers)
+    if (head === undefined || exchange.headersSent) return
+    // Another engine may continue the stream with another number of bytes.
+    exchange.head(head.status, resumable ? withoutLength(head.headers) : head.headers)
   }
 
   function forwardEvents (grant: Grant, bytes: Buffer, lastId: string | undefined): boolean {
