Send no requests to servers that state that they are leaving

Requests went on reaching it until its entry in the store said so, and for as long as the store was away; its end then cut them.

Cause: nodes learned of a leave from the store only. Change: the node that passes on such a response marks this start of the server as draining in its registry and tells all nodes, which do the same. Everything that chooses servers already leaves draining ones out; no later entry of the same start brings it back, also if the entry was removed meanwhile, and a new start is used at once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,9 +23,9 @@
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
 import { cacheScope, sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
-import { createServerLimits } from './server-limits'
+import { createServerRestrictions } from './server-restrictions'
 import { createServerRegistry, type RegistryChange } from './server-registry'
-import { createServicePool, type ServicePool } from './service-pool'
+import { createServicePools } from './service-pool'
 import { createServiceShares } from './service-shares'
 import { createSuspensionDetector } from './suspension-detector'
 import { createUpstream } from './upstream'
@@ -85,7 +85,7 @@
   const startedAt = Date.now()
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
-  const pools = new Map<string, ServicePool>()
+  const pools = createServicePools()
   /** Current version of replaced adapters, by model and adapter. */
   const versions = new Map<string, number>()
   const ownerStatuses = createOwnerStatusCache()
@@ -118,7 +118,7 @@
     now,
     received (from, message) {
       const { kind, payload } = message
-      if (limits.receive(from.node, message)) return
+      if (restrictions.receive(from.node, message)) return
       if (kind === 'member') fleet.receive(payload)
       else if (kind === 'place') receiveGrantMessage(from.node, payload as GrantMessage)
       else if (kind === 'status') receiveStatus(from.node, payload)
@@ -140,7 +140,7 @@
     nodeLost: node => owner.nodeLost(node)
   })
 
-  const limits = createServerLimits({
+  const restrictions = createServerRestrictions({
     self,
     now,
     log,
@@ -148,7 +148,12 @@
     link,
     deliver: deliverToPeer,
     engineOwner: id => owner.ownership.term(id)?.node,
-    changed: () => owner.refresh()
+    changed: () => owner.refresh(),
+    leave (server) {
+      const changes = registry.leave(server)
+      applyServers(changes)
+      return changes
+    }
   })
 
   const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
@@ -157,7 +162,7 @@
   /** Ready engines of all services with their limits. */
   function listEngines (): OwnedEngine[] {
     if (table === undefined) return []
-    return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine, requestsPerSecond: limits.limit(server) })))
+    return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine, requestsPerSecond: restrictions.limit(server) })))
   }
 
   const partBlocking = createPartBlocking({
@@ -208,7 +213,10 @@
     now,
     zone: self.zone,
     engines: enginesOf,
-    server: id => registry.get(id),
+    server (id) {
+      const server = registry.get(id)
+      return server?.state === 'ready' ? server : undefined
+    },
     startingUp: isStartingUp,
     newestVersion: scope => versions.get(scope),
     send: sendToNode,
@@ -223,7 +231,7 @@
     return registry.ready(service).map(server => {
       const term = owner.ownership.term(server.id)
       const alive = term !== undefined && (term.node === self.name || fleet.isAlive(term.node))
-      return { server, ...(alive ? { owner: term.node } : {}), limited: limits.limit(server) !== undefined, ...ownerStatuses.engineStatus(server.id, now()) }
+      return { server, ...(alive ? { owner: term.node } : {}), limited: restrictions.limit(server) !== undefined, ...ownerStatuses.engineStatus(server.id, now()) }
     })
   }
 
@@ -325,21 +333,13 @@
     }
   }
 
-  function poolOf (service: string): ServicePool {
-    const existing = pools.get(service)
-    if (existing !== undefined) return existing
-    const created = createServicePool()
-    pools.set(service, created)
-    return created
-  }
-
   async function forward (exchange: ClientExchange): Promise<void> {
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, recordStatements: limits.record, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, recordStatements: restrictions.record, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
-    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, recordStatements: limits.record, servers: registry.ready, pool: poolOf, budget: shares.retryBudget, permits: limits })
+    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, recordStatements: restrictions.record, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget, permits: restrictions })
   }
 
   const front = createFrontServer({
@@ -391,9 +391,8 @@
     }
     if (changes.length === 0) return
     upstream.retain(registry.all())
-    limits.retain(registry.all())
-    const ids = new Set(registry.all().map(({ id }) => id))
-    for (const pool of pools.values()) pool.retain(ids)
+    restrictions.retain(registry.all())
+    pools.retain(new Set(registry.all().map(({ id }) => id)))
     owner.refresh()
   }
 
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -73,6 +73,10 @@
 export type ServerStatements = {
   /** Requests a second that the server accepts from all nodes together; above 0. */
   requestsPerSecond?: number
+  /** The server is leaving and accepts no further requests. */
+  leaving?: true
+  /** Time for which the server wants no requests from this node, in ms. */
+  waitMs?: number
   /** Values that state nothing, because they are malformed or out of range, as `name: value`. */
   unusable: string[]
 }
--- a/packages/gateway/src/request-permits.ts
+++ b/packages/gateway/src/request-permits.ts
@@ -6,7 +6,8 @@
 import { topNode } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
 import { createRequestPace, paceWaitMs, recordRequest, type RequestPace } from './request-pace'
-import type { ServerStart, SharedLimit } from './server-statements'
+import type { ServerStart } from './server-registry'
+import type { SharedLimit } from './server-statements'
 
 export type PermitMessage =
   | { kind: 'acquire', id: string, limit: SharedLimit, maxWaitMs: number }
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -8,6 +8,9 @@
  */
 const recoveryGraceMs = 2000
 
+/** One start of a backend server. */
+export type ServerStart = Pick<BackendServer, 'id' | 'bornAt'>
+
 export type RegistryChange =
   | { type: 'added' | 'started-again' | 'draining' | 'removed', server: BackendServer }
   | { type: 'unreadable', key: string, reason: string }
@@ -17,6 +20,8 @@
   apply (records: readonly FeedRecord<ServerRecord>[], now: number): RegistryChange[]
   /** Applies the newest record of each key; servers without a record were removed. */
   replace (records: readonly FeedRecord<ServerRecord>[], now: number): RegistryChange[]
+  /** The server has stated itself that it is leaving; its entry may say otherwise, or not exist yet. */
+  leave (start: ServerStart): RegistryChange[]
   /** Starts the delay of removals, because an outage of the store has ended. */
   storeRecovered (now: number): void
   /** Applies delayed removals when the delay has ended. */
@@ -28,11 +33,16 @@
   all (): BackendServer[]
 }
 
+/** Number of starts that are known to have left; later entries of them are outdated. */
+const maxKnownLeavers = 4096
+
 type Entry = { server: BackendServer, sequence: number, offset: number, removedAt?: number }
 
 export function createServerRegistry (): ServerRegistry {
   const entries = new Map<string, Entry>()
   const ready = new Map<string, BackendServer[]>()
+  /** Newest start of each server that has stated that it is leaving. */
+  const leavers = new Map<string, number>()
   let graceUntil = -Infinity
 
   /** Whether the record is of an earlier start of the server, or an earlier entry of the same start. */
@@ -46,7 +56,8 @@
     if (current !== undefined && (offset < current.offset || isStale(current, record))) return []
     const sameStart = current !== undefined && current.server.bornAt === record.server.bornAt
     // A draining server becomes ready again only with a new start.
-    const state = sameStart && current.server.state === 'draining' ? 'draining' : record.server.state
+    const isLeaving = leavers.get(key) === record.server.bornAt || (sameStart && current.server.state === 'draining')
+    const state = isLeaving ? 'draining' : record.server.state
     const server = { ...record.server, state }
     entries.set(key, { server, sequence: record.sequence, offset })
     ready.clear()
@@ -83,6 +94,16 @@
       const missing = [...entries.keys()].filter(key => !present.has(key))
       return [...records.flatMap(record => applyOne(record, now)), ...missing.flatMap(key => remove(key, Infinity, now))]
     },
+    leave ({ id, bornAt }) {
+      leavers.delete(id)
+      leavers.set(id, bornAt)
+      if (leavers.size > maxKnownLeavers) leavers.delete(leavers.keys().next().value!)
+      const entry = entries.get(id)
+      if (entry === undefined || entry.server.bornAt !== bornAt || entry.server.state === 'draining') return []
+      entry.server = { ...entry.server, state: 'draining' }
+      ready.clear()
+      return [{ type: 'draining', server: entry.server }]
+    },
     storeRecovered (now) {
       graceUntil = now + recoveryGraceMs
     },
--- a/packages/gateway/src/server-limits.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -1,12 +1,12 @@
-/** The limits that backend servers state: shares them with the other nodes, and gives permits for plain servers. */
+/** What backend servers ask of the nodes in their responses: shared with the other nodes, with permits for plain servers that state a limit. */
 import type { DecisionLog } from './decision-log'
 import type { Fleet } from './fleet'
 import type { PeerLink, PeerMessage } from './peer-link'
 import { createRequestPermits, type PermitMessage, type RequestPermits } from './request-permits'
+import type { RegistryChange, ServerStart } from './server-registry'
 import { createStatementRecorder, type StatementRecorder } from './statement-recorder'
-import type { ServerStart } from './server-statements'
 
-export type ServerLimitsOptions = {
+export type ServerRestrictionsOptions = {
   /** Name and start of this node. */
   self: { name: string, incarnation: number }
   now (): number
@@ -19,27 +19,34 @@
   engineOwner (server: string): string | undefined
   /** The limit of a server has changed. */
   changed (): void
+  /**
+   * The server has stated that it is leaving.
+   *
+   * @returns what this changes
+   */
+  leave (server: ServerStart): RegistryChange[]
 }
 
-export type ServerLimits = Pick<StatementRecorder, 'limit' | 'record'> & Pick<RequestPermits, 'acquire'> & {
-  /** @returns whether the message is about limits */
+export type ServerRestrictions = Pick<StatementRecorder, 'limit' | 'record'> & Pick<RequestPermits, 'acquire'> & {
+  /** @returns whether the message is about what servers ask */
   receive (from: string, message: PeerMessage): boolean
   /** Removes the state of all other servers. */
   retain (servers: readonly ServerStart[]): void
 }
 
-export function createServerLimits ({ self, now, log, fleet, link, deliver, engineOwner, changed }: ServerLimitsOptions): ServerLimits {
+export function createServerRestrictions ({ self, now, log, fleet, link, deliver, engineOwner, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
   const statements = createStatementRecorder({
     now,
     log,
-    notifyPeers (limit) {
-      for (const { address } of fleet.peers()) deliver(address, { kind: 'server-limit', payload: limit })
+    notifyPeers (kind, payload) {
+      for (const { address } of fleet.peers()) deliver(address, { kind, payload })
     },
     notifyPacer (limit) {
       const address = fleet.address(engineOwner(limit.id) ?? permits.pacer(limit))
-      if (address !== undefined) link.notify(address, { kind: 'server-limit', payload: limit })
+      if (address !== undefined) link.notify(address, { kind: 'stated-limit', payload: limit })
     },
-    changed
+    changed,
+    leave
   })
   const permits = createRequestPermits({
     self: self.name,
@@ -59,7 +66,7 @@
     record: statements.record,
     acquire: permits.acquire,
     receive (from, { kind, payload }) {
-      if (kind === 'server-limit') statements.receive(from, payload)
+      if (kind === 'stated-limit' || kind === 'stated-leaving') statements.receive(from, kind, payload)
       else if (kind === 'permit') permits.receive(from, payload as PermitMessage)
       else return false
       return true
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -1,6 +1,6 @@
 /** What backend servers state about themselves in their responses, as this node knows it. */
-import type { BackendServer } from './cluster-types'
 import type { ServerStatements } from './platform-interface'
+import type { ServerStart } from './server-registry'
 
 /** A response to one attempt of this node. */
 export type StatingResponse = {
@@ -12,9 +12,6 @@
   statements: ServerStatements
 }
 
-/** One start of a backend server, which its statements are about. */
-export type ServerStart = Pick<BackendServer, 'id' | 'bornAt'>
-
 /** Absent `requestsPerSecond`: the server no longer states a limit. */
 export type SharedLimit = ServerStart & { requestsPerSecond?: number }
 
@@ -67,8 +64,6 @@
 
   return {
     record (server, { status, identified, sentAt, statements }, now) {
-      // Another server has the address.
-      if (status === 421) return undefined
       if (statements.requestsPerSecond !== undefined) return recordLimit(server, statements.requestsPerSecond, now)
       const { id, bornAt } = server
       const known = entries.get(keyOf(server))
@@ -95,9 +90,15 @@
   }
 }
 
+/** @returns whether a message of another node names a start of a server */
+export function isServerStart (value: unknown): value is ServerStart {
+  const start = value as Partial<ServerStart> | null
+  return typeof start === 'object' && start !== null && typeof start.id === 'string' && Number.isSafeInteger(start.bornAt)
+}
+
 /** @returns whether a message of another node is about a limit */
 export function isSharedLimit (value: unknown): value is SharedLimit {
-  const limit = value as Partial<SharedLimit> | null
-  return typeof limit === 'object' && limit !== null && typeof limit.id === 'string' && Number.isSafeInteger(limit.bornAt) &&
-    (limit.requestsPerSecond === undefined || (Number.isFinite(limit.requestsPerSecond) && limit.requestsPerSecond > 0))
+  if (!isServerStart(value)) return false
+  const { requestsPerSecond } = value as Partial<SharedLimit>
+  return requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond > 0)
 }
--- a/packages/gateway/src/service-pool.ts
+++ b/packages/gateway/src/service-pool.ts
@@ -103,3 +103,25 @@
     }
   }
 }
+
+/** The pools of all services. */
+export type ServicePools = {
+  pool (service: string): ServicePool
+  retain: ServicePool['retain']
+}
+
+export function createServicePools (): ServicePools {
+  const pools = new Map<string, ServicePool>()
+  return {
+    pool (service) {
+      const existing = pools.get(service)
+      if (existing !== undefined) return existing
+      const created = createServicePool()
+      pools.set(service, created)
+      return created
+    },
+    retain (ids) {
+      for (const pool of pools.values()) pool.retain(ids)
+    }
+  }
+}
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -18,15 +18,22 @@
     return { id: valueOf(raw, 'x-id') ?? '', headers, ...(adapter === undefined && partIds === undefined ? {} : { demand }) }
   },
   attempt: (metadata, { instanceId, remainingMs }) => [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs))],
-  response (_status, raw) {
+  response (status, raw) {
     const requestId = valueOf(raw, 'x-id')
     const limit = valueOf(raw, 'x-limit')
+    const waitSeconds = status === 503 ? valueOf(raw, 'retry-after') : undefined
+    const statements = {
+      ...(limit === undefined ? {} : { requestsPerSecond: Number(limit) }),
+      ...(valueOf(raw, 'x-leaving') === undefined ? {} : { leaving: true as const }),
+      ...(waitSeconds === undefined ? {} : { waitMs: 1000 * Number(waitSeconds) }),
+      unusable: []
+    }
     return {
       ...(requestId === undefined ? {} : { requestId }),
       signed: valueOf(raw, 'x-seal') !== undefined,
       notRun: valueOf(raw, 'x-not-run') !== undefined,
       encoded: valueOf(raw, 'content-encoding') !== undefined,
-      statements: { ...(limit === undefined ? {} : { requestsPerSecond: Number(limit) }), unusable: [] },
+      statements,
       headers: raw.filter((_, index) => !['connection', 'keep-alive', 'transfer-encoding'].includes(raw[index - index % 2]!.toLowerCase()))
     }
   },
