Send no requests to servers for as long as they ask

Cause: nothing read the statement. Change: the node leaves such a server out for that time, one hour at most. Its requests for grants exclude these engines, and a grant that arrives nevertheless is returned. If no server is left, requests are refused at once as not run, with the time until one may be asked. Other nodes are not told: the statement is about the node that got it.

Forwarders ask one interface, ServerRestrictions, for limits, waits and what to record.

--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -10,7 +10,7 @@
 import type { RunOutcome } from './engine-scheduler'
 import type { Grant, GrantClient } from './grant-client'
 import type { HeaderCodec, RawHeaders } from './platform-interface'
-import type { StatingResponse } from './server-statements'
+import type { ServerRestrictions } from './server-restrictions'
 import type { Upstream } from './upstream'
 
 export type EngineForwarderEnv = {
@@ -19,8 +19,10 @@
   upstream: Upstream
   grants: GrantClient
   log: DecisionLog
-  /** Applies what a server states about itself in its response to the request. */
-  recordStatements (server: BackendServer, requestId: string, response: StatingResponse): void
+  /** Engines that accept requests according to the store. */
+  engines (service: string): BackendServer[]
+  /** What engines ask of this node in their responses. */
+  restrictions: Pick<ServerRestrictions, 'record' | 'waitMs'>
   budget (service: string): RetryBudget
   firstEvent (service: string, seconds: number): void
   /** @returns whether the prompt has a part that crashes engines, and for how much longer it is refused */
@@ -87,8 +89,25 @@
     return true
   }
 
+  /** Engines that want no requests from this node, with the time until they may be asked. */
+  function waitingEngines (): Map<string, number> {
+    return new Map(env.engines(service.name).flatMap((server): [string, number][] => {
+      const waitMs = env.restrictions.waitMs(server)
+      return waitMs > 0 ? [[server.id, waitMs]] : []
+    }))
+  }
+
+  /** @returns whether the request was refused because no engine that may take it wants requests */
+  function refuseIfAllWait (waiting: ReadonlyMap<string, number>): boolean {
+    const candidates = sentTo.size >= route.attempts ? [...sentTo] : env.engines(service.name).map(({ id }) => id).filter(id => !excluded.has(id))
+    if (waiting.size === 0 || candidates.length === 0 || candidates.some(id => !waiting.has(id))) return false
+    giveUp('engines accept no requests for a while', Math.min(...candidates.map(id => waiting.get(id)!)))
+    return true
+  }
+
   async function acquireGrant (): Promise<Grant | undefined> {
-    if (refuseBlockedPart()) return undefined
+    const waiting = waitingEngines()
+    if (refuseBlockedPart() || refuseIfAllWait(waiting)) return undefined
     grantCount += 1
     const grantId = `${metadata.id}#${grantCount}`
     pendingGrantId = grantId
@@ -102,7 +121,7 @@
       startBy: Math.min(exchange.deadlineAt, waitingSince + route.patienceMs),
       ...(route.pauseMs === undefined ? {} : { pauseMs: route.pauseMs }),
       deadlineAt: exchange.deadlineAt,
-      excluded: [...excluded],
+      excluded: [...excluded, ...waiting.keys()],
       ...(sentTo.size >= route.attempts ? { only: [...sentTo] } : {})
     })
     pendingGrantId = undefined
@@ -166,7 +185,7 @@
         }
       },
       maxBodyBytes: maxResponseBytes,
-      responded: (status, response, sentAt) => env.recordStatements(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
+      responded: (status, response, sentAt) => env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
       warn: env.log.warn
     })
     current = { grant, attempt }
@@ -257,6 +276,11 @@
         env.grants.ended(grant, 'cancelled')
         return
       }
+      if (env.restrictions.waitMs(grant.server) > 0) {
+        env.grants.ended(grant, 'cancelled')
+        if (grantCount < maxGrants) continue
+        return giveUp('engines accept no requests for a while', env.restrictions.waitMs(grant.server))
+      }
       const result = await send(grant)
       env.grants.ended(grant, outcomeOf(result))
       if (!handle(grant, result)) return
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -337,9 +337,9 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, recordStatements: restrictions.record, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
-    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, recordStatements: restrictions.record, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget, permits: restrictions })
+    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, restrictions, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget })
   }
 
   const front = createFrontServer({
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -6,8 +6,8 @@
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { HeaderCodec } from './platform-interface'
-import { permitValidMs, type RequestPermits } from './request-permits'
-import type { StatingResponse } from './server-statements'
+import { permitValidMs } from './request-permits'
+import type { ServerRestrictions } from './server-restrictions'
 import type { AttemptOutcome, ServicePool } from './service-pool'
 import type { Upstream } from './upstream'
 
@@ -18,13 +18,11 @@
   codec: HeaderCodec
   upstream: Upstream
   log: DecisionLog
-  /** Applies what a server states about itself in its response to the request. */
-  recordStatements (server: BackendServer, requestId: string, response: StatingResponse): void
+  /** What servers ask of this node in their responses. */
+  restrictions: Pick<ServerRestrictions, 'record' | 'acquire' | 'waitMs'>
   servers (service: string): BackendServer[]
   pool (service: string): ServicePool
   budget (service: string): RetryBudget
-  /** Permits for requests to servers that state a limit. */
-  permits: Pick<RequestPermits, 'acquire'>
 }
 
 /** Attempts that fail before anything is sent cost no server work; more failures than this indicate a persistent fault. */
@@ -51,8 +49,8 @@
   const idempotent = route.kind === 'idempotent'
   const sentTo = new Set<string>()
   const unreachable = new Set<string>()
-  /** Time until a server that has got what it states may take a request, in ms. */
-  const withoutPermit = new Map<string, number>()
+  /** Time until a server that has got what it accepts, or wants no requests, may be asked, in ms. */
+  const unavailable = new Map<string, number>()
   let unsent = 0
   /** An earlier attempt may have run. */
   let maybeRun = false
@@ -105,7 +103,7 @@
         body: exchange.body
       },
       maxBodyBytes: maxResponseBytes,
-      responded: (status, response, sentAt) => env.recordStatements(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
+      responded: (status, response, sentAt) => env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
       warn: env.log.warn
     })
     current = attempt
@@ -156,28 +154,32 @@
   /** @returns whether the request may be sent to the server now */
   async function obtainPermit (server: BackendServer, isLast: boolean): Promise<boolean> {
     const maxWaitMs = isLast ? Math.min(route.objectiveMs * permitWaitObjectives, exchange.deadlineAt - env.now() - minRetryMs) : 0
-    const permit = await env.permits.acquire(server, Math.max(0, maxWaitMs))
+    const permit = await env.restrictions.acquire(server, Math.max(0, maxWaitMs))
     if (permit.type === 'denied') {
-      withoutPermit.set(server.id, permit.retryAfterMs)
+      unavailable.set(server.id, permit.retryAfterMs)
       env.log.info('permit-denied', { id: metadata.id, server: server.id, reason: permit.reason, retryAfterMs: Math.round(permit.retryAfterMs) })
       return false
     }
     if (permit.startAt > env.now()) await sleep(permit.startAt - env.now())
-    const valid = env.now() < permit.startAt + permitValidMs
-    if (!valid) withoutPermit.set(server.id, serversFullRetryAfterMs)
-    return valid
+    const isUsable = env.now() < permit.startAt + permitValidMs && env.restrictions.waitMs(server) === 0 && env.servers(service.name).some(({ id }) => id === server.id)
+    if (!isUsable) unavailable.set(server.id, Math.max(serversFullRetryAfterMs, env.restrictions.waitMs(server)))
+    return isUsable
   }
 
   function giveUpWithoutServer (): void {
     if (unusedResponse !== undefined) exchange.respond(unusedResponse.status, unusedResponse.headers, unusedResponse.body)
-    else if (withoutPermit.size > 0) giveUp('servers have got what they accept', Math.min(...withoutPermit.values()))
+    else if (unavailable.size > 0) giveUp('servers accept no requests for a while', Math.min(...unavailable.values()))
     else giveUp('no server')
   }
 
   try {
     while (!exchange.ended) {
       const servers = env.servers(service.name)
-      const excluded = new Set([...sentTo, ...unreachable, ...withoutPermit.keys()])
+      for (const server of servers) {
+        const waitMs = env.restrictions.waitMs(server)
+        if (waitMs > 0) unavailable.set(server.id, waitMs)
+      }
+      const excluded = new Set([...sentTo, ...unreachable, ...unavailable.keys()])
       const server = pool.choose(servers, env.zone, excluded, env.random(), env.now())
       if (server === undefined) return giveUpWithoutServer()
       if (!await obtainPermit(server, servers.filter(({ id }) => !excluded.has(id)).length === 1)) continue
--- a/packages/gateway/src/server-restrictions.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -27,7 +27,7 @@
   leave (server: ServerStart): RegistryChange[]
 }
 
-export type ServerRestrictions = Pick<StatementRecorder, 'limit' | 'record'> & Pick<RequestPermits, 'acquire'> & {
+export type ServerRestrictions = Pick<StatementRecorder, 'limit' | 'record' | 'waitMs'> & Pick<RequestPermits, 'acquire'> & {
   /** @returns whether the message is about what servers ask */
   receive (from: string, message: PeerMessage): boolean
   /** Removes the state of all other servers. */
@@ -64,6 +64,7 @@
   return {
     limit: statements.limit,
     record: statements.record,
+    waitMs: statements.waitMs,
     acquire: permits.acquire,
     receive (from, { kind, payload }) {
       if (kind === 'stated-limit' || kind === 'stated-leaving') statements.receive(from, kind, payload)
--- a/packages/gateway/src/server-statements.test.ts
+++ b/packages/gateway/src/server-statements.test.ts
@@ -52,4 +52,14 @@
   assert.is(statements.limit(server), undefined)
 })
 
+// Guards against a wait that a later, shorter one ends, and against a server that is never used again.
+test('a server is left out for the longest time that it has stated, and for an hour at most', () => {
+  const statements = createServerStatements()
+  assert.is(statements.recordWait(server, 2000, 0), true)
+  assert.is(statements.recordWait(server, 500, 100), false)
+  assert.equal([statements.waitMs(server, 100), statements.waitMs(server, 2000), statements.waitMs({ ...server, bornAt: 2 }, 100)], [1900, 0, 0])
+  statements.recordWait(server, 1e9, 3000)
+  assert.is(statements.waitMs(server, 3000), 3_600_000)
+})
+
 test.run()
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -33,6 +33,14 @@
   learn (limit: SharedLimit, now: number): boolean
   /** Requests a second that the server accepts from all nodes together, if it states a limit. */
   limit (server: ServerStart): number | undefined
+  /**
+   * Applies the time for which the server wants no requests from this node.
+   *
+   * @returns whether it accepted requests before
+   */
+  recordWait (server: ServerStart, waitMs: number, now: number): boolean
+  /** Time for which the server wants no further requests from this node, in ms; 0 if it accepts them. */
+  waitMs (server: ServerStart, now: number): number
   /** Removes what other servers stated. */
   retain (servers: readonly ServerStart[]): void
 }
@@ -44,12 +52,20 @@
 /** Time after which a limit that is still stated is shared again, in ms. */
 const repeatIntervalMs = 1000
 
+/** Longest time for which a server may want no requests, in ms. After it, the next response shows whether it still does. */
+const maxWaitMs = 3_600_000
+
 function keyOf ({ id, bornAt }: ServerStart): string {
   return `${id}#${bornAt}`
 }
 
 export function createServerStatements (): ServerStatementsState {
   const entries = new Map<string, Entry>()
+  const waitsUntil = new Map<string, number>()
+
+  function waitMs (server: ServerStart, now: number): number {
+    return Math.max(0, (waitsUntil.get(keyOf(server)) ?? -Infinity) - now)
+  }
 
   function recordLimit ({ id, bornAt }: ServerStart, requestsPerSecond: number, now: number): LimitNews | undefined {
     const key = keyOf({ id, bornAt })
@@ -81,10 +97,18 @@
       return changed
     },
     limit: server => entries.get(keyOf(server))?.requestsPerSecond,
+    recordWait (server, statedMs, now) {
+      const remainingMs = waitMs(server, now)
+      waitsUntil.set(keyOf(server), now + Math.max(remainingMs, Math.min(maxWaitMs, statedMs)))
+      return remainingMs === 0
+    },
+    waitMs,
     retain (servers) {
       const keys = new Set(servers.map(keyOf))
-      for (const key of entries.keys()) {
-        if (!keys.has(key)) entries.delete(key)
+      for (const state of [entries, waitsUntil]) {
+        for (const key of state.keys()) {
+          if (!keys.has(key)) state.delete(key)
+        }
       }
     }
   }
--- a/packages/gateway/src/statement-recorder.ts
+++ b/packages/gateway/src/statement-recorder.ts
@@ -23,6 +23,8 @@
 export type StatementRecorder = Pick<ServerStatementsState, 'limit' | 'retain'> & {
   /** @param requestId - request that the server responded to */
   record (server: BackendServer, requestId: string, response: StatingResponse): void
+  /** Time for which the server wants no further requests from this node, in ms; 0 if it accepts them. */
+  waitMs (server: ServerStart): number
   /** Applies a message of another node. */
   receive (from: string, kind: 'stated-limit' | 'stated-leaving', payload: unknown): void
 }
@@ -45,12 +47,15 @@
   return {
     limit: statements.limit,
     retain: statements.retain,
+    waitMs: server => statements.waitMs(server, now()),
     record (server, requestId, response) {
       for (const value of response.statements.unusable) log.warn('server-statement-unusable', { id: requestId, server: server.id, value: value.slice(0, maxLoggedValueLength) })
       // Another server has the address.
       if (response.status === 421) return
       recordLimit(server, requestId, response)
-      if (response.statements.leaving === undefined || leave(server).length === 0) return
+      const { waitMs, leaving } = response.statements
+      if (waitMs !== undefined && statements.recordWait(server, waitMs, now())) log.info('server-statement', { id: requestId, server: server.id, service: server.service, waitMs })
+      if (leaving === undefined || leave(server).length === 0) return
       log.info('server-statement', { id: requestId, server: server.id, service: server.service, leaving: true })
       notifyPeers('stated-leaving', { id: server.id, bornAt: server.bornAt })
     },
