Agree on another owner for the adapters of an engine that states a limit

Cause: the owner that all nodes prefer for an adapter may be one whose engine states a limit. Nodes then turned to the owner next to them, so that each zone loaded the adapter. Change: owners with an engine without a limit are preferred, by the same hash for all. An engine that could take a request now is reported as busy by 100 ms, not 400, or its loaded adapters would be loaded elsewhere while it is idle. The new test of engine-choice failed before.

--- a/packages/gateway/src/engine-choice.test.ts
+++ b/packages/gateway/src/engine-choice.test.ts
@@ -51,6 +51,16 @@
   for (const adapter of adapters) assert.not.ok(rankOwners(engines, demand(adapter), 'a', 1).includes('owner-a'))
 })
 
+// Guards against a load in each zone for the adapters of an owner whose engines state limits.
+test('all zones prefer the same other owner while the engines of one state limits', () => {
+  const limited = idle.map(candidate => candidate.owner === 'owner-a' ? { ...candidate, limited: true, backlogMs: 600 } : candidate)
+  for (const adapter of adapters) {
+    const firsts = new Set(zones.map(zone => rankOwners(limited, demand(adapter), zone, 1)[0]))
+    assert.is(firsts.size, 1)
+    assert.not.ok(firsts.has('owner-a'))
+  }
+})
+
 // Guards against nodes that each send to an engine that accepts only a few requests from all of them.
 test('an engine that states a limit is not used without its owner', () => {
   const scopes = new Set([cacheScope(demand('x1'))])
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -49,13 +49,19 @@
   return queueCostMs + loadCostMs + engine.loadWaitMs + (engine.owner === preferredOwner ? 0 : extraReplicaCostMs + zoneCostMs)
 }
 
-/** Owner that loads an adapter if no engine has it: one of the zone for an adapter in frequent use, otherwise any. */
+/**
+ * Owner that loads an adapter if no engine has it: one of the zone for an adapter in frequent use,
+ * otherwise any. All nodes choose the same one, also while some engines state limits.
+ */
 function choosePreferredOwner (engines: readonly EngineCandidate[], scope: string, zone: string, hot: boolean): string | undefined {
   const owners = new Set<string>()
-  for (const { owner, server, commandable } of engines) {
-    if (owner !== undefined && commandable && (!hot || server.zone === zone)) owners.add(owner)
+  const unlimited = new Set<string>()
+  for (const { owner, server, commandable, limited } of engines) {
+    if (owner === undefined || !commandable || (hot && server.zone !== zone)) continue
+    owners.add(owner)
+    if (limited !== true) unlimited.add(owner)
   }
-  return topNode(scope, [...owners].map(id => ({ id })))?.id
+  return topNode(scope, [...(unlimited.size > 0 ? unlimited : owners)].map(id => ({ id })))?.id
 }
 
 /**
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -22,8 +22,8 @@
 const maxWaitingRequests = 2000
 /** Longest wait of a request that is already late for an engine that states a limit, in ms. */
 const maxLateLimitWaitMs = 300
-/** Longest delay that is reported for an engine because of its limit alone, in ms. It is less than that of a load elsewhere, so that an adapter that is loaded there stays in use. */
-const maxReportedLimitMs = 400
+/** Longest delay that is reported for an engine that states a limit and could take a request now, in ms. It is less than that of a load elsewhere, so that an adapter that is loaded there stays in use. */
+const maxReportedLimitMs = 100
 /** Shortest time from sending a request to its first event, in ms. */
 const minRunMs = 60
 const minRetryAfterMs = 200
