Do not pass on requests whose clients left while the node could not run

Cause: a node that has not run for a while reads a request first and the close of its connection in the next turn of its event loop; in between it had already sent the request to a server. Change: a request is passed on two turns after it was read, if its client is still there. Engines were not affected, because a grant takes longer than that.

Requests whose clients still wait are served as before. The delay of the event loop is not measured yet, and a process that is given a tenth of its processor time was not played.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for clients: enforces limits, reads the body, finds the route and creates the exchange. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { trackResponses } from '@yuccawharf/clients'
 import { abortResponse, createClientExchange, refusalBody, sendRefusal, type ClientExchange, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
@@ -107,8 +108,11 @@
     if (service === undefined) return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
     const deadlineAt = arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
     const exchange = createClientExchange({ req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt }, { codec: env.codec, closing: env.closing })
+    // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
+    await nextTurn()
+    await nextTurn()
     try {
-      await env.forward(exchange)
+      if (!exchange.ended) await env.forward(exchange)
     } finally {
       env.ended(exchange)
     }
