Count what servers state, and let a leaving node give no permits

Metrics: yuccawharf_server_statements_total by kind and yuccawharf_permits_denied_total by reason. A node that is leaving and the others now agree on another pacer; before, the leaving node went on giving permits to itself beside the new pacer (seen by reading; the new test failed before). The registry returns only servers that accept requests by id, as its one caller needs; the registry's test asks for it that way.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -10,6 +10,10 @@
   queueWait (seconds: number): void
   refused (reason: string): void
   command (operation: string, result: string): void
+  /** Something that a server has stated, as this node learned it from the server or from another node. */
+  serverStatement (kind: 'limit' | 'limit-lifted' | 'leaving' | 'wait' | 'unusable'): void
+  /** A request got no permit for a server. */
+  permitDenied (reason: string): void
   storeCall (feed: string, result: string): void
   gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts', value: number): void
   text (): Promise<string>
@@ -24,6 +28,8 @@
   const refusals = new Counter({ name: 'yuccawharf_refusals_total', help: 'Requests refused as not run, by reason.', labelNames: ['reason'], registers })
   const commands = new Counter({ name: 'yuccawharf_engine_commands_total', help: 'Commands to engines by operation and result.', labelNames: ['operation', 'result'], registers })
   const calls = new Counter({ name: 'yuccawharf_store_calls_total', help: 'Calls to the platform store by feed and result.', labelNames: ['feed', 'result'], registers })
+  const statements = new Counter({ name: 'yuccawharf_server_statements_total', help: 'Changes of what servers state about themselves, by kind.', labelNames: ['kind'], registers })
+  const denials = new Counter({ name: 'yuccawharf_permits_denied_total', help: 'Requests without a permit for a server that states a limit, by reason.', labelNames: ['reason'], registers })
   const gauges = new Gauge({ name: 'yuccawharf_state', help: 'Current values.', labelNames: ['name'], registers })
 
   return {
@@ -35,6 +41,8 @@
     queueWait: seconds => { waits.observe(seconds) },
     refused: reason => { refusals.inc({ reason }) },
     command: (operation, result) => { commands.inc({ operation, result }) },
+    serverStatement: kind => { statements.inc({ kind }) },
+    permitDenied: reason => { denials.inc({ reason }) },
     storeCall: (feed, result) => { calls.inc({ feed, result }) },
     gauge: (name, value) => { gauges.set({ name }, value) },
     text: async () => await registers[0]!.metrics()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -144,10 +144,12 @@
     self,
     now,
     log,
+    metrics,
     fleet,
     link,
     deliver: deliverToPeer,
     engineOwner: id => owner.ownership.term(id)?.node,
+    leaving: () => leavingSince !== undefined,
     changed: () => owner.refresh(),
     leave (server) {
       const changes = registry.leave(server)
@@ -213,10 +215,7 @@
     now,
     zone: self.zone,
     engines: enginesOf,
-    server (id) {
-      const server = registry.get(id)
-      return server?.state === 'ready' ? server : undefined
-    },
+    server: registry.readyServer,
     startingUp: isStartingUp,
     newestVersion: scope => versions.get(scope),
     send: sendToNode,
--- a/packages/gateway/src/request-permits.test.ts
+++ b/packages/gateway/src/request-permits.test.ts
@@ -9,7 +9,8 @@
 
 let now: number
 let limits: Map<string, number>
-/** Nodes that do not reply. */
+/** Nodes that are leaving, and nodes that do not reply. */
+let leaving: Set<string>
 let silent: Set<string>
 let nodes: Map<string, RequestPermits>
 
@@ -18,7 +19,8 @@
     self: name,
     incarnation: 1,
     now: () => now,
-    peers: () => names.filter(other => other !== name),
+    peers: () => names.filter(other => other !== name && !leaving.has(other)),
+    leaving: () => leaving.has(name),
     limit: () => limits.get(name),
     async send (node, message) {
       if (silent.has(node)) return false
@@ -33,6 +35,7 @@
   now = 0
   limits = new Map()
   silent = new Set()
+  leaving = new Set()
   startNodes(['n1', 'n2', 'n3'])
 })
 
@@ -88,4 +91,13 @@
   assert.is((await node.acquire(server, 600)).type, 'denied')
 })
 
+// Guards against two nodes that give permits for the same server during a planned stop.
+test('a leaving node and the others agree on another pacer', () => {
+  const pacer = nodes.get('n1')!.pacer(server)
+  leaving.add(pacer)
+  const pacers = new Set([...nodes.values()].map(permits => permits.pacer(server)))
+  assert.is(pacers.size, 1)
+  assert.not.ok(pacers.has(pacer))
+})
+
 test.run()
--- a/packages/gateway/src/request-permits.ts
+++ b/packages/gateway/src/request-permits.ts
@@ -27,6 +27,8 @@
   now (): number
   /** Names of the other nodes that are alive and not leaving. */
   peers (): string[]
+  /** Whether this node is leaving, so that the others no longer ask it. */
+  leaving (): boolean
   /** Limit as this node knows it, in requests a second. */
   limit (server: ServerStart): number | undefined
   /** @returns whether the node acknowledged the message */
@@ -87,7 +89,9 @@
   }
 
   function pacer ({ id }: ServerStart): string {
-    return topNode(`pacer/${id}`, [self, ...options.peers()].map(name => ({ id: name })))!.id
+    const peers = options.peers()
+    const names = options.leaving() && peers.length > 0 ? peers : [self, ...peers]
+    return topNode(`pacer/${id}`, names.map(name => ({ id: name })))!.id
   }
 
   function ask (node: string, limit: SharedLimit, maxWaitMs: number): Promise<PermitResult> {
--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -28,7 +28,7 @@
   registry.apply([entry('s1', 0, { bornAt: 5, state: 'draining' })], 0)
   assert.is(registry.apply([entry('s1', 1, { bornAt: 9 }, 1)], 10)[0]?.type, 'started-again')
   registry.apply([entry('s1', 2, { bornAt: 5, address: 'old:1' }, 99)], 20)
-  assert.is(registry.get('s1')?.address, 's1:1')
+  assert.is(registry.readyServer('s1')?.address, 's1:1')
   assert.equal(readyIds(registry), ['s1'])
 })
 
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -26,7 +26,8 @@
   storeRecovered (now: number): void
   /** Applies delayed removals when the delay has ended. */
   tick (now: number): RegistryChange[]
-  get (id: string): BackendServer | undefined
+  /** @returns the server if it accepts new requests */
+  readyServer (id: string): BackendServer | undefined
   /** Servers that accept new requests. */
   ready (service: string): BackendServer[]
   /** All servers, including draining ones. */
@@ -111,7 +112,10 @@
       if (now < graceUntil) return []
       return [...entries].flatMap(([key, entry]) => entry.removedAt === undefined ? [] : drop(key, entry))
     },
-    get: id => entries.get(id)?.server,
+    readyServer (id) {
+      const server = entries.get(id)?.server
+      return server?.state === 'ready' ? server : undefined
+    },
     ready (service) {
       const cached = ready.get(service)
       if (cached !== undefined) return cached
--- a/packages/gateway/src/server-restrictions.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from './decision-log'
 import type { Fleet } from './fleet'
 import type { PeerLink, PeerMessage } from './peer-link'
+import type { GatewayMetrics } from './gateway-metrics'
 import { createRequestPermits, type PermitMessage, type RequestPermits } from './request-permits'
 import type { RegistryChange, ServerStart } from './server-registry'
 import { createStatementRecorder, type StatementRecorder } from './statement-recorder'
@@ -11,12 +12,15 @@
   self: { name: string, incarnation: number }
   now (): number
   log: DecisionLog
+  metrics: Pick<GatewayMetrics, 'serverStatement' | 'permitDenied'>
   fleet: Pick<Fleet, 'peers' | 'members' | 'address'>
   link: PeerLink
   /** Delivers a message and logs a failure. */
   deliver (address: string, message: PeerMessage): void
   /** Node that owns the engine, if the server is one. */
   engineOwner (server: string): string | undefined
+  /** Whether this node is leaving. */
+  leaving (): boolean
   /** The limit of a server has changed. */
   changed (): void
   /**
@@ -34,10 +38,11 @@
   retain (servers: readonly ServerStart[]): void
 }
 
-export function createServerRestrictions ({ self, now, log, fleet, link, deliver, engineOwner, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
+export function createServerRestrictions ({ self, now, log, metrics, fleet, link, deliver, engineOwner, leaving, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
   const statements = createStatementRecorder({
     now,
     log,
+    metrics,
     notifyPeers (kind, payload) {
       for (const { address } of fleet.peers()) deliver(address, { kind, payload })
     },
@@ -53,6 +58,7 @@
     incarnation: self.incarnation,
     now,
     peers: () => fleet.members().flatMap(({ name, state }) => state === 'alive' ? name : []),
+    leaving,
     limit: statements.limit,
     async send (node, message) {
       const address = fleet.address(node)
@@ -65,7 +71,11 @@
     limit: statements.limit,
     record: statements.record,
     waitMs: statements.waitMs,
-    acquire: permits.acquire,
+    async acquire (server, maxWaitMs) {
+      const result = await permits.acquire(server, maxWaitMs)
+      if (result.type === 'denied') metrics.permitDenied(result.reason)
+      return result
+    },
     receive (from, { kind, payload }) {
       if (kind === 'stated-limit' || kind === 'stated-leaving') statements.receive(from, kind, payload)
       else if (kind === 'permit') permits.receive(from, payload as PermitMessage)
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -64,7 +64,7 @@
   const waitsUntil = new Map<string, number>()
 
   function waitMs (server: ServerStart, now: number): number {
-    return Math.max(0, (waitsUntil.get(keyOf(server)) ?? -Infinity) - now)
+    return waitsUntil.size === 0 ? 0 : Math.max(0, (waitsUntil.get(keyOf(server)) ?? -Infinity) - now)
   }
 
   function recordLimit ({ id, bornAt }: ServerStart, requestsPerSecond: number, now: number): LimitNews | undefined {
@@ -96,7 +96,7 @@
       entries.set(key, { requestsPerSecond, statedAt: now, sharedLimit: requestsPerSecond, sharedAt: now })
       return changed
     },
-    limit: server => entries.get(keyOf(server))?.requestsPerSecond,
+    limit: server => entries.size === 0 ? undefined : entries.get(keyOf(server))?.requestsPerSecond,
     recordWait (server, statedMs, now) {
       const remainingMs = waitMs(server, now)
       waitsUntil.set(keyOf(server), now + Math.max(remainingMs, Math.min(maxWaitMs, statedMs)))
--- a/packages/gateway/src/statement-recorder.test.ts
+++ b/packages/gateway/src/statement-recorder.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
 import { createDecisionLog } from './decision-log'
+import { createGatewayMetrics } from './gateway-metrics'
 import { createServerRegistry } from './server-registry'
 import type { StatingResponse } from './server-statements'
 import { createStatementRecorder, type StatementRecorder } from './statement-recorder'
@@ -22,6 +23,7 @@
   recorder = createStatementRecorder({
     now: () => 1000,
     log: createDecisionLog('n1', { write: line => { events.push((JSON.parse(line) as { event: string }).event) }, flush: async () => {}, dropped: () => 0 }),
+    metrics: createGatewayMetrics(),
     notifyPeers: (kind, payload) => { messages.push([kind, payload]) },
     notifyPacer () {},
     changed () {},
--- a/packages/gateway/src/statement-recorder.ts
+++ b/packages/gateway/src/statement-recorder.ts
@@ -1,12 +1,14 @@
 /** Records what backend servers state in their responses, shares it with the other nodes, and logs each change. */
 import type { BackendServer } from './cluster-types'
-import type { DecisionLog } from './decision-log'
+import type { DecisionLog, LogFields } from './decision-log'
+import type { GatewayMetrics } from './gateway-metrics'
 import type { RegistryChange, ServerStart } from './server-registry'
 import { createServerStatements, isServerStart, isSharedLimit, type ServerStatementsState, type SharedLimit, type StatingResponse } from './server-statements'
 
 export type StatementRecorderOptions = {
   now (): number
   log: DecisionLog
+  metrics: Pick<GatewayMetrics, 'serverStatement'>
   notifyPeers (kind: 'stated-limit' | 'stated-leaving', payload: SharedLimit | ServerStart): void
   /** Notifies the node that paces the requests to the server. */
   notifyPacer (limit: SharedLimit): void
@@ -32,41 +34,64 @@
 /** Length to which values from responses are cut in the log, in characters. */
 const maxLoggedValueLength = 40
 
-export function createStatementRecorder ({ now, log, notifyPeers, notifyPacer, changed, leave }: StatementRecorderOptions): StatementRecorder {
+export function createStatementRecorder ({ now, log, metrics, notifyPeers, notifyPacer, changed, leave }: StatementRecorderOptions): StatementRecorder {
   const statements = createServerStatements()
 
-  function recordLimit (server: BackendServer, requestId: string, response: StatingResponse): void {
+  /** @param source - the request or the node from which this node learned it */
+  function logLimit ({ id: server, requestsPerSecond }: SharedLimit, source: LogFields): void {
+    metrics.serverStatement(requestsPerSecond === undefined ? 'limit-lifted' : 'limit')
+    log.info('server-statement', { ...source, server, requestsPerSecond: requestsPerSecond ?? null })
+  }
+
+  function logLeave ({ id: server }: ServerStart, source: LogFields): void {
+    metrics.serverStatement('leaving')
+    log.info('server-statement', { ...source, server, leaving: true })
+  }
+
+  function logUnusable (fields: LogFields): void {
+    metrics.serverStatement('unusable')
+    log.warn('server-statement-unusable', fields)
+  }
+
+  function recordLimit (server: BackendServer, source: LogFields, response: StatingResponse): void {
     const news = statements.record(server, response, now())
     if (news?.type === 'repeat') notifyPacer(news.limit)
     if (news?.type !== 'change') return
-    log.info('server-statement', { id: requestId, server: server.id, service: server.service, requestsPerSecond: news.limit.requestsPerSecond ?? null })
+    logLimit(news.limit, source)
     notifyPeers('stated-limit', news.limit)
     changed()
   }
 
+  function recordWait (server: BackendServer, source: LogFields, waitMs: number): void {
+    if (!statements.recordWait(server, waitMs, now())) return
+    metrics.serverStatement('wait')
+    log.info('server-statement', { ...source, server: server.id, waitMs })
+  }
+
   return {
     limit: statements.limit,
     retain: statements.retain,
     waitMs: server => statements.waitMs(server, now()),
     record (server, requestId, response) {
-      for (const value of response.statements.unusable) log.warn('server-statement-unusable', { id: requestId, server: server.id, value: value.slice(0, maxLoggedValueLength) })
+      for (const value of response.statements.unusable) logUnusable({ id: requestId, server: server.id, value: value.slice(0, maxLoggedValueLength) })
       // Another server has the address.
       if (response.status === 421) return
-      recordLimit(server, requestId, response)
+      const source = { id: requestId, service: server.service }
       const { waitMs, leaving } = response.statements
-      if (waitMs !== undefined && statements.recordWait(server, waitMs, now())) log.info('server-statement', { id: requestId, server: server.id, service: server.service, waitMs })
+      recordLimit(server, source, response)
+      if (waitMs !== undefined) recordWait(server, source, waitMs)
       if (leaving === undefined || leave(server).length === 0) return
-      log.info('server-statement', { id: requestId, server: server.id, service: server.service, leaving: true })
+      logLeave(server, source)
       notifyPeers('stated-leaving', { id: server.id, bornAt: server.bornAt })
     },
     receive (from, kind, payload) {
       if (kind === 'stated-leaving' && isServerStart(payload)) {
-        if (leave(payload).length > 0) log.info('server-statement', { server: payload.id, leaving: true, from })
+        if (leave(payload).length > 0) logLeave(payload, { from })
       } else if (kind === 'stated-limit' && isSharedLimit(payload)) {
         if (!statements.learn(payload, now())) return
-        log.info('server-statement', { server: payload.id, requestsPerSecond: payload.requestsPerSecond ?? null, from })
+        logLimit(payload, { from })
         changed()
-      } else log.warn('server-statement-unusable', { from, kind })
+      } else logUnusable({ from, kind })
     }
   }
 }
