--- a/packages/gateway/src/crashing-prompt.test.ts
+++ b/packages/gateway/src/crashing-prompt.test.ts
@@ -6,8 +6,7 @@
 import { createDecisionLog } from './decision-log'
 import { createGateway, type Gateway } from './gateway'
 import { createGatewayMetrics } from './gateway-metrics'
-import type { NodeSettings } from './platform-interface'
-import { createFakePlatform, freePorts, startBackend, testConfig, type FakeBackend, type FakePlatform } from './testing'
+import { createFakePlatform, freePorts, startBackend, testConfig, testNodeSettings, type FakeBackend, type FakePlatform } from './testing'
 
 const test = suite('crashing prompts')
 
@@ -31,24 +30,6 @@
 let arrivals: number[]
 let stopped: boolean
 
-function settingsOf (zone: string, ports: number[]): NodeSettings {
-  const [front, ready, directory, control, , peers] = ports as [number, number, number, number, number, number]
-  const loopback = (port: number): { host: string, port: number } => ({ host: '127.0.0.1', port })
-  return {
-    name: `node-${zone}`,
-    zone,
-    ip: '127.0.0.1',
-    peerPorts: [peers, peers],
-    front: loopback(front),
-    ready: loopback(ready),
-    directory: loopback(directory),
-    control: loopback(control),
-    seeds: [],
-    cpuShare: 1,
-    bounds: { drainMs: 2000, graceMs: 1000, configApplyMs: 2000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, leaseMs: 3000, versionMs: 5000, addressTtlMaxMs: 5000 }
-  }
-}
-
 async function startEngine (id: string, zone: string): Promise<void> {
   const engine = await startBackend(id, 'llm', (req, res) => answer(id, zone, engine, req, res), { zone, models: [{ name: 'base', adapters: [] }] })
   if (stopped) return engine.close()
@@ -112,11 +93,11 @@
   gateways = []
   fronts = []
   const log = createDecisionLog('nodes', { write: line => { lines.push(JSON.parse(line) as typeof lines[number]) }, flush: async () => {}, dropped: () => 0 })
-  const shared = createFakePlatform(settingsOf('a', await freePorts(6)))
+  const shared = createFakePlatform(testNodeSettings('node-a', 'a', await freePorts(6)))
   platform = shared
   for (const zone of zones) {
     const ports = await freePorts(6)
-    const settings = settingsOf(zone, ports)
+    const settings = testNodeSettings(`node-${zone}`, zone, ports)
     fronts.push(settings.front.port)
     const gateway = createGateway({ platform: { ...shared, settings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
     gateways.push(gateway)
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -6,8 +6,7 @@
 import { createDecisionLog } from './decision-log'
 import { createGateway, type Gateway } from './gateway'
 import { createGatewayMetrics } from './gateway-metrics'
-import type { NodeSettings } from './platform-interface'
-import { createFakePlatform, freePorts, startBackend, testConfig, type FakeBackend, type FakePlatform } from './testing'
+import { createFakePlatform, freePorts, startBackend, testConfig, testNodeSettings, type FakeBackend, type FakePlatform } from './testing'
 
 const test = suite('gateway node')
 
@@ -19,26 +18,13 @@
 let lines: { event: string, [field: string]: unknown }[]
 
 async function start (): Promise<void> {
-  const [front, ready, directory, control, metrics, peers] = await freePorts(6) as [number, number, number, number, number, number]
-  const loopback = (port: number): { host: string, port: number } => ({ host: '127.0.0.1', port })
-  const settings: NodeSettings = {
-    name: 'n1',
-    zone: 'a',
-    ip: '127.0.0.1',
-    peerPorts: [peers, peers],
-    front: loopback(front),
-    ready: loopback(ready),
-    directory: loopback(directory),
-    control: loopback(control),
-    seeds: [],
-    cpuShare: 1,
-    bounds: { drainMs: 2000, graceMs: 4000, configApplyMs: 2000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, leaseMs: 3000, versionMs: 5000, addressTtlMaxMs: 5000 }
-  }
+  const ports = await freePorts(6)
+  const settings = testNodeSettings('n1', 'a', ports, { graceMs: 4000 })
   lines = []
   backends = []
   platform = createFakePlatform(settings)
   const log = createDecisionLog('n1', { write: line => { lines.push(JSON.parse(line) as typeof lines[number]) }, flush: async () => {}, dropped: () => 0 })
-  gateway = createGateway({ platform, log, metrics: createGatewayMetrics(), metricsAddress: { port: metrics, path: '/metrics' }, now: () => performance.now(), random: Math.random })
+  gateway = createGateway({ platform, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
   await gateway.start()
 }
 
--- a/packages/gateway/src/leaving-server.test.ts
+++ b/packages/gateway/src/leaving-server.test.ts
@@ -1,9 +1,8 @@
 /** Backend servers that state in their responses that they are leaving, while their entries in the store still say otherwise. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { sendTestRequest, startBackend, startTestNodes, testConfig, type FakeBackend, type TestNodes, type TestOutcome } from './testing'
+import { sendEvery, sendTestRequest, startBackend, startTestNodes, testConfig, untilServed, type FakeBackend, type TestNodes, type TestOutcome } from './testing'
 
 const test = suite('leaving servers')
 
@@ -45,19 +44,10 @@
   return sendTestRequest(nodes.fronts[sent % nodes.fronts.length]!, path, id, { ...(path.startsWith('/draft/') ? { 'x-parts': id } : {}), ...headers })
 }
 
-async function sendEvery (intervalMs: number, ms: number, path: string, headers: Record<string, string> = {}): Promise<TestOutcome[]> {
-  const outcomes: Promise<TestOutcome>[] = []
-  for (const end = performance.now() + ms; performance.now() < end; await sleep(intervalMs)) outcomes.push(send(path, headers))
-  return await Promise.all(outcomes)
-}
+const sendMany = (intervalMs: number, ms: number, path: string): Promise<TestOutcome[]> => sendEvery(intervalMs, ms, () => send(path))
 
-async function untilServed (path: string): Promise<void> {
-  const end = performance.now() + 8000
-  const served = async (): Promise<boolean> => (await Promise.all(nodes.fronts.map(async () => await send(path)))).every(({ status }) => status === 200)
-  while (!await served()) {
-    if (performance.now() > end) throw new Error(`the nodes do not serve ${path}`)
-    await sleep(50)
-  }
+async function untilAllServe (path: string): Promise<void> {
+  await untilServed(nodes, () => send(path))
 }
 
 function assertLeft (start: string): void {
@@ -88,10 +78,10 @@
   // Guards against requests to a server that is gone soon, because only its entry in the store counts.
   test(`a plain server that states that it is leaving gets no further requests${storeDown ? ' while the store is down' : ''}`, async () => {
     for (const id of ['s1', 's2']) await startServer(id, 'desk', 'a')
-    await untilServed('/order/x')
+    await untilAllServe('/order/x')
     nodes.platform.servers.setDown(storeDown)
     leaving.add('s1#1')
-    const outcomes = await sendEvery(20, drainMs + 1500, '/order/x')
+    const outcomes = await sendMany(20, drainMs + 1500, '/order/x')
     assertLeft('s1#1')
     assertServed(outcomes)
   })
@@ -100,9 +90,9 @@
 // Guards against a statement in the head of a long stream that counts only at its end, and against cutting the stream.
 test('an engine that states that it is leaving finishes its streams and gets no further requests', async () => {
   for (const zone of ['a', 'b', 'c']) await startServer(`e-${zone}`, 'llm', zone)
-  await untilServed('/draft/x')
+  await untilAllServe('/draft/x')
   leaving.add('e-a#1')
-  const long = await Promise.all([sendEvery(100, 400, '/draft/x', { 'x-long': '1' }), sendEvery(40, drainMs + 1500, '/draft/x')])
+  const long = await Promise.all([sendEvery(100, 400, () => send('/draft/x', { 'x-long': '1' })), sendMany(40, drainMs + 1500, '/draft/x')])
   assertLeft('e-a#1')
   assertServed(long.flat())
 })
@@ -110,19 +100,19 @@
 // Guards against an older entry, or one that says ready, that brings back a server which is leaving, and against a new start that is never used.
 test('only a new start of the server is used again', async () => {
   for (const id of ['s1', 's2']) await startServer(id, 'desk', 'a')
-  await untilServed('/order/x')
+  await untilAllServe('/order/x')
   leaving.add('s1#1')
-  await sendEvery(20, 500, '/order/x')
+  await sendMany(20, 500, '/order/x')
   const { server } = backends[0]!
   nodes.platform.servers.append('s1', { type: 'server', server: { ...server, slots: 7 }, sequence: 2 })
-  await sendEvery(20, 200, '/order/x')
+  await sendMany(20, 200, '/order/x')
   nodes.platform.servers.append('s1', undefined)
-  await sendEvery(20, 200, '/order/x')
+  await sendMany(20, 200, '/order/x')
   nodes.platform.servers.append('s1', { type: 'server', server, sequence: 3 })
-  await sendEvery(20, drainMs, '/order/x')
+  await sendMany(20, drainMs, '/order/x')
   assertLeft('s1#1')
   await startServer('s1', 'desk', 'a', 2)
-  await sendEvery(20, 1000, '/order/x')
+  await sendMany(20, 1000, '/order/x')
   assert.ok(arrivals.get('s1#2')!.length > 5, `${arrivals.get('s1#2')!.length} requests reached the new start`)
 })
 
--- a/packages/gateway/src/repeated-refusal.test.ts
+++ b/packages/gateway/src/repeated-refusal.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { sendTestRequest, startTestNodes, testConfig, type TestNodes } from './testing'
+import { sendTestRequest, startTestNodes, testConfig, untilServed, type TestNodes } from './testing'
 
 const test = suite('repeated refusals')
 
@@ -53,11 +53,8 @@
   nodes.platform.operator.append('config', { type: 'config', config: testConfig })
   await startEngine()
   repeats = false
-  const end = performance.now() + 8000
-  for (let id = 0; (await sendTestRequest(nodes.fronts[0]!, '/draft/x', `start-${id}`, { 'x-parts': `start-${id}` })).status !== 200; id++) {
-    if (performance.now() > end) throw new Error('the node does not serve')
-    await sleep(50)
-  }
+  let started = 0
+  await untilServed(nodes, front => sendTestRequest(front, '/draft/x', `start-${++started}`, { 'x-parts': `start-${started}` }))
 })
 test.after.each(async () => {
   await nodes.stop()
--- a/packages/gateway/src/request-limit.test.ts
+++ b/packages/gateway/src/request-limit.test.ts
@@ -1,9 +1,8 @@
 /** Backend servers that state how many requests a second they accept from all nodes together, behind three nodes. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { sendTestRequest, startBackend, startTestNodes, testConfig, type FakeBackend, type TestNodes, type TestOutcome } from './testing'
+import { countServed, sendEvery, sendTestRequest, startBackend, startTestNodes, testConfig, untilServed, type FakeBackend, type TestNodes, type TestOutcome } from './testing'
 
 const test = suite('stated request limits')
 
@@ -51,23 +50,10 @@
   return sendTestRequest(nodes.fronts[sent % nodes.fronts.length]!, path, id, path.startsWith('/draft/') ? { 'x-parts': id } : {})
 }
 
-async function sendEvery (intervalMs: number, ms: number, path: string): Promise<TestOutcome[]> {
-  const outcomes: Promise<TestOutcome>[] = []
-  const startedAt = performance.now()
-  for (let next = startedAt; next < startedAt + ms; next += intervalMs) {
-    await sleep(Math.max(0, next - performance.now()))
-    outcomes.push(send(path))
-  }
-  return await Promise.all(outcomes)
-}
+const sendMany = (intervalMs: number, ms: number, path: string): Promise<TestOutcome[]> => sendEvery(intervalMs, ms, () => send(path))
 
-async function untilServed (path: string): Promise<void> {
-  const end = performance.now() + 8000
-  const served = async (): Promise<boolean> => (await Promise.all(nodes.fronts.map(async () => await send(path)))).every(({ status }) => status === 200)
-  while (!await served()) {
-    if (performance.now() > end) throw new Error(`the nodes do not serve ${path}`)
-    await sleep(50)
-  }
+async function untilAllServe (path: string): Promise<void> {
+  await untilServed(nodes, () => send(path))
 }
 
 /** Largest number of requests that the server got in one window, from `contactMs` after it first stated its limit. */
@@ -82,8 +68,6 @@
   assert.ok(most <= allowedIn(limit, windowMs), `${id} stated ${limit} a second and got ${most} requests in ${windowMs} ms, ${allowedIn(limit, windowMs)} allowed`)
 }
 
-const countServed = (outcomes: TestOutcome[]): number => outcomes.filter(({ status, complete }) => status === 200 && complete).length
-
 test.before.each(async () => {
   backends = []
   limits = new Map()
@@ -100,9 +84,9 @@
 // Guards against an engine that gets far more requests than it has stated.
 test('an engine gets no more requests than it states, and the others take its share', async () => {
   for (const zone of ['a', 'b', 'c']) await startServer(`e-${zone}`, 'llm', zone)
-  await untilServed('/draft/x')
+  await untilAllServe('/draft/x')
   limits.set('e-a', 1)
-  const outcomes = await sendEvery(40, loadMs, '/draft/x')
+  const outcomes = await sendMany(40, loadMs, '/draft/x')
   assertLimitHeld('e-a')
   assert.ok(countServed(outcomes) > 0.95 * outcomes.length, `${countServed(outcomes)} of ${outcomes.length} were served`)
 })
@@ -110,9 +94,9 @@
 // Guards against engines that get more than they state because no other can take the rest, and against requests that wait in vain.
 test('engines that all state a limit get what they state, and the rest is refused at once', async () => {
   for (const zone of ['a', 'b', 'c']) await startServer(`e-${zone}`, 'llm', zone)
-  await untilServed('/draft/x')
+  await untilAllServe('/draft/x')
   for (const zone of ['a', 'b', 'c']) limits.set(`e-${zone}`, 3)
-  const outcomes = await sendEvery(40, loadMs, '/draft/x')
+  const outcomes = await sendMany(40, loadMs, '/draft/x')
   for (const zone of ['a', 'b', 'c']) assertLimitHeld(`e-${zone}`)
   const late = outcomes.filter(({ sentAt }) => sentAt > Math.max(...statedAt.values()) + contactMs)
   const seconds = (loadMs - contactMs) / 1000
@@ -125,9 +109,9 @@
 // Guards against nodes that each keep to the limit of a plain server for themselves, so that all of them together exceed it.
 test('a plain server gets no more requests than it states, and the others take its share', async () => {
   for (const id of ['s1', 's2', 's3']) await startServer(id, 'desk')
-  await untilServed('/order/x')
+  await untilAllServe('/order/x')
   limits.set('s1', 2)
-  const outcomes = await sendEvery(30, loadMs, '/order/x')
+  const outcomes = await sendMany(30, loadMs, '/order/x')
   assertLimitHeld('s1')
   assert.ok(countServed(outcomes) > 0.95 * outcomes.length, `${countServed(outcomes)} of ${outcomes.length} were served`)
 })
@@ -135,9 +119,9 @@
 // Guards against a last server that is used although it has got what it states, and against requests that wait in vain.
 test('if all plain servers state a limit, they get what they state and the rest is refused at once', async () => {
   for (const id of ['s1', 's2']) await startServer(id, 'desk')
-  await untilServed('/order/x')
+  await untilAllServe('/order/x')
   for (const id of ['s1', 's2']) limits.set(id, 4)
-  const outcomes = await sendEvery(30, loadMs, '/order/x')
+  const outcomes = await sendMany(30, loadMs, '/order/x')
   for (const id of ['s1', 's2']) assertLimitHeld(id)
   const late = outcomes.filter(({ sentAt }) => sentAt > Math.max(...statedAt.values()) + contactMs)
   const seconds = (loadMs - contactMs) / 1000
@@ -153,12 +137,12 @@
 // Guards against a limit that outlasts the server's need.
 test('a server that no longer states a limit is used as before', async () => {
   for (const id of ['s1', 's2']) await startServer(id, 'desk')
-  await untilServed('/order/x')
+  await untilAllServe('/order/x')
   for (const id of ['s1', 's2']) limits.set(id, 4)
-  await sendEvery(30, 3000, '/order/x')
+  await sendMany(30, 3000, '/order/x')
   limits.clear()
-  await sendEvery(30, 2000, '/order/x')
-  const outcomes = await sendEvery(30, 2000, '/order/x')
+  await sendMany(30, 2000, '/order/x')
+  const outcomes = await sendMany(30, 2000, '/order/x')
   assert.ok(countServed(outcomes) > 0.95 * outcomes.length, `${countServed(outcomes)} of ${outcomes.length} were served`)
 })
 
--- a/packages/gateway/src/resumed-stream.test.ts
+++ b/packages/gateway/src/resumed-stream.test.ts
@@ -1,10 +1,9 @@
 /** Streams that break off and continue at another engine, which answers with an error or with another number of bytes. */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { ClusterConfig } from './cluster-types'
-import { sendTestRequest, startTestNodes, testConfig, type TestNodes } from './testing'
+import { sendTestRequest, startTestNodes, testConfig, untilServed, type TestNodes } from './testing'
 
 const test = suite('resumed streams')
 
@@ -78,11 +77,8 @@
   nodes = await startTestNodes(['a'])
   nodes.platform.operator.append('config', { type: 'config', config })
   for (const id of ['e1', 'e2', 'e3']) await startEngine(id)
-  const end = performance.now() + 8000
-  for (let id = 0; (await sendTestRequest(nodes.fronts[0]!, '/draft/x', `start-${id}`, { 'x-parts': `start-${id}` })).status !== 200; id++) {
-    if (performance.now() > end) throw new Error('the node does not serve')
-    await sleep(50)
-  }
+  let started = 0
+  await untilServed(nodes, front => sendTestRequest(front, '/draft/x', `start-${++started}`, { 'x-parts': `start-${started}` }))
 })
 test.after.each(async () => {
   await nodes.stop()
--- a/packages/gateway/src/starved-node.test.ts
+++ b/packages/gateway/src/starved-node.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { sendTestRequest, startBackend, type FakeBackend } from './testing'
+import { sendTestRequest, startBackend, untilServed, type FakeBackend } from './testing'
 import type { NodeProcessCommand, NodeProcessReply } from './testing/node-process'
 
 const test = suite('starved node')
@@ -67,12 +67,11 @@
   })
 }
 
-async function untilServed (path: string): Promise<void> {
-  for (const end = performance.now() + 8000; ; await sleep(50)) {
+async function untilNodeServes (path: string): Promise<void> {
+  await untilServed({ fronts: [front] }, port => {
     const id = `start-${++sent}`
-    if ((await sendTestRequest(front, path, id, headersOf(path, id))).status === 200) return
-    if (performance.now() > end) throw new Error(`the node does not serve ${path}`)
-  }
+    return sendTestRequest(port, path, id, headersOf(path, id))
+  })
 }
 
 test.before.each(async () => {
@@ -93,7 +92,7 @@
   // Guards against work for clients that have left while the node could not run.
   test(`requests whose clients have left do not reach a server: ${service}`, async () => {
     await startServer('s1', service)
-    await untilServed(path)
+    await untilNodeServes(path)
     const agent = new Agent({ keepAlive: true, maxSockets: 10 })
     // Opens connections that are used again.
     await Promise.all(Array.from({ length: 10 }, async () => await sendAndLeave(path, agent, '')))
@@ -107,7 +106,7 @@
       const left = outcomes.filter(({ leftAt }) => leftAt !== undefined)
       const late = left.filter(({ id, leftAt }) => (arrivals.get(id) ?? 0) > leftAt! + toleranceMs)
       assert.equal(late.map(({ id, leftAt }) => `${id} after ${Math.round(arrivals.get(id)! - leftAt!)} ms`), [], `blocked for ${blockMs} ms`)
-      await untilServed(path)
+      await untilNodeServes(path)
     }
     agent.destroy()
   })
@@ -116,7 +115,7 @@
 // Guards against refusing requests of clients that still wait.
 test('requests that are read late are served if their clients wait', async () => {
   await startServer('s1', 'desk')
-  await untilServed('/order/x')
+  await untilNodeServes('/order/x')
   command({ type: 'block', ms: 1000 })
   await sleep(20)
   const outcomes = await Promise.all(Array.from({ length: 20 }, async () => {
--- a/packages/gateway/src/testing/test-nodes.ts
+++ b/packages/gateway/src/testing/test-nodes.ts
@@ -1,5 +1,6 @@
 /** Complete nodes on the loopback interface that share an in-memory platform. */
 import { request } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { createDecisionLog } from '../decision-log'
 import { createGateway, type Gateway } from '../gateway'
 import { createGatewayMetrics } from '../gateway-metrics'
@@ -11,7 +12,8 @@
 
 const portCount = 6
 
-function settingsOf (name: string, zone: string, ports: number[], bounds: Partial<Bounds>): NodeSettings {
+/** @param ports - six free ports of the loopback interface, of which the fifth is left for metrics */
+export function testNodeSettings (name: string, zone: string, ports: number[], bounds: Partial<Bounds> = {}): NodeSettings {
   const [front, ready, directory, control, , peers] = ports as [number, number, number, number, number, number]
   const loopback = (port: number): { host: string, port: number } => ({ host: '127.0.0.1', port })
   return {
@@ -52,7 +54,7 @@
   for (const [index, zone] of zones.entries()) {
     const name = `node-${index + 1}`
     const ports = allPorts.slice(index * portCount, (index + 1) * portCount)
-    const nodeSettings = settingsOf(name, zone, ports, bounds)
+    const nodeSettings = testNodeSettings(name, zone, ports, bounds)
     const log = createDecisionLog(name, { write: line => { lines.push(JSON.parse(line) as LogLine) }, flush: async () => {}, dropped: () => 0 })
     settings.push(nodeSettings)
     platform ??= createFakePlatform(nodeSettings)
@@ -90,3 +92,30 @@
     req.end()
   })
 }
+
+/** Sends requests at an interval and waits for their outcomes. */
+export async function sendEvery (intervalMs: number, ms: number, send: () => Promise<TestOutcome>): Promise<TestOutcome[]> {
+  const outcomes: Promise<TestOutcome>[] = []
+  const startedAt = performance.now()
+  for (let next = startedAt; next < startedAt + ms; next += intervalMs) {
+    await sleep(Math.max(0, next - performance.now()))
+    outcomes.push(send())
+  }
+  return await Promise.all(outcomes)
+}
+
+/** Time in which nodes must begin to serve, in ms. */
+const startMs = 8000
+
+/** Sends one request to each node until all are served. */
+export async function untilServed (nodes: Pick<TestNodes, 'fronts'>, send: (front: number) => Promise<TestOutcome>): Promise<void> {
+  const end = performance.now() + startMs
+  while (!(await Promise.all(nodes.fronts.map(send))).every(({ status }) => status === 200)) {
+    if (performance.now() > end) throw new Error(`the nodes do not serve within ${startMs} ms`)
+    await sleep(50)
+  }
+}
+
+export function countServed (outcomes: readonly TestOutcome[]): number {
+  return outcomes.filter(({ status, complete }) => status === 200 && complete).length
+}
--- a/packages/gateway/src/waiting-server.test.ts
+++ b/packages/gateway/src/waiting-server.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { sendTestRequest, startBackend, startTestNodes, testConfig, type FakeBackend, type TestNodes, type TestOutcome } from './testing'
+import { countServed, sendEvery, sendTestRequest, startBackend, startTestNodes, testConfig, untilServed, type FakeBackend, type TestNodes, type TestOutcome } from './testing'
 
 const test = suite('servers that want no requests for a while')
 
@@ -47,19 +47,10 @@
   return sendTestRequest(nodes.fronts[node]!, path, id, { 'x-node': String(node), ...(path.startsWith('/draft/') ? { 'x-parts': id } : {}) })
 }
 
-async function sendEvery (intervalMs: number, ms: number, path: string): Promise<TestOutcome[]> {
-  const outcomes: Promise<TestOutcome>[] = []
-  for (const end = performance.now() + ms; performance.now() < end; await sleep(intervalMs)) outcomes.push(send(path))
-  return await Promise.all(outcomes)
-}
+const sendMany = (intervalMs: number, ms: number, path: string): Promise<TestOutcome[]> => sendEvery(intervalMs, ms, () => send(path))
 
-async function untilServed (path: string): Promise<void> {
-  const end = performance.now() + 8000
-  const served = async (): Promise<boolean> => (await Promise.all(nodes.fronts.map(async () => await send(path)))).every(({ status }) => status === 200)
-  while (!await served()) {
-    if (performance.now() > end) throw new Error(`the nodes do not serve ${path}`)
-    await sleep(50)
-  }
+async function untilAllServe (path: string): Promise<void> {
+  await untilServed(nodes, () => send(path))
 }
 
 function assertWaited (id: string): void {
@@ -72,8 +63,6 @@
   }
 }
 
-const countServed = (outcomes: TestOutcome[]): number => outcomes.filter(({ status, complete }) => status === 200 && complete).length
-
 test.before.each(async () => {
   backends = []
   refusing = new Set()
@@ -89,27 +78,27 @@
 // Guards against a server in trouble that is asked again every few ms.
 test('a plain server that wants no requests gets none for that time, and is used again after it', async () => {
   for (const id of ['s1', 's2', 's3']) await startServer(id, 'desk', 'a')
-  await untilServed('/order/x')
+  await untilAllServe('/order/x')
   refusing.add('s1')
-  const outcomes = await sendEvery(20, 3 * waitMs, '/order/x')
+  const outcomes = await sendMany(20, 3 * waitMs, '/order/x')
   assertWaited('s1')
   assert.ok(countServed(outcomes) > 0.95 * outcomes.length, `${countServed(outcomes)} of ${outcomes.length} were served`)
   refusing.clear()
   await sleep(waitMs)
   // A server that was slow in the beginning is used only when the others are taken.
   for (const id of ['s2', 's3']) refusing.add(id)
-  await sendEvery(20, 400, '/order/x')
-  const outcomesAfter = await sendEvery(20, 500, '/order/x')
+  await sendMany(20, 400, '/order/x')
+  const outcomesAfter = await sendMany(20, 500, '/order/x')
   assert.ok(countServed(outcomesAfter) > 0.95 * outcomesAfter.length, `${countServed(outcomesAfter)} of ${outcomesAfter.length} were served by s1 alone`)
 })
 
 // Guards against trying a server against its word because no other is left, and against requests that wait for it in vain.
 test('if all plain servers want no requests, they are refused at once with the time until one may be asked', async () => {
   for (const id of ['s1', 's2']) await startServer(id, 'desk', 'a')
-  await untilServed('/order/x')
+  await untilAllServe('/order/x')
   for (const id of ['s1', 's2']) refusing.add(id)
-  await sendEvery(20, 300, '/order/x')
-  const outcomes = await sendEvery(20, waitMs - 500, '/order/x')
+  await sendMany(20, 300, '/order/x')
+  const outcomes = await sendMany(20, waitMs - 500, '/order/x')
   for (const id of ['s1', 's2']) assertWaited(id)
   for (const { status, afterMs, retryAfter, body } of outcomes) {
     assert.equal([status, (JSON.parse(body) as { outcome: string }).outcome], [503, 'not-run'])
@@ -123,9 +112,9 @@
 // Guards against owners that grant an engine to a node which it wants no requests from.
 test('an engine that wants no requests gets none for that time, and the others take its share', async () => {
   for (const zone of ['a', 'b', 'c']) await startServer(`e-${zone}`, 'llm', zone)
-  await untilServed('/draft/x')
+  await untilAllServe('/draft/x')
   refusing.add('e-a')
-  const outcomes = await sendEvery(30, 3 * waitMs, '/draft/x')
+  const outcomes = await sendMany(30, 3 * waitMs, '/draft/x')
   assertWaited('e-a')
   assert.ok(countServed(outcomes) > 0.95 * outcomes.length, `${countServed(outcomes)} of ${outcomes.length} were served`)
 })
@@ -133,10 +122,10 @@
 // Guards against requests that go round all owners until their deadline because every engine wants none.
 test('if all engines want no requests, they are refused at once with the time until one may be asked', async () => {
   for (const zone of ['a', 'b', 'c']) await startServer(`e-${zone}`, 'llm', zone)
-  await untilServed('/draft/x')
+  await untilAllServe('/draft/x')
   for (const zone of ['a', 'b', 'c']) refusing.add(`e-${zone}`)
-  await sendEvery(20, 400, '/draft/x')
-  const outcomes = await sendEvery(20, waitMs - 600, '/draft/x')
+  await sendMany(20, 400, '/draft/x')
+  const outcomes = await sendMany(20, waitMs - 600, '/draft/x')
   for (const zone of ['a', 'b', 'c']) assertWaited(`e-${zone}`)
   for (const { status, afterMs } of outcomes) {
     assert.is(status, 503)
