--- /dev/null
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -0,0 +1,94 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createRetryBudget } from '@yuccawharf/coordination'
+import type { ClientExchange, RefusalStatus } from './client-exchange'
+import type { BackendServer } from './cluster-types'
+import { createDecisionLog } from './decision-log'
+import { forwardPlain, type PlainForwarderEnv } from './plain-forwarder'
+import { permitValidMs, type PermitResult } from './request-permits'
+import { createServicePool } from './service-pool'
+import { testCodec, testConfig } from './testing'
+
+const test = suite('plain forwarder')
+
+const servers = ['s1', 's2'].map((id): BackendServer => ({ id, bornAt: 1, service: 'desk', address: `${id}:1`, zone: 'a', state: 'ready', slots: 4, models: [] }))
+
+type Outcome = { sentTo: string[], status?: number, retryAfterMs?: number | undefined }
+
+/**
+ * @param permit - reply to each request for a permit
+ * @param statuses - status with which each server responds
+ */
+async function forward (permit: (server: string) => PermitResult, statuses: Record<string, number> = {}): Promise<Outcome> {
+  const outcome: Outcome = { sentTo: [] }
+  let ended = false
+  const end = (status: number, retryAfterMs?: number): void => {
+    ended = true
+    Object.assign(outcome, { status, retryAfterMs })
+  }
+  const now = (): number => performance.now()
+  const exchange = {
+    route: testConfig.routes.find(({ name }) => name === 'read'),
+    service: testConfig.services[0],
+    metadata: { id: 'r1', headers: [] },
+    req: { method: 'GET', url: '/read/x' },
+    body: null,
+    arrivedAt: now(),
+    deadlineAt: now() + 1000,
+    get ended () { return ended },
+    onDisconnect () {},
+    refuse: ({ status }: RefusalStatus, _reason: string, retryAfterMs?: number) => end(status, retryAfterMs),
+    respond: (status: number) => end(status)
+  } as unknown as ClientExchange
+  const pool = createServicePool()
+  const env: PlainForwarderEnv = {
+    now,
+    random: () => 0,
+    zone: 'a',
+    codec: testCodec,
+    upstream: {
+      send (server, _req, handler) {
+        outcome.sentTo.push(server.id)
+        setImmediate(() => {
+          handler.headers(statuses[server.id] ?? 200, ['x-id', 'r1', 'x-seal', 's'])
+          handler.complete()
+        })
+        return { abort () {}, pause () {}, resume () {} }
+      },
+      disableReuse () {},
+      retain () {},
+      close () {}
+    },
+    log: createDecisionLog('n1', { write () {}, flush: async () => {}, dropped: () => 0 }),
+    restrictions: { record () {}, waitMs: () => 0, acquire: async ({ id }) => permit(id) },
+    servers: () => servers,
+    pool: () => pool,
+    budget: () => createRetryBudget({ ratio: 1, burst: 10 })
+  }
+  await forwardPlain(exchange, env)
+  return outcome
+}
+
+const permitted = (agoMs = 0): PermitResult => ({ type: 'permitted', startAt: performance.now() - agoMs })
+const denied = (retryAfterMs: number): PermitResult => ({ type: 'denied', reason: 'limit', retryAfterMs })
+
+// Guards against a process that was suspended and acts on a permit that has run out meanwhile.
+test('a permit that has run out is not used', async () => {
+  assert.equal((await forward(id => permitted(id === 's1' ? permitValidMs + 50 : 0))).sentTo, ['s2'])
+  const { sentTo, status } = await forward(() => permitted(permitValidMs + 50))
+  assert.equal([sentTo, status], [[], 503])
+})
+
+// Guards against requests that wait at a server without a permit while another one may take them.
+test('a server without a permit is passed over, and the shortest time is suggested if none has one', async () => {
+  assert.equal((await forward(id => id === 's1' ? denied(400) : permitted())).sentTo, ['s2'])
+  assert.equal(await forward(id => denied(id === 's1' ? 400 : 900)), { sentTo: [], status: 503, retryAfterMs: 400 })
+})
+
+// Guards against a failure of the node in place of a response that a server has given.
+test('a server\'s error is passed on if no other server may be tried', async () => {
+  const { sentTo, status } = await forward(id => id === 's1' ? permitted() : denied(400), { s1: 500 })
+  assert.equal([sentTo, status], [['s1'], 500])
+})
+
+test.run()
