--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -35,7 +35,7 @@
 }
 
 /** Number of starts that are known to have left; later entries of them are outdated. */
-const maxKnownLeavers = 4096
+const maxLeavingStarts = 4096
 
 type Entry = { server: BackendServer, sequence: number, offset: number, removedAt?: number }
 
@@ -43,7 +43,7 @@
   const entries = new Map<string, Entry>()
   const ready = new Map<string, BackendServer[]>()
   /** Newest start of each server that has stated that it is leaving. */
-  const leavers = new Map<string, number>()
+  const leavingStarts = new Map<string, number>()
   let graceUntil = -Infinity
 
   /** Whether the record is of an earlier start of the server, or an earlier entry of the same start. */
@@ -57,7 +57,7 @@
     if (current !== undefined && (offset < current.offset || isStale(current, record))) return []
     const sameStart = current !== undefined && current.server.bornAt === record.server.bornAt
     // A draining server becomes ready again only with a new start.
-    const isLeaving = leavers.get(key) === record.server.bornAt || (sameStart && current.server.state === 'draining')
+    const isLeaving = leavingStarts.get(key) === record.server.bornAt || (sameStart && current.server.state === 'draining')
     const state = isLeaving ? 'draining' : record.server.state
     const server = { ...record.server, state }
     entries.set(key, { server, sequence: record.sequence, offset })
@@ -96,9 +96,9 @@
       return [...records.flatMap(record => applyOne(record, now)), ...missing.flatMap(key => remove(key, Infinity, now))]
     },
     leave ({ id, bornAt }) {
-      leavers.delete(id)
-      leavers.set(id, bornAt)
-      if (leavers.size > maxKnownLeavers) leavers.delete(leavers.keys().next().value!)
+      leavingStarts.delete(id)
+      leavingStarts.set(id, bornAt)
+      if (leavingStarts.size > maxLeavingStarts) leavingStarts.delete(leavingStarts.keys().next().value!)
       const entry = entries.get(id)
       if (entry === undefined || entry.server.bornAt !== bornAt || entry.server.state === 'draining') return []
       entry.server = { ...entry.server, state: 'draining' }
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -16,7 +16,7 @@
 export type SharedLimit = ServerStart & { requestsPerSecond?: number }
 
 /** `change` is sent to all nodes; `repeat` to the one that paces the server's requests, which may have started since. */
-export type LimitNews = { type: 'change' | 'repeat', limit: SharedLimit }
+export type LimitUpdate = { type: 'change' | 'repeat', limit: SharedLimit }
 
 export type ServerStatementsState = {
   /**
@@ -24,7 +24,7 @@
    *
    * @returns what other nodes should know
    */
-  record (server: ServerStart, response: StatingResponse, now: number): LimitNews | undefined
+  record (server: ServerStart, response: StatingResponse, now: number): LimitUpdate | undefined
   /**
    * Applies what another node knows.
    *
@@ -67,7 +67,7 @@
     return waitsUntil.size === 0 ? 0 : Math.max(0, (waitsUntil.get(keyOf(server)) ?? -Infinity) - now)
   }
 
-  function recordLimit ({ id, bornAt }: ServerStart, requestsPerSecond: number, now: number): LimitNews | undefined {
+  function recordLimit ({ id, bornAt }: ServerStart, requestsPerSecond: number, now: number): LimitUpdate | undefined {
     const key = keyOf({ id, bornAt })
     const entry: Entry = { sharedAt: -Infinity, ...entries.get(key), requestsPerSecond, statedAt: now }
     entries.set(key, entry)
--- a/packages/gateway/src/statement-recorder.ts
+++ b/packages/gateway/src/statement-recorder.ts
@@ -54,11 +54,11 @@
   }
 
   function recordLimit (server: BackendServer, source: LogFields, response: StatingResponse): void {
-    const news = statements.record(server, response, now())
-    if (news?.type === 'repeat') notifyPacer(news.limit)
-    if (news?.type !== 'change') return
-    logLimit(news.limit, source)
-    notifyPeers('stated-limit', news.limit)
+    const update = statements.record(server, response, now())
+    if (update?.type === 'repeat') notifyPacer(update.limit)
+    if (update?.type !== 'change') return
+    logLimit(update.limit, source)
+    notifyPeers('stated-limit', update.limit)
     changed()
   }
 
