Measure the cost of stated limits with the load player

The load player lets engines state limits. A test holds that engines get no more than they state and that clients get more than without these engines. Tests and docs only.

--- a/packages/gateway/src/testing/load-simulation.test.ts
+++ b/packages/gateway/src/testing/load-simulation.test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { rankOwners } from '../engine-choice'
-import { simulateLoad, type SimulatedLoad, type SimulationResult } from './load-simulation'
+import { limitWindowMs, simulateLoad, type SimulatedLoad, type SimulationResult } from './load-simulation'
 
 const test = suite('gateway under load')
 
@@ -60,4 +60,13 @@
   }
 })
 
+// Guards against engines that get more than they state, and against leaving them unused.
+test('engines get no more than the limit that they state, and clients get more than without these engines', () => {
+  const limit = { enginesPerZone: 1, requestsPerSecond: 1, from: 5000, until: 15_000 }
+  const allowed = 1.5 * limit.requestsPerSecond * limitWindowMs / 1000 + 5
+  const [limited, unused] = [simulateSeeds({ limit }), simulateSeeds({ limit: { ...limit, requestsPerSecond: 0.001 } })]
+  for (const { mostUnderLimit } of limited) assert.ok(mostUnderLimit <= allowed, `${mostUnderLimit} requests in ${limitWindowMs} ms, ${allowed} allowed`)
+  assert.ok(total(limited, ({ worthShare }) => worthShare) > total(unused, ({ worthShare }) => worthShare))
+})
+
 test.run()
--- a/packages/gateway/src/testing/load-simulation.ts
+++ b/packages/gateway/src/testing/load-simulation.ts
@@ -49,6 +49,8 @@
   sendsPauseLimit: boolean
   /** Ranking of owners; the gateway's own by default. */
   rank?: typeof rankOwners
+  /** Some engines of each zone state a limit for a while; all nodes know it at once. Times in ms. */
+  limit?: { enginesPerZone: number, requestsPerSecond: number, from: number, until: number }
 }
 
 /** `paused` counts late responses with a pause that was too long. */
@@ -64,6 +66,8 @@
   crossZone: number
   /** Mean number of prompt tokens that an engine had to prefill for a request. */
   meanPrefillTokens: number
+  /** Largest number of requests that an engine got in {@link limitWindowMs} while it stated a limit. */
+  mostUnderLimit: number
 }
 
 const model = 'base'
@@ -79,6 +83,7 @@
 const tokensPerEvent = 5
 const maxPauseMs = 600
 const reportLagMs = 200
+export const limitWindowMs = 4000
 const maxOwnersAsked = 3
 const maxGrants = 6
 const maxWarmAdapters = 41
@@ -154,7 +159,7 @@
   const spec: EngineSpec = { slots: 64, kvTokens: 232_000, weightsMb: 74_700, adapterSlots: load.adapterSlots, loadsPerSecond: 26, models: [{ name: model, weightsMb: 72_700, adapterMb: 66 }] }
   const statusCache = createOwnerStatusCache()
   const useCounters = new Map(load.zones.map(zone => [zone, createUseCounter()]))
-  const result: SimulationResult = { classes: {}, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, meanPrefillTokens: 0 }
+  const result: SimulationResult = { classes: {}, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, meanPrefillTokens: 0, mostUnderLimit: 0 }
   const owners: Owner[] = []
   let activeColdLoads = 0
   let sentRequests = 0
@@ -191,6 +196,19 @@
     }
   }
   const engines = owners.flatMap(owner => owner.engines.map(engine => ({ owner, engine })))
+  const limitedIds = new Set(load.limit === undefined ? [] : owners.flatMap(owner => owner.engines.map(({ server }) => server.id)).filter(id => Number(id.split('-e')[1]) < load.limit!.enginesPerZone))
+  /** Times of the requests that engines got while they stated a limit. */
+  const arrivals = new Map<string, number[]>([...limitedIds].map(id => [id, []]))
+
+  function limitOf (id: string): number | undefined {
+    const { limit } = load
+    return limit !== undefined && limitedIds.has(id) && now() >= limit.from && now() < limit.until ? limit.requestsPerSecond : undefined
+  }
+
+  function applyLimits (): void {
+    for (const owner of owners) perform(owner, owner.scheduler.setEngines(owner.engines.map(({ server }) => ({ server, spec, requestsPerSecond: limitOf(server.id) })), now()))
+  }
+
   const engineById = new Map(engines.map(({ engine }) => [engine.server.id, engine]))
 
   function perform (owner: Owner, actions: SchedulerAction[]): void {
@@ -270,6 +288,7 @@
   }
 
   function arrive (engine: Engine, owner: Owner, grantId: string, req: ClientRequest): void {
+    if (limitOf(engine.server.id) !== undefined) arrivals.get(engine.server.id)!.push(now())
     const replica = engine.replicas.get(cacheScope(req.demand))
     if (replica === undefined || replica.readyAt > now()) {
       result.notLoaded += 1
@@ -362,7 +381,7 @@
   }
 
   function candidates (): EngineCandidate[] {
-    return engines.map(({ owner, engine }) => ({ server: engine.server, owner: owner.name, ...statusCache.engineStatus(engine.server.id, now()) }))
+    return engines.map(({ owner, engine }) => ({ server: engine.server, owner: owner.name, limited: limitOf(engine.server.id) !== undefined, ...statusCache.engineStatus(engine.server.id, now()) }))
   }
 
   function requestGrant (req: ClientRequest): void {
@@ -437,8 +456,15 @@
     if (now() < load.seconds * 1000) eventQueue.at(now() + load.statusIntervalMs, publishStatus)
   }
   publishStatus()
+  if (load.limit !== undefined) {
+    eventQueue.at(load.limit.from, applyLimits)
+    eventQueue.at(load.limit.until, applyLimits)
+  }
   eventQueue.runUntil(load.seconds * 1000 + 20_000)
 
+  for (const times of arrivals.values()) {
+    for (const start of times) result.mostUnderLimit = Math.max(result.mostUnderLimit, times.filter(at => at >= start && at < start + limitWindowMs).length)
+  }
   let possibleWorth = 0
   let earnedWorth = 0
   for (const cls of load.classes) {
