--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -30,6 +30,8 @@
     succeeded () {},
     lost: () => { events.push('lost') },
     regained: () => { events.push('regained') },
+    failed () {},
+    aborted () {},
     call () {}
   }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
   return { events, calls }
@@ -61,7 +63,7 @@
       return await new Promise(resolve => signal?.addEventListener('abort', () => resolve(Err({ type: 'unavailable', reason: 'cancelled' }))))
     }
   }
-  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, call () {} }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
+  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, failed () {}, aborted () {}, call () {} }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
   await sleep(200)
   assert.equal(waits, [1000, 0, 1000])
   follower.restart()
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -1,6 +1,9 @@
 /** Follows a feed: reads the newest records first, then each change; starts over if the store has dropped the changes in between. */
 import type { Feed, FeedRecord } from './platform-interface'
 
+/** `behind-peer`: a peer has read later records; `other-feed`: another feed of the store was lost or regained. */
+export type AbortCause = 'behind-peer' | 'other-feed'
+
 export type FollowerEvents<Value> = {
   /** Receives the newest record of each key; they replace all earlier records. */
   replaced (records: FeedRecord<Value>[], next: number): void
@@ -11,6 +14,13 @@
   /** The feed became unreachable, or reachable again. */
   lost (reason: string): void
   regained (lostForMs: number): void
+  /**
+   * @param failures - consecutive failures, from 1
+   * @param afterMs - time since the call was sent
+   */
+  failed (reason: string, failures: number, afterMs: number): void
+  /** A read was aborted `afterMs` after it was sent, to be sent again. */
+  aborted (cause: AbortCause, afterMs: number): void
   call (result: 'ok' | 'unavailable' | 'expired'): void
 }
 
@@ -58,7 +68,7 @@
   let lostAt: number | undefined
   let wake: (() => void) | undefined
   let pauseUntil = -Infinity
-  let reading: AbortController | undefined
+  let reading: { abort: AbortController, sentAt: number } | undefined
   let behindTimer: NodeJS.Timeout | undefined
 
   const pause = (ms: number): Promise<void> => new Promise(resolve => {
@@ -89,9 +99,10 @@
     events.succeeded(asOf, next)
   }
 
-  async function failed (reason: string): Promise<void> {
+  async function failed (reason: string, sentAt: number): Promise<void> {
     events.call('unavailable')
     failures += 1
+    events.failed(reason, failures, options.now() - sentAt)
     if (failures === failuresUntilLost) {
       lostAt = options.now()
       events.lost(reason)
@@ -103,18 +114,19 @@
     const sentAt = options.now()
     const result = await feed.newest()
     if (stopped) return
-    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : 'history was dropped')
+    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : 'history was dropped', sentAt)
     events.replaced(result.val.records, result.val.next)
     succeeded(sentAt, result.val.next)
   }
 
   async function readChanges (from: number): Promise<void> {
     const sentAt = options.now()
-    reading = new AbortController()
+    const abort = new AbortController()
+    reading = { abort, sentAt }
     // During an outage a read without a wait detects the store's recovery; a long poll would block until its timeout.
     const waitMs = failures > 0 ? 0 : options.waitMs()
-    const result = await feed.read(from, waitMs, reading.signal)
-    const interrupted = reading.signal.aborted
+    const result = await feed.read(from, waitMs, abort.signal)
+    const interrupted = abort.signal.aborted
     reading = undefined
     if (stopped || (interrupted && result.err)) return
     if (result.err && result.val.type === 'expired') {
@@ -122,7 +134,7 @@
       position = undefined
       return
     }
-    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : '')
+    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : '', sentAt)
     events.changed(result.val.records, result.val.next)
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
@@ -130,6 +142,12 @@
     await pause(options.pauseMs())
   }
 
+  function abortRead (cause: AbortCause): void {
+    if (reading === undefined || reading.abort.signal.aborted) return
+    events.aborted(cause, options.now() - reading.sentAt)
+    reading.abort.abort()
+  }
+
   const isStopped = (): boolean => stopped
 
   async function run (): Promise<void> {
@@ -144,7 +162,7 @@
   return {
     stop () {
       stopped = true
-      reading?.abort()
+      reading?.abort.abort()
       wake?.()
     },
     position: () => position,
@@ -161,14 +179,14 @@
     },
     wake: () => wake?.(),
     restart () {
-      reading?.abort()
+      abortRead('other-feed')
       wake?.()
     },
     behind (next) {
       if (behindTimer !== undefined || position === undefined || next <= position) return
       behindTimer = setTimeout(() => {
         behindTimer = undefined
-        if (position !== undefined && next > position) reading?.abort()
+        if (position !== undefined && next > position) abortRead('behind-peer')
       }, behindGraceMs)
     }
   }
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -85,7 +85,7 @@
     }
   }
 
-  function outageEvents (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'call'> {
+  function outageEvents (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'failed' | 'aborted' | 'call'> {
     return {
       lost (reason) {
         log.warn('dependency-lost', { dependency: feed, reason })
@@ -97,6 +97,12 @@
         restartOthers(feed)
         regained()
       },
+      failed (reason, failures, afterMs) {
+        log.info('store-read-failed', { feed, reason, failures, afterMs: Math.round(afterMs) })
+      },
+      aborted (cause, afterMs) {
+        log.info('store-read-aborted', { feed, cause, afterMs: Math.round(afterMs) })
+      },
       call: result => { options.metrics.storeCall(feed, result) }
     }
   }
