--- a/packages/gateway/src/testing/test-nodes.ts
+++ b/packages/gateway/src/testing/test-nodes.ts
@@ -4,7 +4,7 @@
 import { createDecisionLog } from '../decision-log'
 import { createGateway, type Gateway } from '../gateway'
 import { createGatewayMetrics } from '../gateway-metrics'
-import type { Bounds, NodeSettings } from '../platform-interface'
+import type { Bounds, NodeSettings, Platform } from '../platform-interface'
 import { createFakePlatform, type FakePlatform } from './fake-platform'
 import { freePorts } from './free-ports'
 
@@ -44,8 +44,11 @@
   stop (): Promise<void>
 }
 
-/** @param zones - zone of each node */
-export async function startTestNodes (zones: string[], bounds: Partial<Bounds> = {}): Promise<TestNodes> {
+/**
+ * @param zones - zone of each node
+ * @param replacements - creates the parts of a node's platform that replace those of the fake one
+ */
+export async function startTestNodes (zones: string[], bounds: Partial<Bounds> = {}, replacements: () => Partial<Platform> = () => ({})): Promise<TestNodes> {
   const lines: LogLine[] = []
   const settings: NodeSettings[] = []
   const gateways: Gateway[] = []
@@ -58,7 +61,7 @@
     const log = createDecisionLog(name, { write: line => { lines.push(JSON.parse(line) as LogLine) }, flush: async () => {}, dropped: () => 0 })
     settings.push(nodeSettings)
     platform ??= createFakePlatform(nodeSettings)
-    const gateway = createGateway({ platform: { ...platform, settings: nodeSettings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
+    const gateway = createGateway({ platform: { ...platform, ...replacements(), settings: nodeSettings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
     gateways.push(gateway)
     await gateway.start()
   }
