Read the configuration again as soon as connections to the store have become silent

Callers got 404 for a route 3.4 s after its configuration had been acknowledged.

Cause: connections that become silent without a reset are noticed by a time limit alone, and the long poll of the operator's records has the longest: 3.5 s at owners of engines, 26 s at other nodes, which only owners told that they are behind (never without engines). Short reads of other feeds on the same node failed within 1.8 s, and nothing followed from it.

Change: a call without a response, or a peer that is ahead of a long poll, is taken as a sign that connections are stalled: the node drops its idle connections and all feeds read again on new ones. Every datagram between nodes carries the position in the operator's records, so that any node tells any other.

--- a/packages/clients/src/http-client.ts
+++ b/packages/clients/src/http-client.ts
@@ -23,7 +23,8 @@
 
 export type HttpResponse = { status: number, headers: Record<string, string>, body: Buffer }
 
-export type HttpFailure = { type: 'not-sent', reason: string } | { type: 'unknown', reason: string }
+/** `timedOut`: no response began in time. */
+export type HttpFailure = { type: 'not-sent', reason: string } | { type: 'unknown', reason: string, timedOut?: true }
 
 export type HttpResult = { type: 'ok', response: HttpResponse } | HttpFailure
 
@@ -45,6 +46,8 @@
   exchange (req: HttpRequest): Promise<HttpResult>
   /** `timeoutMs` limits the time until the headers and then each pause in the body. */
   stream (req: HttpRequest): Promise<HttpStreamResult>
+  /** Sends later requests on new connections; those in progress end on theirs. Only for clients with their own pool. */
+  renewConnections (): void
   close (): Promise<void>
 }
 
@@ -105,7 +108,7 @@
 
 export function createHttpClient (options: HttpClientOptions): HttpClient {
   const { timeoutMs = defaultTimeoutMs, maxBytes = defaultMaxBytes } = options
-  const dispatcher = options.dispatcher ?? createConnections()
+  let dispatcher = options.dispatcher ?? createConnections()
   const base = new URL(options.baseUrl)
   const prefix = base.pathname.replace(/\/$/, '')
 
@@ -125,7 +128,11 @@
       if (req.signal?.aborted === true) return { type: 'not-sent', reason: 'cancelled before it was sent' }
       const abort = new AbortController()
       const limit = req.timeoutMs ?? timeoutMs
-      let timer = setTimeout(() => abort.abort(new Error(`no response within ${limit} ms`)), limit)
+      let timedOut = false
+      let timer = setTimeout(() => {
+        timedOut = true
+        abort.abort(new Error(`no response within ${limit} ms`))
+      }, limit)
       let intervalBytes = 0
       const requireRate = (minRate: number): void => {
         clearTimeout(timer)
@@ -144,7 +151,9 @@
         if (bytes === undefined) return { type: 'unknown', reason: `response exceeds ${maxBytes} bytes` }
         return { type: 'ok', response: { status: statusCode, headers: singleHeaders(headers), body: bytes } }
       } catch (err) {
-        return classifyError(err)
+        const failure = classifyError(err)
+        timedOut ||= (err as SystemError).code === 'UND_ERR_HEADERS_TIMEOUT'
+        return failure.type === 'unknown' && timedOut ? { ...failure, timedOut } : failure
       } finally {
         clearTimeout(timer)
         req.signal?.removeEventListener('abort', cancel)
@@ -162,6 +171,13 @@
         return classifyError(err)
       }
     },
+    renewConnections () {
+      if (options.dispatcher !== undefined) throw new Error('the connections are shared with other clients')
+      const former = dispatcher
+      dispatcher = createConnections()
+      // Resolves when the requests in progress have ended; idle connections are closed at once.
+      former.close().catch(() => {})
+    },
     close: async () => { if (options.dispatcher === undefined) await dispatcher.destroy() }
   }
 }
--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -32,6 +32,7 @@
     regained: () => { events.push('regained') },
     failed () {},
     aborted () {},
+    stalled: () => { events.push('stalled') },
     call () {}
   }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
   return { events, calls }
@@ -63,7 +64,7 @@
       return await new Promise(resolve => signal?.addEventListener('abort', () => resolve(Err({ type: 'unavailable', reason: 'cancelled' }))))
     }
   }
-  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, failed () {}, aborted () {}, call () {} }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
+  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, failed () {}, aborted () {}, stalled () {}, call () {} }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
   await sleep(200)
   assert.equal(waits, [1000, 0, 1000])
   follower.restart()
@@ -90,7 +91,16 @@
   assert.is(calls.length, 2, 'a peer at the same offset does not abort the read')
   follower!.behind(9)
   await sleep(350)
-  assert.equal(events, ['replaced 1', 'changed 8'])
+  assert.equal(events, ['replaced 1', 'stalled', 'changed 8'])
+})
+
+// Guards against feeds that wait on connections that have become silent, and against new connections for each call to a silent store.
+test('reports a stalled connection once when a call gets no response', async () => {
+  const silent = async (): ReadResult => Err({ type: 'unavailable', reason: 'timeout', noResponse: true })
+  const refused = async (): ReadResult => Err({ type: 'unavailable', reason: '503' })
+  const { events } = follow([async () => Ok(page(5, 4)), silent, silent, async () => Ok(page(6, 5)), refused, async () => Ok(page(7, 6))])
+  await sleep(500)
+  assert.equal(events, ['replaced 1', 'stalled', 'lost', 'changed 5', 'regained', 'changed 6'])
 })
 
 const pauseMs = 60
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -1,7 +1,7 @@
 /** Follows a feed: reads the newest records first, then each change; starts over if the store has dropped the changes in between. */
-import type { Feed, FeedRecord } from './platform-interface'
+import type { Feed, FeedFailure, FeedRecord } from './platform-interface'
 
-/** `behind-peer`: a peer has read later records; `other-feed`: another feed of the store was lost or regained. */
+/** `behind-peer`: a peer has read later records; `other-feed`: another feed of the store has stalled or was regained. */
 export type AbortCause = 'behind-peer' | 'other-feed'
 
 export type FollowerEvents<Value> = {
@@ -21,6 +21,8 @@
   failed (reason: string, failures: number, afterMs: number): void
   /** A read was aborted `afterMs` after it was sent, to be sent again. */
   aborted (cause: AbortCause, afterMs: number): void
+  /** A read has probably waited on a stalled connection; others may be stalled as well. */
+  stalled (): void
   call (result: 'ok' | 'unavailable' | 'expired'): void
 }
 
@@ -49,7 +51,7 @@
   position (): number | undefined
   /** Ends the current pause, for example after an append of this process. */
   wake (): void
-  /** Aborts the current read or pause and reads again, because another feed of the store was lost or regained. */
+  /** Aborts the current read or pause and reads again, because another feed of the store has stalled or was regained. */
   restart (): void
   /**
    * Advances the position with changes that a peer has read, in place of a read by this process.
@@ -99,10 +101,13 @@
     events.succeeded(asOf, next)
   }
 
-  async function failed (reason: string, sentAt: number): Promise<void> {
+  async function failed (failure: FeedFailure, sentAt: number): Promise<void> {
+    const reason = failure.type === 'unavailable' ? failure.reason : 'history was dropped'
     events.call('unavailable')
     failures += 1
     events.failed(reason, failures, options.now() - sentAt)
+    // Later ones time out on new connections, so the store itself is silent.
+    if (failures === 1 && failure.type === 'unavailable' && failure.noResponse === true) events.stalled()
     if (failures === failuresUntilLost) {
       lostAt = options.now()
       events.lost(reason)
@@ -114,7 +119,7 @@
     const sentAt = options.now()
     const result = await feed.newest()
     if (stopped) return
-    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : 'history was dropped', sentAt)
+    if (result.err) return await failed(result.val, sentAt)
     events.replaced(result.val.records, result.val.next)
     succeeded(sentAt, result.val.next)
   }
@@ -134,7 +139,7 @@
       position = undefined
       return
     }
-    if (result.err) return await failed(result.val.type === 'unavailable' ? result.val.reason : '', sentAt)
+    if (result.err) return await failed(result.val, sentAt)
     events.changed(result.val.records, result.val.next)
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
@@ -146,6 +151,7 @@
     if (reading === undefined || reading.abort.signal.aborted) return
     events.aborted(cause, options.now() - reading.sentAt)
     reading.abort.abort()
+    if (cause === 'behind-peer') events.stalled()
   }
 
   const isStopped = (): boolean => stopped
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -43,8 +43,9 @@
   operatorReachable (): boolean
   /** Reads the fleet log now, because records were appended to it. */
   appended (): void
-  /** A peer has read up to these offsets. */
-  behind (fleetNext: number, operatorNext: number): void
+  /** A peer has read up to this offset of the fleet log, or of the operator's records. */
+  peerFleetNext (next: number): void
+  peerOperatorNext (next: number): void
   /** Handles an update of the servers' entries from the zone's reader. */
   receiveServerUpdate (payload: unknown): void
 }
@@ -56,7 +57,7 @@
 const serverReadShare = 0.4
 /** Read intervals without an update from the zone's reader after which a node reads the store itself. */
 const silentIntervals = 1.5
-/** A long poll returns at once on a change; its length only bounds how long a stalled connection goes unnoticed, in ms. */
+/** A long poll returns at once on a change. Peers and the reads of the servers' entries show a stalled connection long before it ends. In ms. */
 const longWaitMs = 25_000
 /** Long polls of owners are shorter, in ms, because a completed read proves that the owner has seen the end of the log. */
 const ownerWaitMs = 800
@@ -85,7 +86,7 @@
     }
   }
 
-  function outageEvents (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'failed' | 'aborted' | 'call'> {
+  function outageEvents (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'failed' | 'aborted' | 'stalled' | 'call'> {
     return {
       lost (reason) {
         log.warn('dependency-lost', { dependency: feed, reason })
@@ -103,6 +104,11 @@
       aborted (cause, afterMs) {
         log.info('store-read-aborted', { feed, cause, afterMs: Math.round(afterMs) })
       },
+      stalled () {
+        log.info('store-connections-renewed', { feed })
+        platform.renewStoreConnections()
+        restartOthers(feed)
+      },
       call: result => { options.metrics.storeCall(feed, result) }
     }
   }
@@ -191,10 +197,8 @@
     fleetNext: () => fleet?.position(),
     operatorReachable: () => operatorReachable && !outage.active(),
     appended: () => fleet?.wake(),
-    behind (fleetNext, operatorNext) {
-      fleet?.behind(fleetNext)
-      operator?.behind(operatorNext)
-    },
+    peerFleetNext: next => fleet?.behind(next),
+    peerOperatorNext: next => operator?.behind(next),
     receiveServerUpdate (payload) {
       if (!isServerUpdate(payload)) {
         log.warn('peer-message-failed', { reason: 'server update is malformed' })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -116,6 +116,8 @@
     host: settings.ip,
     port: settings.peerPorts[0],
     now,
+    position: () => feeds.operatorNext() ?? -1,
+    peerPosition: position => { feeds.peerOperatorNext(position) },
     received (from, message) {
       const { kind, payload } = message
       if (restrictions.receive(from.node, message)) return
@@ -266,7 +268,7 @@
     const status = ownerStatuses.receive(from, payload, now())
     if (status === undefined) return
     owner.freshness.peerRead(status.fleetNext, status.fleetAgeMs, now())
-    feeds.behind(status.fleetNext, status.operatorNext)
+    feeds.peerFleetNext(status.fleetNext)
     const ownNext = feeds.operatorNext()
     if (!feeds.operatorReachable() && (ownNext === undefined || status.operatorNext > Math.max(ownNext, peerOperatorNext))) {
       const control = fleet.control(from)
--- a/packages/gateway/src/peer-link.test.ts
+++ b/packages/gateway/src/peer-link.test.ts
@@ -16,7 +16,7 @@
 
 async function start (node: string, received: string[]): Promise<{ link: PeerLink, address: string }> {
   const port = await freePort()
-  const link = createPeerLink({ self: { node, incarnation: 1 }, host: '127.0.0.1', port, now: () => performance.now(), received: (from, { kind }) => { received.push(`${from.node} ${kind}`) }, onError () {} })
+  const link = createPeerLink({ self: { node, incarnation: 1 }, host: '127.0.0.1', port, now: () => performance.now(), position: () => -1, peerPosition () {}, received: (from, { kind }) => { received.push(`${from.node} ${kind}`) }, onError () {} })
   await link.listen()
   return { link, address: `127.0.0.1:${port}` }
 }
--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -13,6 +13,10 @@
   host: string
   port: number
   now (): number
+  /** Offset up to which this node has read the operator's records, sent with each datagram; -1 before the first read. */
+  position (): number
+  /** The sender of a datagram has read the operator's records up to `position`. */
+  peerPosition (position: number): void
   received (from: PeerId, message: PeerMessage, address: string): void
   onError (reason: string): void
 }
@@ -34,7 +38,7 @@
 export const maxDatagramBytes = 1400
 
 /** Number 0 marks a message that is not acknowledged. */
-type Frame = [node: string, incarnation: number, number: number, kind: string, payload: unknown]
+type Frame = [node: string, incarnation: number, number: number, kind: string, payload: unknown, position?: number]
 type Unacked = { resolve (acked: boolean): void, timer: NodeJS.Timeout }
 
 const ackKind = 'ack'
@@ -65,7 +69,7 @@
 
   function transmit (address: string, number: number, { kind, payload }: PeerMessage): void {
     const [host, port] = splitAddress(address)
-    const frame: Frame = [self.node, self.incarnation, number, kind, payload]
+    const frame: Frame = [self.node, self.incarnation, number, kind, payload, options.position()]
     socket.send(JSON.stringify(frame), port, host, err => {
       if (err !== null && err !== undefined) options.onError(err.message)
     })
@@ -83,7 +87,8 @@
   socket.on('message', (bytes, { address, port }) => {
     const frame = parseFrame(bytes)
     if (frame === undefined) return options.onError('datagram is not a valid peer message')
-    const [node, incarnation, number, kind, payload] = frame
+    const [node, incarnation, number, kind, payload, position] = frame
+    if (Number.isSafeInteger(position)) options.peerPosition(position!)
     if (kind === ackKind) {
       const pending = unacked.get(Number(payload))
       if (pending === undefined) return
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'ts-results/result.js'
 import type { AdapterVersion, BackendServer, ClusterConfig, EngineCommand, EngineCommandResult, EngineReport, ModelDemand } from './cluster-types'
 
-/** `expired`: the store no longer has all records after the offset. */
-export type FeedFailure = { type: 'unavailable', reason: string } | { type: 'expired' }
+/** `noResponse`: the call timed out, so its connection may be stalled. `expired`: the store no longer has all records after the offset. */
+export type FeedFailure = { type: 'unavailable', reason: string, noResponse?: true } | { type: 'expired' }
 
 /** `value` is undefined if the key was removed, and `{ type: 'unreadable' }` if the value is malformed. */
 export type FeedRecord<Value> = { key: string, offset: number, value: Value | undefined }
@@ -153,6 +153,8 @@
   operator: Feed<OperatorRecord>
   servers: Feed<ServerRecord>
   fleet: FleetLog
+  /** Sends later calls to the store on new connections, because the open ones may be stalled. */
+  renewStoreConnections (): void
   engines: EngineControl
   headers: HeaderCodec
   ingress: IngressCodec
--- a/packages/gateway/src/testing/fake-platform.ts
+++ b/packages/gateway/src/testing/fake-platform.ts
@@ -93,6 +93,7 @@
     operator: createFakeFeed<OperatorRecord>(),
     servers: createFakeFeed<ServerRecord>(),
     fleet: createFakeFleetLog(),
+    renewStoreConnections () {},
     engines: createFakeEngine('base'),
     headers: testCodec,
     ingress: {
