Do not abort a read of the store whose response has begun

Change: a read is aborted only while no response has begun, and the time before that doubles until a read succeeds.

--- a/packages/clients/src/http-client.ts
+++ b/packages/clients/src/http-client.ts
@@ -19,6 +19,8 @@
    */
   minBodyRate?: number
   signal?: AbortSignal
+  /** Cancels the request like `signal`, but has no effect once the response has begun. */
+  startSignal?: AbortSignal
 }
 
 export type HttpResponse = { status: number, headers: Record<string, string>, body: Buffer }
@@ -125,7 +127,7 @@
 
   return {
     async exchange (req) {
-      if (req.signal?.aborted === true) return { type: 'not-sent', reason: 'cancelled before it was sent' }
+      if (req.signal?.aborted === true || req.startSignal?.aborted === true) return { type: 'not-sent', reason: 'cancelled before it was sent' }
       const abort = new AbortController()
       const limit = req.timeoutMs ?? timeoutMs
       let timedOut = false
@@ -144,8 +146,10 @@
       }
       const cancel = (): void => abort.abort(new Error('cancelled'))
       req.signal?.addEventListener('abort', cancel, { once: true })
+      req.startSignal?.addEventListener('abort', cancel, { once: true })
       try {
         const { statusCode, headers, body } = await send(req, abort.signal, limit)
+        req.startSignal?.removeEventListener('abort', cancel)
         if (req.minBodyRate !== undefined) requireRate(req.minBodyRate)
         const bytes = await readBody(body, maxBytes, count => { intervalBytes += count })
         if (bytes === undefined) return { type: 'unknown', reason: `response exceeds ${maxBytes} bytes` }
@@ -157,6 +161,7 @@
       } finally {
         clearTimeout(timer)
         req.signal?.removeEventListener('abort', cancel)
+        req.startSignal?.removeEventListener('abort', cancel)
       }
     },
     async stream (req) {
--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -94,6 +94,19 @@
   assert.equal(events, ['replaced 1', 'stalled', 'changed 8'])
 })
 
+// Guards against a node that never catches up because each read is aborted before a slow store has responded.
+test('catches up with its peers although the store takes longer than the time after which a read is aborted', async () => {
+  const slow = (call: Call): ReadResult => new Promise(resolve => {
+    const timer = setTimeout(() => resolve(Ok(page(9, 8))), 700)
+    if (call.type === 'read') call.signal?.addEventListener('abort', () => { clearTimeout(timer); resolve(Err({ type: 'unavailable', reason: 'cancelled' })) })
+  })
+  const { events } = follow([async () => Ok(page(5, 4)), ...Array.from({ length: 20 }, () => slow)])
+  const peers = setInterval(() => follower!.behind(9), 20)
+  await sleep(3000)
+  clearInterval(peers)
+  assert.ok(events.includes('changed 8'), events.join(', '))
+})
+
 // Guards against feeds that wait on connections that have become silent, and against new connections for each call to a silent store.
 test('reports a stalled connection once when a call gets no response', async () => {
   const silent = async (): ReadResult => Err({ type: 'unavailable', reason: 'timeout', noResponse: true })
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -40,8 +40,9 @@
   retryPauseMs (failures: number): number
 }
 
-/** Time for the current read to catch up with a peer before it is aborted, in ms. */
+/** Time for the current read to catch up with a peer before it is aborted, in ms. It doubles with each abort until a read succeeds, as the store may be slow. */
 const behindGraceMs = 250
+const behindGraceMaxMs = 2000
 /** Consecutive failed calls after which the feed counts as lost. */
 const failuresUntilLost = 2
 
@@ -71,6 +72,7 @@
   let wake: (() => void) | undefined
   let pauseUntil = -Infinity
   let reading: { abort: AbortController, sentAt: number } | undefined
+  let graceMs = behindGraceMs
   let behindTimer: NodeJS.Timeout | undefined
 
   const pause = (ms: number): Promise<void> => new Promise(resolve => {
@@ -96,6 +98,7 @@
       lostAt = undefined
     }
     failures = 0
+    graceMs = behindGraceMs
     events.call('ok')
     position = next
     events.succeeded(asOf, next)
@@ -192,8 +195,10 @@
       if (behindTimer !== undefined || position === undefined || next <= position) return
       behindTimer = setTimeout(() => {
         behindTimer = undefined
-        if (position !== undefined && next > position) abortRead('behind-peer')
-      }, behindGraceMs)
+        if (position === undefined || next <= position) return
+        graceMs = Math.min(behindGraceMaxMs, 2 * graceMs)
+        abortRead('behind-peer')
+      }, graceMs)
     }
   }
 }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -13,7 +13,11 @@
 export interface Feed<Value> {
   /** Reads the newest record of each key; `next` is the offset to continue from. */
   newest (): Promise<Result<FeedPage<Value>, FeedFailure>>
-  /** Waits up to `waitMs` for a record at or after `from`. */
+  /**
+   * Waits up to `waitMs` for a record at or after `from`.
+   *
+   * @param signal - cancels the read, unless its response has begun
+   */
   read (from: number, waitMs: number, signal?: AbortSignal): Promise<Result<FeedPage<Value>, FeedFailure>>
 }
 
