--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -388,9 +388,10 @@
   function applyServers (changes: RegistryChange[]): void {
     for (const change of changes) {
       if (change.type === 'unreadable') log.warn('server-entry-unreadable', { key: change.key, reason: change.reason })
+      else if (change.type === 'ignored') log.info('server-entry-ignored', { key: change.key, offset: change.offset, sequence: change.sequence, reason: change.reason })
       else log.info('server-changed', { server: change.server.id, change: change.type, service: change.server.service, address: change.server.address, zone: change.server.zone })
     }
-    if (changes.length === 0) return
+    if (changes.every(({ type }) => type === 'ignored')) return
     upstream.retain(registry.all())
     restrictions.retain(registry.all())
     pools.retain(new Set(registry.all().map(({ id }) => id)))
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -14,6 +14,8 @@
 export type RegistryChange =
   | { type: 'added' | 'started-again' | 'draining' | 'removed', server: BackendServer }
   | { type: 'unreadable', key: string, reason: string }
+  /** The entry is older than what is known of the server. */
+  | { type: 'ignored', key: string, offset: number, sequence: number, reason: 'offset' | 'start' | 'sequence' }
 
 export type ServerRegistry = {
   /** Applies records in their order. */
@@ -46,15 +48,17 @@
   const leavingStarts = new Map<string, number>()
   let graceUntil = -Infinity
 
-  /** Whether the record is of an earlier start of the server, or an earlier entry of the same start. */
-  function isStale (current: Entry, record: ServerRecord & { type: 'server' }): boolean {
-    if (record.server.bornAt !== current.server.bornAt) return record.server.bornAt < current.server.bornAt
-    return record.sequence < current.sequence
+  /** @returns by what the record is older than the current entry */
+  function staleBy (current: Entry, record: ServerRecord & { type: 'server' }, offset: number): 'offset' | 'start' | 'sequence' | undefined {
+    if (offset < current.offset) return 'offset'
+    if (record.server.bornAt !== current.server.bornAt) return record.server.bornAt < current.server.bornAt ? 'start' : undefined
+    return record.sequence < current.sequence ? 'sequence' : undefined
   }
 
   function put ({ key, offset }: FeedRecord<ServerRecord>, record: ServerRecord & { type: 'server' }): RegistryChange[] {
     const current = entries.get(key)
-    if (current !== undefined && (offset < current.offset || isStale(current, record))) return []
+    const reason = current === undefined ? undefined : staleBy(current, record, offset)
+    if (reason !== undefined) return [{ type: 'ignored', key, offset, sequence: record.sequence, reason }]
     const sameStart = current !== undefined && current.server.bornAt === record.server.bornAt
     // A draining server becomes ready again only with a new start.
     const isLeaving = leavingStarts.get(key) === record.server.bornAt || (sameStart && current.server.state === 'draining')
