Do not compare offsets of the store's former histories with those it gives out now

Cause: an offset was used as if the store gave it out only once. Followers continued at their former offset, past what had been written at lower ones, and the registry took entries with lower offsets for outdated ones.

Change: the adapter reads the era that the store states and combines it with the offset to one position, which grows over all restorations. A read from a position of another era is expired, so the follower reads the newest records; the other feeds are restarted and told of a restoration first.

--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -3,6 +3,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { followFeed, type Follower } from './feed-follower'
+import { logPosition } from './log-position'
 import type { Feed, FeedPage, FeedRecord } from './platform-interface'
 
 const test = suite('feed follower')
@@ -30,6 +31,7 @@
     succeeded () {},
     lost: () => { events.push('lost') },
     regained: () => { events.push('regained') },
+    restored: era => { events.push(`restored ${era}`) },
     failed () {},
     aborted () {},
     stalled: () => { events.push('stalled') },
@@ -64,7 +66,7 @@
       return await new Promise(resolve => signal?.addEventListener('abort', () => resolve(Err({ type: 'unavailable', reason: 'cancelled' }))))
     }
   }
-  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, failed () {}, aborted () {}, stalled () {}, call () {} }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
+  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, restored () {}, failed () {}, aborted () {}, stalled () {}, call () {} }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
   await sleep(200)
   assert.equal(waits, [1000, 0, 1000])
   follower.restart()
@@ -72,6 +74,14 @@
   assert.equal(waits, [1000, 0, 1000, 1000])
 })
 
+// Guards against records of a restored store that are taken for later ones of the former history.
+test('reports a restoration of the store before the records that it has now', async () => {
+  const { events, calls } = follow([async () => Ok(page(5, 4)), async () => Err({ type: 'expired' }), async () => Ok(page(logPosition(1, 3), 2)), async () => Ok(page(logPosition(1, 4), 3))])
+  await sleep(20)
+  assert.equal(events, ['replaced 1', 'restored 1', 'replaced 1', 'changed 3'])
+  assert.is((calls[3] as { from: number }).from, logPosition(1, 3))
+})
+
 test('reports the start and the end of an outage once each', async () => {
   const unavailable = async (): ReadResult => Err({ type: 'unavailable', reason: '503' })
   const { events } = follow([async () => Ok(page(5)), unavailable, unavailable, unavailable, async () => Ok(page(6, 5))])
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -1,7 +1,8 @@
 /** Follows a feed: reads the newest records first, then each change; starts over if the store has dropped the changes in between. */
+import { eraOf } from './log-position'
 import type { Feed, FeedFailure, FeedRecord } from './platform-interface'
 
-/** `behind-peer`: a peer has read later records; `other-feed`: another feed of the store has stalled or was regained. */
+/** `behind-peer`: a peer has read later records; `other-feed`: another feed of the store has stalled, was regained or restored. */
 export type AbortCause = 'behind-peer' | 'other-feed'
 
 export type FollowerEvents<Value> = {
@@ -14,6 +15,8 @@
   /** The feed became unreachable, or reachable again. */
   lost (reason: string): void
   regained (lostForMs: number): void
+  /** The store has come back from a copy; the records that follow replace what was read before. */
+  restored (era: number): void
   /**
    * @param failures - consecutive failures, from 1
    * @param afterMs - time since the call was sent
@@ -48,11 +51,11 @@
 
 export type Follower = {
   stop (): void
-  /** Offset up to which records have been read; undefined before the first read. */
+  /** Position up to which records have been read; undefined before the first read. */
   position (): number | undefined
   /** Ends the current pause, for example after an append of this process. */
   wake (): void
-  /** Aborts the current read or pause and reads again, because another feed of the store has stalled or was regained. */
+  /** Aborts the current read or pause and reads again, because another feed of the store has stalled, was regained or restored. */
   restart (): void
   /**
    * Advances the position with changes that a peer has read, in place of a read by this process.
@@ -67,6 +70,7 @@
 export function followFeed<Value> (feed: Feed<Value>, events: FollowerEvents<Value>, options: FollowerOptions): Follower {
   let stopped = false
   let position: number | undefined
+  let era: number | undefined
   let failures = 0
   let lostAt: number | undefined
   let wake: (() => void) | undefined
@@ -92,6 +96,11 @@
     check()
   })
 
+  function responded (next: number): void {
+    if (era !== undefined && eraOf(next) !== era) events.restored(eraOf(next))
+    era = eraOf(next)
+  }
+
   function succeeded (asOf: number, next: number): void {
     if (lostAt !== undefined) {
       events.regained(options.now() - lostAt)
@@ -123,6 +132,7 @@
     const result = await feed.newest()
     if (stopped) return
     if (result.err) return await failed(result.val, sentAt)
+    responded(result.val.next)
     events.replaced(result.val.records, result.val.next)
     succeeded(sentAt, result.val.next)
   }
@@ -143,6 +153,7 @@
       return
     }
     if (result.err) return await failed(result.val, sentAt)
+    responded(result.val.next)
     events.changed(result.val.records, result.val.next)
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -24,7 +24,7 @@
   operator (records: FeedRecord<OperatorRecord>[], recent: boolean): void
   servers (records: FeedRecord<ServerRecord>[]): void
   /** Receives the newest record of each key; they replace all earlier records. */
-  serversReplaced (records: FeedRecord<ServerRecord>[]): void
+  serversReplaced (records: FeedRecord<ServerRecord>[], next: number): void
   /** Called after each successful read of the servers' entries. */
   serversLoaded (): void
   fleet (records: FeedRecord<FleetRecord | UnreadableRecord>[]): void
@@ -86,7 +86,8 @@
     }
   }
 
-  function outageEvents (feed: string, regained: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'failed' | 'aborted' | 'stalled' | 'call'> {
+  /** @param recovered - the store is back after an outage, perhaps from a copy */
+  function outageEvents (feed: string, recovered: () => void): Pick<FollowerEvents<never>, 'lost' | 'regained' | 'restored' | 'failed' | 'aborted' | 'stalled' | 'call'> {
     return {
       lost (reason) {
         log.warn('dependency-lost', { dependency: feed, reason })
@@ -96,7 +97,12 @@
         log.info('dependency-regained', { dependency: feed, lostForMs: Math.round(lostForMs) })
         outage.succeeded(feed)
         restartOthers(feed)
-        regained()
+        recovered()
+      },
+      restored (era) {
+        log.warn('store-restored', { feed, era })
+        restartOthers(feed)
+        recovered()
       },
       failed (reason, failures, afterMs) {
         log.info('store-read-failed', { feed, reason, failures, afterMs: Math.round(afterMs) })
@@ -164,7 +170,7 @@
         replaced (records, next) {
           cache.replace('servers', records, next)
           relay.seen(records)
-          options.serversReplaced(records)
+          options.serversReplaced(records, next)
         },
         changed (records, next) {
           cache.update('servers', records, next)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import type { GatewayMetrics } from './gateway-metrics'
 import { createGrantClient, type GrantMessage } from './grant-client'
 import { createLogProbe, type LogState } from './log-probe'
+import { createOwnRecords } from './own-records'
 import { createOwnerStatusCache } from './owner-status-cache'
 import { createPartBlocking } from './part-blocking'
 import { createPeerLink, type PeerMessage } from './peer-link'
@@ -169,6 +170,8 @@
     return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine, requestsPerSecond: restrictions.limit(server) })))
   }
 
+  const ownRecords = createOwnRecords({ fleetLog: platform.fleet, log, random: options.random, leaving: () => leavingSince !== undefined })
+
   const partBlocking = createPartBlocking({
     now,
     wallClock: Date.now,
@@ -177,7 +180,7 @@
     notifyPeers (part) {
       for (const { address } of fleet.peers()) deliverToPeer(address, { kind: 'blocked-part', payload: part })
     },
-    record: (key, value) => appendRecord(key, value, 'block-not-recorded')
+    record: (key, value) => ownRecords.append(key, value, 'block-not-recorded')
   })
 
   const owner = createEngineOwner({
@@ -420,7 +423,7 @@
     },
     operator: applyOperator,
     servers: records => applyServers(registry.apply(records, now())),
-    serversReplaced: records => applyServers(registry.replace(records, now())),
+    serversReplaced: (records, next) => applyServers(registry.replace(records, next, now())),
     serversLoaded () { serversLoaded = true },
     fleet (records) {
       applyFleet(records)
@@ -430,16 +433,6 @@
     storeRecovered: agoMs => registry.storeRecovered(now() - agoMs)
   })
 
-  /** Appends a record to the fleet log, again and again until the store accepts it or this node leaves. */
-  async function appendRecord (key: string, value: FleetRecord, failureEvent: string): Promise<void> {
-    for (;;) {
-      const result = await platform.fleet.append([{ key, value }])
-      if (result.ok || leavingSince !== undefined) return
-      log.warn(failureEvent, { key, reason: result.val })
-      await new Promise(resolve => setTimeout(resolve, 300 + 300 * options.random()))
-    }
-  }
-
   const readyServer = createReadyServer(platform.ingress, isReady)
   const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log)
   const directoryServer = createDirectoryServer(platform.ingress, ({ zone }) => ({
@@ -483,7 +476,7 @@
       await link.listen()
       feeds.start()
       startTimers()
-      appendRecord(`node/${self.name}`, self, 'registration-failed').catch(err => { log.error('registration-failed', { reason: (err as Error).message }) })
+      ownRecords.append(`node/${self.name}`, self, 'registration-failed').catch(err => { log.error('registration-failed', { reason: (err as Error).message }) })
       await Promise.all([
         listenOn(front.server, settings.front),
         listenOn(readyServer, settings.ready),
--- a/packages/gateway/src/log-probe.ts
+++ b/packages/gateway/src/log-probe.ts
@@ -6,6 +6,10 @@
   | { type: 'read', next: number, ageMs: number }
   /** A read failed `ageMs` ago. */
   | { type: 'unreachable', ageMs: number }
+  /** The store responded, but this node has to read the log anew first. */
+  | { type: 'outdated', ageMs: number }
+
+type ProbeResult = { at: number, next?: number, outdated?: true }
 
 export type LogProbe = { read (): Promise<LogState> }
 
@@ -17,17 +21,18 @@
 const failureTtlMs = 400
 
 export function createLogProbe ({ now, feed, position }: { now (): number, feed: Feed<unknown>, position (): number | undefined }): LogProbe {
-  let current: Promise<{ at: number, next?: number }> | undefined
+  let current: Promise<ProbeResult> | undefined
 
-  async function probe (): Promise<{ at: number, next?: number }> {
+  async function probe (): Promise<ProbeResult> {
     const at = now()
     const from = position()
     if (from === undefined) return { at }
     const result = await feed.read(from, 0, AbortSignal.timeout(readTimeoutMs))
-    return result.ok ? { at, next: result.val.next } : { at }
+    if (result.ok) return { at, next: result.val.next }
+    return result.val.type === 'expired' ? { at, outdated: true } : { at }
   }
 
-  function startProbe (): Promise<{ at: number, next?: number }> {
+  function startProbe (): Promise<ProbeResult> {
     const startedAt = now()
     let ttlMs = failureTtlMs
     return probe().then(result => {
@@ -39,8 +44,9 @@
   return {
     async read () {
       current ??= startProbe()
-      const { at, next } = await current
+      const { at, next, outdated } = await current
       const ageMs = Math.round(now() - at)
+      if (outdated === true) return { type: 'outdated', ageMs }
       return next === undefined ? { type: 'unreachable', ageMs } : { type: 'read', next, ageMs }
     }
   }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -2,16 +2,20 @@
 import type { Result } from 'ts-results/result.js'
 import type { AdapterVersion, BackendServer, ClusterConfig, EngineCommand, EngineCommandResult, EngineReport, ModelDemand } from './cluster-types'
 
-/** `noResponse`: the call timed out, so its connection may be stalled. `expired`: the store no longer has all records after the offset. */
+/** `noResponse`: the call timed out, so its connection may be stalled. `expired`: the store no longer has all records after the position, or has come back from a copy. */
 export type FeedFailure = { type: 'unavailable', reason: string, noResponse?: true } | { type: 'expired' }
 
-/** `value` is undefined if the key was removed, and `{ type: 'unreadable' }` if the value is malformed. */
+/**
+ * `value` is undefined if the key was removed, and `{ type: 'unreadable' }` if the value is malformed.
+ * `offset` is the record's position; see log-position.
+ */
 export type FeedRecord<Value> = { key: string, offset: number, value: Value | undefined }
+/** `next` is the position to continue from. */
 export type FeedPage<Value> = { records: FeedRecord<Value>[], next: number }
 
 /** Keyed records in the order in which the store accepted them. */
 export interface Feed<Value> {
-  /** Reads the newest record of each key; `next` is the offset to continue from. */
+  /** Reads the newest record of each key. */
   newest (): Promise<Result<FeedPage<Value>, FeedFailure>>
   /**
    * Waits up to `waitMs` for a record at or after `from`.
@@ -38,8 +42,8 @@
 export interface FleetLog extends Feed<FleetRecord | UnreadableRecord> {
   /**
    * Appends records, all or none.
-   * @param expectedEnd - if given, appends only if the log ends at this offset
-   * @returns the offset of the first record
+   * @param expectedEnd - if given, appends only if the log ends at this position
+   * @returns the position of the first record
    */
   append (records: { key: string, value: FleetRecord | undefined }[], expectedEnd?: number): Promise<Result<number, AppendFailure>>
 }
--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -64,7 +64,7 @@
 test('the newest records of all keys replace the registry', () => {
   const registry = createServerRegistry()
   registry.apply([entry('s1', 0), entry('s2', 1)], 0)
-  registry.replace([entry('s2', 1), entry('s3', 7)], 10)
+  registry.replace([entry('s2', 1), entry('s3', 7)], 8, 10)
   assert.equal(readyIds(registry), ['s2', 's3'])
 })
 
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -20,8 +20,8 @@
 export type ServerRegistry = {
   /** Applies records in their order. */
   apply (records: readonly FeedRecord<ServerRecord>[], now: number): RegistryChange[]
-  /** Applies the newest record of each key; servers without a record were removed. */
-  replace (records: readonly FeedRecord<ServerRecord>[], now: number): RegistryChange[]
+  /** Applies the newest record of each key, read up to `next`; servers without a record were removed. */
+  replace (records: readonly FeedRecord<ServerRecord>[], next: number, now: number): RegistryChange[]
   /** The server has stated itself that it is leaving; its entry may say otherwise, or not exist yet. */
   leave (start: ServerStart): RegistryChange[]
   /** Starts the delay of removals, because an outage of the store has ended. */
@@ -94,10 +94,10 @@
 
   return {
     apply: (records, now) => records.flatMap(record => applyOne(record, now)),
-    replace (records, now) {
+    replace (records, next, now) {
       const present = new Set(records.map(({ key }) => key))
       const missing = [...entries.keys()].filter(key => !present.has(key))
-      return [...records.flatMap(record => applyOne(record, now)), ...missing.flatMap(key => remove(key, Infinity, now))]
+      return [...records.flatMap(record => applyOne(record, now)), ...missing.flatMap(key => remove(key, next - 1, now))]
     },
     leave ({ id, bornAt }) {
       leavingStarts.delete(id)
--- a/scripts/check-platform-names.ts
+++ b/scripts/check-platform-names.ts
@@ -13,7 +13,7 @@
   'Request-Id', 'Response-Seal', 'Not-Executed', 'Expect-Instance', 'Expect-Version', 'Token-Usage', 'Prompt-Prefix', 'Deadline-Ms', 'Request-Priority', 'Weight-Versions',
   'Pin-Ms', 'Kv-Backup', 'Kv-From', 'Kv-Fetch', 'Length-Hint', 'path_prefix', 'route_kind', 'non_idempotent', 'goal_ms', 'gap_aim_ms', 'timeout_ms', 'max_conns',
   'kv_capacity', 'adapter_slots', 'adapter_size_mb', 'weights_mb', 'loads_per_s', 'fencing_token', 'precondition', 'cold_left_ms', 'heartbeat_ms', 'port_range',
-  'Server-Limit', 'Server-Leaving', 'node_name', 'lease_ms', 'drain_ms', 'ttl_s', 'log-append', 'log-read', 'log-newest', 'keyed\\.', '/-/', 'YUCCAWHARF_BOOT'
+  'Server-Limit', 'Server-Leaving', 'Store-Era', 'node_name', 'lease_ms', 'drain_ms', 'ttl_s', 'log-append', 'log-read', 'log-newest', 'keyed\\.', '/-/', 'YUCCAWHARF_BOOT'
 ]
 const pattern = new RegExp(`(?<![\\w-])(${platformNames.join('|')})(?![\\w-])|(?<=['"\`])/-/`, 'i')
 const importPattern = /from '(@yuccawharf\/platform|(\.\.\/)+platform)[/']/
