Report the end of an outage before the records of the first read after it

Servers whose entries expire while the store is away are kept for two seconds after its return, but the node learned of the return only after it had applied the first read, and with it the removals. Found while looking for the class of fault of the restored store.

--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -82,11 +82,12 @@
   assert.is((calls[3] as { from: number }).from, logPosition(1, 3))
 })
 
-test('reports the start and the end of an outage once each', async () => {
+// Guards against dropping servers whose entries expired during an outage, because the node learns of its end only after their removal.
+test('reports the start and the end of an outage once each, the end before the records', async () => {
   const unavailable = async (): ReadResult => Err({ type: 'unavailable', reason: '503' })
   const { events } = follow([async () => Ok(page(5)), unavailable, unavailable, unavailable, async () => Ok(page(6, 5))])
   await sleep(500)
-  assert.equal(events, ['replaced 0', 'lost', 'changed 5', 'regained'])
+  assert.equal(events, ['replaced 0', 'lost', 'regained', 'changed 5'])
 })
 
 // Guards against waiting on a stalled connection for a change that peers have already read.
@@ -123,7 +124,7 @@
   const refused = async (): ReadResult => Err({ type: 'unavailable', reason: '503' })
   const { events } = follow([async () => Ok(page(5, 4)), silent, silent, async () => Ok(page(6, 5)), refused, async () => Ok(page(7, 6))])
   await sleep(500)
-  assert.equal(events, ['replaced 1', 'stalled', 'lost', 'changed 5', 'regained', 'changed 6'])
+  assert.equal(events, ['replaced 1', 'stalled', 'lost', 'regained', 'changed 5', 'changed 6'])
 })
 
 const pauseMs = 60
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -96,12 +96,8 @@
     check()
   })
 
+  /** Called before the records are passed on, as they may mean something else after an outage or a restoration. */
   function responded (next: number): void {
-    if (era !== undefined && eraOf(next) !== era) events.restored(eraOf(next))
-    era = eraOf(next)
-  }
-
-  function succeeded (asOf: number, next: number): void {
     if (lostAt !== undefined) {
       events.regained(options.now() - lostAt)
       lostAt = undefined
@@ -109,6 +105,11 @@
     failures = 0
     graceMs = behindGraceMs
     events.call('ok')
+    if (era !== undefined && eraOf(next) !== era) events.restored(eraOf(next))
+    era = eraOf(next)
+  }
+
+  function succeeded (asOf: number, next: number): void {
     position = next
     events.succeeded(asOf, next)
   }
