Do not use a server again that has left because a restored store still has its entry

Requests reached a server that had left, for as long as its entry stood in the copy.

Cause: the registry forgot a server with its removal, so an earlier entry of the same start looked like a new server. Now it keeps start and sequence of the last entry, and only a later entry or start brings a server back.

--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
+import { logPosition } from './log-position'
 import type { FeedRecord, ServerRecord } from './platform-interface'
 import { createServerRegistry } from './server-registry'
 
@@ -68,4 +69,24 @@
   assert.equal(readyIds(registry), ['s2', 's3'])
 })
 
+// Guards against using a server again that has left, because a restored store still has its entry.
+test('a removed server comes back only with a later entry or a new start', () => {
+  const registry = createServerRegistry()
+  registry.apply([entry('s1', 0, {}, 4), entry('s1', 1, { state: 'draining' }, 5), removal('s1', 2)], 0)
+  const restored = logPosition(1, 0)
+  assert.equal(registry.replace([entry('s1', restored, {}, 4)], restored + 1, 10), [{ type: 'ignored', key: 's1', offset: restored, sequence: 4, reason: 'left' }])
+  assert.equal(readyIds(registry), [])
+  registry.apply([entry('s1', restored + 1, {}, 6)], 20)
+  assert.equal(readyIds(registry), ['s1'])
+  registry.apply([removal('s1', restored + 2), entry('s1', restored + 3, { bornAt: 2 }, 1)], 30)
+  assert.equal(readyIds(registry), ['s1'])
+})
+
+// Guards against a server without a sequence that is not used again after its entry expired.
+test('a removed server without sequences comes back with the next entry', () => {
+  const registry = createServerRegistry()
+  registry.apply([entry('s1', 0, {}, 0), removal('s1', 1), entry('s1', 2, {}, 0)], 0)
+  assert.equal(readyIds(registry), ['s1'])
+})
+
 test.run()
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -11,11 +11,14 @@
 /** One start of a backend server. */
 export type ServerStart = Pick<BackendServer, 'id' | 'bornAt'>
 
+/** By what an entry is older than what is known of its server; `left`: it is not later than the last one before the server was removed. */
+export type StaleReason = 'offset' | 'start' | 'sequence' | 'left'
+
 export type RegistryChange =
   | { type: 'added' | 'started-again' | 'draining' | 'removed', server: BackendServer }
   | { type: 'unreadable', key: string, reason: string }
   /** The entry is older than what is known of the server. */
-  | { type: 'ignored', key: string, offset: number, sequence: number, reason: 'offset' | 'start' | 'sequence' }
+  | { type: 'ignored', key: string, offset: number, sequence: number, reason: StaleReason }
 
 export type ServerRegistry = {
   /** Applies records in their order. */
@@ -36,8 +39,8 @@
   all (): BackendServer[]
 }
 
-/** Number of starts that are known to have left; later entries of them are outdated. */
-const maxLeavingStarts = 4096
+/** Number of starts that are known to have left, and of servers that were removed; their later entries may be outdated. */
+const maxKnownLeft = 4096
 
 type Entry = { server: BackendServer, sequence: number, offset: number, removedAt?: number }
 
@@ -46,24 +49,34 @@
   const ready = new Map<string, BackendServer[]>()
   /** Newest start of each server that has stated that it is leaving. */
   const leavingStarts = new Map<string, number>()
+  /** Last entry of each removed server; a restored store may have an earlier one. */
+  const removed = new Map<string, { bornAt: number, sequence: number }>()
   let graceUntil = -Infinity
 
   /** @returns by what the record is older than the current entry */
-  function staleBy (current: Entry, record: ServerRecord & { type: 'server' }, offset: number): 'offset' | 'start' | 'sequence' | undefined {
+  function staleBy (current: Entry, record: ServerRecord & { type: 'server' }, offset: number): StaleReason | undefined {
     if (offset < current.offset) return 'offset'
     if (record.server.bornAt !== current.server.bornAt) return record.server.bornAt < current.server.bornAt ? 'start' : undefined
     return record.sequence < current.sequence ? 'sequence' : undefined
   }
 
+  function isOfRemoved (key: string, { server, sequence }: ServerRecord & { type: 'server' }): boolean {
+    const last = removed.get(key)
+    if (last === undefined || server.bornAt > last.bornAt) return false
+    // Sequences grow with each entry; servers that state none have 0.
+    return server.bornAt < last.bornAt || sequence < last.sequence || (sequence === last.sequence && sequence > 0)
+  }
+
   function put ({ key, offset }: FeedRecord<ServerRecord>, record: ServerRecord & { type: 'server' }): RegistryChange[] {
     const current = entries.get(key)
-    const reason = current === undefined ? undefined : staleBy(current, record, offset)
+    const reason = current !== undefined ? staleBy(current, record, offset) : isOfRemoved(key, record) ? 'left' : undefined
     if (reason !== undefined) return [{ type: 'ignored', key, offset, sequence: record.sequence, reason }]
     const sameStart = current !== undefined && current.server.bornAt === record.server.bornAt
     // A draining server becomes ready again only with a new start.
     const isLeaving = leavingStarts.get(key) === record.server.bornAt || (sameStart && current.server.state === 'draining')
     const state = isLeaving ? 'draining' : record.server.state
     const server = { ...record.server, state }
+    removed.delete(key)
     entries.set(key, { server, sequence: record.sequence, offset })
     ready.clear()
     if (current === undefined) return [{ type: 'added', server }]
@@ -81,6 +94,8 @@
 
   function drop (key: string, entry: Entry): RegistryChange[] {
     entries.delete(key)
+    removed.set(key, { bornAt: entry.server.bornAt, sequence: entry.sequence })
+    if (removed.size > maxKnownLeft) removed.delete(removed.keys().next().value!)
     ready.clear()
     return [{ type: 'removed', server: entry.server }]
   }
@@ -102,7 +117,7 @@
     leave ({ id, bornAt }) {
       leavingStarts.delete(id)
       leavingStarts.set(id, bornAt)
-      if (leavingStarts.size > maxLeavingStarts) leavingStarts.delete(leavingStarts.keys().next().value!)
+      if (leavingStarts.size > maxKnownLeft) leavingStarts.delete(leavingStarts.keys().next().value!)
       const entry = entries.get(id)
       if (entry === undefined || entry.server.bornAt !== bornAt || entry.server.state === 'draining') return []
       entry.server = { ...entry.server, state: 'draining' }
