Keep servers that write their entries again in time after the store's return

The zone's reader took an entry that was written again for one in which only the sequence had changed, because it remembered it from before the copy, and did not relay it; the other nodes dropped the server two seconds after the return. Besides, nodes dropped it without a read at the end of these two seconds. Now the reader forgets entries that are missing in the newest records, and all nodes read once at the end.

'a server whose entry the copy lacks is still used until it is written again' failed before (19 to 26 refused requests) and passes.

--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -6,6 +6,7 @@
 import type { FeedCache } from './peer-state'
 import type { FeedRecord, FleetRecord, OperatorRecord, Platform, ServerRecord, UnreadableRecord } from './platform-interface'
 import { createStoreOutage } from './store-outage'
+import { rewriteMs } from './server-registry'
 import { createServerRelay, isServerUpdate, isZoneReader, type ServerUpdate } from './server-relay'
 
 export type FeedsOptions = {
@@ -78,6 +79,14 @@
   let fleet: Follower | undefined
   let operatorReachable = false
   let recoveredAt = -Infinity
+  let rewriteTimer: NodeJS.Timeout | undefined
+
+  /** Entries that expired during an outage or are missing in a copy count as removed if a read after this time does not find them. */
+  function serversRecovered (agoMs: number): void {
+    options.storeRecovered(agoMs)
+    clearTimeout(rewriteTimer)
+    rewriteTimer = setTimeout(() => servers?.wake(), Math.max(0, rewriteMs - agoMs))
+  }
 
   /** A long poll whose connection stalled in the outage would not end before its wait does. */
   function restartOthers (feed: string): void {
@@ -165,11 +174,11 @@
       servers = followFeed(platform.servers, {
         ...outageEvents('servers', () => {
           recoveredAt = now()
-          options.storeRecovered(0)
+          serversRecovered(0)
         }),
         replaced (records, next) {
           cache.replace('servers', records, next)
-          relay.seen(records)
+          relay.replaced(records)
           options.serversReplaced(records, next)
         },
         changed (records, next) {
@@ -197,6 +206,7 @@
       })
     },
     stop () {
+      clearTimeout(rewriteTimer)
       for (const follower of [operator, servers, fleet]) follower?.stop()
     },
     operatorNext: () => operator?.position(),
@@ -212,7 +222,7 @@
       }
       const { from, next, records, returnedAgoMs } = payload
       if (servers?.advance(from, next) !== true) return
-      if (returnedAgoMs !== undefined) options.storeRecovered(returnedAgoMs)
+      if (returnedAgoMs !== undefined) serversRecovered(returnedAgoMs)
       cache.update('servers', records, next)
       relay.seen(records)
       options.servers(records)
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -2,11 +2,10 @@
 import type { BackendServer } from './cluster-types'
 import type { FeedRecord, ServerRecord } from './platform-interface'
 
-/**
- * Delay of removals after an outage of the store, in ms: entries that expired during the outage are
- * written again within two seconds of its end.
- */
-const recoveryGraceMs = 2000
+/** Time after an outage of the store within which entries that expired in it are written again, in ms. */
+export const rewriteMs = 2000
+/** Time for the read of the servers' entries that starts after it, in ms. */
+const lastReadMs = 100
 
 /** One start of a backend server. */
 export type ServerStart = Pick<BackendServer, 'id' | 'bornAt'>
@@ -125,7 +124,7 @@
       return [{ type: 'draining', server: entry.server }]
     },
     storeRecovered (now) {
-      graceUntil = now + recoveryGraceMs
+      graceUntil = now + rewriteMs + lastReadMs
     },
     tick (now) {
       if (now < graceUntil) return []
--- a/packages/gateway/src/server-relay.ts
+++ b/packages/gateway/src/server-relay.ts
@@ -18,7 +18,9 @@
 }
 
 export type ServerRelay = {
-  /** Records the current entries without relaying them. */
+  /** Records the newest entry of each server without relaying them; an entry that is missing counts as changed when it is written again. */
+  replaced (records: readonly FeedRecord<ServerRecord>[]): void
+  /** Records changed entries without relaying them. */
   seen (records: readonly FeedRecord<ServerRecord>[]): void
   /**
    * Builds the update for the zone after a read. Entries in which only the sequence changed are left
@@ -52,6 +54,10 @@
   }
 
   return {
+    replaced (records) {
+      contents.clear()
+      records.forEach(recordChange)
+    },
     seen (records) {
       records.forEach(recordChange)
     },
