Ignore a copy's entries of removed servers whatever their sequence

A node that is not its zone's reader is not told of entries in which only the sequence changed, so it may know a lower sequence of a removed server than the copy has, and would use the server again. Entries of a copy no longer bring back a removed start; the next entry that the server writes does, and the reader relays that one although its content is the same. Found by reading; the registry's test and the relay's test failed before.

--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -178,7 +178,7 @@
         }),
         replaced (records, next) {
           cache.replace('servers', records, next)
-          relay.replaced(records)
+          relay.replaced(records, next)
           options.serversReplaced(records, next)
         },
         changed (records, next) {
--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -82,6 +82,18 @@
   assert.equal(readyIds(registry), ['s1'])
 })
 
+// Guards against a node that was not told of entries in which only the sequence changed, and takes one in a copy for a later one.
+test('a removed server whose last sequences are not known does not come back with the copy', () => {
+  const registry = createServerRegistry()
+  registry.apply([entry('s1', 0, {}, 1), removal('s1', 40)], 0)
+  const restored = logPosition(1, 30)
+  registry.replace([entry('s1', restored, {}, 25)], restored + 1, 10)
+  registry.apply([entry('s1', restored, {}, 25)], 20)
+  assert.equal(readyIds(registry), [])
+  registry.apply([entry('s1', restored + 5, {}, 26)], 30)
+  assert.equal(readyIds(registry), ['s1'])
+})
+
 // Guards against a server without a sequence that is not used again after its entry expired.
 test('a removed server without sequences comes back with the next entry', () => {
   const registry = createServerRegistry()
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -1,5 +1,6 @@
 /** Registry of the backend servers, built from the records that the servers write about themselves. */
 import type { BackendServer } from './cluster-types'
+import { eraOf } from './log-position'
 import type { FeedRecord, ServerRecord } from './platform-interface'
 
 /** Time after an outage of the store within which entries that expired in it are written again, in ms. */
@@ -49,7 +50,7 @@
   /** Newest start of each server that has stated that it is leaving. */
   const leavingStarts = new Map<string, number>()
   /** Last entry of each removed server; a restored store may have an earlier one. */
-  const removed = new Map<string, { bornAt: number, sequence: number }>()
+  const removed = new Map<string, { bornAt: number, sequence: number, era: number }>()
   let graceUntil = -Infinity
 
   /** @returns by what the record is older than the current entry */
@@ -59,16 +60,22 @@
     return record.sequence < current.sequence ? 'sequence' : undefined
   }
 
-  function isOfRemoved (key: string, { server, sequence }: ServerRecord & { type: 'server' }): boolean {
+  /** @param newest - the entry is one of the newest of all servers, as opposed to one that was just written */
+  function isOfRemoved (key: string, { server, sequence }: ServerRecord & { type: 'server' }, offset: number, newest: boolean): boolean {
     const last = removed.get(key)
     if (last === undefined || server.bornAt > last.bornAt) return false
+    if (newest && server.bornAt === last.bornAt && eraOf(offset) > last.era) {
+      // The entry may be from the copy. A server that lives writes another one.
+      last.sequence = Math.max(last.sequence, sequence)
+      return true
+    }
     // Sequences grow with each entry; servers that state none have 0.
     return server.bornAt < last.bornAt || sequence < last.sequence || (sequence === last.sequence && sequence > 0)
   }
 
-  function put ({ key, offset }: FeedRecord<ServerRecord>, record: ServerRecord & { type: 'server' }): RegistryChange[] {
+  function put ({ key, offset }: FeedRecord<ServerRecord>, record: ServerRecord & { type: 'server' }, newest: boolean): RegistryChange[] {
     const current = entries.get(key)
-    const reason = current !== undefined ? staleBy(current, record, offset) : isOfRemoved(key, record) ? 'left' : undefined
+    const reason = current !== undefined ? staleBy(current, record, offset) : isOfRemoved(key, record, offset, newest) ? 'left' : undefined
     if (reason !== undefined) return [{ type: 'ignored', key, offset, sequence: record.sequence, reason }]
     const sameStart = current !== undefined && current.server.bornAt === record.server.bornAt
     // A draining server becomes ready again only with a new start.
@@ -93,15 +100,15 @@
 
   function drop (key: string, entry: Entry): RegistryChange[] {
     entries.delete(key)
-    removed.set(key, { bornAt: entry.server.bornAt, sequence: entry.sequence })
+    removed.set(key, { bornAt: entry.server.bornAt, sequence: entry.sequence, era: eraOf(entry.offset) })
     if (removed.size > maxKnownLeft) removed.delete(removed.keys().next().value!)
     ready.clear()
     return [{ type: 'removed', server: entry.server }]
   }
 
-  function applyOne (record: FeedRecord<ServerRecord>, now: number): RegistryChange[] {
+  function applyOne (record: FeedRecord<ServerRecord>, now: number, newest = false): RegistryChange[] {
     if (record.value === undefined) return remove(record.key, record.offset, now)
-    if (record.value.type === 'server') return put(record, record.value)
+    if (record.value.type === 'server') return put(record, record.value, newest)
     // A server with an unreadable entry must not be used.
     return [{ type: 'unreadable', key: record.key, reason: record.value.reason }, ...remove(record.key, record.offset, now)]
   }
@@ -111,7 +118,7 @@
     replace (records, next, now) {
       const present = new Set(records.map(({ key }) => key))
       const missing = [...entries.keys()].filter(key => !present.has(key))
-      return [...records.flatMap(record => applyOne(record, now)), ...missing.flatMap(key => remove(key, next - 1, now))]
+      return [...records.flatMap(record => applyOne(record, now, true)), ...missing.flatMap(key => remove(key, next - 1, now))]
     },
     leave ({ id, bornAt }) {
       leavingStarts.delete(id)
--- a/packages/gateway/src/server-relay.test.ts
+++ b/packages/gateway/src/server-relay.test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
+import { logPosition } from './log-position'
 import type { FeedRecord, ServerRecord } from './platform-interface'
 import { createServerRelay, isServerUpdate, isZoneReader } from './server-relay'
 
@@ -26,6 +27,15 @@
   assert.is(relay.updateFor([record('s1', 3)], 3, 4, undefined).records.length, 1)
 })
 
+// Guards against nodes that ignored an entry of a copy and are not told of the next one, which is the same but for its sequence.
+test('relays the next entry of each server after a restoration of the store', () => {
+  const relay = createServerRelay()
+  relay.replaced([record('s1', 1)], 2)
+  assert.is(relay.updateFor([record('s1', 2)], 2, 3, undefined).records.length, 0)
+  relay.replaced([record('s1', logPosition(1, 1))], logPosition(1, 2))
+  assert.is(relay.updateFor([record('s1', logPosition(1, 2))], logPosition(1, 2), logPosition(1, 3), undefined).records.length, 1)
+})
+
 // Guards against changes that are lost because they do not fit into a datagram.
 test('announces only the end offset of changes that do not fit, so that the nodes detect the gap', () => {
   const many = Array.from({ length: 40 }, (_, index) => record(`s${index}`, index))
--- a/packages/gateway/src/server-relay.ts
+++ b/packages/gateway/src/server-relay.ts
@@ -5,6 +5,7 @@
  */
 import { rankNodes } from '@yuccawharf/coordination'
 import type { FleetMember } from './engine-ownership'
+import { eraOf } from './log-position'
 import { maxDatagramBytes } from './peer-link'
 import type { FeedRecord, ServerRecord } from './platform-interface'
 
@@ -18,8 +19,8 @@
 }
 
 export type ServerRelay = {
-  /** Records the newest entry of each server without relaying them; an entry that is missing counts as changed when it is written again. */
-  replaced (records: readonly FeedRecord<ServerRecord>[]): void
+  /** Records the newest entry of each server without relaying them; an entry that is missing counts as changed when it is written again, and after a restoration of the store each entry does. */
+  replaced (records: readonly FeedRecord<ServerRecord>[], next: number): void
   /** Records changed entries without relaying them. */
   seen (records: readonly FeedRecord<ServerRecord>[]): void
   /**
@@ -43,6 +44,7 @@
 
 export function createServerRelay (): ServerRelay {
   const contents = new Map<string, string>()
+  let era: number | undefined
 
   /** @returns whether the content differs from the last recorded one */
   function recordChange ({ key, value }: FeedRecord<ServerRecord>): boolean {
@@ -54,9 +56,11 @@
   }
 
   return {
-    replaced (records) {
+    replaced (records, next) {
+      const restored = era !== undefined && eraOf(next) !== era
+      era = eraOf(next)
       contents.clear()
-      records.forEach(recordChange)
+      if (!restored) records.forEach(recordChange)
     },
     seen (records) {
       records.forEach(recordChange)
