Append a node's own records again when a restored store lacks them

A node whose record was written after the copy was made was unknown to processes that started after the restoration, and so were prompt parts that were blocked in that time.

--- a/packages/gateway/src/feeds.test.ts
+++ b/packages/gateway/src/feeds.test.ts
@@ -47,6 +47,7 @@
     serversReplaced: recordStates,
     serversLoaded () {},
     fleet () {},
+    fleetReplaced () {},
     fleetRead () {},
     storeRecovered: agoMs => { node.recoveries.push(agoMs) }
   })
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -29,6 +29,8 @@
   /** Called after each successful read of the servers' entries. */
   serversLoaded (): void
   fleet (records: FeedRecord<FleetRecord | UnreadableRecord>[]): void
+  /** Receives the newest record of each key. */
+  fleetReplaced (records: FeedRecord<FleetRecord | UnreadableRecord>[]): void
   fleetRead (asOf: number, next: number): void
   /** The store became reachable again `agoMs` ago, for this node or for the node that relays it. */
   storeRecovered (agoMs: number): void
@@ -192,7 +194,7 @@
         ...outageEvents('fleet', () => {}),
         replaced (records, next) {
           cache.replace('fleet', records, next)
-          options.fleet(records)
+          options.fleetReplaced(records)
         },
         changed (records, next) {
           cache.update('fleet', records, next)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -300,7 +300,6 @@
     applyServers(registry.apply(servers.records, now()))
     serversLoaded ||= servers.records.length > 0
     applyFleet(nodes.records)
-    owner.refresh()
   }
 
   /** Fetches a snapshot from the seed nodes in the settings if the node starts while the store is unavailable. */
@@ -405,6 +404,7 @@
     fleet.apply(records)
     owner.ownership.apply(records, now())
     partBlocking.apply(records)
+    if (records.length > 0) owner.refresh()
   }
 
   const feeds = createFeeds({
@@ -425,9 +425,10 @@
     servers: records => applyServers(registry.apply(records, now())),
     serversReplaced: (records, next) => applyServers(registry.replace(records, next, now())),
     serversLoaded () { serversLoaded = true },
-    fleet (records) {
+    fleet: applyFleet,
+    fleetReplaced (records) {
       applyFleet(records)
-      if (records.length > 0) owner.refresh()
+      ownRecords.appendMissing(records).catch(err => { log.error('records-missing', { reason: (err as Error).message }) })
     },
     fleetRead: (asOf, next) => owner.freshness.read(asOf, next),
     storeRecovered: agoMs => registry.storeRecovered(now() - agoMs)
