Keep the owners of engines that a restored store has forgotten

Owner records state the era in which they were appended, and terms are compared by it, so records of a copy do not replace later ones that a node knows. Owners append theirs again at the start of an era. A process that cannot know of lost records, because it has just read the era or its own record is older, names an unknown former owner and so waits for a lease before its first command.

Three tests of engine-ownership.test.ts could not pass on the code before (the first gives the engine back to the earlier owner).

--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -8,6 +8,7 @@
 import type { GatewayMetrics } from './gateway-metrics'
 import type { EngineControl, FleetLog } from './platform-interface'
 import type { GrantMessage } from './grant-client'
+import { eraOf } from './log-position'
 import { createLogProbeSchedule } from './log-probe'
 import { sharedPartIds } from './prompt-cache'
 
@@ -238,18 +239,19 @@
   async function claim (): Promise<void> {
     const position = options.logPosition()
     if (claimsStopped || position === undefined || now() < nextClaimAt) return
+    const era = eraOf(position)
     const confirmable = ownership.confirmable(now())
-    const claims = ownership.claims(options.listEngines().map(({ server }) => server), options.members(), now())
-    if (claims.length + confirmable.length === 0) return
+    const lost = ownership.recordedBefore(era).filter(({ engine }) => !confirmable.includes(engine))
+    const claims = ownership.claims(options.listEngines().map(({ server }) => server), options.members(), now(), era)
+    if (claims.length + confirmable.length + lost.length === 0) return
     nextClaimAt = now() + claimRetryMs
-    const records = claims.map(({ engine, after }) => ({
+    // With a confirmation, which names no former owner, a new process of this node does not wait for it again.
+    const records = [...claims, ...lost, ...confirmable.map(engine => ({ engine, after: undefined }))].map(({ engine, after }) => ({
       key: `owner/${engine}`,
-      value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation, ...(after === undefined ? {} : { after }) }
+      value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation, era, ...(after === undefined ? {} : { after }) }
     }))
-    // With this record a new process of this node does not wait for the former owner again.
-    const confirmations = confirmable.map(engine => ({ key: `owner/${engine}`, value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation } }))
-    const result = await options.fleetLog.append([...records, ...confirmations], position)
-    log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), settled: confirmable, at: position, result: result.val })
+    const result = await options.fleetLog.append(records, position)
+    log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), settled: confirmable, recordedAgain: lost.map(({ engine }) => engine), at: position, result: result.val })
     if (result.err && result.val === 'conflict') nextClaimAt = now() + claimConflictRetryMs
     options.appended()
   }
--- a/packages/gateway/src/engine-ownership.test.ts
+++ b/packages/gateway/src/engine-ownership.test.ts
@@ -1,7 +1,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
-import { createEngineOwnership, createLogFreshness, logFreshMs, type EngineOwnership, type FleetMember } from './engine-ownership'
+import { createEngineOwnership, createLogFreshness, logFreshMs, lostOwner, type EngineOwnership, type FleetMember } from './engine-ownership'
+import { logPosition } from './log-position'
 import type { FleetRecord } from './platform-interface'
 
 const test = suite('engine ownership')
@@ -45,6 +46,49 @@
   assert.equal(owner('n1').claims([engine('e1')], [], 100), [])
 })
 
+const restoredRecord = (engineId: string, node: string, offset: number, era?: number): ReturnType<typeof record> => {
+  const made = record(engineId, node, 1, logPosition(2, offset))
+  return { ...made, value: { ...made.value, ...(era === undefined ? {} : { era }) } as FleetRecord }
+}
+
+// Guards against two nodes that give commands, because a restored store still names an earlier owner.
+test('an owner record of the copy does not replace a later one that the store has lost', () => {
+  const former = owner('n1')
+  former.apply([record('e1', 'n1', 1, logPosition(1, 50)), record('e1', 'n2', 1, logPosition(1, 90))], 0)
+  former.apply([restoredRecord('e1', 'n1', 50, 1)], 1000)
+  assert.is(former.term('e1')?.node, 'n2')
+  assert.is(former.commandsFrom('e1'), undefined)
+  former.apply([restoredRecord('e1', 'n3', 70, 2)], 2000)
+  assert.is(former.term('e1')?.node, 'n3')
+})
+
+// Guards against an owner that others do not know, because the store has lost its record.
+test('an owner records its engines again after a restoration, without a new wait', () => {
+  const current = owner('n1')
+  current.apply([record('e1', 'n1', 1, logPosition(1, 50), 'n2')], 0)
+  const commandsFrom = current.commandsFrom('e1')
+  assert.equal(current.recordedBefore(1), [])
+  assert.equal(current.recordedBefore(2), [{ engine: 'e1', after: 'n2' }])
+  current.apply([restoredRecord('e1', 'n1', 51, 2)], 1000)
+  assert.equal(current.recordedBefore(2), [])
+  assert.is(current.commandsFrom('e1'), commandsFrom)
+})
+
+// Guards against commands of two holders within one lease, the first of which the store has forgotten.
+test('a process that cannot know of lost owner records waits for a lease before its first command', () => {
+  const claimOf = (node: EngineOwnership, era: number): string | undefined => node.claims([engine('e1')], [], 1000, era)[0]?.after
+  assert.is(claimOf(owner('n1'), 1), undefined)
+  assert.is(claimOf(owner('n1'), 2), lostOwner)
+  const restarted = owner('n1', 2)
+  restarted.apply([restoredRecord('e1', 'n1', 50, 1)], 0)
+  assert.is(claimOf(restarted, 2), lostOwner)
+  restarted.apply([restoredRecord('e1', 'n1', 60, 2)], 0)
+  assert.is(claimOf(restarted, 2), undefined)
+  const running = owner('n1')
+  running.claims([], [], 0, 2)
+  assert.is(running.claims([engine('e1')], [], 1000 + logFreshMs + leaseMs, 2)[0]?.after, undefined)
+})
+
 // Guards against commands of two holders within one lease, on engines that do not check fencing tokens.
 test('a new owner waits until no command of the former one can arrive and a lease has passed', () => {
   const newOwner = owner('n2')
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -6,6 +6,7 @@
  */
 import { rankNodes } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
+import { eraOf, firstEra, logPosition, offsetOf } from './log-position'
 import type { FeedRecord, FleetRecord, UnreadableRecord } from './platform-interface'
 
 /** Age of an owner's last read of the log from which it gives no commands, in ms: one read of 800 ms and one that is late. */
@@ -22,6 +23,9 @@
 /** `capacity` is the relative processing power of the node. */
 export type FleetMember = { name: string, zone: string, incarnation: number, capacity: number, state: 'alive' | 'leaving' | 'dead' }
 
+/** Named as the former owner if the store may have lost the record of one. */
+export const lostOwner = '(lost)'
+
 export type OwnerTerm = { engine: string, node: string, incarnation: number, token: number }
 
 export type OwnershipConfig = { name: string, incarnation: number, zone: string, capacity: number, leaseMs: number }
@@ -31,13 +35,19 @@
 
 export type EngineOwnership = {
   apply (records: readonly FeedRecord<FleetRecord | UnreadableRecord>[], now: number): void
-  /** Engines that this node should claim. */
-  claims (engines: readonly BackendServer[], members: readonly FleetMember[], now: number): Claim[]
+  /**
+   * Engines that this node should claim.
+   *
+   * @param era - era of the store up to which this process has read the log
+   */
+  claims (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era?: number): Claim[]
   term (engine: string): OwnerTerm | undefined
   /** Engines whose newest owner record names this process. */
   owned (): OwnerTerm[]
   /** Owned engines whose former owner can give no more commands, which is to be recorded in the log. */
   confirmable (now: number): string[]
+  /** Owned engines whose records were appended before the era, so that the store may have lost them. */
+  recordedBefore (era: number): Pick<Claim, 'engine' | 'after'>[]
   /** Time from which this process may give the engine commands; undefined if it is not the owner. */
   commandsFrom (engine: string): number | undefined
   /** Records that a node's process ends and gives no more commands. */
@@ -70,6 +80,10 @@
   const terms = new Map<string, TermState>()
   /** Processes that announced their end, by node. */
   const stoppedProcesses = new Map<string, { incarnation: number, at: number }>()
+  /** Time from which a former owner can give no more commands, in ms after it has learned of its end. */
+  const handoverMs = logFreshMs + cfg.leaseMs + commandMarginMs
+  let currentEra: number | undefined
+  let eraSince = -Infinity
 
   function isSelf ({ node, incarnation }: { node: string, incarnation: number }): boolean {
     return node === cfg.name && incarnation === cfg.incarnation
@@ -81,16 +95,18 @@
     if (record.after === undefined) return now
     const stop = stoppedProcesses.get(record.after)
     const stopped = stop !== undefined && previous !== undefined && previous.node === record.after && stop.incarnation === previous.incarnation
-    return Math.max(now, (stopped ? stop.at : now + logFreshMs) + cfg.leaseMs + commandMarginMs)
+    return Math.max(now, stopped ? stop.at + handoverMs - logFreshMs : now + handoverMs)
   }
 
   function applyOwnerRecord (record: FleetRecord & { type: 'owner' }, offset: number, now: number): void {
     const previous = terms.get(record.engine)
-    if (previous !== undefined && previous.token >= offset) return
+    // A copy gives its records positions of the new era; compared are those that they were appended at.
+    const token = logPosition(Math.min(record.era ?? Infinity, eraOf(offset)), offsetOf(offset))
+    if (previous !== undefined && previous.token >= token) return
     const alreadyOwned = previous !== undefined && isSelf(previous) && isSelf(record)
     const commandsFrom = alreadyOwned ? previous.commandsFrom : isSelf(record) ? leaseEndsAt(record, previous, now) : Infinity
     const after = record.after === undefined ? {} : { after: record.after }
-    terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token: offset, commandsFrom, ...after })
+    terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token, commandsFrom, ...after })
   }
 
   function claimReason (term: TermState | undefined, states: ReadonlyMap<string, FleetMember['state']>): Claim['reason'] | undefined {
@@ -108,7 +124,11 @@
         else if (value === undefined) terms.delete(key.replace(/^owner\//, ''))
       }
     },
-    claims (engines, members, now) {
+    claims (engines, members, now, era = 0) {
+      if (era !== currentEra) {
+        currentEra = era
+        eraSince = now
+      }
       const reasons = new Map<string, Claim['reason']>()
       const states = new Map(members.map(({ name, state }) => [name, state]))
       for (const { id } of engines) {
@@ -128,7 +148,9 @@
         const isOwnNode = term?.node === cfg.name
         if (!isOwnNode && now - startedAt < startupMs) return []
         if (!isOwnNode && owners.get(engine.id) !== cfg.name) return []
-        const after = isOwnNode ? term.after : term?.node
+        // Owners record their engines again at the start of an era, so only then a record may be missing.
+        const mayBeLost = era > firstEra && (term === undefined ? now - eraSince < handoverMs : isOwnNode && eraOf(term.token) < era)
+        const after = mayBeLost ? lostOwner : isOwnNode ? term.after : term?.node
         return [{ engine: engine.id, reason, ...(after === undefined ? {} : { after }) }]
       })
     },
@@ -139,6 +161,7 @@
       return term !== undefined && isSelf(term) ? term.commandsFrom : undefined
     },
     confirmable: now => [...terms.values()].filter(term => isSelf(term) && term.after !== undefined && term.commandsFrom < now).map(({ engine }) => engine),
+    recordedBefore: era => [...terms.values()].filter(term => isSelf(term) && eraOf(term.token) < era).map(({ engine, after }) => ({ engine, ...(after === undefined ? {} : { after }) })),
     nodeStopped (node, incarnation, now) {
       stoppedProcesses.set(node, { incarnation, at: now })
     }
--- a/packages/gateway/src/log-position.ts
+++ b/packages/gateway/src/log-position.ts
@@ -7,6 +7,9 @@
 /** Offsets below this number leave room for 131,072 eras in a safe integer. */
 const offsetsPerEra = 2 ** 36
 
+/** Era of a store that has never come back from a copy. */
+export const firstEra = 1
+
 /**
  * @param era - number of restorations that the store states; 0 if it states none
  * @param offset - offset within the topic
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -34,8 +34,11 @@
 /** Records of the gateway's nodes: each node writes its own `node` record, engine owners write `owner` and `blocked-part` records. */
 export type FleetRecord =
   | { type: 'node', name: string, address: string, zone: string, incarnation: number, front: string, capacity: number, control?: string }
-  /** `after` names the other node that sent the engine commands before; later processes of the same node keep it in their records. */
-  | { type: 'owner', engine: string, node: string, incarnation: number, after?: string }
+  /**
+   * `after` names the other node that sent the engine commands before; later processes of the same node
+   * keep it in their records. `era` is the one in which the record was appended, which a copy keeps.
+   */
+  | { type: 'owner', engine: string, node: string, incarnation: number, after?: string, era?: number }
   /** A prompt part that crashes engines; `at` is the time at which it was blocked, Unix ms. */
   | { type: 'blocked-part', part: string, at: number }
 
