Do not go back to earlier versions that a restored store still has

Adapter versions were replaced by whatever record was read last, and the state that a node gives to starting peers by the copy's, while the node itself kept the newer configuration. Versions only rise now, and records of operators that the copy lacks stay in the state for peers. Found by reading; both tests failed before (the first as a map that took any version).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 /** One gateway node: connects the decision modules with clients, backend servers, peers and the store. */
+import { createAdapterVersions } from './adapter-versions'
 import { createDirectoryServer, createMetricsServer, createReadyServer, listenOn } from './auxiliary-servers'
 import type { ClientExchange } from './client-exchange'
 import type { ClusterConfig } from './cluster-types'
@@ -22,7 +23,7 @@
 import { fetchPeerSnapshot, createFeedCache, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import { forwardPlain } from './plain-forwarder'
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
-import { cacheScope, sharedPartIds } from './prompt-cache'
+import { sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { createServerRestrictions } from './server-restrictions'
 import { createServerRegistry, type RegistryChange } from './server-registry'
@@ -87,8 +88,7 @@
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
   const pools = createServicePools()
-  /** Current version of replaced adapters, by model and adapter. */
-  const versions = new Map<string, number>()
+  const versions = createAdapterVersions()
   const ownerStatuses = createOwnerStatusCache()
   const feedCache = createFeedCache()
   const timers: NodeJS.Timeout[] = []
@@ -222,7 +222,7 @@
     engines: enginesOf,
     server: registry.readyServer,
     startingUp: isStartingUp,
-    newestVersion: scope => versions.get(scope),
+    newestVersion: versions.newest,
     send: sendToNode,
     log: log.info
   })
@@ -380,7 +380,7 @@
       if (value.type === 'config') applyConfig(value.config, offset)
       else if (value.type === 'adapter-version') {
         const { model, adapter, version } = value
-        versions.set(cacheScope({ model, adapter }), version)
+        if (!versions.add(value)) continue
         log.info('adapter-version', { model, adapter, version, offset, recent })
         owner.setVersion({ model, adapter, version }, recent)
       } else log.warn('operator-record-unreadable', { key, offset, reason: value.reason })
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -26,6 +26,14 @@
 /** Slowest rate at which a response may arrive, in bytes/s: a tenth of a slow link. */
 const minFetchRate = 100_000
 
+type Versioned = { type?: string, version?: number, config?: { version: number } }
+
+/** A restored store may have an earlier version of the configuration or of an adapter for a while. */
+function isEarlierVersion (value: unknown, cached: unknown): boolean {
+  const [next, current] = [value, cached].map(entry => (entry as Versioned | undefined)?.config?.version ?? (entry as Versioned | undefined)?.version)
+  return next !== undefined && current !== undefined && next < current
+}
+
 export function createFeedCache (): FeedCache {
   const feeds = new Map<FeedName, { next: number, records: Map<string, FeedRecord<unknown>> }>()
 
@@ -34,6 +42,7 @@
     feeds.set(feed, cached)
     cached.next = Math.max(cached.next, next)
     for (const record of records) {
+      if (isEarlierVersion(record.value, cached.records.get(record.key)?.value)) continue
       if (record.value === undefined) cached.records.delete(record.key)
       else cached.records.set(record.key, record)
     }
@@ -47,7 +56,8 @@
   return {
     update,
     replace (feed, records, next) {
-      feeds.delete(feed)
+      // The records of operators are never removed, so those that a restored store lacks are still in force.
+      if (feed !== 'operator') feeds.delete(feed)
       update(feed, records, next)
     },
     snapshot () {
