Answer the requests that still run when the grace period of a planned stop ends

Orders that were accepted before or after the stop began were cut without an answer when the process ended. The node only waited for running requests and then left them.

Requests that arrive at a leaving node now have a deadline shortly before the end of the grace period and end like others at their deadline: as not run if they were never sent. What is left then gets 502 with an unknown outcome; responses that have begun are aborted, so that they do not look complete.

--- a/packages/gateway/src/front-server.test.ts
+++ b/packages/gateway/src/front-server.test.ts
@@ -33,7 +33,7 @@
     log,
     routes: () => table,
     closing: () => false,
-    closed: () => false,
+    closed: () => false, respondsUntil: () => Infinity,
     forward: async exchange => { exchanges.push(exchange) },
     ended () {}
   })
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -18,6 +18,8 @@
   closing (): boolean
   /** Whether the node no longer accepts requests. */
   closed (): boolean
+  /** Time until which the node can respond; infinite unless it is leaving. */
+  respondsUntil (): number
   forward (exchange: ClientExchange): Promise<void>
   ended (exchange: ClientExchange): void
 }
@@ -28,6 +30,8 @@
   running (): number
   /** Applies the limits of a new configuration. */
   configure (): void
+  /** Answers the requests in progress with an unknown outcome, and aborts responses that have begun, because the process ends. */
+  endRequests (): void
 }
 
 /** Limit of the HTTP parser; the configured limit can change and is checked on each request. */
@@ -80,6 +84,7 @@
 
 export function createFrontServer (env: FrontServerEnv): FrontServer {
   let running = 0
+  const exchanges = new Set<ClientExchange>()
 
   async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = env.now()
@@ -106,14 +111,16 @@
     const target = chooseTarget(route, metadata.id)
     const service = target === undefined ? undefined : table.service(target)
     if (service === undefined) return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
-    const deadlineAt = arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
+    const deadlineAt = Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
     const exchange = createClientExchange({ req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt }, { codec: env.codec, closing: env.closing })
     // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
     await nextTurn()
     await nextTurn()
+    exchanges.add(exchange)
     try {
       if (!exchange.ended) await env.forward(exchange)
     } finally {
+      exchanges.delete(exchange)
       env.ended(exchange)
     }
   }
@@ -145,6 +152,12 @@
   return {
     server,
     running: () => running,
+    endRequests () {
+      for (const exchange of exchanges) {
+        if (exchange.headersSent) exchange.abort()
+        else exchange.refuse({ status: 502, outcome: 'unknown' }, 'the node stops before the server has answered')
+      }
+    },
     configure () {
       const limits = env.routes()?.config.limits
       if (limits === undefined) return
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -76,6 +76,8 @@
 const leavingAcceptMs = 2500
 /** A leaving node ends the remaining requests this long before the platform ends the process, in ms. */
 const stopMarginMs = 700
+/** Requests that arrive at a leaving node have a deadline this long before that, in ms, so that they end like others at their deadline. */
+const lastResponseMs = 100
 /** Number of peers that an owner asks first whether they can read the log. */
 const logProbeSample = 4
 /** Number of prompt parts that the log names for a request. */
@@ -352,6 +354,7 @@
     routes: () => table,
     closing: () => leavingSince !== undefined,
     closed: () => leavingSince !== undefined && now() - leavingSince > leavingAcceptMs,
+    respondsUntil: () => leavingSince === undefined ? Infinity : leavingSince + settings.bounds.graceMs - stopMarginMs - lastResponseMs,
     forward,
     ended (exchange) {
       const afterMs = now() - exchange.arrivedAt
@@ -469,6 +472,7 @@
       await new Promise(resolve => setTimeout(resolve, tickMs))
     }
     log.warn('stopping-with-requests', { running: front.running() })
+    front.endRequests()
   }
 
   return {
