--- a/packages/gateway/src/front-server.test.ts
+++ b/packages/gateway/src/front-server.test.ts
@@ -33,7 +33,8 @@
     log,
     routes: () => table,
     closing: () => false,
-    closed: () => false, respondsUntil: () => Infinity,
+    closed: () => false,
+    respondsUntil: () => Infinity,
     forward: async exchange => { exchanges.push(exchange) },
     ended () {}
   })
