Relay each removal of a server, also of one not seen since a restoration

The reader of muscat-a logged the removal of i-5358b61722 at 21.68, the other nodes of its zone did not, and edge-muscat-a-1 sent it requests until 23.5.

A removal is always a change now. The new test of server-relay.test.ts failed before.

--- a/packages/gateway/src/server-relay.test.ts
+++ b/packages/gateway/src/server-relay.test.ts
@@ -36,6 +36,15 @@
   assert.is(relay.updateFor([record('s1', logPosition(1, 2))], logPosition(1, 2), logPosition(1, 3), undefined).records.length, 1)
 })
 
+// Guards against nodes that go on using a server whose removal is the first that the reader sees of it after a restoration.
+test('relays the removal of a server that it has not seen since a restoration of the store', () => {
+  const relay = createServerRelay()
+  relay.replaced([record('s1', 1)], 2)
+  relay.replaced([record('s1', logPosition(1, 1))], logPosition(1, 2))
+  const removal: FeedRecord<ServerRecord> = { key: 's1', offset: logPosition(1, 2), value: undefined }
+  assert.equal(relay.updateFor([removal], logPosition(1, 2), logPosition(1, 3), undefined).records, [removal])
+})
+
 // Guards against changes that are lost because they do not fit into a datagram.
 test('announces only the end offset of changes that do not fit, so that the nodes detect the gap', () => {
   const many = Array.from({ length: 40 }, (_, index) => record(`s${index}`, index))
--- a/packages/gateway/src/server-relay.ts
+++ b/packages/gateway/src/server-relay.ts
@@ -50,7 +50,10 @@
   function recordChange ({ key, value }: FeedRecord<ServerRecord>): boolean {
     const content = contentOf(value)
     if (contents.get(key) === content) return false
-    if (value === undefined) return contents.delete(key)
+    if (value === undefined) {
+      contents.delete(key)
+      return true
+    }
     contents.set(key, content)
     return true
   }
