--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -28,21 +28,20 @@
   onEnd(store.stop)
   store.write('keyed.op', 'config', configuration())
   let leftAt = Infinity
-  let leaving
+  const servers = []
   const sentAt = new Map()
   const late = []
   const serverRecord = (event, fields) => {
     record(event, fields)
-    if (event !== 'run' || fields.server !== leaving?.id) return
+    if (event !== 'run' || fields.server !== servers[0]?.id) return
     const at = sentAt.get(fields.request)
     if (performance.now() > leftAt + bounds.drain_ms) late.push({ request: fields.request, sentMs: at - leftAt, ranMs: performance.now() - leftAt })
   }
-  const servers = []
   for (let index = 0; index < serverCount; index++) {
     servers.push(await startPlainServer({ id: `i-${newRequestId()}`, host: `${prefix}.${210 + index}`, zone, service: plainService, slots: 12, workMs: 40, store, record: serverRecord }))
     onEnd(servers.at(-1).stop)
   }
-  leaving = servers[0]
+  const leaving = servers[0]
   const fleet = await createFleet({ prefix, storeAddress: store.addressFor, record })
   onEnd(fleet.stop)
   for (let index = 1; index <= nodeCount; index++) await fleet.add(`edge-${index}`, zone, index === 1 ? undefined : [fleet.controlOf('edge-1')])
