--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -2,9 +2,11 @@
 import { createServer } from 'node:http'
 
 const loadMs = 250
+/** Prompt tokens that the server reads in a ms, one prompt after the other. */
+const prefillTokensPerMs = 38.7
 /** Load of the base model from the server's own disk, in ms. */
 const modelLoadMs = 400
-const firstEventMs = 60
+const firstEventMs = 30
 const eventGapMs = 30
 const eventCount = 4
 const heartbeatMs = 1200
@@ -15,9 +17,11 @@
  * @param options.downMs - time until it is back
  * @param options.behave - may answer a request in place of a sound server; returns whether it did
  */
-export async function startEngine ({ id, host, zone, service, model, slots, adapterSlots, store, record, behave, crashes, downMs = 4000 }) {
+export async function startEngine ({ id, host, zone, service, model, holds = [model], weightsMb = { [model]: 34_300 }, memoryMb = 35_000, adapterMb = 66, slots, adapterSlots, store, record, behave, crashes, downMs = 4000 }) {
   let born = Date.now()
-  let hasModel = true
+  /** Models that the server holds, and adapters as MODEL/NAME, by version. */
+  const models = new Set(holds)
+  let prefillUntil = 0
   let server
   let address
   const sockets = new Set()
@@ -26,59 +30,78 @@
   const running = new Set()
   const heartbeat = { timer: undefined, sequence: 0, state: 'ready' }
   let orders = 0
+  let loadingModel
   let report
 
   function state () {
-    const held = [...adapters].filter(([name]) => !coming.has(name)).map(([name, version]) => `${name}@${version}`)
-    return { stage: 'unified', born, models: hasModel ? [{ name: model, version: 1, adapters: held }] : [], busy: false, sequence: orders, queued: 0, active: running.size, kv_used: 0, kv_total: 232_000, handles: 0, coming: [...coming].map(name => `${model}/${name}@${adapters.get(name)}`) }
+    const held = name => [...adapters].filter(([key]) => !coming.has(key) && key.startsWith(`${name}/`)).map(([key, version]) => `${key.slice(name.length + 1)}@${version}`)
+    return { stage: 'unified', born, models: [...models].map(name => ({ name, version: 1, adapters: held(name) })), busy: loadingModel !== undefined, sequence: orders, queued: 0, active: running.size, kv_used: 0, kv_total: 232_000, handles: 0, coming: [...coming].map(key => `${key}@${adapters.get(key)}`) }
   }
 
   function json (res, status, body) {
     res.writeHead(status, { 'Content-Type': 'application/json', 'Instance-Id': id }).end(JSON.stringify(body))
   }
 
-  function carryOut ({ operation, adapter, version, precondition }) {
+  /** A server that is ordered to load more than it holds crashes. */
+  function checkMemory () {
+    const loaded = [...models, ...(loadingModel === undefined ? [] : [loadingModel])]
+    const usedMb = loaded.reduce((sum, name) => sum + weightsMb[name], 0) + adapters.size * adapterMb
+    if (usedMb <= memoryMb && adapters.size <= adapterSlots) return
+    record('overloaded', { server: id, usedMb, memoryMb, models: loaded, adapters: adapters.size, adapterSlots })
+    crash()
+  }
+
+  function loadModel (name) {
+    if (models.has(name)) return 200
+    if (loadingModel !== undefined) return 409
+    const startedAs = born
+    orders += 1
+    loadingModel = name
+    setTimeout(() => {
+      if (startedAs !== born) return
+      loadingModel = undefined
+      models.add(name)
+    }, modelLoadMs)
+    return 202
+  }
+
+  function carryOut ({ operation, model: name, adapter, version, precondition }) {
     if (precondition !== undefined && precondition !== orders) return 409
-    if (adapter === undefined) {
-      if (operation !== 'load') return 400
-      if (hasModel) return 200
-      orders += 1
-      setTimeout(() => { hasModel = true }, modelLoadMs)
-      return 202
-    }
-    if (!hasModel) return 409
-    if (operation === 'load' && adapters.has(adapter) && !coming.has(adapter)) return 200
-    if (operation === 'load') {
-      orders += 1
-      adapters.set(adapter, version ?? 1)
-      coming.add(adapter)
-      setTimeout(() => coming.delete(adapter), loadMs)
-      if (adapters.size > adapterSlots) record('overloaded', { server: id, adapters: adapters.size })
-      return 202
-    }
+    if (adapter === undefined) return operation === 'load' ? loadModel(name) : 400
+    if (!models.has(name)) return 400
+    const key = `${name}/${adapter}`
+    if (operation === 'load' && adapters.has(key) && !coming.has(key)) return 200
     orders += 1
-    adapters.delete(adapter)
-    coming.delete(adapter)
-    return 200
+    if (operation !== 'load') {
+      adapters.delete(key)
+      coming.delete(key)
+      return 200
+    }
+    adapters.set(key, version ?? 1)
+    coming.add(key)
+    setTimeout(() => coming.delete(key), loadMs)
+    return 202
   }
 
   function order (req, res, body) {
     const order = JSON.parse(body.toString())
     const status = order.holder === undefined || order.fencing_token === undefined ? 400 : carryOut(order)
-    record('order', { server: id, operation: order.operation, adapter: order.adapter, holder: order.holder, fence: order.fencing_token, precondition: order.precondition, status })
+    record('order', { server: id, operation: order.operation, model: order.model, adapter: order.adapter, holder: order.holder, fence: order.fencing_token, precondition: order.precondition, status })
     json(res, status, {})
+    checkMemory()
   }
 
   function run (req, res) {
     const requestId = req.headers['request-id'] ?? ''
-    const adapter = (req.headers.model ?? '').split('/')[1]
+    const [name, adapter] = (req.headers.model ?? '').split('/')
+    const key = adapter === undefined ? undefined : `${name}/${adapter}`
     const startedAs = born
     const refuse = status => {
       record('not-run', { server: id, request: requestId, status })
       res.writeHead(status, { 'Request-Id': requestId, 'Not-Executed': '1', 'Instance-Id': id }).end()
     }
     if (requestId === '') return refuse(400)
-    if (adapter !== undefined && (!adapters.has(adapter) || coming.has(adapter))) return refuse(421)
+    if (!models.has(name) || (key !== undefined && (!adapters.has(key) || coming.has(key)))) return refuse(421)
     if (running.size >= slots) return refuse(503)
     running.add(requestId)
     record('run', { server: id, request: requestId, adapter })
@@ -92,7 +115,8 @@
       if (event < eventCount) timer = setTimeout(next, eventGapMs)
       else res.end()
     }
-    let timer = setTimeout(next, firstEventMs)
+    prefillUntil = Math.max(Date.now(), prefillUntil) + Number((req.headers['token-usage'] ?? '0').split(',')[0]) / prefillTokensPerMs
+    let timer = setTimeout(next, firstEventMs + prefillUntil - Date.now())
     res.on('close', () => {
       clearTimeout(timer)
       running.delete(requestId)
@@ -136,7 +160,8 @@
     adapters.clear()
     coming.clear()
     born = 0
-    hasModel = false
+    models.clear()
+    loadingModel = undefined
     orders = 0
     setTimeout(async () => {
       born = Date.now()
