--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,12 +1,15 @@
 /** The node that gives orders to engines is frozen while another one takes over, and the store turns it away when it wakes. */
 import { fileURLToPath } from 'node:url'
-import { runCase, sleep, trouble, until } from '../lib/case.mjs'
+import { runCase, sleep, until } from '../lib/case.mjs'
 import { createDirectory, isReady, newRequestId, send } from '../lib/client.mjs'
 import { configuration, draftDeadlineMs, draftHeaders, draftPath, engineService, host, model } from '../lib/deployment.mjs'
 import { startEngine } from '../lib/engine.mjs'
 import { bounds, createFleet, loopbackPrefix } from '../lib/nodes.mjs'
 import { startStore } from '../lib/store.mjs'
 
+/** With TROUBLE=0 the script does the same without the disruption. */
+const trouble = process.env.TROUBLE !== '0'
+
 const zones = ['zone-a', 'zone-b']
 const nodesPerZone = 2
 const enginesPerZone = 2
@@ -32,7 +35,7 @@
   return undefined
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), 100_000, async ({ record, onEnd }) => {
+await runCase(fileURLToPath(new URL('.', import.meta.url)), trouble, 100_000, async ({ record, onEnd }) => {
   const prefix = loopbackPrefix()
   const store = await startStore(`${prefix}.200`)
   onEnd(store.stop)
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,12 +1,15 @@
 /** A server that does not announce its leaving leaves, and the store carries out one of its earlier entries late. */
 import { fileURLToPath } from 'node:url'
-import { runCase, sleep, trouble, until } from '../lib/case.mjs'
+import { runCase, sleep, until } from '../lib/case.mjs'
 import { createDirectory, isReady, newRequestId, send } from '../lib/client.mjs'
 import { configuration, host, orderDeadlineMs, orderPath, plainService } from '../lib/deployment.mjs'
 import { bounds, createFleet, loopbackPrefix } from '../lib/nodes.mjs'
 import { startPlainServer } from '../lib/plain-server.mjs'
 import { startStore } from '../lib/store.mjs'
 
+/** With TROUBLE=0 the script does the same without the disruption. */
+const trouble = process.env.TROUBLE !== '0'
+
 const zone = 'zone-a'
 const nodeCount = 3
 const serverCount = 3
@@ -22,7 +25,7 @@
 /** The server goes on serving for this long after it has left: `drain_ms` and some seconds. */
 const servesMs = 6500
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), 60_000, async ({ record, onEnd }) => {
+await runCase(fileURLToPath(new URL('.', import.meta.url)), trouble, 60_000, async ({ record, onEnd }) => {
   const prefix = loopbackPrefix()
   const store = await startStore(`${prefix}.200`)
   onEnd(store.stop)
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -2,15 +2,15 @@
 import { closeSync, openSync, writeFileSync, writeSync } from 'node:fs'
 import { join } from 'node:path'
 
-export const trouble = process.env.TROUBLE !== '0'
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms))
 
 /**
  * @param folder - of the case
+ * @param trouble - whether the case plays its disruption
  * @param limitMs - time after which the case could not run
  * @param play - receives `record` and `onEnd`, returns whether the rule was broken and a sentence on what was seen
  */
-export async function runCase (folder, limitMs, play) {
+export async function runCase (folder, trouble, limitMs, play) {
   const file = join(folder, 'record.txt')
   writeFileSync(file, '')
   const fd = openSync(file, 'a')
