Let failed reads of the fleet log count only with what the nodes have read before

Cause: "more than half of the nodes have just failed to read the log" was proof enough that no other owner was recorded. It says nothing about records between the owner's last read and the outage.

Change: such a reply names the highest position that the node has read or that another node has named to it. Replies count only if none knows of a later position than the owner has read; a node that has never read the log does not count. A node claims engines only while it reaches most nodes and names its position to them before its first order, so one of the nodes that reply knows of the claim.

--- a/packages/gateway/src/engine-ownership.test.ts
+++ b/packages/gateway/src/engine-ownership.test.ts
@@ -169,14 +169,35 @@
 // Guards against a stop of all loads during an outage of the store that all nodes observe.
 test('excludes a new owner while most nodes cannot reach the log', () => {
   const freshness = createLogFreshness()
-  for (const node of ['n1', 'n2', 'n3', 'n4']) freshness.unreachable(node, 5000)
+  freshness.read(0, 10)
+  for (const node of ['n1', 'n2', 'n3', 'n4']) freshness.unreachable(node, 5000, 10)
   assert.not.ok(freshness.excludesNewOwner(5100, 9))
-  freshness.unreachable('n5', 5000)
+  freshness.unreachable('n5', 5000, 10)
   assert.ok(freshness.excludesNewOwner(5100, 9))
   assert.not.ok(freshness.excludesNewOwner(7000, 9))
-  freshness.unreachable('n5', 7000)
+  freshness.unreachable('n5', 7000, 10)
   freshness.suspended(7100)
   assert.not.ok(freshness.excludesNewOwner(7100, 1))
 })
 
+// Guards against an owner that was frozen during a takeover and gives commands beside its successor in an outage of the store.
+test('does not exclude a new owner if a node that cannot reach the log knows of a later record', () => {
+  const freshness = createLogFreshness()
+  freshness.read(0, 10)
+  for (const node of ['n1', 'n2', 'n3', 'n4', 'n5', 'n6']) freshness.unreachable(node, 5000, node === 'n6' ? 11 : 10)
+  assert.not.ok(freshness.excludesNewOwner(5100, 9))
+  assert.is(freshness.knownEnd(), 11, 'the position is passed on to others that ask')
+  freshness.read(5200, 11)
+  for (const node of ['n1', 'n2', 'n3', 'n4', 'n5']) freshness.unreachable(node, 8000, 11)
+  assert.ok(freshness.excludesNewOwner(8100, 9))
+})
+
+// Guards against counting nodes that have just started and know nothing of the log.
+test('a node that has never read the log does not count among those that cannot reach it', () => {
+  const freshness = createLogFreshness()
+  freshness.read(0, 10)
+  for (const node of ['n1', 'n2', 'n3', 'n4', 'n5']) freshness.unreachable(node, 5000, -1)
+  assert.not.ok(freshness.excludesNewOwner(5100, 9))
+})
+
 test.run()
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -177,14 +177,21 @@
   read (asOf: number, next: number): void
   /** A peer had read up to `next`, `ageMs` before it sent its message. */
   peerRead (next: number, ageMs: number, now: number): void
+  /** Highest position that this process has read or that a peer has named; -1 if there is none. */
+  knownEnd (): number
   /** The process was suspended, so earlier reads prove nothing. */
   suspended (now: number): void
-  /** A node, this one included, has just failed to read the log. */
-  unreachable (node: string, now: number): void
+  /**
+   * A node, this one included, has just failed to read the log.
+   *
+   * @param knownEnd - highest position that the node has read or that a peer has named to it
+   */
+  unreachable (node: string, now: number, knownEnd: number): void
   /**
    * Whether no other owner can have been recorded: the end of the log was read recently, or most
-   * nodes cannot reach the log. A node claims engines of a dead owner only while it reaches most
-   * nodes. One that still reached the log would have to be among those that replied.
+   * nodes cannot reach the log and none of them knows of a later record than this process has read.
+   * A node claims engines of a dead owner only while it reaches most nodes, and tells them how far
+   * it has read before it gives commands. So a later owner is known to one of the nodes that reply.
    *
    * @param nodes - size of the fleet
    */
@@ -201,11 +208,13 @@
   let freshAt = -Infinity
   let validFrom = -Infinity
   let readOffset = -1
-  const unreachableAt = new Map<string, number>()
+  let namedEnd = -1
+  const failedReads = new Map<string, { at: number, knownEnd: number }>()
 
+  /** A node that has never read the log cannot tell whether it has grown. */
   function countUnreachable (now: number): number {
     let count = 0
-    for (const at of unreachableAt.values()) count += now - at < unreachableValidMs ? 1 : 0
+    for (const { at, knownEnd } of failedReads.values()) count += knownEnd >= 0 && now - at < unreachableValidMs ? 1 : 0
     return count
   }
 
@@ -219,17 +228,20 @@
       confirmFresh(asOf)
     },
     peerRead (next, ageMs, now) {
+      namedEnd = Math.max(namedEnd, next)
       if (next <= readOffset) confirmFresh(now - ageMs - maxPeerDelayMs)
     },
     suspended (now) {
       validFrom = now
       freshAt = -Infinity
-      unreachableAt.clear()
+      failedReads.clear()
     },
-    unreachable (node, now) {
-      unreachableAt.set(node, now)
+    knownEnd: () => Math.max(readOffset, namedEnd),
+    unreachable (node, now, knownEnd) {
+      namedEnd = Math.max(namedEnd, knownEnd)
+      failedReads.set(node, { at: now, knownEnd })
     },
-    excludesNewOwner: (now, nodes) => now - freshAt <= logFreshMs || countUnreachable(now) > nodes / 2,
+    excludesNewOwner: (now, nodes) => now - freshAt <= logFreshMs || (namedEnd <= readOffset && countUnreachable(now) > nodes / 2),
     ageMs: now => now - freshAt
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -323,7 +323,7 @@
   function receiveLogState (from: string, payload: unknown): void {
     const state = payload as Partial<LogState> | null
     if (state?.type === 'read' && Number.isSafeInteger(state.next)) owner.freshness.peerRead(state.next!, Number(state.ageMs ?? 0), now())
-    else if (state?.type === 'unreachable') owner.freshness.unreachable(from, now() - Math.max(0, Number(state.ageMs) || 0))
+    else if (state?.type === 'unreachable') owner.freshness.unreachable(from, now() - Math.max(0, Number(state.ageMs) || 0), Number.isSafeInteger(state.knownEnd) ? state.knownEnd! : -1)
   }
 
   function sendStatus (): void {
@@ -444,7 +444,7 @@
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
   }))
   const snapshotServer = createSnapshotServer(feedCache)
-  const logProbe = createLogProbe({ now, feed: platform.fleet, position: () => feeds.fleetNext() })
+  const logProbe = createLogProbe({ now, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() })
   const suspensionDetector = createSuspensionDetector({ now, wallClock: Date.now })
 
   function startTimers (): void {
--- a/packages/gateway/src/log-probe.test.ts
+++ b/packages/gateway/src/log-probe.test.ts
@@ -42,7 +42,7 @@
       return reachable ? Ok({ records: [], next: 7 }) : Err({ type: 'unavailable' as const, reason: 'down' })
     }
   }
-  const probe = createLogProbe({ now: () => performance.now(), feed, position: () => 5 })
+  const probe = createLogProbe({ now: () => performance.now(), feed, position: () => 5, knownEnd: () => 5 })
   const first = await probe.read()
   await sleep(150)
   const second = await probe.read()
--- a/packages/gateway/src/log-probe.ts
+++ b/packages/gateway/src/log-probe.ts
@@ -4,8 +4,8 @@
 export type LogState =
   /** The log was read up to `next`, `ageMs` ago. */
   | { type: 'read', next: number, ageMs: number }
-  /** A read failed `ageMs` ago. */
-  | { type: 'unreachable', ageMs: number }
+  /** A read failed `ageMs` ago; `knownEnd` is the highest position that the node has read or that a peer has named, or -1. */
+  | { type: 'unreachable', ageMs: number, knownEnd: number }
   /** The store responded, but this node has to read the log anew first. */
   | { type: 'outdated', ageMs: number }
 
@@ -20,7 +20,16 @@
 /** Time from the start of a failed read for which its result is reused, in ms: shorter than the interval at which an owner asks all nodes. */
 const failureTtlMs = 400
 
-export function createLogProbe ({ now, feed, position }: { now (): number, feed: Feed<unknown>, position (): number | undefined }): LogProbe {
+export type LogProbeOptions = {
+  now (): number
+  feed: Feed<unknown>
+  /** Position up to which this node has read the log; undefined before the first read. */
+  position (): number | undefined
+  /** Highest position that this node has read or that a peer has named; -1 if there is none. */
+  knownEnd (): number
+}
+
+export function createLogProbe ({ now, feed, position, knownEnd }: LogProbeOptions): LogProbe {
   let current: Promise<ProbeResult> | undefined
 
   async function probe (): Promise<ProbeResult> {
@@ -47,7 +56,7 @@
       const { at, next, outdated } = await current
       const ageMs = Math.round(now() - at)
       if (outdated === true) return { type: 'outdated', ageMs }
-      return next === undefined ? { type: 'unreachable', ageMs } : { type: 'read', next, ageMs }
+      return next === undefined ? { type: 'unreachable', ageMs, knownEnd: knownEnd() } : { type: 'read', next, ageMs }
     }
   }
 }
--- a/packages/gateway/src/testing/test-nodes.ts
+++ b/packages/gateway/src/testing/test-nodes.ts
@@ -48,7 +48,7 @@
  * @param zones - zone of each node
  * @param replacements - creates the parts of a node's platform that replace those of the fake one
  */
-export async function startTestNodes (zones: string[], bounds: Partial<Bounds> = {}, replacements: () => Partial<Platform> = () => ({})): Promise<TestNodes> {
+export async function startTestNodes (zones: string[], bounds: Partial<Bounds> = {}, replacements: (platform: FakePlatform, index: number) => Partial<Platform> = () => ({})): Promise<TestNodes> {
   const lines: LogLine[] = []
   const settings: NodeSettings[] = []
   const gateways: Gateway[] = []
@@ -61,7 +61,7 @@
     const log = createDecisionLog(name, { write: line => { lines.push(JSON.parse(line) as LogLine) }, flush: async () => {}, dropped: () => 0 })
     settings.push(nodeSettings)
     platform ??= createFakePlatform(nodeSettings)
-    const gateway = createGateway({ platform: { ...platform, ...replacements(), settings: nodeSettings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
+    const gateway = createGateway({ platform: { ...platform, ...replacements(platform, index), settings: nodeSettings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
     gateways.push(gateway)
     await gateway.start()
   }
