Count replies on the fleet log from the time of their question

Cause: a peer's position in the log was taken for proof of recent knowledge, with an assumed delay of 300 ms at most. Messages that arrive while a process is stopped wait in its socket for as long as that takes.

Change: only a reply to a question of this process counts, from the time at which it asked; the reply returns the question. A position in any other message only shows that the log is at least that long. A read from before a suspension is not repeated in a reply. No delay is assumed any more.

--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -175,18 +175,20 @@
 export type LogFreshness = {
   /** A read has completed and was applied; its result shows the log as of `asOf`. */
   read (asOf: number, next: number): void
-  /** A peer had read up to `next`, `ageMs` before it sent its message. */
-  peerRead (next: number, ageMs: number, now: number): void
+  /** A peer had read up to `next` at `asOf` or later. */
+  peerRead (next: number, asOf: number): void
+  /** A peer has named a position, in a message that may have been on its way for any time. */
+  peerPosition (next: number): void
   /** Highest position that this process has read or that a peer has named; -1 if there is none. */
   knownEnd (): number
   /** The process was suspended, so earlier reads prove nothing. */
   suspended (now: number): void
   /**
-   * A node, this one included, has just failed to read the log.
+   * A node, this one included, has failed to read the log, in a read that began at `at` or later.
    *
    * @param knownEnd - highest position that the node has read or that a peer has named to it
    */
-  unreachable (node: string, now: number, knownEnd: number): void
+  unreachable (node: string, at: number, knownEnd: number): void
   /**
    * Whether no other owner can have been recorded: the end of the log was read recently, or most
    * nodes cannot reach the log and none of them knows of a later record than this process has read.
@@ -201,8 +203,6 @@
 
 /** Time for which a node's failed read counts, in ms: nodes are asked several times within it. */
 const unreachableValidMs = 1000
-/** Longest assumed delay of a peer's message, in ms; a message that was delayed longer looks like a new one. */
-const maxPeerDelayMs = 300
 
 export function createLogFreshness (): LogFreshness {
   let freshAt = -Infinity
@@ -227,9 +227,12 @@
       readOffset = Math.max(readOffset, next)
       confirmFresh(asOf)
     },
-    peerRead (next, ageMs, now) {
+    peerRead (next, asOf) {
+      namedEnd = Math.max(namedEnd, next)
+      if (next <= readOffset) confirmFresh(asOf)
+    },
+    peerPosition (next) {
       namedEnd = Math.max(namedEnd, next)
-      if (next <= readOffset) confirmFresh(now - ageMs - maxPeerDelayMs)
     },
     suspended (now) {
       validFrom = now
@@ -237,9 +240,9 @@
       failedReads.clear()
     },
     knownEnd: () => Math.max(readOffset, namedEnd),
-    unreachable (node, now, knownEnd) {
+    unreachable (node, at, knownEnd) {
       namedEnd = Math.max(namedEnd, knownEnd)
-      failedReads.set(node, { at: now, knownEnd })
+      if (at >= validFrom) failedReads.set(node, { at, knownEnd })
     },
     excludesNewOwner: (now, nodes) => now - freshAt <= logFreshMs || (namedEnd <= readOffset && countUnreachable(now) > nodes / 2),
     ageMs: now => now - freshAt
--- a/packages/gateway/src/frozen-owner.test.ts
+++ b/packages/gateway/src/frozen-owner.test.ts
@@ -2,6 +2,7 @@
  * An owner of an engine that has missed a takeover, as after a freeze, and cannot read the fleet log.
  * In place of a freeze the log answers all nodes but the owner while another node is recorded.
  */
+import { createSocket } from 'node:dgram'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Err } from 'ts-results/result.js'
 import { suite } from 'uvu'
@@ -104,4 +105,28 @@
   assert.equal([...new Set(ordersSince(outageAt))], [owner])
 })
 
+// Guards against a stopped process that wakes, reads messages from before the takeover and takes them for recent ones.
+test('an owner that has missed a takeover gives no commands on the strength of messages from before it', async () => {
+  const owner = currentOwner()
+  const page = await nodes.platform.fleet.newest()
+  const fleetNext = page.ok ? page.val.next : 0
+  await recordTakeover(owner)
+  const wokenAt = performance.now()
+  const peer = nodes.settings.find(({ name }) => name !== owner)!.name
+  const delayed = [
+    ['status', { engines: [], fleetNext, fleetAgeMs: 0, operatorNext: 0 }],
+    ['log-state', { type: 'read', next: fleetNext, ageMs: 0, waitedMs: 0 }],
+    ['log-state', { type: 'read', next: fleetNext, ageMs: 0, waitedMs: 0, question: { incarnation: 1, askedAt: 0 } }]
+  ]
+  const socket = createSocket('udp4')
+  const port = nodes.settings.find(({ name }) => name === owner)!.peerPorts[0]
+  const timer = setInterval(() => {
+    for (const [kind, payload] of delayed) socket.send(JSON.stringify([peer, 1, 0, kind, payload, 0]), port, '127.0.0.1')
+  }, 50)
+  await requestAdapters(2000)
+  clearInterval(timer)
+  socket.close()
+  assert.equal(ordersSince(wokenAt), [])
+})
+
 test.run()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,8 @@
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
 import { createGrantClient, type GrantMessage } from './grant-client'
-import { createLogProbe, type LogState } from './log-probe'
+import { createLogProbe } from './log-probe'
+import { createLogQuestions } from './log-questions'
 import { createOwnRecords } from './own-records'
 import { createOwnerStatusCache } from './owner-status-cache'
 import { createPartBlocking } from './part-blocking'
@@ -128,8 +129,8 @@
       else if (kind === 'place') receiveGrantMessage(from.node, payload as GrantMessage)
       else if (kind === 'status') receiveStatus(from.node, payload)
       else if (kind === 'servers') feeds.receiveServerUpdate(payload)
-      else if (kind === 'log-probe') replyToProbe(from.node)
-      else if (kind === 'log-state') receiveLogState(from.node, payload)
+      else if (kind === 'log-probe') logQuestions.receiveQuestion(from.node, payload)
+      else if (kind === 'log-state') logQuestions.receiveReply(from.node, payload)
       else if (kind === 'crash-evidence') owner.receiveEvidence(payload as EvidenceMessage)
       else if (kind === 'blocked-part') partBlocking.receive(from.node, String(payload))
       else if (kind === 'stopped') owner.ownership.nodeStopped(from.node, from.incarnation, now())
@@ -203,8 +204,8 @@
     fleetSize: () => fleet.size(),
     probeLog (nodes) {
       const peers = fleet.peers()
-      for (const { address } of nodes === 'all' ? peers : drawSample(peers, logProbeSample, options.random)) link.notify(address, { kind: 'log-probe', payload: null })
-      if (nodes === 'all') replyToProbe(self.name)
+      const asked = nodes === 'all' ? peers : drawSample(peers, logProbeSample, options.random)
+      logQuestions.ask(asked.map(({ address }) => address), nodes === 'all')
     },
     send: sendToNode,
     blockedParts: partBlocking,
@@ -272,7 +273,7 @@
   function receiveStatus (from: string, payload: unknown): void {
     const status = ownerStatuses.receive(from, payload, now())
     if (status === undefined) return
-    owner.freshness.peerRead(status.fleetNext, status.fleetAgeMs, now())
+    owner.freshness.peerPosition(status.fleetNext)
     feeds.peerFleetNext(status.fleetNext)
     const ownNext = feeds.operatorNext()
     if (!feeds.operatorReachable() && (ownNext === undefined || status.operatorNext > Math.max(ownNext, peerOperatorNext))) {
@@ -311,21 +312,6 @@
     if (others.length > 0) fetchFromPeers(others)
   }
 
-  /** Replies to a peer, or to this node itself, whether the fleet log can be read now. */
-  function replyToProbe (sender: string): void {
-    logProbe.read().then(state => {
-      const address = fleet.address(sender)
-      if (sender === self.name) receiveLogState(self.name, state)
-      else if (address !== undefined) link.notify(address, { kind: 'log-state', payload: state })
-    }).catch(err => { log.error('log-probe-failed', { reason: (err as Error).message }) })
-  }
-
-  function receiveLogState (from: string, payload: unknown): void {
-    const state = payload as Partial<LogState> | null
-    if (state?.type === 'read' && Number.isSafeInteger(state.next)) owner.freshness.peerRead(state.next!, Number(state.ageMs ?? 0), now())
-    else if (state?.type === 'unreachable') owner.freshness.unreachable(from, now() - Math.max(0, Number(state.ageMs) || 0), Number.isSafeInteger(state.knownEnd) ? state.knownEnd! : -1)
-  }
-
   function sendStatus (): void {
     if (now() < nextStatusAt) return
     nextStatusAt = now() + Math.min(statusIntervalMaxMs, statusIntervalPerNodeMs * fleet.size())
@@ -444,17 +430,29 @@
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
   }))
   const snapshotServer = createSnapshotServer(feedCache)
-  const logProbe = createLogProbe({ now, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() })
+  const logQuestions = createLogQuestions({
+    self,
+    now,
+    log,
+    probe: createLogProbe({ now, wallClock: Date.now, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() }),
+    freshness: () => owner.freshness,
+    address: fleet.address,
+    notify: link.notify,
+    checkSuspension
+  })
   const suspensionDetector = createSuspensionDetector({ now, wallClock: Date.now })
 
+  function checkSuspension (): void {
+    const gapMs = suspensionDetector.check()
+    if (gapMs === 0) return
+    log.warn('process-suspended', { gapMs: Math.round(gapMs) })
+    owner.freshness.suspended(now())
+  }
+
   function startTimers (): void {
     const tick = (): void => {
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
-      const gapMs = suspensionDetector.check()
-      if (gapMs > 0) {
-        log.warn('process-suspended', { gapMs: Math.round(gapMs) })
-        owner.freshness.suspended(now())
-      }
+      checkSuspension()
       applyServers(registry.tick(now()))
       owner.tick()
     }
--- a/packages/gateway/src/log-probe.test.ts
+++ b/packages/gateway/src/log-probe.test.ts
@@ -2,7 +2,7 @@
 import { Err, Ok } from 'ts-results/result.js'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createLogProbe, createLogProbeSchedule } from './log-probe'
+import { createLogProbe, createLogProbeSchedule, replyAsOf } from './log-probe'
 import type { Feed } from './platform-interface'
 
 const test = suite('log probe')
@@ -42,7 +42,7 @@
       return reachable ? Ok({ records: [], next: 7 }) : Err({ type: 'unavailable' as const, reason: 'down' })
     }
   }
-  const probe = createLogProbe({ now: () => performance.now(), feed, position: () => 5, knownEnd: () => 5 })
+  const probe = createLogProbe({ now: () => performance.now(), wallClock: Date.now, feed, position: () => 5, knownEnd: () => 5 })
   const first = await probe.read()
   await sleep(150)
   const second = await probe.read()
@@ -55,4 +55,35 @@
   assert.is(third.type, 'read')
 })
 
+// Guards against a reply that has waited in a socket and counts as a new one.
+test('a reply counts from the time of its question, or from an earlier read that it repeats', () => {
+  const question = { incarnation: 7, askedAt: 1000 }
+  assert.is(replyAsOf(question, { ageMs: 40, waitedMs: 40 }, 7, 9000), 1000)
+  assert.is(replyAsOf(question, { ageMs: 240, waitedMs: 40 }, 7, 9000), 800)
+  assert.is(replyAsOf({ ...question, incarnation: 6 }, { ageMs: 0, waitedMs: 0 }, 7, 9000), undefined, 'another process asked')
+  assert.is(replyAsOf({ ...question, askedAt: 9001 }, { ageMs: 0, waitedMs: 0 }, 7, 9000), undefined, 'it was not asked yet')
+  for (const other of [undefined, null, 1, {}]) assert.is(replyAsOf(other, { ageMs: 0, waitedMs: 0 }, 7, 9000), undefined)
+  assert.is(replyAsOf(question, { ageMs: 0 }, 7, 9000), undefined)
+})
+
+// Guards against a read from before a suspension, during which the clock that gives its age stood still.
+test('a read from before a suspension is not used for a reply', async () => {
+  let reads = 0
+  let wallClock = 0
+  const feed: Feed<unknown> = {
+    newest: async () => Ok({ records: [], next: 0 }),
+    async read () {
+      reads += 1
+      return Ok({ records: [], next: 7 })
+    }
+  }
+  const probe = createLogProbe({ now: () => 0, wallClock: () => wallClock, feed, position: () => 5, knownEnd: () => 5 })
+  await probe.read()
+  await probe.read()
+  assert.is(reads, 1)
+  wallClock += 8000
+  await probe.read()
+  assert.is(reads, 2)
+})
+
 test.run()
--- a/packages/gateway/src/log-probe.ts
+++ b/packages/gateway/src/log-probe.ts
@@ -1,13 +1,42 @@
-/** Checks on request whether a log can be read; requests at about the same time share one read. */
+/**
+ * Checks on request whether a log can be read; requests at about the same time share one read. A reply
+ * may wait in a socket for any time, for example while the node that asked is stopped. It therefore
+ * returns the question, which states when it was asked, and counts from that time.
+ */
 import type { Feed } from './platform-interface'
+import { createSuspensionDetector } from './suspension-detector'
 
-export type LogState =
-  /** The log was read up to `next`, `ageMs` ago. */
-  | { type: 'read', next: number, ageMs: number }
-  /** A read failed `ageMs` ago; `knownEnd` is the highest position that the node has read or that a peer has named, or -1. */
-  | { type: 'unreachable', ageMs: number, knownEnd: number }
+/** Sent with a request and returned with the reply. */
+export type LogQuestion = {
+  /** Incarnation of the process that asks; another process has another clock. */
+  incarnation: number
+  /** Time on the clock of that process, in ms. */
+  askedAt: number
+}
+
+/** `ageMs`: time since the start of the read; `waitedMs`: time since the request arrived. */
+type ReplyTimes = { ageMs: number, waitedMs: number }
+
+export type LogState = ReplyTimes & (
+  /** The log was read up to `next`. */
+  | { type: 'read', next: number }
+  /** The read failed; `knownEnd` is the highest position that the node has read or that a peer has named, or -1. */
+  | { type: 'unreachable', knownEnd: number }
   /** The store responded, but this node has to read the log anew first. */
-  | { type: 'outdated', ageMs: number }
+  | { type: 'outdated' }
+)
+
+/**
+ * Earliest time at which the read of a reply can have begun, on the clock of the process that asked.
+ *
+ * @returns undefined if the reply is not to a question of this process
+ */
+export function replyAsOf (question: unknown, { ageMs, waitedMs }: Partial<ReplyTimes>, incarnation: number, now: number): number | undefined {
+  const { askedAt, incarnation: asker } = (question ?? {}) as Partial<LogQuestion>
+  if (asker !== incarnation || typeof askedAt !== 'number' || !(askedAt <= now)) return undefined
+  if (typeof ageMs !== 'number' || typeof waitedMs !== 'number') return undefined
+  return askedAt - Math.max(0, ageMs - waitedMs)
+}
 
 type ProbeResult = { at: number, next?: number, outdated?: true }
 
@@ -22,6 +51,7 @@
 
 export type LogProbeOptions = {
   now (): number
+  wallClock (): number
   feed: Feed<unknown>
   /** Position up to which this node has read the log; undefined before the first read. */
   position (): number | undefined
@@ -29,7 +59,8 @@
   knownEnd (): number
 }
 
-export function createLogProbe ({ now, feed, position, knownEnd }: LogProbeOptions): LogProbe {
+export function createLogProbe ({ now, wallClock, feed, position, knownEnd }: LogProbeOptions): LogProbe {
+  const suspension = createSuspensionDetector({ now, wallClock })
   let current: Promise<ProbeResult> | undefined
 
   async function probe (): Promise<ProbeResult> {
@@ -44,19 +75,25 @@
   function startProbe (): Promise<ProbeResult> {
     const startedAt = now()
     let ttlMs = failureTtlMs
-    return probe().then(result => {
+    const started = probe().then(result => {
       ttlMs = result.next === undefined ? failureTtlMs - (now() - startedAt) : resultTtlMs
       return result
-    }).finally(() => { setTimeout(() => { current = undefined }, Math.max(0, ttlMs)) })
+    }).finally(() => {
+      setTimeout(() => { if (current === started) current = undefined }, Math.max(0, ttlMs))
+    })
+    return started
   }
 
   return {
     async read () {
+      const arrivedAt = now()
+      // The age of an earlier read does not include a suspension.
+      if (suspension.check() > 0) current = undefined
       current ??= startProbe()
       const { at, next, outdated } = await current
-      const ageMs = Math.round(now() - at)
-      if (outdated === true) return { type: 'outdated', ageMs }
-      return next === undefined ? { type: 'unreachable', ageMs, knownEnd: knownEnd() } : { type: 'read', next, ageMs }
+      const times: ReplyTimes = { ageMs: Math.round(now() - at), waitedMs: Math.round(now() - arrivedAt) }
+      if (outdated === true) return { type: 'outdated', ...times }
+      return next === undefined ? { type: 'unreachable', knownEnd: knownEnd(), ...times } : { type: 'read', next, ...times }
     }
   }
 }
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -9,7 +9,7 @@
   engines: OwnedEngineStatus[]
   /** Offset up to which the sender has read the fleet log. */
   fleetNext: number
-  /** Age of that read, in ms. */
+  /** Age of that read, in ms; only nodes of earlier builds use it. */
   fleetAgeMs: number
   operatorNext: number
 }
