Tell the nodes of a zone the last entry of a server before its removal

Cause: the zone's reader leaves out entries in which only the sequence changed. The other nodes remembered the sequence of the last visible change, so the late entry had a higher one and counted as a sign of life. Evidence: the reader logs the entry as ignored (left), the others log the server as added.

Change: the reader sends the last entry before the removal and states that it has read all of them; a node that becomes the reader reads the newest entries first. A node that does not know the last entry ignores one entry after a removal and reads the newest ones two seconds later.

--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -55,6 +55,8 @@
   position (): number | undefined
   /** Ends the current pause, for example after an append of this process. */
   wake (): void
+  /** Reads the newest records of all keys next, in place of the changes; ends the current pause. */
+  readNewest (): void
   /** Aborts the current read or pause and reads again, because another feed of the store has stalled, was regained or restored. */
   restart (): void
   /**
@@ -75,6 +77,7 @@
   let lostAt: number | undefined
   let wake: (() => void) | undefined
   let pauseUntil = -Infinity
+  let newestWanted = false
   let reading: { abort: AbortController, sentAt: number } | undefined
   let graceMs = behindGraceMs
   let behindTimer: NodeJS.Timeout | undefined
@@ -130,6 +133,7 @@
 
   async function readNewest (): Promise<void> {
     const sentAt = options.now()
+    newestWanted = false
     const result = await feed.newest()
     if (stopped) return
     if (result.err) return await failed(result.val, sentAt)
@@ -174,7 +178,7 @@
   async function run (): Promise<void> {
     for (;;) {
       if (isStopped()) return
-      if (position === undefined) await readNewest()
+      if (position === undefined || newestWanted) await readNewest()
       else await readChanges(position)
     }
   }
@@ -199,6 +203,10 @@
       return true
     },
     wake: () => wake?.(),
+    readNewest () {
+      newestWanted = true
+      wake?.()
+    },
     restart () {
       abortRead('other-feed')
       wake?.()
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -23,7 +23,8 @@
   sendToZone (update: ServerUpdate): void
   /** @param recent - the records were just written; otherwise they may have been in force for a while */
   operator (records: FeedRecord<OperatorRecord>[], recent: boolean): void
-  servers (records: FeedRecord<ServerRecord>[]): void
+  /** @param complete - whether the last entry of a server that is removed is among these records or earlier ones */
+  servers (records: FeedRecord<ServerRecord>[], complete: boolean): void
   /** Receives the newest record of each key; they replace all earlier records. */
   serversReplaced (records: FeedRecord<ServerRecord>[], next: number): void
   /** Called after each successful read of the servers' entries. */
@@ -49,6 +50,8 @@
   /** A peer has read up to this offset of the fleet log, or of the operator's records. */
   peerFleetNext (next: number): void
   peerOperatorNext (next: number): void
+  /** A server that was removed seems to be back; its next entry is needed, which the zone's reader may leave out. */
+  confirmServers (): void
   /** Handles an update of the servers' entries from the zone's reader. */
   receiveServerUpdate (payload: unknown): void
 }
@@ -70,6 +73,8 @@
 const fleetPauseMaxMs = 1000
 /** Time after an outage of the store during which updates to the zone state when it ended, in ms. */
 const recoveryRelayMs = 3000
+/** Time within which a server that lives writes its next entry, in ms: servers write about every 1.2 s. */
+const nextEntryMs = 2000
 
 export function createFeeds (options: FeedsOptions): Feeds {
   const { platform, log, cache, now } = options
@@ -82,6 +87,9 @@
   let operatorReachable = false
   let recoveredAt = -Infinity
   let rewriteTimer: NodeJS.Timeout | undefined
+  let confirmTimer: NodeJS.Timeout | undefined
+  /** Whether every entry since a read of the newest ones was read by this node; the zone's reader leaves some out. */
+  let entriesComplete = false
 
   /** Entries that expired during an outage or are missing in a copy count as removed if a read after this time does not find them. */
   function serversRecovered (agoMs: number): void {
@@ -149,8 +157,10 @@
   function relayServers (records: FeedRecord<ServerRecord>[], next: number): void {
     const from = servers?.position()
     if (from === undefined || !isServerReader()) return relay.seen(records)
+    // This node has just become the reader. The other nodes depend on it for the last entry of a server.
+    if (!entriesComplete) servers?.readNewest()
     const agoMs = now() - recoveredAt
-    options.sendToZone(relay.updateFor(records, from, next, agoMs < recoveryRelayMs ? agoMs : undefined))
+    options.sendToZone(relay.updateFor(records, from, next, agoMs < recoveryRelayMs ? agoMs : undefined, entriesComplete))
   }
 
   return {
@@ -181,12 +191,13 @@
         replaced (records, next) {
           cache.replace('servers', records, next)
           relay.replaced(records, next)
+          entriesComplete = true
           options.serversReplaced(records, next)
         },
         changed (records, next) {
           cache.update('servers', records, next)
           relayServers(records, next)
-          options.servers(records)
+          options.servers(records, entriesComplete)
         },
         succeeded: options.serversLoaded
       }, { ...base('servers'), waitMs: () => 0, pauseMs: serverPauseMs })
@@ -209,6 +220,7 @@
     },
     stop () {
       clearTimeout(rewriteTimer)
+      clearTimeout(confirmTimer)
       for (const follower of [operator, servers, fleet]) follower?.stop()
     },
     operatorNext: () => operator?.position(),
@@ -217,17 +229,22 @@
     appended: () => fleet?.wake(),
     peerFleetNext: next => fleet?.behind(next),
     peerOperatorNext: next => operator?.behind(next),
+    confirmServers () {
+      clearTimeout(confirmTimer)
+      confirmTimer = setTimeout(() => servers?.readNewest(), nextEntryMs)
+    },
     receiveServerUpdate (payload) {
       if (!isServerUpdate(payload)) {
         log.warn('peer-message-failed', { reason: 'server update is malformed' })
         return
       }
-      const { from, next, records, returnedAgoMs } = payload
+      const { from, next, records, returnedAgoMs, complete } = payload
       if (servers?.advance(from, next) !== true) return
+      entriesComplete = false
       if (returnedAgoMs !== undefined) serversRecovered(returnedAgoMs)
       cache.update('servers', records, next)
       relay.seen(records)
-      options.servers(records)
+      options.servers(records, complete === true)
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -203,8 +203,7 @@
     members: () => fleet.members(),
     fleetSize: () => fleet.size(),
     probeLog (nodes) {
-      const peers = fleet.peers()
-      const asked = nodes === 'all' ? peers : drawSample(peers, logProbeSample, options.random)
+      const asked = nodes === 'all' ? fleet.peers() : drawSample(fleet.peers(), logProbeSample, options.random)
       logQuestions.ask(asked.map(({ address }) => address), nodes === 'all')
     },
     send: sendToNode,
@@ -382,6 +381,7 @@
       else if (change.type === 'ignored') log.info('server-entry-ignored', { key: change.key, offset: change.offset, sequence: change.sequence, reason: change.reason })
       else log.info('server-changed', { server: change.server.id, change: change.type, service: change.server.service, address: change.server.address, zone: change.server.zone })
     }
+    if (changes.some(change => change.type === 'ignored' && change.reason === 'maybe-left')) feeds.confirmServers()
     if (changes.every(({ type }) => type === 'ignored')) return
     upstream.retain(registry.all())
     restrictions.retain(registry.all())
@@ -411,7 +411,7 @@
       }
     },
     operator: applyOperator,
-    servers: records => applyServers(registry.apply(records, now())),
+    servers: (records, complete) => applyServers(registry.apply(records, now(), complete)),
     serversReplaced: (records, next) => applyServers(registry.replace(records, next, now())),
     serversLoaded () { serversLoaded = true },
     fleet: applyFleet,
--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -101,4 +101,26 @@
   assert.equal(readyIds(registry), ['s1'])
 })
 
+// Guards against an entry from before the removal that comes later, at a node that does not know the last one before it.
+test('a removed server whose last entry is not known comes back with the second later entry', () => {
+  const registry = createServerRegistry()
+  registry.apply([entry('s1', 0, {}, 1)], 0)
+  registry.apply([removal('s1', 40)], 0, false)
+  assert.equal(registry.apply([entry('s1', 41, {}, 25)], 10, false), [{ type: 'ignored', key: 's1', offset: 41, sequence: 25, reason: 'maybe-left' }])
+  assert.equal(readyIds(registry), [])
+  registry.replace([entry('s1', 41, {}, 25)], 42, 20)
+  assert.equal(readyIds(registry), [])
+  registry.replace([entry('s1', 44, {}, 26)], 45, 30)
+  assert.equal(readyIds(registry), ['s1'])
+})
+
+test('a removed server whose last entry is known comes back with the next one, and not with an earlier one', () => {
+  const registry = createServerRegistry()
+  registry.apply([entry('s1', 0, {}, 20), removal('s1', 40)], 0, true)
+  registry.apply([entry('s1', 41, {}, 19)], 10, true)
+  assert.equal(readyIds(registry), [])
+  registry.apply([entry('s1', 42, {}, 21)], 20, true)
+  assert.equal(readyIds(registry), ['s1'])
+})
+
 test.run()
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -11,8 +11,11 @@
 /** One start of a backend server. */
 export type ServerStart = Pick<BackendServer, 'id' | 'bornAt'>
 
-/** By what an entry is older than what is known of its server; `left`: it is not later than the last one before the server was removed. */
-export type StaleReason = 'offset' | 'start' | 'sequence' | 'left'
+/**
+ * By what an entry is older than what is known of its server; `left`: it is not later than the last one
+ * before the server was removed; `maybe-left`: that one is not known, so a later one must follow.
+ */
+export type StaleReason = 'offset' | 'start' | 'sequence' | 'left' | 'maybe-left'
 
 export type RegistryChange =
   | { type: 'added' | 'started-again' | 'draining' | 'removed', server: BackendServer }
@@ -21,8 +24,12 @@
   | { type: 'ignored', key: string, offset: number, sequence: number, reason: StaleReason }
 
 export type ServerRegistry = {
-  /** Applies records in their order. */
-  apply (records: readonly FeedRecord<ServerRecord>[], now: number): RegistryChange[]
+  /**
+   * Applies records in their order.
+   *
+   * @param complete - whether the last entry of a server that is removed is among these records or earlier ones
+   */
+  apply (records: readonly FeedRecord<ServerRecord>[], now: number, complete?: boolean): RegistryChange[]
   /** Applies the newest record of each key, read up to `next`; servers without a record were removed. */
   replace (records: readonly FeedRecord<ServerRecord>[], next: number, now: number): RegistryChange[]
   /** The server has stated itself that it is leaving; its entry may say otherwise, or not exist yet. */
@@ -42,15 +49,15 @@
 /** Number of starts that are known to have left, and of servers that were removed; their later entries may be outdated. */
 const maxKnownLeft = 4096
 
-type Entry = { server: BackendServer, sequence: number, offset: number, removedAt?: number }
+type Entry = { server: BackendServer, sequence: number, offset: number, removedAt?: number, complete?: boolean }
 
 export function createServerRegistry (): ServerRegistry {
   const entries = new Map<string, Entry>()
   const ready = new Map<string, BackendServer[]>()
   /** Newest start of each server that has stated that it is leaving. */
   const leavingStarts = new Map<string, number>()
-  /** Last entry of each removed server; a restored store may have an earlier one. */
-  const removed = new Map<string, { bornAt: number, sequence: number, era: number }>()
+  /** Last known entry of each removed server; a restored store may have an earlier one, and a store that loses responses may write one late. */
+  const removed = new Map<string, { bornAt: number, sequence: number, era: number, complete: boolean }>()
   let graceUntil = -Infinity
 
   /** @returns by what the record is older than the current entry */
@@ -60,22 +67,30 @@
     return record.sequence < current.sequence ? 'sequence' : undefined
   }
 
-  /** @param newest - the entry is one of the newest of all servers, as opposed to one that was just written */
-  function isOfRemoved (key: string, { server, sequence }: ServerRecord & { type: 'server' }, offset: number, newest: boolean): boolean {
+  /**
+   * @param newest - the entry is one of the newest of all servers, as opposed to one that was just written
+   * @returns why the entry does not bring back a server that was removed
+   */
+  function staleByRemoval (key: string, { server, sequence }: ServerRecord & { type: 'server' }, offset: number, newest: boolean): StaleReason | undefined {
     const last = removed.get(key)
-    if (last === undefined || server.bornAt > last.bornAt) return false
+    if (last === undefined || server.bornAt > last.bornAt) return undefined
     if (newest && server.bornAt === last.bornAt && eraOf(offset) > last.era) {
       // The entry may be from the copy. A server that lives writes another one.
       last.sequence = Math.max(last.sequence, sequence)
-      return true
+      return 'left'
     }
     // Sequences grow with each entry; servers that state none have 0.
-    return server.bornAt < last.bornAt || sequence < last.sequence || (sequence === last.sequence && sequence > 0)
+    if (server.bornAt < last.bornAt || sequence < last.sequence || (sequence === last.sequence && sequence > 0)) return 'left'
+    if (last.complete || sequence === 0) return undefined
+    // The server may have written later ones before its removal.
+    last.sequence = sequence
+    last.complete = true
+    return 'maybe-left'
   }
 
   function put ({ key, offset }: FeedRecord<ServerRecord>, record: ServerRecord & { type: 'server' }, newest: boolean): RegistryChange[] {
     const current = entries.get(key)
-    const reason = current !== undefined ? staleBy(current, record, offset) : isOfRemoved(key, record, offset, newest) ? 'left' : undefined
+    const reason = current !== undefined ? staleBy(current, record, offset) : staleByRemoval(key, record, offset, newest)
     if (reason !== undefined) return [{ type: 'ignored', key, offset, sequence: record.sequence, reason }]
     const sameStart = current !== undefined && current.server.bornAt === record.server.bornAt
     // A draining server becomes ready again only with a new start.
@@ -90,35 +105,37 @@
     return state !== current.server.state ? [{ type: 'draining', server }] : []
   }
 
-  function remove (key: string, offset: number, now: number): RegistryChange[] {
+  function remove (key: string, offset: number, now: number, complete: boolean): RegistryChange[] {
     const current = entries.get(key)
     if (current === undefined || offset < current.offset) return []
     current.removedAt ??= now
     current.offset = offset
+    current.complete = complete
     return now < graceUntil ? [] : drop(key, current)
   }
 
   function drop (key: string, entry: Entry): RegistryChange[] {
     entries.delete(key)
-    removed.set(key, { bornAt: entry.server.bornAt, sequence: entry.sequence, era: eraOf(entry.offset) })
+    removed.set(key, { bornAt: entry.server.bornAt, sequence: entry.sequence, era: eraOf(entry.offset), complete: entry.complete === true })
     if (removed.size > maxKnownLeft) removed.delete(removed.keys().next().value!)
     ready.clear()
     return [{ type: 'removed', server: entry.server }]
   }
 
-  function applyOne (record: FeedRecord<ServerRecord>, now: number, newest = false): RegistryChange[] {
-    if (record.value === undefined) return remove(record.key, record.offset, now)
+  function applyOne (record: FeedRecord<ServerRecord>, now: number, { newest = false, complete = true }: { newest?: boolean, complete?: boolean }): RegistryChange[] {
+    if (record.value === undefined) return remove(record.key, record.offset, now, complete)
     if (record.value.type === 'server') return put(record, record.value, newest)
     // A server with an unreadable entry must not be used.
-    return [{ type: 'unreadable', key: record.key, reason: record.value.reason }, ...remove(record.key, record.offset, now)]
+    return [{ type: 'unreadable', key: record.key, reason: record.value.reason }, ...remove(record.key, record.offset, now, complete)]
   }
 
   return {
-    apply: (records, now) => records.flatMap(record => applyOne(record, now)),
+    apply: (records, now, complete = true) => records.flatMap(record => applyOne(record, now, { complete })),
     replace (records, next, now) {
       const present = new Set(records.map(({ key }) => key))
       const missing = [...entries.keys()].filter(key => !present.has(key))
-      return [...records.flatMap(record => applyOne(record, now, true)), ...missing.flatMap(key => remove(key, next - 1, now))]
+      // Entries between the last read and the removal were not read.
+      return [...records.flatMap(record => applyOne(record, now, { newest: true, complete: false })), ...missing.flatMap(key => remove(key, next - 1, now, false))]
     },
     leave ({ id, bornAt }) {
       leavingStarts.delete(id)
--- a/packages/gateway/src/server-relay.test.ts
+++ b/packages/gateway/src/server-relay.test.ts
@@ -45,6 +45,18 @@
   assert.equal(relay.updateFor([removal], logPosition(1, 2), logPosition(1, 3), undefined).records, [removal])
 })
 
+// Guards against nodes that take an entry which the store writes late for a new one, because they do not know the last one.
+test('the last entry of a server precedes its removal if the other nodes have not been told of it', () => {
+  const relay = createServerRelay()
+  relay.replaced([record('s1', 1), record('s2', 2)], 3)
+  const [last, removal, other] = [record('s1', 3), { key: 's1', offset: 4, value: undefined }, { key: 's2', offset: 5, value: undefined }]
+  assert.equal(relay.updateFor([last], 3, 4, undefined, true), { from: 3, next: 4, records: [], complete: true })
+  assert.equal(relay.updateFor([removal], 4, 5, undefined, true).records, [last, removal])
+  assert.equal(relay.updateFor([other], 5, 6, undefined, true).records, [record('s2', 2), other])
+  const changed = record('s3', 6)
+  assert.equal(relay.updateFor([changed, { ...removal, key: 's3' }], 6, 8, undefined, true).records, [changed, { ...removal, key: 's3' }])
+})
+
 // Guards against changes that are lost because they do not fit into a datagram.
 test('announces only the end offset of changes that do not fit, so that the nodes detect the gap', () => {
   const many = Array.from({ length: 40 }, (_, index) => record(`s${index}`, index))
--- a/packages/gateway/src/server-relay.ts
+++ b/packages/gateway/src/server-relay.ts
@@ -14,6 +14,8 @@
   from: number
   next: number
   records: FeedRecord<ServerRecord>[]
+  /** Whether the sender has read every entry of the servers that it removes, and sends the last one before each removal. */
+  complete?: boolean
   /** Time since the sender's connection to the store recovered, in ms; absent without a recent outage. */
   returnedAgoMs?: number
 }
@@ -25,10 +27,13 @@
   seen (records: readonly FeedRecord<ServerRecord>[]): void
   /**
    * Builds the update for the zone after a read. Entries in which only the sequence changed are left
-   * out. Changes that do not fit into a datagram are announced by their end offset alone, and the other
-   * nodes read them from the store.
+   * out; the last of them precedes the removal of its server, so that an earlier entry that the store
+   * carries out after the removal is known as such. Changes that do not fit into a datagram are
+   * announced by their end offset alone, and the other nodes read them from the store.
+   *
+   * @param complete - whether this node has read every entry since its last read of the newest ones
    */
-  updateFor (records: readonly FeedRecord<ServerRecord>[], from: number, next: number, returnedAgoMs: number | undefined): ServerUpdate
+  updateFor (records: readonly FeedRecord<ServerRecord>[], from: number, next: number, returnedAgoMs: number | undefined, complete?: boolean): ServerUpdate
 }
 
 /** Bytes of a datagram that are reserved for the frame around the update. */
@@ -44,12 +49,19 @@
 
 export function createServerRelay (): ServerRelay {
   const contents = new Map<string, string>()
+  /** Last entry of each server, if the other nodes have not been told of it. */
+  const omitted = new Map<string, FeedRecord<ServerRecord>>()
   let era: number | undefined
 
   /** @returns whether the content differs from the last recorded one */
-  function recordChange ({ key, value }: FeedRecord<ServerRecord>): boolean {
+  function recordChange (record: FeedRecord<ServerRecord>): boolean {
+    const { key, value } = record
     const content = contentOf(value)
-    if (contents.get(key) === content) return false
+    if (contents.get(key) === content) {
+      omitted.set(key, record)
+      return false
+    }
+    omitted.delete(key)
     if (value === undefined) {
       contents.delete(key)
       return true
@@ -58,19 +70,29 @@
     return true
   }
 
+  /** @returns what the other nodes are told of the record */
+  function changes (record: FeedRecord<ServerRecord>, complete: boolean): FeedRecord<ServerRecord>[] {
+    const last = omitted.get(record.key)
+    if (!recordChange(record)) return []
+    return complete && record.value === undefined && last !== undefined ? [last, record] : [record]
+  }
+
   return {
     replaced (records, next) {
       const restored = era !== undefined && eraOf(next) !== era
       era = eraOf(next)
       contents.clear()
-      if (!restored) records.forEach(recordChange)
+      omitted.clear()
+      if (restored) return
+      records.forEach(recordChange)
+      for (const record of records) omitted.set(record.key, record)
     },
     seen (records) {
       records.forEach(recordChange)
     },
-    updateFor (records, from, next, returnedAgoMs) {
+    updateFor (records, from, next, returnedAgoMs, complete) {
       const recovery = returnedAgoMs === undefined ? {} : { returnedAgoMs: Math.round(returnedAgoMs) }
-      const update = { from, next, records: records.filter(recordChange), ...recovery }
+      const update = { from, next, records: records.flatMap(record => changes(record, complete === true)), ...(complete === true ? { complete } : {}), ...recovery }
       return JSON.stringify(update).length <= maxDatagramBytes - reservedBytes ? update : { from: next, next, records: [], ...recovery }
     }
   }
