Wait for an address that is in use instead of ending the process

Operators saw (report of real processes, FAULT): the system did not start, or processes ended by themselves.

Reproduced first: a run of 140 s on (six nodes, four zones, planned stops, then kills, pauses and an unreachable store) showed no process that ended by itself. By reading, start() gave up at the first address in use. Brought about with real processes: another process holds one of the six addresses for 2.5 s; the process ended with code 1 in six of six cases. That this is what the report saw is an inference.

Change: a node tries such an address again until it is free and logs address-in-use; it registers itself only when it accepts requests. An error that a listener reports later is logged; without a handler it would have ended the process.

Gateway, peer link and planned stop 14 of 14.

--- a/packages/gateway/src/auxiliary-servers.ts
+++ b/packages/gateway/src/auxiliary-servers.ts
@@ -2,18 +2,7 @@
 import { createServer, type Server } from 'node:http'
 import type { DecisionLog } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
-import type { AddressResponse, AddressQuery, IngressCodec, ListenAddress } from './platform-interface'
-
-/** Resolves when the server listens. @throws if the address cannot be used */
-export function listenOn (server: Server, { host, port }: ListenAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, () => {
-      server.off('error', reject)
-      resolve()
-    })
-  })
-}
+import type { AddressResponse, AddressQuery, IngressCodec } from './platform-interface'
 
 /** Responds to the platform's readiness checks with 200 while the node is ready, otherwise with 503. */
 export function createReadyServer (ingress: IngressCodec, isReady: () => boolean): Server {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** One gateway node: connects the decision modules with clients, backend servers, peers and the store. */
 import { createAdapterVersions } from './adapter-versions'
-import { createDirectoryServer, createMetricsServer, createReadyServer, listenOn } from './auxiliary-servers'
+import { createDirectoryServer, createMetricsServer, createReadyServer } from './auxiliary-servers'
 import type { ClientExchange } from './client-exchange'
 import type { ClusterConfig } from './cluster-types'
 import type { EvidenceMessage } from './crash-evidence'
@@ -15,6 +15,7 @@
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
 import { createGrantClient, type GrantMessage } from './grant-client'
+import { createListening } from './listening'
 import { createLogProbe } from './log-probe'
 import { createLogQuestions } from './log-questions'
 import { createOwnRecords } from './own-records'
@@ -26,6 +27,7 @@
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
 import { sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
+import { logServerChanges } from './server-change-log'
 import { createServerRestrictions } from './server-restrictions'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePools } from './service-pool'
@@ -376,11 +378,7 @@
   }
 
   function applyServers (changes: RegistryChange[]): void {
-    for (const change of changes) {
-      if (change.type === 'unreadable') log.warn('server-entry-unreadable', { key: change.key, reason: change.reason })
-      else if (change.type === 'ignored') log.info('server-entry-ignored', { key: change.key, offset: change.offset, sequence: change.sequence, reason: change.reason })
-      else log.info('server-changed', { server: change.server.id, change: change.type, service: change.server.service, address: change.server.address, zone: change.server.zone })
-    }
+    logServerChanges(changes, log)
     if (changes.some(change => change.type === 'ignored' && change.reason === 'maybe-left')) feeds.confirmServers()
     if (changes.every(({ type }) => type === 'ignored')) return
     upstream.retain(registry.all())
@@ -442,6 +440,8 @@
   })
   const suspensionDetector = createSuspensionDetector({ now, wallClock: Date.now })
 
+  const listening = createListening({ log, stopped: () => leavingSince !== undefined })
+
   function checkSuspension (): void {
     const gapMs = suspensionDetector.check()
     if (gapMs === 0) return
@@ -476,17 +476,19 @@
   return {
     async start () {
       log.info('starting', { zone: settings.zone, address: self.address, front: self.front, incarnation: self.incarnation })
-      await link.listen()
+      // A node is known to the others only when it accepts requests.
+      await listening.other({ host: settings.ip, port: settings.peerPorts[0] }, link.listen)
+      await Promise.all([
+        listening.server(front.server, settings.front),
+        listening.server(readyServer, settings.ready),
+        listening.server(directoryServer, settings.directory),
+        ...(settings.control === undefined ? [] : [listening.server(snapshotServer, settings.control)])
+      ])
+      if (leavingSince !== undefined) return
       feeds.start()
       startTimers()
       ownRecords.append(`node/${self.name}`, self, 'registration-failed').catch(err => { log.error('registration-failed', { reason: (err as Error).message }) })
-      await Promise.all([
-        listenOn(front.server, settings.front),
-        listenOn(readyServer, settings.ready),
-        listenOn(directoryServer, settings.directory),
-        ...(settings.control === undefined ? [] : [listenOn(snapshotServer, settings.control)]),
-        listenOn(metricsServer, { host: settings.ip, port: options.metricsAddress.port })
-      ])
+      listening.server(metricsServer, { host: settings.ip, port: options.metricsAddress.port }).catch(err => { log.error('metrics-failed', { reason: (err as Error).message }) })
       log.info('started', {})
     },
     reload (next) {
--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -107,11 +107,17 @@
 
   return {
     listen: () => new Promise((resolve, reject) => {
-      socket.once('error', reject)
-      socket.bind(options.port, options.host, () => {
-        socket.off('error', reject)
+      const bound = (): void => {
+        socket.off('error', failed)
         resolve()
-      })
+      }
+      const failed = (err: Error): void => {
+        socket.off('listening', bound)
+        reject(err)
+      }
+      socket.once('error', failed)
+      socket.once('listening', bound)
+      socket.bind(options.port, options.host)
     }),
     notify: (address, message) => { transmit(address, 0, message) },
     deliver: (address, message) => new Promise(resolve => {
