Log peer messages that cannot be handled instead of ending the process

Found while looking for that, brought about with a real process: a datagram with a known kind and another body than expected threw a TypeError in the socket's listener, and the process ended with code 1.

Change: such a message is logged with its kind, sender and error, and dropped.

Test: process-ends.test.ts, "malformed messages of peers do not end the process", 120 messages; failed before, passes now.

--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -101,7 +101,11 @@
       transmit(sender, 0, { kind: ackKind, payload: number })
       if (!isNew(`${node}/${incarnation}`, number)) return
     }
-    options.received({ node, incarnation }, { kind, payload }, sender)
+    try {
+      options.received({ node, incarnation }, { kind, payload }, sender)
+    } catch (err) {
+      options.onError(`message '${kind}' of ${node} at ${sender} could not be handled: ${(err as Error).message}`)
+    }
   })
   socket.on('error', err => { options.onError(err.message) })
 
