Send no messages on a link that was closed

A stopping process closes its link to the other nodes before it is gone. A request that ends in between sends a message: the closed socket throws, and the process ends with an error through uncaughtException (FAULT). Found by reading; the unit test shows the exception.

Test: peer-link.test.ts, "messages after the link was closed ...": failed before (ERR_SOCKET_DGRAM_NOT_RUNNING), 4 of 4 now.

--- a/packages/gateway/src/peer-link.test.ts
+++ b/packages/gateway/src/peer-link.test.ts
@@ -51,4 +51,12 @@
   receiver.link.close()
 })
 
+// Guards against a stopping process that ends with an error, because a request ends after the link was closed.
+test('messages after the link was closed are not delivered and throw nothing', async () => {
+  const { link } = await start('n1', [])
+  link.close()
+  link.notify('127.0.0.1:9', { kind: 'hello', payload: 1 })
+  assert.is(await link.deliver('127.0.0.1:9', { kind: 'hello', payload: 1 }), false)
+})
+
 test.run()
--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -66,8 +66,11 @@
   /** Numbers of received messages by peer process. */
   const seen = new Map<string, Set<number>>()
   let lastNumber = 0
+  let closed = false
 
   function transmit (address: string, number: number, { kind, payload }: PeerMessage): void {
+    // Requests may still end after the link was closed.
+    if (closed) return
     const [host, port] = splitAddress(address)
     const frame: Frame = [self.node, self.incarnation, number, kind, payload, options.position()]
     socket.send(JSON.stringify(frame), port, host, err => {
@@ -139,6 +142,7 @@
       transmitAttempt(0)
     }),
     close () {
+      closed = true
       for (const { timer, resolve } of unacked.values()) {
         clearTimeout(timer)
         resolve(false)
