Count a request as in progress until its client has read the response

Brought about with a real process: a client that pauses for 5 s while it reads a response of 12 MiB got 3.9 MB when the node was stopped.

Cause: a stopping node waits for its requests, but counted one as ended when its response had been written into the process's own buffers. The process then ended after 2.5 s of a grace period of 8 s.

Change: a request counts until its last byte was handed to the system or its connection is closed.

Test: process-ends.test.ts, "a planned stop lets clients read ...": failed before (3,919,703 of 12,582,912 bytes), passes now.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -26,7 +26,7 @@
 
 export type FrontServer = {
   server: Server
-  /** Number of requests in progress. */
+  /** Number of requests in progress, those included whose responses clients have not read yet. */
   running (): number
   /** Applies the limits of a new configuration. */
   configure (): void
@@ -136,11 +136,13 @@
     running += 1
     req.on('error', () => {})
     res.on('error', () => {})
+    // Emitted when the last byte was handed to the system, or when the connection is closed.
+    const responded = new Promise<void>(resolve => { res.once('close', resolve) })
     handle(req, res).catch(err => {
       env.log.error('request-failed', { reason: (err as Error).stack ?? String(err) })
       sendRefusal(res, { status: 500, outcome: 'unknown' }, 'the node could not handle the request')
       if (!res.writableEnded) abortResponse(res)
-    }).finally(() => { running -= 1 })
+    }).then(async () => { await responded }).finally(() => { running -= 1 })
   })
   const responses = trackResponses(server)
   server.on('clientError', (err, socket) => {
