Bound the bytes of all responses that a node keeps at a time

Operators saw elsewhere (report): a server sent bytes without end, the node that had called it ran out of memory, and other clients' requests ended with it.

Cause: one response is bounded at 16 MiB, the sum was not. 150 requests at once, half of them at a server that answers without end, took 551 to 874 MB of a node whose instance has 350 MB.

Change: incomplete responses, errors kept for a retry and responses that clients have not read are counted together, 48 MiB at most; beyond that the largest incomplete one is given up.

--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createKeptBytes } from './kept-bytes'
 import { startAttempt, type AttemptOptions, type AttemptResult } from './attempt'
 import type { BackendServer } from './cluster-types'
 import { testCodec } from './testing'
@@ -37,6 +38,7 @@
 async function run (requestId: string, overrides: Partial<AttemptOptions> = {}): Promise<AttemptResult> {
   return await startAttempt({
     codec: testCodec,
+    kept: createKeptBytes(),
     upstream,
     now: () => performance.now(),
     server: backend,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,6 +5,7 @@
  */
 import type { BackendServer } from './cluster-types'
 import { createEventSplitter } from './event-splitter'
+import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders, ResponseMetadata } from './platform-interface'
 import type { Upstream, UpstreamRequest } from './upstream'
 
@@ -38,6 +39,7 @@
     events (bytes: Buffer, lastId: string | undefined): boolean
   }
   maxBodyBytes: number
+  kept: KeptBytes
   /** The response is passed on or counts as a refusal of the server; called before its body arrives. */
   responded? (status: number, metadata: ResponseMetadata, sentAt: number): void
   warn (event: string, fields: Record<string, string | number>): void
@@ -51,6 +53,8 @@
 
 /** Largest event of a stream, in bytes. An event without end would otherwise fill the memory of the node. */
 const maxEventBytes = 256 * 1024
+/** Largest body of a refusal that is read, so that its connection can be used again, in bytes. */
+const maxRefusalBytes = 64 * 1024
 
 const retryLaterStatuses = new Set([408, 421, 429, 503])
 
@@ -69,17 +73,30 @@
 export function startAttempt (options: AttemptOptions): Attempt {
   const { codec, server, upstream, stream } = options
   const sentAt = options.now()
-  let resolveResult: (result: AttemptResult) => void = () => {}
-  const result = new Promise<AttemptResult>(resolve => { resolveResult = resolve })
+  let resolvePromise: (result: AttemptResult) => void = () => {}
+  const result = new Promise<AttemptResult>(resolve => { resolvePromise = resolve })
   let status = 0
   let metadata: ResponseMetadata | undefined
   let framing: BodyFraming = 'connection-close'
   let streaming = false
   let eventsSent = false
   let bytes = 0
+  let ended = false
   const chunks: Buffer[] = []
   const splitter = createEventSplitter()
 
+  const kept = options.kept.open(() => {
+    options.warn('response-given-up', { server: server.id, requestId: options.requestId, bytes, keptBytes: options.kept.total() })
+    call.abort('too many bytes of responses')
+    fail('the node keeps too many bytes of responses')
+  })
+
+  function resolveResult (attemptResult: AttemptResult): void {
+    ended = true
+    kept.close()
+    resolvePromise(attemptResult)
+  }
+
   function fail (reason: string, connectionLost = false): void {
     resolveResult({ type: 'failed', reason, eventsSent, connectionLost })
   }
@@ -116,8 +133,14 @@
     },
     data (chunk) {
       bytes += chunk.length
+      if (metadata?.notRun === true) {
+        if (bytes > maxRefusalBytes) call.abort('refusal is too large')
+        return
+      }
       if (streaming) {
         const completeEvents = splitter.push(chunk)
+        kept.set(splitter.restBytes())
+        if (ended) return
         if (splitter.restBytes() > maxEventBytes) {
           call.abort('event is too large')
           return fail('event is too large')
@@ -132,6 +155,7 @@
         return fail('response is too large')
       }
       chunks.push(chunk)
+      kept.set(bytes)
     },
     complete () {
       if (streaming) {
--- a/packages/gateway/src/broken-stream.test.ts
+++ b/packages/gateway/src/broken-stream.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createKeptBytes } from './kept-bytes'
 import { startAttempt, type AttemptResult } from './attempt'
 import type { BackendServer } from './cluster-types'
 import { testCodec } from './testing'
@@ -24,6 +25,7 @@
   let forwarded = ''
   const result = await startAttempt({
     codec: testCodec,
+    kept: createKeptBytes(),
     upstream,
     now: () => performance.now(),
     server: backend,
--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -1,6 +1,7 @@
 /** A client request and its response. At most one response is sent; the connection is closed if it cannot be completed. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Route, ServiceSpec } from './cluster-types'
+import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders, RequestMetadata } from './platform-interface'
 
 /** `not-run` guarantees that the request has not run and will not run. */
@@ -40,6 +41,7 @@
 
 export type ExchangeOptions = {
   codec: HeaderCodec
+  kept: KeptBytes
   /** Whether the node is leaving, so that responses close their connection. */
   closing (): boolean
 }
@@ -124,6 +126,8 @@
     onDrain: listener => { res.once('drain', listener) },
     end,
     respond (status, headers, body) {
+      if (ended) return
+      res.once('close', options.kept.hold(body.length))
       head(status, [...withoutLength(headers), 'Content-Length', String(body.length)])
       end(body)
     },
--- a/packages/gateway/src/endless-response.test.ts
+++ b/packages/gateway/src/endless-response.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createKeptBytes } from './kept-bytes'
 import { startAttempt, type AttemptResult } from './attempt'
 import type { BackendServer } from './cluster-types'
 import { testCodec } from './testing/test-codec'
@@ -32,7 +33,7 @@
 
 type Played = { result: AttemptResult, written: number, forwarded: number, closed: boolean }
 
-async function play ({ first, repeated, stream }: Endless, timeLimitMs: number): Promise<Played> {
+async function play ({ first, repeated, stream }: Endless, timeLimitMs: number, kept = createKeptBytes()): Promise<Played> {
   let written = 0
   let closed = false
   let markClosed: () => void = () => {}
@@ -61,6 +62,7 @@
   let forwarded = 0
   const attempt = startAttempt({
     codec: testCodec,
+    kept,
     upstream,
     now: () => performance.now(),
     server: backend,
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -9,6 +9,7 @@
 import type { DecisionLog } from './decision-log'
 import type { RunOutcome } from './engine-scheduler'
 import type { Grant, GrantClient } from './grant-client'
+import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders } from './platform-interface'
 import type { ServerRestrictions } from './server-restrictions'
 import type { Upstream } from './upstream'
@@ -17,6 +18,7 @@
   now (): number
   codec: HeaderCodec
   upstream: Upstream
+  kept: KeptBytes
   grants: GrantClient
   log: DecisionLog
   /** Engines that accept requests according to the store. */
@@ -185,6 +187,7 @@
         }
       },
       maxBodyBytes: maxResponseBytes,
+      kept: env.kept,
       responded: (status, response, sentAt) => env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
       warn: env.log.warn
     })
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -4,13 +4,27 @@
 import type { DecisionLog } from './decision-log'
 import type { DirectoryNode } from './directory'
 import type { FleetMember } from './engine-ownership'
-import type { FeedRecord, FleetRecord, UnreadableRecord } from './platform-interface'
+import type { FeedRecord, FleetRecord, NodeSettings, UnreadableRecord } from './platform-interface'
 
 /** Failure detection; times in ms. A failed node is declared dead after about two seconds, during which its engines have no owner. */
 const failureDetection = { periodMs: 500, ackTimeoutMs: 200, suspicionMs: 1200, indirectProbes: 3 }
 
 export type NodeRecord = FleetRecord & { type: 'node' }
 
+/** @returns the record under which the others find a node */
+export function nodeRecordOf (settings: NodeSettings, incarnation: number): NodeRecord {
+  return {
+    type: 'node',
+    name: settings.name,
+    address: `${settings.ip}:${settings.peerPorts[0]}`,
+    zone: settings.zone,
+    incarnation,
+    front: `${settings.front.host}:${settings.front.port}`,
+    capacity: settings.cpuShare,
+    ...(settings.control === undefined ? {} : { control: `${settings.control.host}:${settings.control.port}` })
+  }
+}
+
 export type FleetOptions = {
   self: NodeRecord
   now (): number
--- a/packages/gateway/src/front-server.test.ts
+++ b/packages/gateway/src/front-server.test.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createKeptBytes } from './kept-bytes'
 import type { ClientExchange } from './client-exchange'
 import type { DecisionLog } from './decision-log'
 import { createFrontServer, type FrontServer } from './front-server'
@@ -30,6 +31,7 @@
   front = createFrontServer({
     now: () => performance.now(),
     codec: testCodec,
+    kept: createKeptBytes(),
     log,
     routes: () => table,
     closing: () => false,
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -5,12 +5,14 @@
 import { trackResponses } from '@yuccawharf/clients'
 import { abortResponse, createClientExchange, refusalBody, sendRefusal, type ClientExchange, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
+import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec } from './platform-interface'
 import { chooseTarget, type RouteTable } from './route-table'
 
 export type FrontServerEnv = {
   now (): number
   codec: HeaderCodec
+  kept: KeptBytes
   log: DecisionLog
   /** Undefined until a configuration has been read. */
   routes (): RouteTable | undefined
@@ -112,7 +114,7 @@
     const service = target === undefined ? undefined : table.service(target)
     if (service === undefined) return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
     const deadlineAt = Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
-    const exchange = createClientExchange({ req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt }, { codec: env.codec, closing: env.closing })
+    const exchange = createClientExchange({ req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt }, { codec: env.codec, kept: env.kept, closing: env.closing })
     // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
     await nextTurn()
     await nextTurn()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,10 +11,11 @@
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
 import { createFeeds } from './feeds'
-import { createFleet, type NodeRecord } from './fleet'
+import { createFleet, nodeRecordOf } from './fleet'
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
 import { createGrantClient, type GrantMessage } from './grant-client'
+import { createKeptBytes } from './kept-bytes'
 import { createListening } from './listening'
 import { createLogProbe } from './log-probe'
 import { createLogQuestions } from './log-questions'
@@ -106,16 +107,7 @@
   /** Offset up to which operator records were applied from a peer's snapshot. */
   let peerOperatorNext = -1
 
-  const self: NodeRecord = {
-    type: 'node',
-    name: settings.name,
-    address: `${settings.ip}:${settings.peerPorts[0]}`,
-    zone: settings.zone,
-    incarnation: startedAt,
-    front: `${settings.front.host}:${settings.front.port}`,
-    capacity: settings.cpuShare,
-    ...(settings.control === undefined ? {} : { control: `${settings.control.host}:${settings.control.port}` })
-  }
+  const self = nodeRecordOf(settings, startedAt)
 
   const link = createPeerLink({
     self: { node: self.name, incarnation: self.incarnation },
@@ -167,6 +159,7 @@
   })
 
   const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
+  const kept = createKeptBytes()
   const upstream = createUpstream({ now, connections: shares.connections })
 
   /** Ready engines of all services with their limits. */
@@ -329,14 +322,15 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, grants, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, kept, grants, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
-    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, log, restrictions, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget })
+    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget })
   }
 
   const front = createFrontServer({
     now,
     codec: platform.headers,
+    kept,
     log,
     routes: () => table,
     closing: () => leavingSince !== undefined,
--- a/packages/gateway/src/late-response.test.ts
+++ b/packages/gateway/src/late-response.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createKeptBytes } from './kept-bytes'
 import { startAttempt, type AttemptResult } from './attempt'
 import type { BackendServer } from './cluster-types'
 import { testCodec } from './testing/test-codec'
@@ -70,7 +71,7 @@
   const backend: BackendServer = { id: 's1', bornAt: 1, service: 'desk', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', state: 'ready', slots: 1, models: [] }
   upstream = createUpstream({ now: () => performance.now(), connections: () => 1 })
   const send = async (requestId: string): Promise<AttemptResult> => {
-    const attempt = startAttempt({ codec: testCodec, upstream, now: () => performance.now(), server: backend, requestId, req: { method, path: '/', headers: ['host', 'a', 'x-id', requestId], body: null }, maxBodyBytes: 1e6, warn () {} })
+    const attempt = startAttempt({ codec: testCodec, kept: createKeptBytes(), upstream, now: () => performance.now(), server: backend, requestId, req: { method, path: '/', headers: ['host', 'a', 'x-id', requestId], body: null }, maxBodyBytes: 1e6, warn () {} })
     const timer = setTimeout(() => attempt.abort('deadline'), 500)
     const result = await attempt.result
     clearTimeout(timer)
--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createKeptBytes } from './kept-bytes'
 import { createRetryBudget } from '@yuccawharf/coordination'
 import type { ClientExchange, RefusalStatus } from './client-exchange'
 import type { BackendServer } from './cluster-types'
@@ -46,6 +47,7 @@
     random: () => 0,
     zone: 'a',
     codec: testCodec,
+    kept: createKeptBytes(),
     upstream: {
       send (server, _req, handler) {
         outcome.sentTo.push(server.id)
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -5,6 +5,7 @@
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
+import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec } from './platform-interface'
 import { permitValidMs } from './request-permits'
 import type { ServerRestrictions } from './server-restrictions'
@@ -17,6 +18,7 @@
   zone: string
   codec: HeaderCodec
   upstream: Upstream
+  kept: KeptBytes
   log: DecisionLog
   /** What servers ask of this node in their responses. */
   restrictions: Pick<ServerRestrictions, 'record' | 'acquire' | 'waitMs'>
@@ -56,6 +58,7 @@
   let maybeRun = false
   /** An error of a server, passed on if no other server can be tried. */
   let unusedResponse: AttemptResult & { type: 'response' } | undefined
+  let releaseUnused: () => void = () => {}
   let current: Attempt | undefined
 
   budget.recordAttempt()
@@ -88,6 +91,7 @@
   async function send (server: BackendServer): Promise<AttemptResult> {
     const startedAt = env.now()
     unusedResponse = undefined
+    releaseUnused()
     sentTo.add(server.id)
     pool.started(server.id)
     const attempt = startAttempt({
@@ -103,6 +107,7 @@
         body: exchange.body
       },
       maxBodyBytes: maxResponseBytes,
+      kept: env.kept,
       responded: (status, response, sentAt) => env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
       warn: env.log.warn
     })
@@ -142,6 +147,7 @@
         if (result.status >= 500 && tryRetry()) {
           maybeRun = true
           unusedResponse = result
+          releaseUnused = env.kept.hold(result.body.length)
           return { type: 'retry' }
         }
         exchange.respond(result.status, result.headers, result.body)
@@ -188,5 +194,6 @@
     }
   } finally {
     clearTimeout(deadline)
+    releaseUnused()
   }
 }
--- a/packages/gateway/src/testing/node-process.ts
+++ b/packages/gateway/src/testing/node-process.ts
@@ -7,9 +7,14 @@
   | { type: 'server', id: string, record: ServerRecord }
   /** Blocks the event loop for a time, in ms. */
   | { type: 'block', ms: number }
+  | { type: 'memory' }
   | { type: 'stop' }
 
-export type NodeProcessReply = { type: 'started', front: number } | { type: 'stopped' }
+export type NodeProcessReply =
+  | { type: 'started', front: number }
+  /** Peak of the resident memory, in bytes. */
+  | { type: 'memory', peakBytes: number }
+  | { type: 'stopped' }
 
 const nodes = await startTestNodes(['a'])
 nodes.platform.operator.append('config', { type: 'config', config: testConfig })
@@ -17,6 +22,7 @@
 
 process.on('message', (command: NodeProcessCommand) => {
   if (command.type === 'server') nodes.platform.servers.append(command.id, command.record.type === 'server' ? command.record : undefined)
+  else if (command.type === 'memory') reply({ type: 'memory', peakBytes: process.resourceUsage().maxRSS * 1024 })
   else if (command.type === 'block') {
     for (const end = performance.now() + command.ms; performance.now() < end;);
   } else {
