Judge each version of an adapter from its own announcement

Cause: only the newest version and its time were kept, so each announcement made replicas that were two or more versions old usable for another 3.5 s.

Change: a replica is outdated since the first version newer than its own.

Test: engine-scheduler.test.ts "each version is judged ..." failed before, 28 of 28 now; version-history.test.ts 3 of 3.

--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -8,14 +8,14 @@
 import type { LoadLimit } from './load-limit'
 import { backlogMs, removeReplica, hasCapacity, isIdle, adapterSlotLimit, limitIntervalMs, limitWaitMs, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
+import type { VersionHistory } from './version-history'
 
 export type WaitingRequest = ScheduledRequest & { scope: string, arrivedAt: number }
-export type NewestVersion = { version: number, announcedAt: number }
 
 /** State of one owner that the scheduler and the load planner share. */
 export type SchedulerState = {
   engines: Map<string, EngineState>
-  versions: Map<string, NewestVersion>
+  versions: Map<string, VersionHistory>
   /** Estimated durations of loads from the weight store (cold) and from an engine's memory (warm), in ms. */
   coldLoadMs: number
   warmLoadMs: number
@@ -95,18 +95,14 @@
   const pendingReplacements = new Map<string, WantedAdapter>()
 
   function isCurrent (replica: AdapterReplica, scope: string): boolean {
-    const newest = versions.get(scope)
-    if (newest === undefined) return true
-    // A replica of unknown version may be outdated, unless its load began after the announcement was received.
-    if (replica.version === undefined) return Number.isFinite(newest.announcedAt) && replica.loadStartedAt > newest.announcedAt
-    return replica.version >= newest.version
+    return (versions.get(scope)?.outdatedSince(replica) ?? Infinity) === Infinity
   }
 
   function isUsable (replica: AdapterReplica, scope: string, now: number): boolean {
     if (replica.state === 'unloading' || replica.retiring === true || replica.readyAt > now) return false
     // A single request tests whether the load is done: an engine refuses at once if it is not.
     if (replica.state === 'loading' && isProbed(replica, now)) return false
-    return isCurrent(replica, scope) || now < versions.get(scope)!.announcedAt + cfg.versionMs - versionMarginMs
+    return now < (versions.get(scope)?.outdatedSince(replica) ?? Infinity) + cfg.versionMs - versionMarginMs
   }
 
   function viewEngines (now: number): EnginesView {
@@ -142,7 +138,7 @@
       const waitMs = usable.length === 0 ? Infinity : Math.min(...usable.map(engine => hasCapacity(engine, req.demand) ? engineWaitMs(engine) : Infinity))
       for (const engine of usable) queued.set(engine, (queued.get(engine) ?? 0) + 1)
       if (waitMs < (usable.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
-      const version = versions.get(req.scope)?.version
+      const version = versions.get(req.scope)?.newest()
       const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
       entry.weight += req.objectiveAt > now ? onTimeWeight : 1
       wanted.set(req.scope, entry)
@@ -157,7 +153,8 @@
   /** Adapters in use of which engines have only older versions. */
   function outdatedAdapters (view: EnginesView, now: number): WantedAdapter[] {
     const outdated: WantedAdapter[] = []
-    for (const [scope, { version }] of versions) {
+    for (const [scope, history] of versions) {
+      const version = history.newest()
       let use = 0
       let lastReplica: AdapterReplica | undefined
       let hasCurrent = isLoading(scope, view)
@@ -315,11 +312,11 @@
   function applyUnload (engine: EngineState, scope: string): void {
     const replica = engine.replicas.get(scope)
     removeReplica(engine, scope)
-    const newest = versions.get(scope)
-    if (replica === undefined || newest === undefined || isCurrent(replica, scope)) return
+    const history = versions.get(scope)
+    if (replica === undefined || history === undefined || isCurrent(replica, scope)) return
     engine.warmAdapters.delete(scope)
     const { model, adapter, use } = replica
-    if (use >= minReplaceUse) pendingReplacements.set(scope, { scope, model, adapter, version: newest.version, weight: use })
+    if (use >= minReplaceUse) pendingReplacements.set(scope, { scope, model, adapter, version: history.newest(), weight: use })
   }
 
   function commandFinished (engine: EngineState, result: EngineCommandResult, now: number): void {
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -260,6 +260,21 @@
   assert.equal([grant?.request, grant?.version], ['r2', 2])
 })
 
+// Guards against replicas that are two and more versions old, which each announcement made usable again.
+test('each version is judged from its own announcement, whatever follows it', () => {
+  for (const gapMs of [500, 1000, 3000]) {
+    const ids = ['e1', 'e2', 'e3']
+    const scheduler = createScheduler(ids.map(id => engine(id, ['a1'])), Object.fromEntries(ids.map(id => [id, ['a1']])))
+    let now = 100
+    for (let version = 2; now < 100 + 3500; version++, now += gapMs) scheduler.setVersion({ model: 'base', adapter: 'a1', version }, true, now)
+    const early = filterActions(scheduler.submit(request('r1', 'a1', { deadlineAt: 60_000 }), 3590), 'grant')
+    assert.is(early.length, 1, `versions every ${gapMs} ms: the first one need not be in use yet`)
+    scheduler.setVersion({ model: 'base', adapter: 'a1', version: 99 }, true, 3595)
+    const late = filterActions(scheduler.submit(request('r2', 'a1', { deadlineAt: 60_000 }), 3610), 'grant')
+    assert.equal(late, [], `versions every ${gapMs} ms: the first one must be in use`)
+  }
+})
+
 // Guards against a node that has just started or was partitioned and uses an older version as if its successor had just been announced.
 test('does not use an older replica if the new version may have been announced long ago', () => {
   const scheduler = createScheduler([engine('e1', ['a1'])], { e1: ['a1'] })
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -9,6 +9,7 @@
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
 import { recordRequest } from './request-pace'
+import { createVersionHistory } from './version-history'
 
 export * from './engine-scheduler-types'
 
@@ -125,8 +126,8 @@
       replica.lastUsedAt = now
       if (replica.state === 'loading') replica.probeSentAt ??= now
     }
-    const newest = versions.get(req.scope)
-    const version = replica !== undefined && newest !== undefined && isCurrent(replica, req.scope) ? newest.version : undefined
+    const newest = versions.get(req.scope)?.newest()
+    const version = replica !== undefined && newest !== undefined && isCurrent(replica, req.scope) ? newest : undefined
     return {
       type: 'grant',
       request: req.id,
@@ -327,9 +328,9 @@
     },
     setVersion ({ model, adapter, version }, recent, now) {
       const scope = cacheScope({ model, adapter })
-      const current = versions.get(scope)
-      if (current !== undefined && current.version >= version) return []
-      versions.set(scope, { version, announcedAt: recent ? now : -Infinity })
+      const history = versions.get(scope) ?? createVersionHistory()
+      versions.set(scope, history)
+      if (!history.announce(version, recent ? now : -Infinity)) return []
       // Engines have only older versions of the adapter in memory.
       for (const engine of engines.values()) engine.warmAdapters.delete(scope)
       return decide(now)
--- /dev/null
+++ b/packages/gateway/src/version-history.test.ts
@@ -0,0 +1,33 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createVersionHistory } from './version-history'
+
+const test = suite('version history')
+
+test('a loaded version is outdated since the first newer one', () => {
+  const history = createVersionHistory()
+  for (const [version, at] of [[2, 100], [5, 200], [9, 300]] as const) assert.ok(history.announce(version, at))
+  assert.not.ok(history.announce(5, 400))
+  assert.is(history.newest(), 9)
+  assert.equal([1, 2, 4, 5, 9, 12].map(version => history.outdatedSince({ version, loadStartedAt: 0 })), [100, 200, 200, 300, Infinity, Infinity])
+})
+
+test('a version that is not known is as old as the start of its load', () => {
+  const history = createVersionHistory()
+  history.announce(2, 100)
+  history.announce(3, 200)
+  assert.equal([0, 150, 201].map(loadStartedAt => history.outdatedSince({ loadStartedAt })), [100, 200, Infinity])
+  const unknown = createVersionHistory()
+  unknown.announce(2, -Infinity)
+  assert.is(unknown.outdatedSince({ loadStartedAt: 900 }), -Infinity)
+})
+
+// Guards against a longer use of old versions because their announcements were dropped.
+test('many announcements are kept in a bounded number, and never make an older version usable for longer', () => {
+  const history = createVersionHistory()
+  for (let version = 1; version <= 100; version++) history.announce(version, version * 10)
+  for (const version of [0, 5, 50]) assert.ok(history.outdatedSince({ version, loadStartedAt: 0 }) <= (version + 1) * 10)
+  assert.is(history.outdatedSince({ version: 99, loadStartedAt: 0 }), 1000)
+})
+
+test.run()
--- /dev/null
+++ b/packages/gateway/src/version-history.ts
@@ -0,0 +1,41 @@
+/** The versions of one adapter that were announced. Each is to be in use a while after its own announcement, whatever follows it. */
+
+/** `version` is undefined if the engine did not state it. */
+export type LoadedVersion = { version?: number, loadStartedAt: number }
+
+export type VersionHistory = {
+  /**
+   * @param at - time of the announcement, or -Infinity if it may have been long ago
+   * @returns whether the version is newer than all earlier ones
+   */
+  announce (version: number, at: number): boolean
+  /** @returns time of the announcement that made a loaded version an older one; Infinity if there is none */
+  outdatedSince (loaded: LoadedVersion): number
+  newest (): number
+}
+
+/** Announcements that are kept; the time of an earlier one then counts for its successor. */
+const maxAnnouncements = 16
+
+export function createVersionHistory (): VersionHistory {
+  /** In the order of their versions. */
+  const announcements: { version: number, at: number }[] = []
+
+  return {
+    announce (version, at) {
+      if (version <= (announcements.at(-1)?.version ?? -Infinity)) return false
+      announcements.push({ version, at })
+      if (announcements.length > maxAnnouncements) {
+        const { at: earliest } = announcements.shift()!
+        announcements[0]!.at = Math.min(announcements[0]!.at, earliest)
+      }
+      return true
+    },
+    outdatedSince ({ version, loadStartedAt }) {
+      // A load that began after an announcement got that version or a later one.
+      const newer = announcements.find(announced => version === undefined ? announced.at === -Infinity || announced.at >= loadStartedAt : announced.version > version)
+      return newer?.at ?? Infinity
+    },
+    newest: () => announcements.at(-1)?.version ?? -Infinity
+  }
+}
