Count adapters when a base model needs room on an engine

Cause: the room for a base model left out the engine's adapters, and the room for adapters left out a base model on its way.

Change: both count, orders without a result included. Idle adapters of the engine make room first, least used first; without one the load waits.

Test: engine-scheduler.test.ts "a further base model is loaded only when ..." failed before, 29 of 29 now.

--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -3,10 +3,10 @@
  * versions, and base models of engines that started empty. Applies the results of the commands.
  */
 import type { EngineCommandResult } from './cluster-types'
-import { countColdLoads, decideLoad, earlyRefusalMs, isProbed, type WantedAdapter } from './load-placement'
+import { countColdLoads, decideLoad, earlyRefusalMs, evictionCandidate, isProbed, type WantedAdapter } from './load-placement'
 import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
 import type { LoadLimit } from './load-limit'
-import { backlogMs, removeReplica, hasCapacity, isIdle, adapterSlotLimit, limitIntervalMs, limitWaitMs, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
+import { backlogMs, removeReplica, hasCapacity, isIdle, freeWeightsMb, adapterSlotLimit, limitIntervalMs, limitWaitMs, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
 import type { VersionHistory } from './version-history'
 
@@ -219,14 +219,21 @@
     return actions
   }
 
-  /** Loads the base models of engines that started empty, which need them before anything else. */
+  /**
+   * Loads the base models of engines that started empty, which need them before anything else, and
+   * further ones that requests wait for, if an engine has room for them beside its other models. Its
+   * adapters make room one after the other as they become idle.
+   */
   function baseModelActions (blocked: WaitingRequest[], now: number): SchedulerAction[] {
     return [...engines.values()].flatMap(engine => {
-      if (!canCommand(engine, now)) return []
+      if (!canCommand(engine, now) || engine.loadingModel !== undefined) return []
       const loadedMb = engine.spec.models.filter(({ name }) => engine.models.has(name)).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
       const missing = engine.spec.models.find(model => !engine.models.has(model.name) && loadedMb + model.weightsMb <= engine.spec.weightsMb)
       if (missing === undefined || (engine.models.size > 0 && !blocked.some(req => req.demand.model === missing.name))) return []
-      return engine.modelLoadCheckAt !== undefined && engine.modelLoadCheckAt > now ? [] : [createCommand(engine, 'load', { model: missing.name }, now)]
+      if (engine.modelLoadCheckAt !== undefined && engine.modelLoadCheckAt > now) return []
+      if (missing.weightsMb <= freeWeightsMb(engine)) return [createCommand(engine, 'load', { model: missing.name }, now)]
+      const evicted = evictionCandidate(engine, new Set())
+      return evicted === undefined ? [] : [createCommand(engine, 'unload', evicted, now)]
     })
   }
 
@@ -258,6 +265,7 @@
 
   function applyAcceptedCommand (engine: EngineState, { operation, model, adapter, version }: PendingCommand, now: number): void {
     if (adapter === undefined) {
+      if (operation === 'load') engine.loadingModel = model
       engine.modelLoadCheckAt = now + modelLoadCheckMs
       engine.reportAt = now + modelLoadCheckMs
       return
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -31,6 +31,8 @@
   return { bornAt: 1, commandCount, models: [{ name: 'base', adapters: adapters.map(name => ({ name, version: 1 })) }], loading: [], busy: false, queued: 0, active: 0, ...overrides }
 }
 
+type EngineCommandOf = (SchedulerAction & { type: 'command' })['command']
+
 const actionTypes = (actions: SchedulerAction[]): string[] => actions.map(({ type }) => type)
 const filterActions = <Type extends SchedulerAction['type']>(actions: SchedulerAction[], type: Type): (SchedulerAction & { type: Type })[] =>
   actions.filter((action): action is SchedulerAction & { type: Type } => action.type === type)
@@ -260,6 +262,33 @@
   assert.equal([grant?.request, grant?.version], ['r2', 2])
 })
 
+const twoModels: EngineSpec = { ...spec, weightsMb: 35_000, models: [{ name: 'base', weightsMb: 20_000, adapterMb: 66 }, { name: 'other', weightsMb: 14_800, adapterMb: 66 }] }
+
+// Guards against an engine that is ordered to load more than its memory holds, and crashes.
+test('a further base model is loaded only when adapters have made room for it, and no adapters beyond the room beside both', () => {
+  const adapters = ['a1', 'a2', 'a3', 'a4', 'a5']
+  const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => true })
+  const full = engine('e2', [], { models: [{ name: 'other', adapters: [] }] })
+  scheduler.setEngines([{ server: engine('e1', adapters), spec: twoModels }, { server: full, spec: twoModels }], 0)
+  scheduler.applyReport('e1', report(0, adapters), 0)
+  scheduler.applyReport('e2', report(0, [], { models: full.models }), 0)
+  const demand = { model: 'other', promptTokens: 3000, outputTokens: 50, parts: [{ id: 'own', tokens: 3000 }] }
+  const commandsFor = (actions: SchedulerAction[]): EngineCommandOf[] => filterActions(actions, 'command').filter(action => action.engine === 'e1').map(({ command }) => command)
+  let now = 10
+  let commands: EngineCommandOf[] = []
+  for (let index = 0; index < 80 && commands.length === 0; index++) commands = commandsFor(scheduler.submit(request(`r${index}`, undefined, { demand, objectiveAt: 50_000, deadlineAt: 60_000 }), now))
+  let unloaded = 0
+  for (; commands[0]?.operation === 'unload'; unloaded++) {
+    now += 10
+    commands = commandsFor(scheduler.commandFinished('e1', 'holds', now))
+  }
+  assert.is(unloaded, 2, 'both models leave room for three adapters of 66 MB')
+  assert.equal(commands.map(({ operation, model, adapter }) => [operation, model, adapter]), [['load', 'other', undefined]])
+  scheduler.commandFinished('e1', 'accepted', now + 10)
+  const later = [...scheduler.submit(request('late', 'a9', { objectiveAt: 50_000, deadlineAt: 60_000 }), now + 20), ...scheduler.tick(now + 60)]
+  assert.equal(commandsFor(later).filter(({ operation }) => operation === 'load'), [], 'the model on its way counts')
+})
+
 // Guards against replicas that are two and more versions old, which each announcement made usable again.
 test('each version is judged from its own announcement, whatever follows it', () => {
   for (const gapMs of [500, 1000, 3000]) {
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -66,6 +66,8 @@
   lastStallReportAt?: number
   /** Time of the next check of a base model that is being loaded. */
   modelLoadCheckAt?: number
+  /** Base model that the engine was ordered to load and does not report yet. */
+  loadingModel?: string
   runs: Map<string, Run>
   /** Cached result of {@link runningTokens}; undefined after a change. */
   runTokens?: number
@@ -172,6 +174,7 @@
   if (!restarted && state.commandCount !== undefined && report.commandCount < state.commandCount) return false
   const previousReplicas = state.replicas
   applyLoadedModels(state, report.models, now)
+  if (state.loadingModel !== undefined && (state.models.has(state.loadingModel) || !report.busy)) delete state.loadingModel
   for (const { model, adapter } of report.loading) {
     const scope = cacheScope({ model, adapter })
     const previous = previousReplicas.get(scope)
@@ -207,6 +210,7 @@
   delete state.runTokens
   delete state.pending
   delete state.modelLoadCheckAt
+  delete state.loadingModel
   delete state.limit
   state.lastFirstEventAt = -Infinity
   state.avoidedUntil = -Infinity
@@ -221,13 +225,22 @@
 }
 
 /** Number of adapters that fit beside the loaded models, by slots and by memory. */
-export function adapterSlotLimit ({ spec, models }: EngineState): number {
-  const loadedModels = spec.models.filter(({ name }) => models.has(name))
+export function adapterSlotLimit ({ spec, models, loadingModel }: EngineState): number {
+  const loadedModels = spec.models.filter(({ name }) => models.has(name) || name === loadingModel)
   const adapterMb = Math.max(0, ...loadedModels.map(model => model.adapterMb))
   const freeMb = spec.weightsMb - loadedModels.reduce((sum, model) => sum + model.weightsMb, 0)
   return Math.min(spec.adapterSlots, adapterMb === 0 ? Infinity : Math.floor(freeMb / adapterMb))
 }
 
+/** Memory that is left beside the base models and adapters that an engine has or is ordered to load, in MB. */
+export function freeWeightsMb ({ spec, models, loadingModel, replicas, pending }: EngineState): number {
+  const adapterMbOf = (name: string): number => spec.models.find(model => model.name === name)?.adapterMb ?? 0
+  const modelsMb = spec.models.filter(({ name }) => models.has(name) || name === loadingModel).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
+  const adaptersMb = [...replicas.values()].reduce((sum, { model }) => sum + adapterMbOf(model), 0)
+  const pendingMb = pending?.operation === 'load' && pending.adapter !== undefined ? adapterMbOf(pending.model) : 0
+  return spec.weightsMb - modelsMb - adaptersMb - pendingMb
+}
+
 /** Tokens of memory that the running requests need. Prompt parts that requests for an adapter share count once. */
 function runningTokens (state: EngineState): number {
   state.runTokens ??= sumTokens(state)
--- a/packages/gateway/src/load-placement.ts
+++ b/packages/gateway/src/load-placement.ts
@@ -51,7 +51,7 @@
 }
 
 /** Least used of the idle replicas that no waiting request needs. */
-function evictionCandidate (state: EngineState, neededScopes: ReadonlySet<string>): AdapterReplica | undefined {
+export function evictionCandidate (state: EngineState, neededScopes: ReadonlySet<string>): AdapterReplica | undefined {
   let leastUsed: AdapterReplica | undefined
   for (const [scope, replica] of state.replicas) {
     if (!isIdle(state, scope, replica) || (neededScopes.has(scope) && replica.retiring !== true)) continue
