Retry on a new connection after a server that has not answered in time

Cause: the retry went to another server on an open connection, which is as likely to be silent, and no further attempt is left.

Change: a retry after an attempt that was given up for its duration gets a connection of its own.

--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -56,6 +56,8 @@
   let unsent = 0
   /** An earlier attempt may have run. */
   let maybeRun = false
+  /** A server has not answered in time. Its connection may be silent, and others that were opened before as well. */
+  let avoidOpenConnections = false
   /** An error of a server, passed on if no other server can be tried. */
   let unusedResponse: AttemptResult & { type: 'response' } | undefined
   let releaseUnused: () => void = () => {}
@@ -104,7 +106,8 @@
         method: exchange.req.method ?? 'GET',
         path: exchange.req.url ?? '/',
         headers: env.codec.attempt(metadata, { instanceId: server.id, remainingMs: exchange.deadlineAt - startedAt }),
-        body: exchange.body
+        body: exchange.body,
+        newConnection: avoidOpenConnections
       },
       maxBodyBytes: maxResponseBytes,
       kept: env.kept,
@@ -118,6 +121,7 @@
     const result = await attempt.result
     clearTimeout(slowTimer)
     current = undefined
+    avoidOpenConnections ||= slow
     pool.ended(server.id, slow ? 'failed' : outcomeOf(result), env.now() - startedAt, env.now())
     return slow && result.type === 'aborted' ? { type: 'failed', reason: 'slow server', eventsSent: false, connectionLost: false } : result
   }
