--- a/packages/gateway/src/endless-memory.test.ts
+++ b/packages/gateway/src/endless-memory.test.ts
@@ -1,12 +1,9 @@
 /** The memory of a node while a server answers many requests without end. */
-import { fork, type ChildProcess } from 'node:child_process'
 import { createServer, type Server, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { fileURLToPath } from 'node:url'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { sendTestRequest, startBackend, untilServed, type FakeBackend, type TestOutcome } from './testing'
-import type { NodeProcessCommand, NodeProcessReply } from './testing/node-process'
+import { forkNode, sendTestRequest, startBackend, untilServed, type FakeBackend, type ForkedNode, type TestOutcome } from './testing'
 
 const test = suite('memory under endless responses')
 
@@ -17,27 +14,14 @@
 const entryReadMs = 1500
 const filler = 'x'.repeat(64 * 1024)
 
-let node: ChildProcess
-let front: number
+let node: ForkedNode
 let sound: FakeBackend
 let endless: Server
 let sockets: Set<Socket>
 let sent = 0
 
-function command (message: NodeProcessCommand): void {
-  node.send(message)
-}
-
-function replied (type: NodeProcessReply['type']): Promise<NodeProcessReply> {
-  return new Promise((resolve, reject) => {
-    node.on('error', reject)
-    node.on('exit', code => reject(new Error(`the node has ended with ${code}`)))
-    node.on('message', (message: NodeProcessReply) => { if (message.type === type) resolve(message) })
-  })
-}
-
 async function send (path: string): Promise<TestOutcome> {
-  return await sendTestRequest(front, path, `r${++sent}`)
+  return await sendTestRequest(node.front, path, `r${++sent}`)
 }
 
 async function startEndless (head: string, repeated: string): Promise<void> {
@@ -57,26 +41,22 @@
   })
   await new Promise<void>(resolve => endless.listen(0, '127.0.0.1', resolve))
   const { port } = endless.address() as { port: number }
-  command({ type: 'server', id: 's2', record: { type: 'server', server: { ...sound.server, id: 's2', address: `127.0.0.1:${port}` }, sequence: 1 } })
+  node.command({ type: 'server', id: 's2', record: { type: 'server', server: { ...sound.server, id: 's2', address: `127.0.0.1:${port}` }, sequence: 1 } })
   await sleep(entryReadMs)
 }
 
 test.before.each(async () => {
   sockets = new Set()
-  node = fork(fileURLToPath(new URL('testing/node-process.ts', import.meta.url)), { execArgv: ['--max-old-space-size=160', '--max-semi-space-size=4', '--import', 'tsx'] })
-  const started = await replied('started')
-  front = started.type === 'started' ? started.front : 0
+  node = await forkNode(['--max-old-space-size=160', '--max-semi-space-size=4'])
   sound = await startBackend('s1', 'desk', (req, res) => { setTimeout(() => res.writeHead(200, { 'x-id': req.headers['x-id'] ?? '', 'x-seal': 's' }).end('ok'), 20) }, { slots: 500 })
-  command({ type: 'server', id: 's1', record: { type: 'server', server: sound.server, sequence: 1 } })
-  await untilServed({ fronts: [front] }, () => send('/order/x'))
+  node.command({ type: 'server', id: 's1', record: { type: 'server', server: sound.server, sequence: 1 } })
+  await untilServed({ fronts: [node.front] }, () => send('/order/x'))
 })
 test.after.each(async () => {
   for (const socket of sockets) socket.destroy()
   endless.close()
   sound.close()
-  const stopped = replied('stopped')
-  command({ type: 'stop' })
-  await stopped
+  await node.stop()
 })
 
 for (const [name, head, repeated] of [
@@ -91,10 +71,9 @@
     assert.equal(outcomes.filter(({ status }) => status === 0), [], 'each request has a response')
     assert.ok(sockets.size > 10, `${sockets.size} connections to the server`)
     assert.ok(outcomes.filter(({ status }) => status === 200).length > requestCount / 4, 'the sound server still serves')
-    const memory = replied('memory')
-    command({ type: 'memory' })
-    const reply = await memory
-    const peakBytes = reply.type === 'memory' ? reply.peakBytes : Infinity
+    const memory = node.replied('memory')
+    node.command({ type: 'memory' })
+    const { peakBytes } = await memory
     assert.ok(peakBytes < memoryBytes, `the node had ${Math.round(peakBytes / 2 ** 20)} MB`)
   })
 }
--- a/packages/gateway/src/starved-node.test.ts
+++ b/packages/gateway/src/starved-node.test.ts
@@ -1,12 +1,9 @@
 /** A node whose event loop does not run for a while, and clients that give up meanwhile. */
-import { fork, type ChildProcess } from 'node:child_process'
 import { Agent, request } from 'node:http'
-import { fileURLToPath } from 'node:url'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { sendTestRequest, startBackend, untilServed, type FakeBackend } from './testing'
-import type { NodeProcessCommand, NodeProcessReply } from './testing/node-process'
+import { forkNode, sendTestRequest, startBackend, untilServed, type FakeBackend, type ForkedNode } from './testing'
 
 const test = suite('starved node')
 
@@ -15,23 +12,11 @@
 /** Time after which a request of a client that has left must no longer reach a server, in ms. */
 const toleranceMs = 500
 
-let node: ChildProcess
-let front: number
+let node: ForkedNode
 let backends: FakeBackend[]
 let arrivals: Map<string, number>
 let sent = 0
 
-function command (message: NodeProcessCommand): void {
-  node.send(message)
-}
-
-function replied (type: NodeProcessReply['type']): Promise<NodeProcessReply> {
-  return new Promise((resolve, reject) => {
-    node.on('error', reject)
-    node.on('message', (message: NodeProcessReply) => { if (message.type === type) resolve(message) })
-  })
-}
-
 async function startServer (id: string, service: string): Promise<void> {
   const backend = await startBackend(id, service, (req, res) => {
     arrivals.set(String(req.headers['x-id']), performance.now())
@@ -40,7 +25,7 @@
     else res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' }).end('id: 1\ndata: a\n\n')
   }, service === 'llm' ? { models: [{ name: 'base', adapters: [] }] } : {})
   backends.push(backend)
-  command({ type: 'server', id, record: { type: 'server', server: backend.server, sequence: 1 } })
+  node.command({ type: 'server', id, record: { type: 'server', server: backend.server, sequence: 1 } })
 }
 
 const headersOf = (path: string, id: string): Record<string, string> => ({ host: 'a.example', 'x-id': id, ...(path.startsWith('/draft/') ? { 'x-parts': id } : {}) })
@@ -51,7 +36,7 @@
 function sendAndLeave (path: string, agent: Agent | false, body: string): Promise<Departure> {
   const id = `r${++sent}`
   return new Promise(resolve => {
-    const req = request({ host: '127.0.0.1', port: front, path, method: 'POST', agent, headers: { ...headersOf(path, id), 'content-length': String(body.length) } }, res => {
+    const req = request({ host: '127.0.0.1', port: node.front, path, method: 'POST', agent, headers: { ...headersOf(path, id), 'content-length': String(body.length) } }, res => {
       res.resume()
       res.on('end', () => {
         clearTimeout(timer)
@@ -68,7 +53,7 @@
 }
 
 async function untilNodeServes (path: string): Promise<void> {
-  await untilServed({ fronts: [front] }, port => {
+  await untilServed({ fronts: [node.front] }, port => {
     const id = `start-${++sent}`
     return sendTestRequest(port, path, id, headersOf(path, id))
   })
@@ -77,14 +62,10 @@
 test.before.each(async () => {
   backends = []
   arrivals = new Map()
-  node = fork(fileURLToPath(new URL('testing/node-process.ts', import.meta.url)), { execArgv: ['--import', 'tsx'] })
-  const started = await replied('started')
-  front = started.type === 'started' ? started.front : 0
+  node = await forkNode()
 })
 test.after.each(async () => {
-  const stopped = replied('stopped')
-  command({ type: 'stop' })
-  await stopped
+  await node.stop()
   for (const backend of backends) backend.close()
 })
 
@@ -97,7 +78,7 @@
     // Opens connections that are used again.
     await Promise.all(Array.from({ length: 10 }, async () => await sendAndLeave(path, agent, '')))
     for (const blockMs of [500, 1000, 2000, 4000]) {
-      command({ type: 'block', ms: blockMs })
+      node.command({ type: 'block', ms: blockMs })
       await sleep(20)
       const departures: Promise<Departure>[] = []
       for (let index = 0; index < 20; index++) departures.push(sendAndLeave(path, index % 2 === 0 ? agent : false, index % 4 < 2 ? '' : 'body'))
@@ -116,11 +97,11 @@
 test('requests that are read late are served if their clients wait', async () => {
   await startServer('s1', 'desk')
   await untilNodeServes('/order/x')
-  command({ type: 'block', ms: 1000 })
+  node.command({ type: 'block', ms: 1000 })
   await sleep(20)
   const outcomes = await Promise.all(Array.from({ length: 20 }, async () => {
     const id = `r${++sent}`
-    return await sendTestRequest(front, '/order/x', id, headersOf('/order/x', id))
+    return await sendTestRequest(node.front, '/order/x', id, headersOf('/order/x', id))
   }))
   assert.equal(outcomes.filter(({ status }) => status !== 200), [])
 })
--- a/packages/gateway/src/testing/index.ts
+++ b/packages/gateway/src/testing/index.ts
@@ -1,5 +1,6 @@
 /** Test helpers of the gateway. */
 export * from './fake-platform'
+export * from './forked-node'
 export * from './free-ports'
 export * from './load-simulation'
 export * from './test-codec'
