--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,9 +1,13 @@
 /** Counters, gauges and latency histograms, served as text on the metrics address. */
+import { readdir } from 'node:fs/promises'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Bucket bounds of the latency histograms, in seconds: from one network hop to the longest deadlines. */
 const latencyBuckets = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1, 1.5, 2.5, 4, 6, 10, 15]
 
+/** Has an entry for each open descriptor of the process. */
+const descriptorFolder = '/proc/self/fd'
+
 export type GatewayMetrics = {
   requestEnded (service: string, outcome: string, seconds: number): void
   firstEvent (service: string, seconds: number): void
@@ -15,7 +19,7 @@
   /** A request got no permit for a server. */
   permitDenied (reason: string): void
   storeCall (feed: string, result: string): void
-  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts', value: number): void
+  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes', value: number): void
   text (): Promise<string>
 }
 
@@ -30,6 +34,21 @@
   const calls = new Counter({ name: 'yuccawharf_store_calls_total', help: 'Calls to the platform store by feed and result.', labelNames: ['feed', 'result'], registers })
   const statements = new Counter({ name: 'yuccawharf_server_statements_total', help: 'Changes of what servers state about themselves, by kind.', labelNames: ['kind'], registers })
   const denials = new Counter({ name: 'yuccawharf_permits_denied_total', help: 'Requests without a permit for a server that states a limit, by reason.', labelNames: ['reason'], registers })
+  registers[0]!.registerMetric(new Gauge({
+    name: 'yuccawharf_process',
+    help: 'Memory in bytes and number of open descriptors of the process.',
+    labelNames: ['name'],
+    registers: [],
+    // Read when the metrics are read, because counting descriptors costs a call for each.
+    async collect () {
+      const { rss, heapUsed, external, arrayBuffers } = process.memoryUsage()
+      this.set({ name: 'resident_bytes' }, rss)
+      this.set({ name: 'heap_bytes' }, heapUsed)
+      this.set({ name: 'external_bytes' }, external)
+      this.set({ name: 'buffer_bytes' }, arrayBuffers)
+      this.set({ name: 'descriptors' }, (await readdir(descriptorFolder)).length)
+    }
+  }))
   const gauges = new Gauge({ name: 'yuccawharf_state', help: 'Current values.', labelNames: ['name'], registers })
 
   return {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { fetchPeerSnapshot, createFeedCache, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import { forwardPlain } from './plain-forwarder'
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
+import { createProcessUsage } from './process-usage'
 import { sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { logServerChanges } from './server-change-log'
@@ -72,6 +73,8 @@
 const statusIntervalMaxMs = 2000
 /** Owners repeat an unchanged status after this time, in ms. */
 const statusRepeatMs = 1000
+/** Interval at which the use of memory and the number of requests are checked, in ms. */
+const usageIntervalMs = 1000
 /** Interval at which a node without a configuration or servers queries its seeds, in ms. */
 const seedPollMs = 600
 /** Time for which clients cache an address response, in ms; a leaving node accepts requests for longer than that. */
@@ -434,6 +437,7 @@
   })
   const suspensionDetector = createSuspensionDetector({ now, wallClock: Date.now })
 
+  const usage = createProcessUsage({ log, metrics, memoryLimitBytes: () => settings.memoryBytes ?? Infinity, keptBytes: kept.total, running: () => front.running() })
   const listening = createListening({ log, stopped: () => leavingSince !== undefined })
 
   function checkSuspension (): void {
@@ -454,7 +458,7 @@
     timers.push(setInterval(() => fleet.tick(), memberTickMs))
     timers.push(setInterval(sendStatus, statusIntervalMs))
     timers.push(setInterval(fetchFromSeeds, seedPollMs))
-    timers.push(setInterval(() => metrics.gauge('running', front.running()), statusRepeatMs))
+    timers.push(setInterval(usage.check, usageIntervalMs))
   }
 
   async function finishRequests (): Promise<void> {
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -156,6 +156,8 @@
   seeds: string[]
   /** Share of a core that the process may use. */
   cpuShare: number
+  /** Resident memory above which the platform kills the process, in bytes. */
+  memoryBytes?: number
   bounds: Bounds
 }
 
--- /dev/null
+++ b/packages/gateway/src/process-usage.test.ts
@@ -0,0 +1,41 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createDecisionLog, type LogFields } from './decision-log'
+import { createGatewayMetrics } from './gateway-metrics'
+import { createProcessUsage } from './process-usage'
+
+const test = suite('process usage')
+
+type Line = LogFields & { event: string }
+
+function usageAt (residentBytes: number[], limitBytes: number): Line[] {
+  const lines: Line[] = []
+  const log = createDecisionLog('n1', { write: line => { lines.push(JSON.parse(line) as Line) }, flush: async () => {}, dropped: () => 0 })
+  let index = 0
+  const usage = createProcessUsage({
+    log,
+    metrics: createGatewayMetrics(),
+    memoryLimitBytes: () => limitBytes,
+    keptBytes: () => 7,
+    running: () => 3
+  }, {
+    rss: () => residentBytes[index]!,
+    usage: () => ({ rss: residentBytes[index]!, heapUsed: 1, external: 2, arrayBuffers: 1 })
+  })
+  for (; index < residentBytes.length; index++) usage.check()
+  return lines
+}
+
+// Guards against a process that is killed for its memory without a line, and against a line for each check.
+test('memory close to its limit is logged once, and once when it is normal again', () => {
+  const lines = usageAt([60, 69, 71, 72, 65, 71, 59, 50, 80], 100)
+  assert.equal(lines.map(({ event, residentBytes }) => [event, residentBytes]), [['memory-high', 71], ['memory-normal', 59], ['memory-high', 80]])
+  assert.is(lines[0]!.keptBytes, 7)
+  assert.is(lines[0]!.running, 3)
+})
+
+test('memory without a known limit is never high', () => {
+  assert.equal(usageAt([60, 1e12], Infinity), [])
+})
+
+test.run()
