--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -67,6 +67,7 @@
   const seen = new Map<string, Set<number>>()
   let lastNumber = 0
   let closed = false
+  let binding = false
 
   function transmit (address: string, number: number, { kind, payload }: PeerMessage): void {
     // Requests may still end after the link was closed.
@@ -110,20 +111,26 @@
       options.onError(`message '${kind}' of ${node} at ${sender} could not be handled: ${(err as Error).message}`)
     }
   })
-  socket.on('error', err => { options.onError(err.message) })
+  socket.on('error', err => {
+    // Whoever opens the address gets the errors of the attempt.
+    if (!binding) options.onError(err.message)
+  })
 
   return {
     listen: () => new Promise((resolve, reject) => {
       const bound = (): void => {
+        binding = false
         socket.off('error', failed)
         resolve()
       }
       const failed = (err: Error): void => {
+        binding = false
         socket.off('listening', bound)
         reject(err)
       }
       socket.once('error', failed)
       socket.once('listening', bound)
+      binding = true
       socket.bind(options.port, options.host)
     }),
     notify: (address, message) => { transmit(address, 0, message) },
