Bound the bytes of the bodies of requests in sum, and end bodies that never complete

What callers saw: a node that got many large bodies at once was ended for its memory, and with it the requests of all its clients. A body that was never complete got no answer at all, also after its deadline.

Cause: bodies were bounded one by one, by the configured limit, and not in sum. Each piece of a body was kept as a buffer of its own, which costs some hundred bytes even if it holds one, and the pieces were copied into one buffer at the end. No timer applied before a body was complete.

Why the fix works: request-bytes.ts counts what bodies take until their requests are answered, in a seventh of the limit of memory.

--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -46,6 +46,9 @@
   closing (): boolean
 }
 
+/** Time for which the rest of a refused body is discarded, in ms. */
+const unreadBodyMs = 1000
+
 const titles: Record<RefusalStatus['outcome'], string> = { 'not-run': 'Not run', unknown: 'Outcome unknown', invalid: 'Invalid request' }
 
 /** @returns the body of a refusal, as a problem document (RFC 9457) */
@@ -65,6 +68,23 @@
   res.end(body)
 }
 
+/**
+ * Refuses a request whose body is still arriving, and closes the connection. The bytes that the client
+ * is sending are discarded for a while: the system resets a connection that is closed before they are
+ * read, and the client might lose the refusal.
+ */
+export function sendUnreadRefusal (req: IncomingMessage, res: ServerResponse, refusal: RefusalStatus, reason: string, headers: Record<string, string>): void {
+  if (res.headersSent || res.destroyed) return
+  const body = refusalBody(refusal, reason)
+  res.writeHead(refusal.status, { 'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(body), ...headers, connection: 'close' })
+  // Complete for the client; the end here would close the connection.
+  res.write(body)
+  const timer = setTimeout(() => { res.end() }, unreadBodyMs)
+  req.once('end', () => { res.end() })
+  res.once('close', () => { clearTimeout(timer) })
+  req.resume()
+}
+
 /** Closes the connection of an incomplete response, so that it does not look complete. */
 export function abortResponse (res: ServerResponse): void {
   // A client without chunks, such as one of HTTP/1.0, takes a regular close for the end of the body.
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -3,16 +3,20 @@
 import type { Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { trackResponses } from '@yuccawharf/clients'
-import { abortResponse, createClientExchange, refusalBody, sendRefusal, type ClientExchange, type RefusalStatus } from './client-exchange'
+import { createBodyReader } from './body-reader'
+import { abortResponse, createClientExchange, refusalBody, sendRefusal, sendUnreadRefusal, type ClientExchange, type ExchangeContext, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
-import type { KeptBytes } from './kept-bytes'
+import { keptBytesLimit, type KeptBytes } from './kept-bytes'
 import type { HeaderCodec } from './platform-interface'
+import { createRequestBytes, type BodyRefusal } from './request-bytes'
 import { chooseTarget, type RouteTable } from './route-table'
 
 export type FrontServerEnv = {
   now (): number
   codec: HeaderCodec
   kept: KeptBytes
+  /** Bytes of bodies of requests that are kept at a time. */
+  maxRequestBytes?: number
   log: DecisionLog
   /** Undefined until a configuration has been read. */
   routes (): RouteTable | undefined
@@ -30,6 +34,8 @@
   server: Server
   /** Number of requests in progress, those included whose responses clients have not read yet. */
   running (): number
+  /** Bytes of requests that are kept. */
+  requestBytes (): number
   /** Applies the limits of a new configuration. */
   configure (): void
   /** Answers the requests in progress with an unknown outcome, and aborts responses that have begun, because the process ends. */
@@ -48,26 +54,17 @@
 const connectionCheckMs = 1000
 const notConfiguredRetryAfterMs = 500
 const leavingRetryAfterMs = 100
+/** Time after which there may be room for a body, in ms: a few requests with large bodies have ended. */
+const noRoomRetryAfterMs = 500
 
-function headerBytes (raw: string[]): number {
-  return raw.reduce((sum, text) => sum + text.length + 2, 0)
+const bodyRefusals: Record<BodyRefusal, { status: number, reason: string, retryAfterMs?: number }> = {
+  'no-room': { status: 503, reason: 'too many bytes of requests are kept', retryAfterMs: noRoomRetryAfterMs },
+  stalled: { status: 503, reason: 'the body stalls while others wait', retryAfterMs: noRoomRetryAfterMs },
+  deadline: { status: 408, reason: 'the body is not complete at the deadline' }
 }
 
-type Body = { type: 'read', bytes: Buffer | null } | { type: 'too-large' } | { type: 'aborted' }
-
-function readBody (req: IncomingMessage, maxBytes: number): Promise<Body> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let size = 0
-    const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size <= maxBytes) chunks.push(chunk)
-      else resolve({ type: 'too-large' })
-    })
-    req.on('end', () => resolve({ type: 'read', bytes: hasBody ? Buffer.concat(chunks) : null }))
-    req.on('close', () => { if (!req.complete) resolve({ type: 'aborted' }) })
-  })
+function headerBytes (raw: string[]): number {
+  return raw.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
 const unreadableStatuses: Record<string, RefusalStatus> = {
@@ -87,18 +84,28 @@
 export function createFrontServer (env: FrontServerEnv): FrontServer {
   let running = 0
   const exchanges = new Set<ClientExchange>()
+  const requestBytes = createRequestBytes(env.maxRequestBytes ?? keptBytesLimit())
+  const bodies = createBodyReader(requestBytes, env.now)
 
   async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = env.now()
     const closeHeaders: Record<string, string> = env.closing() ? { connection: 'close' } : {}
     const table = env.routes()
+    const refusalHeaders = (id: string, retryAfterMs?: number): Record<string, string> => {
+      const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': env.codec.retryAfter(retryAfterMs) }
+      return { ...env.codec.identify(id), ...retry, ...closeHeaders }
+    }
     const refuse = (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): void => {
       const { id } = env.codec.request(req.rawHeaders)
       env.log.info('request-refused', { id, status, reason, configVersion: table?.config.version })
-      const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': env.codec.retryAfter(retryAfterMs) }
-      sendRefusal(res, { status, outcome }, reason, { ...env.codec.identify(id), ...retry, ...closeHeaders })
+      sendRefusal(res, { status, outcome }, reason, refusalHeaders(id, retryAfterMs))
       req.resume()
     }
+    const refuseBody = (id: string, refusal: BodyRefusal): void => {
+      const { status, reason, retryAfterMs } = bodyRefusals[refusal]
+      env.log.info('request-refused', { id, status, reason, requestBytes: requestBytes.total(), afterMs: Math.round(env.now() - arrivedAt) })
+      sendUnreadRefusal(req, res, { status, outcome: 'not-run' }, reason, refusalHeaders(id, retryAfterMs))
+    }
     if (table === undefined) return refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryAfterMs)
     if (env.closed()) return refuse(503, 'not-run', 'the node is leaving', leavingRetryAfterMs)
     const { limits } = table.config
@@ -107,14 +114,19 @@
     if (route === undefined) return refuse(404, 'invalid', 'no route matches host and path')
     const metadata = env.codec.request(req.rawHeaders)
     if (metadata.id === '') return refuse(400, 'invalid', 'the request has no id')
-    const body = await readBody(req, limits.bodyBytes)
+    const deadlineAt = (): number => Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
+    const body = await bodies.read(req, limits.bodyBytes, deadlineAt)
     if (body.type === 'aborted') return
     if (body.type === 'too-large') return refuse(413, 'invalid', `the body exceeds ${limits.bodyBytes} bytes`)
+    if (body.type === 'refused') return refuseBody(metadata.id, body.reason)
     const target = chooseTarget(route, metadata.id)
     const service = target === undefined ? undefined : table.service(target)
-    if (service === undefined) return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
-    const deadlineAt = Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
-    const exchange = createClientExchange({ req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt }, { codec: env.codec, kept: env.kept, closing: env.closing })
+    if (service === undefined) {
+      body.release()
+      return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
+    }
+    const context: ExchangeContext = { req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt: deadlineAt() }
+    const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, closing: env.closing })
     // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
     await nextTurn()
     await nextTurn()
@@ -123,6 +135,9 @@
       if (!exchange.ended) await env.forward(exchange)
     } finally {
       exchanges.delete(exchange)
+      // The client may take its time to read the response.
+      context.body = exchange.body = null
+      body.release()
       env.ended(exchange)
     }
   }
@@ -156,6 +171,7 @@
   return {
     server,
     running: () => running,
+    requestBytes: requestBytes.total,
     endRequests () {
       for (const exchange of exchanges) {
         if (exchange.headersSent) exchange.abort()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,7 @@
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
 import { createGrantClient, type GrantMessage } from './grant-client'
-import { createKeptBytes } from './kept-bytes'
+import { createKeptBytes, keptBytesLimit } from './kept-bytes'
 import { createListening } from './listening'
 import { createLogProbe } from './log-probe'
 import { createLogQuestions } from './log-questions'
@@ -162,7 +162,7 @@
   })
 
   const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
-  const kept = createKeptBytes()
+  const kept = createKeptBytes(keptBytesLimit(settings.memoryBytes))
   const upstream = createUpstream({ now, connections: shares.connections })
 
   /** Ready engines of all services with their limits. */
@@ -334,6 +334,7 @@
     now,
     codec: platform.headers,
     kept,
+    maxRequestBytes: keptBytesLimit(settings.memoryBytes),
     log,
     routes: () => table,
     closing: () => leavingSince !== undefined,
@@ -437,7 +438,7 @@
   })
   const suspensionDetector = createSuspensionDetector({ now, wallClock: Date.now })
 
-  const usage = createProcessUsage({ log, metrics, memoryLimitBytes: () => settings.memoryBytes ?? Infinity, keptBytes: kept.total, running: () => front.running() })
+  const usage = createProcessUsage({ log, metrics, memoryLimitBytes: () => settings.memoryBytes ?? Infinity, keptBytes: () => kept.total() + front.requestBytes(), running: () => front.running() })
   const listening = createListening({ log, stopped: () => leavingSince !== undefined })
 
   function checkSuspension (): void {
--- a/packages/gateway/src/kept-bytes.ts
+++ b/packages/gateway/src/kept-bytes.ts
@@ -26,6 +26,14 @@
 /** Bytes that a node may keep: three of the largest responses, a seventh of the memory of a small instance. */
 const maxKeptBytes = 48 * 1024 * 1024
 
+/** Share of the limit of memory that responses, and bodies of requests, may take each. */
+const memoryShare = 1 / 7
+
+/** @param memoryBytes - limit of the process's memory, if it is known */
+export function keptBytesLimit (memoryBytes?: number): number {
+  return memoryBytes === undefined ? maxKeptBytes : memoryBytes * memoryShare
+}
+
 export function createKeptBytes (maxBytes = maxKeptBytes): KeptBytes {
   const responses = new Map<KeptResponse, { bytes: number, giveUp: () => void }>()
   let total = 0
