Give up a slow server only if another one can take the request

What callers saw: an idempotent request got 502 after 1.2 times its latency objective while its server was at work, though no other server could be tried: there was only one, or no retry was left in the budget.

Cause: the attempt was aborted first, and whether a retry is possible was checked after that.

Evidence: the new test of plain-forwarder.test.ts, one server that takes 300 ms at an objective of 100 ms: 502 before, 200 now. It was found with large bodies, which make a sound server late.

Why the fix works: the retry is taken from the budget before the attempt is aborted; without one the response is awaited until the deadline.

--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -14,13 +14,15 @@
 
 const servers = ['s1', 's2'].map((id): BackendServer => ({ id, bornAt: 1, service: 'desk', address: `${id}:1`, zone: 'a', state: 'ready', slots: 4, models: [] }))
 
+/** `answerMs` is the time that each server takes, and `retries` the number of retries in the budget. */
+type Options = { candidates?: BackendServer[], answerMs?: Record<string, number>, retries?: number }
 type Outcome = { sentTo: string[], status?: number, retryAfterMs?: number | undefined }
 
 /**
  * @param permit - reply to each request for a permit
  * @param statuses - status with which each server responds
  */
-async function forward (permit: (server: string) => PermitResult, statuses: Record<string, number> = {}): Promise<Outcome> {
+async function forward (permit: (server: string) => PermitResult, statuses: Record<string, number> = {}, { candidates = servers, answerMs = {}, retries = 10 }: Options = {}): Promise<Outcome> {
   const outcome: Outcome = { sentTo: [] }
   let ended = false
   const end = (status: number, retryAfterMs?: number): void => {
@@ -51,10 +53,10 @@
     upstream: {
       send (server, _req, handler) {
         outcome.sentTo.push(server.id)
-        setImmediate(() => {
+        setTimeout(() => {
           handler.headers(statuses[server.id] ?? 200, ['x-id', 'r1', 'x-seal', 's'])
           handler.complete()
-        })
+        }, answerMs[server.id] ?? 0)
         return { abort () {}, pause () {}, resume () {} }
       },
       disableReuse () {},
@@ -63,9 +65,9 @@
     },
     log: createDecisionLog('n1', { write () {}, flush: async () => {}, dropped: () => 0 }),
     restrictions: { record () {}, waitMs: () => 0, acquire: async ({ id }) => permit(id) },
-    servers: () => servers,
+    servers: () => candidates,
     pool: () => pool,
-    budget: () => createRetryBudget({ ratio: 1, burst: 10 })
+    budget: () => createRetryBudget({ ratio: 0, burst: retries })
   }
   await forwardPlain(exchange, env)
   return outcome
@@ -93,4 +95,13 @@
   assert.equal([sentTo, status], [['s1'], 500])
 })
 
+// Guards against 502 while the only server that may take the request is at work, when it is late or gets large bodies.
+test('a slow server is given up only if another one can take the request', async () => {
+  const slow = { s1: 300 }
+  assert.equal(await forward(() => permitted(), {}, { candidates: servers.slice(0, 1), answerMs: slow }), { sentTo: ['s1'], status: 200, retryAfterMs: undefined })
+  assert.equal((await forward(() => permitted(), {}, { answerMs: slow })).sentTo, ['s1', 's2'])
+  const { sentTo, status } = await forward(() => permitted(), {}, { answerMs: slow, retries: 0 })
+  assert.equal([sentTo, status], [['s1'], 200], 'without a retry in the budget')
+})
+
 test.run()
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -40,6 +40,9 @@
 const permitWaitObjectives = 0.5
 const maxResponseBytes = 16 * 1024 * 1024
 
+/** The server had not answered in time, and a retry on another one was taken from the budget. */
+type SlowResult = { type: 'slow' }
+
 type Step =
   | { type: 'done' }
   | { type: 'retry' }
@@ -90,7 +93,7 @@
     return idempotent && sentTo.size < route.attempts && exchange.deadlineAt - env.now() > minRetryMs && env.servers(service.name).some(({ id }) => !sentTo.has(id)) && budget.tryTake()
   }
 
-  async function send (server: BackendServer): Promise<AttemptResult> {
+  async function send (server: BackendServer): Promise<AttemptResult | SlowResult> {
     const startedAt = env.now()
     unusedResponse = undefined
     releaseUnused()
@@ -116,17 +119,23 @@
     })
     current = attempt
     let slow = false
+    const retryElsewhere = (): void => {
+      // Without another server the response may still come.
+      if (!tryRetry()) return
+      slow = true
+      attempt.abort('slow server')
+    }
     const canRetry = idempotent && sentTo.size < route.attempts
-    const slowTimer = canRetry ? setTimeout(() => { slow = true; attempt.abort('slow server') }, Math.min(route.objectiveMs * slowAfterObjectives, (exchange.deadlineAt - startedAt) / 2)) : undefined
+    const slowTimer = canRetry ? setTimeout(retryElsewhere, Math.min(route.objectiveMs * slowAfterObjectives, (exchange.deadlineAt - startedAt) / 2)) : undefined
     const result = await attempt.result
     clearTimeout(slowTimer)
     current = undefined
     avoidOpenConnections ||= slow
     pool.ended(server.id, slow ? 'failed' : outcomeOf(result), env.now() - startedAt, env.now())
-    return slow && result.type === 'aborted' ? { type: 'failed', reason: 'slow server', eventsSent: false, connectionLost: false } : result
+    return slow && result.type === 'aborted' && !exchange.ended ? { type: 'slow' } : result
   }
 
-  function handle (server: BackendServer, result: AttemptResult): Step {
+  function handle (server: BackendServer, result: AttemptResult | SlowResult): Step {
     if (exchange.ended || result.type === 'aborted') return { type: 'done' }
     env.log.info('attempt-ended', { id: metadata.id, service: service.name, server: server.id, result: result.type, status: 'status' in result ? result.status : undefined, reason: 'reason' in result ? result.reason : undefined, afterMs: Math.round(env.now() - exchange.arrivedAt) })
     switch (result.type) {
@@ -142,6 +151,9 @@
         if (sentTo.size < route.attempts && budget.tryTake()) return { type: 'retry' }
         giveUp(result.status === 421 ? 'server was replaced' : 'servers are full', serversFullRetryAfterMs)
         return { type: 'done' }
+      case 'slow':
+        maybeRun = true
+        return { type: 'retry' }
       case 'failed':
         maybeRun = true
         if (tryRetry()) return { type: 'retry' }
