Count an unstated version as current if it was loaded after the newest announcement

Where an engine does not state the version of an adapter, callers waited while its replica was unloaded and loaded again and again: on a node that read an announcement of unknown time, that announcement matched first, also for a load that began after a later one. Now the last announcement before the load's start names the oldest version that the load can have fetched, and only later ones make it outdated. An announcement of unknown time proves nothing, and one that was dropped passes on its time for the limit of use, but not as proof that a load came after it, which it did before.

A replica that this owner finds at an engine had the time at which it was found as the start of its load, so that it counted as newer than announcements that came after its real load. Its start is now unknown.

The tests of the two histories and of the found replica failed before.

--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -352,7 +352,7 @@
     replicaMissing,
     loadConfirmed (replica) {
       if (replica.readyAt <= replica.estimatedReadyAt) adjustEstimate(replica, confirmedLoadFactor)
-      if (!replica.warm && replica.probeSentAt !== undefined) state.coldLoadLimit.loaded(replica.probeSentAt - replica.loadStartedAt)
+      if (!replica.warm && replica.loadStartedAt > -Infinity && replica.probeSentAt !== undefined) state.coldLoadLimit.loaded(replica.probeSentAt - replica.loadStartedAt)
     },
     isCurrent,
     isUsable,
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -311,6 +311,16 @@
   assert.equal(filterActions(scheduler.submit(request('r1', 'a1'), 110), 'grant'), [])
 })
 
+// Guards against a replica that was loaded before an announcement and counts as loaded when this owner first saw it.
+test('a replica of unstated version that another owner loaded is as old as the oldest version', () => {
+  const models = [{ name: 'base', adapters: [{ name: 'a1' }] }]
+  const scheduler = createScheduler([], {})
+  scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, true, 100)
+  scheduler.setEngines([{ server: engine('e1', [], { models }), spec }], 200)
+  scheduler.applyReport('e1', report(0, [], { models }), 200)
+  assert.equal(filterActions(scheduler.submit(request('r1', 'a1', { deadlineAt: 60_000 }), 4000), 'grant'), [])
+})
+
 // Guards against an owner that gives commands while another may still do so.
 test('without permission for commands it serves loaded adapters and refuses the others', () => {
   const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => false })
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -10,6 +10,7 @@
   state: 'loading' | 'resident' | 'unloading'
   /** Loaded from the engine's memory, not from the weight store. */
   warm: boolean
+  /** -Infinity if this owner did not command the load. */
   loadStartedAt: number
   /** Time from which a request may be sent to the replica. */
   readyAt: number
@@ -144,7 +145,7 @@
         ...(version === undefined ? {} : { version }),
         state: 'resident',
         warm: true,
-        loadStartedAt: previous?.loadStartedAt ?? now,
+        loadStartedAt: previous?.loadStartedAt ?? -Infinity,
         readyAt: Math.min(previous?.readyAt ?? now, now),
         estimatedReadyAt: previous?.estimatedReadyAt ?? -Infinity,
         lastUsedAt: previous?.lastUsedAt ?? now,
@@ -185,7 +186,7 @@
       ...(previous?.version === undefined ? {} : { version: previous.version }),
       state: 'loading',
       warm: previous?.warm ?? false,
-      loadStartedAt: previous?.loadStartedAt ?? now,
+      loadStartedAt: previous?.loadStartedAt ?? -Infinity,
       readyAt: previous !== undefined && previous.readyAt > now ? previous.readyAt : now + loadMs / 2,
       estimatedReadyAt: previous?.estimatedReadyAt ?? -Infinity,
       lastUsedAt: now,
--- a/packages/gateway/src/version-history.test.ts
+++ b/packages/gateway/src/version-history.test.ts
@@ -22,6 +22,23 @@
   assert.is(unknown.outdatedSince({ loadStartedAt: 900 }), -Infinity)
 })
 
+// Guards against replicas that are unloaded over and over in a process that started after the first announcement.
+test('a load after a later announcement is current although the time of an earlier one is unknown', () => {
+  const history = createVersionHistory()
+  history.announce(2, -Infinity)
+  history.announce(3, 200)
+  assert.equal([150, 200, 201].map(loadStartedAt => history.outdatedSince({ loadStartedAt })), [-Infinity, -Infinity, Infinity])
+  history.announce(4, 300)
+  assert.is(history.outdatedSince({ loadStartedAt: 201 }), 300)
+})
+
+// Guards against an older version that is used because its load began after the time of a dropped announcement.
+test('the time of a dropped announcement does not make earlier loads current', () => {
+  const history = createVersionHistory()
+  for (let version = 1; version <= 17; version++) history.announce(version, version * 10)
+  assert.is(history.outdatedSince({ loadStartedAt: 15 }), 10)
+})
+
 // Guards against a longer use of old versions because their announcements were dropped.
 test('many announcements are kept in a bounded number, and never make an older version usable for longer', () => {
   const history = createVersionHistory()
--- a/packages/gateway/src/version-history.ts
+++ b/packages/gateway/src/version-history.ts
@@ -1,6 +1,6 @@
 /** The versions of one adapter that were announced. Each is to be in use a while after its own announcement, whatever follows it. */
 
-/** `version` is undefined if the engine did not state it. */
+/** `version` is undefined if the engine did not state it, `loadStartedAt` is -Infinity if another process commanded the load. */
 export type LoadedVersion = { version?: number, loadStartedAt: number }
 
 export type VersionHistory = {
@@ -18,13 +18,13 @@
 const maxAnnouncements = 16
 
 export function createVersionHistory (): VersionHistory {
-  /** In the order of their versions. */
-  const announcements: { version: number, at: number }[] = []
+  /** In the order of their versions. A load that began after `latestAt` got the version or a later one. */
+  const announcements: { version: number, at: number, latestAt: number }[] = []
 
   return {
     announce (version, at) {
       if (version <= (announcements.at(-1)?.version ?? -Infinity)) return false
-      announcements.push({ version, at })
+      announcements.push({ version, at, latestAt: at === -Infinity ? Infinity : at })
       if (announcements.length > maxAnnouncements) {
         const { at: earliest } = announcements.shift()!
         announcements[0]!.at = Math.min(announcements[0]!.at, earliest)
@@ -32,9 +32,8 @@
       return true
     },
     outdatedSince ({ version, loadStartedAt }) {
-      // A load that began after an announcement got that version or a later one.
-      const newer = announcements.find(announced => version === undefined ? announced.at === -Infinity || announced.at >= loadStartedAt : announced.version > version)
-      return newer?.at ?? Infinity
+      const oldest = version ?? announcements.findLast(({ latestAt }) => latestAt < loadStartedAt)?.version ?? -Infinity
+      return announcements.find(announced => announced.version > oldest)?.at ?? Infinity
     },
     newest: () => announcements.at(-1)?.version ?? -Infinity
   }
