Sum the sizes of the loaded base models in one function

The sum stood three times, once without the model that is being loaded. No caller saw a difference: that place is reached only while none is loading. engine-scheduler.test.ts and load-simulation.test.ts pass as before.

--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -6,7 +6,7 @@
 import { countColdLoads, decideLoad, earlyRefusalMs, evictionCandidate, isProbed, type WantedAdapter } from './load-placement'
 import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
 import type { LoadLimit } from './load-limit'
-import { backlogMs, removeReplica, hasCapacity, isIdle, freeWeightsMb, adapterSlotLimit, limitIntervalMs, limitWaitMs, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
+import { backlogMs, removeReplica, hasCapacity, isIdle, freeWeightsMb, adapterSlotLimit, loadedModelsMb, limitIntervalMs, limitWaitMs, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
 import type { VersionHistory } from './version-history'
 
@@ -227,7 +227,7 @@
   function baseModelActions (blocked: WaitingRequest[], now: number): SchedulerAction[] {
     return [...engines.values()].flatMap(engine => {
       if (!canCommand(engine, now) || engine.loadingModel !== undefined) return []
-      const loadedMb = engine.spec.models.filter(({ name }) => engine.models.has(name)).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
+      const loadedMb = loadedModelsMb(engine)
       const missing = engine.spec.models.find(model => !engine.models.has(model.name) && loadedMb + model.weightsMb <= engine.spec.weightsMb)
       if (missing === undefined || (engine.models.size > 0 && !blocked.some(req => req.demand.model === missing.name))) return []
       if (engine.modelLoadCheckAt !== undefined && engine.modelLoadCheckAt > now) return []
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -225,21 +225,27 @@
   return state.replicas.size + pendingLoad
 }
 
+/** Memory that the base models take that an engine has or was ordered to load, in MB. */
+export function loadedModelsMb ({ spec, models, loadingModel }: EngineState): number {
+  return spec.models.filter(({ name }) => models.has(name) || name === loadingModel).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
+}
+
 /** Number of adapters that fit beside the loaded models, by slots and by memory. */
-export function adapterSlotLimit ({ spec, models, loadingModel }: EngineState): number {
+export function adapterSlotLimit (state: EngineState): number {
+  const { spec, models, loadingModel } = state
   const loadedModels = spec.models.filter(({ name }) => models.has(name) || name === loadingModel)
   const adapterMb = Math.max(0, ...loadedModels.map(model => model.adapterMb))
-  const freeMb = spec.weightsMb - loadedModels.reduce((sum, model) => sum + model.weightsMb, 0)
+  const freeMb = spec.weightsMb - loadedModelsMb(state)
   return Math.min(spec.adapterSlots, adapterMb === 0 ? Infinity : Math.floor(freeMb / adapterMb))
 }
 
 /** Memory that is left beside the base models and adapters that an engine has or is ordered to load, in MB. */
-export function freeWeightsMb ({ spec, models, loadingModel, replicas, pending }: EngineState): number {
+export function freeWeightsMb (state: EngineState): number {
+  const { spec, replicas, pending } = state
   const adapterMbOf = (name: string): number => spec.models.find(model => model.name === name)?.adapterMb ?? 0
-  const modelsMb = spec.models.filter(({ name }) => models.has(name) || name === loadingModel).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
   const adaptersMb = [...replicas.values()].reduce((sum, { model }) => sum + adapterMbOf(model), 0)
   const pendingMb = pending?.operation === 'load' && pending.adapter !== undefined ? adapterMbOf(pending.model) : 0
-  return spec.weightsMb - modelsMb - adaptersMb - pendingMb
+  return spec.weightsMb - loadedModelsMb(state) - adaptersMb - pendingMb
 }
 
 /** Tokens of memory that the running requests need. Prompt parts that requests for an adapter share count once. */
