--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -144,7 +144,7 @@
       env.log.error('request-failed', { reason: (err as Error).stack ?? String(err) })
       sendRefusal(res, { status: 500, outcome: 'unknown' }, 'the node could not handle the request')
       if (!res.writableEnded) abortResponse(res)
-    }).then(async () => { await responded }).finally(() => { running -= 1 })
+    }).then(() => responded).finally(() => { running -= 1 })
   })
   const responses = trackResponses(server)
   server.on('clientError', (err, socket) => {
