Avoid open connections only after a server that sent nothing

If an idempotent request was retried because its server was slow, the retry opened a new connection, also where the response had begun and its body took long. The connection had carried the headers, so nothing hinted at silent connections, and the new connection cost the caller a round trip. Now only an attempt without response headers counts.

--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -14,13 +14,17 @@
 
 const servers = ['s1', 's2'].map((id): BackendServer => ({ id, bornAt: 1, service: 'desk', address: `${id}:1`, zone: 'a', state: 'ready', slots: 4, models: [] }))
 
-type Outcome = { sentTo: string[], status?: number, retryAfterMs?: number | undefined }
+type Outcome = { sentTo: string[], newConnections?: boolean[], status?: number, retryAfterMs?: number | undefined }
+
+/** How a server responds: at once with a status, with headers whose body never ends, or not at all. */
+type Behaviour = number | 'endless' | 'silent'
 
 /**
  * @param permit - reply to each request for a permit
- * @param statuses - status with which each server responds
+ * @param behaviours - how each server responds; otherwise with 200
  */
-async function forward (permit: (server: string) => PermitResult, statuses: Record<string, number> = {}): Promise<Outcome> {
+async function forward (permit: (server: string) => PermitResult, behaviours: Record<string, Behaviour> = {}): Promise<Outcome> {
+  const newConnections: boolean[] = []
   const outcome: Outcome = { sentTo: [] }
   let ended = false
   const end = (status: number, retryAfterMs?: number): void => {
@@ -49,11 +53,14 @@
     codec: testCodec,
     kept: createKeptBytes(),
     upstream: {
-      send (server, _req, handler) {
+      send (server, req, handler) {
         outcome.sentTo.push(server.id)
+        newConnections.push(req.newConnection === true)
+        const behaviour = behaviours[server.id] ?? 200
         setImmediate(() => {
-          handler.headers(statuses[server.id] ?? 200, ['x-id', 'r1', 'x-seal', 's'])
-          handler.complete()
+          if (behaviour === 'silent') return
+          handler.headers(behaviour === 'endless' ? 200 : behaviour, ['x-id', 'r1', 'x-seal', 's'])
+          if (behaviour !== 'endless') handler.complete()
         })
         return { abort () {}, pause () {}, resume () {} }
       },
@@ -68,7 +75,7 @@
     budget: () => createRetryBudget({ ratio: 1, burst: 10 })
   }
   await forwardPlain(exchange, env)
-  return outcome
+  return newConnections.includes(true) ? { ...outcome, newConnections } : outcome
 }
 
 const permitted = (agoMs = 0): PermitResult => ({ type: 'permitted', startAt: performance.now() - agoMs })
@@ -93,4 +100,10 @@
   assert.equal([sentTo, status], [['s1'], 500])
 })
 
+// Guards against new connections in place of sound ones because a server takes long for the rest of a response.
+test('only a server that does not respond at all makes the next attempt avoid open connections', async () => {
+  assert.equal(await forward(() => permitted(), { s1: 'silent' }), { sentTo: ['s1', 's2'], newConnections: [false, true], status: 200, retryAfterMs: undefined })
+  assert.equal(await forward(() => permitted(), { s1: 'endless' }), { sentTo: ['s1', 's2'], status: 200, retryAfterMs: undefined })
+})
+
 test.run()
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -56,7 +56,7 @@
   let unsent = 0
   /** An earlier attempt may have run. */
   let maybeRun = false
-  /** A server has not answered in time. Its connection may be silent, and others that were opened before as well. */
+  /** No part of a server's response came in time. Its connection may be silent, and others that were opened before as well. */
   let avoidOpenConnections = false
   /** An error of a server, passed on if no other server can be tried. */
   let unusedResponse: AttemptResult & { type: 'response' } | undefined
@@ -96,6 +96,7 @@
     releaseUnused()
     sentTo.add(server.id)
     pool.started(server.id)
+    let responded = false
     const attempt = startAttempt({
       codec: env.codec,
       upstream: env.upstream,
@@ -111,7 +112,10 @@
       },
       maxBodyBytes: maxResponseBytes,
       kept: env.kept,
-      responded: (status, response, sentAt) => env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
+      responded (status, response, sentAt) {
+        responded = true
+        env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements })
+      },
       warn: env.log.warn
     })
     current = attempt
@@ -121,7 +125,7 @@
     const result = await attempt.result
     clearTimeout(slowTimer)
     current = undefined
-    avoidOpenConnections ||= slow
+    avoidOpenConnections ||= slow && !responded
     pool.ended(server.id, slow ? 'failed' : outcomeOf(result), env.now() - startedAt, env.now())
     return slow && result.type === 'aborted' ? { type: 'failed', reason: 'slow server', eventsSent: false, connectionLost: false } : result
   }
