--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -11,6 +11,7 @@
 import { eraOf } from './log-position'
 import { createLogProbeSchedule } from './log-probe'
 import { sharedPartIds } from './prompt-cache'
+import { startKey } from './server-registry'
 
 export type EngineOwnerOptions = {
   name: string
@@ -183,7 +184,7 @@
     if (refuseBlockedPart(id, submission)) return false
     const bornAt = options.listEngines().find(({ server }) => server.id === engine)?.server.bornAt ?? 0
     const { service, parts, deadlineAt } = submission
-    evidence.started({ id, service, engine: `${engine}#${bornAt}`, parts, deadlineAt })
+    evidence.started({ id, service, engine: startKey({ id: engine, bornAt }), parts, deadlineAt })
     return true
   }
 
--- a/packages/gateway/src/request-permits.ts
+++ b/packages/gateway/src/request-permits.ts
@@ -6,7 +6,7 @@
 import { topNode } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
 import { createRequestPace, paceWaitMs, recordRequest, type RequestPace } from './request-pace'
-import type { ServerStart } from './server-registry'
+import { startKey, type ServerStart } from './server-registry'
 import type { SharedLimit } from './server-statements'
 
 export type PermitMessage =
@@ -57,10 +57,6 @@
 /** Delay suggested to clients while the pacer does not reply, in ms: it is replaced within about two seconds. */
 const noPacerRetryAfterMs = 500
 
-function keyOf ({ id, bornAt }: ServerStart): string {
-  return `${id}#${bornAt}`
-}
-
 export function createRequestPermits (options: RequestPermitsOptions): RequestPermits {
   const { self, now } = options
   /** Pace of each server that this node paces, and the limit that it follows. */
@@ -71,7 +67,7 @@
   let lastId = 0
 
   function paceOf (server: ServerStart, requestsPerSecond: number): RequestPace {
-    const key = keyOf(server)
+    const key = startKey(server)
     const existing = paces.get(key)
     if (existing?.requestsPerSecond === requestsPerSecond) return existing.pace
     const pace = createRequestPace(requestsPerSecond, now(), existing?.pace)
@@ -119,13 +115,13 @@
     async acquire (server, maxWaitMs) {
       const requestsPerSecond = options.limit(server)
       if (requestsPerSecond === undefined) return { type: 'permitted', startAt: now() }
-      const denial = denials.get(keyOf(server))
+      const denial = denials.get(startKey(server))
       const deniedMs = denial?.requestsPerSecond === requestsPerSecond ? denial.until - now() : 0
       if (deniedMs > maxWaitMs) return { type: 'denied', reason: 'limit', retryAfterMs: deniedMs }
       const node = pacer(server)
       const { id, bornAt } = server
       const result = node === self ? issue(server, requestsPerSecond, maxWaitMs) : await ask(node, { id, bornAt, requestsPerSecond }, maxWaitMs)
-      if (result.type === 'denied') denials.set(keyOf(server), { until: now() + result.retryAfterMs, requestsPerSecond })
+      if (result.type === 'denied') denials.set(startKey(server), { until: now() + result.retryAfterMs, requestsPerSecond })
       return result
     },
     receive (from, message) {
@@ -141,7 +137,7 @@
       else finish?.({ type: 'denied', reason: 'limit', retryAfterMs: message.retryAfterMs })
     },
     retain (servers) {
-      const keys = new Set(servers.map(keyOf))
+      const keys = new Set(servers.map(startKey))
       for (const state of [paces, denials]) {
         for (const key of state.keys()) {
           if (!keys.has(key)) state.delete(key)
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -11,6 +11,11 @@
 /** One start of a backend server. */
 export type ServerStart = Pick<BackendServer, 'id' | 'bornAt'>
 
+/** @returns key that no other start of any server has */
+export function startKey ({ id, bornAt }: ServerStart): string {
+  return `${id}#${bornAt}`
+}
+
 /**
  * By what an entry is older than what is known of its server; `left`: it is not later than the last one
  * before the server was removed; `maybe-left`: that one is not known, so a later one must follow.
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -1,6 +1,6 @@
 /** What backend servers state about themselves in their responses, as this node knows it. */
 import type { ServerStatements } from './platform-interface'
-import type { ServerStart } from './server-registry'
+import { startKey, type ServerStart } from './server-registry'
 
 /** A response to one attempt of this node. */
 export type StatingResponse = {
@@ -55,20 +55,16 @@
 /** Longest time for which a server may want no requests, in ms. After it, the next response shows whether it still does. */
 const maxWaitMs = 3_600_000
 
-function keyOf ({ id, bornAt }: ServerStart): string {
-  return `${id}#${bornAt}`
-}
-
 export function createServerStatements (): ServerStatementsState {
   const entries = new Map<string, Entry>()
   const waitsUntil = new Map<string, number>()
 
   function waitMs (server: ServerStart, now: number): number {
-    return waitsUntil.size === 0 ? 0 : Math.max(0, (waitsUntil.get(keyOf(server)) ?? -Infinity) - now)
+    return waitsUntil.size === 0 ? 0 : Math.max(0, (waitsUntil.get(startKey(server)) ?? -Infinity) - now)
   }
 
   function recordLimit ({ id, bornAt }: ServerStart, requestsPerSecond: number, now: number): LimitUpdate | undefined {
-    const key = keyOf({ id, bornAt })
+    const key = startKey({ id, bornAt })
     const entry: Entry = { sharedAt: -Infinity, ...entries.get(key), requestsPerSecond, statedAt: now }
     entries.set(key, entry)
     const changed = entry.sharedLimit !== requestsPerSecond
@@ -82,29 +78,29 @@
     record (server, { status, identified, sentAt, statements }, now) {
       if (statements.requestsPerSecond !== undefined) return recordLimit(server, statements.requestsPerSecond, now)
       const { id, bornAt } = server
-      const known = entries.get(keyOf(server))
+      const known = entries.get(startKey(server))
       // A response to an earlier request may have been written before the limit was stated, and an error by other code.
       if (known === undefined || !identified || status >= 300 || sentAt <= known.statedAt) return undefined
-      entries.delete(keyOf(server))
+      entries.delete(startKey(server))
       return { type: 'change', limit: { id, bornAt } }
     },
     learn (limit, now) {
-      const key = keyOf(limit)
+      const key = startKey(limit)
       const { requestsPerSecond } = limit
       if (requestsPerSecond === undefined) return entries.delete(key)
       const changed = entries.get(key)?.requestsPerSecond !== requestsPerSecond
       entries.set(key, { requestsPerSecond, statedAt: now, sharedLimit: requestsPerSecond, sharedAt: now })
       return changed
     },
-    limit: server => entries.size === 0 ? undefined : entries.get(keyOf(server))?.requestsPerSecond,
+    limit: server => entries.size === 0 ? undefined : entries.get(startKey(server))?.requestsPerSecond,
     recordWait (server, statedMs, now) {
       const remainingMs = waitMs(server, now)
-      waitsUntil.set(keyOf(server), now + Math.max(remainingMs, Math.min(maxWaitMs, statedMs)))
+      waitsUntil.set(startKey(server), now + Math.max(remainingMs, Math.min(maxWaitMs, statedMs)))
       return remainingMs === 0
     },
     waitMs,
     retain (servers) {
-      const keys = new Set(servers.map(keyOf))
+      const keys = new Set(servers.map(startKey))
       for (const state of [entries, waitsUntil]) {
         for (const key of state.keys()) {
           if (!keys.has(key)) state.delete(key)
