Tell a starting node which servers have left

A process that started between a late entry of a server that had left and the entry's expiry used the server: in a test on the stand-in of the store 35 requests of the restarted node reached it later than the drain time. It had seen neither the removal nor the last sequence, so the entry looked like that of any server.

A node that starts now asks three nodes, those of its zone first, which servers they have removed and up to which entry, and drops entries that are not later.

--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -2,7 +2,7 @@
 import { createMembership, packMembership, unpackMembership, type Membership, type MembershipAction } from '@yuccawharf/coordination'
 import { xoroshiro128plus } from 'pure-rand'
 import type { DecisionLog } from './decision-log'
-import type { DirectoryNode } from './directory'
+import { drawSample, type DirectoryNode } from './directory'
 import type { FleetMember } from './engine-ownership'
 import type { FeedRecord, FleetRecord, NodeSettings, UnreadableRecord } from './platform-interface'
 
@@ -48,6 +48,12 @@
   address (node: string): string | undefined
   /** Address at which the node serves the records that it has read from the store. */
   control (node: string): string | undefined
+  /**
+   * Control addresses of random peers that are not dead, those of the own zone first.
+   *
+   * @param count - maximum number of addresses
+   */
+  controlsNearby (count: number, random: () => number): string[]
   /** Whether the node is a recorded peer that is not dead. */
   isAlive (node: string): boolean
   size (): number
@@ -95,6 +101,11 @@
     return member !== undefined && member.state !== 'dead'
   }
 
+  function peers (): NodeRecord[] {
+    cachedPeers ??= [...nodes.values()].filter(({ name }) => isMemberAlive(name))
+    return cachedPeers
+  }
+
   return {
     apply (records) {
       let updated = false
@@ -128,12 +139,14 @@
       })
       return [{ name: self.name, front: self.front, zone: self.zone, capacity: self.capacity, ready: selfReady }, ...others]
     },
-    peers: () => {
-      cachedPeers ??= [...nodes.values()].filter(({ name }) => isMemberAlive(name))
-      return cachedPeers
-    },
+    peers,
     address: node => nodes.get(node)?.address,
     control: node => nodes.get(node)?.control,
+    controlsNearby (count, random) {
+      const isNear = ({ zone }: NodeRecord): boolean => zone === self.zone
+      const sample = [...drawSample(peers().filter(isNear), count, random), ...drawSample(peers().filter(node => !isNear(node)), count, random)]
+      return sample.flatMap(({ control }) => control ?? []).slice(0, count)
+    },
     isAlive: node => nodes.has(node) && isMemberAlive(node),
     size: () => nodes.size + 1
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import type { ClusterConfig } from './cluster-types'
 import type { EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
+import { createDepartures } from './departures'
 import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
 import type { OwnedEngine } from './engine-scheduler'
@@ -391,6 +392,8 @@
     if (records.length > 0) owner.refresh()
   }
 
+  const departures = createDepartures({ log, random: options.random, fleet, registry, changed: applyServers })
+
   const feeds = createFeeds({
     platform,
     log,
@@ -412,6 +415,7 @@
     fleet: applyFleet,
     fleetReplaced (records) {
       applyFleet(records)
+      departures.learn()
       ownRecords.appendMissing(records).catch(err => { log.error('records-missing', { reason: (err as Error).message }) })
     },
     fleetRead: (asOf, next) => owner.freshness.read(asOf, next),
@@ -424,7 +428,7 @@
     addresses: chooseAddresses(fleet.directory(isReady()), zone, options.random),
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
   }))
-  const snapshotServer = createSnapshotServer(feedCache)
+  const snapshotServer = createSnapshotServer(feedCache, departures.known)
   const logQuestions = createLogQuestions({
     self,
     now,
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -5,6 +5,7 @@
 import { createServer, type Server } from 'node:http'
 import { createHttpClient, parseJson } from '@yuccawharf/clients'
 import type { FeedRecord, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
+import type { Departure } from './server-registry'
 
 type FeedValues = { operator: OperatorRecord, servers: ServerRecord, fleet: FleetRecord | UnreadableRecord }
 export type FeedName = keyof FeedValues
@@ -21,6 +22,7 @@
 }
 
 const statePath = '/state'
+const departuresPath = '/departures'
 /** Time limit for the start of a response, in ms; a reachable peer responds within a few ms. */
 const fetchTimeoutMs = 500
 /** Slowest rate at which a response may arrive, in bytes/s: a tenth of a slow link. */
@@ -67,14 +69,17 @@
   }
 }
 
-export function createSnapshotServer (cache: FeedCache): Server {
+/** @param departures - servers that have left; undefined if this node cannot tell yet */
+export function createSnapshotServer (cache: FeedCache, departures: () => Departure[] | undefined): Server {
+  const resources = new Map<string, () => unknown>([[statePath, () => cache.snapshot()], [departuresPath, departures]])
   return createServer((req, res) => {
-    const snapshot = req.url === statePath ? cache.snapshot() : undefined
-    if (snapshot === undefined) {
-      res.writeHead(req.url === statePath ? 503 : 404).end()
+    const resource = resources.get(req.url ?? '')
+    const value = resource?.()
+    if (value === undefined) {
+      res.writeHead(resource === undefined ? 404 : 503).end()
       return
     }
-    res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(snapshot))
+    res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(value))
   })
 }
 
@@ -83,15 +88,29 @@
   return [snapshot?.operator, snapshot?.servers, snapshot?.fleet].every(feed => Array.isArray(feed?.records) && Number.isSafeInteger(feed.next))
 }
 
-/** @returns the snapshot of the peer at the address, or undefined if it has none or cannot be reached */
-export async function fetchPeerSnapshot (address: string): Promise<PeerSnapshot | undefined> {
+function isDeparture (value: unknown): value is Departure {
+  const departure = value as Partial<Departure> | null | undefined
+  return typeof departure?.id === 'string' && [departure.bornAt, departure.sequence, departure.era].every(Number.isSafeInteger) && typeof departure.complete === 'boolean'
+}
+
+async function fetchFromPeer (address: string, path: string): Promise<unknown> {
   const client = createHttpClient({ baseUrl: `http://${address}`, timeoutMs: fetchTimeoutMs })
   try {
-    const result = await client.exchange({ method: 'GET', path: statePath, minBodyRate: minFetchRate })
-    if (result.type !== 'ok' || result.response.status !== 200) return undefined
-    const value = parseJson(result.response.body)
-    return isSnapshot(value) ? value : undefined
+    const result = await client.exchange({ method: 'GET', path, minBodyRate: minFetchRate })
+    return result.type === 'ok' && result.response.status === 200 ? parseJson(result.response.body) : undefined
   } finally {
     await client.close()
   }
 }
+
+/** @returns the snapshot of the peer at the address, or undefined if it has none or cannot be reached */
+export async function fetchPeerSnapshot (address: string): Promise<PeerSnapshot | undefined> {
+  const value = await fetchFromPeer(address, statePath)
+  return isSnapshot(value) ? value : undefined
+}
+
+/** @returns servers that have left, or undefined if the peer cannot tell or cannot be reached */
+export async function fetchDepartures (address: string): Promise<Departure[] | undefined> {
+  const value = await fetchFromPeer(address, departuresPath)
+  return Array.isArray(value) ? value.filter(isDeparture) : undefined
+}
--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
-import { logPosition } from './log-position'
+import { firstEra, logPosition } from './log-position'
 import type { FeedRecord, ServerRecord } from './platform-interface'
 import { createServerRegistry } from './server-registry'
 
@@ -123,4 +123,28 @@
   assert.equal(readyIds(registry), ['s1'])
 })
 
+// Guards against a node that starts and takes a late entry for a sign of life, or drops a server that has written since.
+test('departures that another node has seen outdate earlier entries only, whichever arrives first', () => {
+  const departure = { id: 's1', bornAt: 5, sequence: 12, era: firstEra, complete: true }
+  for (const [bornAt, sequence, isUsed] of [[5, 8, false], [5, 12, false], [5, 13, true], [4, 20, false], [6, 1, true]] as const) {
+    const early = createServerRegistry()
+    early.applyDepartures([departure])
+    early.replace([entry('s1', 3, { bornAt }, sequence)], 4, 0)
+    const late = createServerRegistry()
+    late.replace([entry('s1', 3, { bornAt }, sequence)], 4, 0)
+    late.applyDepartures([departure])
+    for (const registry of [early, late]) assert.is(readyIds(registry).length === 1, isUsed, `start ${bornAt}, sequence ${sequence}`)
+  }
+})
+
+// Guards against a late entry that is used because the other node did not know the last one before the removal.
+test('an entry after a departure whose last entry is not known is used when a later one follows', () => {
+  const registry = createServerRegistry()
+  registry.replace([entry('s1', 3, { bornAt: 5 }, 8)], 4, 0)
+  const changes = registry.applyDepartures([{ id: 's1', bornAt: 5, sequence: 3, era: firstEra, complete: false }])
+  assert.equal(changes.map(change => change.type === 'ignored' ? change.reason : change.type), ['removed', 'maybe-left'])
+  registry.apply([entry('s1', 5, { bornAt: 5 }, 9)], 0)
+  assert.equal(readyIds(registry), ['s1'])
+})
+
 test.run()
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -28,6 +28,9 @@
   /** The entry is older than what is known of the server. */
   | { type: 'ignored', key: string, offset: number, sequence: number, reason: StaleReason }
 
+/** Last known entry of a server that was removed; `complete`: no later one was written before the removal. */
+export type Departure = { id: string, bornAt: number, sequence: number, era: number, complete: boolean }
+
 export type ServerRegistry = {
   /**
    * Applies records in their order.
@@ -39,6 +42,10 @@
   replace (records: readonly FeedRecord<ServerRecord>[], next: number, now: number): RegistryChange[]
   /** The server has stated itself that it is leaving; its entry may say otherwise, or not exist yet. */
   leave (start: ServerStart): RegistryChange[]
+  /** Servers that were removed, to be told to nodes that start. */
+  departures (): Departure[]
+  /** Applies the removals that another node has seen; a server that has written a later entry is kept. */
+  applyDepartures (departures: readonly Departure[]): RegistryChange[]
   /** Starts the delay of removals, because an outage of the store has ended. */
   storeRecovered (now: number): void
   /** Applies delayed removals when the delay has ended. */
@@ -62,7 +69,7 @@
   /** Newest start of each server that has stated that it is leaving. */
   const leavingStarts = new Map<string, number>()
   /** Last known entry of each removed server; a restored store may have an earlier one, and a store that loses responses may write one late. */
-  const removed = new Map<string, { bornAt: number, sequence: number, era: number, complete: boolean }>()
+  const removed = new Map<string, Omit<Departure, 'id'>>()
   let graceUntil = -Infinity
 
   /** @returns by what the record is older than the current entry */
@@ -121,12 +128,34 @@
 
   function drop (key: string, entry: Entry): RegistryChange[] {
     entries.delete(key)
-    removed.set(key, { bornAt: entry.server.bornAt, sequence: entry.sequence, era: eraOf(entry.offset), complete: entry.complete === true })
-    if (removed.size > maxKnownLeft) removed.delete(removed.keys().next().value!)
+    recordRemoval(key, { bornAt: entry.server.bornAt, sequence: entry.sequence, era: eraOf(entry.offset), complete: entry.complete === true })
     ready.clear()
     return [{ type: 'removed', server: entry.server }]
   }
 
+  function recordRemoval (key: string, last: Omit<Departure, 'id'>): void {
+    removed.set(key, last)
+    if (removed.size > maxKnownLeft) removed.delete(removed.keys().next().value!)
+  }
+
+  function applyDeparture ({ id, ...last }: Departure): RegistryChange[] {
+    const known = removed.get(id)
+    const isLater = known === undefined || last.bornAt > known.bornAt || (last.bornAt === known.bornAt && (last.sequence > known.sequence || (last.sequence === known.sequence && last.complete)))
+    if (!isLater) return []
+    const entry = entries.get(id)
+    recordRemoval(id, last)
+    if (entry === undefined) return []
+    const { server, sequence, offset } = entry
+    const reason = staleByRemoval(id, { type: 'server', server, sequence }, offset, false)
+    if (reason === undefined) {
+      removed.delete(id)
+      return []
+    }
+    entries.delete(id)
+    ready.clear()
+    return [{ type: 'removed', server }, { type: 'ignored', key: id, offset, sequence, reason }]
+  }
+
   function applyOne (record: FeedRecord<ServerRecord>, now: number, { newest = false, complete = true }: { newest?: boolean, complete?: boolean }): RegistryChange[] {
     if (record.value === undefined) return remove(record.key, record.offset, now, complete)
     if (record.value.type === 'server') return put(record, record.value, newest)
@@ -152,6 +181,8 @@
       ready.clear()
       return [{ type: 'draining', server: entry.server }]
     },
+    departures: () => [...removed].map(([id, last]) => ({ id, ...last })),
+    applyDepartures: departures => departures.flatMap(applyDeparture),
     storeRecovered (now) {
       graceUntil = now + rewriteMs + lastReadMs
     },
--- a/packages/gateway/src/testing/test-nodes.ts
+++ b/packages/gateway/src/testing/test-nodes.ts
@@ -41,6 +41,8 @@
   fronts: number[]
   /** Log lines of all nodes. */
   lines: LogLine[]
+  /** Stops a node and starts a new process of it. */
+  restart (index: number): Promise<void>
   stop (): Promise<void>
 }
 
@@ -54,23 +56,31 @@
   const gateways: Gateway[] = []
   const allPorts = await freePorts(portCount * zones.length)
   let platform: FakePlatform | undefined
-  for (const [index, zone] of zones.entries()) {
-    const name = `node-${index + 1}`
-    const ports = allPorts.slice(index * portCount, (index + 1) * portCount)
-    const nodeSettings = testNodeSettings(name, zone, ports, bounds)
-    const log = createDecisionLog(name, { write: line => { lines.push(JSON.parse(line) as LogLine) }, flush: async () => {}, dropped: () => 0 })
-    settings.push(nodeSettings)
+
+  async function startNode (index: number): Promise<void> {
+    const nodeSettings = settings[index]!
+    const log = createDecisionLog(nodeSettings.name, { write: line => { lines.push(JSON.parse(line) as LogLine) }, flush: async () => {}, dropped: () => 0 })
     platform ??= createFakePlatform(nodeSettings)
-    const gateway = createGateway({ platform: { ...platform, ...replacements(platform, index), settings: nodeSettings }, log, metrics: createGatewayMetrics(), metricsAddress: { port: ports[4]!, path: '/metrics' }, now: () => performance.now(), random: Math.random })
-    gateways.push(gateway)
+    const metricsAddress = { port: allPorts[index * portCount + 4]!, path: '/metrics' }
+    const gateway = createGateway({ platform: { ...platform, ...replacements(platform, index), settings: nodeSettings }, log, metrics: createGatewayMetrics(), metricsAddress, now: () => performance.now(), random: Math.random })
+    gateways[index] = gateway
     await gateway.start()
   }
+
+  for (const [index, zone] of zones.entries()) {
+    settings.push(testNodeSettings(`node-${index + 1}`, zone, allPorts.slice(index * portCount, (index + 1) * portCount), bounds))
+    await startNode(index)
+  }
   return {
     platform: platform!,
     gateways,
     settings,
     fronts: settings.map(({ front }) => front.port),
     lines,
+    async restart (index) {
+      await gateways[index]!.stop()
+      await startNode(index)
+    },
     stop: async () => { await Promise.all(gateways.map(gateway => gateway.stop())) }
   }
 }
