--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import type { ClusterConfig } from './cluster-types'
 import type { EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
+import { createDepartures } from './departures'
 import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
 import type { OwnedEngine } from './engine-scheduler'
@@ -23,7 +24,7 @@
 import { createOwnerStatusCache } from './owner-status-cache'
 import { createPartBlocking } from './part-blocking'
 import { createPeerLink, type PeerMessage } from './peer-link'
-import { fetchPeerSnapshot, createFeedCache, createSnapshotServer, type PeerSnapshot } from './peer-state'
+import { createFeedCache, createPeerFetcher, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import { forwardPlain } from './plain-forwarder'
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
 import { createProcessUsage } from './process-usage'
@@ -106,7 +107,6 @@
   let leavingSince: number | undefined
   let tickTimer: NodeJS.Timeout | undefined
   let nextStatusAt = -Infinity
-  let fetchingFromPeers = false
   /** Offset up to which operator records were applied from a peer's snapshot. */
   let peerOperatorNext = -1
 
@@ -275,25 +275,10 @@
     const ownNext = feeds.operatorNext()
     if (!feeds.operatorReachable() && (ownNext === undefined || status.operatorNext > Math.max(ownNext, peerOperatorNext))) {
       const control = fleet.control(from)
-      if (control !== undefined) fetchFromPeers([control])
+      if (control !== undefined) peerFetcher.fetch([control])
     }
   }
 
-  /** Applies the snapshot of the first peer that responds, unless the store is reachable again. */
-  function fetchFromPeers (addresses: string[]): void {
-    if (fetchingFromPeers) return
-    fetchingFromPeers = true
-    const fetchFirst = async (): Promise<void> => {
-      for (const address of addresses) {
-        const snapshot = await fetchPeerSnapshot(address)
-        if (snapshot === undefined || feeds.operatorReachable()) continue
-        log.info('state-from-peer', { peer: address, operatorNext: snapshot.operator.next, servers: snapshot.servers.records.length })
-        return applySnapshot(snapshot)
-      }
-    }
-    fetchFirst().catch(err => { log.error('peer-state-failed', { reason: (err as Error).message }) }).finally(() => { fetchingFromPeers = false })
-  }
-
   function applySnapshot ({ operator, servers, fleet: nodes }: PeerSnapshot): void {
     peerOperatorNext = operator.next
     applyOperator(operator.records, false)
@@ -302,11 +287,13 @@
     applyFleet(nodes.records)
   }
 
+  const peerFetcher = createPeerFetcher({ log, needed: () => !feeds.operatorReachable(), apply: applySnapshot })
+
   /** Fetches a snapshot from the seed nodes in the settings if the node starts while the store is unavailable. */
   function fetchFromSeeds (): void {
     if (table !== undefined && serversLoaded) return
     const others = settings.seeds.filter(address => address !== self.control)
-    if (others.length > 0) fetchFromPeers(others)
+    if (others.length > 0) peerFetcher.fetch(others)
   }
 
   function sendStatus (): void {
@@ -392,6 +379,8 @@
     if (records.length > 0) owner.refresh()
   }
 
+  const departures = createDepartures({ log, random: options.random, fleet, registry, changed: applyServers })
+
   const feeds = createFeeds({
     platform,
     log,
@@ -413,6 +402,7 @@
     fleet: applyFleet,
     fleetReplaced (records) {
       applyFleet(records)
+      departures.learn()
       ownRecords.appendMissing(records).catch(err => { log.error('records-missing', { reason: (err as Error).message }) })
     },
     fleetRead: (asOf, next) => owner.freshness.read(asOf, next),
@@ -425,7 +415,7 @@
     addresses: chooseAddresses(fleet.directory(isReady()), zone, options.random),
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
   }))
-  const snapshotServer = createSnapshotServer(feedCache)
+  const snapshotServer = createSnapshotServer(feedCache, departures.known)
   const logQuestions = createLogQuestions({
     self,
     now,
