--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -98,7 +98,8 @@
   return {
     apply (records) {
       let updated = false
-      for (const { value } of records) {
+      for (const { key, offset, value } of records) {
+        if (value?.type === 'unreadable') options.log.warn('fleet-record-unreadable', { key, offset, reason: value.reason })
         if (value?.type !== 'node' || value.name === self.name) continue
         nodes.set(value.name, value)
         updated = true
