Check the fields of messages about grants before they wait

The process that owns the engines could end with process-failed, and all requests that waited there with it, some tens of ms after a message about a grant had arrived whose fields were not what they should be, such as a list of excluded engines that is null.

The cause: such a request is put among the waiting ones first, and its fields are used by each later decision, in a timer. The handler of messages catches only what fails at once. Messages about grants are now checked before they are handled; others, and those of an unknown kind, are logged (peer-message-failed).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
 import { createGrantClient, type GrantMessage } from './grant-client'
+import { isGrantMessage } from './grant-message'
 import { createKeptBytes } from './kept-bytes'
 import { createListening } from './listening'
 import { createLogProbe } from './log-probe'
@@ -123,7 +124,7 @@
       const { kind, payload } = message
       if (restrictions.receive(from.node, message)) return
       if (kind === 'member') fleet.receive(payload)
-      else if (kind === 'place') receiveGrantMessage(from.node, payload as GrantMessage)
+      else if (kind === 'place' && isGrantMessage(payload)) receiveGrantMessage(from.node, payload)
       else if (kind === 'status') receiveStatus(from.node, payload)
       else if (kind === 'servers') feeds.receiveServerUpdate(payload)
       else if (kind === 'log-probe') logQuestions.receiveQuestion(from.node, payload)
@@ -131,6 +132,7 @@
       else if (kind === 'crash-evidence') owner.receiveEvidence(payload as EvidenceMessage)
       else if (kind === 'blocked-part') partBlocking.receive(from.node, String(payload))
       else if (kind === 'stopped') owner.ownership.nodeStopped(from.node, from.incarnation, now())
+      else log.warn('peer-message-failed', { reason: `message '${kind}' of ${from.node} is unknown or malformed` })
     },
     onError: reason => { log.warn('peer-message-failed', { reason }) }
   })
--- /dev/null
+++ b/packages/gateway/src/grant-message.ts
@@ -0,0 +1,46 @@
+/** Checks messages about grants. A field of another type would fail later, in a timer that serves all waiting requests. */
+import type { ModelDemand } from './cluster-types'
+import type { GrantMessage } from './grant-client'
+
+type Fields = Record<string, unknown>
+
+function isFields (value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null
+}
+
+const isText = (value: unknown): value is string => typeof value === 'string'
+const isTextList = (value: unknown): boolean => Array.isArray(value) && value.every(isText)
+const isNumber = (value: unknown): value is number => Number.isFinite(value)
+const isCount = (value: unknown): boolean => isNumber(value) && value >= 0
+
+function isPart (value: unknown): boolean {
+  return isFields(value) && isText(value['id']) && isCount(value['tokens'])
+}
+
+function isDemand (value: unknown): value is ModelDemand {
+  if (!isFields(value)) return false
+  const { model, adapter, promptTokens, outputTokens, parts } = value
+  return isText(model) && (adapter === undefined || isText(adapter)) && isCount(promptTokens) && isCount(outputTokens) && Array.isArray(parts) && parts.every(isPart)
+}
+
+function isAcquired (value: unknown): boolean {
+  if (!isFields(value)) return false
+  const { id, service, demand, priority, objectiveInMs, startInMs, deadlineInMs, pauseMs, excluded, only } = value
+  return isText(id) && isText(service) && isDemand(demand) && [priority, objectiveInMs, startInMs, deadlineInMs].every(isNumber) &&
+    (pauseMs === undefined || isNumber(pauseMs)) && isTextList(excluded) && (only === undefined || isTextList(only))
+}
+
+/** @param value - parsed JSON of a peer */
+export function isGrantMessage (value: unknown): value is GrantMessage {
+  if (!isFields(value)) return false
+  if (value['kind'] === 'acquire') return isAcquired(value['place'])
+  if (!isText(value['id'])) return false
+  switch (value['kind']) {
+    case 'cancel':
+    case 'first-event': return true
+    case 'ended': return isText(value['outcome'])
+    case 'granted': return isText(value['engine']) && (value['version'] === undefined || Number.isSafeInteger(value['version']))
+    case 'refused': return isText(value['reason']) && isNumber(value['retryAfterMs'])
+    default: return false
+  }
+}
