Let repeated stops end with the first one

A process that got SIGTERM twice ran its stop twice. The second one moved the start of the grace period, and where both ended in the same turn, it closed the socket of the peers again: "Not running", after which the process ends as failed, unless the first stop has already ended it.

The stop now runs once, and further calls return its promise.

stop-paths.test.ts: two stops at once. Before: 2 of 3, the stop is rejected with "Not running" from the socket's close.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import { sharedPartIds } from './prompt-cache'
 import { createRouteTable, type RouteTable } from './route-table'
 import { logServerChanges } from './server-change-log'
+import { runOnce } from './run-once'
 import { createServerRestrictions } from './server-restrictions'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePools } from './service-pool'
@@ -52,7 +53,7 @@
   start (): Promise<void>
   /** Applies the bounds and seeds of new settings; changed addresses need a restart of the process. */
   reload (settings: NodeSettings): void
-  /** Leaves the fleet and resolves when the requests in progress have ended or the grace period is nearly over. */
+  /** Leaves the fleet and resolves when the requests in progress have ended or the grace period is nearly over; further calls end with the first. */
   stop (): Promise<void>
 }
 
@@ -471,6 +472,24 @@
     front.endRequests()
   }
 
+  async function leave (): Promise<void> {
+    leavingSince = now()
+    log.info('stopping', { running: front.running(), graceMs: settings.bounds.graceMs })
+    fleet.leave()
+    owner.stopClaiming()
+    await finishRequests()
+    owner.stopCommands()
+    await Promise.all(fleet.peers().map(({ address }) => link.deliver(address, { kind: 'stopped', payload: null })))
+    for (const server of [front.server, directoryServer, readyServer, metricsServer, snapshotServer]) server.close()
+    for (const timer of timers) clearInterval(timer)
+    clearTimeout(tickTimer)
+    feeds.stop()
+    link.close()
+    upstream.close()
+    log.info('stopped', {})
+    await log.close()
+  }
+
   return {
     async start () {
       log.info('starting', { zone: settings.zone, address: self.address, front: self.front, incarnation: self.incarnation })
@@ -495,22 +514,6 @@
       settings.seeds = next.seeds
       log.info('settings-reloaded', { changed })
     },
-    async stop () {
-      leavingSince = now()
-      log.info('stopping', { running: front.running(), graceMs: settings.bounds.graceMs })
-      fleet.leave()
-      owner.stopClaiming()
-      await finishRequests()
-      owner.stopCommands()
-      await Promise.all(fleet.peers().map(({ address }) => link.deliver(address, { kind: 'stopped', payload: null })))
-      for (const server of [front.server, directoryServer, readyServer, metricsServer, snapshotServer]) server.close()
-      for (const timer of timers) clearInterval(timer)
-      clearTimeout(tickTimer)
-      feeds.stop()
-      link.close()
-      upstream.close()
-      log.info('stopped', {})
-      await log.close()
-    }
+    stop: runOnce(leave)
   }
 }
