Keep an earlier build until the new one is whole

A process that was started again while the build command ran would have found no program, since the command removed target/ first, and the platform counts that as a failed start. Found in the review of the new command before it was in use.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -1,6 +1,7 @@
 /**
  * Build command of deploy/system.toml: installs the packages if those that are there cannot be used,
- * and builds `target/`. After a failure `target/` is absent, so that no earlier build is taken for the new one.
+ * and builds `target/`. An earlier build stays until the new one is whole, since processes may start
+ * meanwhile. After a failure `target/` is absent, so that no earlier build is taken for the new one.
  */
 import { spawnSync } from 'node:child_process'
 import { mkdirSync, readdirSync, renameSync, rmSync } from 'node:fs'
@@ -25,7 +26,7 @@
 }
 
 function bundle () {
-  rmSync(target, { recursive: true, force: true })
+  rmSync(staging, { recursive: true, force: true })
   mkdirSync(staging, { recursive: true })
   run(process.execPath, ['scripts/build-platform.mjs', staging])
 }
@@ -44,7 +45,6 @@
   rmSync(staging, { recursive: true })
 }
 
-rmSync(target, { recursive: true, force: true })
 try {
   build()
 } catch (err) {
