Keep a node of the product's own mode from ending on signals and errors

The handlers of SIGTERM and SIGINT were set when the node had started: a signal before that ended the process without a shutdown. And the handler of errors from the start stayed on the HTTP server: it swallowed the first connection that the system could not accept, and the second one was an error that nothing handles.

The signals are handled before the start now, and a node that got one ends as soon as it has started. Errors after the start are logged each.

--- a/packages/node/src/create-node.ts
+++ b/packages/node/src/create-node.ts
@@ -40,12 +40,16 @@
   })
 }
 
-/** Runs a node until SIGTERM or SIGINT and resolves after a graceful shutdown. A second signal ends the process at once. */
+/**
+ * Runs a node until SIGTERM or SIGINT and resolves after a graceful shutdown. A signal during the start ends the node as soon
+ * as it has started; a second signal ends the process at once.
+ */
 export async function runNode (settings: CompleteSettings, options: CreateNodeOptions = {}): Promise<void> {
-  const node = await createNode(settings, options)
-  await new Promise<void>(resolve => {
+  const signalled = new Promise<void>(resolve => {
     process.once('SIGTERM', resolve)
     process.once('SIGINT', resolve)
   })
+  const node = await createNode(settings, options)
+  await signalled
   await node.drain()
 }
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -17,8 +17,9 @@
 import { createEnginePollSchedule } from './engine-poll-schedule'
 import { createForwarder } from './forwarder'
 import { createHttpServer, createRequestHandler, defaultHttpLimits, type HttpLimits, type Route } from './http-router'
+import { listen } from './listening'
 import { createLogger, createMetrics, type Logger } from './observability'
-import { createPeerHandler, createPeerSender, openDatagramPort, splitAddress, trpcPath } from './peer-rpc'
+import { createPeerHandler, createPeerSender, openDatagramPort, trpcPath } from './peer-rpc'
 import { createPlatformShells } from './platform-shells'
 import { createServiceRoutes } from './service-routes'
 import { createStamps } from './stamps'
@@ -84,20 +85,6 @@
   return () => offset + performance.now()
 }
 
-async function listen (server: Server, address: string): Promise<Set<Socket>> {
-  const sockets = new Set<Socket>()
-  server.on('connection', socket => {
-    sockets.add(socket)
-    socket.on('close', () => sockets.delete(socket))
-  })
-  const { host, port } = splitAddress(address)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ port, host, backlog: 1024 }, resolve)
-  })
-  return sockets
-}
-
 /** Starts a node and resolves when it serves. */
 export async function startNode (options: NodeOptions): Promise<RunningNode> {
   const { settings, core } = options
@@ -265,7 +252,7 @@
     return result
   }
 
-  const sockets = await listen(server, address).catch(async (err: Error) => {
+  const sockets = await listen(server, address, logger).catch(async (err: Error) => {
     await stop(new Set())
     throw err
   })
