Drop updates about members whose address no datagram can be sent to

A node ended with process-failed half a second after an update about another node whose address had a port out of range, and so did each node that the update spread to.

The cause: the codec of membership messages took any text for an address. The update replaced the address in the table, and the next ping, in a timer, threw ERR_SOCKET_BAD_PORT. The codec now requires a host and a port from 1 to 65535, as for the other parts of a message, and the gateway logs what it drops (peer-message-failed).

--- a/packages/coordination/src/membership-codec.test.ts
+++ b/packages/coordination/src/membership-codec.test.ts
@@ -33,7 +33,9 @@
     wire => { wire[3][0][2] = 1.5 },
     wire => { wire[3][1][4] = 3 },
     wire => { wire[3][1][4] = 8 },
-    wire => { wire.length = 5 }
+    wire => { wire.length = 5 },
+    wire => { wire[5] = 'node-2' },
+    ...['', 'node-3', '10.0.0.3', '10.0.0.3:', '10.0.0.3:0', '10.0.0.3:65536', '10.0.0.3:99999', '10.0.0.3:x', ':7400', 7400].map(address => (wire: any) => { wire[3][1][1] = address })
   ]
   for (const corrupt of corruptions) {
     const wire = JSON.parse(JSON.stringify(packMembership(message)))
--- a/packages/coordination/src/membership-codec.ts
+++ b/packages/coordination/src/membership-codec.ts
@@ -24,10 +24,16 @@
 
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0
 
+const addressPattern = /^.+:([1-9]\d{0,4})$/
+const maxPort = 65_535
+
+/** Whether datagrams can be sent to the address: sockets throw on a port that is out of range. */
+const isAddress = (value: unknown): value is string => typeof value === 'string' && Number(addressPattern.exec(value)?.[1]) <= maxPort
+
 function unpackUpdate (value: unknown): MemberUpdate | undefined {
   if (!Array.isArray(value)) return undefined
   const [id, address, incarnation, refutation, flags] = value as unknown[]
-  if (typeof id !== 'string' || typeof address !== 'string' || !isCount(incarnation) || !isCount(refutation) || !isCount(flags)) return undefined
+  if (typeof id !== 'string' || !isAddress(address) || !isCount(incarnation) || !isCount(refutation) || !isCount(flags)) return undefined
   const state = memberStates[flags % leavingFlag]
   return state === undefined || flags >= 2 * leavingFlag
     ? undefined
@@ -46,7 +52,7 @@
   if (type === undefined || typeof from !== 'string' || !isCount(probe) || updates.includes(undefined)) return undefined
   const message: MembershipMessage = { type, from, probe, updates: updates as MemberUpdate[] }
   if (targetId === undefined) return message
-  return typeof targetId === 'string' && typeof targetAddress === 'string'
+  return typeof targetId === 'string' && isAddress(targetAddress)
     ? { ...message, target: { id: targetId, address: targetAddress } }
     : undefined
 }
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -110,7 +110,8 @@
     },
     receive (payload) {
       const message = unpackMembership(payload)
-      if (message !== undefined) perform(membership.step({ type: 'datagram', message }, now()))
+      if (message === undefined) options.log.warn('peer-message-failed', { reason: "message 'member' is malformed" })
+      else perform(membership.step({ type: 'datagram', message }, now()))
     },
     tick: () => perform(membership.step({ type: 'tick' }, now())),
     leave: () => perform(membership.step({ type: 'leave' }, now())),
