Replace owners of engines after the loss of most nodes

After half or more of all recorded nodes were gone for good, no node took over the engines of a lost owner, since a claim needed a majority. Requests for adapters that were not loaded got 503 for as long as the system ran.

The majority guards against a former owner that goes on without the store by the votes of most nodes. These votes now count for 5.2 s after its last read of the log. A node that gets no status of an owner for 2.5 s challenges it in the log; an owner that has read a challenge gives no commands until it has read its answer. Without a majority, a node claims the engines of a dead owner that has not answered, and waits out the 5.2 s and a lease. A claim that was made before a node knew of its loss of the majority waits as long. In return owners load no more adapters in an outage of the store from 5.2 s on; loaded ones are served.

The code that waits for requests at the end moved to front-server.ts.

--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -3,7 +3,7 @@
 import type { AdapterVersion, EngineCommand, EngineCommandResult } from './cluster-types'
 import { createCrashEvidence, type EvidenceAction, type EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
-import { createEngineOwnership, createLogFreshness, type EngineOwnership, type FleetMember, type LogFreshness } from './engine-ownership'
+import { createEngineOwnership, createLogFreshness, type Claim, type EngineOwnership, type FleetMember, type LogFreshness } from './engine-ownership'
 import { createEngineScheduler, type EngineStatus, type OwnedEngine, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { EngineControl, FleetLog } from './platform-interface'
@@ -49,6 +49,12 @@
   ownership: EngineOwnership
   freshness: LogFreshness
   receive (from: string, message: GrantMessage): void
+  /**
+   * Another owner has sent its status.
+   *
+   * @param logNext - offset up to which it has read the fleet log
+   */
+  receiveStatus (node: string, logNext: number): void
   /** Applies what another owner has seen of a crash. */
   receiveEvidence (message: EvidenceMessage): void
   setVersion (version: AdapterVersion, recent: boolean): void
@@ -243,16 +249,20 @@
     const era = eraOf(position)
     const confirmable = ownership.confirmable(now())
     const lost = ownership.recordedBefore(era).filter(({ engine }) => !confirmable.includes(engine))
-    const claims = ownership.claims(options.listEngines().map(({ server }) => server), options.members(), now(), era)
-    if (claims.length + confirmable.length + lost.length === 0) return
+    const engines = options.listEngines().map(({ server }) => server)
+    const claims = ownership.claims(engines, options.members(), now(), era)
+    const challenges = ownership.challenges(engines, options.members(), now(), era)
+    if (claims.length + confirmable.length + lost.length + challenges.length === 0) return
     nextClaimAt = now() + claimRetryMs
     // With a confirmation, which names no former owner, a new process of this node does not wait for it again.
-    const records = [...claims, ...lost, ...confirmable.map(engine => ({ engine, after: undefined }))].map(({ engine, after }) => ({
+    const ownerRecords = [...claims, ...lost, ...confirmable.map((engine): Omit<Claim, 'reason'> => ({ engine }))].map(({ engine, after, alone }) => ({
       key: `owner/${engine}`,
-      value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation, era, ...(after === undefined ? {} : { after }) }
+      value: { type: 'owner' as const, engine, node: options.name, incarnation: options.incarnation, era, ...(after === undefined ? {} : { after }), ...(alone === undefined ? {} : { alone }) }
     }))
+    const records = [...ownerRecords, ...challenges.map(value => ({ key: `challenge/${value.node}`, value }))]
     const result = await options.fleetLog.append(records, position)
-    log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), settled: confirmable, recordedAgain: lost.map(({ engine }) => engine), at: position, result: result.val })
+    if (challenges.length > 0) log.info('owners-challenged', { challenges, at: position, result: result.val })
+    if (ownerRecords.length > 0) log.info('engines-claimed', { engines: claims.map(({ engine }) => engine), reasons: claims.map(({ reason }) => reason), settled: confirmable, recordedAgain: lost.map(({ engine }) => engine), at: position, result: result.val })
     if (result.err && result.val === 'conflict') nextClaimAt = now() + claimConflictRetryMs
     options.appended()
   }
@@ -307,6 +317,10 @@
           return perform(scheduler.ended(message.id, message.outcome, now()))
       }
     },
+    receiveStatus (node, logNext) {
+      ownership.heard(node, now())
+      freshness.peerPosition(logNext)
+    },
     receiveEvidence: message => performEvidence(evidence.receive(message, now())),
     setVersion: (version, recent) => perform(scheduler.setVersion(version, recent, now())),
     nodeLost (node) {
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -7,10 +7,16 @@
 import { rankNodes } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
 import { eraOf, firstEra, logPosition, offsetOf } from './log-position'
+import { createOwnerChallenges, type ChallengeRecord } from './owner-challenges'
 import type { FeedRecord, FleetRecord, UnreadableRecord } from './platform-interface'
 
 /** Age of an owner's last read of the log from which it gives no commands, in ms: one read of 800 ms and one that is late. */
 export const logFreshMs = 1300
+/**
+ * Age of an owner's last read of the log up to which it gives commands in an outage of the store, in ms. A node
+ * without a majority waits as long before it replaces an owner, so that it recovers from the loss of most nodes in 12 s.
+ */
+export const maxOutageCommandMs = 5200
 /** Margin for the delivery of a command and for clocks that run at different rates, in ms. */
 const commandMarginMs = 200
 /** Engines of a zone for each owner: enough that an owner sees most adapter slots, few enough that its decisions take a small part of a core. */
@@ -23,6 +29,14 @@
 /** `capacity` is the relative processing power of the node. */
 export type FleetMember = { name: string, zone: string, incarnation: number, capacity: number, state: 'alive' | 'leaving' | 'dead' }
 
+/** Time without a status of an owner after which it is challenged, in ms. It grows with the number of nodes, as the interval of the statuses does. */
+const ownerSilentMs = 2500
+const ownerSilentPerNodeMs = 40
+const ownerSilentMaxMs = 5000
+/** Nodes challenge a silent owner one after the other, this much apart, in ms; the first challenge is enough. */
+const challengeStaggerMs = 50
+const challengeStaggerMaxMs = 500
+
 /** Named as the former owner if the store may have lost the record of one. */
 export const lostOwner = '(lost)'
 
@@ -30,8 +44,8 @@
 
 export type OwnershipConfig = { name: string, incarnation: number, zone: string, capacity: number, leaseMs: number }
 
-/** `after` names the former owner, whose commands may still arrive. */
-export type Claim = { engine: string, reason: 'unowned' | 'owner-dead' | 'restarted', after?: string }
+/** `after` names the former owner, whose commands may still arrive; `alone`: it is replaced without a majority. */
+export type Claim = { engine: string, reason: 'unowned' | 'owner-dead' | 'restarted', after?: string, alone?: true }
 
 export type EngineOwnership = {
   apply (records: readonly FeedRecord<FleetRecord | UnreadableRecord>[], now: number): void
@@ -41,20 +55,24 @@
    * @param era - era of the store up to which this process has read the log
    */
   claims (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era?: number): Claim[]
+  /** Challenges of owners that seem dead to a node without a majority, and this process' answer to one. */
+  challenges (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era?: number): ChallengeRecord[]
   term (engine: string): OwnerTerm | undefined
   /** Engines whose newest owner record names this process. */
   owned (): OwnerTerm[]
   /** Owned engines whose former owner can give no more commands, which is to be recorded in the log. */
   confirmable (now: number): string[]
   /** Owned engines whose records were appended before the era, so that the store may have lost them. */
-  recordedBefore (era: number): Pick<Claim, 'engine' | 'after'>[]
+  recordedBefore (era: number): Omit<Claim, 'reason'>[]
   /** Time from which this process may give the engine commands; undefined if it is not the owner. */
   commandsFrom (engine: string): number | undefined
+  /** Records that an owner has sent its status. */
+  heard (node: string, now: number): void
   /** Records that a node's process ends and gives no more commands. */
   nodeStopped (node: string, incarnation: number, now: number): void
 }
 
-type TermState = OwnerTerm & { commandsFrom: number, after?: string }
+type TermState = OwnerTerm & { recordedAt: number, commandsFrom: number, after?: string, alone?: true }
 
 /**
  * Assigns an owner to each engine. The engines of a zone get as few owners as can handle them, since
@@ -82,6 +100,9 @@
   const stoppedProcesses = new Map<string, { incarnation: number, at: number }>()
   /** Time from which a former owner can give no more commands, in ms after it has learned of its end. */
   const handoverMs = logFreshMs + cfg.leaseMs + commandMarginMs
+  /** Time of the last status of each owner, or of the first look at it. */
+  const heardAt = new Map<string, number>()
+  const challenges = createOwnerChallenges({ node: cfg.name, incarnation: cfg.incarnation })
   let currentEra: number | undefined
   let eraSince = -Infinity
 
@@ -95,7 +116,22 @@
     if (record.after === undefined) return now
     const stop = stoppedProcesses.get(record.after)
     const stopped = stop !== undefined && previous !== undefined && previous.node === record.after && stop.incarnation === previous.incarnation
-    return Math.max(now, stopped ? stop.at + handoverMs - logFreshMs : now + handoverMs)
+    if (stopped) return Math.max(now, stop.at + handoverMs - logFreshMs)
+    return Math.max(now + handoverMs, record.alone === true ? outageLeaseEndsAt(record.after, now) : now)
+  }
+
+  /** The same if no majority knows of the new owner, so that a former one may give commands in an outage for a while. */
+  function outageLeaseEndsAt (after: string, recordedAt: number): number {
+    return (challenges.challengedAt(after) ?? recordedAt) + maxOutageCommandMs + cfg.leaseMs + commandMarginMs
+  }
+
+  /** A node that loses others notices one after the other, and may have claimed engines before it knew that most are gone. */
+  function majorityLost (now: number): void {
+    for (const term of terms.values()) {
+      if (!isSelf(term) || term.after === undefined || term.alone === true || term.commandsFrom <= now) continue
+      term.alone = true
+      term.commandsFrom = Math.max(term.commandsFrom, outageLeaseEndsAt(term.after, term.recordedAt))
+    }
   }
 
   function applyOwnerRecord (record: FleetRecord & { type: 'owner' }, offset: number, now: number): void {
@@ -106,7 +142,8 @@
     const alreadyOwned = previous !== undefined && isSelf(previous) && isSelf(record)
     const commandsFrom = alreadyOwned ? previous.commandsFrom : isSelf(record) ? leaseEndsAt(record, previous, now) : Infinity
     const after = record.after === undefined ? {} : { after: record.after }
-    terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token, commandsFrom, ...after })
+    const alone = record.alone === true ? { alone: record.alone } : {}
+    terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token, recordedAt: now, commandsFrom, ...after, ...alone })
   }
 
   function claimReason (term: TermState | undefined, states: ReadonlyMap<string, FleetMember['state']>): Claim['reason'] | undefined {
@@ -117,51 +154,93 @@
     return (states.get(term.node) ?? 'dead') === 'dead' ? 'owner-dead' : undefined
   }
 
+  function planClaims (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era: number): { claims: Claim[], challenged: TermState[] } {
+    if (era !== currentEra) {
+      currentEra = era
+      eraSince = now
+    }
+    const reasons = new Map<string, Claim['reason']>()
+    const states = new Map(members.map(({ name, state }) => [name, state]))
+    for (const { id } of engines) {
+      const reason = claimReason(terms.get(id), states)
+      if (reason !== undefined) reasons.set(id, reason)
+    }
+    const claims: Claim[] = []
+    const challenged = new Map<string, TermState>()
+    const self: FleetMember = { name: cfg.name, zone: cfg.zone, incarnation: cfg.incarnation, capacity: cfg.capacity, state: 'alive' }
+    const candidates = [self, ...members.filter(({ name, state }) => state === 'alive' && name !== cfg.name)]
+    // Owners continue without the log while most nodes cannot reach it, so replacing one needs a majority, or time.
+    const hasMajority = candidates.length > (members.filter(({ name }) => name !== cfg.name).length + 1) / 2
+    if (!hasMajority) majorityLost(now)
+    if (reasons.size === 0) return { claims, challenged: [] }
+    const owners = assignOwners(engines, candidates)
+    for (const { id } of engines) {
+      const term = terms.get(id)
+      const reason = reasons.get(id)
+      const isOwnNode = term?.node === cfg.name
+      if (reason === undefined || (!isOwnNode && (now - startedAt < startupMs || owners.get(id) !== cfg.name))) continue
+      const alone = reason === 'owner-dead' ? !hasMajority : term?.alone === true
+      if (alone && reason === 'owner-dead') {
+        const verdict = challenges.verdict(term!, now, era)
+        if (verdict === 'challenge') challenged.set(term!.node, term!)
+        if (verdict !== 'lost') continue
+      }
+      // Owners record their engines again at the start of an era, so only then a record may be missing.
+      const mayBeLost = era > firstEra && (term === undefined ? now - eraSince < handoverMs : isOwnNode && eraOf(term.token) < era)
+      const after = mayBeLost ? lostOwner : isOwnNode ? term.after : term?.node
+      claims.push({ engine: id, reason, ...(after === undefined ? {} : { after }), ...(alone && after !== undefined ? { alone } : {}) })
+    }
+    return { claims, challenged: [...challenged.values()] }
+  }
+
+  /** Owners whose status has not arrived for a while. A challenge early on shortens the wait of a node that turns out to be without a majority. */
+  function silentOwners (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era: number): TermState[] {
+    const silent = new Map<string, TermState>()
+    const silentMs = Math.min(ownerSilentMaxMs, Math.max(ownerSilentMs, members.length * ownerSilentPerNodeMs))
+    for (const { id } of engines) {
+      const term = terms.get(id)
+      if (term === undefined || term.node === cfg.name || silent.has(term.node)) continue
+      const lastAt = heardAt.get(term.node)
+      if (lastAt === undefined) heardAt.set(term.node, now)
+      else if (now - lastAt > silentMs) silent.set(term.node, term)
+    }
+    return [...silent.values()].filter(term => {
+      const others = members.filter(({ name, state }) => state === 'alive' && name !== cfg.name && name !== term.node).map(({ name }) => ({ id: name }))
+      const rank = rankNodes(`challenge:${term.node}`, [{ id: cfg.name }, ...others]).findIndex(({ id }) => id === cfg.name)
+      const staggerMs = Math.min(challengeStaggerMaxMs, rank * challengeStaggerMs)
+      return now - heardAt.get(term.node)! > silentMs + staggerMs && challenges.verdict(term, now, era) === 'challenge'
+    })
+  }
+
   return {
     apply (records, now) {
+      // Before the owner records, whose waits depend on them.
+      for (const { offset, value } of records) {
+        if (value?.type === 'challenge') challenges.apply(value, offset, now)
+      }
       for (const { key, offset, value } of records) {
         if (value?.type === 'owner') applyOwnerRecord(value, offset, now)
         else if (value === undefined) terms.delete(key.replace(/^owner\//, ''))
       }
     },
-    claims (engines, members, now, era = 0) {
-      if (era !== currentEra) {
-        currentEra = era
-        eraSince = now
-      }
-      const reasons = new Map<string, Claim['reason']>()
-      const states = new Map(members.map(({ name, state }) => [name, state]))
-      for (const { id } of engines) {
-        const reason = claimReason(terms.get(id), states)
-        if (reason !== undefined) reasons.set(id, reason)
-      }
-      if (reasons.size === 0) return []
-      const self: FleetMember = { name: cfg.name, zone: cfg.zone, incarnation: cfg.incarnation, capacity: cfg.capacity, state: 'alive' }
-      const candidates = [self, ...members.filter(({ name, state }) => state === 'alive' && name !== cfg.name)]
-      // Owners continue without the log while most nodes cannot reach it, so replacing one needs a majority as well.
-      const hasMajority = candidates.length > (members.filter(({ name }) => name !== cfg.name).length + 1) / 2
-      const owners = assignOwners(engines, candidates)
-      return engines.flatMap((engine): Claim[] => {
-        const term = terms.get(engine.id)
-        const reason = reasons.get(engine.id)
-        if (reason === undefined || (reason === 'owner-dead' && !hasMajority)) return []
-        const isOwnNode = term?.node === cfg.name
-        if (!isOwnNode && now - startedAt < startupMs) return []
-        if (!isOwnNode && owners.get(engine.id) !== cfg.name) return []
-        // Owners record their engines again at the start of an era, so only then a record may be missing.
-        const mayBeLost = era > firstEra && (term === undefined ? now - eraSince < handoverMs : isOwnNode && eraOf(term.token) < era)
-        const after = mayBeLost ? lostOwner : isOwnNode ? term.after : term?.node
-        return [{ engine: engine.id, reason, ...(after === undefined ? {} : { after }) }]
-      })
+    claims: (engines, members, now, era = 0) => planClaims(engines, members, now, era).claims,
+    challenges (engines, members, now, era = 0) {
+      const answers: ChallengeRecord[] = challenges.selfChallenged() ? [{ type: 'challenge', node: cfg.name, incarnation: cfg.incarnation }] : []
+      const challenged = new Map([...planClaims(engines, members, now, era).challenged, ...silentOwners(engines, members, now, era)].map(term => [term.node, term]))
+      return [...answers, ...[...challenged.values()].map(({ node, incarnation }): ChallengeRecord => ({ type: 'challenge', node, incarnation, by: cfg.name }))]
     },
     term: engine => terms.get(engine),
     owned: () => [...terms.values()].filter(isSelf),
     commandsFrom (engine) {
       const term = terms.get(engine)
-      return term !== undefined && isSelf(term) ? term.commandsFrom : undefined
+      if (term === undefined || !isSelf(term)) return undefined
+      return challenges.selfChallenged() ? Infinity : term.commandsFrom
     },
     confirmable: now => [...terms.values()].filter(term => isSelf(term) && term.after !== undefined && term.commandsFrom < now).map(({ engine }) => engine),
-    recordedBefore: era => [...terms.values()].filter(term => isSelf(term) && eraOf(term.token) < era).map(({ engine, after }) => ({ engine, ...(after === undefined ? {} : { after }) })),
+    recordedBefore: era => [...terms.values()].filter(term => isSelf(term) && eraOf(term.token) < era).map(({ engine, after, alone }) => ({ engine, ...(after === undefined ? {} : { after }), ...(alone === undefined ? {} : { alone }) })),
+    heard (node, now) {
+      heardAt.set(node, now)
+    },
     nodeStopped (node, incarnation, now) {
       stoppedProcesses.set(node, { incarnation, at: now })
     }
@@ -190,10 +269,11 @@
    */
   unreachable (node: string, at: number, knownEnd: number): void
   /**
-   * Whether no other owner can have been recorded: the end of the log was read recently, or most
-   * nodes cannot reach the log and none of them knows of a later record than this process has read.
-   * A node claims engines of a dead owner only while it reaches most nodes, and tells them how far
-   * it has read before it gives commands. So a later owner is known to one of the nodes that reply.
+   * Whether no other owner can give commands yet: the end of the log was read recently, or it was read
+   * within {@link maxOutageCommandMs}, most nodes cannot reach it and none of them knows of a later
+   * record than this process has read. A node with a majority claims engines of a dead owner only while it reaches most nodes, and tells them how far
+   * it has read before it gives commands. So a later owner is known to one of the nodes that reply. A
+   * node without a majority waits until that time is over.
    *
    * @param nodes - size of the fleet
    */
@@ -207,6 +287,7 @@
 export function createLogFreshness (): LogFreshness {
   let freshAt = -Infinity
   let validFrom = -Infinity
+  let lastReadAt = -Infinity
   let readOffset = -1
   let namedEnd = -1
   const failedReads = new Map<string, { at: number, knownEnd: number }>()
@@ -219,7 +300,9 @@
   }
 
   function confirmFresh (at: number): void {
-    if (at >= validFrom) freshAt = Math.max(freshAt, at)
+    if (at < validFrom) return
+    freshAt = Math.max(freshAt, at)
+    lastReadAt = Math.max(lastReadAt, at)
   }
 
   return {
@@ -237,6 +320,7 @@
     suspended (now) {
       validFrom = now
       freshAt = -Infinity
+      lastReadAt = -Infinity
       failedReads.clear()
     },
     knownEnd: () => Math.max(readOffset, namedEnd),
@@ -244,7 +328,7 @@
       namedEnd = Math.max(namedEnd, knownEnd)
       if (at >= validFrom) failedReads.set(node, { at, knownEnd })
     },
-    excludesNewOwner: (now, nodes) => now - freshAt <= logFreshMs || (namedEnd <= readOffset && countUnreachable(now) > nodes / 2),
+    excludesNewOwner: (now, nodes) => now - freshAt <= logFreshMs || (now - lastReadAt <= maxOutageCommandMs && namedEnd <= readOffset && countUnreachable(now) > nodes / 2),
     ageMs: now => now - freshAt
   }
 }
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -32,8 +32,11 @@
   running (): number
   /** Applies the limits of a new configuration. */
   configure (): void
-  /** Answers the requests in progress with an unknown outcome, and aborts responses that have begun, because the process ends. */
-  endRequests (): void
+  /**
+   * Resolves when no request is in progress and `earliestAt` has passed. At `latestAt` it answers the
+   * requests that are still in progress with an unknown outcome, and aborts responses that have begun.
+   */
+  finish (earliestAt: number, latestAt: number): Promise<void>
 }
 
 /** Limit of the HTTP parser; the configured limit can change and is checked on each request. */
@@ -46,6 +49,8 @@
 const defaultKeepAliveMs = 20_000
 /** Interval between checks for clients that send headers too slowly, in ms. */
 const connectionCheckMs = 1000
+/** Interval between checks for requests in progress at the end, in ms. */
+const finishCheckMs = 50
 const notConfiguredRetryAfterMs = 500
 const leavingRetryAfterMs = 100
 
@@ -156,7 +161,11 @@
   return {
     server,
     running: () => running,
-    endRequests () {
+    async finish (earliestAt, latestAt) {
+      for (; env.now() < latestAt; await new Promise(resolve => setTimeout(resolve, finishCheckMs))) {
+        if (running === 0 && env.now() > earliestAt) return
+      }
+      env.log.warn('stopping-with-requests', { running })
       for (const exchange of exchanges) {
         if (exchange.headersSent) exchange.abort()
         else exchange.refuse({ status: 502, outcome: 'unknown' }, 'the node stops before the server has answered')
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,8 @@
   reload (settings: NodeSettings): void
   /** Leaves the fleet and resolves when the requests in progress have ended or the grace period is nearly over. */
   stop (): Promise<void>
+  /** Ends at once without leaving the fleet, as if the process were killed. */
+  abort (): void
 }
 
 /** Interval at which an owner checks deadlines and requests engine reports, in ms. */
@@ -271,7 +273,7 @@
   function receiveStatus (from: string, payload: unknown): void {
     const status = ownerStatuses.receive(from, payload, now())
     if (status === undefined) return
-    owner.freshness.peerPosition(status.fleetNext)
+    owner.receiveStatus(from, status.fleetNext)
     feeds.peerFleetNext(status.fleetNext)
     const ownNext = feeds.operatorNext()
     if (!feeds.operatorReachable() && (ownNext === undefined || status.operatorNext > Math.max(ownNext, peerOperatorNext))) {
@@ -465,14 +467,12 @@
     timers.push(setInterval(usage.check, usageIntervalMs))
   }
 
-  async function finishRequests (): Promise<void> {
-    const endAt = now() + settings.bounds.graceMs - stopMarginMs
-    while (now() < endAt) {
-      if (front.running() === 0 && now() - leavingSince! > leavingAcceptMs) return
-      await new Promise(resolve => setTimeout(resolve, tickMs))
-    }
-    log.warn('stopping-with-requests', { running: front.running() })
-    front.endRequests()
+  function close (): void {
+    for (const server of [front.server, directoryServer, readyServer, metricsServer, snapshotServer]) server.close()
+    for (const timer of [...timers, tickTimer]) clearTimeout(timer)
+    feeds.stop()
+    link.close()
+    upstream.close()
   }
 
   return {
@@ -504,17 +504,18 @@
       log.info('stopping', { running: front.running(), graceMs: settings.bounds.graceMs })
       fleet.leave()
       owner.stopClaiming()
-      await finishRequests()
+      await front.finish(leavingSince + leavingAcceptMs, now() + settings.bounds.graceMs - stopMarginMs)
       owner.stopCommands()
       await Promise.all(fleet.peers().map(({ address }) => link.deliver(address, { kind: 'stopped', payload: null })))
-      for (const server of [front.server, directoryServer, readyServer, metricsServer, snapshotServer]) server.close()
-      for (const timer of timers) clearInterval(timer)
-      clearTimeout(tickTimer)
-      feeds.stop()
-      link.close()
-      upstream.close()
+      close()
       log.info('stopped', {})
       await log.close()
+    },
+    abort () {
+      leavingSince = now()
+      owner.stopCommands()
+      close()
+      front.server.closeAllConnections()
     }
   }
 }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -31,14 +31,17 @@
 
 export type AppendFailure = 'conflict' | 'rejected' | 'unknown'
 
-/** Records of the gateway's nodes: each node writes its own `node` record, engine owners write `owner` and `blocked-part` records. */
+/** Records of the gateway's nodes: each node writes its own `node` record, engine owners write `owner`, `challenge` and `blocked-part` records. */
 export type FleetRecord =
   | { type: 'node', name: string, address: string, zone: string, incarnation: number, front: string, capacity: number, control?: string }
   /**
    * `after` names the other node that sent the engine commands before; later processes of the same node
-   * keep it in their records. `era` is the one in which the record was appended, which a copy keeps.
+   * keep it in their records. `alone`: that node was replaced without a majority. `era` is the one in
+   * which the record was appended, which a copy keeps.
    */
-  | { type: 'owner', engine: string, node: string, incarnation: number, after?: string, era?: number }
+  | { type: 'owner', engine: string, node: string, incarnation: number, after?: string, alone?: true, era?: number }
+  /** Node `by` takes the process of an engine owner for dead; without `by`, that process answers. */
+  | { type: 'challenge', node: string, incarnation: number, by?: string }
   /** A prompt part that crashes engines; `at` is the time at which it was blocked, Unix ms. */
   | { type: 'blocked-part', part: string, at: number }
 
--- a/packages/gateway/src/testing/test-nodes.ts
+++ b/packages/gateway/src/testing/test-nodes.ts
@@ -43,6 +43,10 @@
   lines: LogLine[]
   /** Stops a node and starts a new process of it. */
   restart (index: number): Promise<void>
+  /** Ends nodes at once, without their leave. */
+  kill (...indexes: number[]): void
+  /** Starts a new process of a node that was killed. */
+  startAgain (index: number): Promise<void>
   stop (): Promise<void>
 }
 
@@ -54,6 +58,7 @@
   const lines: LogLine[] = []
   const settings: NodeSettings[] = []
   const gateways: Gateway[] = []
+  const killed = new Set<number>()
   const allPorts = await freePorts(portCount * zones.length)
   let platform: FakePlatform | undefined
 
@@ -81,7 +86,17 @@
       await gateways[index]!.stop()
       await startNode(index)
     },
-    stop: async () => { await Promise.all(gateways.map(gateway => gateway.stop())) }
+    kill (...indexes) {
+      for (const index of indexes) {
+        gateways[index]!.abort()
+        killed.add(index)
+      }
+    },
+    async startAgain (index) {
+      killed.delete(index)
+      await startNode(index)
+    },
+    stop: async () => { await Promise.all(gateways.filter((_, index) => !killed.has(index)).map(gateway => gateway.stop())) }
   }
 }
 
