Forget the message numbers of peer processes that have ended

Each process that ever was a peer left up to 4,096 numbers, for ever. They are dropped ten minutes after its last message, when another process appears; a suspended process that retransmits within that time is still recognised.

Evidence: the new test of peer-link.test.ts failed against the code before (4 of 5 passed), as the numbers of a process that had been silent for over ten minutes were still stored. No process was seen to end by this.

--- a/packages/gateway/src/peer-link.test.ts
+++ b/packages/gateway/src/peer-link.test.ts
@@ -14,9 +14,9 @@
   return port
 }
 
-async function start (node: string, received: string[]): Promise<{ link: PeerLink, address: string }> {
+async function start (node: string, received: string[], now = (): number => performance.now()): Promise<{ link: PeerLink, address: string }> {
   const port = await freePort()
-  const link = createPeerLink({ self: { node, incarnation: 1 }, host: '127.0.0.1', port, now: () => performance.now(), position: () => -1, peerPosition () {}, received: (from, { kind }) => { received.push(`${from.node} ${kind}`) }, onError () {} })
+  const link = createPeerLink({ self: { node, incarnation: 1 }, host: '127.0.0.1', port, now, position: () => -1, peerPosition () {}, received: (from, { kind }) => { received.push(`${from.node} ${kind}`) }, onError () {} })
   await link.listen()
   return { link, address: `127.0.0.1:${port}` }
 }
@@ -59,4 +59,29 @@
   assert.is(await link.deliver('127.0.0.1:9', { kind: 'hello', payload: 1 }), false)
 })
 
+// Guards against keeping the numbers of each process that ever was a peer.
+test('a process that has ended is forgotten when another one appears, and others are not', async () => {
+  const received: string[] = []
+  let now = 0
+  const receiver = await start('n2', received, () => now)
+  const [host, port] = receiver.address.split(':') as [string, string]
+  const raw = createSocket('udp4')
+  const send = async (...texts: string[]): Promise<void> => {
+    for (const text of texts) raw.send(text, Number(port), host)
+    await sleep(50)
+  }
+  await send('["n1",1,7,"first",null]', '["n3",1,7,"other",null]')
+  now = 500_000
+  await send('["n3",1,8,"other again",null]', '["n1",2,7,"second",null]', '["n1",1,7,"first",null]')
+  assert.equal(received.splice(0), ['n1 first', 'n3 other', 'n3 other again', 'n1 second'])
+  now = 1_099_000
+  await send('["n1",3,7,"third",null]', '["n3",1,7,"other",null]', '["n1",1,7,"first",null]')
+  assert.equal(received.splice(0), ['n1 third'])
+  now = 1_900_000
+  await send('["n1",4,7,"fourth",null]', '["n1",1,7,"first",null]')
+  assert.equal(received, ['n1 fourth', 'n1 first'], 'the numbers of the first process were dropped')
+  raw.close()
+  receiver.link.close()
+})
+
 test.run()
--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -34,6 +34,8 @@
 const retransmitAfterMs = [25, 50, 100, 150]
 /** Message numbers stored per peer process to drop duplicates. */
 const maxSeenNumbers = 4096
+/** Time for which the numbers of a silent process are stored, in ms: one that was suspended goes on to retransmit. */
+const seenRetentionMs = 600_000
 /** Largest datagram that common links carry unfragmented, in bytes. */
 export const maxDatagramBytes = 1400
 
@@ -63,8 +65,8 @@
   const { self } = options
   const socket: Socket = createSocket('udp4')
   const unacked = new Map<number, Unacked>()
-  /** Numbers of received messages by peer process. */
-  const seen = new Map<string, Set<number>>()
+  /** Numbers of received messages by peer process, and the time of the last one. */
+  const seen = new Map<string, { numbers: Set<number>, at: number }>()
   let lastNumber = 0
   let closed = false
 
@@ -79,8 +81,17 @@
   }
 
   function isNew (peer: string, number: number): boolean {
-    const numbers = seen.get(peer) ?? new Set<number>()
-    seen.set(peer, numbers)
+    const now = options.now()
+    let known = seen.get(peer)
+    if (known === undefined) {
+      for (const [other, { at }] of seen) {
+        if (now - at > seenRetentionMs) seen.delete(other)
+      }
+      known = { numbers: new Set<number>(), at: now }
+      seen.set(peer, known)
+    }
+    const { numbers } = known
+    known.at = now
     if (numbers.has(number)) return false
     numbers.add(number)
     if (numbers.size > maxSeenNumbers) numbers.delete(numbers.values().next().value!)
