--- a/packages/gateway/src/prompt-cache.ts
+++ b/packages/gateway/src/prompt-cache.ts
@@ -21,6 +21,9 @@
   return parts.slice(0, -1).map(({ id }) => id)
 }
 
+/** Parts that are remembered at most: clients choose how small they are. */
+const maxParts = 2048
+
 /** @param capacityTokens - memory for parts that no running request uses, in tokens */
 export function createPromptCache (capacityTokens: number): PromptCache {
   // A Map iterates in insertion order, so the first key is the least recently used one.
@@ -34,7 +37,7 @@
 
   function trim (): void {
     for (const key of parts.keys()) {
-      if (total <= capacityTokens) return
+      if (total <= capacityTokens && parts.size <= maxParts) return
       remove(key)
     }
   }
