--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,4 +1,4 @@
-/** Builds `target/yuccawharf.cjs`, the bundle that deploy/system.toml runs on the users' platform. */
+/** Builds `target/yuccawharf.cjs`, the bundle that deploy/system.toml runs on the users' platform. An argument names another folder than `target`. */
 import { mkdirSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -6,7 +6,7 @@
 import { bundleOptions } from './bundle-options.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
-const target = join(root, 'target')
+const target = process.argv[2] ?? join(root, 'target')
 
 mkdirSync(target, { recursive: true })
 await build({
