Bound the bytes of the headers of all requests in progress

Headers count from their arrival until the response is closed, in a twenty-fifth of the memory limit, since they are kept several times; what has no room is refused as not run.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -6,6 +6,7 @@
 import { createBodyReader } from './body-reader'
 import { abortResponse, createClientExchange, refusalBody, sendRefusal, sendUnreadRefusal, type ClientExchange, type ExchangeContext, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
+import { createHeaderBytes } from './header-bytes'
 import { keptBytesLimit, type KeptBytes } from './kept-bytes'
 import type { HeaderCodec } from './platform-interface'
 import { createRequestBytes, type BodyRefusal } from './request-bytes'
@@ -15,8 +16,8 @@
   now (): number
   codec: HeaderCodec
   kept: KeptBytes
-  /** Bytes of bodies of requests that are kept at a time. */
-  maxRequestBytes?: number
+  /** Limit of the process's memory, in bytes, if it is known. */
+  memoryBytes?: number | undefined
   log: DecisionLog
   /** Undefined until a configuration has been read. */
   routes (): RouteTable | undefined
@@ -45,8 +46,10 @@
   finish (earliestAt: number, latestAt: number): Promise<void>
 }
 
-/** Limit of the HTTP parser; the configured limit can change and is checked on each request. */
+/** Limit of the HTTP parser until a configuration is known. */
 const maxHeaderBytes = 64 * 1024
+/** Bytes by which the parser's limit exceeds the configured one, which is checked on each request. */
+const headerMarginBytes = 4096
 /**
  * Margin on the configured idle time and header timeout, in ms. Clients reuse a connection for up to
  * four fifths of the idle time, so the server keeps it open for all of it and this margin.
@@ -89,8 +92,9 @@
 export function createFrontServer (env: FrontServerEnv): FrontServer {
   let running = 0
   const exchanges = new Set<ClientExchange>()
-  const requestBytes = createRequestBytes(env.maxRequestBytes ?? keptBytesLimit())
+  const requestBytes = createRequestBytes(keptBytesLimit(env.memoryBytes))
   const bodies = createBodyReader(requestBytes, env.now)
+  const heldHeaders = createHeaderBytes(env.memoryBytes)
   /** Connections that end with a refusal. */
   const refusedSockets = new WeakSet<Socket>()
 
@@ -117,11 +121,15 @@
     if (table === undefined) return refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryAfterMs)
     if (env.closed()) return refuse(503, 'not-run', 'the node is leaving', leavingRetryAfterMs)
     const { limits } = table.config
-    if (headerBytes(req.rawHeaders) > limits.headerBytes) return refuse(431, 'invalid', `the headers exceed ${limits.headerBytes} bytes`)
+    const size = headerBytes(req.rawHeaders)
+    if (size > limits.headerBytes) return refuse(431, 'invalid', `the headers exceed ${limits.headerBytes} bytes`)
     const route = table.match(req.headers.host ?? '', req.url ?? '/')
     if (route === undefined) return refuse(404, 'invalid', 'no route matches host and path')
     const metadata = env.codec.request(req.rawHeaders)
     if (metadata.id === '') return refuse(400, 'invalid', 'the request has no id')
+    const releaseHeaders = heldHeaders.hold(size)
+    if (releaseHeaders === undefined) return refuse(503, 'not-run', 'too many bytes of headers are kept', noRoomRetryAfterMs)
+    res.once('close', releaseHeaders)
     const deadlineAt = (): number => Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
     const body = await bodies.read(req, limits.bodyBytes, deadlineAt)
     if (body.type === 'aborted') return
@@ -200,6 +208,8 @@
       if (limits === undefined) return
       server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs
       server.headersTimeout = limits.headerTimeoutMs + keepAliveMarginMs
+      // Node.js reads this property for each new connection.
+      Object.assign(server, { maxHeaderSize: limits.headerBytes + headerMarginBytes })
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -326,7 +326,7 @@
     now,
     codec: platform.headers,
     kept,
-    maxRequestBytes: keptBytesLimit(settings.memoryBytes),
+    memoryBytes: settings.memoryBytes,
     log,
     routes: () => table,
     closing: () => leavingSince !== undefined,
