--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -166,14 +166,14 @@
     requestTimeout: 0,
     noDelay: true
   }, (req, res) => {
+    req.on('error', () => {})
+    res.on('error', () => {})
     if (refusedSockets.has(req.socket)) {
       // Its client sees the connection close without a response, so it must not run.
       req.resume()
       return
     }
     running += 1
-    req.on('error', () => {})
-    res.on('error', () => {})
     // Emitted when the last byte was handed to the system, or when the connection is closed.
     const responded = new Promise<void>(resolve => { res.once('close', resolve) })
     handle(req, res).catch(err => {
