Install the bundler also where npm is set to production packages

What was seen: with NODE_ENV=production, npm_config_omit=dev or npm_config_production=true in the environment the build command installs 39 of 321 packages, fails and leaves no target/, so that no process starts.

The environment of the build was trusted.

Evidence: five settings in fresh copies, three failed. The new test failed before (11 of 12), 'node_modules/esbuild is missing or incomplete'.

Change: the build names the groups of packages that it needs, which goes before the environment and npm's own settings. Now 12 of 12; in fresh copies the three settings, and omit=optional with ignore-scripts, give both bundles.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -20,7 +20,7 @@
 
 function install (reason) {
   console.error(`Installing packages, because ${reason}`)
-  run('npm', ['ci', '--loglevel=error', '--no-audit', '--no-fund'])
+  run('npm', ['ci', '--include=dev', '--include=optional', '--loglevel=error', '--no-audit', '--no-fund'])
   const fault = findInstallFault(root)
   if (fault !== undefined) throw new Error(`after the install: ${fault}`)
 }
