Bound and end the pipelined requests of a connection

One client that sent requests without waiting for responses ended the node: V8 ended the process (heap at 160 MB) within 7 s of up to 50,000 requests of some 60 bytes in progress on one connection. When such a client left, only the first of its requests ended: of 5, 4 stayed at work at their servers, a planned stop waited for the whole grace period (7,309 ms of 8,000), and the room that was counted for their headers was never returned.

Cause: Node.js starts all requests that it reads, and stops reading only when complete responses wait; and it emits `close` only for the response whose turn it is on the connection. The account of headers counted their bytes and not the state of the requests, which is many times as large for small ones.

limitPipelining bounds the requests of one connection without a complete response to 32, then closes it, and emits `close` for all of its responses when it ends. All servers of a node use it.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -8,6 +8,7 @@
 import type { DecisionLog } from './decision-log'
 import { createHeaderBytes } from './header-bytes'
 import { keptBytesLimit, type KeptBytes } from './kept-bytes'
+import { limitPipelining } from './pipelining'
 import type { HeaderCodec } from './platform-interface'
 import { createRequestBytes, type BodyRefusal } from './request-bytes'
 import { chooseTarget, type RouteTable } from './route-table'
@@ -112,24 +113,32 @@
       sendRefusal(res, { status, outcome }, reason, refusalHeaders(id, retryAfterMs))
       req.resume()
     }
+    const refuseHeaders = (pipelined: boolean): void => {
+      if (!pipelined) return refuse(503, 'not-run', 'too many bytes of headers are kept', noRoomRetryAfterMs)
+      // The refusal would have to wait for the responses before it, and take memory too.
+      env.log.warn('connection-closed', { reason: 'too many bytes of headers are kept' })
+      req.socket.destroy()
+    }
     const refuseBody = (id: string, refusal: BodyRefusal): void => {
       const { status, reason, retryAfterMs } = bodyRefusals[refusal]
       env.log.info('request-refused', { id, status, reason, requestBytes: requestBytes.total(), afterMs: Math.round(env.now() - arrivedAt) })
       refusedSockets.add(req.socket)
       sendUnreadRefusal(req, res, { status, outcome: 'not-run' }, reason, refusalHeaders(id, retryAfterMs))
     }
+    const size = headerBytes(req.rawHeaders)
+    // A response has its connection when those before it are complete.
+    const pipelined = res.socket === null
+    const releaseHeaders = heldHeaders.hold(size, pipelined)
+    if (releaseHeaders === undefined) return refuseHeaders(pipelined)
+    res.once('close', releaseHeaders)
     if (table === undefined) return refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryAfterMs)
     if (env.closed()) return refuse(503, 'not-run', 'the node is leaving', leavingRetryAfterMs)
     const { limits } = table.config
-    const size = headerBytes(req.rawHeaders)
     if (size > limits.headerBytes) return refuse(431, 'invalid', `the headers exceed ${limits.headerBytes} bytes`)
     const route = table.match(req.headers.host ?? '', req.url ?? '/')
     if (route === undefined) return refuse(404, 'invalid', 'no route matches host and path')
     const metadata = env.codec.request(req.rawHeaders)
     if (metadata.id === '') return refuse(400, 'invalid', 'the request has no id')
-    const releaseHeaders = heldHeaders.hold(size)
-    if (releaseHeaders === undefined) return refuse(503, 'not-run', 'too many bytes of headers are kept', noRoomRetryAfterMs)
-    res.once('close', releaseHeaders)
     const deadlineAt = (): number => Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
     const body = await bodies.read(req, limits.bodyBytes, deadlineAt)
     if (body.type === 'aborted') return
@@ -165,7 +174,7 @@
     // The client's deadline limits the time for long bodies.
     requestTimeout: 0,
     noDelay: true
-  }, (req, res) => {
+  }, limitPipelining((req, res) => {
     req.on('error', () => {})
     res.on('error', () => {})
     if (refusedSockets.has(req.socket)) {
@@ -181,7 +190,7 @@
       sendRefusal(res, { status: 500, outcome: 'unknown' }, 'the node could not handle the request')
       if (!res.writableEnded) abortResponse(res)
     }).then(() => responded).finally(() => { running -= 1 })
-  })
+  }, unanswered => { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) }))
   const responses = trackResponses(server)
   server.on('clientError', (err, socket) => {
     // A refusal would be read as part of the response in progress, or in place of it.
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -5,6 +5,7 @@
 import { createServer, type Server } from 'node:http'
 import { createHttpClient, parseJson } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
+import { limitPipelining } from './pipelining'
 import type { FeedRecord, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
 import type { Departure } from './server-registry'
 
@@ -73,7 +74,7 @@
 /** @param departures - servers that have left; undefined if this node cannot tell yet */
 export function createSnapshotServer (cache: FeedCache, departures: () => Departure[] | undefined): Server {
   const resources = new Map<string, () => unknown>([[statePath, () => cache.snapshot()], [departuresPath, departures]])
-  return createServer((req, res) => {
+  return createServer(limitPipelining((req, res) => {
     const resource = resources.get(req.url ?? '')
     const value = resource?.()
     if (value === undefined) {
@@ -81,7 +82,7 @@
       return
     }
     res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(value))
-  })
+  }))
 }
 
 function isSnapshot (value: unknown): value is PeerSnapshot {
--- /dev/null
+++ b/packages/gateway/src/pipelining.ts
@@ -0,0 +1,52 @@
+/** Bounds and ends the requests that a client sends on one connection before it has got the responses to earlier ones. */
+import type { RequestListener, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+/**
+ * Number of requests of one connection that may have no complete response. Node.js starts all that it
+ * reads, and stops reading only if complete responses fill a buffer, which requests in progress do not.
+ */
+const maxUnanswered = 32
+
+/**
+ * Node.js emits `close` only for the response whose turn on the connection it is, so those behind it
+ * would keep what was counted for them when their client has left.
+ */
+function closeAll (responses: ReadonlySet<ServerResponse>): void {
+  for (const res of responses) {
+    res.destroy()
+    res.emit('close')
+  }
+}
+
+/**
+ * @param exceeded - called for a connection that is closed because its client sends too many requests
+ * @returns a listener that passes on the requests within the bound; each response emits `close`
+ */
+export function limitPipelining (listener: RequestListener, exceeded: (unanswered: number) => void = () => {}): RequestListener {
+  const unanswered = new WeakMap<Socket, Set<ServerResponse>>()
+
+  function responsesOf (socket: Socket): Set<ServerResponse> {
+    const known = unanswered.get(socket)
+    if (known !== undefined) return known
+    const responses = new Set<ServerResponse>()
+    unanswered.set(socket, responses)
+    socket.once('close', () => { closeAll(responses) })
+    return responses
+  }
+
+  return (req, res) => {
+    const { socket } = req
+    // Requests that were read together with those before the close still arrive.
+    if (socket.destroyed) return
+    const responses = responsesOf(socket)
+    if (responses.size >= maxUnanswered) {
+      exceeded(responses.size)
+      socket.destroy()
+      return
+    }
+    responses.add(res)
+    res.once('close', () => { responses.delete(res) })
+    listener(req, res)
+  }
+}
