Let complete responses that are not read yield to others

Clients that read nothing kept the room for responses full for as long as they stayed connected: with 30 unread responses of 8 MB, a client that read got 502 in place of a response of 4 MB, 5.5 s later too, and so would every client whose response is larger than the rest.

Cause: complete responses count until they are read, nothing ends their connections, and only incomplete ones were given up: those of the clients that read.

While room is lacking, complete responses that have waited for 4 s are given up now, the oldest first; a client that reads needs less than that, and its response no longer counts.

--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -1,6 +1,7 @@
 /** A client request and its response. At most one response is sent; the connection is closed if it cannot be completed. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Route, ServiceSpec } from './cluster-types'
+import type { DecisionLog } from './decision-log'
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders, RequestMetadata } from './platform-interface'
 
@@ -42,6 +43,7 @@
 export type ExchangeOptions = {
   codec: HeaderCodec
   kept: KeptBytes
+  log: DecisionLog
   /** Whether the node is leaving, so that responses close their connection. */
   closing (): boolean
 }
@@ -147,7 +149,11 @@
     end,
     respond (status, headers, body) {
       if (ended) return
-      res.once('close', options.kept.hold(body.length))
+      const giveUp = (): void => {
+        options.log.warn('response-unread', { id: ctx.metadata.id, bytes: body.length, keptBytes: options.kept.total() })
+        ctx.req.socket.resetAndDestroy()
+      }
+      res.once('close', options.kept.hold(body.length, giveUp))
       head(status, [...withoutLength(headers), 'Content-Length', String(body.length)])
       end(body)
     },
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -151,7 +151,7 @@
       return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
     }
     const context: ExchangeContext = { req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt: deadlineAt() }
-    const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, closing: env.closing })
+    const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, log: env.log, closing: env.closing })
     // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
     await nextTurn()
     await nextTurn()
--- a/packages/gateway/src/kept-bytes.test.ts
+++ b/packages/gateway/src/kept-bytes.test.ts
@@ -36,4 +36,22 @@
   assert.is(kept.total(), 0)
 })
 
+// Guards against responses that nobody reads and that keep out all others for good.
+test('complete responses that are not read for a while yield to others, the oldest first', () => {
+  let now = 0
+  const kept = createKeptBytes(100, () => now)
+  const givenUp: string[] = []
+  const hold = (name: string, bytes: number): (() => void) => kept.hold(bytes, () => { givenUp.push(name) })
+  hold('oldest', 40)
+  hold('old', 40)
+  now = 3900
+  const incomplete = kept.open(() => { givenUp.push('incomplete') })
+  incomplete.set(30)
+  assert.equal(givenUp, ['incomplete'], 'clients have had too little time to read')
+  now = 4100
+  kept.open(() => { givenUp.push('other') }).set(30)
+  assert.equal(givenUp, ['incomplete', 'oldest'])
+  assert.is(kept.total(), 70)
+})
+
 test.run()
--- a/packages/gateway/src/kept-bytes.ts
+++ b/packages/gateway/src/kept-bytes.ts
@@ -1,7 +1,8 @@
 /**
  * Bounds the bytes of responses that a node keeps at a time, over all requests: those that are not
- * complete yet, and those that their clients have not read yet. If there are too many, the incomplete
- * response with the most bytes is given up: a response without end becomes the largest one.
+ * complete yet, and those that their clients have not read yet. If there are too many, the complete
+ * responses whose clients have not read them for a while are given up, the oldest first, and then the
+ * incomplete response with the most bytes: a response without end becomes the largest one.
  */
 export type KeptBytes = {
   /** @param giveUp - ends the response, because the node keeps too many bytes */
@@ -9,9 +10,10 @@
   /**
    * Counts a complete response.
    *
+   * @param giveUp - ends the response, because its client has not read it for a while and others need the room
    * @returns a function that ends the count
    */
-  hold (bytes: number): () => void
+  hold (bytes: number, giveUp?: () => void): () => void
   /** All bytes that are kept now. */
   total (): number
 }
@@ -26,6 +28,9 @@
 /** Bytes that a node may keep: three of the largest responses, a seventh of the memory of a small instance. */
 const maxKeptBytes = 48 * 1024 * 1024
 
+/** Time in which a client is expected to read a complete response, in ms, after which the response yields to others. */
+const readMs = 4000
+
 /** Share of the limit of memory that responses, and bodies of requests, may take each. */
 const memoryShare = 1 / 7
 
@@ -34,8 +39,14 @@
   return memoryBytes === undefined ? maxKeptBytes : memoryBytes * memoryShare
 }
 
-export function createKeptBytes (maxBytes = maxKeptBytes): KeptBytes {
+/**
+ * @param maxBytes - bytes that a node may keep for responses
+ * @param now - current time, in ms
+ */
+export function createKeptBytes (maxBytes = maxKeptBytes, now: () => number = () => performance.now()): KeptBytes {
   const responses = new Map<KeptResponse, { bytes: number, giveUp: () => void }>()
+  /** Complete responses, the oldest first. */
+  const unread = new Set<{ since: number, release (): void, giveUp: () => void }>()
   let total = 0
 
   function largest (): KeptResponse | undefined {
@@ -49,7 +60,17 @@
     return found
   }
 
+  function giveUpUnread (): void {
+    for (const response of unread) {
+      if (total <= maxBytes || now() - response.since < readMs) return
+      response.release()
+      response.giveUp()
+    }
+  }
+
   function limit (): void {
+    if (total <= maxBytes) return
+    giveUpUnread()
     if (total <= maxBytes) return
     const response = largest()
     if (response === undefined) return
@@ -77,14 +98,21 @@
       responses.set(response, { bytes: 0, giveUp })
       return response
     },
-    hold (bytes) {
+    hold (bytes, giveUp) {
+      const response = {
+        since: now(),
+        giveUp: giveUp ?? (() => {}),
+        release () {
+          if (held) total -= bytes
+          held = false
+          unread.delete(response)
+        }
+      }
       let held = true
       total += bytes
+      if (giveUp !== undefined) unread.add(response)
       limit()
-      return () => {
-        if (held) total -= bytes
-        held = false
-      }
+      return response.release
     },
     total: () => total
   }
