Let a process precede a former one of its node that has a later time of day

What callers saw: a node that starts again at an earlier time of day is dead for its peers until its next start: no addresses for clients, no engines. One that was restarted before they noticed could not tell them that it leaves, and one that had left stayed leaving.

Cause: the start time is both the identity of a process and its precedence among the processes of a node. Peers keep the state of the highest one, and a process that hears of a higher one took itself for replaced. The same in the records: a process did not append its record again to a restored store that has the record of a former process with a later time of day.

Change: identity stays the start time, which ownership, challenges and messages compare for equality only. The incarnation in membership can be raised above a former process's, as peers or the fleet log name it; peers name it in their reply to a sender that it hides. The order of the records in the log says which process is later, and no other process can listen on this one's address; so two processes at different addresses do not raise theirs without end. Incarnations above 2^48 ms are not accepted, since no number would precede them. A daemon that flushes its connections at its end measures that with a clock that does not jump.

--- a/packages/coordination/src/member-table.ts
+++ b/packages/coordination/src/member-table.ts
@@ -24,6 +24,10 @@
   return stateRank[update.state] > stateRank[current.state]
 }
 
+/** Whether other nodes that know `update` ignore what the member now states of itself; leaving is never reset within an incarnation. */
+export const hidesSelf = (update: MemberUpdate, stated: MemberUpdate): boolean =>
+  update.incarnation > stated.incarnation || (update.incarnation === stated.incarnation && update.leaving && !stated.leaving)
+
 const announcesLeaving = (update: MemberUpdate, current: MemberUpdate): boolean =>
   update.incarnation === current.incarnation && update.leaving && !current.leaving
 
--- a/packages/coordination/src/membership-codec.ts
+++ b/packages/coordination/src/membership-codec.ts
@@ -22,6 +22,9 @@
   return packed
 }
 
+/** Highest incarnation that is accepted, in ms since 1970: a later time of day is an error, and no number would precede it. */
+export const maxIncarnation = 2 ** 48
+
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0
 
 const addressPattern = /^.+:([1-9]\d{0,4})$/
@@ -33,7 +36,7 @@
 function unpackUpdate (value: unknown): MemberUpdate | undefined {
   if (!Array.isArray(value)) return undefined
   const [id, address, incarnation, refutation, flags] = value as unknown[]
-  if (typeof id !== 'string' || !isAddress(address) || !isCount(incarnation) || !isCount(refutation) || !isCount(flags)) return undefined
+  if (typeof id !== 'string' || !isAddress(address) || !isCount(incarnation) || incarnation > maxIncarnation || !isCount(refutation) || !isCount(flags)) return undefined
   const state = memberStates[flags % leavingFlag]
   return state === undefined || flags >= 2 * leavingFlag
     ? undefined
--- a/packages/coordination/src/membership-types.ts
+++ b/packages/coordination/src/membership-types.ts
@@ -8,7 +8,7 @@
   id: string
   /** IP address and port for datagrams. */
   address: string
-  /** Start time of the process, in ms; 0 while only the instance list contains the member. */
+  /** Start time of the process, in ms, or a higher number that it chose to precede a former process; 0 while only the instance list contains the member. */
   incarnation: number
   /** Counter that the member itself increments to refute a suspicion. */
   refutation: number
@@ -37,11 +37,13 @@
   | { type: 'datagram', message: MembershipMessage }
   /** This node starts to leave. */
   | { type: 'leave' }
+  /** A former process of this node had this incarnation: the present one takes a higher one. */
+  | { type: 'former-process', incarnation: number }
 
 export type MembershipAction =
   | { type: 'datagram', to: string, address: string, message: MembershipMessage }
   | { type: 'member-changed', member: Member }
-  /** Another process with the same id and a newer incarnation exists: this one has been replaced. */
+  /** Other nodes know another process with the same id and this incarnation, which takes precedence: a later one, or a former one with a later time of day. */
   | { type: 'superseded', incarnation: number }
 
 /** A member as this node sees it. */
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -5,7 +5,8 @@
  */
 import { unsafeUniformIntDistribution, type RandomGenerator } from 'pure-rand'
 import { createGossipBuffer } from './member-gossip'
-import { createMemberTable, toMember, type TableEntry } from './member-table'
+import { createMemberTable, hidesSelf, toMember, type TableEntry } from './member-table'
+import { maxIncarnation } from './membership-codec'
 import type { ListedNode, Member, MembershipAction, MembershipEvent, MembershipMessage, MemberUpdate } from './membership-types'
 
 export type MembershipConfig = {
@@ -70,10 +71,11 @@
 
   const pick = (size: number): number => unsafeUniformIntDistribution(0, size - 1, cfg.random)
 
-  const send = (to: { id: string, address: string }, type: MembershipMessage['type'], probe: number, target?: MembershipMessage['target']): MembershipAction => {
+  /** @param stated - what the receiver has just stated of itself */
+  const send = (to: { id: string, address: string }, type: MembershipMessage['type'], probe: number, target?: MembershipMessage['target'], stated?: MemberUpdate): MembershipAction => {
     const entry = table.get(to.id)
-    // A suspect or dead member must receive its own state, or it cannot refute it.
-    const first = entry !== undefined && entry.state !== 'alive' ? toUpdate(entry) : undefined
+    // A suspect or dead member must receive its own state, or it cannot refute it. So must one that a former process hides.
+    const first = entry !== undefined && (entry.state !== 'alive' || (stated !== undefined && hidesSelf(entry, stated))) ? toUpdate(entry) : undefined
     const updates = gossip.take(table.size, first)
     const message: MembershipMessage = { type, from: cfg.self.id, probe, updates: [self, ...updates.filter(({ id }) => id !== self.id)] }
     return { type: 'datagram', to: to.id, address: to.address, message: target === undefined ? message : { ...message, target } }
@@ -101,7 +103,7 @@
   }
 
   const mergeSelf = (update: MemberUpdate): MembershipAction[] => {
-    if (update.incarnation > self.incarnation) {
+    if (hidesSelf(update, self)) {
       return [{ type: 'superseded', incarnation: update.incarnation }]
     }
     if (update.incarnation === self.incarnation && update.state !== 'alive' && update.refutation >= self.refutation) {
@@ -288,13 +290,14 @@
 
   const receive = (message: MembershipMessage, now: number): MembershipAction[] => {
     const changes = message.updates.flatMap(update => merge(update, now))
-    const address = message.updates.find(({ id }) => id === message.from)?.address ?? table.get(message.from)?.address
+    const stated = message.updates.find(({ id }) => id === message.from)
+    const address = stated?.address ?? table.get(message.from)?.address
     if (address === undefined) {
       return changes
     }
     const sender = { id: message.from, address }
     if (message.type === 'ping') {
-      return [...changes, send(sender, 'ack', message.probe)]
+      return [...changes, send(sender, 'ack', message.probe, undefined, stated)]
     }
     return [...changes, ...(message.type === 'ack' ? receiveAck(message, sender) : relayPing(message, sender, now))]
   }
@@ -328,6 +331,14 @@
     return []
   }
 
+  const precede = (incarnation: number): MembershipAction[] => {
+    if (incarnation >= self.incarnation && incarnation < maxIncarnation) {
+      self = { ...self, incarnation: incarnation + 1, refutation: 0 }
+      gossip.put(self)
+    }
+    return []
+  }
+
   return {
     step (event, now) {
       switch (event.type) {
@@ -335,6 +346,7 @@
         case 'instance-list': return applyInstanceList(event.asOf, event.nodes)
         case 'datagram': return receive(event.message, now)
         case 'leave': return leave()
+        case 'former-process': return precede(event.incarnation)
       }
     },
     member (id) {
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -4,6 +4,7 @@
 import type { DecisionLog } from './decision-log'
 import { drawSample, type DirectoryNode } from './directory'
 import type { FleetMember } from './engine-ownership'
+import { isLaterProcess } from './own-records'
 import type { FeedRecord, FleetRecord, NodeSettings, UnreadableRecord } from './platform-interface'
 
 /** Failure detection; times in ms. A failed node is declared dead after about two seconds, during which its engines have no owner. */
@@ -72,10 +73,33 @@
     for (const action of actions) {
       if (action.type === 'datagram') options.notify(action.address, packMembership(action.message))
       else if (action.type === 'member-changed') memberChanged(action.member)
-      else options.log.warn('node-superseded', { incarnation: action.incarnation })
+      else otherProcess(action.incarnation)
     }
   }
 
+  /** Position of this process' record, once it has been read. */
+  let ownPosition: number | undefined
+  let superseded = false
+  let lastOther: number | undefined
+
+  /** Other nodes know another process of this node, with an incarnation that hides this one. */
+  function otherProcess (incarnation: number): void {
+    if (incarnation === lastOther) return
+    lastOther = incarnation
+    if (superseded) return options.log.warn('node-superseded', { incarnation })
+    options.log.warn('former-process-preceded', { incarnation })
+    perform(membership.step({ type: 'former-process', incarnation }, now()))
+  }
+
+  function applyOwn (record: NodeRecord, offset: number): void {
+    if (record.incarnation === self.incarnation) {
+      ownPosition = offset
+      return
+    }
+    superseded ||= isLaterProcess(self, ownPosition, record, offset)
+    if (record.incarnation > self.incarnation) otherProcess(record.incarnation)
+  }
+
   /** Results of `members` and `peers` until a record or the state of a member changes; both are used several times a second. */
   let cachedMembers: FleetMember[] | undefined
   let cachedPeers: NodeRecord[] | undefined
@@ -111,7 +135,11 @@
       let updated = false
       for (const { key, offset, value } of records) {
         if (value?.type === 'unreadable') options.log.warn('fleet-record-unreadable', { key, offset, reason: value.reason })
-        if (value?.type !== 'node' || value.name === self.name) continue
+        if (value?.type !== 'node') continue
+        if (value.name === self.name) {
+          applyOwn(value, offset)
+          continue
+        }
         nodes.set(value.name, value)
         updated = true
       }
--- a/packages/gateway/src/own-records.ts
+++ b/packages/gateway/src/own-records.ts
@@ -1,7 +1,22 @@
 /** Records that this node appends to the fleet log, and appends again if the store comes back from a copy without them. */
 import type { DecisionLog } from './decision-log'
+import { eraOf } from './log-position'
 import type { FeedRecord, FleetLog, FleetRecord, UnreadableRecord } from './platform-interface'
 
+type NodeRecord = FleetRecord & { type: 'node' }
+
+/**
+ * Whether a record of this node is by a process that started after this one. Times of day may go back,
+ * so the order of the records decides. No other process can listen on this one's address, and a store
+ * that comes back from a copy gives its records new positions.
+ *
+ * @param ownPosition - position of this process' own record; undefined if it is not known
+ */
+export function isLaterProcess (own: NodeRecord, ownPosition: number | undefined, other: NodeRecord, position: number): boolean {
+  return other.incarnation !== own.incarnation && other.address !== own.address &&
+    ownPosition !== undefined && eraOf(position) === eraOf(ownPosition) && position > ownPosition
+}
+
 export type OwnRecordsOptions = {
   fleetLog: FleetLog
   log: DecisionLog
@@ -24,14 +39,16 @@
 /** Number of records that are kept to be appended again; the oldest are dropped. */
 const maxRecords = 256
 
+type AcceptedRecord = { value: FleetRecord, position: number, failureEvent: string }
+
 export function createOwnRecords ({ fleetLog, log, random, leaving }: OwnRecordsOptions): OwnRecords {
   /** A later process of this node has written its record. */
-  function isSuperseded (value: FleetRecord, newest: FleetRecord | UnreadableRecord | undefined): boolean {
-    return value.type === 'node' && newest?.type === 'node' && newest.incarnation > value.incarnation
+  function isSuperseded ({ value, position }: AcceptedRecord, newest: FeedRecord<FleetRecord | UnreadableRecord> | undefined): boolean {
+    return value.type === 'node' && newest?.value?.type === 'node' && isLaterProcess(value, position, newest.value, newest.offset)
   }
 
   /** The records that the store has accepted. */
-  const accepted = new Map<string, { value: FleetRecord, failureEvent: string }>()
+  const accepted = new Map<string, AcceptedRecord>()
   const pause = (): Promise<void> => new Promise(resolve => setTimeout(resolve, retryPauseMs + retryPauseMs * random()))
 
   const append: OwnRecords['append'] = async (key, value, failureEvent) => {
@@ -39,7 +56,7 @@
       const result = await fleetLog.append([{ key, value }])
       if (result.ok) {
         accepted.delete(key)
-        accepted.set(key, { value, failureEvent })
+        accepted.set(key, { value, position: result.val, failureEvent })
         if (accepted.size > maxRecords) accepted.delete(accepted.keys().next().value!)
       }
       if (result.ok || leaving()) return
@@ -51,8 +68,8 @@
   return {
     append,
     async appendMissing (newest) {
-      const present = new Map(newest.map(({ key, value }) => [key, value]))
-      const missing = [...accepted].filter(([key, { value }]) => JSON.stringify(present.get(key)) !== JSON.stringify(value) && !isSuperseded(value, present.get(key)))
+      const present = new Map(newest.map(record => [record.key, record]))
+      const missing = [...accepted].filter(([key, own]) => JSON.stringify(present.get(key)?.value) !== JSON.stringify(own.value) && !isSuperseded(own, present.get(key)))
       if (missing.length === 0 || leaving()) return
       log.info('records-missing', { keys: missing.map(([key]) => key) })
       await new Promise(resolve => setTimeout(resolve, missingPauseMs * random()))
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -273,8 +273,8 @@
 /** Waits until finished responses are sent and their connections closed. */
 async function flushResponses (server: Server, sockets: Set<Socket>): Promise<void> {
   server.closeIdleConnections()
-  const until = Date.now() + flushTimeoutMs
-  while (sockets.size > 0 && Date.now() < until) {
+  const until = performance.now() + flushTimeoutMs
+  while (sockets.size > 0 && performance.now() < until) {
     await new Promise(resolve => setTimeout(resolve, 10))
     server.closeIdleConnections()
   }
