Check the contents of what peers tell each other where it is decoded

What callers saw: nothing yet with messages of our own builds.

Cause: these messages were checked for their outer form only; their contents have the form in which a node holds records, for which no check existed.

What cannot be used is left out entry by entry, with one log line a message. Positions are whole numbers that are not negative, and no record is later than its feed's position.

--- a/packages/coordination/src/membership-codec.ts
+++ b/packages/coordination/src/membership-codec.ts
@@ -31,7 +31,7 @@
 const maxPort = 65_535
 
 /** Whether datagrams can be sent to the address: sockets throw on a port that is out of range. */
-const isAddress = (value: unknown): value is string => typeof value === 'string' && Number(addressPattern.exec(value)?.[1]) <= maxPort
+export const isAddress = (value: unknown): value is string => typeof value === 'string' && Number(addressPattern.exec(value)?.[1]) <= maxPort
 
 function unpackUpdate (value: unknown): MemberUpdate | undefined {
   if (!Array.isArray(value)) return undefined
--- a/packages/gateway/src/crash-evidence.ts
+++ b/packages/gateway/src/crash-evidence.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RunOutcome } from './engine-scheduler'
+import { fieldsCheck, isName, isOneOf, isTextList } from './field-checks'
 
 export type PromptRun = {
   id: string
@@ -24,6 +25,16 @@
 /** What owners of engines tell each other. */
 export type EvidenceMessage = { kind: 'loss', loss: EngineLoss } | { kind: 'cleared', cleared: ClearedParts }
 
+const isLoss = fieldsCheck<EngineLoss>({ id: isName, service: isName, engine: isName, parts: isTextList })
+const isCleared = fieldsCheck<ClearedParts>({ service: isName, parts: isTextList })
+const isLossMessage = fieldsCheck<EvidenceMessage & { kind: 'loss' }>({ kind: isOneOf(['loss']), loss: isLoss })
+const isClearedMessage = fieldsCheck<EvidenceMessage & { kind: 'cleared' }>({ kind: isOneOf(['cleared']), cleared: isCleared })
+
+/** @param value - parsed JSON of a peer */
+export function isEvidenceMessage (value: unknown): value is EvidenceMessage {
+  return isLossMessage(value) || isClearedMessage(value)
+}
+
 export type EvidenceAction =
   | { type: 'share', message: EvidenceMessage }
   /** The part crashed these engines. */
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -7,7 +7,7 @@
 import type { FeedRecord, FleetRecord, OperatorRecord, Platform, ServerRecord, UnreadableRecord } from './platform-interface'
 import { createStoreOutage } from './store-outage'
 import { rewriteMs } from './server-registry'
-import { createServerRelay, isServerUpdate, isZoneReader, type ServerUpdate } from './server-relay'
+import { createServerRelay, isZoneReader, parseServerUpdate, type ServerUpdate } from './server-relay'
 
 export type FeedsOptions = {
   platform: Platform
@@ -234,11 +234,10 @@
       confirmTimer = setTimeout(() => servers?.readNewest(), nextEntryMs)
     },
     receiveServerUpdate (payload) {
-      if (!isServerUpdate(payload)) {
-        log.warn('peer-message-failed', { reason: 'server update is malformed' })
-        return
-      }
-      const { from, next, records, returnedAgoMs, complete } = payload
+      const update = parseServerUpdate(payload)
+      if (update === undefined || update.unusable > 0) log.warn('peer-message-failed', { reason: `server update is malformed${update === undefined ? '' : ` in ${update.unusable} records`}` })
+      if (update === undefined) return
+      const { from, next, records, returnedAgoMs, complete } = update
       if (servers?.advance(from, next) !== true) return
       entriesComplete = false
       if (returnedAgoMs !== undefined) serversRecovered(returnedAgoMs)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import { createDirectoryServer, createMetricsServer, createReadyServer } from './auxiliary-servers'
 import type { ClientExchange } from './client-exchange'
 import type { ClusterConfig } from './cluster-types'
-import type { EvidenceMessage } from './crash-evidence'
+import { isEvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { createDepartures } from './departures'
 import { chooseAddresses, drawSample } from './directory'
@@ -12,6 +12,7 @@
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
 import { createFeeds } from './feeds'
+import { isName } from './field-checks'
 import { createFleet, nodeRecordOf } from './fleet'
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
@@ -132,8 +133,8 @@
       else if (kind === 'servers') feeds.receiveServerUpdate(payload)
       else if (kind === 'log-probe') logQuestions.receiveQuestion(from.node, payload)
       else if (kind === 'log-state') logQuestions.receiveReply(from.node, payload)
-      else if (kind === 'crash-evidence') owner.receiveEvidence(payload as EvidenceMessage)
-      else if (kind === 'blocked-part') partBlocking.receive(from.node, String(payload))
+      else if (kind === 'crash-evidence' && isEvidenceMessage(payload)) owner.receiveEvidence(payload)
+      else if (kind === 'blocked-part' && isName(payload)) partBlocking.receive(from.node, payload)
       else if (kind === 'stopped') owner.ownership.nodeStopped(from.node, from.incarnation, now())
       else log.warn('peer-message-failed', { reason: `message '${kind}' of ${from.node} is unknown or malformed` })
     },
@@ -274,6 +275,7 @@
 
   function receiveStatus (from: string, payload: unknown): void {
     const status = ownerStatuses.receive(from, payload, now())
+    if (status === undefined || status.unusable > 0) log.warn('peer-message-failed', { reason: `status of ${from} is malformed${status === undefined ? '' : ` for ${status.unusable} engines`}` })
     if (status === undefined) return
     owner.receiveStatus(from, status.fleetNext)
     feeds.peerFleetNext(status.fleetNext)
@@ -292,7 +294,7 @@
     applyFleet(nodes.records)
   }
 
-  const peerFetcher = createPeerFetcher({ log, needed: () => !feeds.operatorReachable(), apply: applySnapshot })
+  const peerFetcher = createPeerFetcher({ log, checkFleetRecord: platform.fleet.check, needed: () => !feeds.operatorReachable(), apply: applySnapshot })
 
   /** Fetches a snapshot from the seed nodes in the settings if the node starts while the store is unavailable. */
   function fetchFromSeeds (): void {
--- a/packages/gateway/src/grant-message.ts
+++ b/packages/gateway/src/grant-message.ts
@@ -1,18 +1,8 @@
 /** Checks messages about grants. A field of another type would fail later, in a timer that serves all waiting requests. */
 import type { ModelDemand } from './cluster-types'
+import { isCount, isFields, isNumber, isText, isTextList } from './field-checks'
 import type { GrantMessage } from './grant-client'
 
-type Fields = Record<string, unknown>
-
-function isFields (value: unknown): value is Fields {
-  return typeof value === 'object' && value !== null
-}
-
-const isText = (value: unknown): value is string => typeof value === 'string'
-const isTextList = (value: unknown): boolean => Array.isArray(value) && value.every(isText)
-const isNumber = (value: unknown): value is number => Number.isFinite(value)
-const isCount = (value: unknown): boolean => isNumber(value) && value >= 0
-
 function isPart (value: unknown): boolean {
   return isFields(value) && isText(value['id']) && isCount(value['tokens'])
 }
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -1,6 +1,7 @@
 /** Caches the status that owners send of their engines and of their position in the logs. */
 import type { EngineCandidate } from './engine-choice'
 import type { EngineStatus } from './engine-scheduler'
+import { isCount, isListOf, isName, isPosition, isTextList } from './field-checks'
 import { maxDatagramBytes } from './peer-link'
 
 export type OwnedEngineStatus = EngineStatus & { commandable: boolean }
@@ -19,8 +20,8 @@
 type PackedStatus = { engines: PackedEngine[], fleetNext: number, fleetAgeMs: number, operatorNext: number }
 
 export type OwnerStatusCache = {
-  /** @returns the sender's positions, or undefined if the message is malformed */
-  receive (from: string, payload: unknown, now: number): Omit<OwnerStatus, 'engines'> | undefined
+  /** @returns the sender's positions and the number of engines that were left out, or undefined if the message is malformed as a whole */
+  receive (from: string, payload: unknown, now: number): (Omit<OwnerStatus, 'engines'> & { unusable: number }) | undefined
   setOwn (node: string, engines: OwnedEngineStatus[], now: number): void
   /** @returns messages that each fit into a datagram; none if nothing has changed and the last ones are younger than `maxMs` */
   encode (status: OwnerStatus, now: number, maxMs: number): PackedStatus[]
@@ -65,9 +66,18 @@
   return [id, packScopes(scopes), roundToStep(backlogMs), running, commandable ? 1 : 0, roundToStep(loadWaitMs)]
 }
 
-function isPacked (value: unknown): value is PackedStatus {
+/** A sender that has not read a feed yet states -1. */
+const isReadPosition = (value: unknown): boolean => value === -1 || isPosition(value)
+
+function isPacked (value: unknown): value is Omit<PackedStatus, 'engines'> & { engines: unknown[] } {
   const status = value as Partial<PackedStatus> | null
-  return typeof status === 'object' && status !== null && Array.isArray(status.engines) && [status.fleetNext, status.fleetAgeMs, status.operatorNext].every(Number.isFinite)
+  return typeof status === 'object' && status !== null && Array.isArray(status.engines) && Number.isFinite(status.fleetAgeMs) && [status.fleetNext, status.operatorNext].every(isReadPosition)
+}
+
+function isPackedEngine (value: unknown): value is PackedEngine {
+  if (!Array.isArray(value)) return false
+  const [id, scopes, backlogMs, running, commandable, loadWaitMs] = value as unknown[]
+  return isName(id) && isListOf(scopes, isTextList) && [backlogMs, running, loadWaitMs].every(isCount) && (commandable === 0 || commandable === 1)
 }
 
 export function createOwnerStatusCache (): OwnerStatusCache {
@@ -82,8 +92,10 @@
   return {
     receive (_from, payload, now) {
       if (!isPacked(payload)) return undefined
-      for (const engine of payload.engines) store(engine, now)
-      return payload
+      const { engines, ...positions } = payload
+      const usable = engines.filter(isPackedEngine)
+      for (const engine of usable) store(engine, now)
+      return { ...positions, unusable: engines.length - usable.length }
     },
     setOwn (_node, engines, now) {
       for (const engine of engines) store(pack(engine), now)
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -5,7 +5,9 @@
 import { createServer, type Server } from 'node:http'
 import { createHttpClient, parseJson } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
-import type { FeedRecord, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
+import { isPosition } from './field-checks'
+import { usableFleetRecords, usableOperatorRecords, usableServers } from './peer-records'
+import type { FeedRecord, FleetLog, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
 import type { Departure } from './server-registry'
 
 type FeedValues = { operator: OperatorRecord, servers: ServerRecord, fleet: FleetRecord | UnreadableRecord }
@@ -84,14 +86,33 @@
   })
 }
 
-function isSnapshot (value: unknown): value is PeerSnapshot {
+function isSnapshot (value: unknown): value is Record<FeedName, { next: number, records: unknown[] }> {
   const snapshot = value as Partial<PeerSnapshot> | null | undefined
-  return [snapshot?.operator, snapshot?.servers, snapshot?.fleet].every(feed => Array.isArray(feed?.records) && Number.isSafeInteger(feed.next))
+  return [snapshot?.operator, snapshot?.servers, snapshot?.fleet].every(feed => Array.isArray(feed?.records) && isPosition(feed.next))
+}
+
+/**
+ * @param value - parsed JSON of a peer
+ * @returns the snapshot without the records that cannot be used, or undefined if it is malformed as a whole
+ */
+export function parseSnapshot (value: unknown, checkFleetRecord: FleetLog['check']): { snapshot: PeerSnapshot, unusable: number } | undefined {
+  if (!isSnapshot(value)) return undefined
+  const operator = usableOperatorRecords(value.operator.records, value.operator.next)
+  const servers = usableServers(value.servers.records, value.servers.next)
+  const fleet = usableFleetRecords(value.fleet.records, value.fleet.next, checkFleetRecord)
+  return {
+    snapshot: {
+      operator: { next: value.operator.next, records: operator.records },
+      servers: { next: value.servers.next, records: servers.records },
+      fleet: { next: value.fleet.next, records: fleet.records }
+    },
+    unusable: operator.unusable + servers.unusable + fleet.unusable
+  }
 }
 
 function isDeparture (value: unknown): value is Departure {
   const departure = value as Partial<Departure> | null | undefined
-  return typeof departure?.id === 'string' && [departure.bornAt, departure.sequence, departure.era].every(Number.isSafeInteger) && typeof departure.complete === 'boolean'
+  return typeof departure?.id === 'string' && [departure.bornAt, departure.sequence, departure.era].every(isPosition) && typeof departure.complete === 'boolean'
 }
 
 async function fetchFromPeer (address: string, path: string): Promise<unknown> {
@@ -104,12 +125,6 @@
   }
 }
 
-/** @returns the snapshot of the peer at the address, or undefined if it has none or cannot be reached */
-export async function fetchPeerSnapshot (address: string): Promise<PeerSnapshot | undefined> {
-  const value = await fetchFromPeer(address, statePath)
-  return isSnapshot(value) ? value : undefined
-}
-
 /** @returns servers that have left, or undefined if the peer cannot tell or cannot be reached */
 export async function fetchDepartures (address: string): Promise<Departure[] | undefined> {
   const value = await fetchFromPeer(address, departuresPath)
@@ -118,6 +133,7 @@
 
 export type PeerFetcherOptions = {
   log: DecisionLog
+  checkFleetRecord: FleetLog['check']
   /** Whether the store is still not reachable. */
   needed (): boolean
   apply (snapshot: PeerSnapshot): void
@@ -128,13 +144,15 @@
   fetch (addresses: readonly string[]): void
 }
 
-export function createPeerFetcher ({ log, needed, apply }: PeerFetcherOptions): PeerFetcher {
+export function createPeerFetcher ({ log, checkFleetRecord, needed, apply }: PeerFetcherOptions): PeerFetcher {
   let fetching = false
 
   async function fetchFirst (addresses: readonly string[]): Promise<void> {
     for (const address of addresses) {
-      const snapshot = await fetchPeerSnapshot(address)
-      if (snapshot === undefined || !needed()) continue
+      const parsed = parseSnapshot(await fetchFromPeer(address, statePath), checkFleetRecord)
+      if (parsed === undefined || !needed()) continue
+      const { snapshot, unusable } = parsed
+      if (unusable > 0) log.warn('peer-state-failed', { peer: address, reason: `${unusable} records cannot be used` })
       log.info('state-from-peer', { peer: address, operatorNext: snapshot.operator.next, servers: snapshot.servers.records.length })
       return apply(snapshot)
     }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -52,6 +52,8 @@
    * @returns the position of the first record
    */
   append (records: { key: string, value: FleetRecord | undefined }[], expectedEnd?: number): Promise<Result<number, AppendFailure>>
+  /** Checks a record that another node passes on as those that are read. */
+  check (value: unknown): FleetRecord | UnreadableRecord
 }
 
 export interface EngineControl {
--- a/packages/gateway/src/request-permits.ts
+++ b/packages/gateway/src/request-permits.ts
@@ -5,15 +5,25 @@
  */
 import { topNode } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
+import { fieldsCheck, isName, isNumber, isOneOf } from './field-checks'
 import { createRequestPace, paceWaitMs, recordRequest, type RequestPace } from './request-pace'
 import { startKey, type ServerStart } from './server-registry'
-import type { SharedLimit } from './server-statements'
+import { isSharedLimit, type SharedLimit } from './server-statements'
 
 export type PermitMessage =
   | { kind: 'acquire', id: string, limit: SharedLimit, maxWaitMs: number }
   | { kind: 'permitted', id: string, startInMs: number }
   | { kind: 'denied', id: string, retryAfterMs: number }
 
+const isAcquire = fieldsCheck<PermitMessage & { kind: 'acquire' }>({ kind: isOneOf(['acquire']), id: isName, limit: isSharedLimit, maxWaitMs: isNumber })
+const isPermitted = fieldsCheck<PermitMessage & { kind: 'permitted' }>({ kind: isOneOf(['permitted']), id: isName, startInMs: isNumber })
+const isDenied = fieldsCheck<PermitMessage & { kind: 'denied' }>({ kind: isOneOf(['denied']), id: isName, retryAfterMs: isNumber })
+
+/** @param value - parsed JSON of a peer */
+export function isPermitMessage (value: unknown): value is PermitMessage {
+  return isAcquire(value) || isPermitted(value) || isDenied(value)
+}
+
 export type PermitResult =
   /** The request must be sent within {@link permitValidMs} of `startAt`. */
   | { type: 'permitted', startAt: number }
--- a/packages/gateway/src/server-relay.test.ts
+++ b/packages/gateway/src/server-relay.test.ts
@@ -3,7 +3,7 @@
 import type { BackendServer } from './cluster-types'
 import { logPosition } from './log-position'
 import type { FeedRecord, ServerRecord } from './platform-interface'
-import { createServerRelay, isServerUpdate, isZoneReader } from './server-relay'
+import { createServerRelay, isZoneReader, parseServerUpdate } from './server-relay'
 
 const test = suite('server relay')
 
@@ -73,8 +73,8 @@
 })
 
 test('rejects malformed messages', () => {
-  for (const value of [null, 1, {}, { from: 1, next: 'x', records: [] }, { from: 1, next: 2 }]) assert.not.ok(isServerUpdate(value))
-  assert.ok(isServerUpdate({ from: 1, next: 2, records: [] }))
+  for (const value of [null, 1, {}, { from: 1, next: 'x', records: [] }, { from: 1, next: 2 }]) assert.is(parseServerUpdate(value), undefined)
+  assert.equal(parseServerUpdate({ from: 1, next: 2, records: [] }), { from: 1, next: 2, records: [], unusable: 0 })
 })
 
 test.run()
--- a/packages/gateway/src/server-relay.ts
+++ b/packages/gateway/src/server-relay.ts
@@ -5,8 +5,10 @@
  */
 import { rankNodes } from '@yuccawharf/coordination'
 import type { FleetMember } from './engine-ownership'
+import { fieldsCheck, isCount, isPosition, optional } from './field-checks'
 import { eraOf } from './log-position'
 import { maxDatagramBytes } from './peer-link'
+import { usableServers } from './peer-records'
 import type { FeedRecord, ServerRecord } from './platform-interface'
 
 /** Changed entries between two offsets of the feed. */
@@ -98,9 +100,20 @@
   }
 }
 
-export function isServerUpdate (value: unknown): value is ServerUpdate {
-  const update = value as Partial<ServerUpdate> | null
-  return typeof update === 'object' && update !== null && Number.isSafeInteger(update.from) && Number.isSafeInteger(update.next) && Array.isArray(update.records)
+const isServerUpdate = fieldsCheck<Omit<ServerUpdate, 'records'> & { records: unknown[] }>({
+  from: isPosition,
+  next: isPosition,
+  records: Array.isArray,
+  complete: optional(value => typeof value === 'boolean'),
+  returnedAgoMs: optional(isCount)
+})
+
+/**
+ * @param value - parsed JSON of a peer
+ * @returns the update without the records that cannot be used, or undefined if it is malformed as a whole
+ */
+export function parseServerUpdate (value: unknown): (ServerUpdate & { unusable: number }) | undefined {
+  return isServerUpdate(value) && value.from <= value.next ? { ...value, ...usableServers(value.records, value.next) } : undefined
 }
 
 /**
--- a/packages/gateway/src/server-restrictions.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -3,7 +3,7 @@
 import type { Fleet } from './fleet'
 import type { PeerLink, PeerMessage } from './peer-link'
 import type { GatewayMetrics } from './gateway-metrics'
-import { createRequestPermits, type PermitMessage, type RequestPermits } from './request-permits'
+import { createRequestPermits, isPermitMessage, type RequestPermits } from './request-permits'
 import type { RegistryChange, ServerStart } from './server-registry'
 import { createStatementRecorder, type StatementRecorder } from './statement-recorder'
 
@@ -78,7 +78,7 @@
     },
     receive (from, { kind, payload }) {
       if (kind === 'stated-limit' || kind === 'stated-leaving') statements.receive(from, kind, payload)
-      else if (kind === 'permit') permits.receive(from, payload as PermitMessage)
+      else if (kind === 'permit' && isPermitMessage(payload)) permits.receive(from, payload)
       else return false
       return true
     },
--- a/packages/gateway/src/testing/fake-platform.ts
+++ b/packages/gateway/src/testing/fake-platform.ts
@@ -54,6 +54,7 @@
   let length = 0
   return {
     ...feed,
+    check: value => value as FleetRecord,
     async append (records, expectedEnd) {
       if (expectedEnd !== undefined && expectedEnd !== length) return Err('conflict' as const)
       const first = length
