--- a/packages/coordination/src/membership-codec.ts
+++ b/packages/coordination/src/membership-codec.ts
@@ -22,18 +22,21 @@
   return packed
 }
 
+/** Highest incarnation that is accepted, in ms since 1970: a later time of day is an error, and no number would precede it. */
+export const maxIncarnation = 2 ** 48
+
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0
 
 const addressPattern = /^.+:([1-9]\d{0,4})$/
 const maxPort = 65_535
 
 /** Whether datagrams can be sent to the address: sockets throw on a port that is out of range. */
-const isAddress = (value: unknown): value is string => typeof value === 'string' && Number(addressPattern.exec(value)?.[1]) <= maxPort
+export const isAddress = (value: unknown): value is string => typeof value === 'string' && Number(addressPattern.exec(value)?.[1]) <= maxPort
 
 function unpackUpdate (value: unknown): MemberUpdate | undefined {
   if (!Array.isArray(value)) return undefined
   const [id, address, incarnation, refutation, flags] = value as unknown[]
-  if (typeof id !== 'string' || !isAddress(address) || !isCount(incarnation) || !isCount(refutation) || !isCount(flags)) return undefined
+  if (typeof id !== 'string' || !isAddress(address) || !isCount(incarnation) || incarnation > maxIncarnation || !isCount(refutation) || !isCount(flags)) return undefined
   const state = memberStates[flags % leavingFlag]
   return state === undefined || flags >= 2 * leavingFlag
     ? undefined
