Refuse requests that wait to be read when a leaving process ends

Cause: after 2.5 s the end depends on the number of requests that were read. If the process could not run for a while, its timer is served before its sockets, so a request that arrived hundreds of milliseconds before is not counted; the process closes its listener and ends, and the system resets the connection.

Change: right before the close the node lets the event loop turn until three turns bring no request, for 100 ms at most. What is read is refused as not run.

Evidence: the new test keeps the thread of the node from running for 400 ms around that time.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -44,6 +44,8 @@
    * requests that are still in progress with an unknown outcome, and aborts responses that have begun.
    */
   finish (earliestAt: number, latestAt: number): Promise<void>
+  /** Resolves when no request waits to be read, or after `arrivedMaxMs`. To be called once the node is closed, right before the end. */
+  readArrived (): Promise<void>
 }
 
 /** Limit of the HTTP parser until a configuration is known. */
@@ -60,6 +62,10 @@
 const connectionCheckMs = 1000
 /** Interval between checks for requests in progress at the end, in ms. */
 const finishCheckMs = 50
+/** Turns of the event loop without a request after which none waits: one accepts connections, the next one reads them. */
+const quietTurns = 3
+/** Longest time for which requests that have arrived are read at the end, in ms. */
+const arrivedMaxMs = 100
 const notConfiguredRetryAfterMs = 500
 const leavingRetryAfterMs = 100
 /** Time after which there may be room for a body, in ms: a few requests with large bodies have ended. */
@@ -91,6 +97,7 @@
 
 export function createFrontServer (env: FrontServerEnv): FrontServer {
   let running = 0
+  let received = 0
   const exchanges = new Set<ClientExchange>()
   const requestBytes = createRequestBytes(keptBytesLimit(env.memoryBytes))
   const bodies = createBodyReader(requestBytes, env.now)
@@ -174,6 +181,7 @@
       return
     }
     running += 1
+    received += 1
     // Emitted when the last byte was handed to the system, or when the connection is closed.
     const responded = new Promise<void>(resolve => { res.once('close', resolve) })
     handle(req, res).catch(err => {
@@ -203,6 +211,15 @@
         else exchange.refuse({ status: 502, outcome: 'unknown' }, 'the node stops before the server has answered')
       }
     },
+    async readArrived () {
+      const endsAt = env.now() + arrivedMaxMs
+      let quiet = 0
+      do {
+        const before = received
+        await nextTurn()
+        quiet = received === before ? quiet + 1 : 0
+      } while (quiet < quietTurns && env.now() < endsAt)
+    },
     configure () {
       const limits = env.routes()?.config.limits
       if (limits === undefined) return
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -473,6 +473,8 @@
     await front.finish(leavingSince + leavingAcceptMs, now() + settings.bounds.graceMs - stopMarginMs)
     owner.stopCommands()
     await Promise.all(fleet.peers().map(({ address }) => link.deliver(address, { kind: 'stopped', payload: null })))
+    // A busy machine may have kept the process from reading what has arrived; the close resets it.
+    await front.readArrived()
     close()
     log.info('stopped', {})
     await log.close()
--- a/packages/gateway/src/stop-paths.test.ts
+++ b/packages/gateway/src/stop-paths.test.ts
@@ -1,6 +1,7 @@
 /** Stops that come twice, or while the node still starts. */
 import { createServer } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { Worker } from 'node:worker_threads'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createDecisionLog } from './decision-log'
@@ -55,4 +56,41 @@
   assert.equal(events.filter(event => ['address-in-use', 'settings-reloaded', 'address-free', 'started', 'stopped'].includes(event)), ['address-in-use', 'settings-reloaded', 'address-free', 'started', 'stopped'])
 })
 
+/** Opens a connection, and sends a request on it and one on a new connection while the thread of the node cannot run. */
+const lateClient = `
+  const { connect } = require('node:net')
+  const { parentPort, workerData: { port, statuses } } = require('node:worker_threads')
+  const send = (socket, index) => {
+    socket.write('GET / HTTP/1.1\\r\\nhost: a\\r\\nx-id: ' + index + '\\r\\n\\r\\n')
+    socket.on('data', chunk => { Atomics.store(statuses, index, Number(chunk.toString().split(' ')[1])) })
+  }
+  const kept = connect(port, '127.0.0.1', () => parentPort.postMessage('connected'))
+  parentPort.once('message', () => {
+    send(kept, 0)
+    const fresh = connect(port, '127.0.0.1', () => send(fresh, 1))
+    for (const socket of [kept, fresh]) socket.on('error', () => {})
+  })
+`
+
+/** Keeps the thread from running, in ms, as a busy machine does. */
+const block = (ms: number): unknown => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms)
+
+// Guards against connections that the end of the process resets although their requests arrived long before.
+test('requests that arrive while the leaving process cannot run are answered before it ends', async () => {
+  gateway.reload(testNodeSettings('n1', 'a', await freePorts(6), { graceMs: 8000 }))
+  await gateway.start()
+  const statuses = new Int32Array(new SharedArrayBuffer(8))
+  const client = new Worker(lateClient, { eval: true, workerData: { port: front, statuses } })
+  await new Promise(resolve => client.once('message', resolve))
+  const stopped = gateway.stop()
+  await sleep(2400)
+  client.postMessage('send')
+  block(400)
+  await stopped
+  // The process would have ended.
+  block(200)
+  await client.terminate()
+  assert.equal([...statuses], [503, 503])
+})
+
 test.run()
