Plan claims and challenges of owners in one call

While an owner was missing, each attempt assigned owners twice: once for the claims and once for the challenges. One call returns both; the tests use it. No change in behaviour.

--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -250,8 +250,7 @@
     const confirmable = ownership.confirmable(now())
     const lost = ownership.recordedBefore(era).filter(({ engine }) => !confirmable.includes(engine))
     const engines = options.listEngines().map(({ server }) => server)
-    const claims = ownership.claims(engines, options.members(), now(), era)
-    const challenges = ownership.challenges(engines, options.members(), now(), era)
+    const { claims, challenges } = ownership.plan(engines, options.members(), now(), era)
     if (claims.length + confirmable.length + lost.length + challenges.length === 0) return
     nextClaimAt = now() + claimRetryMs
     // With a confirmation, which names no former owner, a new process of this node does not wait for it again.
--- a/packages/gateway/src/engine-ownership.test.ts
+++ b/packages/gateway/src/engine-ownership.test.ts
@@ -21,16 +21,16 @@
 
 test('one node of a zone claims all engines of the zone', () => {
   const members = ['n1', 'n2', 'n3'].map(name => member(name))
-  const claimants = ['n1', 'n2', 'n3'].filter(name => owner(name).claims([engine('e1'), engine('e2')], members, 1000).length > 0)
+  const claimants = ['n1', 'n2', 'n3'].filter(name => owner(name).plan([engine('e1'), engine('e2')], members, 1000).claims.length > 0)
   assert.is(claimants.length, 1)
-  assert.is(owner(claimants[0]!).claims([engine('e1'), engine('e2')], members, 1000).length, 2)
+  assert.is(owner(claimants[0]!).plan([engine('e1'), engine('e2')], members, 1000).claims.length, 2)
 })
 
 // Guards against one owner with more engines than it can schedule.
 test('many engines of a zone are spread over several owners, each claimed once', () => {
   const names = ['n1', 'n2', 'n3', 'n4', 'n5', 'n6']
   const engines = Array.from({ length: 36 }, (_, index) => engine(`e${index}`))
-  const claimed = names.map(name => owner(name).claims(engines, names.map(other => member(other)), 1000).map(claim => claim.engine))
+  const claimed = names.map(name => owner(name).plan(engines, names.map(other => member(other)), 1000).claims.map(claim => claim.engine))
   assert.equal(claimed.flat().sort(), engines.map(({ id }) => id).sort())
   assert.equal(claimed.map(({ length }) => length).filter(count => count > 0), [12, 12, 12])
 })
@@ -38,12 +38,12 @@
 // Guards against scheduling many engines on the weakest machine of a zone.
 test('a node with a fraction of the capacity of others does not become an owner', () => {
   const members = [member('n2', { capacity: 4 }), member('n3', { capacity: 1 })]
-  assert.equal(owner('n1').claims([engine('e1'), engine('e2')], members, 1000), [])
+  assert.equal(owner('n1').plan([engine('e1'), engine('e2')], members, 1000).claims, [])
 })
 
 // Guards against a node that claims all engines because it has not discovered the others yet.
 test('does not claim before nodes that start together have discovered each other', () => {
-  assert.equal(owner('n1').claims([engine('e1')], [], 100), [])
+  assert.equal(owner('n1').plan([engine('e1')], [], 100).claims, [])
 })
 
 const restoredRecord = (engineId: string, node: string, offset: number, era?: number): ReturnType<typeof record> => {
@@ -76,7 +76,7 @@
 
 // Guards against commands of two holders within one lease, the first of which the store has forgotten.
 test('a process that cannot know of lost owner records waits for a lease before its first command', () => {
-  const claimOf = (node: EngineOwnership, era: number): string | undefined => node.claims([engine('e1')], [], 1000, era)[0]?.after
+  const claimOf = (node: EngineOwnership, era: number): string | undefined => node.plan([engine('e1')], [], 1000, era).claims[0]?.after
   assert.is(claimOf(owner('n1'), 1), undefined)
   assert.is(claimOf(owner('n1'), 2), lostOwner)
   const restarted = owner('n1', 2)
@@ -85,15 +85,15 @@
   restarted.apply([restoredRecord('e1', 'n1', 60, 2)], 0)
   assert.is(claimOf(restarted, 2), undefined)
   const running = owner('n1')
-  running.claims([], [], 0, 2)
-  assert.is(running.claims([engine('e1')], [], 1000 + logFreshMs + leaseMs, 2)[0]?.after, undefined)
+  running.plan([], [], 0, 2)
+  assert.is(running.plan([engine('e1')], [], 1000 + logFreshMs + leaseMs, 2).claims[0]?.after, undefined)
 })
 
 // Guards against commands of two holders within one lease, on engines that do not check fencing tokens.
 test('a new owner waits until no command of the former one can arrive and a lease has passed', () => {
   const newOwner = owner('n2')
   newOwner.apply([record('e1', 'n1', 1, 5)], 0)
-  assert.equal(newOwner.claims([engine('e1')], [member('n1', { state: 'dead' }), member('n3', { zone: 'b' }), member('n4', { zone: 'b' })], 1000), [{ engine: 'e1', reason: 'owner-dead', after: 'n1' }])
+  assert.equal(newOwner.plan([engine('e1')], [member('n1', { state: 'dead' }), member('n3', { zone: 'b' }), member('n4', { zone: 'b' })], 1000).claims, [{ engine: 'e1', reason: 'owner-dead', after: 'n1' }])
   newOwner.apply([record('e1', 'n2', 1, 9, 'n1')], 1000)
   assert.ok(newOwner.commandsFrom('e1')! >= 1000 + logFreshMs + leaseMs)
 })
@@ -119,7 +119,7 @@
 test('a new process of the same node continues at once, but repeats a wait that was not over', () => {
   const restarted = owner('n1', 2)
   restarted.apply([record('e1', 'n1', 1, 5), record('e2', 'n1', 1, 6, 'n9')], 0)
-  assert.equal(restarted.claims([engine('e1'), engine('e2')], [], 10), [{ engine: 'e1', reason: 'restarted' }, { engine: 'e2', reason: 'restarted', after: 'n9' }])
+  assert.equal(restarted.plan([engine('e1'), engine('e2')], [], 10).claims, [{ engine: 'e1', reason: 'restarted' }, { engine: 'e2', reason: 'restarted', after: 'n9' }])
   restarted.apply([record('e1', 'n1', 2, 7), record('e2', 'n1', 2, 8, 'n9')], 20)
   assert.is(restarted.commandsFrom('e1'), 20)
   assert.ok(restarted.commandsFrom('e2')! >= 20 + leaseMs)
@@ -128,8 +128,8 @@
 test('does not claim the engines of an owner that is leaving or has just restarted', () => {
   const other = owner('n2')
   other.apply([record('e1', 'n1', 1, 5)], 0)
-  assert.equal(other.claims([engine('e1')], [member('n1', { state: 'leaving' })], 1000), [])
-  assert.equal(other.claims([engine('e1')], [member('n1', { incarnation: 2 })], 1000), [])
+  assert.equal(other.plan([engine('e1')], [member('n1', { state: 'leaving' })], 1000).claims, [])
+  assert.equal(other.plan([engine('e1')], [member('n1', { incarnation: 2 })], 1000).claims, [])
 })
 
 // Guards against a node that is partitioned from most others and claims engines whose owner still works.
@@ -137,7 +137,7 @@
   const isolated = owner('n2')
   isolated.apply([record('e1', 'n1', 1, 5)], 0)
   const dead = ['n1', 'n3', 'n4'].map(name => member(name, { state: 'dead' }))
-  assert.equal(isolated.claims([engine('e1')], dead, 1000), [])
+  assert.equal(isolated.plan([engine('e1')], dead, 1000).claims, [])
 })
 
 test('gives no more commands when a newer record names another node', () => {
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -47,16 +47,21 @@
 /** `after` names the former owner, whose commands may still arrive; `alone`: it is replaced without a majority. */
 export type Claim = { engine: string, reason: 'unowned' | 'owner-dead' | 'restarted', after?: string, alone?: true }
 
+export type OwnershipPlan = {
+  /** Engines that this node should claim. */
+  claims: Claim[]
+  /** Challenges of owners that are silent or seem dead to a node without a majority, and this process' answer to one. */
+  challenges: ChallengeRecord[]
+}
+
 export type EngineOwnership = {
   apply (records: readonly FeedRecord<FleetRecord | UnreadableRecord>[], now: number): void
   /**
-   * Engines that this node should claim.
+   * What this node should append to the log.
    *
    * @param era - era of the store up to which this process has read the log
    */
-  claims (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era?: number): Claim[]
-  /** Challenges of owners that seem dead to a node without a majority, and this process' answer to one. */
-  challenges (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era?: number): ChallengeRecord[]
+  plan (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era?: number): OwnershipPlan
   term (engine: string): OwnerTerm | undefined
   /** Engines whose newest owner record names this process. */
   owned (): OwnerTerm[]
@@ -223,11 +228,11 @@
         else if (value === undefined) terms.delete(key.replace(/^owner\//, ''))
       }
     },
-    claims: (engines, members, now, era = 0) => planClaims(engines, members, now, era).claims,
-    challenges (engines, members, now, era = 0) {
+    plan (engines, members, now, era = 0) {
       const answers: ChallengeRecord[] = challenges.selfChallenged() ? [{ type: 'challenge', node: cfg.name, incarnation: cfg.incarnation }] : []
-      const challenged = new Map([...planClaims(engines, members, now, era).challenged, ...silentOwners(engines, members, now, era)].map(term => [term.node, term]))
-      return [...answers, ...[...challenged.values()].map(({ node, incarnation }): ChallengeRecord => ({ type: 'challenge', node, incarnation, by: cfg.name }))]
+      const { claims, challenged } = planClaims(engines, members, now, era)
+      const owners = new Map([...challenged, ...silentOwners(engines, members, now, era)].map(term => [term.node, term]))
+      return { claims, challenges: [...answers, ...[...owners.values()].map(({ node, incarnation }): ChallengeRecord => ({ type: 'challenge', node, incarnation, by: cfg.name }))] }
     },
     term: engine => terms.get(engine),
     owned: () => [...terms.values()].filter(isSelf),
--- a/packages/gateway/src/owner-replacement.test.ts
+++ b/packages/gateway/src/owner-replacement.test.ts
@@ -49,13 +49,13 @@
   }
 
   function append (node: Node, engines: BackendServer[], members: FleetMember[], now: number): void {
-    const claims = node.ownership.claims(engines, members, now)
+    const { claims, challenges } = node.ownership.plan(engines, members, now)
     const name = node === owner ? 'o' : 'c'
     if (node === owner && faults.isMute === true) return
     for (const { engine, after, alone } of claims) {
       log.push({ key: `owner/${engine}`, offset: log.length, value: { type: 'owner', engine, node: name, incarnation: 1, ...(after === undefined ? {} : { after }), ...(alone === undefined ? {} : { alone }) } })
     }
-    for (const value of node.ownership.challenges(engines, members, now)) log.push({ key: `challenge/${value.node}`, offset: log.length, value })
+    for (const value of challenges) log.push({ key: `challenge/${value.node}`, offset: log.length, value })
   }
 
   const membersOf = (own: string, apart: string[], now: number): FleetMember[] => [...ownerSide, ...otherSide].filter(name => name !== own).map(name => ({
