Let the last node claim the engines of an owner that stays silent

Cause: a claim needs an owner that counts as dead, and the claimant must come first among the nodes that count as alive. The membership probes one member a period, so the last of nine found the owner dead after up to seven others, and meanwhile left the claim to nodes that were gone. The early challenge did not shorten that.

Change: the engines of an owner that is silent and has not answered a challenge for 3.5 s are claimed without waiting for its death, by the node that appended the challenge, then by others one after the other. Such a claim always counts as one without a majority, so its first command comes 8.4 s after the challenge as before. Two owners cannot be for the same reason as before: that wait relies on the challenge alone.

Tests: the last of nine nodes, as a decision and with complete nodes; the decision test has nine nodes of which the challenger comes first, and further orders of deaths. The new time limit of lost-majority.test.ts, first command within 12 s, is added to the one it had.

--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -33,9 +33,14 @@
 const ownerSilentMs = 2500
 const ownerSilentPerNodeMs = 40
 const ownerSilentMaxMs = 5000
-/** Nodes challenge a silent owner one after the other, this much apart, in ms; the first challenge is enough. */
+/** Nodes challenge a silent owner, and claim its engines, one after the other, this much apart, in ms; the first one is enough. */
 const challengeStaggerMs = 50
 const challengeStaggerMaxMs = 500
+/**
+ * Time after its challenge from which the engines of an owner that stays silent are claimed although it does not count
+ * as dead, in ms. Earlier claims would give no earlier commands; the log shows the claim within the difference.
+ */
+const silentOwnerLostMs = maxOutageCommandMs - logFreshMs - 400
 
 /** Named as the former owner if the store may have lost the record of one. */
 export const lostOwner = '(lost)'
@@ -127,7 +132,7 @@
 
   /** The same if no majority knows of the new owner, so that a former one may give commands in an outage for a while. */
   function outageLeaseEndsAt (after: string, recordedAt: number): number {
-    return (challenges.challengedAt(after) ?? recordedAt) + maxOutageCommandMs + cfg.leaseMs + commandMarginMs
+    return (challenges.unanswered(after)?.at ?? recordedAt) + maxOutageCommandMs + cfg.leaseMs + commandMarginMs
   }
 
   /** A node that loses others notices one after the other, and may have claimed engines before it knew that most are gone. */
@@ -151,6 +156,33 @@
     terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token, recordedAt: now, commandsFrom, ...after, ...alone })
   }
 
+  function silentAfterMs (members: readonly FleetMember[]): number {
+    return Math.min(ownerSilentMaxMs, Math.max(ownerSilentMs, members.length * ownerSilentPerNodeMs))
+  }
+
+  /** Delay of this node's challenge of an owner, or of its claim, after those of others. */
+  function staggerMs (owner: string, members: readonly FleetMember[]): number {
+    const others = members.filter(({ name, state }) => state === 'alive' && name !== cfg.name && name !== owner).map(({ name }) => ({ id: name }))
+    const rank = rankNodes(`challenge:${owner}`, [{ id: cfg.name }, ...others]).findIndex(({ id }) => id === cfg.name)
+    return Math.min(challengeStaggerMaxMs, rank * challengeStaggerMs)
+  }
+
+  /**
+   * Whether a silent owner has not answered a challenge for so long that this node replaces it before it knows whether
+   * it is dead. The last of many nodes learns of the deaths of the others one after the other. The claim relies on the
+   * challenge alone, as one without a majority does.
+   */
+  function staysSilent (term: TermState, members: readonly FleetMember[], now: number, era: number): boolean {
+    // An owner that is leaving keeps its engines.
+    if (term.node === cfg.name || members.some(({ name, state }) => name === term.node && state === 'leaving')) return false
+    const challenge = challenges.unanswered(term.node)
+    if (challenge === undefined || challenges.verdict(term, now, era) !== 'lost') return false
+    const heard = heardAt.get(term.node)
+    if (heard === undefined || now - heard <= silentAfterMs(members)) return false
+    // The challenger reaches the store; it is gone as well if it does not claim.
+    return now - challenge.at >= silentOwnerLostMs + (challenge.by === cfg.name ? 0 : staggerMs(term.node, members))
+  }
+
   function claimReason (term: TermState | undefined, states: ReadonlyMap<string, FleetMember['state']>): Claim['reason'] | undefined {
     if (term === undefined) return 'unowned'
     // An earlier process of this node owned the engine.
@@ -166,8 +198,11 @@
     }
     const reasons = new Map<string, Claim['reason']>()
     const states = new Map(members.map(({ name, state }) => [name, state]))
+    const silent = new Set<string>()
     for (const { id } of engines) {
-      const reason = claimReason(terms.get(id), states)
+      const term = terms.get(id)
+      if (term !== undefined && staysSilent(term, members, now, era)) silent.add(id)
+      const reason = silent.has(id) ? 'owner-dead' : claimReason(term, states)
       if (reason !== undefined) reasons.set(id, reason)
     }
     const claims: Claim[] = []
@@ -183,8 +218,8 @@
       const term = terms.get(id)
       const reason = reasons.get(id)
       const isOwnNode = term?.node === cfg.name
-      if (reason === undefined || (!isOwnNode && (now - startedAt < startupMs || owners.get(id) !== cfg.name))) continue
-      const alone = reason === 'owner-dead' ? !hasMajority : term?.alone === true
+      if (reason === undefined || (!isOwnNode && (now - startedAt < startupMs || (owners.get(id) !== cfg.name && !silent.has(id))))) continue
+      const alone = reason === 'owner-dead' ? !hasMajority || silent.has(id) : term?.alone === true
       if (alone && reason === 'owner-dead') {
         const verdict = challenges.verdict(term!, now, era)
         if (verdict === 'challenge') challenged.set(term!.node, term!)
@@ -201,7 +236,7 @@
   /** Owners whose status has not arrived for a while. A challenge early on shortens the wait of a node that turns out to be without a majority. */
   function silentOwners (engines: readonly BackendServer[], members: readonly FleetMember[], now: number, era: number): TermState[] {
     const silent = new Map<string, TermState>()
-    const silentMs = Math.min(ownerSilentMaxMs, Math.max(ownerSilentMs, members.length * ownerSilentPerNodeMs))
+    const silentMs = silentAfterMs(members)
     for (const { id } of engines) {
       const term = terms.get(id)
       if (term === undefined || term.node === cfg.name || silent.has(term.node)) continue
@@ -209,12 +244,7 @@
       if (lastAt === undefined) heardAt.set(term.node, now)
       else if (now - lastAt > silentMs) silent.set(term.node, term)
     }
-    return [...silent.values()].filter(term => {
-      const others = members.filter(({ name, state }) => state === 'alive' && name !== cfg.name && name !== term.node).map(({ name }) => ({ id: name }))
-      const rank = rankNodes(`challenge:${term.node}`, [{ id: cfg.name }, ...others]).findIndex(({ id }) => id === cfg.name)
-      const staggerMs = Math.min(challengeStaggerMaxMs, rank * challengeStaggerMs)
-      return now - heardAt.get(term.node)! > silentMs + staggerMs && challenges.verdict(term, now, era) === 'challenge'
-    })
+    return [...silent.values()].filter(term => now - heardAt.get(term.node)! > silentMs + staggerMs(term.node, members) && challenges.verdict(term, now, era) === 'challenge')
   }
 
   return {
--- a/packages/gateway/src/lost-majority.test.ts
+++ b/packages/gateway/src/lost-majority.test.ts
@@ -8,6 +8,8 @@
 
 /** Time within which requests for adapters must be served again, in ms: 12 s and the windows in which they are counted. */
 const recoveryMs = 14_000
+/** Time within which the new owner must give its first command, in ms. */
+const firstCommandMs = 12_000
 const windowMs = 1000
 
 let nodes: TestNodes
@@ -60,7 +62,7 @@
   while (!indexes.every(isDead)) await sleep(50)
 }
 
-for (const [count, lost, order] of [[6, 3, 'the owner last'], [6, 5, 'the owner last'], [6, 5, 'all at once']] as const) {
+for (const [count, lost, order] of [[6, 3, 'the owner last'], [6, 5, 'the owner last'], [6, 5, 'all at once'], [9, 8, 'all at once']] as const) {
   // Guards against engines that nobody takes over, so that adapters that are not loaded are never loaded again.
   test(`after the loss of ${lost} of ${count} nodes, ${order}, the engines have an owner again`, async () => {
     await start(count)
@@ -70,8 +72,13 @@
     nodes.kill(...lostOthers)
     if (order === 'the owner last') await untilDead(rest[0]!, lostOthers)
     nodes.kill(owner!)
+    const lostAt = Date.now()
+    const logged = nodes.lines.length
     const afterMs = await untilRecovered(rest, recoveryMs)
     assert.ok(afterMs !== undefined, 'requests are not served')
+    const command = nodes.lines.slice(logged).find(({ event }) => event === 'engine-command')
+    const commandAfterMs = Date.parse(String(command?.['time'])) - lostAt
+    assert.ok(commandAfterMs <= firstCommandMs, `the first command came after ${commandAfterMs} ms`)
     if (rest.length > 1) return
     nodes.kill(rest[0]!)
     await nodes.startAgain(rest[0]!)
--- a/packages/gateway/src/owner-challenges.ts
+++ b/packages/gateway/src/owner-challenges.ts
@@ -16,8 +16,8 @@
   apply (record: ChallengeRecord, offset: number, now: number): void
   /** Whether this process has not answered a challenge yet. */
   selfChallenged (): boolean
-  /** @returns time at which the unanswered challenge of the node was read, or undefined if there is none */
-  challengedAt (node: string): number | undefined
+  /** @returns the unanswered challenge of the node, and when it was read; undefined if there is none */
+  unanswered (node: string): { by: string, at: number } | undefined
   /**
    * What a node without a majority may conclude of an owner that it takes for dead.
    *
@@ -33,30 +33,29 @@
 
 export function createOwnerChallenges (self: NodeProcess): OwnerChallenges {
   /** Newest challenge or answer of each node. */
-  const challenges = new Map<string, { incarnation: number, answered: boolean, at: number, offset: number }>()
+  const challenges = new Map<string, { incarnation: number, by?: string, at: number, offset: number }>()
 
   return {
     apply ({ node, incarnation, by }, offset, now) {
       const current = challenges.get(node)
       if (current !== undefined && current.offset >= offset) return
-      const answered = by === undefined
       // A repeated challenge does not prolong the wait of the first one.
-      const repeats = current !== undefined && !answered && !current.answered && current.incarnation === incarnation && eraOf(current.offset) === eraOf(offset)
-      challenges.set(node, { incarnation, answered, at: repeats ? current.at : now, offset })
+      const repeats = by !== undefined && current?.by !== undefined && current.incarnation === incarnation && eraOf(current.offset) === eraOf(offset)
+      challenges.set(node, { incarnation, offset, ...(repeats ? { by: current.by, at: current.at } : { at: now, ...(by === undefined ? {} : { by }) }) })
     },
     selfChallenged () {
       const own = challenges.get(self.node)
-      return own !== undefined && !own.answered && own.incarnation === self.incarnation
+      return own?.by !== undefined && own.incarnation === self.incarnation
     },
-    challengedAt (node) {
+    unanswered (node) {
       const challenge = challenges.get(node)
-      return challenge === undefined || challenge.answered ? undefined : challenge.at
+      return challenge?.by === undefined ? undefined : { by: challenge.by, at: challenge.at }
     },
     verdict ({ node, incarnation }, now, era) {
       const challenge = challenges.get(node)
       // A store that came back from a copy may have lost the challenge.
       if (challenge === undefined || challenge.incarnation !== incarnation || eraOf(challenge.offset) !== era) return 'challenge'
-      if (challenge.answered) return now - challenge.at < rechallengeMs ? 'wait' : 'challenge'
+      if (challenge.by === undefined) return now - challenge.at < rechallengeMs ? 'wait' : 'challenge'
       return now - challenge.at < answerMs ? 'wait' : 'lost'
     }
   }
--- a/packages/gateway/src/owner-replacement.test.ts
+++ b/packages/gateway/src/owner-replacement.test.ts
@@ -12,9 +12,8 @@
 /** Time after which a node without contact counts as dead, in ms. */
 const deathMs = 2000
 const engine: BackendServer = { id: 'e1', bornAt: 1, service: 'llm', address: 'e1:1', zone: 'a', state: 'ready', slots: 1, models: [] }
-/** The owner and three nodes are on one side of a partition, the challenger and another node on the other. */
-const ownerSide = ['o', 'p1', 'p2', 'p3']
-const otherSide = ['c', 'q1']
+/** Recorded nodes: the owner, the challenger and others. The challenger ranks first for the engine. */
+const names = ['o', 'p2', 'p3', 'p4', 'p5', 'p7', 'p9', 'q1', 'c']
 
 type Faults = {
   /** Time from which the sides cannot reach each other. */
@@ -25,8 +24,11 @@
   healedAt?: number
   /** Whether appends of the owner are lost. */
   isMute?: boolean
-  /** Time from one death that is noticed to the next, in ms. */
+  /** Nodes on the challenger's side of the partition, without it. */
+  companions?: string[]
+  /** Time from one death that is noticed to the next, in ms, and whether that of the owner is the last. */
   deathGapMs?: number
+  ownerDiesLast?: boolean
   /** Time from which the owner is frozen, and until when. */
   frozen?: [number, number]
 }
@@ -40,6 +42,10 @@
   const owner = createNode('o')
   const challenger = createNode('c')
   const healedAt = faults.healedAt ?? Infinity
+  const otherSide = ['c', ...faults.companions ?? ['q1', 'p9']]
+  const ownerSide = names.filter(name => !otherSide.includes(name))
+  const deaths = faults.ownerDiesLast === true ? ownerSide.toReversed() : ownerSide
+  const deathAt = (observer: string, name: string): number => faults.partedAt + deathMs + (observer === 'c' ? deaths.indexOf(name) * (faults.deathGapMs ?? 0) : 0)
   let sideNext = 0
 
   function read (node: Node, now: number): void {
@@ -58,8 +64,8 @@
     for (const value of challenges) log.push({ key: `challenge/${value.node}`, offset: log.length, value })
   }
 
-  const membersOf = (own: string, apart: string[], now: number): FleetMember[] => [...ownerSide, ...otherSide].filter(name => name !== own).map(name => ({
-    name, zone: 'a', incarnation: 1, capacity: 1, state: apart.includes(name) && now > faults.partedAt + deathMs + apart.indexOf(name) * (faults.deathGapMs ?? 0) && now < healedAt ? 'dead' : 'alive'
+  const membersOf = (own: string, apart: string[], now: number): FleetMember[] => names.filter(name => name !== own).map(name => ({
+    name, zone: 'a', incarnation: 1, capacity: 1, state: apart.includes(name) && now > deathAt(own, name) && now < healedAt ? 'dead' : 'alive'
   }))
 
   for (let now = 0; now < endAt; now += stepMs) {
@@ -77,13 +83,13 @@
         else owner.freshness.unreachable(peer, now, sideNext)
       }
       const from = owner.ownership.commandsFrom('e1')
-      if (from !== undefined && from <= now && owner.freshness.excludesNewOwner(now, 6)) owner.commands.push(now)
+      if (from !== undefined && from <= now && owner.freshness.excludesNewOwner(now, names.length)) owner.commands.push(now)
       if (now < faults.partedAt) challenger.ownership.heard('o', now)
     }
     read(challenger, now)
     append(challenger, [engine], membersOf('c', ownerSide, now), now)
     const from = challenger.ownership.commandsFrom('e1')
-    if (from !== undefined && from <= now && challenger.freshness.excludesNewOwner(now, 6)) challenger.commands.push(now)
+    if (from !== undefined && from <= now && challenger.freshness.excludesNewOwner(now, names.length)) challenger.commands.push(now)
   }
   return { owner: owner.commands, challenger: challenger.commands }
 }
@@ -96,12 +102,14 @@
 // Guards against two owners in turn, if a majority and the former owner are cut from the store but not from the engines.
 test('a former owner that is cut off or frozen gives no commands within a lease of those of its successor', () => {
   let replaced = 0
-  for (let ownerCutAt = 500; ownerCutAt <= 9000; ownerCutAt += 500) {
+  // Twice a second, and in each step about the time of the challenge.
+  const cuts = [...Array.from({ length: 18 }, (_, index) => (index + 1) * 500), 3550, 3600, 3650, 3700, 3750]
+  for (const ownerCutAt of cuts) {
     for (const sideCutAt of [ownerCutAt, ownerCutAt + 400, ownerCutAt + 3000, 500]) {
       for (const healedAt of [Infinity, 8000, 11_000, 14_000]) {
         for (const frozen of [undefined, [1500, 4000], [2500, 9000], [ownerCutAt, 13_000]] as ([number, number] | undefined)[]) {
-          for (const [isMute, deathGapMs] of [[false, 0], [true, 0], [false, 1000]] as const) {
-            const faults = { partedAt: 1000, ownerCutAt, sideCutAt, isMute, deathGapMs, ...(healedAt > ownerCutAt ? { healedAt } : {}), ...(frozen === undefined ? {} : { frozen }) }
+          for (const deaths of [{}, { isMute: true }, { deathGapMs: 1000 }, { deathGapMs: 1200, ownerDiesLast: true, companions: [] }, { deathGapMs: 3000, ownerDiesLast: true }]) {
+            const faults = { partedAt: 1000, ownerCutAt, sideCutAt, ...deaths, ...(healedAt > ownerCutAt ? { healedAt } : {}), ...(frozen === undefined ? {} : { frozen }) }
             const played = play(faults, 20_000)
             assert.ok(shortestTurn(played) >= leaseMs, `${shortestTurn(played)} ms with ${JSON.stringify(faults)}`)
             if (played.challenger.length > 0) replaced += 1
@@ -127,4 +135,10 @@
   assert.ok(challenger[0]! < 1000 + 12_000, `the first command came at ${challenger[0]} ms`)
 })
 
+// Guards against a last node that waits until it has found all others dead, one after the other.
+test('the last of nine nodes replaces an owner that it does not know to be dead yet', () => {
+  const { challenger } = play({ partedAt: 1000, ownerCutAt: 1000, sideCutAt: 1000, frozen: [1000, Infinity], companions: [], deathGapMs: 1200, ownerDiesLast: true }, 20_000)
+  assert.ok(challenger[0]! < 1000 + 12_000, `the first command came at ${challenger[0]} ms`)
+})
+
 test.run()
