Read facts only together with their age, first the freshness of the fleet log

createDatedFact keeps a value with the time of its evidence. It is read with its age, or not at all once it is too old or once the process was suspended after the evidence. LogFreshness moves to a file of its own and is its first user; createFactClock makes a suspension known with each reading of the time.

Tests changed: imports only.

--- a/packages/gateway/src/engine-ownership.test.ts
+++ b/packages/gateway/src/engine-ownership.test.ts
@@ -1,7 +1,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
-import { createEngineOwnership, createLogFreshness, logFreshMs, lostOwner, type EngineOwnership, type FleetMember } from './engine-ownership'
+import { createEngineOwnership, logFreshMs, lostOwner, type EngineOwnership, type FleetMember } from './engine-ownership'
+import { createLogFreshness } from './log-freshness'
 import { logPosition } from './log-position'
 import type { FleetRecord } from './platform-interface'
 
--- a/packages/gateway/src/log-questions.ts
+++ b/packages/gateway/src/log-questions.ts
@@ -1,6 +1,6 @@
 /** Asks other nodes whether they can read the fleet log, and replies to such questions. */
 import type { DecisionLog } from './decision-log'
-import type { LogFreshness } from './engine-ownership'
+import type { LogFreshness } from './log-freshness'
 import { replyAsOf, type LogProbe, type LogQuestion, type LogState } from './log-probe'
 import type { PeerMessage } from './peer-link'
 
--- a/packages/gateway/src/owner-replacement.test.ts
+++ b/packages/gateway/src/owner-replacement.test.ts
@@ -2,7 +2,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
-import { createEngineOwnership, createLogFreshness, type EngineOwnership, type FleetMember, type LogFreshness } from './engine-ownership'
+import { createEngineOwnership, type EngineOwnership, type FleetMember } from './engine-ownership'
+import { createLogFreshness, type LogFreshness } from './log-freshness'
 import type { FeedRecord, FleetRecord } from './platform-interface'
 
 const test = suite('owner replacement')
--- a/packages/gateway/src/suspension-detector.ts
+++ b/packages/gateway/src/suspension-detector.ts
@@ -1,3 +1,5 @@
+import type { Suspensions } from './dated-fact'
+
 /**
  * Detects that the process was suspended: the monotonic clock stops during a suspension, the wall clock
  * does not. A step of the wall clock looks the same and costs one extra read of the log.
@@ -7,6 +9,14 @@
   check (): number
 }
 
+/** Clock whose every reading makes a suspension known to all facts before they are read. */
+export type FactClock = Suspensions & {
+  /** Monotonic time in ms. */
+  now (): number
+  /** @param listener - called with the divergence of the clocks in ms, before `now` returns */
+  onSuspension (listener: (gapMs: number) => void): void
+}
+
 /** Divergence that clocks may show without a suspension, in ms. */
 const toleranceMs = 250
 
@@ -21,3 +31,30 @@
     }
   }
 }
+
+export function createFactClock (clocks: { now (): number, wallClock (): number }): FactClock {
+  const detector = createSuspensionDetector(clocks)
+  const listeners: ((gapMs: number) => void)[] = []
+  let endedAt = -Infinity
+
+  function check (): void {
+    const gapMs = detector.check()
+    if (gapMs === 0) return
+    endedAt = clocks.now()
+    for (const listener of listeners) listener(gapMs)
+  }
+
+  return {
+    now () {
+      check()
+      return clocks.now()
+    },
+    endedAt () {
+      check()
+      return endedAt
+    },
+    onSuspension (listener) {
+      listeners.push(listener)
+    }
+  }
+}
