Give no command between the end of a suspension and the next tick

Cause: a suspension was checked with each tick, 50 ms apart, and before replies of peers. A request that arrived first was served on a read of the fleet log from before the suspension, which the monotonic clock still gave as recent.

Change: all parts of the gateway read the time from one clock, which makes a suspension known before it returns. The checks in the gateway, in log-questions and in log-probe go.

log-probe.test.ts: the probe takes the clock in place of two functions; in the test of suspensions the monotonic clock moves on by 1 ms, as it does between two readings. What it checks is the same.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,7 @@
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePools } from './service-pool'
 import { createServiceShares } from './service-shares'
-import { createSuspensionDetector } from './suspension-detector'
+import { createFactClock } from './suspension-detector'
 import { createUpstream } from './upstream'
 
 export type GatewayOptions = {
@@ -96,7 +96,9 @@
 const maxLoggedParts = 8
 
 export function createGateway (options: GatewayOptions): Gateway {
-  const { platform, log, metrics, now } = options
+  const { platform, log, metrics } = options
+  const clock = createFactClock({ now: options.now, wallClock: () => Date.now() })
+  const { now } = clock
   const { settings } = platform
   const startedAt = Date.now()
   const startedAtMonotonic = now()
@@ -425,28 +427,23 @@
     self,
     now,
     log,
-    probe: createLogProbe({ now, wallClock: Date.now, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() }),
+    probe: createLogProbe({ clock, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() }),
     freshness: () => owner.freshness,
     address: fleet.address,
-    notify: link.notify,
-    checkSuspension
+    notify: link.notify
   })
-  const suspensionDetector = createSuspensionDetector({ now, wallClock: Date.now })
 
   const usage = createProcessUsage({ log, metrics, memoryLimitBytes: () => settings.memoryBytes ?? Infinity, keptBytes: () => kept.total() + front.requestBytes(), running: () => front.running() })
   const listening = createListening({ log, stopped: () => leavingSince !== undefined })
 
-  function checkSuspension (): void {
-    const gapMs = suspensionDetector.check()
-    if (gapMs === 0) return
+  clock.onSuspension(gapMs => {
     log.warn('process-suspended', { gapMs: Math.round(gapMs) })
-    owner.freshness.suspended(now())
-  }
+    owner.freshness.suspended(clock.endedAt())
+  })
 
   function startTimers (): void {
     const tick = (): void => {
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
-      checkSuspension()
       applyServers(registry.tick(now()))
       owner.tick()
     }
--- a/packages/gateway/src/log-probe.test.ts
+++ b/packages/gateway/src/log-probe.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert'
 import { createLogProbe, createLogProbeSchedule, replyAsOf } from './log-probe'
 import type { Feed } from './platform-interface'
+import { createFactClock } from './suspension-detector'
 
 const test = suite('log probe')
 
@@ -42,7 +43,7 @@
       return reachable ? Ok({ records: [], next: 7 }) : Err({ type: 'unavailable' as const, reason: 'down' })
     }
   }
-  const probe = createLogProbe({ now: () => performance.now(), wallClock: Date.now, feed, position: () => 5, knownEnd: () => 5 })
+  const probe = createLogProbe({ clock: createFactClock({ now: () => performance.now(), wallClock: Date.now }), feed, position: () => 5, knownEnd: () => 5 })
   const first = await probe.read()
   await sleep(150)
   const second = await probe.read()
@@ -77,11 +78,13 @@
       return Ok({ records: [], next: 7 })
     }
   }
-  const probe = createLogProbe({ now: () => 0, wallClock: () => wallClock, feed, position: () => 5, knownEnd: () => 5 })
+  let monotonic = 0
+  const probe = createLogProbe({ clock: createFactClock({ now: () => monotonic, wallClock: () => wallClock }), feed, position: () => 5, knownEnd: () => 5 })
   await probe.read()
   await probe.read()
   assert.is(reads, 1)
-  wallClock += 8000
+  monotonic += 1
+  wallClock += 8001
   await probe.read()
   assert.is(reads, 2)
 })
--- a/packages/gateway/src/log-probe.ts
+++ b/packages/gateway/src/log-probe.ts
@@ -4,7 +4,7 @@
  * returns the question, which states when it was asked, and counts from that time.
  */
 import type { Feed } from './platform-interface'
-import { createSuspensionDetector } from './suspension-detector'
+import type { FactClock } from './suspension-detector'
 
 /** Sent with a request and returned with the reply. */
 export type LogQuestion = {
@@ -50,8 +50,7 @@
 const failureTtlMs = 400
 
 export type LogProbeOptions = {
-  now (): number
-  wallClock (): number
+  clock: Pick<FactClock, 'now' | 'endedAt'>
   feed: Feed<unknown>
   /** Position up to which this node has read the log; undefined before the first read. */
   position (): number | undefined
@@ -59,9 +58,9 @@
   knownEnd (): number
 }
 
-export function createLogProbe ({ now, wallClock, feed, position, knownEnd }: LogProbeOptions): LogProbe {
-  const suspension = createSuspensionDetector({ now, wallClock })
-  let current: Promise<ProbeResult> | undefined
+export function createLogProbe ({ clock, feed, position, knownEnd }: LogProbeOptions): LogProbe {
+  const { now } = clock
+  let current: { result: Promise<ProbeResult>, startedAt: number } | undefined
 
   async function probe (): Promise<ProbeResult> {
     const at = now()
@@ -72,15 +71,16 @@
     return result.val.type === 'expired' ? { at, outdated: true } : { at }
   }
 
-  function startProbe (): Promise<ProbeResult> {
+  function startProbe (): NonNullable<typeof current> {
     const startedAt = now()
     let ttlMs = failureTtlMs
-    const started = probe().then(result => {
+    const result = probe().then(result => {
       ttlMs = result.next === undefined ? failureTtlMs - (now() - startedAt) : resultTtlMs
       return result
     }).finally(() => {
       setTimeout(() => { if (current === started) current = undefined }, Math.max(0, ttlMs))
     })
+    const started = { result, startedAt }
     return started
   }
 
@@ -88,9 +88,9 @@
     async read () {
       const arrivedAt = now()
       // The age of an earlier read does not include a suspension.
-      if (suspension.check() > 0) current = undefined
+      if (current !== undefined && current.startedAt < clock.endedAt()) current = undefined
       current ??= startProbe()
-      const { at, next, outdated } = await current
+      const { at, next, outdated } = await current.result
       const times: ReplyTimes = { ageMs: Math.round(now() - at), waitedMs: Math.round(now() - arrivedAt) }
       if (outdated === true) return { type: 'outdated', ...times }
       return next === undefined ? { type: 'unreachable', knownEnd: knownEnd(), ...times } : { type: 'read', next, ...times }
--- a/packages/gateway/src/log-questions.ts
+++ b/packages/gateway/src/log-questions.ts
@@ -14,8 +14,6 @@
   address (node: string): string | undefined
   /** Sends a datagram, which may be lost. */
   notify (address: string, message: PeerMessage): void
-  /** Makes earlier reads invalid if the process was suspended. */
-  checkSuspension (): void
 }
 
 export type LogQuestions = {
@@ -31,8 +29,6 @@
 
   function receiveReply (from: string, payload: unknown): void {
     const state = (payload ?? {}) as Partial<LogState> & { question?: unknown, next?: unknown, knownEnd?: unknown }
-    // Replies that arrived during a suspension must not count as later than it.
-    options.checkSuspension()
     const asOf = replyAsOf(state.question, state, self.incarnation, now())
     if (asOf === undefined) return
     if (state.type === 'read' && Number.isSafeInteger(state.next)) options.freshness().peerRead(state.next as number, asOf)
