Use no backlog of an engine that was stated before a suspension

Cause: the age of a status was the time on the monotonic clock since it arrived, which stands still during a suspension. After one of any length a node ranked owners by backlogs from before it for up to 3 s.

Change: the load in a status is a dated fact. The adapters stay a hint of any age, which owners and engines check.

Evidence: owner-status-cache.test.ts; without the suspension in the fact (as a trial) the backlog of 100 ms is used after it. Tests changed: the cache takes the suspensions, and an age above 3 s is stated as none (nothing reads it).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,7 +105,7 @@
   const registry = createServerRegistry()
   const pools = createServicePools()
   const versions = createAdapterVersions()
-  const ownerStatuses = createOwnerStatusCache()
+  const ownerStatuses = createOwnerStatusCache(clock)
   const feedCache = createFeedCache()
   const timers: NodeJS.Timeout[] = []
   let table: RouteTable | undefined
--- a/packages/gateway/src/owner-status-cache.test.ts
+++ b/packages/gateway/src/owner-status-cache.test.ts
@@ -5,6 +5,8 @@
 
 const test = suite('owner status cache')
 
+const notSuspended = { endedAt: () => -Infinity }
+
 function engine (index: number, scopes: string[]): OwnedEngineStatus {
   return { id: `i-${index}d699934e`, scopes, backlogMs: 120, running: 9, loadWaitMs: 260, commandable: true }
 }
@@ -14,8 +16,8 @@
 // Guards against adapters that other nodes know under another name, so that they are loaded again.
 test('a receiver knows the same scopes as the sender', () => {
   const scopes = ['base', 'base/a1', 'base/a2', 'other/a1', 'other/part/a3']
-  const [message] = createOwnerStatusCache().encode(statusOf([engine(1, scopes), engine(2, [])]), 0, 1000)
-  const receiver = createOwnerStatusCache()
+  const [message] = createOwnerStatusCache(notSuspended).encode(statusOf([engine(1, scopes), engine(2, [])]), 0, 1000)
+  const receiver = createOwnerStatusCache(notSuspended)
   receiver.receive('n1', JSON.parse(JSON.stringify(message)), 0)
   assert.equal([...receiver.engineStatus('i-1d699934e', 0).scopes].sort(), [...scopes].sort())
   assert.is(receiver.engineStatus('i-2d699934e', 0).scopes.size, 0)
@@ -24,9 +26,22 @@
 // Guards against traffic between zones: an owner sends its status to every node, up to four times a second.
 test('the status of twelve engines with ten adapters each fits into two datagrams', () => {
   const engines = Array.from({ length: 12 }, (_, index) => engine(index, Array.from({ length: 10 }, (_, adapter) => `bocu288f3c/a${9000 + index * 10 + adapter}`)))
-  const messages = createOwnerStatusCache().encode(statusOf(engines), 0, 1000)
+  const messages = createOwnerStatusCache(notSuspended).encode(statusOf(engines), 0, 1000)
   assert.ok(messages.length <= 2, `${messages.length} datagrams`)
   for (const message of messages) assert.ok(JSON.stringify(message).length <= maxDatagramBytes)
 })
 
+// Guards against a choice by the backlog of an engine as it was long ago, before a suspension of this node or in a status that others have followed.
+test('the backlog of a status is used for three seconds, and not after a suspension', () => {
+  let endedAt = -Infinity
+  const cache = createOwnerStatusCache({ endedAt: () => endedAt })
+  const backlogAt = (now: number): number => cache.engineStatus('i-1d699934e', now).backlogMs
+  cache.setOwn('n1', [engine(1, ['base'])], 1000)
+  assert.equal([backlogAt(1000), backlogAt(3900), backlogAt(4100)], [100, 100, 0])
+  cache.setOwn('n1', [engine(1, ['base'])], 5000)
+  endedAt = 5001
+  assert.equal([backlogAt(5001), cache.engineStatus('i-1d699934e', 5001).ageMs], [0, Infinity])
+  assert.equal([...cache.engineStatus('i-1d699934e', 5001).scopes], ['base'], 'adapters rarely change')
+})
+
 test.run()
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -1,4 +1,5 @@
 /** Caches the status that owners send of their engines and of their position in the logs. */
+import { createDatedFact, type DatedFact, type Suspensions } from './dated-fact'
 import type { EngineCandidate } from './engine-choice'
 import type { EngineStatus } from './engine-scheduler'
 import { maxDatagramBytes } from './peer-link'
@@ -27,14 +28,18 @@
   engineStatus (engine: string, now: number): Pick<EngineCandidate, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'loadWaitMs' | 'ageMs'>
 }
 
-type Entry = { commandable: boolean, scopes: Set<string>, backlogMs: number, running: number, loadWaitMs: number, at: number }
+type Load = Pick<EngineStatus, 'backlogMs' | 'running' | 'loadWaitMs'>
+
+/** The adapters are a hint of any age: owners and engines refuse what they no longer have. */
+type Entry = { commandable: boolean, scopes: Set<string>, load: DatedFact<Load> }
 
 /** Backlogs are rounded to this step, in ms; smaller differences do not change a choice. */
 const backlogStepMs = 50
-/** Age from which backlog, running requests and load wait of a status are no longer used, in ms. */
+/** Age up to which backlog, running requests and load wait of a status are used, in ms. */
 const backlogValidMs = 3000
 /** Assumed load wait of an engine without a recent status, in ms. */
 const defaultLoadWaitMs = 250
+const unknownLoad: Load = { backlogMs: 0, running: 0, loadWaitMs: defaultLoadWaitMs }
 /** Bytes of a datagram that are reserved for the frame around the engines. */
 const reservedBytes = 150
 
@@ -70,13 +75,15 @@
   return typeof status === 'object' && status !== null && Array.isArray(status.engines) && [status.fleetNext, status.fleetAgeMs, status.operatorNext].every(Number.isFinite)
 }
 
-export function createOwnerStatusCache (): OwnerStatusCache {
+export function createOwnerStatusCache (suspensions: Suspensions): OwnerStatusCache {
   const entries = new Map<string, Entry>()
   let lastEncoded = ''
   let lastSentAt = -Infinity
 
   function store ([id, scopes, backlogMs, running, commandable, loadWaitMs]: PackedEngine, now: number): void {
-    entries.set(id, { scopes: new Set(unpackScopes(scopes)), backlogMs, running, loadWaitMs, commandable: commandable === 1, at: now })
+    const load = createDatedFact<Load>(backlogValidMs, suspensions)
+    load.record({ backlogMs, running, loadWaitMs }, now)
+    entries.set(id, { scopes: new Set(unpackScopes(scopes)), commandable: commandable === 1, load })
   }
 
   return {
@@ -111,9 +118,8 @@
     },
     engineStatus (engine, now) {
       const entry = entries.get(engine)
-      if (entry === undefined) return { commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: defaultLoadWaitMs, ageMs: Infinity }
-      const valid = now - entry.at < backlogValidMs
-      return { commandable: entry.commandable, scopes: entry.scopes, backlogMs: valid ? entry.backlogMs : 0, running: valid ? entry.running : 0, loadWaitMs: valid ? entry.loadWaitMs : defaultLoadWaitMs, ageMs: now - entry.at }
+      const load = entry?.load.read(now)
+      return { commandable: entry?.commandable ?? true, scopes: entry?.scopes ?? new Set(), ...load?.value ?? unknownLoad, ageMs: load?.ageMs ?? Infinity }
     }
   }
 }
--- a/packages/gateway/src/testing/load-simulation.ts
+++ b/packages/gateway/src/testing/load-simulation.ts
@@ -157,7 +157,7 @@
   const { now } = eventQueue
   const rank = load.rank ?? rankOwners
   const spec: EngineSpec = { slots: 64, kvTokens: 232_000, weightsMb: 74_700, adapterSlots: load.adapterSlots, loadsPerSecond: 26, models: [{ name: model, weightsMb: 72_700, adapterMb: 66 }] }
-  const statusCache = createOwnerStatusCache()
+  const statusCache = createOwnerStatusCache({ endedAt: () => -Infinity })
   const useCounters = new Map(load.zones.map(zone => [zone, createUseCounter()]))
   const result: SimulationResult = { classes: {}, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, meanPrefillTokens: 0, mostUnderLimit: 0 }
   const owners: Owner[] = []
