Use no permit for a request that was given before a pause of the process

Cause: the time of a permit counted from the moment at which its message was handled. After a pause messages from the socket may be handled before timers, so a permit of any age counted as new, although its question had timed out. After a suspension of the machine the clock that a permit is checked by had stood still.

Change: a permit is a dated fact, as old as its question; a reply after the question's timeout counts as none.

Evidence: request-permits.test.ts. Before (as a trial): a permit whose message is handled 8 s after its question is valid at that time; after: denied.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,6 +153,7 @@
   const restrictions = createServerRestrictions({
     self,
     now,
+    suspensions: clock,
     log,
     metrics,
     fleet,
--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -6,7 +6,7 @@
 import type { BackendServer } from './cluster-types'
 import { createDecisionLog } from './decision-log'
 import { forwardPlain, type PlainForwarderEnv } from './plain-forwarder'
-import { permitValidMs, type PermitResult } from './request-permits'
+import { createPermit, permitValidMs, type PermitResult } from './request-permits'
 import { createServicePool } from './service-pool'
 import { testCodec, testConfig } from './testing'
 
@@ -81,7 +81,7 @@
   return newConnections.includes(true) ? { ...outcome, newConnections } : outcome
 }
 
-const permitted = (agoMs = 0): PermitResult => ({ type: 'permitted', startAt: performance.now() - agoMs })
+const permitted = (agoMs = 0): PermitResult => createPermit(performance.now() - agoMs, performance.now() - agoMs, { endedAt: () => -Infinity })
 const denied = (retryAfterMs: number): PermitResult => ({ type: 'denied', reason: 'limit', retryAfterMs })
 
 // Guards against a process that was suspended and acts on a permit that has run out meanwhile.
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -7,7 +7,6 @@
 import type { DecisionLog } from './decision-log'
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec } from './platform-interface'
-import { permitValidMs } from './request-permits'
 import type { ServerRestrictions } from './server-restrictions'
 import type { AttemptOutcome, ServicePool } from './service-pool'
 import type { Upstream } from './upstream'
@@ -180,14 +179,15 @@
   /** @returns whether the request may be sent to the server now */
   async function obtainPermit (server: BackendServer, isLast: boolean): Promise<boolean> {
     const maxWaitMs = isLast ? Math.min(route.objectiveMs * permitWaitObjectives, exchange.deadlineAt - env.now() - minRetryMs) : 0
-    const permit = await env.restrictions.acquire(server, Math.max(0, maxWaitMs))
-    if (permit.type === 'denied') {
-      unavailable.set(server.id, permit.retryAfterMs)
-      env.log.info('permit-denied', { id: metadata.id, server: server.id, reason: permit.reason, retryAfterMs: Math.round(permit.retryAfterMs) })
+    const result = await env.restrictions.acquire(server, Math.max(0, maxWaitMs))
+    if (result.type === 'denied') {
+      unavailable.set(server.id, result.retryAfterMs)
+      env.log.info('permit-denied', { id: metadata.id, server: server.id, reason: result.reason, retryAfterMs: Math.round(result.retryAfterMs) })
       return false
     }
-    if (permit.startAt > env.now()) await sleep(permit.startAt - env.now())
-    const isUsable = env.now() < permit.startAt + permitValidMs && env.restrictions.waitMs(server) === 0 && env.servers(service.name).some(({ id }) => id === server.id)
+    const startInMs = (result.permit.read(env.now())?.value.startAt ?? -Infinity) - env.now()
+    if (startInMs > 0) await sleep(startInMs)
+    const isUsable = result.permit.read(env.now()) !== undefined && env.restrictions.waitMs(server) === 0 && env.servers(service.name).some(({ id }) => id === server.id)
     if (!isUsable) unavailable.set(server.id, Math.max(serversFullRetryAfterMs, env.restrictions.waitMs(server)))
     return isUsable
   }
--- a/packages/gateway/src/request-permits.test.ts
+++ b/packages/gateway/src/request-permits.test.ts
@@ -1,13 +1,16 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
-import { createRequestPermits, type RequestPermits } from './request-permits'
+import { createRequestPermits, permitValidMs, type PermitResult, type RequestPermits } from './request-permits'
 
 const test = suite('request permits')
 
 const server: BackendServer = { id: 's1', bornAt: 1, service: 'desk', address: 's1:1', zone: 'a', state: 'ready', slots: 4, models: [] }
 
 let now: number
+let suspensionEndedAt: number
+/** Holds back the messages that a node would handle. */
+let delayed: (() => void)[] | undefined
 let limits: Map<string, number>
 /** Nodes that are leaving, and nodes that do not reply. */
 let leaving: Set<string>
@@ -19,12 +22,14 @@
     self: name,
     incarnation: 1,
     now: () => now,
+    suspensions: { endedAt: () => suspensionEndedAt },
     peers: () => names.filter(other => other !== name && !leaving.has(other)),
     leaving: () => leaving.has(name),
     limit: () => limits.get(name),
     async send (node, message) {
       if (silent.has(node)) return false
-      setImmediate(() => nodes.get(node)!.receive(name, message))
+      if (message.kind !== 'acquire' && delayed !== undefined) delayed.push(() => nodes.get(node)!.receive(name, message))
+      else setImmediate(() => nodes.get(node)!.receive(name, message))
       return true
     },
     onError: reason => { throw new Error(reason) }
@@ -33,12 +38,16 @@
 
 test.before.each(() => {
   now = 0
+  suspensionEndedAt = -Infinity
+  delayed = undefined
   limits = new Map()
   silent = new Set()
   leaving = new Set()
   startNodes(['n1', 'n2', 'n3'])
 })
 
+const startOf = (result: PermitResult): number | undefined => result.type === 'permitted' ? result.permit.read(now)?.value.startAt : undefined
+
 async function countPermits (everyMs: number, ms: number, maxWaitMs = 0): Promise<number> {
   let count = 0
   for (const end = now + ms; now < end; now += everyMs) {
@@ -86,8 +95,8 @@
 test('a request that may wait gets a permit for later', async () => {
   for (const name of nodes.keys()) limits.set(name, 2)
   const node = nodes.get('n1')!
-  assert.equal(await node.acquire(server, 0), { type: 'permitted', startAt: 0 })
-  assert.equal(await node.acquire(server, 600), { type: 'permitted', startAt: 500 })
+  assert.is(startOf(await node.acquire(server, 0)), 0)
+  assert.is(startOf(await node.acquire(server, 600)), 500)
   assert.is((await node.acquire(server, 600)).type, 'denied')
 })
 
@@ -100,4 +109,41 @@
   assert.not.ok(pacers.has(pacer))
 })
 
+function nodeThatAsks (): RequestPermits {
+  for (const name of nodes.keys()) limits.set(name, 2)
+  const pacer = nodes.get('n1')!.pacer(server)
+  return [...nodes].find(([name]) => name !== pacer)![1]
+}
+
+// Guards against a process that was paused and takes a permit that has waited in its socket for a new one.
+for (const pause of ['stop', 'suspension'] as const) {
+  test(`a permit that arrives during a ${pause} of the process is not used`, async () => {
+    const asking = nodeThatAsks()
+    delayed = []
+    const asked = asking.acquire(server, 0)
+    await new Promise(resolve => setImmediate(resolve))
+    if (pause === 'stop') now = 8000
+    else suspensionEndedAt = now += 1
+    for (const deliver of delayed) deliver()
+    assert.is((await asked).type, 'denied')
+  })
+}
+
+// Guards against a permit that has run out, or that seems new after a suspension, during which the clock stands still.
+test('a permit counts for a while after its start, and not after a suspension', async () => {
+  const results = [await nodeThatAsks().acquire(server, 0), await nodes.get(nodes.get('n1')!.pacer(server))!.acquire(server, 600)]
+  assert.equal(results.map(startOf), [0, 500])
+  now = permitValidMs
+  assert.equal(results.map(startOf), [0, 500])
+  now += 1
+  assert.equal(results.map(startOf), [undefined, 500])
+  now = 501 + permitValidMs
+  assert.equal(results.map(startOf), [undefined, undefined])
+  now += 1000
+  const result = await nodes.get('n1')!.acquire(server, 0)
+  assert.is(startOf(result), now)
+  suspensionEndedAt = now += 1
+  assert.is(startOf(result), undefined)
+})
+
 test.run()
--- a/packages/gateway/src/request-permits.ts
+++ b/packages/gateway/src/request-permits.ts
@@ -5,6 +5,7 @@
  */
 import { topNode } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
+import { createDatedFact, type DatedFact, type Suspensions } from './dated-fact'
 import { createRequestPace, paceWaitMs, recordRequest, type RequestPace } from './request-pace'
 import { startKey, type ServerStart } from './server-registry'
 import type { SharedLimit } from './server-statements'
@@ -15,8 +16,8 @@
   | { kind: 'denied', id: string, retryAfterMs: number }
 
 export type PermitResult =
-  /** The request must be sent within {@link permitValidMs} of `startAt`. */
-  | { type: 'permitted', startAt: number }
+  /** The request must be sent within {@link permitValidMs} of `startAt`; the permit is read again then. */
+  | { type: 'permitted', permit: DatedFact<{ startAt: number }> }
   | { type: 'denied', reason: 'limit' | 'no-pacer', retryAfterMs: number }
 
 export type RequestPermitsOptions = {
@@ -25,6 +26,7 @@
   /** Start of this process, so that replies to an earlier one are recognised. */
   incarnation: number
   now (): number
+  suspensions: Suspensions
   /** Names of the other nodes that are alive and not leaving. */
   peers (): string[]
   /** Whether this node is leaving, so that the others no longer ask it. */
@@ -57,13 +59,25 @@
 /** Delay suggested to clients while the pacer does not reply, in ms: it is replaced within about two seconds. */
 const noPacerRetryAfterMs = 500
 
+/**
+ * @param asOf - earliest time at which the permit can have been given
+ * @returns a permit for one request
+ */
+export function createPermit (startAt: number, asOf: number, suspensions: Suspensions): PermitResult {
+  const permit = createDatedFact<{ startAt: number }>(startAt - asOf + permitValidMs, suspensions)
+  permit.record({ startAt }, asOf)
+  return { type: 'permitted', permit }
+}
+
+type Decision = { type: 'permitted', startInMs: number } | { type: 'denied', reason: 'limit', retryAfterMs: number }
+
 export function createRequestPermits (options: RequestPermitsOptions): RequestPermits {
-  const { self, now } = options
+  const { self, now, suspensions } = options
   /** Pace of each server that this node paces, and the limit that it follows. */
   const paces = new Map<string, { pace: RequestPace, requestsPerSecond: number }>()
   /** Time until which the pacer gives no permit for a server under a limit. */
   const denials = new Map<string, { until: number, requestsPerSecond: number }>()
-  const pending = new Map<string, (result: PermitResult) => void>()
+  const pending = new Map<string, (decision: Decision) => void>()
   let lastId = 0
 
   function paceOf (server: ServerStart, requestsPerSecond: number): RequestPace {
@@ -76,12 +90,12 @@
   }
 
   /** @param stated - limit as the asking node knows it; this node may have started since it was stated */
-  function issue (server: ServerStart, stated: number, maxWaitMs: number): PermitResult {
+  function issue (server: ServerStart, stated: number, maxWaitMs: number): Decision {
     const pace = paceOf(server, options.limit(server) ?? stated)
     const waitMs = paceWaitMs(pace, now())
     if (waitMs > maxWaitMs) return { type: 'denied', reason: 'limit', retryAfterMs: waitMs }
     recordRequest(pace, now())
-    return { type: 'permitted', startAt: now() + waitMs }
+    return { type: 'permitted', startInMs: waitMs }
   }
 
   function pacer ({ id }: ServerStart): string {
@@ -90,9 +104,16 @@
     return topNode(`pacer/${id}`, names.map(name => ({ id: name })))!.id
   }
 
+  function resultOf (decision: Decision, askedAt: number): PermitResult {
+    return decision.type === 'denied' ? decision : createPermit(now() + decision.startInMs, askedAt, suspensions)
+  }
+
   function ask (node: string, limit: SharedLimit, maxWaitMs: number): Promise<PermitResult> {
     return new Promise(resolve => {
       const id = `${options.incarnation}.${++lastId}`
+      const askedAt = now()
+      const question = createDatedFact<true>(replyTimeoutMs, suspensions)
+      question.record(true, askedAt)
       const finish = (result: PermitResult): void => {
         clearTimeout(timer)
         pending.delete(id)
@@ -100,7 +121,8 @@
       }
       const noPacer = (): void => finish({ type: 'denied', reason: 'no-pacer', retryAfterMs: noPacerRetryAfterMs })
       const timer = setTimeout(noPacer, replyTimeoutMs)
-      pending.set(id, finish)
+      // After a pause of the process a reply may be handled before the timer.
+      pending.set(id, decision => question.read(now()) === undefined ? noPacer() : finish(resultOf(decision, askedAt)))
       options.send(node, { kind: 'acquire', id, limit, maxWaitMs: Math.round(maxWaitMs) })
         .then(acknowledged => { if (!acknowledged) noPacer() })
         .catch(err => {
@@ -114,26 +136,26 @@
     pacer,
     async acquire (server, maxWaitMs) {
       const requestsPerSecond = options.limit(server)
-      if (requestsPerSecond === undefined) return { type: 'permitted', startAt: now() }
+      if (requestsPerSecond === undefined) return createPermit(now(), now(), suspensions)
       const denial = denials.get(startKey(server))
       const deniedMs = denial?.requestsPerSecond === requestsPerSecond ? denial.until - now() : 0
       if (deniedMs > maxWaitMs) return { type: 'denied', reason: 'limit', retryAfterMs: deniedMs }
       const node = pacer(server)
       const { id, bornAt } = server
-      const result = node === self ? issue(server, requestsPerSecond, maxWaitMs) : await ask(node, { id, bornAt, requestsPerSecond }, maxWaitMs)
+      const result = node === self ? resultOf(issue(server, requestsPerSecond, maxWaitMs), now()) : await ask(node, { id, bornAt, requestsPerSecond }, maxWaitMs)
       if (result.type === 'denied') denials.set(startKey(server), { until: now() + result.retryAfterMs, requestsPerSecond })
       return result
     },
     receive (from, message) {
       if (message.kind === 'acquire') {
         const { id, limit } = message
-        const result = issue(limit, limit.requestsPerSecond ?? Infinity, message.maxWaitMs)
-        const reply: PermitMessage = result.type === 'permitted' ? { kind: 'permitted', id, startInMs: result.startAt - now() } : { kind: 'denied', id, retryAfterMs: result.retryAfterMs }
+        const decision = issue(limit, limit.requestsPerSecond ?? Infinity, message.maxWaitMs)
+        const reply: PermitMessage = decision.type === 'permitted' ? { kind: 'permitted', id, startInMs: decision.startInMs } : { kind: 'denied', id, retryAfterMs: decision.retryAfterMs }
         options.send(from, reply).catch(err => options.onError((err as Error).message))
         return
       }
       const finish = pending.get(message.id)
-      if (message.kind === 'permitted') finish?.({ type: 'permitted', startAt: now() + message.startInMs })
+      if (message.kind === 'permitted') finish?.({ type: 'permitted', startInMs: message.startInMs })
       else finish?.({ type: 'denied', reason: 'limit', retryAfterMs: message.retryAfterMs })
     },
     retain (servers) {
--- a/packages/gateway/src/server-restrictions.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -1,4 +1,5 @@
 /** What backend servers ask of the nodes in their responses: shared with the other nodes, with permits for plain servers that state a limit. */
+import type { Suspensions } from './dated-fact'
 import type { DecisionLog } from './decision-log'
 import type { Fleet } from './fleet'
 import type { PeerLink, PeerMessage } from './peer-link'
@@ -11,6 +12,7 @@
   /** Name and start of this node. */
   self: { name: string, incarnation: number }
   now (): number
+  suspensions: Suspensions
   log: DecisionLog
   metrics: Pick<GatewayMetrics, 'serverStatement' | 'permitDenied'>
   fleet: Pick<Fleet, 'peers' | 'members' | 'address'>
@@ -38,7 +40,7 @@
   retain (servers: readonly ServerStart[]): void
 }
 
-export function createServerRestrictions ({ self, now, log, metrics, fleet, link, deliver, engineOwner, leaving, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
+export function createServerRestrictions ({ self, now, suspensions, log, metrics, fleet, link, deliver, engineOwner, leaving, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
   const statements = createStatementRecorder({
     now,
     log,
@@ -57,6 +59,7 @@
     self: self.name,
     incarnation: self.incarnation,
     now,
+    suspensions,
     peers: () => fleet.members().flatMap(({ name, state }) => state === 'alive' ? name : []),
     leaving,
     limit: statements.limit,
