Give each node the share of retries that the fleet of now leaves it

Cause: the budget of a service was made once, at the node's first request for it, from the size of the fleet and the settings at that time. A node that knew no others yet kept the retries of the whole fleet.

Change: the budget reads size and settings with each use. A larger fleet takes retries away at once; a smaller one gives none until requests earn them.

--- a/packages/coordination/src/retry.ts
+++ b/packages/coordination/src/retry.ts
@@ -1,5 +1,6 @@
 /** Retries: budget, circuit breaker, backoff with full jitter, and the rule for calls that must not be repeated. */
 
+/** Read with each use, so that the values may change. */
 export type RetryBudgetConfig = {
   /** Retries allowed per first attempt, for example 0.1. */
   ratio: number
@@ -22,6 +23,7 @@
       retries = Math.min(cfg.burst, retries + cfg.ratio)
     },
     tryTake () {
+      retries = Math.min(cfg.burst, retries)
       // Ten times 0.1 adds up to less than 1 in floating point.
       if (retries < 1 - 1e-9) {
         return false
--- a/packages/gateway/src/service-shares.ts
+++ b/packages/gateway/src/service-shares.ts
@@ -30,8 +30,10 @@
     retryBudget (service) {
       const existing = budgets.get(service)
       if (existing !== undefined) return existing
-      const { retryRatio, retrySlack } = bounds
-      const created = createRetryBudget({ ratio: retryRatio * retryBudgetShare, burst: Math.max(1, retrySlack * retryBudgetShare / fleetSize()) })
+      const created = createRetryBudget({
+        get ratio () { return bounds.retryRatio * retryBudgetShare },
+        get burst () { return Math.max(1, bounds.retrySlack * retryBudgetShare / fleetSize()) }
+      })
       budgets.set(service, created)
       return created
     }
