Return a grant that reached a node across a suspension or after the deadline

Cause: a grant counted as new whenever its message was handled. Its owner ends it at the request's deadline, and the clock that the node knows the deadline by stands still in a suspension. A process that was stopped may handle the message before the timer of the deadline: the request was sent after it, and the caller was told that the outcome is unknown.

Change: that an owner was asked is a dated fact, valid until the deadline. A grant without it is returned, and the owner is asked anew while there is time.

Evidence: two tests in grant-client.test.ts fail before, with the grant used. Other tests changed: the client takes the suspensions.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -226,6 +226,7 @@
 
   const grants = createGrantClient({
     now,
+    suspensions: clock,
     zone: self.zone,
     engines: enginesOf,
     server: registry.readyServer,
--- a/packages/gateway/src/grant-client.test.ts
+++ b/packages/gateway/src/grant-client.test.ts
@@ -5,6 +5,8 @@
 
 const test = suite('grant client')
 
+const notSuspended = { endedAt: () => -Infinity }
+
 const server = { id: 'e1', bornAt: 1, service: 'llm', address: 'e1:1', zone: 'a', state: 'ready' as const, slots: 4, models: [] }
 
 function request (objectiveInMs: number): GrantRequest {
@@ -17,6 +19,7 @@
   const requestedIds: string[] = []
   const client: GrantClient = createGrantClient({
     now: () => performance.now(),
+    suspensions: notSuspended,
     zone: 'a',
     engines: () => [{ server, owner: 'n1', commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: 0, ageMs: 0 }],
     server: () => server,
@@ -75,6 +78,7 @@
   let tries = 0
   const client: GrantClient = createGrantClient({
     now: () => performance.now(),
+    suspensions: notSuspended,
     zone: 'a',
     engines: () => [{ server, owner: 'n1', commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: 0, ageMs: 0 }],
     server: () => server,
@@ -95,4 +99,44 @@
   assert.equal(cancelled, ['r1#1.2'])
 })
 
+/** @param pause - called before the reply to the first request is handled */
+async function acquireAcross (pause: (env: { now: number, suspensionEndedAt: number }) => void): Promise<{ type: string, grantId?: string, returned: string[] }> {
+  const env = { now: 1000, suspensionEndedAt: -Infinity }
+  const returned: string[] = []
+  let tries = 0
+  const client: GrantClient = createGrantClient({
+    now: () => env.now,
+    suspensions: { endedAt: () => env.suspensionEndedAt },
+    zone: 'a',
+    engines: () => [{ server, owner: 'n1', commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: 0, ageMs: 0 }],
+    server: () => server,
+    startingUp: () => false,
+    newestVersion: () => undefined,
+    async send (owner, message) {
+      if (message.kind === 'ended') returned.push(message.id)
+      if (message.kind !== 'acquire') return true
+      const { id } = message.place
+      setImmediate(() => {
+        if (++tries === 1) pause(env)
+        client.receiveReply(owner, { kind: 'granted', id, engine: 'e1' })
+      })
+      return true
+    },
+    log () {}
+  })
+  const result = await client.acquire({ ...request(0), objectiveAt: 2000, startBy: 3000, deadlineAt: 5000 })
+  return { type: result.type, ...(result.type === 'granted' ? { grantId: result.grant.grantId } : {}), returned }
+}
+
+// Guards against a process that was suspended and uses a grant that its owner has ended meanwhile.
+test('a grant that arrives across a suspension is returned, and the owner is asked again', async () => {
+  assert.equal(await acquireAcross(() => {}), { type: 'granted', grantId: 'r1#1', returned: [] })
+  assert.equal(await acquireAcross(env => { env.suspensionEndedAt = env.now += 1 }), { type: 'granted', grantId: 'r1#1.2', returned: ['r1#1'] })
+})
+
+// Guards against a process that was stopped and handles a grant before the timer of the request's deadline.
+test('a grant that is handled after the deadline is returned', async () => {
+  assert.equal(await acquireAcross(env => { env.now = 5001 }), { type: 'refused', returned: ['r1#1'] })
+})
+
 test.run()
--- a/packages/gateway/src/grant-client.ts
+++ b/packages/gateway/src/grant-client.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendServer, ModelDemand } from './cluster-types'
 import { cacheScope } from './prompt-cache'
+import { createDatedFact, type DatedFact, type Suspensions } from './dated-fact'
 import { chooseWithoutOwner, createUseCounter, rankOwners, type EngineCandidate } from './engine-choice'
 import type { RefusalReason, RunOutcome, ScheduledRequest } from './engine-scheduler'
 
@@ -36,6 +37,7 @@
 
 export type GrantClientEnv = {
   now (): number
+  suspensions: Suspensions
   zone: string
   engines (service: string): EngineCandidate[]
   server (id: string): BackendServer | undefined
@@ -68,7 +70,14 @@
 /** Time for which an owner that did not acknowledge a request is asked last, in ms. */
 const ownerAvoidanceMs = 1000
 
-type PendingGrant = { owner: string, resolve (result: GrantResult | 'lost'): void }
+/**
+ * `lost`: the owner has not acknowledged the request; `outdated`: it has given a grant that may be older
+ * than a suspension of this process, so that the owner may count it as ended.
+ */
+type OwnerResult = GrantResult | 'lost' | 'outdated'
+
+/** `asked`: that the owner was asked; a grant is no older. */
+type PendingGrant = { owner: string, asked: DatedFact<true>, resolve (result: OwnerResult): void }
 
 export function createGrantClient (env: GrantClientEnv): GrantClient {
   const pending = new Map<string, PendingGrant>()
@@ -88,11 +97,10 @@
     return { kind: 'acquire', place: { ...rest, id: grantId, objectiveInMs: Math.round(objectiveAt - sentAt), startInMs: Math.round(startBy - sentAt), deadlineInMs: Math.round(deadlineAt - sentAt) } }
   }
 
-  /** @returns `lost` if the owner does not acknowledge the request */
-  function askOwner (owner: string, req: GrantRequest): Promise<GrantResult | 'lost'> {
+  function askOwner (owner: string, req: GrantRequest): Promise<OwnerResult> {
     return new Promise(resolve => {
       let timer: NodeJS.Timeout | undefined
-      const finish = (result: GrantResult | 'lost'): void => {
+      const finish = (result: OwnerResult): void => {
         clearTimeout(timer)
         pending.delete(req.grantId)
         resolve(result)
@@ -103,7 +111,9 @@
         if (!acknowledged) return finish('lost')
         timer = setTimeout(() => { send().catch(() => finish('lost')) }, resendMs)
       }
-      pending.set(req.grantId, { owner, resolve: finish })
+      const asked = createDatedFact<true>(req.deadlineAt - env.now(), env.suspensions)
+      asked.record(true, env.now())
+      pending.set(req.grantId, { owner, asked, resolve: finish })
       send().catch(() => finish('lost'))
     })
   }
@@ -126,19 +136,20 @@
     env.send(owner, message).catch(() => {})
   }
 
-  async function askOwners (req: GrantRequest): Promise<GrantResult> {
+  async function askOwners (req: GrantRequest): Promise<GrantResult | 'outdated'> {
     const ranked = rankOwners(env.engines(req.service), req.demand, env.zone, recentUses(req.demand))
     const isAvoided = (owner: string): boolean => (avoided.get(owner) ?? 0) > env.now()
     const owners = [...ranked.filter(owner => !isAvoided(owner)), ...ranked.filter(isAvoided)].slice(0, maxOwnersAsked)
     let refusal: GrantResult | undefined
     for (const owner of owners) {
       const result = await askOwner(owner, req)
-      env.log('owner-answered', { id: req.requestId, owner, answer: result === 'lost' ? 'lost' : result.type === 'granted' ? result.grant.server.id : result.reason })
+      env.log('owner-answered', { id: req.requestId, owner, answer: typeof result === 'string' ? result : result.type === 'granted' ? result.grant.server.id : result.reason })
       if (result === 'lost') {
         avoided.set(owner, env.now() + ownerAvoidanceMs)
         continue
       }
       avoided.delete(owner)
+      if (result === 'outdated') return result
       // All owners refuse a prompt part that crashes engines.
       if (result.type === 'granted' || result.reason === 'blocked-part') return result
       if (refusal === undefined || refusal.type !== 'refused' || result.retryAfterMs < refusal.retryAfterMs) refusal = result
@@ -165,7 +176,9 @@
         // An owner repeats its reply to an id that it has seen, so each round needs a new one.
         const grantId = round === 1 ? req.grantId : `${req.grantId}.${round}`
         currentGrantIds.set(req.grantId, grantId)
-        const result = await askOwners({ ...req, grantId })
+        const answer = await askOwners({ ...req, grantId })
+        if (answer === 'outdated' && currentGrantIds.has(req.grantId) && env.now() < req.deadlineAt) continue
+        const result: GrantResult = answer === 'outdated' ? { type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryAfterMs } : answer
         const noOwnerReady = result.type === 'refused' && (result.reason === 'no-engine' || result.reason === 'no-owner')
         const retry = noOwnerReady && currentGrantIds.has(req.grantId) && env.startingUp() && env.now() + startupRetryMs < Math.min(req.objectiveAt, req.startBy)
         if (retry && await waitToRetry(req.grantId)) continue
@@ -197,6 +210,10 @@
         notifyOwner(owner, { kind: 'ended', id: reply.id, outcome: 'cancelled' })
         return pendingGrant?.resolve({ type: 'refused', reason: 'no-engine', retryAfterMs: noOwnerRetryAfterMs })
       }
+      if (reply.kind === 'granted' && pendingGrant!.asked.read(env.now()) === undefined) {
+        notifyOwner(owner, { kind: 'ended', id: reply.id, outcome: 'cancelled' })
+        return pendingGrant!.resolve('outdated')
+      }
       if (reply.kind === 'granted') pendingGrant!.resolve({ type: 'granted', grant: { grantId: reply.id, server: server!, owner, ...(reply.version === undefined ? {} : { version: reply.version }) } })
       else pendingGrant?.resolve({ type: 'refused', reason: reply.reason, retryAfterMs: reply.retryAfterMs })
     }
