Take no version for new that was read across a pause of the process

Cause: what a read of the operator's records found counted as just written. After a suspension, or a pause in which the response waited in the socket, it may have been announced at any time since the read was sent, and earlier versions stayed in use for the whole time that operators allow, counted from the end of the pause.

Change: that a read was sent is a dated fact, valid for its wait and one second. Records of an older read count as announced long ago, as after an outage.

--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -8,8 +8,12 @@
 export type FollowerEvents<Value> = {
   /** Receives the newest record of each key; they replace all earlier records. */
   replaced (records: FeedRecord<Value>[], next: number): void
-  /** Receives new records in order; empty if a read found none. */
-  changed (records: FeedRecord<Value>[], next: number): void
+  /**
+   * Receives new records in order; empty if a read found none.
+   *
+   * @param sentAt - time at which the read was sent; the records were written later
+   */
+  changed (records: FeedRecord<Value>[], next: number, sentAt: number): void
   /** A call succeeded; its result is at least as recent as `asOf`. */
   succeeded (asOf: number, next: number): void
   /** The feed became unreachable, or reachable again. */
@@ -159,7 +163,7 @@
     }
     if (result.err) return await failed(result.val, sentAt)
     responded(result.val.next)
-    events.changed(result.val.records, result.val.next)
+    events.changed(result.val.records, result.val.next, sentAt)
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
     succeeded(waited ? sentAt + waitMs : sentAt, result.val.next)
--- a/packages/gateway/src/feeds.test.ts
+++ b/packages/gateway/src/feeds.test.ts
@@ -14,14 +14,14 @@
 const drainMs = 500
 const log = { info () {}, warn () {}, error () {} } as unknown as DecisionLog
 
-type Node = { name: string, feeds: Feeds, states: Map<string, string>, reads: () => number, recoveries: number[], storeUnreachable: boolean, dropsUpdates: boolean }
+type Node = { name: string, feeds: Feeds, states: Map<string, string>, reads: () => number, recoveries: number[], storeUnreachable: boolean, dropsUpdates: boolean, pausedMs: number, suspensionEndedAt: number, recent: boolean[] }
 
 const shared = createFakePlatform({ name: 'any', zone: 'a', bounds: { drainMs } } as unknown as NodeSettings)
 let nodes: Node[] = []
 
 function startNode (name: string): Node {
   let reads = 0
-  const node: Node = { name, states: new Map(), reads: () => reads, recoveries: [], storeUnreachable: false, dropsUpdates: false } as unknown as Node
+  const node: Node = { name, states: new Map(), reads: () => reads, recoveries: [], storeUnreachable: false, dropsUpdates: false, pausedMs: 0, suspensionEndedAt: -Infinity, recent: [] } as unknown as Node
   const servers: Platform['servers'] = {
     newest: () => shared.servers.newest(),
     read: (from, waitMs, signal) => {
@@ -37,12 +37,13 @@
     log,
     metrics: createGatewayMetrics(),
     cache: createFeedCache(),
-    now: () => performance.now(),
+    now: () => performance.now() + node.pausedMs,
+    suspensions: { endedAt: () => node.suspensionEndedAt },
     random: () => 0.5,
     ownsEngines: () => false,
     members: () => nodes.filter(other => other !== node).map((other): FleetMember => ({ name: other.name, zone: 'a', incarnation: 1, capacity: 1, state: 'alive' })),
     sendToZone: update => { for (const other of nodes) if (other !== node && !other.dropsUpdates) other.feeds.receiveServerUpdate(JSON.parse(JSON.stringify(update))) },
-    operator () {},
+    operator (records, recent) { if (records.length > 0) node.recent.push(recent) },
     servers: recordStates,
     serversReplaced: recordStates,
     serversLoaded () {},
@@ -109,4 +110,23 @@
   assert.ok(other.recoveries.length > 0)
 })
 
+// Guards against a version that was announced before or during a pause of the process and counts as new when it is read.
+test('an operator\'s record that was read across a pause may have been in force for a while', async () => {
+  const [node] = nodes as [Node]
+  const announce = async (version: number): Promise<void> => {
+    shared.operator.append('a1', { type: 'adapter-version', model: 'base', adapter: 'a1', version })
+    await sleep(20)
+  }
+  await announce(1)
+  assert.equal(node.recent, [true])
+  node.suspensionEndedAt = performance.now()
+  await announce(2)
+  await announce(3)
+  assert.equal(node.recent, [true, false, true])
+  node.pausedMs = 30_000
+  await announce(4)
+  await announce(5)
+  assert.equal(node.recent, [true, false, true, false, true])
+})
+
 test.run()
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -1,4 +1,5 @@
 /** Follows the store's feeds for one node: the operator's records, the servers' entries and the fleet log. */
+import { createDatedFact, type Suspensions } from './dated-fact'
 import type { DecisionLog } from './decision-log'
 import type { FleetMember } from './engine-ownership'
 import { followFeed, type Follower, type FollowerEvents, type FollowerOptions } from './feed-follower'
@@ -15,6 +16,7 @@
   metrics: GatewayMetrics
   cache: FeedCache
   now (): number
+  suspensions: Suspensions
   random (): number
   ownsEngines (): boolean
   /** The other nodes; the same array until they change. */
@@ -68,6 +70,8 @@
 /** Long polls of owners are shorter, in ms, because a completed read proves that the owner has seen the end of the log. */
 const ownerWaitMs = 800
 const ownerConfigWaitMs = 2500
+/** Time beyond the wait of a read after which its response has probably been held up, in ms, so that its records may have been in force for a while. */
+const heldUpMs = 1000
 /** Pause after a read of the fleet log by a node without engines, in ms per node: nodes that start together append one record each. */
 const fleetPausePerNodeMs = 10
 const fleetPauseMaxMs = 1000
@@ -163,6 +167,15 @@
     options.sendToZone(relay.updateFor(records, from, next, agoMs < recoveryRelayMs ? agoMs : undefined, entriesComplete))
   }
 
+  const operatorWaitMs = (): number => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs
+
+  /** @returns whether what a read of the operator's records found was just written, as opposed to before a pause of this process */
+  function isPrompt (sentAt: number): boolean {
+    const read = createDatedFact<true>(operatorWaitMs() + heldUpMs, options.suspensions)
+    read.record(true, sentAt)
+    return read.read(now()) !== undefined
+  }
+
   return {
     start () {
       const base = (feed: string): Pick<FollowerOptions, 'now' | 'retryPauseMs'> => ({ now, retryPauseMs: failures => outage.failed(feed, failures, options.random()) })
@@ -172,9 +185,9 @@
           cache.replace('operator', records, next)
           options.operator(records, false)
         },
-        changed (records, next) {
+        changed (records, next, sentAt) {
           cache.update('operator', records, next)
-          options.operator(records, operatorReachable)
+          options.operator(records, operatorReachable && isPrompt(sentAt))
         },
         succeeded () { operatorReachable = true },
         lost (reason) {
@@ -182,7 +195,7 @@
           log.warn('dependency-lost', { dependency: 'operator', reason })
           outage.lost('operator')
         }
-      }, { ...base('operator'), waitMs: () => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs, pauseMs: () => 0 })
+      }, { ...base('operator'), waitMs: operatorWaitMs, pauseMs: () => 0 })
       servers = followFeed(platform.servers, {
         ...outageEvents('servers', () => {
           recoveredAt = now()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -396,6 +396,7 @@
     metrics,
     cache: feedCache,
     now,
+    suspensions: clock,
     random: options.random,
     ownsEngines: () => owner.ownsEngines(),
     members: () => fleet.members(),
