--- a/packages/coordination/src/membership.test.ts
+++ b/packages/coordination/src/membership.test.ts
@@ -115,6 +115,21 @@
   assert.equal(declaredDead, [])
 })
 
+// Guards against a suspicion that grew old only because this process did not run: the member had no time to refute it.
+test('a member that was suspected before a pause of this process is not declared dead right after it', () => {
+  const suspicion: MemberUpdate = { id: 'node-1', address: listed('node-1').address, incarnation: 1, refutation: 0, state: 'suspect', leaving: false }
+  const membership = createMembership({ ...membershipDefaults, self: { id: 'node-0', address: listed('node-0').address, incarnation: 1 }, random: xoroshiro128plus(1) })
+  membership.step({ type: 'instance-list', asOf: 0, nodes: [listed('node-0'), listed('node-1'), listed('node-2')] }, 0)
+  membership.step({ type: 'tick' }, 0)
+  membership.step({ type: 'datagram', message: { type: 'ping', from: 'node-2', probe: 1, updates: [suspicion] } }, 10)
+  assert.is(membership.member('node-1')?.state, 'suspect')
+  membership.step({ type: 'tick' }, 50)
+  membership.step({ type: 'tick' }, 20_000)
+  assert.is(membership.member('node-1')?.state, 'suspect')
+  for (let now = 20_050; now <= 20_000 + membershipDefaults.suspicionMs; now += 50) membership.step({ type: 'tick' }, now)
+  assert.is(membership.member('node-1')?.state, 'dead')
+})
+
 test('both sides of a healed partition detect each other again', () => {
   const network = networkOf(6)
   network.run(3000)
--- a/packages/gateway/src/log-freshness.ts
+++ b/packages/gateway/src/log-freshness.ts
@@ -37,7 +37,7 @@
 }
 
 /** Time for which a node's failed read counts, in ms: nodes are asked several times within it. */
-const unreachableValidMs = 1000
+export const unreachableValidMs = 1000
 
 export function createLogFreshness (): LogFreshness {
   let validFrom = -Infinity
@@ -81,7 +81,7 @@
       failedReads.set(node, failedRead)
       failedRead.record(knownEnd, at)
     },
-    excludesNewOwner: (now, nodes) => ageMs(now) <= logFreshMs || (ageMs(now) <= maxOutageCommandMs && namedEnd <= readOffset && countUnreachable(now) > nodes / 2),
+    excludesNewOwner: (now, nodes) => ageMs(now) <= logFreshMs || (endSeen.read(now) !== undefined && namedEnd <= readOffset && countUnreachable(now) > nodes / 2),
     ageMs
   }
 }
--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -33,6 +33,14 @@
   assert.equal(readyIds(registry), ['s1'])
 })
 
+// Guards against an entry that the store has written late, after a later one of the same start.
+test('an entry with an earlier sequence is ignored, whatever its position', () => {
+  const registry = createServerRegistry()
+  registry.apply([entry('s1', 0, { address: 'new:1' }, 7)], 0)
+  assert.equal(registry.apply([entry('s1', 1, { address: 'old:1' }, 6)], 10), [{ type: 'ignored', key: 's1', offset: 1, sequence: 6, reason: 'sequence' }])
+  assert.is(registry.readyServer('s1')?.address, 'new:1')
+})
+
 test('a removed server gets no requests', () => {
   const registry = createServerRegistry()
   registry.apply([entry('s1', 0)], 0)
