--- a/packages/gateway/src/earlier-clock.test.ts
+++ b/packages/gateway/src/earlier-clock.test.ts
@@ -130,7 +130,7 @@
   const ownership = createEngineOwnership({ name: 'n1', incarnation: 940_000, zone: 'a', capacity: 1, leaseMs: 1000 }, 0)
   ownership.apply([{ key: 'owner/e1', offset: 0, value: { type: 'owner', engine: 'e1', node: 'n1', incarnation: 1_000_000 } }], 0)
   const engine = { id: 'e1', bornAt: 1, service: 'llm', address: 'e1:1', zone: 'a', state: 'ready' as const, slots: 1, models: [] }
-  assert.equal(ownership.claims([engine], [], 1), [{ engine: 'e1', reason: 'restarted' }])
+  assert.equal(ownership.plan([engine], [], 1).claims, [{ engine: 'e1', reason: 'restarted' }])
   assert.is(ownership.commandsFrom('e1'), undefined)
 })
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,7 +38,7 @@
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePools } from './service-pool'
 import { createServiceShares } from './service-shares'
-import { createSuspensionDetector } from './suspension-detector'
+import { createFactClock } from './suspension-detector'
 import { createUpstream } from './upstream'
 
 export type GatewayOptions = {
@@ -97,14 +97,16 @@
 const maxLoggedParts = 8
 
 export function createGateway (options: GatewayOptions): Gateway {
-  const { platform, log, metrics, now } = options
+  const { platform, log, metrics } = options
+  const clock = createFactClock({ now: options.now, wallClock: () => Date.now() })
+  const { now } = clock
   const { settings } = platform
   const startedAt = Date.now()
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
   const pools = createServicePools()
   const versions = createAdapterVersions()
-  const ownerStatuses = createOwnerStatusCache()
+  const ownerStatuses = createOwnerStatusCache(clock)
   const feedCache = createFeedCache()
   const timers: NodeJS.Timeout[] = []
   let table: RouteTable | undefined
@@ -152,6 +154,7 @@
   const restrictions = createServerRestrictions({
     self,
     now,
+    suspensions: clock,
     log,
     metrics,
     fleet,
@@ -224,6 +227,7 @@
 
   const grants = createGrantClient({
     now,
+    suspensions: clock,
     zone: self.zone,
     engines: enginesOf,
     server: registry.readyServer,
@@ -394,6 +398,7 @@
     metrics,
     cache: feedCache,
     now,
+    suspensions: clock,
     random: options.random,
     ownsEngines: () => owner.ownsEngines(),
     members: () => fleet.members(),
@@ -427,28 +432,23 @@
     self,
     now,
     log,
-    probe: createLogProbe({ now, wallClock: Date.now, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() }),
+    probe: createLogProbe({ clock, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() }),
     freshness: () => owner.freshness,
     address: fleet.address,
-    notify: link.notify,
-    checkSuspension
+    notify: link.notify
   })
-  const suspensionDetector = createSuspensionDetector({ now, wallClock: Date.now })
 
   const usage = createProcessUsage({ log, metrics, memoryLimitBytes: () => settings.memoryBytes ?? Infinity, keptBytes: () => kept.total() + front.requestBytes(), running: () => front.running() })
   const listening = createListening({ log, stopped: () => leavingSince !== undefined })
 
-  function checkSuspension (): void {
-    const gapMs = suspensionDetector.check()
-    if (gapMs === 0) return
+  clock.onSuspension(gapMs => {
     log.warn('process-suspended', { gapMs: Math.round(gapMs) })
-    owner.freshness.suspended(now())
-  }
+    owner.freshness.suspended(clock.endedAt())
+  })
 
   function startTimers (): void {
     const tick = (): void => {
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
-      checkSuspension()
       applyServers(registry.tick(now()))
       owner.tick()
     }
