--- a/packages/coordination/src/ownership-evictions.ts
+++ b/packages/coordination/src/ownership-evictions.ts
@@ -8,7 +8,7 @@
  */
 import type { AppendResult, EngineCommandResult, EngineReport } from '@yuccawharf/clients'
 import type { EvictRecord, EvictedRecord } from '@yuccawharf/schema'
-import type { EvictionIntent } from './ownership-reducer'
+import type { EvictionIntent } from './ownership-types'
 
 export type EvictionCoordinatorConfig = {
   engine: string
--- a/packages/coordination/src/ownership-pins.ts
+++ b/packages/coordination/src/ownership-pins.ts
@@ -6,7 +6,7 @@
  * A paused process acknowledges nothing, so its handles stay pinned for any length of pause.
  */
 import type { EngineReport } from '@yuccawharf/clients'
-import type { Predecessor, ProcessId } from './ownership-reducer'
+import type { Predecessor, ProcessId } from './ownership-types'
 
 export type RunningRequest = { requestId: string, handle: string }
 
--- a/packages/coordination/src/ownership-reducer.ts
+++ b/packages/coordination/src/ownership-reducer.ts
@@ -5,23 +5,7 @@
 import type { LogEntry } from '@yuccawharf/clients'
 import { validateRecords, type EvictRecord, type EvictedRecord, type OwnerRecord, type SnapshotRecord } from '@yuccawharf/schema'
 import { createOwnershipSnapshotAssembler, type OwnershipEntry } from './ownership-snapshot'
-
-/** Identifies a process: each start of a node has its own incarnation. */
-export type ProcessId = { node: string, incarnation: number }
-
-export type OwnerTerm = ProcessId & {
-  engine: string
-  /** Fencing token: offset of the record that began the term. */
-  term: number
-  /** Offset that the next owner record must name in `after`. */
-  latest: number
-}
-
-/** A process that owned the engine earlier; `term` is its last one. */
-export type Predecessor = ProcessId & { term: number }
-
-/** An authorised eviction that is not yet recorded as carried out by the engine. */
-export type EvictionIntent = { engine: string, term: number, handle: string }
+import type { EvictionIntent, OwnerTerm, Predecessor, ProcessId } from './ownership-types'
 
 export type OwnershipChange =
   | { type: 'owner', term: OwnerTerm, previous?: OwnerTerm }
--- a/packages/coordination/src/ownership-snapshot.ts
+++ b/packages/coordination/src/ownership-snapshot.ts
@@ -3,7 +3,7 @@
  * retention would drop the records of long-standing owners.
  */
 import type { SnapshotRecord } from '@yuccawharf/schema'
-import type { EvictionIntent, OwnerTerm, Predecessor } from './ownership-reducer'
+import type { EvictionIntent, OwnerTerm, Predecessor } from './ownership-types'
 
 export type OwnershipEntry = {
   engine: string
--- a/packages/coordination/src/ownership-takeover.ts
+++ b/packages/coordination/src/ownership-takeover.ts
@@ -4,7 +4,7 @@
  */
 import type { AppendResult } from '@yuccawharf/clients'
 import type { OwnerRecord } from '@yuccawharf/schema'
-import type { ProcessId } from './ownership-reducer'
+import type { ProcessId } from './ownership-types'
 
 export type TakeoverPolicyConfig = ProcessId & {
   /** The n-th candidate waits (n - 1) times this, in ms. */
--- a/packages/soak/src/cluster.ts
+++ b/packages/soak/src/cluster.ts
@@ -1,5 +1,5 @@
 /** Starts, crashes, replaces and gracefully shuts down the nodes of a run. */
-import type { Mutation } from './mutants'
+import type { Mutation } from './mutation'
 import { createNodeProcess, type NodeProcess, type NodeProcessEnv } from './node-process'
 import { region, zones, type SimEnvironment } from './sim-environment'
 
--- a/packages/soak/src/mutants.ts
+++ b/packages/soak/src/mutants.ts
@@ -2,19 +2,12 @@
  * Mutants, to test the checks themselves. Each breaks one rule of a guarantee without a change to the
  * code under test: by a hook that the daemon never sets, or by a wrapper around the node.
  */
-import type { CoreAction, CoreEvent, CoreHooks, Refusal } from '@yuccawharf/node'
+import type { CoreAction, CoreEvent, Refusal } from '@yuccawharf/node'
 import type { InvariantName, Violation } from './checker'
+import type { Mutation } from './mutation'
 import type { NodeUnderTest } from './sim-process'
 import { runSoak, type ProfileName } from './run'
 
-export type Mutation = {
-  hooks: CoreHooks
-  /** Wraps the node that the shells drive. */
-  wrap?: (node: NodeUnderTest) => NodeUnderTest
-  /** The stream shell accepts events of a response as they arrive, without checking their sequence numbers. */
-  skipSequenceCheck?: boolean
-}
-
 export type Mutant = Mutation & {
   profile: ProfileName
   /** Invariants that the broken rule protects. */
--- a/packages/soak/src/node-process.ts
+++ b/packages/soak/src/node-process.ts
@@ -1,7 +1,7 @@
 /** One process of a simulated node: the core under test inside simulated shells. */
 import { createNodeCore, nodeCoreDefaults, type CoreAction, type Order, type QueryableCore } from '@yuccawharf/node'
 import type { EngineCommandResult, ServiceResult } from '@yuccawharf/clients'
-import type { Mutation } from './mutants'
+import type { Mutation } from './mutation'
 import { createLogShell, type LogShell } from './log-shell'
 import { createStreamShell, type StreamShell, type StreamShellEnv } from './stream-shell'
 import { createSimProcess, type SimProcess } from './sim-process'
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -2,7 +2,7 @@
 import type { InvariantName, Violation } from './checker'
 import { createCluster, type Cluster } from './cluster'
 import { createFaults, type FaultName } from './faults'
-import type { Mutation } from './mutants'
+import type { Mutation } from './mutation'
 import { createSimEnvironment, type SimEnvironment } from './sim-environment'
 import { createWorkload, type Workload, type WorkloadRates } from './workload'
 
