--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -373,7 +373,9 @@
     if (changes.every(({ type }) => type === 'ignored')) return
     upstream.retain(registry.all())
     restrictions.retain(registry.all())
-    pools.retain(new Set(registry.all().map(({ id }) => id)))
+    const ids = new Set(registry.all().map(({ id }) => id))
+    pools.retain(ids)
+    ownerStatuses.retain(ids, now())
     owner.refresh()
   }
 
--- a/packages/gateway/src/owner-status-cache.test.ts
+++ b/packages/gateway/src/owner-status-cache.test.ts
@@ -29,4 +29,13 @@
   for (const message of messages) assert.ok(JSON.stringify(message).length <= maxDatagramBytes)
 })
 
+// Guards against memory that grows with each engine that is replaced by one with another name.
+test('the status of an engine that is gone is removed, and that of one whose entry is not read yet is kept', () => {
+  const cache = createOwnerStatusCache()
+  cache.setOwn('n1', [engine(1, ['base']), engine(2, ['base'])], 0)
+  cache.setOwn('n1', [engine(3, ['base'])], 4900)
+  cache.retain(new Set(['i-2d699934e']), 5000)
+  assert.equal([1, 2, 3].map(index => cache.engineStatus(`i-${index}d699934e`, 5000).ageMs), [Infinity, 5000, 100])
+})
+
 test.run()
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -25,6 +25,8 @@
   /** @returns messages that each fit into a datagram; none if nothing has changed and the last ones are younger than `maxMs` */
   encode (status: OwnerStatus, now: number, maxMs: number): PackedStatus[]
   engineStatus (engine: string, now: number): Pick<EngineCandidate, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'loadWaitMs' | 'ageMs'>
+  /** Removes what is known of other engines, unless it has just arrived: their entries may not be read yet. */
+  retain (ids: ReadonlySet<string>, now: number): void
 }
 
 type Entry = { commandable: boolean, scopes: Set<string>, backlogMs: number, running: number, loadWaitMs: number, at: number }
@@ -114,6 +116,11 @@
       if (entry === undefined) return { commandable: true, scopes: new Set(), backlogMs: 0, running: 0, loadWaitMs: defaultLoadWaitMs, ageMs: Infinity }
       const valid = now - entry.at < backlogValidMs
       return { commandable: entry.commandable, scopes: entry.scopes, backlogMs: valid ? entry.backlogMs : 0, running: valid ? entry.running : 0, loadWaitMs: valid ? entry.loadWaitMs : defaultLoadWaitMs, ageMs: now - entry.at }
+    },
+    retain (ids, now) {
+      for (const [id, { at }] of entries) {
+        if (!ids.has(id) && now - at >= backlogValidMs) entries.delete(id)
+      }
     }
   }
 }
