--- a/packages/gateway/src/owner-status-cache.test.ts
+++ b/packages/gateway/src/owner-status-cache.test.ts
@@ -44,4 +44,15 @@
   assert.equal([...cache.engineStatus('i-1d699934e', 5001).scopes], ['base'], 'adapters rarely change')
 })
 
+// Guards against memory that grows with each engine that is replaced by one with another name.
+test('the status of an engine that is gone is removed, and that of one whose entry is not read yet is kept', () => {
+  const cache = createOwnerStatusCache({ endedAt: () => -Infinity })
+  cache.setOwn('n1', [engine(1, ['base']), engine(2, ['base'])], 0)
+  cache.setOwn('n1', [engine(3, ['base'])], 4900)
+  cache.retain(new Set(['i-2d699934e']), 5000)
+  const statuses = [1, 2, 3].map(index => cache.engineStatus(`i-${index}d699934e`, 5000))
+  assert.equal(statuses.map(({ scopes }) => [...scopes]), [[], ['base'], ['base']])
+  assert.is(statuses[2]!.ageMs, 100)
+})
+
 test.run()
