Read what arrives while a leaving process closes

A connection that was accepted before the listener closed could still be reset by the end of the process with its request unread, so the last turns of the event loop are repeated after the close.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -476,6 +476,8 @@
     // A busy machine may have kept the process from reading what has arrived; the close resets it.
     await front.readArrived()
     close()
+    // Connections that were accepted meanwhile.
+    await front.readArrived()
     log.info('stopped', {})
     await log.close()
   }
