Start early after a claim only if most nodes have confirmed it

What was seen: in the decision test with nine nodes, of which the challenger comes first, commands of two owners 1950 ms apart and less, at a lease of 3000, on the code before.

Cause: a node finds its peers dead one after the other. While it counts most of them as alive it claimed as with a majority and waited 4.5 s only, although nobody knew of its claim. If the others live, are cut off from the store and reach the engines, their votes let the former owner go on for up to 5.2 s.

Change: a claimant tells all nodes how far the log goes, by a datagram that asks for no read. Each notes the position and replies what it knows. Until most of all nodes have replied so after the claim, the claim waits as one without a majority. With the replies the first command comes 4.5 s after the claim as before, and 4.2 s after the replies at least: older votes for the former owner have expired by then, and later ones name the claim. This replaces the check whether the majority was lost after the claim.

--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -34,6 +34,8 @@
   fleetSize (): number
   /** Asks nodes whether they can read the fleet log: a few random ones, or all nodes, this one included. */
   probeLog (nodes: 'some' | 'all'): void
+  /** Tells all nodes up to where this process knows the fleet log; they confirm it. */
+  announceLogEnd (): void
   /** Sends a reply to the node that received the request. @returns whether it was delivered */
   send (node: string, message: GrantMessage): Promise<boolean>
   blockedParts: Pick<BlockedParts, 'find' | 'wasBlocked'>
@@ -55,6 +57,8 @@
    * @param logNext - offset up to which it has read the fleet log
    */
   receiveStatus (node: string, logNext: number): void
+  /** A node has confirmed that it knows of the fleet log up to `end`. */
+  receiveLogEnd (node: string, end: number): void
   /** Applies what another owner has seen of a crash. */
   receiveEvidence (message: EvidenceMessage): void
   setVersion (version: AdapterVersion, recent: boolean): void
@@ -78,6 +82,9 @@
 /** The same delay if another node's append came first, in ms: the log is read within a few ms. */
 const claimConflictRetryMs = 80
 
+/** Interval at which nodes are told of a claim until most of them have confirmed it, in ms. */
+const announceIntervalMs = 250
+
 /** Number of attempts for a command without a response. All state the same expected count, so the engine accepts at most one. */
 const maxCommandAttempts = 3
 
@@ -104,6 +111,7 @@
   let claimsStopped = false
   let commandsStopped = false
   let nextClaimAt = 0
+  let nextAnnouncementAt = 0
   const probeSchedule = createLogProbeSchedule()
   let nextTimer: NodeJS.Timeout | undefined
 
@@ -273,6 +281,13 @@
     if (nodes !== 'none') options.probeLog(nodes)
   }
 
+  /** Tells all nodes of a claim that most of them may not know yet. */
+  function announce (): void {
+    if (now() < nextAnnouncementAt || !ownership.unconfirmed(now())) return
+    nextAnnouncementAt = now() + announceIntervalMs
+    options.announceLogEnd()
+  }
+
   function dropOldReplies (): void {
     for (const [id, { at }] of sentReplies) {
       if (now() - at < replyRetentionMs) return
@@ -320,6 +335,7 @@
       ownership.heard(node, now())
       freshness.peerPosition(logNext)
     },
+    receiveLogEnd: (node, end) => ownership.nodeKnows(node, end, options.fleetSize(), now()),
     receiveEvidence: message => performEvidence(evidence.receive(message, now())),
     setVersion: (version, recent) => perform(scheduler.setVersion(version, recent, now())),
     nodeLost (node) {
@@ -333,6 +349,7 @@
       performEvidence(evidence.tick(now()))
       perform(scheduler.tick(now()))
       probe()
+      announce()
       claim().catch(err => { log.error('claim-failed', { reason: (err as Error).message }) })
       options.metrics.gauge('waiting', scheduler.waitingCount())
     },
--- a/packages/gateway/src/engine-ownership.ts
+++ b/packages/gateway/src/engine-ownership.ts
@@ -78,11 +78,20 @@
   commandsFrom (engine: string): number | undefined
   /** Records that an owner has sent its status. */
   heard (node: string, now: number): void
+  /** Whether most nodes are not known yet to have learned of a claim of this process. */
+  unconfirmed (now: number): boolean
+  /**
+   * Records that a node knows of the log up to `end`.
+   *
+   * @param nodes - size of the fleet
+   */
+  nodeKnows (node: string, end: number, nodes: number, now: number): void
   /** Records that a node's process ends and gives no more commands. */
   nodeStopped (node: string, incarnation: number, now: number): void
 }
 
-type TermState = OwnerTerm & { recordedAt: number, commandsFrom: number, after?: string, alone?: true }
+/** `position` is that of the first record of the term; `unconfirmed`: most nodes are not known yet to have learned of it. */
+type TermState = OwnerTerm & { position: number, recordedAt: number, commandsFrom: number, after?: string, alone?: true, unconfirmed?: true }
 
 /**
  * Assigns an owner to each engine. The engines of a zone get as few owners as can handle them, since
@@ -112,6 +121,8 @@
   const handoverMs = logFreshMs + cfg.leaseMs + commandMarginMs
   /** Time of the last status of each owner, or of the first look at it. */
   const heardAt = new Map<string, number>()
+  /** Positions of the log that nodes know of. */
+  const knownEnds = new Map<string, number>()
   const challenges = createOwnerChallenges({ node: cfg.name, incarnation: cfg.incarnation })
   let currentEra: number | undefined
   let eraSince = -Infinity
@@ -121,13 +132,14 @@
   }
 
   /** End of a lease that begins once no command of the former owner can arrive. */
-  function leaseEndsAt (record: FleetRecord & { type: 'owner' }, previous: TermState | undefined, now: number): number {
+  function leaseOf (record: FleetRecord & { type: 'owner' }, previous: TermState | undefined, now: number): Pick<TermState, 'commandsFrom' | 'unconfirmed'> {
     // All processes of a node count as one holder, so there is no former owner to wait for.
-    if (record.after === undefined) return now
+    if (record.after === undefined) return { commandsFrom: now }
     const stop = stoppedProcesses.get(record.after)
     const stopped = stop !== undefined && previous !== undefined && previous.node === record.after && stop.incarnation === previous.incarnation
-    if (stopped) return Math.max(now, stop.at + handoverMs - logFreshMs)
-    return Math.max(now + handoverMs, record.alone === true ? outageLeaseEndsAt(record.after, now) : now)
+    if (stopped) return { commandsFrom: Math.max(now, stop.at + handoverMs - logFreshMs) }
+    // A node that finds others dead one after the other may only believe that it has a majority.
+    return { commandsFrom: Math.max(now + handoverMs, outageLeaseEndsAt(record.after, now)), ...(record.alone === true ? {} : { unconfirmed: true }) }
   }
 
   /** The same if no majority knows of the new owner, so that a former one may give commands in an outage for a while. */
@@ -135,13 +147,10 @@
     return (challenges.unanswered(after)?.at ?? recordedAt) + maxOutageCommandMs + cfg.leaseMs + commandMarginMs
   }
 
-  /** A node that loses others notices one after the other, and may have claimed engines before it knew that most are gone. */
-  function majorityLost (now: number): void {
-    for (const term of terms.values()) {
-      if (!isSelf(term) || term.after === undefined || term.alone === true || term.commandsFrom <= now) continue
-      term.alone = true
-      term.commandsFrom = Math.max(term.commandsFrom, outageLeaseEndsAt(term.after, term.recordedAt))
-    }
+  /** Most nodes know of the claim, so a former owner no longer has the replies of a majority once earlier ones have expired. */
+  function confirm (term: TermState, now: number): void {
+    delete term.unconfirmed
+    term.commandsFrom = Math.min(term.commandsFrom, Math.max(term.recordedAt + handoverMs, now + unreachableValidMs + cfg.leaseMs + commandMarginMs))
   }
 
   function applyOwnerRecord (record: FleetRecord & { type: 'owner' }, offset: number, now: number): void {
@@ -150,10 +159,13 @@
     const token = logPosition(Math.min(record.era ?? Infinity, eraOf(offset)), offsetOf(offset))
     if (previous !== undefined && previous.token >= token) return
     const alreadyOwned = previous !== undefined && isSelf(previous) && isSelf(record)
-    const commandsFrom = alreadyOwned ? previous.commandsFrom : isSelf(record) ? leaseEndsAt(record, previous, now) : Infinity
+    const start = { position: offset, recordedAt: now }
+    const lease = alreadyOwned ? previous : isSelf(record) ? { ...start, ...leaseOf(record, previous, now) } : { ...start, commandsFrom: Infinity }
+    const { position, recordedAt, commandsFrom } = lease
+    const unconfirmed = 'unconfirmed' in lease && lease.unconfirmed === true ? { unconfirmed: lease.unconfirmed } : {}
     const after = record.after === undefined ? {} : { after: record.after }
     const alone = record.alone === true ? { alone: record.alone } : {}
-    terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token, recordedAt: now, commandsFrom, ...after, ...alone })
+    terms.set(record.engine, { engine: record.engine, node: record.node, incarnation: record.incarnation, token, position, recordedAt, commandsFrom, ...after, ...alone, ...unconfirmed })
   }
 
   function silentAfterMs (members: readonly FleetMember[]): number {
@@ -211,7 +223,6 @@
     const candidates = [self, ...members.filter(({ name, state }) => state === 'alive' && name !== cfg.name)]
     // Owners continue without the log while most nodes cannot reach it, so replacing one needs a majority, or time.
     const hasMajority = candidates.length > (members.filter(({ name }) => name !== cfg.name).length + 1) / 2
-    if (!hasMajority) majorityLost(now)
     if (reasons.size === 0) return { claims, challenged: [] }
     const owners = assignOwners(engines, candidates)
     for (const { id } of engines) {
@@ -276,6 +287,15 @@
     heard (node, now) {
       heardAt.set(node, now)
     },
+    unconfirmed: now => [...terms.values()].some(term => isSelf(term) && term.unconfirmed === true && term.commandsFrom > now),
+    nodeKnows (node, end, nodes, now) {
+      knownEnds.set(node, Math.max(knownEnds.get(node) ?? -1, end))
+      for (const term of terms.values()) {
+        if (!isSelf(term) || term.unconfirmed !== true) continue
+        const others = [...knownEnds].filter(([name, known]) => name !== cfg.name && known > term.position)
+        if (others.length + 1 > nodes / 2) confirm(term, now)
+      }
+    },
     nodeStopped (node, incarnation, now) {
       stoppedProcesses.set(node, { incarnation, at: now })
     }
@@ -306,9 +326,8 @@
   /**
    * Whether no other owner can give commands yet: the end of the log was read recently, or it was read
    * within {@link maxOutageCommandMs}, most nodes cannot reach it and none of them knows of a later
-   * record than this process has read. A node with a majority claims engines of a dead owner only while it reaches most nodes, and tells them how far
-   * it has read before it gives commands. So a later owner is known to one of the nodes that reply. A
-   * node without a majority waits until that time is over.
+   * record than this process has read. A node that claims engines of a dead owner waits until that time is
+   * over, unless most nodes have confirmed that they know of its claim. One of those is among the nodes that reply.
    *
    * @param nodes - size of the fleet
    */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -209,6 +209,7 @@
       const asked = nodes === 'all' ? fleet.peers() : drawSample(fleet.peers(), logProbeSample, options.random)
       logQuestions.ask(asked.map(({ address }) => address), nodes === 'all')
     },
+    announceLogEnd: () => logQuestions.announce(fleet.peers().map(({ address }) => address)),
     send: sendToNode,
     blockedParts: partBlocking,
     blockPart: partBlocking.block,
@@ -427,6 +428,7 @@
     log,
     probe: createLogProbe({ now, wallClock: Date.now, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() }),
     freshness: () => owner.freshness,
+    confirmed: (node, end) => owner.receiveLogEnd(node, end),
     address: fleet.address,
     notify: link.notify,
     checkSuspension
--- a/packages/gateway/src/log-probe.ts
+++ b/packages/gateway/src/log-probe.ts
@@ -12,6 +12,8 @@
   incarnation: number
   /** Time on the clock of that process, in ms. */
   askedAt: number
+  /** How far that process knows the log, if it only tells this and asks for no read. */
+  logEnd?: number
 }
 
 /** `ageMs`: time since the start of the read; `waitedMs`: time since the request arrived. */
@@ -26,6 +28,9 @@
   | { type: 'outdated' }
 )
 
+/** A node has noted how far the log goes; `knownEnd` as above. */
+export type LogEndNoted = ReplyTimes & { type: 'noted', knownEnd: number }
+
 /**
  * Earliest time at which the read of a reply can have begun, on the clock of the process that asked.
  *
--- a/packages/gateway/src/owner-replacement.test.ts
+++ b/packages/gateway/src/owner-replacement.test.ts
@@ -88,6 +88,7 @@
     }
     read(challenger, now)
     append(challenger, [engine], membersOf('c', ownerSide, now), now)
+    for (const name of now < faults.partedAt || now >= healedAt ? names : otherSide) challenger.ownership.nodeKnows(name, challenger.next, names.length, now)
     const from = challenger.ownership.commandsFrom('e1')
     if (from !== undefined && from <= now && challenger.freshness.excludesNewOwner(now, names.length)) challenger.commands.push(now)
   }
@@ -108,7 +109,7 @@
     for (const sideCutAt of [ownerCutAt, ownerCutAt + 400, ownerCutAt + 3000, 500]) {
       for (const healedAt of [Infinity, 8000, 11_000, 14_000]) {
         for (const frozen of [undefined, [1500, 4000], [2500, 9000], [ownerCutAt, 13_000]] as ([number, number] | undefined)[]) {
-          for (const deaths of [{}, { isMute: true }, { deathGapMs: 1000 }, { deathGapMs: 1200, ownerDiesLast: true, companions: [] }, { deathGapMs: 3000, ownerDiesLast: true }]) {
+          for (const deaths of [{}, { isMute: true }, { deathGapMs: 1000 }, { deathGapMs: 1200, ownerDiesLast: true, companions: [] }, { deathGapMs: 3000, companions: [] }, { deathGapMs: 3000, ownerDiesLast: true }]) {
             const faults = { partedAt: 1000, ownerCutAt, sideCutAt, ...deaths, ...(healedAt > ownerCutAt ? { healedAt } : {}), ...(frozen === undefined ? {} : { frozen }) }
             const played = play(faults, 20_000)
             assert.ok(shortestTurn(played) >= leaseMs, `${shortestTurn(played)} ms with ${JSON.stringify(faults)}`)
