--- a/packages/gateway/src/frozen-owner.test.ts
+++ b/packages/gateway/src/frozen-owner.test.ts
@@ -8,7 +8,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { EngineCommand } from './cluster-types'
-import { logFreshMs } from './engine-ownership'
+import { logFreshMs } from './log-freshness'
 import { sendEvery, sendTestRequest, startBackend, startTestNodes, testConfig, untilServed, type FakeBackend, type TestNodes } from './testing'
 
 const test = suite('frozen owner')
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -213,6 +213,7 @@
       const asked = nodes === 'all' ? fleet.peers() : drawSample(fleet.peers(), logProbeSample, options.random)
       logQuestions.ask(asked.map(({ address }) => address), nodes === 'all')
     },
+    announceLogEnd: () => logQuestions.announce(fleet.peers().map(({ address }) => address)),
     send: sendToNode,
     blockedParts: partBlocking,
     blockPart: partBlocking.block,
@@ -436,6 +437,7 @@
     log,
     probe: createLogProbe({ clock, feed: platform.fleet, position: () => feeds.fleetNext(), knownEnd: () => owner.freshness.knownEnd() }),
     freshness: () => owner.freshness,
+    confirmed: (node, end) => owner.receiveLogEnd(node, end),
     address: fleet.address,
     notify: link.notify
   })
--- a/packages/gateway/src/log-freshness.test.ts
+++ b/packages/gateway/src/log-freshness.test.ts
@@ -1,7 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { logFreshMs, maxOutageCommandMs } from './engine-ownership'
-import { createLogFreshness, unreachableValidMs } from './log-freshness'
+import { createLogFreshness, logFreshMs, maxOutageCommandMs, unreachableValidMs } from './log-freshness'
 
 const test = suite('log freshness')
 
--- a/packages/gateway/src/log-freshness.ts
+++ b/packages/gateway/src/log-freshness.ts
@@ -1,6 +1,15 @@
 /** Evidence that no other node can have become the owner of an engine: how recently the end of the fleet log was seen. */
 import { createDatedFact, type DatedFact } from './dated-fact'
-import { logFreshMs, maxOutageCommandMs } from './engine-ownership'
+
+/** Age of an owner's last read of the log from which it gives no commands, in ms: one read of 800 ms and one that is late. */
+export const logFreshMs = 1300
+/**
+ * Age of an owner's last read of the log up to which it gives commands in an outage of the store, in ms. A node
+ * without a majority waits as long before it replaces an owner, so that it recovers from the loss of most nodes in 12 s.
+ */
+export const maxOutageCommandMs = 5200
+/** Time for which a node's failed read counts, in ms: nodes are asked several times within it. */
+export const unreachableValidMs = 1000
 
 /**
  * Tracks how recently this process has read up to the end of the fleet log, by its own reads or by
@@ -26,9 +35,8 @@
   /**
    * Whether no other owner can give commands yet: the end of the log was read recently, or it was read
    * within {@link maxOutageCommandMs}, most nodes cannot reach it and none of them knows of a later
-   * record than this process has read. A node with a majority claims engines of a dead owner only while it reaches most nodes, and tells them how far
-   * it has read before it gives commands. So a later owner is known to one of the nodes that reply. A
-   * node without a majority waits until that time is over.
+   * record than this process has read. A node that claims engines of a dead owner waits until that time is
+   * over, unless most nodes have confirmed that they know of its claim. One of those is among the nodes that reply.
    *
    * @param nodes - size of the fleet
    */
@@ -36,9 +44,6 @@
   ageMs (now: number): number
 }
 
-/** Time for which a node's failed read counts, in ms: nodes are asked several times within it. */
-export const unreachableValidMs = 1000
-
 export function createLogFreshness (): LogFreshness {
   let validFrom = -Infinity
   const suspensions = { endedAt: () => validFrom }
