--- a/packages/gateway/src/feeds.test.ts
+++ b/packages/gateway/src/feeds.test.ts
@@ -109,4 +109,17 @@
   assert.ok(other.recoveries.length > 0)
 })
 
+// Guards against calls to the store without a pause if the settings state no drain time.
+test('reads of the servers pause also without a drain time', async () => {
+  const stated = shared.settings.bounds
+  shared.settings.bounds = { ...stated, drainMs: 0 }
+  for (const { feeds } of nodes) feeds.stop()
+  nodes = []
+  nodes = [startNode('n1')]
+  nodes[0]!.feeds.start()
+  await sleep(1000)
+  shared.settings.bounds = stated
+  assert.ok(nodes[0]!.reads() > 0 && nodes[0]!.reads() <= 20, `${nodes[0]!.reads()} reads`)
+})
+
 test.run()
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -61,6 +61,8 @@
  * get no more requests after that time, and two intervals fit into it in case a message is lost.
  */
 const serverReadShare = 0.4
+/** Shortest interval between reads of the servers' entries, in ms: a short drain time must not make them a load for the store. */
+const minServerReadMs = 100
 /** Read intervals without an update from the zone's reader after which a node reads the store itself. */
 const silentIntervals = 1.5
 /** A long poll returns at once on a change. Peers and the reads of the servers' entries show a stalled connection long before it ends. In ms. */
@@ -151,7 +153,7 @@
   }
 
   function serverPauseMs (): number {
-    return settings.bounds.drainMs * serverReadShare * (isServerReader() ? 1 : silentIntervals)
+    return Math.max(minServerReadMs, settings.bounds.drainMs * serverReadShare) * (isServerReader() ? 1 : silentIntervals)
   }
 
   function relayServers (records: FeedRecord<ServerRecord>[], next: number): void {
--- a/packages/gateway/src/peer-state.test.ts
+++ b/packages/gateway/src/peer-state.test.ts
@@ -1,7 +1,9 @@
+import type { AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { OperatorRecord } from './platform-interface'
-import { createFeedCache } from './peer-state'
+import type { DecisionLog } from './decision-log'
+import type { FleetRecord, OperatorRecord } from './platform-interface'
+import { createFeedCache, createPeerFetcher, createSnapshotServer } from './peer-state'
 import { testConfig } from './testing'
 
 const test = suite('peer state')
@@ -21,4 +23,22 @@
   assert.equal(cache.snapshot()?.operator.records.map(({ offset }) => offset), [2, 4])
 })
 
+// Guards against one seed in the settings that is no address and keeps a node from asking those behind it.
+test('a snapshot is fetched from the seed behind those that are no addresses', async () => {
+  const cache = createFeedCache()
+  for (const feed of ['operator', 'servers', 'fleet'] as const) cache.replace(feed, [], 3)
+  const server = createSnapshotServer(cache, () => undefined)
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const log = { info () {}, warn () {}, error () {} } as unknown as DecisionLog
+  const next = await Promise.race([
+    new Promise<number>(resolve => {
+      createPeerFetcher({ log, checkFleetRecord: value => value as FleetRecord, needed: () => true, apply: ({ servers }) => { resolve(servers.next) } })
+        .fetch(['', 'x', 'a b:1', '127.0.0.1:99999', '127.0.0.1:x', `127.0.0.1:${(server.address() as AddressInfo).port}`])
+    }),
+    new Promise(resolve => setTimeout(resolve, 3000))
+  ])
+  server.close()
+  assert.is(next, 3)
+})
+
 test.run()
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -147,9 +147,19 @@
 export function createPeerFetcher ({ log, checkFleetRecord, needed, apply }: PeerFetcherOptions): PeerFetcher {
   let fetching = false
 
+  /** Seeds may be any text; one that is no address must not keep the others from being asked. */
+  async function fetchState (address: string): Promise<unknown> {
+    try {
+      return await fetchFromPeer(address, statePath)
+    } catch (err) {
+      log.error('peer-state-failed', { peer: address, reason: (err as Error).message })
+      return undefined
+    }
+  }
+
   async function fetchFirst (addresses: readonly string[]): Promise<void> {
     for (const address of addresses) {
-      const parsed = parseSnapshot(await fetchFromPeer(address, statePath), checkFleetRecord)
+      const parsed = parseSnapshot(await fetchState(address), checkFleetRecord)
       if (parsed === undefined || !needed()) continue
       const { snapshot, unusable } = parsed
       if (unusable > 0) log.warn('peer-state-failed', { peer: address, reason: `${unusable} records cannot be used` })
