Wait for what the front server does instead of for fixed times in its test

Cause, of the test: it slept 50 and 100 ms for the request, the response and the close, and a busy machine takes longer (not shown by a run). Shown: the close of one test's socket was counted for the next one.

Change: the test waits for each step, 2 s at most, and for the close of its socket.

--- a/packages/gateway/src/front-server.test.ts
+++ b/packages/gateway/src/front-server.test.ts
@@ -23,6 +23,14 @@
 
 const requestText = (id: string, headers = ''): string => `GET /draft/1 HTTP/1.1\r\nhost: a.example\r\nx-id: ${id}\r\n${headers}\r\n`
 
+/** Time in which the server must have read or closed, in ms. */
+const reactionMs = 2000
+
+async function until (condition: () => boolean): Promise<void> {
+  for (const end = performance.now() + reactionMs; !condition() && performance.now() < end;) await sleep(5)
+  assert.ok(condition(), `after ${reactionMs} ms, received ${received}`)
+}
+
 test.before.each(async () => {
   exchanges = []
   received = ''
@@ -47,8 +55,10 @@
   socket.on('error', () => {})
   socket.on('close', () => { closed = true })
 })
-test.after.each(() => {
+test.after.each(async () => {
   socket.destroy()
+  // Its close must not count for the next test.
+  await until(() => closed)
   front.server.closeAllConnections()
   front.server.close()
 })
@@ -56,33 +66,30 @@
 // Guards against a refusal inside the response to an earlier request: its client would take it for a part of the body.
 test('bytes that are no request after a request in progress close the connection without further bytes', async () => {
   socket.write(requestText('r1'))
-  await sleep(50)
+  await until(() => exchanges.length > 0)
   exchanges[0]!.head(200, ['x-id', 'r1', 'content-length', '100'])
   exchanges[0]!.write(Buffer.from('part'))
-  await sleep(50)
+  await until(() => received.endsWith('part'))
   socket.write('\x00\x01 no request\r\n\r\n')
-  await sleep(100)
+  await until(() => closed)
   assert.is(received.split('HTTP/1.1').length - 1, 1, received)
   assert.ok(received.endsWith('part'))
-  assert.ok(closed)
 })
 
 // Guards against a refusal in place of the response to an earlier request, which may still run.
 test('bytes that are no request before the response to a request in progress get no refusal', async () => {
   socket.write(requestText('r1'))
-  await sleep(50)
+  await until(() => exchanges.length > 0)
   socket.write('\x00\x01 no request\r\n\r\n')
-  await sleep(100)
+  await until(() => closed)
   assert.is(received, '')
-  assert.ok(closed)
 })
 
 test('bytes that are no request on an idle connection are refused as invalid', async () => {
   socket.write('\x00\x01 no request\r\n\r\n')
-  await sleep(100)
+  await until(() => closed)
   assert.match(received, /^HTTP\/1\.1 400 /)
   assert.match(received, /"outcome":"invalid"/)
-  assert.ok(closed)
 })
 
 // Guards against a node under load that reads a request late and states that the client was at fault.
@@ -98,12 +105,12 @@
   const errors: string[] = []
   socket.on('error', (err: NodeJS.ErrnoException) => errors.push(err.code ?? err.message))
   socket.write('GET /draft/1 HTTP/1.0\r\nhost: a.example\r\nx-id: r1\r\n\r\n')
-  await sleep(50)
+  await until(() => exchanges.length > 0)
   exchanges[0]!.head(200, ['x-id', 'r1'])
   exchanges[0]!.write(Buffer.from('id: 1\ndata: a\n\n'))
-  await sleep(50)
+  await until(() => received.endsWith('data: a\n\n'))
   exchanges[0]!.abort()
-  await sleep(50)
+  await until(() => closed)
   assert.ok(received.endsWith('data: a\n\n'))
   assert.equal(errors, ['ECONNRESET'])
 })
