Take versions for new that a read found within its own wait

A node that comes to own engines during a long read of the operator's records, 25 s at most, took a version that this read found later than 3.5 s after it was sent for one announced long ago, so that the version before it was no longer used, without the time that operators allow.

Cause: whether a response was held up was judged by the wait that a read would have now, and owners wait 2.5 s. A read without a wait, as in an outage, was allowed a wait that it did not have.

Change: the follower names the wait that the read was sent with.

--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -11,9 +11,9 @@
   /**
    * Receives new records in order; empty if a read found none.
    *
-   * @param sentAt - time at which the read was sent; the records were written later
+   * @param read - when the read was sent, so that its records were written later, and how long it was to wait for them
    */
-  changed (records: FeedRecord<Value>[], next: number, sentAt: number): void
+  changed (records: FeedRecord<Value>[], next: number, read: { sentAt: number, waitMs: number }): void
   /** A call succeeded; its result is at least as recent as `asOf`. */
   succeeded (asOf: number, next: number): void
   /** The feed became unreachable, or reachable again. */
@@ -163,7 +163,7 @@
     }
     if (result.err) return await failed(result.val, sentAt)
     responded(result.val.next)
-    events.changed(result.val.records, result.val.next, sentAt)
+    events.changed(result.val.records, result.val.next, { sentAt, waitMs })
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
     succeeded(waited ? sentAt + waitMs : sentAt, result.val.next)
--- a/packages/gateway/src/feeds.test.ts
+++ b/packages/gateway/src/feeds.test.ts
@@ -14,14 +14,14 @@
 const drainMs = 500
 const log = { info () {}, warn () {}, error () {} } as unknown as DecisionLog
 
-type Node = { name: string, feeds: Feeds, states: Map<string, string>, reads: () => number, recoveries: number[], storeUnreachable: boolean, dropsUpdates: boolean, pausedMs: number, suspensionEndedAt: number, recent: boolean[] }
+type Node = { name: string, feeds: Feeds, states: Map<string, string>, reads: () => number, recoveries: number[], storeUnreachable: boolean, dropsUpdates: boolean, pausedMs: number, suspensionEndedAt: number, ownsEngines: boolean, recent: boolean[] }
 
 const shared = createFakePlatform({ name: 'any', zone: 'a', bounds: { drainMs } } as unknown as NodeSettings)
 let nodes: Node[] = []
 
 function startNode (name: string): Node {
   let reads = 0
-  const node: Node = { name, states: new Map(), reads: () => reads, recoveries: [], storeUnreachable: false, dropsUpdates: false, pausedMs: 0, suspensionEndedAt: -Infinity, recent: [] } as unknown as Node
+  const node: Node = { name, states: new Map(), reads: () => reads, recoveries: [], storeUnreachable: false, dropsUpdates: false, pausedMs: 0, suspensionEndedAt: -Infinity, ownsEngines: false, recent: [] } as unknown as Node
   const servers: Platform['servers'] = {
     newest: () => shared.servers.newest(),
     read: (from, waitMs, signal) => {
@@ -40,7 +40,7 @@
     now: () => performance.now() + node.pausedMs,
     suspensions: { endedAt: () => node.suspensionEndedAt },
     random: () => 0.5,
-    ownsEngines: () => false,
+    ownsEngines: () => node.ownsEngines,
     members: () => nodes.filter(other => other !== node).map((other): FleetMember => ({ name: other.name, zone: 'a', incarnation: 1, capacity: 1, state: 'alive' })),
     sendToZone: update => { for (const other of nodes) if (other !== node && !other.dropsUpdates) other.feeds.receiveServerUpdate(JSON.parse(JSON.stringify(update))) },
     operator (records, recent) { if (records.length > 0) node.recent.push(recent) },
@@ -129,4 +129,16 @@
   assert.equal(node.recent, [true, false, true, false, true])
 })
 
+// Guards against an owner that refuses the version before a new one at once, because it began its read before it had engines.
+test('an operator\'s record is new in a long read that began before the node owned engines', async () => {
+  const [node] = nodes as [Node]
+  await sleep(20)
+  node.recent.length = 0
+  node.ownsEngines = true
+  node.pausedMs = 20_000
+  shared.operator.append('a2', { type: 'adapter-version', model: 'base', adapter: 'a2', version: 1 })
+  await sleep(20)
+  assert.equal(node.recent, [true])
+})
+
 test.run()
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -167,11 +167,9 @@
     options.sendToZone(relay.updateFor(records, from, next, agoMs < recoveryRelayMs ? agoMs : undefined, entriesComplete))
   }
 
-  const operatorWaitMs = (): number => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs
-
   /** @returns whether what a read of the operator's records found was just written, as opposed to before a pause of this process */
-  function isPrompt (sentAt: number): boolean {
-    const read = createDatedFact<true>(operatorWaitMs() + heldUpMs, options.suspensions)
+  function isPrompt ({ sentAt, waitMs }: { sentAt: number, waitMs: number }): boolean {
+    const read = createDatedFact<true>(waitMs + heldUpMs, options.suspensions)
     read.record(true, sentAt)
     return read.read(now()) !== undefined
   }
@@ -185,9 +183,9 @@
           cache.replace('operator', records, next)
           options.operator(records, false)
         },
-        changed (records, next, sentAt) {
+        changed (records, next, read) {
           cache.update('operator', records, next)
-          options.operator(records, operatorReachable && isPrompt(sentAt))
+          options.operator(records, operatorReachable && isPrompt(read))
         },
         succeeded () { operatorReachable = true },
         lost (reason) {
@@ -195,7 +193,7 @@
           log.warn('dependency-lost', { dependency: 'operator', reason })
           outage.lost('operator')
         }
-      }, { ...base('operator'), waitMs: operatorWaitMs, pauseMs: () => 0 })
+      }, { ...base('operator'), waitMs: () => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs, pauseMs: () => 0 })
       servers = followFeed(platform.servers, {
         ...outageEvents('servers', () => {
           recoveredAt = now()
