Read from the store what a node cannot use in an update of a peer

What callers saw: nothing yet. While nodes of two versions run, an entry that one takes for unusable was lost to it: the position advanced past the entry, so a server that leaves stayed in use until the next read of the newest entries.

Cause: unusable records were left out of an update that otherwise counted as complete.

Change: sound records of such an update are applied, the position stays, and the node reads the rest from the store as after a lost datagram.

Evidence: the new test of feeds.test.ts fails before: ready after a drain time. odd-peer-state.test.ts passes as before, 3 of 3.

--- a/packages/gateway/src/feeds.test.ts
+++ b/packages/gateway/src/feeds.test.ts
@@ -141,4 +141,18 @@
   assert.equal(node.recent, [true])
 })
 
+// Guards against requests to a server that leaves, because a peer of another version tells of it in a form that this node cannot use.
+test('a node reads by itself what it cannot use in a peer\'s update', async () => {
+  const [, other] = readerAndOther()
+  other.dropsUpdates = true
+  await sleep(2 * drainMs)
+  write('s1', 'draining', 2)
+  const next = (await shared.servers.newest()).unwrap().next
+  for (let update = 0; update < 8; update++) {
+    other.feeds.receiveServerUpdate({ from: next - 1, next, records: [{ key: 's1', offset: next - 1, value: { type: 'server', sequence: 2, server: { id: 's1', state: 'closing' } } }] })
+    await sleep(drainMs / 8)
+  }
+  assert.is(other.states.get('s1'), 'draining')
+})
+
 test.run()
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -249,6 +249,12 @@
       if (update === undefined || update.unusable > 0) log.warn('peer-message-failed', { reason: `server update is malformed${update === undefined ? '' : ` in ${update.unusable} records`}` })
       if (update === undefined) return
       const { from, next, records, returnedAgoMs, complete } = update
+      if (update.unusable > 0) {
+        // This node reads the rest from the store, at the latest when its pause ends, so its position stays.
+        const position = servers?.position()
+        if (position !== undefined && from <= position && position <= next) options.servers(records, false)
+        return
+      }
       if (servers?.advance(from, next) !== true) return
       entriesComplete = false
       if (returnedAgoMs !== undefined) serversRecovered(returnedAgoMs)
