Read the time once for all engines of a service

What callers saw: nothing. Each request ranks the engines of its service, and the time, read for each of them, includes a comparison of two clocks since suspensions are detected with each reading.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -242,10 +242,11 @@
   }
 
   function enginesOf (service: string): EngineCandidate[] {
+    const at = now()
     return registry.ready(service).map(server => {
       const term = owner.ownership.term(server.id)
       const alive = term !== undefined && (term.node === self.name || fleet.isAlive(term.node))
-      return { server, ...(alive ? { owner: term.node } : {}), limited: restrictions.limit(server) !== undefined, ...ownerStatuses.engineStatus(server.id, now()) }
+      return { server, ...(alive ? { owner: term.node } : {}), limited: restrictions.limit(server) !== undefined, ...ownerStatuses.engineStatus(server.id, at) }
     })
   }
 
