--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -169,11 +169,9 @@
     options.sendToZone(relay.updateFor(records, from, next, agoMs < recoveryRelayMs ? agoMs : undefined, entriesComplete))
   }
 
-  const operatorWaitMs = (): number => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs
-
   /** @returns whether what a read of the operator's records found was just written, as opposed to before a pause of this process */
-  function isPrompt (sentAt: number): boolean {
-    const read = createDatedFact<true>(operatorWaitMs() + heldUpMs, options.suspensions)
+  function isPrompt ({ sentAt, waitMs }: { sentAt: number, waitMs: number }): boolean {
+    const read = createDatedFact<true>(waitMs + heldUpMs, options.suspensions)
     read.record(true, sentAt)
     return read.read(now()) !== undefined
   }
@@ -187,9 +185,9 @@
           cache.replace('operator', records, next)
           options.operator(records, false)
         },
-        changed (records, next, sentAt) {
+        changed (records, next, read) {
           cache.update('operator', records, next)
-          options.operator(records, operatorReachable && isPrompt(sentAt))
+          options.operator(records, operatorReachable && isPrompt(read))
         },
         succeeded () { operatorReachable = true },
         lost (reason) {
@@ -197,7 +195,7 @@
           log.warn('dependency-lost', { dependency: 'operator', reason })
           outage.lost('operator')
         }
-      }, { ...base('operator'), waitMs: operatorWaitMs, pauseMs: () => 0 })
+      }, { ...base('operator'), waitMs: () => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs, pauseMs: () => 0 })
       servers = followFeed(platform.servers, {
         ...outageEvents('servers', () => {
           recoveredAt = now()
@@ -253,6 +251,12 @@
       if (update === undefined || update.unusable > 0) log.warn('peer-message-failed', { reason: `server update is malformed${update === undefined ? '' : ` in ${update.unusable} records`}` })
       if (update === undefined) return
       const { from, next, records, returnedAgoMs, complete } = update
+      if (update.unusable > 0) {
+        // This node reads the rest from the store, at the latest when its pause ends, so its position stays.
+        const position = servers?.position()
+        if (position !== undefined && from <= position && position <= next) options.servers(records, false)
+        return
+      }
       if (servers?.advance(from, next) !== true) return
       entriesComplete = false
       if (returnedAgoMs !== undefined) serversRecovered(returnedAgoMs)
