--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,6 +38,7 @@
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePools } from './service-pool'
 import { createServiceShares } from './service-shares'
+import { createStatusSender, statusIntervalMs } from './status-sender'
 import { createFactClock } from './suspension-detector'
 import { createUpstream } from './upstream'
 
@@ -70,15 +71,6 @@
 const startupMs = 3000
 /** Interval of membership ticks, in ms. */
 const memberTickMs = 200
-/**
- * Interval at which owners send their status to all nodes, in ms. It grows with the number of nodes,
- * because a status costs an owner one datagram per node.
- */
-const statusIntervalMs = 250
-const statusIntervalPerNodeMs = 15
-const statusIntervalMaxMs = 2000
-/** Owners repeat an unchanged status after this time, in ms. */
-const statusRepeatMs = 1000
 /** Interval at which the use of memory and the number of requests are checked, in ms. */
 const usageIntervalMs = 1000
 /** Interval at which a node without a configuration or servers queries its seeds, in ms. */
@@ -113,7 +105,6 @@
   let serversLoaded = false
   let leavingSince: number | undefined
   let tickTimer: NodeJS.Timeout | undefined
-  let nextStatusAt = -Infinity
   /** Offset up to which operator records were applied from a peer's snapshot. */
   let peerOperatorNext = -1
 
@@ -309,18 +300,6 @@
     if (others.length > 0) peerFetcher.fetch(others)
   }
 
-  function sendStatus (): void {
-    if (now() < nextStatusAt) return
-    nextStatusAt = now() + Math.min(statusIntervalMaxMs, statusIntervalPerNodeMs * fleet.size())
-    const status = { engines: owner.status().engines, fleetNext: feeds.fleetNext() ?? -1, fleetAgeMs: owner.freshness.ageMs(now()), operatorNext: feeds.operatorNext() ?? -1 }
-    ownerStatuses.setOwn(self.name, status.engines, now())
-    if (!owner.ownsEngines()) return
-    const messages = ownerStatuses.encode(status, now(), statusRepeatMs)
-    for (const { address } of fleet.peers()) {
-      for (const payload of messages) link.notify(address, { kind: 'status', payload })
-    }
-  }
-
   async function forward (exchange: ClientExchange): Promise<void> {
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
@@ -425,6 +404,8 @@
     storeRecovered: agoMs => registry.storeRecovered(now() - agoMs)
   })
 
+  const statusSender = createStatusSender({ self, now, fleet, link, owner, feeds, statuses: ownerStatuses })
+
   const readyServer = createReadyServer(platform.ingress, isReady)
   const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log)
   const directoryServer = createDirectoryServer(platform.ingress, ({ zone }) => ({
@@ -459,7 +440,7 @@
     }
     tick()
     timers.push(setInterval(() => fleet.tick(), memberTickMs))
-    timers.push(setInterval(sendStatus, statusIntervalMs))
+    timers.push(setInterval(statusSender.send, statusIntervalMs))
     timers.push(setInterval(fetchFromSeeds, seedPollMs))
     timers.push(setInterval(usage.check, usageIntervalMs))
   }
