Let builds in one checkout follow one another

Change: a lock in target/ that its holder refreshes, so that one left behind by a killed build is taken over; a staging folder for each build. Conclusion: class of fault: a step that assumes to be alone in a folder that others share.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -1,54 +1,83 @@
 /**
  * Build command of deploy/system.toml: installs the packages if those that are there cannot be used,
  * and builds `target/`. An earlier build stays until the new one is whole, since processes may start
- * meanwhile. After a failure `target/` is absent, so that no earlier build is taken for the new one.
+ * meanwhile. After a failure the program is absent, so that no earlier build is taken for the new one.
+ * Builds that are started at the same time follow one another.
  */
-import { spawnSync } from 'node:child_process'
-import { mkdirSync, readdirSync, renameSync, rmSync } from 'node:fs'
+import { spawn } from 'node:child_process'
+import { mkdirSync, mkdtempSync, readdirSync, renameSync, rmSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { withBuildLock } from './build-lock.mjs'
 import { findInstallFault } from './installed-packages.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const target = join(root, 'target')
-const staging = join(target, 'staging')
+const lock = join(target, 'build.lock')
+const stagingPrefix = 'staging-'
 
-function run (command, args) {
-  const { status, signal, error } = spawnSync(command, args, { cwd: root, stdio: 'inherit' })
-  if (status !== 0) throw new Error(`${[command, ...args].join(' ')}: ${error?.message ?? (signal === null ? `exit code ${status}` : `ended by ${signal}`)}`)
+/** @param {AbortSignal} signal - ends the command */
+async function run (command, args, signal) {
+  const line = [command, ...args].join(' ')
+  await new Promise((resolve, reject) => {
+    const child = spawn(command, args, { cwd: root, stdio: 'inherit', signal })
+    child.on('error', err => reject(new Error(`${line}: ${(signal.aborted ? signal.reason : err).message}`)))
+    child.on('close', (code, endedBy) => code === 0 ? resolve() : reject(new Error(`${line}: ${endedBy === null ? `exit code ${code}` : `ended by ${endedBy}`}`)))
+  })
 }
 
-function install (reason) {
+async function install (reason, signal) {
   console.error(`Installing packages, because ${reason}`)
-  run('npm', ['ci', '--include=dev', '--include=optional', '--loglevel=error', '--no-audit', '--no-fund'])
+  await run('npm', ['ci', '--include=dev', '--include=optional', '--loglevel=error', '--no-audit', '--no-fund'], signal)
   const fault = findInstallFault(root)
   if (fault !== undefined) throw new Error(`after the install: ${fault}`)
 }
 
-function bundle () {
-  rmSync(staging, { recursive: true, force: true })
-  mkdirSync(staging, { recursive: true })
-  run(process.execPath, ['scripts/build-platform.mjs', staging])
+/** @returns the folder that holds the new build */
+async function bundle (signal) {
+  const staging = mkdtempSync(join(target, stagingPrefix))
+  await run(process.execPath, ['scripts/build-platform.mjs', staging], signal)
+  return staging
 }
 
-function build () {
+/** Removes what builds have left behind that were killed, and what this one leaves. */
+function removeStaging () {
+  for (const name of readdirSync(target).filter(name => name.startsWith(stagingPrefix))) rmSync(join(target, name), { recursive: true, force: true })
+}
+
+async function createBuild (signal) {
   const fault = findInstallFault(root)
-  if (fault !== undefined) install(fault)
+  if (fault !== undefined) await install(fault, signal)
   try {
-    bundle()
+    return await bundle(signal)
   } catch (err) {
-    if (fault !== undefined) throw err
-    install(`the build failed: ${err.message}`)
-    bundle()
+    if (fault !== undefined || signal.aborted) throw err
+    await install(`the build failed: ${err.message}`, signal)
+    return await bundle(signal)
   }
-  for (const name of readdirSync(staging)) renameSync(join(staging, name), join(target, name))
-  rmSync(staging, { recursive: true })
+}
+
+async function build (signal) {
+  removeStaging()
+  try {
+    const staging = await createBuild(signal)
+    for (const name of readdirSync(staging)) renameSync(join(staging, name), join(target, name))
+  } catch (err) {
+    if (!signal.aborted) removeProgram()
+    throw err
+  } finally {
+    if (!signal.aborted) removeStaging()
+  }
+}
+
+function removeProgram () {
+  for (const name of readdirSync(target).filter(name => name.endsWith('.cjs'))) rmSync(join(target, name))
 }
 
 try {
-  build()
+  mkdirSync(target, { recursive: true })
+  await withBuildLock(lock, build)
 } catch (err) {
-  rmSync(target, { recursive: true, force: true })
   console.error(`The build failed: ${err.message}`)
   process.exitCode = 1
 }
--- /dev/null
+++ b/scripts/build-lock.mjs
@@ -0,0 +1,90 @@
+/**
+ * Lock of a folder against other builds in it. Needs no installed package. The holder refreshes the
+ * lock, so that one whose process was killed is taken over, also from another process namespace.
+ */
+import { randomUUID } from 'node:crypto'
+import { mkdirSync, readFileSync, renameSync, rmSync, statSync, utimesSync, writeFileSync } from 'node:fs'
+import { dirname } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+/** Time between two attempts to get the lock, in ms. */
+const retryMs = 100
+/** Interval at which the holder refreshes the lock, in ms. */
+const refreshMs = 1000
+/** Age at which a lock counts as left behind, in ms: longer than the first run of the bundler may take, in which it is not refreshed. */
+const staleMs = 90_000
+/** Time after which a new lock is read again, in ms: a process that has just found a stale one may have removed it. */
+const settleMs = 200
+/** Longest wait for the lock, in ms; the platform gives a build 15 minutes. */
+const maxWaitMs = 12 * 60_000
+
+function readToken (path) {
+  try {
+    return readFileSync(path, 'utf8')
+  } catch (err) {
+    if (err.code === 'ENOENT') return undefined
+    throw err
+  }
+}
+
+/** @returns whether the lock was created */
+function create (path, token) {
+  try {
+    mkdirSync(dirname(path), { recursive: true })
+    writeFileSync(path, token, { flag: 'wx' })
+    return true
+  } catch (err) {
+    // The folder may be removed at the same time.
+    if (err.code === 'EEXIST' || err.code === 'ENOENT') return false
+    throw err
+  }
+}
+
+function removeIfStale (path, token) {
+  try {
+    if (Date.now() - statSync(path).mtimeMs < staleMs) return
+    renameSync(path, `${path}.${token}`)
+    rmSync(`${path}.${token}`)
+    console.error(`Removed ${path}, which an earlier build left behind`)
+  } catch (err) {
+    if (err.code !== 'ENOENT') throw err
+  }
+}
+
+async function acquire (path, token) {
+  const endsAt = Date.now() + maxWaitMs
+  for (let told = false; Date.now() < endsAt; await sleep(retryMs)) {
+    if (create(path, token)) {
+      await sleep(settleMs)
+      if (readToken(path) === token) return
+      continue
+    }
+    removeIfStale(path, token)
+    if (!told) console.error(`Waiting for another build, which holds ${path}`)
+    told = true
+  }
+  throw new Error(`another build has held ${path} for ${maxWaitMs / 60_000} minutes`)
+}
+
+/**
+ * Runs a build while no other one holds the lock.
+ *
+ * @param {string} path - file of the lock
+ * @param {(signal: AbortSignal) => Promise<void>} build - ends early, with an error, if the signal is aborted because the lock was lost
+ * @throws if the lock is not free in time
+ */
+export async function withBuildLock (path, build) {
+  const token = randomUUID()
+  await acquire(path, token)
+  const lost = new AbortController()
+  const refresh = setInterval(() => {
+    if (readToken(path) === token) utimesSync(path, new Date(), new Date())
+    else lost.abort(new Error(`another build took over ${path}`))
+  }, refreshMs)
+  try {
+    await build(lost.signal)
+  } finally {
+    clearInterval(refresh)
+    if (readToken(path) === token) rmSync(path)
+  }
+}
