Leave the program as it is where nothing has changed since its build

Users saw: the system does not start (FAULT). Whether by this is not known. Cause: a build that fails removes the program, so that no earlier one is taken for it. In a checkout from which other processes run, it removed their good program too, though it was built from the same sources; a process that starts again then finds nothing. Change: a build records what it was made from and what it wrote; one of the same sources has nothing to do. One of other sources that fails still removes the program. Conclusion: same class as the lock, a step that assumes to be alone in a shared folder.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -2,13 +2,14 @@
  * Build command of deploy/system.toml: installs the packages if those that are there cannot be used,
  * and builds `target/`. An earlier build stays until the new one is whole, since processes may start
  * meanwhile. After a failure the program is absent, so that no earlier build is taken for the new one.
- * Builds that are started at the same time follow one another.
+ * Builds that are started at the same time follow one another; one of the same sources has nothing to do.
  */
 import { spawn } from 'node:child_process'
 import { mkdirSync, mkdtempSync, readdirSync, renameSync, rmSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { withBuildLock } from './build-lock.mjs'
+import { digestInputs, isCurrent, writeRecord } from './build-record.mjs'
 import { findInstallFault } from './installed-packages.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
@@ -58,9 +59,12 @@
 }
 
 async function build (signal) {
+  const inputs = digestInputs(root)
+  if (isCurrent(target, inputs)) return
   removeStaging()
   try {
     const staging = await createBuild(signal)
+    writeRecord(staging, inputs)
     for (const name of readdirSync(staging)) renameSync(join(staging, name), join(target, name))
   } catch (err) {
     if (!signal.aborted) removeProgram()
