Name the program in the entry point by its content

Users saw: the system does not start (FAULT). Whether by this is not known. Cause: the entry point loads a program of a fixed name. A process that starts between the two renames of a new build, or has read the entry point just before, loads the program of another build. Change: the name of the program has the digest of its content, the entry point is replaced last, and the program of the build before stays.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -9,13 +9,14 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { withBuildLock } from './build-lock.mjs'
-import { digestInputs, isCurrent, writeRecord } from './build-record.mjs'
+import { digestInputs, isCurrent, readRecord, writeRecord } from './build-record.mjs'
 import { findInstallFault } from './installed-packages.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const target = join(root, 'target')
 const lock = join(target, 'build.lock')
 const stagingPrefix = 'staging-'
+const entryPoint = 'yuccawharf.cjs'
 
 /** @param {AbortSignal} signal - ends the command */
 async function run (command, args, signal) {
@@ -27,7 +28,7 @@
   })
 }
 
-async function install (reason, signal) {
+async function installPackages (reason, signal) {
   console.error(`Installing packages, because ${reason}`)
   await run('npm', ['ci', '--include=dev', '--include=optional', '--loglevel=error', '--no-audit', '--no-fund'], signal)
   const fault = findInstallFault(root)
@@ -48,34 +49,47 @@
 
 async function createBuild (signal) {
   const fault = findInstallFault(root)
-  if (fault !== undefined) await install(fault, signal)
+  if (fault !== undefined) await installPackages(fault, signal)
   try {
     return await bundle(signal)
   } catch (err) {
     if (fault !== undefined || signal.aborted) throw err
-    await install(`the build failed: ${err.message}`, signal)
+    await installPackages(`the build failed: ${err.message}`, signal)
     return await bundle(signal)
   }
 }
 
+function programs () {
+  return readdirSync(target).filter(name => name.endsWith('.cjs'))
+}
+
+/** Puts the new build in place: the entry point last, since processes may start at any time and load what it names. */
+function install (staging, former) {
+  const names = readdirSync(staging).filter(name => name !== entryPoint)
+  for (const name of [...names, entryPoint]) renameSync(join(staging, name), join(target, name))
+  const kept = new Set([...names, entryPoint, ...Object.keys(former.outputs)])
+  for (const name of programs().filter(name => !kept.has(name))) rmSync(join(target, name))
+}
+
 async function build (signal) {
   const inputs = digestInputs(root)
-  if (isCurrent(target, inputs)) return
+  const former = readRecord(target)
+  if (isCurrent(target, former, inputs)) return
   removeStaging()
   try {
     const staging = await createBuild(signal)
     writeRecord(staging, inputs)
-    for (const name of readdirSync(staging)) renameSync(join(staging, name), join(target, name))
+    install(staging, former)
   } catch (err) {
-    if (!signal.aborted) removeProgram()
+    if (!signal.aborted) removePrograms()
     throw err
   } finally {
     if (!signal.aborted) removeStaging()
   }
 }
 
-function removeProgram () {
-  for (const name of readdirSync(target).filter(name => name.endsWith('.cjs'))) rmSync(join(target, name))
+function removePrograms () {
+  for (const name of programs()) rmSync(join(target, name))
 }
 
 try {
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,8 +1,10 @@
 /**
- * Builds `target/yuccawharf.cjs`, which deploy/system.toml runs on the users' platform, and `target/yuccawharf-node.cjs`,
- * which it loads. Usage: build-platform.mjs [FOLDER]
+ * Builds `target/yuccawharf.cjs`, which deploy/system.toml runs on the users' platform, and the program that it loads,
+ * `target/yuccawharf-node-DIGEST.cjs`. A process that starts while the build is replaced loads the program that belongs
+ * to its entry point. Usage: build-platform.mjs [FOLDER]
  */
-import { mkdirSync } from 'node:fs'
+import { createHash } from 'node:crypto'
+import { mkdirSync, writeFileSync } from 'node:fs'
 import { join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
@@ -10,15 +12,15 @@
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const target = resolve(process.argv[2] ?? join(root, 'target'))
-const nodeBundle = 'yuccawharf-node.cjs'
+const digestLength = 12
 
 /** Keeps the program out of the entry point, so that this one is loaded at once. */
-const separateNode = {
+const separateNode = nodeBundle => ({
   name: 'separate-node',
   setup (builder) {
     builder.onResolve({ filter: /^\.\/node-process$/ }, () => ({ path: `./${nodeBundle}`, external: true }))
   }
-}
+})
 
 const options = {
   ...bundleOptions,
@@ -27,16 +29,16 @@
   minifySyntax: true
 }
 
+const { outputFiles: [node] } = await build({ ...options, entryPoints: [join(root, 'platform/src/node-process.ts')], write: false })
+const nodeBundle = `yuccawharf-node-${createHash('sha256').update(node.contents).digest('hex').slice(0, digestLength)}.cjs`
 mkdirSync(target, { recursive: true })
-await Promise.all([
-  build({ ...options, entryPoints: [join(root, 'platform/src/node-process.ts')], outfile: join(target, nodeBundle) }),
-  build({
-    ...options,
-    entryPoints: [join(root, 'platform/src/main.ts')],
-    outfile: join(target, 'yuccawharf.cjs'),
-    plugins: [separateNode],
-    banner: {},
-    // A call of require is faster than the loader of modules.
-    supported: { 'dynamic-import': false }
-  })
-])
+writeFileSync(join(target, nodeBundle), node.contents)
+await build({
+  ...options,
+  entryPoints: [join(root, 'platform/src/main.ts')],
+  outfile: join(target, 'yuccawharf.cjs'),
+  plugins: [separateNode(nodeBundle)],
+  banner: {},
+  // A call of require is faster than the loader of modules.
+  supported: { 'dynamic-import': false }
+})
--- a/scripts/build-record.mjs
+++ b/scripts/build-record.mjs
@@ -39,15 +39,20 @@
   writeFileSync(join(folder, recordName), JSON.stringify({ inputs: inputsDigest, outputs }))
 }
 
-/** @returns {boolean} whether the folder holds a complete build from these inputs */
-export function isCurrent (folder, inputsDigest) {
+/** @returns {{ inputs?: string, outputs: Record<string, string> }} the record of the build in the folder; one without outputs if there is none */
+export function readRecord (folder) {
   const path = join(folder, recordName)
-  if (!existsSync(path)) return false
+  if (!existsSync(path)) return { outputs: {} }
   try {
     const { inputs, outputs } = JSON.parse(readFileSync(path, 'utf8'))
-    return inputs === inputsDigest && Object.entries(outputs).every(([name, digest]) => existsSync(join(folder, name)) && digestOf(join(folder, name)) === digest)
+    return { inputs, outputs: { ...outputs } }
   } catch (err) {
     console.error(`${path} cannot be used: ${err.message}`)
-    return false
+    return { outputs: {} }
   }
 }
+
+/** @returns {boolean} whether the folder holds a complete build from these inputs */
+export function isCurrent (folder, { inputs, outputs }, inputsDigest) {
+  return inputs === inputsDigest && Object.entries(outputs).every(([name, digest]) => existsSync(join(folder, name)) && digestOf(join(folder, name)) === digest)
+}
