End the reading of a connection inside the request that closes it

Cause: Node.js parses all requests of the bytes that it has read at once (up to 64 KiB, about 1,300 small requests), also after the listener has destroyed their connection, and keeps requests and responses until the connection's close event. That event comes after all connections that are readable in the same turn of the event loop have been read. So what was bounded at 32 requests for a connection was not for all connections of a turn.

Change: limitPipelining returns an error to the parser once the socket is destroyed, so the parser ends before it creates the next request. The hook (the parser's onIncoming) is not documented; if a later Node.js lacks it, the bound is what it was, and the tests fail.

Requests that Node.js answers itself pass by this bound still.

--- a/packages/gateway/src/pipeline-flood.known-red.ts
+++ b/packages/gateway/src/pipeline-flood.test.ts
@@ -1,4 +1,4 @@
-/** The heap of a node when many clients send many small requests at once, before it can close their connections. */
+/** The heap of a node when many clients send many small requests at once. */
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
@@ -7,7 +7,7 @@
 
 const test = suite('flood of pipelined requests')
 
-const clients = 200
+const clients = 400
 /** More than Node.js reads from a connection at a time. */
 const requests = 'GET /none/x HTTP/1.1\r\nhost: a.example\r\nx-id: r\r\n\r\n'.repeat(2000)
 const playMs = 5000
--- a/packages/gateway/src/pipelined-requests.test.ts
+++ b/packages/gateway/src/pipelined-requests.test.ts
@@ -4,6 +4,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createDirectoryServer } from './auxiliary-servers'
+import { maxUnanswered } from './pipelining'
 import { sendTestRequest, startBackend, startTestNodes, testConfig, untilServed, type FakeBackend, type TestNodes } from './testing'
 
 const test = suite('pipelined requests')
@@ -92,4 +93,19 @@
   assert.ok(answered > 0 && answered < 100, `${answered} responses`)
 })
 
+// Guards against requests that are created from bytes that were read before their connection was closed.
+test('no request is created after the one for which its connection is closed', async () => {
+  let created = 0
+  const server = createDirectoryServer({ readyPath: '/', addressQuery: () => ({ host: 'a.example' }), addressResponse: () => 'x' }, () => ({ addresses: ['a'], keepForMs: 1000 }))
+  server.on('request', () => { created += 1 })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const flooding = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  flooding.on('error', () => {})
+  flooding.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(1000))
+  await sleep(endMs)
+  flooding.destroy()
+  server.close()
+  assert.is(created, maxUnanswered + 1)
+})
+
 test.run()
--- a/packages/gateway/src/pipelining.ts
+++ b/packages/gateway/src/pipelining.ts
@@ -1,12 +1,37 @@
 /** Bounds and ends the requests that a client sends on one connection before it has got the responses to earlier ones. */
-import type { RequestListener, ServerResponse } from 'node:http'
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
+/** The part of a connection of an HTTP server that Node.js does not document. */
+type ParsedSocket = Socket & {
+  parser?: {
+    /** Creates the response to a request and emits both; a result below 0 is an error at which the parser ends. */
+    onIncoming?: ((req: IncomingMessage, keepsConnection: boolean) => number) | null
+  } | null
+}
+
+/** Result of a request's listener in the parser. */
+const parserError = -1
+
 /**
  * Number of requests of one connection that may have no complete response. Node.js starts all that it
  * reads, and stops reading only if complete responses fill a buffer, which requests in progress do not.
  */
-const maxUnanswered = 32
+export const maxUnanswered = 32
+
+/**
+ * Node.js creates all requests of the bytes that it has read, up to 64 KiB, also after the connection is destroyed, and
+ * keeps them until the connections that are readable at the same time have all been read. This ends it before the next one.
+ */
+function endParsingWhenDestroyed (socket: ParsedSocket): void {
+  const { parser } = socket
+  const { onIncoming } = parser ?? {}
+  if (!parser || !onIncoming) return
+  parser.onIncoming = (req, keepsConnection) => {
+    const result = onIncoming(req, keepsConnection)
+    return socket.destroyed ? parserError : result
+  }
+}
 
 /**
  * Node.js emits `close` only for the response whose turn on the connection it is, so those behind it
@@ -32,6 +57,7 @@
     const responses = new Set<ServerResponse>()
     unanswered.set(socket, responses)
     socket.once('close', () => { closeAll(responses) })
+    endParsingWhenDestroyed(socket)
     return responses
   }
 
