Count requests that Node.js would answer itself for the bound of a connection

Cause: Node.js answers a request without a host with 400 and one with an unknown expectation with 417 without calling the listener, so neither counts for the 32 requests without a response that a connection may have, and nothing ends the reading of their connection.

The two new cases of front-server.test.ts (400 and 417) keep the answers as they were.

--- a/packages/gateway/src/auxiliary-servers.ts
+++ b/packages/gateway/src/auxiliary-servers.ts
@@ -1,20 +1,20 @@
 /** HTTP servers for readiness checks, address queries and metrics. */
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import type { DecisionLog } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
-import { limitPipelining } from './pipelining'
+import { createBoundedServer } from './pipelining'
 import type { AddressResponse, AddressQuery, IngressCodec } from './platform-interface'
 
 /** Responds to the platform's readiness checks with 200 while the node is ready, otherwise with 503. */
 export function createReadyServer (ingress: IngressCodec, isReady: () => boolean): Server {
-  return createServer(limitPipelining((req, res) => {
+  return createBoundedServer((req, res) => {
     res.writeHead(req.url === ingress.readyPath && isReady() ? 200 : 503).end()
-  }))
+  })
 }
 
 /** Serves the addresses that clients should use; responds with 503 if there are none. */
 export function createDirectoryServer (ingress: IngressCodec, resolveAddresses: (query: AddressQuery) => AddressResponse): Server {
-  return createServer(limitPipelining((req, res) => {
+  return createBoundedServer((req, res) => {
     const query = ingress.addressQuery(req.method ?? 'GET', req.url ?? '/')
     const response = query === undefined ? undefined : resolveAddresses(query)
     if (response === undefined || response.addresses.length === 0) {
@@ -23,12 +23,12 @@
     }
     const body = ingress.addressResponse(response)
     res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
-  }))
+  })
 }
 
 /** Serves the metrics in the text format of Prometheus. */
 export function createMetricsServer (metrics: GatewayMetrics, path: string, log: DecisionLog): Server {
-  return createServer(limitPipelining((req, res) => {
+  return createBoundedServer((req, res) => {
     if (req.url !== path) {
       res.writeHead(404).end()
       return
@@ -37,5 +37,5 @@
       log.error('metrics-failed', { reason: (err as Error).message })
       res.writeHead(500).end()
     })
-  }))
+  })
 }
--- a/packages/gateway/src/front-server.test.ts
+++ b/packages/gateway/src/front-server.test.ts
@@ -63,6 +63,19 @@
   front.server.close()
 })
 
+// Guards against a bound of the requests of a connection that changes what HTTP requires.
+for (const [name, text, status] of [
+  ['without a host', 'GET /draft/1 HTTP/1.1\r\nx-id: r1\r\n\r\n', '400'],
+  ['with an unknown expectation', requestText('r1', 'expect: x\r\n'), '417']
+] as const) {
+  test(`a request ${name} gets ${status} and is not forwarded`, async () => {
+    socket.write(text)
+    await until(() => received.includes('\r\n\r\n'))
+    assert.is(received.slice(0, 12), `HTTP/1.1 ${status}`)
+    assert.is(exchanges.length, 0)
+  })
+}
+
 // Guards against a refusal inside the response to an earlier request: its client would take it for a part of the body.
 test('bytes that are no request after a request in progress close the connection without further bytes', async () => {
   socket.write(requestText('r1'))
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -1,5 +1,5 @@
 /** HTTP server for clients: enforces limits, reads the body, finds the route and creates the exchange. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { trackResponses } from '@yuccawharf/clients'
@@ -8,7 +8,7 @@
 import type { DecisionLog } from './decision-log'
 import { createHeaderBytes } from './header-bytes'
 import { keptBytesLimit, type KeptBytes } from './kept-bytes'
-import { limitPipelining } from './pipelining'
+import { createBoundedServer } from './pipelining'
 import type { HeaderCodec } from './platform-interface'
 import { createRequestBytes, type BodyRefusal } from './request-bytes'
 import { chooseTarget, type RouteTable } from './route-table'
@@ -174,14 +174,7 @@
     }
   }
 
-  const server = createServer({
-    maxHeaderSize: maxHeaderBytes,
-    keepAliveTimeout: defaultKeepAliveMs,
-    connectionsCheckingInterval: connectionCheckMs,
-    // The client's deadline limits the time for long bodies.
-    requestTimeout: 0,
-    noDelay: true
-  }, limitPipelining((req, res) => {
+  const listener: RequestListener = (req, res) => {
     req.on('error', () => {})
     res.on('error', () => {})
     if (refusedSockets.has(req.socket)) {
@@ -198,7 +191,15 @@
       sendRefusal(res, { status: 500, outcome: 'unknown' }, 'the node could not handle the request')
       if (!res.writableEnded) abortResponse(res)
     }).then(() => responded).finally(() => { running -= 1 })
-  }, unanswered => { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) }))
+  }
+  const server = createBoundedServer(listener, {
+    maxHeaderSize: maxHeaderBytes,
+    keepAliveTimeout: defaultKeepAliveMs,
+    connectionsCheckingInterval: connectionCheckMs,
+    // The client's deadline limits the time for long bodies.
+    requestTimeout: 0,
+    noDelay: true
+  }, unanswered => { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) })
   const responses = trackResponses(server)
   server.on('clientError', (err, socket) => {
     // A refusal would be read as part of the response in progress, or in place of it.
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -2,12 +2,12 @@
  * Cache of the newest records of the store's feeds, served to peers that cannot reach the store. A
  * node that starts or has missed a change fetches them from another node.
  */
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { createHttpClient, parseJson } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
 import { isPosition } from './field-checks'
 import { usableFleetRecords, usableOperatorRecords, usableServers } from './peer-records'
-import { limitPipelining } from './pipelining'
+import { createBoundedServer } from './pipelining'
 import type { FeedRecord, FleetLog, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
 import type { Departure } from './server-registry'
 
@@ -76,7 +76,7 @@
 /** @param departures - servers that have left; undefined if this node cannot tell yet */
 export function createSnapshotServer (cache: FeedCache, departures: () => Departure[] | undefined): Server {
   const resources = new Map<string, () => unknown>([[statePath, () => cache.snapshot()], [departuresPath, departures]])
-  return createServer(limitPipelining((req, res) => {
+  return createBoundedServer((req, res) => {
     const resource = resources.get(req.url ?? '')
     const value = resource?.()
     if (value === undefined) {
@@ -84,7 +84,7 @@
       return
     }
     res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(value))
-  }))
+  })
 }
 
 function isSnapshot (value: unknown): value is Record<FeedName, { next: number, records: unknown[] }> {
--- a/packages/gateway/src/pipelining.ts
+++ b/packages/gateway/src/pipelining.ts
@@ -1,5 +1,5 @@
 /** Bounds and ends the requests that a client sends on one connection before it has got the responses to earlier ones. */
-import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
 /** The part of a connection of an HTTP server that Node.js does not document. */
@@ -44,11 +44,18 @@
   }
 }
 
+/** Whether HTTP forbids the request because it does not name its host. */
+function lacksHost ({ httpVersion, headers }: IncomingMessage): boolean {
+  return httpVersion === '1.1' && headers.host === undefined
+}
+
 /**
+ * Creates a server that passes on the requests within the bound; each of their responses emits `close`.
+ * The requests that Node.js would answer itself, past the listener, are answered here, so that the bound holds for them.
+ *
  * @param exceeded - called for a connection that is closed because its client sends too many requests
- * @returns a listener that passes on the requests within the bound; each response emits `close`
  */
-export function limitPipelining (listener: RequestListener, exceeded: (unanswered: number) => void = () => {}): RequestListener {
+export function createBoundedServer (listener: RequestListener, options: ServerOptions = {}, exceeded: (unanswered: number) => void = () => {}): Server {
   const unanswered = new WeakMap<Socket, Set<ServerResponse>>()
 
   function responsesOf (socket: Socket): Set<ServerResponse> {
@@ -61,18 +68,25 @@
     return responses
   }
 
-  return (req, res) => {
-    const { socket } = req
-    // Requests that were read together with those before the close still arrive.
-    if (socket.destroyed) return
-    const responses = responsesOf(socket)
-    if (responses.size >= maxUnanswered) {
-      exceeded(responses.size)
-      socket.destroy()
-      return
+  function bounded (next: RequestListener): RequestListener {
+    return (req, res) => {
+      const { socket } = req
+      // Requests that were read together with those before the close still arrive.
+      if (socket.destroyed) return
+      const responses = responsesOf(socket)
+      if (responses.size >= maxUnanswered) {
+        exceeded(responses.size)
+        socket.destroy()
+        return
+      }
+      responses.add(res)
+      res.once('close', () => { responses.delete(res) })
+      if (lacksHost(req)) res.writeHead(400, { connection: 'close' }).end()
+      else next(req, res)
     }
-    responses.add(res)
-    res.once('close', () => { responses.delete(res) })
-    listener(req, res)
   }
+
+  const server = createServer({ ...options, requireHostHeader: false }, bounded(listener))
+  server.on('checkExpectation', bounded((_req, res) => { res.writeHead(417).end() }))
+  return server
 }
