Bound the requests of a connection in the product's own mode too

Change: createBoundedServer moves to the clients package, next to the tracker of responses that both modes use, and the router creates its server with it. Callers of the repository do not pipeline (undici with pipelining 1).

--- a/packages/gateway/src/auxiliary-servers.ts
+++ b/packages/gateway/src/auxiliary-servers.ts
@@ -1,8 +1,8 @@
 /** HTTP servers for readiness checks, address queries and metrics. */
 import type { Server } from 'node:http'
+import { createBoundedServer } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
-import { createBoundedServer } from './pipelining'
 import type { AddressResponse, AddressQuery, IngressCodec } from './platform-interface'
 
 /** Responds to the platform's readiness checks with 200 while the node is ready, otherwise with 503. */
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -3,11 +3,10 @@
  * node that starts or has missed a change fetches them from another node.
  */
 import type { Server } from 'node:http'
-import { createHttpClient, parseJson } from '@yuccawharf/clients'
+import { createBoundedServer, createHttpClient, parseJson } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
 import { isPosition } from './field-checks'
 import { usableFleetRecords, usableOperatorRecords, usableServers } from './peer-records'
-import { createBoundedServer } from './pipelining'
 import type { FeedRecord, FleetLog, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
 import type { Departure } from './server-registry'
 
--- a/packages/gateway/src/pipelined-requests.test.ts
+++ b/packages/gateway/src/pipelined-requests.test.ts
@@ -1,10 +1,10 @@
 /** Requests that a client sends on one connection before it has got the responses to earlier ones. */
 import { connect, type AddressInfo, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { maxUnanswered } from '@yuccawharf/clients'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createDirectoryServer } from './auxiliary-servers'
-import { maxUnanswered } from './pipelining'
 import { sendTestRequest, startBackend, startTestNodes, testConfig, untilServed, type FakeBackend, type TestNodes } from './testing'
 
 const test = suite('pipelined requests')
--- a/packages/node/src/bad-input.test.ts
+++ b/packages/node/src/bad-input.test.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net'
 import { createSocket } from 'node:dgram'
+import { maxUnanswered } from '@yuccawharf/clients'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { defaultHttpLimits } from './http-router'
@@ -52,6 +53,21 @@
   assert.equal([chunked.status, chunked.outcome], [413, 'invalid'])
 })
 
+test('a connection with many requests without a response is closed', async () => {
+  // Guards against a heap that is full of the requests of callers that send many at once.
+  const { hostname, port } = new URL(url)
+  const received = await new Promise<string>((resolve, reject) => {
+    let text = ''
+    const socket = connect(Number(port), hostname, () => socket.write('GET /none HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(1000)))
+    socket.setTimeout(1000, () => socket.destroy())
+    socket.on('data', chunk => { text += chunk.toString('latin1') })
+    socket.on('error', err => { if ((err as NodeJS.ErrnoException).code !== 'ECONNRESET') reject(err) })
+    socket.on('close', () => resolve(text))
+  })
+  const responses = received.split('HTTP/1.1 ').length - 1
+  assert.ok(responses <= maxUnanswered, `${responses} responses`)
+})
+
 test('unknown adapters, versions and classes are refused as invalid', async () => {
   // Guards against such requests being queued or running with another adapter.
   for (const model of ['base:green@1', 'base:red@2']) {
--- a/packages/node/src/http-router.ts
+++ b/packages/node/src/http-router.ts
@@ -1,7 +1,7 @@
 /** HTTP server of a node: routing, limits on header size and receive times, and isolation of failing requests. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { trackResponses } from '@yuccawharf/clients'
+import { createBoundedServer, trackResponses } from '@yuccawharf/clients'
 import { createProblem, sendProblem } from './problem'
 
 export type RouteContext = {
@@ -96,7 +96,7 @@
 
 /** Creates the server; the caller starts listening. */
 export function createHttpServer (handler: (req: IncomingMessage, res: ServerResponse) => void, limits: HttpLimits): Server {
-  const server = createServer({
+  const server = createBoundedServer(handler, {
     maxHeaderSize: limits.headerBytes,
     headersTimeout: limits.headersMs,
     requestTimeout: limits.requestMs,
@@ -104,7 +104,7 @@
     // Interval at which the two receive timeouts are enforced: a slow sender is disconnected within a second of its limit.
     connectionsCheckingInterval: 1000,
     noDelay: true
-  }, handler)
+  })
   const responses = trackResponses(server)
   server.on('clientError', (err, socket) => {
     // A refusal would be read as part of the response in progress, or in place of it.
