Keep log lines while the reader of standard output is slow

Cause: standard output is non-blocking, so a write fails with EAGAIN while its pipe is full. The writer took that for an error, dropped all that it had collected, after a partial write in the middle of a line, and counted nothing. So the lines before the end of a process could be missing without a trace, which is what a report of an ended process would need.

Change: what is not taken waits for the next write, within the bound of the buffer; other errors count as dropped lines. At its end a process waits for 500 ms at most, also for a write that never ends.

--- a/packages/gateway/src/decision-log.ts
+++ b/packages/gateway/src/decision-log.ts
@@ -3,12 +3,16 @@
  * the buffer is bounded; lines that do not fit are dropped, and their count is logged.
  */
 import { write } from 'node:fs'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { createConsola, type ConsolaInstance } from 'consola'
 
 /** Bytes that may wait for standard output; further lines are dropped. */
 const maxBufferedBytes = 256 * 1024
 /** Interval at which buffered lines are written, in ms. */
 const flushMs = 250
+/** Longest time for which the end of the process waits for a slow reader, in ms, and the interval between attempts. */
+const flushMaxMs = 500
+const flushRetryMs = 20
 const stdoutFd = 1
 
 export type LogFields = Record<string, string | number | boolean | undefined | null | readonly unknown[] | Record<string, unknown>>
@@ -26,48 +30,77 @@
 
 export type LineWriter = { write (line: string): void, flush (): Promise<void>, dropped (): number }
 
-/** @param writeBytes - resolves when all bytes are written */
-function createLineWriter (writeBytes: (bytes: Buffer) => Promise<void>): LineWriter {
+/** @param writeBytes - resolves to the number of bytes that were taken, 0 while the reader is slow */
+export function createLineWriter (writeBytes: (bytes: Buffer) => Promise<number>): LineWriter {
   let lines: string[] = []
-  let bytes = 0
+  let lineBytes = 0
+  /** Bytes of earlier lines that have not been taken. */
+  let unwritten = Buffer.alloc(0)
   let dropped = 0
   let writing: Promise<void> | undefined
   let timer: NodeJS.Timeout | undefined
 
-  async function flush (): Promise<void> {
-    clearTimeout(timer)
-    timer = undefined
-    if (writing !== undefined) await writing
-    if (lines.length === 0) return
-    const text = lines.join('')
-    lines = []
-    bytes = 0
-    // If standard output fails, there is nowhere to report it.
-    writing = writeBytes(Buffer.from(text)).catch(() => {}).finally(() => { writing = undefined })
+  const waiting = (): number => unwritten.length + lineBytes
+
+  async function writeWaiting (): Promise<void> {
+    for (let taken = Infinity; taken > 0 && waiting() > 0;) {
+      if (unwritten.length === 0) {
+        unwritten = Buffer.from(lines.join(''))
+        lines = []
+        lineBytes = 0
+      }
+      try {
+        taken = await writeBytes(unwritten)
+        unwritten = unwritten.subarray(taken)
+      } catch {
+        // If standard output fails, there is nowhere to report it but in the count.
+        dropped += unwritten.toString().split('\n').length - 1
+        unwritten = Buffer.alloc(0)
+      }
+    }
+  }
+
+  async function writeOnce (): Promise<void> {
+    writing ??= writeWaiting().finally(() => { writing = undefined })
     await writing
   }
 
+  function writeLater (): void {
+    timer ??= setTimeout(() => {
+      timer = undefined
+      writeOnce().finally(() => { if (waiting() > 0) writeLater() })
+    }, flushMs)
+  }
+
   return {
     write (line) {
-      if (bytes + line.length > maxBufferedBytes) {
+      if (waiting() + line.length > maxBufferedBytes) {
         dropped += 1
         return
       }
       lines.push(line)
-      bytes += line.length
-      timer ??= setTimeout(() => { flush().catch(() => {}) }, flushMs)
+      lineBytes += line.length
+      writeLater()
+    },
+    async flush () {
+      const timeout = new AbortController()
+      const expired = sleep(flushMaxMs, undefined, { signal: timeout.signal }).catch(() => {})
+      const written = (async () => {
+        for (await writeOnce(); waiting() > 0 && !timeout.signal.aborted; await writeOnce()) await sleep(flushRetryMs)
+      })()
+      await Promise.race([written, expired])
+      timeout.abort()
     },
-    flush,
     dropped: () => dropped
   }
 }
 
-function writeStdout (bytes: Buffer): Promise<void> {
+function writeStdout (bytes: Buffer): Promise<number> {
   return new Promise((resolve, reject) => {
     write(stdoutFd, bytes, 0, bytes.length, null, (err, written) => {
-      if (err !== null) reject(err)
-      else if (written < bytes.length) writeStdout(bytes.subarray(written)).then(resolve, reject)
-      else resolve()
+      if (err === null) resolve(written)
+      else if (err.code === 'EAGAIN') resolve(0)
+      else reject(err)
     })
   })
 }
