--- /dev/null
+++ b/packages/clients/src/bounded-server.ts
@@ -0,0 +1,92 @@
+/** Bounds and ends the requests that a client sends on one connection before it has got the responses to earlier ones. */
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+/** The part of a connection of an HTTP server that Node.js does not document. */
+type ParsedSocket = Socket & {
+  parser?: {
+    /** Creates the response to a request and emits both; a result below 0 is an error at which the parser ends. */
+    onIncoming?: ((req: IncomingMessage, keepsConnection: boolean) => number) | null
+  } | null
+}
+
+/** Result of a request's listener in the parser. */
+const parserError = -1
+
+/**
+ * Number of requests of one connection that may have no complete response. Node.js starts all that it
+ * reads, and stops reading only if complete responses fill a buffer, which requests in progress do not.
+ */
+export const maxUnanswered = 32
+
+/**
+ * Node.js creates all requests of the bytes that it has read, up to 64 KiB, also after the connection is destroyed, and
+ * keeps them until the connections that are readable at the same time have all been read. This ends it before the next one.
+ */
+function endParsingWhenDestroyed (socket: ParsedSocket): void {
+  const { parser } = socket
+  const { onIncoming } = parser ?? {}
+  if (!parser || !onIncoming) return
+  parser.onIncoming = (req, keepsConnection) => {
+    const result = onIncoming(req, keepsConnection)
+    return socket.destroyed ? parserError : result
+  }
+}
+
+/**
+ * Node.js emits `close` only for the response whose turn on the connection it is, so those behind it
+ * would keep what was counted for them when their client has left.
+ */
+function closeAll (responses: ReadonlySet<ServerResponse>): void {
+  for (const res of responses) {
+    res.destroy()
+    res.emit('close')
+  }
+}
+
+/** Whether HTTP forbids the request because it does not name its host. */
+function lacksHost ({ httpVersion, headers }: IncomingMessage): boolean {
+  return httpVersion === '1.1' && headers.host === undefined
+}
+
+/**
+ * Creates a server that passes on the requests within the bound; each of their responses emits `close`.
+ * The requests that Node.js would answer itself, past the listener, are answered here, so that the bound holds for them.
+ *
+ * @param exceeded - called for a connection that is closed because its client sends too many requests
+ */
+export function createBoundedServer (listener: RequestListener, options: ServerOptions = {}, exceeded: (unanswered: number) => void = () => {}): Server {
+  const unanswered = new WeakMap<Socket, Set<ServerResponse>>()
+
+  function responsesOf (socket: Socket): Set<ServerResponse> {
+    const known = unanswered.get(socket)
+    if (known !== undefined) return known
+    const responses = new Set<ServerResponse>()
+    unanswered.set(socket, responses)
+    socket.once('close', () => { closeAll(responses) })
+    endParsingWhenDestroyed(socket)
+    return responses
+  }
+
+  function bounded (next: RequestListener): RequestListener {
+    return (req, res) => {
+      const { socket } = req
+      // Requests that were read together with those before the close still arrive.
+      if (socket.destroyed) return
+      const responses = responsesOf(socket)
+      if (responses.size >= maxUnanswered) {
+        exceeded(responses.size)
+        socket.destroy()
+        return
+      }
+      responses.add(res)
+      res.once('close', () => { responses.delete(res) })
+      if (lacksHost(req)) res.writeHead(400, { connection: 'close' }).end()
+      else next(req, res)
+    }
+  }
+
+  const server = createServer({ ...options, requireHostHeader: false }, bounded(listener))
+  server.on('checkExpectation', bounded((_req, res) => { res.writeHead(417).end() }))
+  return server
+}
