Serve requests that waited through a pause, and run none that was refused

Cause: Node.js checks the header timeout of connections in a timer, and timers are handled before bytes that have arrived. After a pause that is longer than the timeout, a connection that was opened before it got 408, which promises that the request has not run. Its request, which had waited in the socket, was then read and forwarded all the same. A slow client that completed its headers after the refusal had the same effect, also in the product's own mode.

Change: what has arrived is read before a late connection is refused, and what is read on a connection after its refusal is dropped. One function for both servers: refuseUnreadable in clients.

Open: in the product's own mode a body that is completed after the 408 of the request timeout is still handled (by reading).

--- /dev/null
+++ b/packages/clients/src/unreadable-requests.ts
@@ -0,0 +1,47 @@
+/** Ends connections of an HTTP server on which no request can be read. */
+import type { Server } from 'node:http'
+import type { Socket } from 'node:net'
+import { trackResponses } from './response-tracker'
+
+export type EndingConnections = {
+  /** The connection ends with a refusal, so what is read on it from now on must not run. */
+  add (socket: Socket): void
+  /** To be called for each request, before anything else. */
+  has (socket: Socket): boolean
+}
+
+/** Error of a connection on which a request does not arrive in time. */
+export const requestLateCode = 'ERR_HTTP_REQUEST_TIMEOUT'
+
+/** @param refuse - sends a refusal and closes the connection */
+export function refuseUnreadable (server: Server, refuse: (err: NodeJS.ErrnoException, socket: Socket) => void): EndingConnections {
+  const responses = trackResponses(server)
+  const ending = new WeakSet<Socket>()
+  /** Connections whose time is over, while what has arrived on them is read. */
+  const late = new WeakSet<Socket>()
+
+  function end (err: NodeJS.ErrnoException, socket: Socket): void {
+    // A refusal would be read as part of the response in progress, or in place of it.
+    if (!socket.writable || responses.isResponding(socket)) {
+      socket.destroy()
+      return
+    }
+    ending.add(socket)
+    refuse(err, socket)
+  }
+
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+    if (err.code !== requestLateCode || responses.isResponding(socket)) return end(err, socket)
+    late.add(socket)
+    // If the process could not run for a while, timers are handled before requests that arrived in time.
+    setImmediate(() => { if (late.delete(socket) && !responses.isResponding(socket)) end(err, socket) })
+  })
+
+  return {
+    add: socket => { ending.add(socket) },
+    has (socket) {
+      late.delete(socket)
+      return ending.has(socket)
+    }
+  }
+}
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { trackResponses } from '@yuccawharf/clients'
+import { refuseUnreadable, requestLateCode } from '@yuccawharf/clients'
 import { createBodyReader } from './body-reader'
 import { abortResponse, createClientExchange, refusalBody, sendRefusal, sendUnreadRefusal, type ClientExchange, type ExchangeContext, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
@@ -85,7 +85,7 @@
 const unreadableStatuses: Record<string, RefusalStatus> = {
   HPE_HEADER_OVERFLOW: { status: 431, outcome: 'invalid' },
   // The request was not read, and the node may be too busy to read it.
-  ERR_HTTP_REQUEST_TIMEOUT: { status: 408, outcome: 'not-run' }
+  [requestLateCode]: { status: 408, outcome: 'not-run' }
 }
 
 /** Rejects input that is not HTTP, too slow or too large, and closes the connection. */
@@ -103,8 +103,6 @@
   const requestBytes = createRequestBytes(keptBytesLimit(env.memoryBytes))
   const bodies = createBodyReader(requestBytes, env.now)
   const heldHeaders = createHeaderBytes(env.memoryBytes)
-  /** Connections that end with a refusal. */
-  const refusedSockets = new WeakSet<Socket>()
 
   async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = env.now()
@@ -129,7 +127,7 @@
     const refuseBody = (id: string, refusal: BodyRefusal): void => {
       const { status, reason, retryAfterMs } = bodyRefusals[refusal]
       env.log.info('request-refused', { id, status, reason, requestBytes: requestBytes.total(), afterMs: Math.round(env.now() - arrivedAt) })
-      refusedSockets.add(req.socket)
+      ending.add(req.socket)
       sendUnreadRefusal(req, res, { status, outcome: 'not-run' }, reason, refusalHeaders(id, retryAfterMs))
     }
     const size = headerBytes(req.rawHeaders)
@@ -184,7 +182,7 @@
   }, limitPipelining((req, res) => {
     req.on('error', () => {})
     res.on('error', () => {})
-    if (refusedSockets.has(req.socket)) {
+    if (ending.has(req.socket)) {
       // Its client sees the connection close without a response, so it must not run.
       req.resume()
       return
@@ -199,12 +197,7 @@
       if (!res.writableEnded) abortResponse(res)
     }).then(() => responded).finally(() => { running -= 1 })
   }, unanswered => { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) }))
-  const responses = trackResponses(server)
-  server.on('clientError', (err, socket) => {
-    // A refusal would be read as part of the response in progress, or in place of it.
-    if (!socket.writable || responses.isResponding(socket)) socket.destroy()
-    else refuseConnection(err, socket as Socket)
-  })
+  const ending = refuseUnreadable(server, refuseConnection)
 
   return {
     server,
--- a/packages/node/src/http-router.ts
+++ b/packages/node/src/http-router.ts
@@ -1,7 +1,7 @@
 /** HTTP server of a node: routing, limits on header size and receive times, and isolation of failing requests. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { trackResponses } from '@yuccawharf/clients'
+import { refuseUnreadable, requestLateCode } from '@yuccawharf/clients'
 import { createProblem, sendProblem } from './problem'
 
 export type RouteContext = {
@@ -83,7 +83,7 @@
 
 const clientErrors: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+  [requestLateCode]: '408 Request Timeout'
 }
 
 /** Sends a problem for input that isn't HTTP, or is too slow or too large, and closes the connection. */
@@ -104,12 +104,10 @@
     // Interval at which the two receive timeouts are enforced: a slow sender is disconnected within a second of its limit.
     connectionsCheckingInterval: 1000,
     noDelay: true
-  }, handler)
-  const responses = trackResponses(server)
-  server.on('clientError', (err, socket) => {
-    // A refusal would be read as part of the response in progress, or in place of it.
-    if (!socket.writable || responses.isResponding(socket)) socket.destroy()
-    else refuseConnection(err, socket as Socket)
+  }, (req, res) => {
+    if (ending.has(req.socket)) req.resume()
+    else handler(req, res)
   })
+  const ending = refuseUnreadable(server, refuseConnection)
   return server
 }
