Close a connection of a leaving node with its last response

Cause: every response of a leaving node said that its connection closes, and Node.js closes it after that response. Requests that the client had already sent behind it on the same connection ran at their servers, and their responses were lost.

Change: a response closes its connection only if its request is the newest one of that connection; from then on no request that is read there runs.

Before: pipelined-stop.test.ts 1 of 3 (three requests ran, one was answered, both for requests before the stop and after its beginning). After: 3 of 3. planned-stop, stop-paths, front-server, the tests of pipelining and of refused bodies, and process-ends pass.

The soak does not send several requests at once on a connection, so it did not show this.

--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -44,7 +44,7 @@
   codec: HeaderCodec
   kept: KeptBytes
   log: DecisionLog
-  /** Whether the node is leaving, so that responses close their connection. */
+  /** Called when the head of the response is written. @returns whether the response closes its connection */
   closing (): boolean
 }
 
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -104,13 +104,23 @@
   const bodies = createBodyReader(requestBytes, env.now)
   const heldHeaders = createHeaderBytes(env.memoryBytes)
 
+  /** Newest request of each connection. */
+  const newest = new WeakMap<Socket, IncomingMessage>()
+
+  /** Whether the response to the request closes its connection: not before responses to requests behind it, and none runs behind it. */
+  function closesConnection (req: IncomingMessage): boolean {
+    if (!env.closing() || newest.get(req.socket) !== req) return false
+    ending.add(req.socket)
+    return true
+  }
+
   async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = env.now()
-    const closeHeaders: Record<string, string> = env.closing() ? { connection: 'close' } : {}
+    const closing = (): boolean => closesConnection(req)
     const table = env.routes()
     const refusalHeaders = (id: string, retryAfterMs?: number): Record<string, string> => {
       const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': env.codec.retryAfter(retryAfterMs) }
-      return { ...env.codec.identify(id), ...retry, ...closeHeaders }
+      return { ...env.codec.identify(id), ...retry, ...(closing() ? { connection: 'close' } : {}) }
     }
     const refuse = (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): void => {
       const { id } = env.codec.request(req.rawHeaders)
@@ -156,7 +166,7 @@
       return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
     }
     const context: ExchangeContext = { req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt: deadlineAt() }
-    const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, log: env.log, closing: env.closing })
+    const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, log: env.log, closing })
     // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
     await nextTurn()
     await nextTurn()
@@ -187,6 +197,7 @@
       req.resume()
       return
     }
+    newest.set(req.socket, req)
     running += 1
     received += 1
     // Emitted when the last byte was handed to the system, or when the connection is closed.
