Read the body of a request that a stopping node refuses

Cause: a stopping node refused a request as soon as it had its head, and closed the connection. The body that was still on its way then met a closed connection, which the system resets, and a client that had not read the refusal yet lost it. It must not send a non-idempotent request again after that.

Change: such a refusal discards the rest of the body for up to 1 s before the connection closes, like that of a refused body.

Before: unread-body-stop.test.ts 0 of 1. After: 1 of 1. planned-stop, stop-paths, front-server, refused-body-pipeline, pipelined-stop and process-ends pass.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -125,7 +125,9 @@
     const refuse = (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): void => {
       const { id } = env.codec.request(req.rawHeaders)
       env.log.info('request-refused', { id, status, reason, configVersion: table?.config.version })
-      sendRefusal(res, { status, outcome }, reason, refusalHeaders(id, retryAfterMs))
+      const headers = refusalHeaders(id, retryAfterMs)
+      if ('connection' in headers) return sendUnreadRefusal(req, res, { status, outcome }, reason, headers)
+      sendRefusal(res, { status, outcome }, reason, headers)
       req.resume()
     }
     const refuseHeaders = (pipelined: boolean): void => {
