Read what has arrived before an idle connection is closed

Cause: the idle time of kept connections ends in a timer too, so after a pause a connection was reset although the client's next request waited in its socket.

Change: an idle connection is closed after one more turn of the event loop, unless a request has arrived on it.

--- a/packages/clients/src/unreadable-requests.ts
+++ b/packages/clients/src/unreadable-requests.ts
@@ -1,4 +1,4 @@
-/** Ends connections of an HTTP server on which no request can be read. */
+/** Ends connections of an HTTP server on which no request arrives in time, or none that can be read. */
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { trackResponses } from './response-tracker'
@@ -13,7 +13,11 @@
 /** Error of a connection on which a request does not arrive in time. */
 export const requestLateCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 
-/** @param refuse - sends a refusal and closes the connection */
+/**
+ * Refuses what cannot be read, and closes connections that are idle for too long.
+ *
+ * @param refuse - sends a refusal and closes the connection
+ */
 export function refuseUnreadable (server: Server, refuse: (err: NodeJS.ErrnoException, socket: Socket) => void): EndingConnections {
   const responses = trackResponses(server)
   const ending = new WeakSet<Socket>()
@@ -30,12 +34,17 @@
     refuse(err, socket)
   }
 
-  server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
-    if (err.code !== requestLateCode || responses.isResponding(socket)) return end(err, socket)
+  /** If the process could not run for a while, timers are handled before requests that arrived in time. */
+  function afterReading (socket: Socket, endLate: () => void): void {
     late.add(socket)
-    // If the process could not run for a while, timers are handled before requests that arrived in time.
-    setImmediate(() => { if (late.delete(socket) && !responses.isResponding(socket)) end(err, socket) })
+    setImmediate(() => { if (late.delete(socket) && !responses.isResponding(socket)) endLate() })
+  }
+
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+    if (err.code !== requestLateCode || responses.isResponding(socket)) end(err, socket)
+    else afterReading(socket, () => { end(err, socket) })
   })
+  server.on('timeout', socket => { afterReading(socket, () => { socket.destroy() }) })
 
   return {
     add: socket => { ending.add(socket) },
--- a/packages/gateway/src/requests-after-pause.test.ts
+++ b/packages/gateway/src/requests-after-pause.test.ts
@@ -1,4 +1,4 @@
-/** Requests whose heads are complete only after the header timeout, because the process or the client paused. */
+/** Requests that are read only after the header timeout or the idle time, because the process or the client paused. */
 import { connect, type AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Worker } from 'node:worker_threads'
@@ -14,7 +14,7 @@
 const test = suite('requests after a pause')
 
 const log = { info () {}, warn () {}, error () {} } as unknown as DecisionLog
-/** Longer than the header timeout with its margin and the interval of its check, in ms. */
+/** Longer than the header timeout or the idle time with its margin and the interval of its check, in ms. */
 const pauseMs = 3500
 
 /** Opens a connection, and sends a request on it while the thread of the node cannot run. */
@@ -26,7 +26,7 @@
   socket.on('data', chunk => { received += chunk.toString('latin1') })
   socket.on('error', () => {})
   parentPort.on('message', message => {
-    if (message === 'send') socket.write('POST /order/x HTTP/1.1\\r\\nhost: a.example\\r\\nx-id: r1\\r\\ncontent-length: 2\\r\\n\\r\\nhi')
+    if (message !== 'received') socket.write('POST /order/x HTTP/1.1\\r\\nhost: a.example\\r\\nx-id: ' + message + '\\r\\ncontent-length: 2\\r\\n\\r\\nhi')
     else parentPort.postMessage(received)
   })
 `
@@ -37,7 +37,7 @@
 
 test.before.each(async () => {
   ran = []
-  const table = createRouteTable({ ...testConfig, limits: { ...testConfig.limits, headerTimeoutMs: 100 } })
+  const table = createRouteTable({ ...testConfig, limits: { ...testConfig.limits, headerTimeoutMs: 100, idleTimeoutMs: 100 } })
   front = createFrontServer({
     now: () => performance.now(),
     codec: testCodec,
@@ -62,19 +62,32 @@
   front.server.close()
 })
 
-// Guards against a request that runs although its client was told that it has not run and never will.
-test('a request that waited through a pause of the process is run and answered', async () => {
-  const client = new Worker(waitingClient, { eval: true, workerData: { port } })
-  await new Promise(resolve => client.once('message', resolve))
-  await sleep(100)
-  client.postMessage('send')
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, pauseMs)
-  await sleep(500)
-  client.postMessage('received')
-  const received = await new Promise<string>(resolve => client.once('message', resolve))
-  await client.terminate()
-  assert.equal(ran, ['r1'])
-  assert.match(received, /^HTTP\/1\.1 200 /)
+// Guards against requests that are reset, or run although they were refused as not run, because the time of their connection ended in a pause.
+for (const earlier of [[], ['r0']]) {
+  test(`a request that waited through a pause of the process on a connection with ${earlier.length} earlier ones is run and answered`, async () => {
+    const client = new Worker(waitingClient, { eval: true, workerData: { port } })
+    await new Promise(resolve => client.once('message', resolve))
+    for (const id of earlier) client.postMessage(id)
+    await sleep(200)
+    client.postMessage('r1')
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, pauseMs)
+    await sleep(500)
+    client.postMessage('received')
+    const received = await new Promise<string>(resolve => client.once('message', resolve))
+    await client.terminate()
+    assert.equal(ran, [...earlier, 'r1'])
+    assert.equal([...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status), [...earlier, 'r1'].map(() => '200'))
+  })
+}
+
+// Guards against connections that stay open for ever.
+test('a connection that is idle for too long is closed', async () => {
+  const socket = connect(port, '127.0.0.1')
+  const closed = new Promise(resolve => { socket.on('close', resolve) })
+  socket.resume()
+  socket.write('GET /read/x HTTP/1.1\r\nhost: a.example\r\nx-id: r1\r\n\r\n')
+  await Promise.race([closed, sleep(2 * pauseMs)])
+  assert.ok(socket.destroyed)
 })
 
 // Guards against a slow client whose request runs after its refusal as not run.
