--- /dev/null
+++ b/packages/clients/src/unreadable-requests.ts
@@ -0,0 +1,56 @@
+/** Ends connections of an HTTP server on which no request arrives in time, or none that can be read. */
+import type { Server } from 'node:http'
+import type { Socket } from 'node:net'
+import { trackResponses } from './response-tracker'
+
+export type EndingConnections = {
+  /** The connection ends with a refusal, so what is read on it from now on must not run. */
+  add (socket: Socket): void
+  /** To be called for each request, before anything else. */
+  has (socket: Socket): boolean
+}
+
+/** Error of a connection on which a request does not arrive in time. */
+export const requestLateCode = 'ERR_HTTP_REQUEST_TIMEOUT'
+
+/**
+ * Refuses what cannot be read, and closes connections that are idle for too long.
+ *
+ * @param refuse - sends a refusal and closes the connection
+ */
+export function refuseUnreadable (server: Server, refuse: (err: NodeJS.ErrnoException, socket: Socket) => void): EndingConnections {
+  const responses = trackResponses(server)
+  const ending = new WeakSet<Socket>()
+  /** Connections whose time is over, while what has arrived on them is read. */
+  const late = new WeakSet<Socket>()
+
+  function end (err: NodeJS.ErrnoException, socket: Socket): void {
+    // A refusal would be read as part of the response in progress, or in place of it.
+    if (!socket.writable || responses.isResponding(socket)) {
+      socket.destroy()
+      return
+    }
+    ending.add(socket)
+    refuse(err, socket)
+  }
+
+  /** If the process could not run for a while, timers are handled before requests that arrived in time. */
+  function afterReading (socket: Socket, endLate: () => void): void {
+    late.add(socket)
+    setImmediate(() => { if (late.delete(socket) && !responses.isResponding(socket)) endLate() })
+  }
+
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+    if (err.code !== requestLateCode || responses.isResponding(socket)) end(err, socket)
+    else afterReading(socket, () => { end(err, socket) })
+  })
+  server.on('timeout', socket => { afterReading(socket, () => { socket.destroy() }) })
+
+  return {
+    add: socket => { ending.add(socket) },
+    has (socket) {
+      late.delete(socket)
+      return ending.has(socket)
+    }
+  }
+}
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { createBoundedServer, trackResponses } from '@yuccawharf/clients'
+import { createBoundedServer, refuseUnreadable, requestLateCode } from '@yuccawharf/clients'
 import { createBodyReader } from './body-reader'
 import { abortResponse, createClientExchange, refusalBody, sendRefusal, sendUnreadRefusal, type ClientExchange, type ExchangeContext, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
@@ -84,7 +84,7 @@
 const unreadableStatuses: Record<string, RefusalStatus> = {
   HPE_HEADER_OVERFLOW: { status: 431, outcome: 'invalid' },
   // The request was not read, and the node may be too busy to read it.
-  ERR_HTTP_REQUEST_TIMEOUT: { status: 408, outcome: 'not-run' }
+  [requestLateCode]: { status: 408, outcome: 'not-run' }
 }
 
 /** Rejects input that is not HTTP, too slow or too large, and closes the connection. */
@@ -102,21 +102,31 @@
   const requestBytes = createRequestBytes(keptBytesLimit(env.memoryBytes))
   const bodies = createBodyReader(requestBytes, env.now)
   const heldHeaders = createHeaderBytes(env.memoryBytes)
-  /** Connections that end with a refusal. */
-  const refusedSockets = new WeakSet<Socket>()
+
+  /** Newest request of each connection. */
+  const newest = new WeakMap<Socket, IncomingMessage>()
+
+  /** Whether the response to the request closes its connection: not before responses to requests behind it, and none runs behind it. */
+  function closesConnection (req: IncomingMessage): boolean {
+    if (!env.closing() || newest.get(req.socket) !== req) return false
+    ending.add(req.socket)
+    return true
+  }
 
   async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = env.now()
-    const closeHeaders: Record<string, string> = env.closing() ? { connection: 'close' } : {}
+    const closing = (): boolean => closesConnection(req)
     const table = env.routes()
     const refusalHeaders = (id: string, retryAfterMs?: number): Record<string, string> => {
       const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': env.codec.retryAfter(retryAfterMs) }
-      return { ...env.codec.identify(id), ...retry, ...closeHeaders }
+      return { ...env.codec.identify(id), ...retry, ...(closing() ? { connection: 'close' } : {}) }
     }
     const refuse = (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): void => {
       const { id } = env.codec.request(req.rawHeaders)
       env.log.info('request-refused', { id, status, reason, configVersion: table?.config.version })
-      sendRefusal(res, { status, outcome }, reason, refusalHeaders(id, retryAfterMs))
+      const headers = refusalHeaders(id, retryAfterMs)
+      if ('connection' in headers) return sendUnreadRefusal(req, res, { status, outcome }, reason, headers)
+      sendRefusal(res, { status, outcome }, reason, headers)
       req.resume()
     }
     const refuseHeaders = (pipelined: boolean): void => {
@@ -128,7 +138,7 @@
     const refuseBody = (id: string, refusal: BodyRefusal): void => {
       const { status, reason, retryAfterMs } = bodyRefusals[refusal]
       env.log.info('request-refused', { id, status, reason, requestBytes: requestBytes.total(), afterMs: Math.round(env.now() - arrivedAt) })
-      refusedSockets.add(req.socket)
+      ending.add(req.socket)
       sendUnreadRefusal(req, res, { status, outcome: 'not-run' }, reason, refusalHeaders(id, retryAfterMs))
     }
     const size = headerBytes(req.rawHeaders)
@@ -157,7 +167,7 @@
       return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
     }
     const context: ExchangeContext = { req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt: deadlineAt() }
-    const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, log: env.log, closing: env.closing })
+    const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, log: env.log, closing })
     // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
     await nextTurn()
     await nextTurn()
@@ -176,11 +186,12 @@
   const listener: RequestListener = (req, res) => {
     req.on('error', () => {})
     res.on('error', () => {})
-    if (refusedSockets.has(req.socket)) {
+    if (ending.has(req.socket)) {
       // Its client sees the connection close without a response, so it must not run.
       req.resume()
       return
     }
+    newest.set(req.socket, req)
     running += 1
     received += 1
     // Emitted when the last byte was handed to the system, or when the connection is closed.
@@ -199,12 +210,7 @@
     requestTimeout: 0,
     noDelay: true
   }, unanswered => { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) })
-  const responses = trackResponses(server)
-  server.on('clientError', (err, socket) => {
-    // A refusal would be read as part of the response in progress, or in place of it.
-    if (!socket.writable || responses.isResponding(socket)) socket.destroy()
-    else refuseConnection(err, socket as Socket)
-  })
+  const ending = refuseUnreadable(server, refuseConnection)
 
   return {
     server,
--- a/packages/node/src/http-router.ts
+++ b/packages/node/src/http-router.ts
@@ -1,7 +1,7 @@
 /** HTTP server of a node: routing, limits on header size and receive times, and isolation of failing requests. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { createBoundedServer, trackResponses } from '@yuccawharf/clients'
+import { createBoundedServer, refuseUnreadable, requestLateCode } from '@yuccawharf/clients'
 import { createProblem, sendProblem } from './problem'
 
 export type RouteContext = {
@@ -83,7 +83,7 @@
 
 const clientErrors: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+  [requestLateCode]: '408 Request Timeout'
 }
 
 /** Sends a problem for input that isn't HTTP, or is too slow or too large, and closes the connection. */
@@ -96,7 +96,10 @@
 
 /** Creates the server; the caller starts listening. */
 export function createHttpServer (handler: (req: IncomingMessage, res: ServerResponse) => void, limits: HttpLimits): Server {
-  const server = createBoundedServer(handler, {
+  const server = createBoundedServer((req, res) => {
+    if (ending.has(req.socket)) req.resume()
+    else handler(req, res)
+  }, {
     maxHeaderSize: limits.headerBytes,
     headersTimeout: limits.headersMs,
     requestTimeout: limits.requestMs,
@@ -105,11 +108,6 @@
     connectionsCheckingInterval: 1000,
     noDelay: true
   })
-  const responses = trackResponses(server)
-  server.on('clientError', (err, socket) => {
-    // A refusal would be read as part of the response in progress, or in place of it.
-    if (!socket.writable || responses.isResponding(socket)) socket.destroy()
-    else refuseConnection(err, socket as Socket)
-  })
+  const ending = refuseUnreadable(server, refuseConnection)
   return server
 }
