Let the node that sends a request judge the version that it runs on

Cause: only the owner of an engine judged whether an older replica may still be used. An owner that was stopped, or reads late, grants on what it knew before, without a version, and the node that sends the request, which may have known the new version all the while, sent it as granted. The rule binds the sending node.

Change: each node keeps the announcements of each adapter with their times. A grant names the version of the replica also if it is an older one.

--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -3,6 +3,7 @@
  * it, continues an interrupted stream on another engine.
  */
 import type { RetryBudget } from '@yuccawharf/coordination'
+import type { AdapterVersions } from './adapter-versions'
 import { startAttempt, type Attempt, type AttemptResult } from './attempt'
 import { withoutLength, type ClientExchange } from './client-exchange'
 import type { BackendServer, ModelDemand } from './cluster-types'
@@ -11,6 +12,7 @@
 import type { Grant, GrantClient } from './grant-client'
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders } from './platform-interface'
+import { cacheScope } from './prompt-cache'
 import type { ServerRestrictions } from './server-restrictions'
 import type { Upstream } from './upstream'
 
@@ -20,6 +22,7 @@
   upstream: Upstream
   kept: KeptBytes
   grants: GrantClient
+  versions: Pick<AdapterVersions, 'versionToName'>
   log: DecisionLog
   /** Engines that accept requests according to the store. */
   engines (service: string): BackendServer[]
@@ -59,6 +62,8 @@
   /** Sent with the first event, so that the request can still be retried if the server fails before that. */
   let head: { status: number, headers: RawHeaders } | undefined
   let current: { grant: Grant, attempt: Attempt } | undefined
+  /** Version that the last attempt named. */
+  let version: number | undefined
   let pendingGrantId: string | undefined
 
   budget.recordAttempt()
@@ -159,6 +164,7 @@
     const { server } = grant
     sentTo.add(server.id)
     let firstEventSeen = false
+    version = env.versions.versionToName(cacheScope(demand!), grant.version, env.now())
     const attempt = startAttempt({
       codec: env.codec,
       upstream: env.upstream,
@@ -172,7 +178,7 @@
           instanceId: server.id,
           remainingMs: exchange.deadlineAt - env.now(),
           priority: Math.min(maxPriority, route.priority),
-          ...(grant.version === undefined ? {} : { version: grant.version }),
+          ...(version === undefined ? {} : { version }),
           ...(lastEventId === undefined ? {} : { lastEventId })
         }),
         body: exchange.body,
@@ -221,7 +227,7 @@
       reason: 'reason' in result ? result.reason : undefined,
       connectionLost: 'connectionLost' in result ? result.connectionLost : undefined,
       framing: 'framing' in result ? result.framing : undefined,
-      version: grant.version,
+      version,
       firstEventAfterMs,
       longestPauseMs: firstEventAfterMs === undefined ? undefined : longestPauseMs,
       afterMs: Math.round(env.now() - exchange.arrivedAt)
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -127,7 +127,8 @@
       if (replica.state === 'loading') replica.probeSentAt ??= now
     }
     const newest = versions.get(req.scope)?.newest()
-    const version = replica !== undefined && newest !== undefined && isCurrent(replica, req.scope) ? newest : undefined
+    // The version of an older replica too: the node that sends the request decides whether it may still be used.
+    const version = replica === undefined || newest === undefined ? undefined : isCurrent(replica, req.scope) ? newest : replica.version
     return {
       type: 'grant',
       request: req.id,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -97,7 +97,7 @@
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
   const pools = createServicePools()
-  const versions = createAdapterVersions()
+  const versions = createAdapterVersions(settings.bounds.versionMs)
   const ownerStatuses = createOwnerStatusCache(clock)
   const feedCache = createFeedCache()
   const timers: NodeJS.Timeout[] = []
@@ -304,7 +304,7 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, kept, grants, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, kept, grants, versions, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
     await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget })
   }
@@ -347,7 +347,7 @@
       if (value.type === 'config') applyConfig(value.config, offset)
       else if (value.type === 'adapter-version') {
         const { model, adapter, version } = value
-        if (!versions.add(value)) continue
+        if (!versions.add(value, recent ? now() : -Infinity)) continue
         log.info('adapter-version', { model, adapter, version, offset, recent })
         owner.setVersion({ model, adapter, version }, recent)
       } else log.warn('operator-record-unreadable', { key, offset, reason: value.reason })
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -17,7 +17,7 @@
     const headers = raw.filter((_, index) => !['connection', 'host', 'content-length', 'transfer-encoding'].includes(raw[index - index % 2]!.toLowerCase()))
     return { id: valueOf(raw, 'x-id') ?? '', headers, ...(adapter === undefined && partIds === undefined ? {} : { demand }) }
   },
-  attempt: (metadata, { instanceId, remainingMs }) => [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs))],
+  attempt: (metadata, { instanceId, remainingMs, version }) => [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs)), ...(version === undefined ? [] : ['X-Version', String(version)])],
   response (status, raw) {
     const requestId = valueOf(raw, 'x-id')
     const limit = valueOf(raw, 'x-limit')
--- a/packages/gateway/src/version-history.ts
+++ b/packages/gateway/src/version-history.ts
@@ -12,6 +12,8 @@
   /** @returns time of the announcement that made a loaded version an older one; Infinity if there is none */
   outdatedSince (loaded: LoadedVersion): number
   newest (): number
+  /** @returns the newest version of those announced up to then, if any was */
+  newestAt (time: number): number | undefined
 }
 
 /** Announcements that are kept; the time of an earlier one then counts for its successor. */
@@ -35,6 +37,7 @@
       const oldest = version ?? announcements.findLast(({ latestAt }) => latestAt < loadStartedAt)?.version ?? -Infinity
       return announcements.find(announced => announced.version > oldest)?.at ?? Infinity
     },
-    newest: () => announcements.at(-1)?.version ?? -Infinity
+    newest: () => announcements.at(-1)?.version ?? -Infinity,
+    newestAt: time => announcements.findLast(({ at }) => at <= time)?.version
   }
 }
