Count a version of an adapter from the last turn before a stop of the process

Cause: a version that a read of the operator's records found counted as announced when it was handled, if the read had been sent no longer ago than its wait and 1 s: up to 3.5 s at owners of engines, 26 s at other nodes, which may become owners. A process that is stopped, or whose read stalls and is sent again, thus used older replicas for as long beyond their time. Class: an upper bound of a time is taken for the time.

Change: the feed states a time after which its records were written: the last turn of the event loop in which its read still waited, or, for a read that was just sent, failed or was aborted before, the last time at which the store is known to have had nothing beyond the position. A mark of a turn counts once the sockets have been read after it. Times from before a suspension count for nothing, as before. A load counts as one of the version only if it began after the node had heard of it.

--- a/packages/gateway/src/adapter-versions.test.ts
+++ b/packages/gateway/src/adapter-versions.test.ts
@@ -9,7 +9,7 @@
 test('an earlier version does not replace a newer one', () => {
   const versions = createAdapterVersions(5000)
   const adapter = { model: 'base', adapter: 'a1' }
-  assert.equal([2, 5, 3, 5].map(version => versions.add({ ...adapter, version }, 0)), [true, true, false, false])
+  assert.equal([2, 5, 3, 5].map(version => versions.add({ ...adapter, version }, 0, 0)), [true, true, false, false])
   assert.is(versions.newest(cacheScope(adapter)), 5)
   assert.is(versions.newest(cacheScope({ model: 'base', adapter: 'a2' })), undefined)
 })
@@ -20,12 +20,12 @@
   const adapter = { model: 'base', adapter: 'a1' }
   const named = (granted: number | undefined, now: number): number | undefined => versions.versionToName(cacheScope(adapter), granted, now)
   assert.equal([undefined, 3].map(granted => named(granted, 0)), [undefined, 3])
-  versions.add({ ...adapter, version: 2 }, 100)
-  versions.add({ ...adapter, version: 3 }, 2100)
+  versions.add({ ...adapter, version: 2 }, 100, 100)
+  versions.add({ ...adapter, version: 3 }, 2100, 2100)
   assert.equal([undefined, 1, 2, 3].map(granted => named(granted, 4099)), [undefined, 1, 2, 3], 'all may still be in use')
   assert.equal([undefined, 1, 2, 3, 4].map(granted => named(granted, 4100)), [3, 3, 2, 3, 4], 'version 2 must be in use')
   assert.equal([undefined, 1, 2, 3, 4].map(granted => named(granted, 6100)), [3, 3, 3, 3, 4], 'version 3 must be in use')
-  versions.add({ ...adapter, version: 5 }, -Infinity)
+  versions.add({ ...adapter, version: 5 }, -Infinity, 6200)
   assert.equal([undefined, 4, 5].map(granted => named(granted, 6200)), [5, 5, 5], 'it may have been announced long ago')
 })
 
--- a/packages/gateway/src/adapter-versions.ts
+++ b/packages/gateway/src/adapter-versions.ts
@@ -5,10 +5,10 @@
 
 export type AdapterVersions = {
   /**
-   * @param at - time of the announcement in ms, or -Infinity if it may have been long ago
+   * @param at - earliest time of the announcement in ms, or -Infinity if it may have been long ago
    * @returns whether the version is newer than the one known before
    */
-  add (version: AdapterVersion, at: number): boolean
+  add (version: AdapterVersion, at: number, now: number): boolean
   /** @param scope - model and adapter */
   newest (scope: string): number | undefined
   /**
@@ -27,11 +27,11 @@
 export function createAdapterVersions (versionMs: number): AdapterVersions {
   const histories = new Map<string, VersionHistory>()
   return {
-    add ({ model, adapter, version }, at) {
+    add ({ model, adapter, version }, at, now) {
       const scope = cacheScope({ model, adapter })
       const history = histories.get(scope) ?? createVersionHistory()
       histories.set(scope, history)
-      return history.announce(version, at)
+      return history.announce(version, at, now)
     },
     newest: scope => histories.get(scope)?.newest(),
     versionToName (scope, granted, now) {
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -62,7 +62,8 @@
   receiveLogEnd (node: string, end: number): void
   /** Applies what another owner has seen of a crash. */
   receiveEvidence (message: EvidenceMessage): void
-  setVersion (version: AdapterVersion, recent: boolean): void
+  /** @param writtenAfter - time after which the version was announced, in ms; -Infinity if unknown */
+  setVersion (version: AdapterVersion, writtenAfter: number): void
   nodeLost (node: string): void
   /** Handles claims, deadlines and reports; called every few tens of ms. */
   tick (): void
@@ -338,7 +339,7 @@
     },
     receiveLogEnd: (node, end) => ownership.nodeKnows(node, end, options.fleetSize(), now()),
     receiveEvidence: message => performEvidence(evidence.receive(message, now())),
-    setVersion: (version, recent) => perform(scheduler.setVersion(version, recent, now())),
+    setVersion: (version, writtenAfter) => perform(scheduler.setVersion(version, writtenAfter, now())),
     nodeLost (node) {
       for (const [id, submission] of submissions) {
         if (submission.node === node) submissions.delete(id)
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -71,8 +71,8 @@
 export type EngineScheduler = {
   /** Sets the engines that this node owns. Requests are granted only to these. */
   setEngines (engines: OwnedEngine[], now: number): SchedulerAction[]
-  /** @param recent - whether the version was announced just now; if not, it may already be mandatory */
-  setVersion (version: AdapterVersion, recent: boolean, now: number): SchedulerAction[]
+  /** @param writtenAfter - time after which the version was announced, in ms; -Infinity if unknown */
+  setVersion (version: AdapterVersion, writtenAfter: number, now: number): SchedulerAction[]
   submit (req: ScheduledRequest, now: number): SchedulerAction[]
   cancel (id: string, now: number): SchedulerAction[]
   firstEvent (id: string, now: number): SchedulerAction[]
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -250,7 +250,7 @@
   const scheduler = createScheduler([engine('e1', ['a1'])], { e1: ['a1'] })
   scheduler.submit(request('r1', 'a1'), 0)
   scheduler.firstEvent('r1', 90)
-  const announced = filterActions(scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, true, 100), 'command')
+  const announced = filterActions(scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, 100, 100), 'command')
   assert.equal(announced, [], 'the replica of a running request stays loaded')
   const [unload] = filterActions(scheduler.ended('r1', 'ok', 300), 'command')
   assert.is(unload?.command.operation, 'unload')
@@ -295,10 +295,10 @@
     const ids = ['e1', 'e2', 'e3']
     const scheduler = createScheduler(ids.map(id => engine(id, ['a1'])), Object.fromEntries(ids.map(id => [id, ['a1']])))
     let now = 100
-    for (let version = 2; now < 100 + 3500; version++, now += gapMs) scheduler.setVersion({ model: 'base', adapter: 'a1', version }, true, now)
+    for (let version = 2; now < 100 + 3500; version++, now += gapMs) scheduler.setVersion({ model: 'base', adapter: 'a1', version }, now, now)
     const early = filterActions(scheduler.submit(request('r1', 'a1', { deadlineAt: 60_000 }), 3590), 'grant')
     assert.is(early.length, 1, `versions every ${gapMs} ms: the first one need not be in use yet`)
-    scheduler.setVersion({ model: 'base', adapter: 'a1', version: 99 }, true, 3595)
+    scheduler.setVersion({ model: 'base', adapter: 'a1', version: 99 }, 3595, 3595)
     const late = filterActions(scheduler.submit(request('r2', 'a1', { deadlineAt: 60_000 }), 3610), 'grant')
     assert.equal(late, [], `versions every ${gapMs} ms: the first one must be in use`)
   }
@@ -307,7 +307,7 @@
 // Guards against a node that has just started or was partitioned and uses an older version as if its successor had just been announced.
 test('does not use an older replica if the new version may have been announced long ago', () => {
   const scheduler = createScheduler([engine('e1', ['a1'])], { e1: ['a1'] })
-  scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, false, 100)
+  scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, -Infinity, 100)
   assert.equal(filterActions(scheduler.submit(request('r1', 'a1'), 110), 'grant'), [])
 })
 
@@ -315,7 +315,7 @@
 test('a replica of unstated version that another owner loaded is as old as the oldest version', () => {
   const models = [{ name: 'base', adapters: [{ name: 'a1' }] }]
   const scheduler = createScheduler([], {})
-  scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, true, 100)
+  scheduler.setVersion({ model: 'base', adapter: 'a1', version: 2 }, 100, 100)
   scheduler.setEngines([{ server: engine('e1', [], { models }), spec }], 200)
   scheduler.applyReport('e1', report(0, [], { models }), 200)
   assert.equal(filterActions(scheduler.submit(request('r1', 'a1', { deadlineAt: 60_000 }), 4000), 'grant'), [])
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -327,11 +327,11 @@
       }
       return decide(now)
     },
-    setVersion ({ model, adapter, version }, recent, now) {
+    setVersion ({ model, adapter, version }, writtenAfter, now) {
       const scope = cacheScope({ model, adapter })
       const history = versions.get(scope) ?? createVersionHistory()
       versions.set(scope, history)
-      if (!history.announce(version, recent ? now : -Infinity)) return []
+      if (!history.announce(version, writtenAfter, now)) return []
       // Engines have only older versions of the adapter in memory.
       for (const engine of engines.values()) engine.warmAdapters.delete(scope)
       return decide(now)
--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -36,7 +36,7 @@
     aborted () {},
     stalled: () => { events.push('stalled') },
     call () {}
-  }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
+  }, { now: () => performance.now(), lastTurn: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
   return { events, calls }
 }
 
@@ -66,7 +66,7 @@
       return await new Promise(resolve => signal?.addEventListener('abort', () => resolve(Err({ type: 'unavailable', reason: 'cancelled' }))))
     }
   }
-  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, restored () {}, failed () {}, aborted () {}, stalled () {}, call () {} }, { now: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
+  follower = followFeed(feed, { replaced () {}, changed () {}, succeeded () {}, lost () {}, regained () {}, restored () {}, failed () {}, aborted () {}, stalled () {}, call () {} }, { now: () => performance.now(), lastTurn: () => performance.now(), waitMs: () => 1000, pauseMs: () => pauseMs, retryPauseMs: () => 100 })
   await sleep(200)
   assert.equal(waits, [1000, 0, 1000])
   follower.restart()
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -11,9 +11,9 @@
   /**
    * Receives new records in order; empty if a read found none.
    *
-   * @param read - when the read was sent, so that its records were written later, and how long it was to wait for them
+   * @param writtenAfter - time after which the records were written, in ms
    */
-  changed (records: FeedRecord<Value>[], next: number, read: { sentAt: number, waitMs: number }): void
+  changed (records: FeedRecord<Value>[], next: number, writtenAfter: number): void
   /** A call succeeded; its result is at least as recent as `asOf`. */
   succeeded (asOf: number, next: number): void
   /** The feed became unreachable, or reachable again. */
@@ -35,6 +35,8 @@
 
 export type FollowerOptions = {
   now (): number
+  /** Time of the newest turn of the event loop that has read the sockets, in ms. */
+  lastTurn (): number
   /** How long the store may delay a read until a record arrives, in ms. */
   waitMs (): number
   /** Pause after a read, or after an update from a peer in place of a read, in ms. */
@@ -52,6 +54,8 @@
 const behindGraceMaxMs = 2000
 /** Consecutive failed calls after which the feed counts as lost. */
 const failuresUntilLost = 2
+/** Time beyond the wait of a read after which its response has probably been held up, in ms, so that its records may have been written long before. */
+const heldUpMs = 1000
 
 export type Follower = {
   stop (): void
@@ -85,6 +89,10 @@
   let reading: { abort: AbortController, sentAt: number } | undefined
   let graceMs = behindGraceMs
   let behindTimer: NodeJS.Timeout | undefined
+  /** Latest time at which the store is known to have had no record beyond the position. */
+  let endKnownAt = -Infinity
+  /** Whether a read failed or was aborted since then, so that it may have missed records for a while. */
+  let interrupted = false
 
   const pause = (ms: number): Promise<void> => new Promise(resolve => {
     let timer: NodeJS.Timeout | undefined
@@ -118,12 +126,14 @@
 
   function succeeded (asOf: number, next: number): void {
     position = next
+    interrupted = false
     events.succeeded(asOf, next)
   }
 
   async function failed (failure: FeedFailure, sentAt: number): Promise<void> {
     const reason = failure.type === 'unavailable' ? failure.reason : 'history was dropped'
     events.call('unavailable')
+    interrupted = true
     failures += 1
     events.failed(reason, failures, options.now() - sentAt)
     // Later ones time out on new connections, so the store itself is silent.
@@ -143,6 +153,7 @@
     if (result.err) return await failed(result.val, sentAt)
     responded(result.val.next)
     events.replaced(result.val.records, result.val.next)
+    endKnownAt = sentAt
     succeeded(sentAt, result.val.next)
   }
 
@@ -153,9 +164,10 @@
     // During an outage a read without a wait detects the store's recovery; a long poll would block until its timeout.
     const waitMs = failures > 0 ? 0 : options.waitMs()
     const result = await feed.read(from, waitMs, abort.signal)
-    const interrupted = abort.signal.aborted
+    const aborted = abort.signal.aborted
+    interrupted ||= aborted
     reading = undefined
-    if (stopped || (interrupted && result.err)) return
+    if (stopped || (aborted && result.err)) return
     if (result.err && result.val.type === 'expired') {
       events.call('expired')
       position = undefined
@@ -163,7 +175,11 @@
     }
     if (result.err) return await failed(result.val, sentAt)
     responded(result.val.next)
-    events.changed(result.val.records, result.val.next, { sentAt, waitMs })
+    const waitedUntil = !interrupted && options.now() - sentAt <= waitMs + heldUpMs ? options.lastTurn() : -Infinity
+    // A read that still waited in that turn had found nothing. One that has just been sent may find what was written before it.
+    const writtenAfter = waitedUntil > sentAt ? waitedUntil : endKnownAt
+    events.changed(result.val.records, result.val.next, writtenAfter)
+    endKnownAt = Math.max(sentAt, writtenAfter)
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
     succeeded(waited ? sentAt + waitMs : sentAt, result.val.next)
--- a/packages/gateway/src/feeds.test.ts
+++ b/packages/gateway/src/feeds.test.ts
@@ -12,9 +12,11 @@
 const test = suite('feeds')
 
 const drainMs = 500
+/** Age up to which a record counts as just written, in ms. */
+const recentMs = 500
 const log = { info () {}, warn () {}, error () {} } as unknown as DecisionLog
 
-type Node = { name: string, feeds: Feeds, states: Map<string, string>, reads: () => number, recoveries: number[], storeUnreachable: boolean, dropsUpdates: boolean, pausedMs: number, suspensionEndedAt: number, ownsEngines: boolean, recent: boolean[] }
+type Node = { name: string, feeds: Feeds, states: Map<string, string>, reads: () => number, recoveries: number[], storeUnreachable: boolean, dropsUpdates: boolean, pausedMs: number, suspensionEndedAt: number, stoppedSince: number | undefined, ownsEngines: boolean, recent: boolean[], writtenAfter: number }
 
 const shared = createFakePlatform({ name: 'any', zone: 'a', bounds: { drainMs } } as unknown as NodeSettings)
 let nodes: Node[] = []
@@ -39,11 +41,16 @@
     cache: createFeedCache(),
     now: () => performance.now() + node.pausedMs,
     suspensions: { endedAt: () => node.suspensionEndedAt },
+    lastTurn: () => node.stoppedSince ?? performance.now() + node.pausedMs,
     random: () => 0.5,
     ownsEngines: () => node.ownsEngines,
     members: () => nodes.filter(other => other !== node).map((other): FleetMember => ({ name: other.name, zone: 'a', incarnation: 1, capacity: 1, state: 'alive' })),
     sendToZone: update => { for (const other of nodes) if (other !== node && !other.dropsUpdates) other.feeds.receiveServerUpdate(JSON.parse(JSON.stringify(update))) },
-    operator (records, recent) { if (records.length > 0) node.recent.push(recent) },
+    operator (records, writtenAfter) {
+      if (records.length === 0) return
+      node.writtenAfter = writtenAfter
+      node.recent.push(performance.now() + node.pausedMs - writtenAfter < recentMs)
+    },
     servers: recordStates,
     serversReplaced: recordStates,
     serversLoaded () {},
@@ -65,6 +72,8 @@
   nodes = ['n1', 'n2'].map(startNode)
   for (const { feeds } of nodes) feeds.start()
   await sleep(drainMs)
+  // What the first read has found.
+  for (const node of nodes) node.recent.length = 0
 })
 test.after.each(() => { for (const { feeds } of nodes) feeds.stop() })
 
@@ -119,8 +128,10 @@
   }
   await announce(1)
   assert.equal(node.recent, [true])
+  node.stoppedSince = performance.now()
   node.suspensionEndedAt = performance.now()
   await announce(2)
+  node.stoppedSince = undefined
   await announce(3)
   assert.equal(node.recent, [true, false, true])
   node.pausedMs = 30_000
@@ -129,6 +140,48 @@
   assert.equal(node.recent, [true, false, true, false, true])
 })
 
+// Guards against an older version that is used for seconds longer, because the process was stopped when its successor was announced.
+test('an operator\'s record counts from the last turn before a stop of the process', async () => {
+  const [node] = nodes as [Node]
+  await sleep(20)
+  const stoppedAt = performance.now()
+  node.stoppedSince = stoppedAt
+  node.pausedMs = 3000
+  shared.operator.append('a1', { type: 'adapter-version', model: 'base', adapter: 'a1', version: 1 })
+  await sleep(20)
+  assert.equal(node.recent, [false])
+  assert.is(node.writtenAfter, stoppedAt)
+  node.stoppedSince = undefined
+  await sleep(20)
+  shared.operator.append('a1', { type: 'adapter-version', model: 'base', adapter: 'a1', version: 2 })
+  await sleep(20)
+  assert.equal(node.recent, [false, true])
+})
+
+// Guards against an older version that is used for seconds longer, because the read that was to find its successor had stalled.
+test('an operator\'s record that is found by the read after an aborted one counts from before that', async () => {
+  const [node] = nodes as [Node]
+  await sleep(20)
+  const readAt = performance.now()
+  const { read } = shared.operator
+  let stalled = true
+  shared.operator.read = async (from, waitMs, signal) => {
+    if (!stalled) return await read(from, waitMs, signal)
+    return await new Promise(resolve => signal?.addEventListener('abort', () => resolve(read(from, 0, signal))))
+  }
+  shared.operator.append('a1', { type: 'adapter-version', model: 'base', adapter: 'a1', version: 1 })
+  await sleep(50)
+  assert.equal(node.recent, [true])
+  shared.operator.append('a1', { type: 'adapter-version', model: 'base', adapter: 'a1', version: 2 })
+  await sleep(600)
+  stalled = false
+  node.feeds.peerOperatorNext((await shared.operator.newest()).unwrap().next)
+  await sleep(400)
+  shared.operator.read = read
+  assert.equal(node.recent, [true, false])
+  assert.ok(node.writtenAfter >= readAt && node.writtenAfter < readAt + 100, `${node.writtenAfter - readAt} ms`)
+})
+
 // Guards against calls to the store without a pause if the settings state no drain time.
 test('reads of the servers pause also without a drain time', async () => {
   const stated = shared.settings.bounds
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -1,5 +1,5 @@
 /** Follows the store's feeds for one node: the operator's records, the servers' entries and the fleet log. */
-import { createDatedFact, type Suspensions } from './dated-fact'
+import type { Suspensions } from './dated-fact'
 import type { DecisionLog } from './decision-log'
 import type { FleetMember } from './engine-ownership'
 import { followFeed, type Follower, type FollowerEvents, type FollowerOptions } from './feed-follower'
@@ -17,14 +17,16 @@
   cache: FeedCache
   now (): number
   suspensions: Suspensions
+  /** Time of the newest turn of the event loop that has read the sockets, in ms. */
+  lastTurn (): number
   random (): number
   ownsEngines (): boolean
   /** The other nodes; the same array until they change. */
   members (): FleetMember[]
   /** Sends what was read of the servers' entries to the other nodes of the zone. */
   sendToZone (update: ServerUpdate): void
-  /** @param recent - the records were just written; otherwise they may have been in force for a while */
-  operator (records: FeedRecord<OperatorRecord>[], recent: boolean): void
+  /** @param writtenAfter - time after which the records were written, in ms; -Infinity if unknown */
+  operator (records: FeedRecord<OperatorRecord>[], writtenAfter: number): void
   /** @param complete - whether the last entry of a server that is removed is among these records or earlier ones */
   servers (records: FeedRecord<ServerRecord>[], complete: boolean): void
   /** Receives the newest record of each key; they replace all earlier records. */
@@ -72,8 +74,6 @@
 /** Long polls of owners are shorter, in ms, because a completed read proves that the owner has seen the end of the log. */
 const ownerWaitMs = 800
 const ownerConfigWaitMs = 2500
-/** Time beyond the wait of a read after which its response has probably been held up, in ms, so that its records may have been in force for a while. */
-const heldUpMs = 1000
 /** Pause after a read of the fleet log by a node without engines, in ms per node: nodes that start together append one record each. */
 const fleetPausePerNodeMs = 10
 const fleetPauseMaxMs = 1000
@@ -169,25 +169,19 @@
     options.sendToZone(relay.updateFor(records, from, next, agoMs < recoveryRelayMs ? agoMs : undefined, entriesComplete))
   }
 
-  /** @returns whether what a read of the operator's records found was just written, as opposed to before a pause of this process */
-  function isPrompt ({ sentAt, waitMs }: { sentAt: number, waitMs: number }): boolean {
-    const read = createDatedFact<true>(waitMs + heldUpMs, options.suspensions)
-    read.record(true, sentAt)
-    return read.read(now()) !== undefined
-  }
-
   return {
     start () {
-      const base = (feed: string): Pick<FollowerOptions, 'now' | 'retryPauseMs'> => ({ now, retryPauseMs: failures => outage.failed(feed, failures, options.random()) })
+      const base = (feed: string): Pick<FollowerOptions, 'now' | 'lastTurn' | 'retryPauseMs'> => ({ now, lastTurn: options.lastTurn, retryPauseMs: failures => outage.failed(feed, failures, options.random()) })
       operator = followFeed(platform.operator, {
         ...outageEvents('operator', () => {}),
         replaced (records, next) {
           cache.replace('operator', records, next)
-          options.operator(records, false)
+          options.operator(records, -Infinity)
         },
-        changed (records, next, read) {
+        changed (records, next, writtenAfter) {
           cache.update('operator', records, next)
-          options.operator(records, operatorReachable && isPrompt(read))
+          // The monotonic clock stands still in a suspension, so a time before it says nothing about the time since.
+          options.operator(records, writtenAfter <= options.suspensions.endedAt() ? -Infinity : writtenAfter)
         },
         succeeded () { operatorReachable = true },
         lost (reason) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type { OwnedEngine } from './engine-scheduler'
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
+import { createEventLoopTurns } from './event-loop-turns'
 import { createFeeds } from './feeds'
 import { isName } from './field-checks'
 import { createFleet, nodeRecordOf } from './fleet'
@@ -93,6 +94,7 @@
   const clock = createFactClock({ now: options.now, wallClock: () => Date.now() })
   const { now } = clock
   const { settings } = platform
+  const turns = createEventLoopTurns(now)
   const startedAt = Date.now()
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
@@ -285,7 +287,7 @@
 
   function applySnapshot ({ operator, servers, fleet: nodes }: PeerSnapshot): void {
     peerOperatorNext = operator.next
-    applyOperator(operator.records, false)
+    applyOperator(operator.records, -Infinity)
     applyServers(registry.apply(servers.records, now()))
     serversLoaded ||= servers.records.length > 0
     applyFleet(nodes.records)
@@ -340,16 +342,16 @@
     owner.refresh()
   }
 
-  /** @param recent - the records were just written; otherwise they may have been in force for a while */
-  function applyOperator (records: FeedRecord<OperatorRecord>[], recent: boolean): void {
+  /** @param writtenAfter - time after which the records were written, in ms; -Infinity if unknown */
+  function applyOperator (records: FeedRecord<OperatorRecord>[], writtenAfter: number): void {
     for (const { key, offset, value } of records) {
       if (value === undefined || value.type === 'other') continue
       if (value.type === 'config') applyConfig(value.config, offset)
       else if (value.type === 'adapter-version') {
         const { model, adapter, version } = value
-        if (!versions.add(value, recent ? now() : -Infinity)) continue
-        log.info('adapter-version', { model, adapter, version, offset, recent })
-        owner.setVersion({ model, adapter, version }, recent)
+        if (!versions.add(value, writtenAfter, now())) continue
+        log.info('adapter-version', { model, adapter, version, offset, recent: writtenAfter > -Infinity, ageMs: writtenAfter === -Infinity ? undefined : Math.round(now() - writtenAfter) })
+        owner.setVersion({ model, adapter, version }, writtenAfter)
       } else log.warn('operator-record-unreadable', { key, offset, reason: value.reason })
     }
   }
@@ -382,6 +384,7 @@
     cache: feedCache,
     now,
     suspensions: clock,
+    lastTurn: turns.lastAt,
     random: options.random,
     ownsEngines: () => owner.ownsEngines(),
     members: () => fleet.members(),
@@ -435,6 +438,7 @@
   function startTimers (): void {
     const tick = (): void => {
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
+      turns.mark()
       applyServers(registry.tick(now()))
       owner.tick()
     }
--- a/packages/gateway/src/version-history.ts
+++ b/packages/gateway/src/version-history.ts
@@ -5,11 +5,12 @@
 
 export type VersionHistory = {
   /**
-   * @param at - time of the announcement, or -Infinity if it may have been long ago
+   * @param at - earliest time of the announcement in ms, or -Infinity if it may have been long ago
+   * @param heardAt - time at which this node heard of it, in ms
    * @returns whether the version is newer than all earlier ones
    */
-  announce (version: number, at: number): boolean
-  /** @returns time of the announcement that made a loaded version an older one; Infinity if there is none */
+  announce (version: number, at: number, heardAt: number): boolean
+  /** @returns earliest time of the announcement that made a loaded version an older one; Infinity if there is none */
   outdatedSince (loaded: LoadedVersion): number
   newest (): number
   /** @returns the newest version of those announced up to then, if any was */
@@ -24,9 +25,9 @@
   const announcements: { version: number, at: number, latestAt: number }[] = []
 
   return {
-    announce (version, at) {
+    announce (version, at, heardAt) {
       if (version <= (announcements.at(-1)?.version ?? -Infinity)) return false
-      announcements.push({ version, at, latestAt: at === -Infinity ? Infinity : at })
+      announcements.push({ version, at, latestAt: at === -Infinity ? Infinity : heardAt })
       if (announcements.length > maxAnnouncements) {
         const { at: earliest } = announcements.shift()!
         announcements[0]!.at = Math.min(announcements[0]!.at, earliest)
