Count a version from a peer's message that tells of it, if that came first

Cause: a read that a peer has overtaken is aborted only after 250 ms to 2 s. If its response, held up by a link that has healed for example, comes within that time, its records counted as just written.

Change: records that a read returns were written before a peer told of a position beyond the read's own.

--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -159,4 +159,27 @@
   assert.not.ok(follower!.advance(2, 4))
 })
 
+// Guards against a change that counts as new although a peer has told of it before, because the response was held up.
+test('a change that a peer has already read is no newer than the message of the peer', async () => {
+  let writtenAfter = NaN
+  let respond: (() => void) | undefined
+  const feed: Feed<string> = {
+    newest: async () => Ok(page(5, 4)),
+    read: () => new Promise(resolve => { respond = () => resolve(Ok(page(6, 5))) })
+  }
+  follower = followFeed(feed, { replaced () {}, changed (_records, _next, after) { writtenAfter = after }, succeeded () {}, lost () {}, regained () {}, restored () {}, failed () {}, aborted () {}, stalled () {}, call () {} }, { now: () => performance.now(), lastTurn: () => performance.now(), waitMs: () => 1000, pauseMs: () => 0, retryPauseMs: () => 100 })
+  await sleep(50)
+  const toldAt = performance.now()
+  follower.behind(6)
+  await sleep(150)
+  respond!()
+  await sleep(10)
+  assert.ok(writtenAfter >= toldAt && writtenAfter < toldAt + 50, `${writtenAfter - toldAt} ms after the message`)
+  await sleep(50)
+  const writtenAt = performance.now()
+  respond!()
+  await sleep(10)
+  assert.ok(writtenAfter >= writtenAt, 'the next change is new again')
+})
+
 test.run()
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -93,6 +93,8 @@
   let endKnownAt = -Infinity
   /** Whether a read failed or was aborted since then, so that it may have missed records for a while. */
   let interrupted = false
+  /** When a peer was first known to have read beyond the position. */
+  let peerAheadAt = Infinity
 
   const pause = (ms: number): Promise<void> => new Promise(resolve => {
     let timer: NodeJS.Timeout | undefined
@@ -127,6 +129,7 @@
   function succeeded (asOf: number, next: number): void {
     position = next
     interrupted = false
+    peerAheadAt = Infinity
     events.succeeded(asOf, next)
   }
 
@@ -175,7 +178,7 @@
     }
     if (result.err) return await failed(result.val, sentAt)
     responded(result.val.next)
-    const waitedUntil = !interrupted && options.now() - sentAt <= waitMs + heldUpMs ? options.lastTurn() : -Infinity
+    const waitedUntil = !interrupted && options.now() - sentAt <= waitMs + heldUpMs ? Math.min(options.lastTurn(), peerAheadAt) : -Infinity
     // A read that still waited in that turn had found nothing. One that has just been sent may find what was written before it.
     const writtenAfter = waitedUntil > sentAt ? waitedUntil : endKnownAt
     events.changed(result.val.records, result.val.next, writtenAfter)
@@ -232,7 +235,9 @@
       wake?.()
     },
     behind (next) {
-      if (behindTimer !== undefined || position === undefined || next <= position) return
+      if (position === undefined || next <= position) return
+      peerAheadAt = Math.min(peerAheadAt, options.now())
+      if (behindTimer !== undefined) return
       behindTimer = setTimeout(() => {
         behindTimer = undefined
         if (position === undefined || next <= position) return
