--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -127,7 +127,8 @@
       if (replica.state === 'loading') replica.probeSentAt ??= now
     }
     const newest = versions.get(req.scope)?.newest()
-    const version = replica !== undefined && newest !== undefined && isCurrent(replica, req.scope) ? newest : undefined
+    // The version of an older replica too: the node that sends the request decides whether it may still be used.
+    const version = replica === undefined || newest === undefined ? undefined : isCurrent(replica, req.scope) ? newest : replica.version
     return {
       type: 'grant',
       request: req.id,
@@ -326,11 +327,11 @@
       }
       return decide(now)
     },
-    setVersion ({ model, adapter, version }, recent, now) {
+    setVersion ({ model, adapter, version }, writtenAfter, now) {
       const scope = cacheScope({ model, adapter })
       const history = versions.get(scope) ?? createVersionHistory()
       versions.set(scope, history)
-      if (!history.announce(version, recent ? now : -Infinity)) return []
+      if (!history.announce(version, writtenAfter, now)) return []
       // Engines have only older versions of the adapter in memory.
       for (const engine of engines.values()) engine.warmAdapters.delete(scope)
       return decide(now)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type { OwnedEngine } from './engine-scheduler'
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
+import { createEventLoopTurns } from './event-loop-turns'
 import { createFeeds } from './feeds'
 import { isName } from './field-checks'
 import { createFleet, nodeRecordOf } from './fleet'
@@ -93,11 +94,12 @@
   const clock = createFactClock({ now: options.now, wallClock: () => Date.now() })
   const { now } = clock
   const { settings } = platform
+  const turns = createEventLoopTurns(now)
   const startedAt = Date.now()
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
   const pools = createServicePools()
-  const versions = createAdapterVersions()
+  const versions = createAdapterVersions(settings.bounds.versionMs)
   const ownerStatuses = createOwnerStatusCache(clock)
   const feedCache = createFeedCache()
   const timers: NodeJS.Timeout[] = []
@@ -285,7 +287,7 @@
 
   function applySnapshot ({ operator, servers, fleet: nodes }: PeerSnapshot): void {
     peerOperatorNext = operator.next
-    applyOperator(operator.records, false)
+    applyOperator(operator.records, -Infinity)
     applyServers(registry.apply(servers.records, now()))
     serversLoaded ||= servers.records.length > 0
     applyFleet(nodes.records)
@@ -304,7 +306,7 @@
     const { id, demand } = exchange.metadata
     log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, kept, grants, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, kept, grants, versions, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
     await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget })
   }
@@ -340,16 +342,16 @@
     owner.refresh()
   }
 
-  /** @param recent - the records were just written; otherwise they may have been in force for a while */
-  function applyOperator (records: FeedRecord<OperatorRecord>[], recent: boolean): void {
+  /** @param writtenAfter - time after which the records were written, in ms; -Infinity if unknown */
+  function applyOperator (records: FeedRecord<OperatorRecord>[], writtenAfter: number): void {
     for (const { key, offset, value } of records) {
       if (value === undefined || value.type === 'other') continue
       if (value.type === 'config') applyConfig(value.config, offset)
       else if (value.type === 'adapter-version') {
         const { model, adapter, version } = value
-        if (!versions.add(value)) continue
-        log.info('adapter-version', { model, adapter, version, offset, recent })
-        owner.setVersion({ model, adapter, version }, recent)
+        if (!versions.add(value, writtenAfter, now())) continue
+        log.info('adapter-version', { model, adapter, version, offset, recent: writtenAfter > -Infinity, ageMs: writtenAfter === -Infinity ? undefined : Math.round(now() - writtenAfter) })
+        owner.setVersion({ model, adapter, version }, writtenAfter)
       } else log.warn('operator-record-unreadable', { key, offset, reason: value.reason })
     }
   }
@@ -382,6 +384,7 @@
     cache: feedCache,
     now,
     suspensions: clock,
+    lastTurn: turns.lastAt,
     random: options.random,
     ownsEngines: () => owner.ownsEngines(),
     members: () => fleet.members(),
@@ -435,6 +438,7 @@
   function startTimers (): void {
     const tick = (): void => {
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
+      turns.mark()
       applyServers(registry.tick(now()))
       owner.tick()
     }
