Log a digest by which repeated requests are recognised

Cause: the log could not tell whether a request that is lost with its server is the same as one that was lost with another. Change: request names a digest of method, host, path, caller, prompt and body; attempt-ended says for plain services too whether the server broke off.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
 import { createProcessUsage } from './process-usage'
 import { sharedPartIds } from './prompt-cache'
+import { requestDigest } from './request-digest'
 import { createRouteTable, type RouteTable } from './route-table'
 import { logServerChanges } from './server-change-log'
 import { runOnce } from './run-once'
@@ -302,7 +303,8 @@
 
   async function forward (exchange: ClientExchange): Promise<void> {
     const { id, demand } = exchange.metadata
-    log.info('request', { id, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
+    const digest = requestDigest({ req: exchange.req, body: exchange.body, demand })
+    log.info('request', { id, digest, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
     if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
       return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, kept, grants, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
     }
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -140,7 +140,7 @@
 
   function handle (server: BackendServer, result: AttemptResult | SlowResult): Step {
     if (exchange.ended || result.type === 'aborted') return { type: 'done' }
-    env.log.info('attempt-ended', { id: metadata.id, service: service.name, server: server.id, result: result.type, status: 'status' in result ? result.status : undefined, reason: 'reason' in result ? result.reason : undefined, afterMs: Math.round(env.now() - exchange.arrivedAt) })
+    env.log.info('attempt-ended', { id: metadata.id, service: service.name, server: server.id, result: result.type, status: 'status' in result ? result.status : undefined, reason: 'reason' in result ? result.reason : undefined, connectionLost: 'connectionLost' in result ? result.connectionLost : undefined, afterMs: Math.round(env.now() - exchange.arrivedAt) })
     switch (result.type) {
       case 'not-sent':
         sentTo.delete(server.id)
