Refuse a request that crashes the servers that run it

Callers saw: one request that came again and again ended three servers of order-desk within 0.2 s, and again whenever they were back; for seconds a whole service answered 503. Cause: nothing remembered, for a plain service, which request was under way when a server ended; at engines only shared parts of prompts were known. Change: nodes report a request that was lost with its server, by a digest of its method, host, path, caller, prompt and body, to three nodes that are the same for all its repeats. After three crashes all nodes are asked whether they have seen the request, or its service, sound since the first one. A request that nothing clears is refused as not run: held for 15 s and more while nothing of its service is sound or the servers were lost at the same moment, else blocked for ten minutes like a part of a prompt, by message and record. Why it works: a request that was not sound once on three servers is refused wherever it comes; what was merely lost beside it is cleared by its next sound response, at any node.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,6 +4,7 @@
  * signature, or a truncated response that looks complete.
  */
 import type { BackendServer } from './cluster-types'
+import type { RunOutcome } from './engine-scheduler'
 import { createEventSplitter } from './event-splitter'
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders, ResponseMetadata } from './platform-interface'
@@ -25,6 +26,18 @@
 /** What marks the end of a body (RFC 9112, section 6.3). */
 export type BodyFraming = 'length' | 'chunked' | 'connection-close'
 
+/** How the server's run of a request ended. */
+export function runOutcomeOf (result: AttemptResult): RunOutcome {
+  switch (result.type) {
+    case 'not-sent': return 'unreachable'
+    case 'not-run': return result.status === 421 ? 'misdirected' : 'not-run'
+    case 'streamed': return 'ok'
+    case 'response': return result.status < 500 ? 'ok' : 'failed'
+    case 'aborted': return 'cancelled'
+    case 'failed': return result.connectionLost ? 'disconnected' : 'failed'
+  }
+}
+
 export type AttemptOptions = {
   codec: HeaderCodec
   upstream: Upstream
--- a/packages/gateway/src/blocked-parts.ts
+++ b/packages/gateway/src/blocked-parts.ts
@@ -1,4 +1,4 @@
-/** Prompt parts that crash engines and are refused for a while, as all nodes know them. */
+/** Prompt parts and whole requests that crash servers and are refused for a while, as all nodes know them. */
 
 export type BlockedParts = {
   /**
@@ -6,6 +6,8 @@
    * @returns whether the part was not blocked before
    */
   add (part: string, ageMs: number, now: number): boolean
+  /** Refuses a part for a short time, while it is not known whether it is to be blocked. */
+  hold (part: string, forMs: number, now: number): void
   /** @returns the first of the parts that is blocked, and for how much longer */
   find (parts: readonly string[], now: number): { part: string, remainingMs: number } | undefined
   /** Whether the part is blocked or was until recently. */
@@ -21,6 +23,12 @@
 export function createBlockedParts (): BlockedParts {
   /** Time until which a part is blocked. */
   const until = new Map<string, number>()
+  /** Time until which a part is held. */
+  const held = new Map<string, number>()
+
+  function remainingMs (part: string, now: number): number {
+    return Math.max(until.get(part) ?? -Infinity, held.get(part) ?? -Infinity) - now
+  }
 
   return {
     add (part, ageMs, now) {
@@ -33,13 +41,16 @@
       until.set(part, expiresAt)
       return known <= now && expiresAt > now
     },
-    find (parts, now) {
-      if (until.size === 0) return undefined
-      for (const part of parts) {
-        const remainingMs = (until.get(part) ?? -Infinity) - now
-        if (remainingMs > 0) return { part, remainingMs }
+    hold (part, forMs, now) {
+      for (const [old, endsAt] of held) {
+        if (endsAt <= now) held.delete(old)
       }
-      return undefined
+      held.set(part, Math.max(held.get(part) ?? -Infinity, now + forMs))
+    },
+    find (parts, now) {
+      if (until.size === 0 && held.size === 0) return undefined
+      const part = parts.find(part => remainingMs(part, now) > 0)
+      return part === undefined ? undefined : { part, remainingMs: remainingMs(part, now) }
     },
     wasBlocked: part => until.has(part),
     size: now => [...until.values()].filter(expiresAt => expiresAt > now).length
--- a/packages/gateway/src/crash-evidence.test.ts
+++ b/packages/gateway/src/crash-evidence.test.ts
@@ -30,7 +30,7 @@
   function perform (actions: EvidenceAction[]): void {
     for (const action of actions) {
       if (action.type === 'share') player.shared.push(action.message)
-      else {
+      else if (action.type === 'block') {
         player.blocked.push(action.part)
         blockedParts.add(action.part, 0, player.now)
       }
--- a/packages/gateway/src/crash-evidence.ts
+++ b/packages/gateway/src/crash-evidence.ts
@@ -1,11 +1,13 @@
 /**
- * Finds prompt parts that crash the engines of all requests with them. A crash breaks off every request
- * of its engine, and most of these are not its cause. A part is therefore suspected of a crash only if
- * its request had not sent events for a while, and a request that has sent them clears all its parts.
+ * Finds prompt parts that crash the engines of all requests with them, and whole requests that crash
+ * every server that runs them: to a request that comes again, its key is a part that its repeats share.
+ * A crash breaks off every request of its engine, and most of these are not its cause. A part is
+ * therefore suspected of a crash only if its request had not sent events for a while, and a request
+ * that has sent them clears all its parts.
  */
 
 import type { RunOutcome } from './engine-scheduler'
-import { fieldsCheck, isName, isOneOf, isTextList } from './field-checks'
+import { fieldsCheck, isCount, isName, isOneOf, isTextList, optional } from './field-checks'
 
 export type PromptRun = {
   id: string
@@ -14,43 +16,68 @@
   engine: string
   /** Ids of the parts that other requests may share. */
   parts: string[]
+  /** Given if two crashes of the same part can follow one another within the time of one. */
+  startedAt?: number
   deadlineAt: number
 }
 
 /** A request whose engine broke off before the request could clear its parts. */
-export type EngineLoss = { id: string, service: string, engine: string, parts: string[] }
+export type EngineLoss = {
+  id: string
+  service: string
+  engine: string
+  parts: string[]
+  /** Time for which the request had been at the engine, in ms, if that is known. */
+  ranMs?: number
+}
 
 export type ClearedParts = { service: string, parts: string[] }
 
-/** What owners of engines tell each other. */
-export type EvidenceMessage = { kind: 'loss', loss: EngineLoss } | { kind: 'cleared', cleared: ClearedParts }
+/** A part that is about to be blocked; `sinceMs` is the age of the first crash that counts against it. */
+export type SuspectedPart = { service: string, part: string, sinceMs: number }
 
-const isLoss = fieldsCheck<EngineLoss>({ id: isName, service: isName, engine: isName, parts: isTextList })
+/** What nodes tell each other. A node that has seen sound requests since then replies to `suspected` with `cleared`. */
+export type EvidenceMessage =
+  | { kind: 'loss', loss: EngineLoss }
+  | { kind: 'cleared', cleared: ClearedParts }
+  | { kind: 'suspected', suspected: SuspectedPart }
+
+const isLoss = fieldsCheck<EngineLoss>({ id: isName, service: isName, engine: isName, parts: isTextList, ranMs: optional(isCount) })
 const isCleared = fieldsCheck<ClearedParts>({ service: isName, parts: isTextList })
+const isSuspected = fieldsCheck<SuspectedPart>({ service: isName, part: isName, sinceMs: isCount })
 const isLossMessage = fieldsCheck<EvidenceMessage & { kind: 'loss' }>({ kind: isOneOf(['loss']), loss: isLoss })
 const isClearedMessage = fieldsCheck<EvidenceMessage & { kind: 'cleared' }>({ kind: isOneOf(['cleared']), cleared: isCleared })
+const isSuspectedMessage = fieldsCheck<EvidenceMessage & { kind: 'suspected' }>({ kind: isOneOf(['suspected']), suspected: isSuspected })
 
 /** @param value - parsed JSON of a peer */
 export function isEvidenceMessage (value: unknown): value is EvidenceMessage {
-  return isLossMessage(value) || isClearedMessage(value)
+  return isLossMessage(value) || isClearedMessage(value) || isSuspectedMessage(value)
 }
 
 export type EvidenceAction =
   | { type: 'share', message: EvidenceMessage }
+  /** All nodes are to be asked whether they have seen sound requests. */
+  | { type: 'ask', suspected: SuspectedPart }
+  /** The answer to the node whose message was received. */
+  | { type: 'reply', message: EvidenceMessage }
   /** The part crashed these engines. */
   | { type: 'block', part: string, engines: string[] }
+  /** The part probably crashed these engines, but they may have been lost at once, or no request of the service was sound since: it is refused until more is known. */
+  | { type: 'hold', part: string, engines: string[], forMs: number }
 
 export type CrashEvidenceOptions = {
   isBlocked (part: string): boolean
   /** Whether the part was blocked before; the next crash with it is enough then. */
   wasBlocked (part: string): boolean
+  /** Whether all nodes are asked before a part is blocked, since most of them have seen none of its crashes. */
+  asksAll?: boolean
 }
 
 export type CrashEvidence = {
   started (run: PromptRun): void
   firstEvent (id: string, now: number): void
   ended (id: string, outcome: RunOutcome, now: number): EvidenceAction[]
-  /** Applies what another owner has seen. */
+  /** Applies what another node has seen. */
   receive (message: EvidenceMessage, now: number): EvidenceAction[]
   /** Decides which parts are blocked. */
   tick (now: number): EvidenceAction[]
@@ -62,10 +89,19 @@
 const crashesToBlockInDoubt = 5
 /** Crashes closer together than this count as one, in ms: engines that share a cause such as a rack end at once. */
 const crashSpacingMs = 100
+/** Longest time by which the reports of two crashes are delayed differently, in ms. */
+const reportSkewMs = 20
 /** Age from which a crash counts, in ms: until then, the nodes report the requests that it broke off. */
-const settleMs = 150
+export const settleMs = 150
 /** Time after its first event from which a request counts as sound, in ms: an engine that crashes on a part does so within its first tokens. */
 const soundAfterMs = 300
+/** Time in which nodes reply to a question, in ms: a few transmissions. */
+export const replyMs = 150
+/** Interval at which nodes are asked again while a part is suspected and not blocked, in ms. */
+const askIntervalMs = 600
+/** Time for which a part is held at first, in ms, twice as long each time: servers that crashed are back after some seconds. */
+const firstHoldMs = 15_000
+const longestHoldMs = 600_000
 /** Time for which crashes are remembered, in ms. */
 const retentionMs = 300_000
 /** Limit of suspected parts; the oldest are dropped. */
@@ -77,13 +113,22 @@
 /** Time after a request's deadline after which a run that was never reported as ended is dropped, in ms. */
 const unreportedMs = 1000
 
+type Crash = {
+  at: number
+  /** Start of the first request with the part that was lost, if it is known. */
+  startedAt: number
+}
+
 type Suspect = {
   service: string
   part: string
-  /** Time of the crash, by engine. */
-  crashes: Map<string, number>
+  /** By engine. */
+  crashes: Map<string, Crash>
   /** Number of requests with the part that were started since the first of these crashes. */
   starts: number
+  /** Time at which all nodes were last asked. */
+  askedAt?: number
+  hold?: { endsAt: number, forMs: number, crashes: number }
 }
 
 type TrackedRun = PromptRun & { firstEventAt?: number, sound: boolean }
@@ -92,12 +137,13 @@
   return `${service}/${part}`
 }
 
-/** Counts settled crashes that are far enough apart to be separate events. */
-function separateCrashes ({ crashes }: Suspect, now: number): number {
+/** Counts crashes up to a time that are separate events: far enough apart, or of a request that was sent after the crash before. */
+function separateCrashes ({ crashes }: Suspect, until: number): number {
   let count = 0
   let lastAt = -Infinity
-  for (const at of [...crashes.values()].sort((left, right) => left - right)) {
-    if (at - lastAt < crashSpacingMs || now - at < settleMs) continue
+  for (const { at, startedAt } of [...crashes.values()].sort((left, right) => left.at - right.at)) {
+    const separate = at - lastAt >= crashSpacingMs || startedAt >= lastAt - reportSkewMs
+    if (!separate || at > until) continue
     count += 1
     lastAt = at
   }
@@ -110,18 +156,18 @@
   const suspects = new Map<string, Suspect>()
   /** Time at which a request of the service last proved sound. */
   const lastSoundAt = new Map<string, number>()
-  /** Parts of requests that proved sound, the one that did so longest ago first. */
-  const soundParts = new Set<string>()
+  /** Parts of requests that proved sound, with the time of the last one, the one that did so longest ago first. */
+  const soundParts = new Map<string, number>()
   /** Engines whose crash is known to be caused by a blocked part, with the time at which that became known. */
   const explained = new Map<string, number>()
 
   /** @returns those parts that were suspected */
-  function clear (service: string, parts: readonly string[]): string[] {
+  function clear (service: string, parts: readonly string[], now: number): string[] {
     return parts.filter(part => {
       const key = suspectKey(service, part)
       soundParts.delete(key)
-      soundParts.add(key)
-      if (soundParts.size > maxSoundParts) soundParts.delete(soundParts.values().next().value!)
+      soundParts.set(key, now)
+      if (soundParts.size > maxSoundParts) soundParts.delete(soundParts.keys().next().value!)
       return suspects.delete(key)
     })
   }
@@ -129,7 +175,7 @@
   function markSound (run: TrackedRun, now: number): EvidenceAction[] {
     run.sound = true
     lastSoundAt.set(run.service, now)
-    const cleared = clear(run.service, run.parts)
+    const cleared = clear(run.service, run.parts, now)
     return cleared.length === 0 ? [] : [{ type: 'share', message: { kind: 'cleared', cleared: { service: run.service, parts: cleared } } }]
   }
 
@@ -149,9 +195,35 @@
     }
   }
 
+  function firstCrashAt ({ crashes }: Suspect): number {
+    return Math.min(...[...crashes.values()].map(({ at }) => at))
+  }
+
   /** While no request of the service is sound, its engines fail for a reason that no single part explains. */
-  function isDistinct ({ service, crashes }: Suspect): boolean {
-    return (lastSoundAt.get(service) ?? -Infinity) > Math.min(...crashes.values())
+  function isDistinct (suspect: Suspect): boolean {
+    return (lastSoundAt.get(suspect.service) ?? -Infinity) > firstCrashAt(suspect)
+  }
+
+  /** Whether the other nodes have had the time to clear the part. */
+  function isConfirmed ({ askedAt }: Suspect, now: number): boolean {
+    return options.asksAll !== true || (askedAt !== undefined && now - askedAt >= replyMs)
+  }
+
+  /** Asks about the parts that would be blocked, again and again while nothing sound is known of their service. */
+  function ask (now: number): EvidenceAction[] {
+    if (options.asksAll !== true) return []
+    const due = [...suspects.values()].filter(suspect => suspect.crashes.size >= crashesNeeded(suspect) && now - (suspect.askedAt ?? -Infinity) >= askIntervalMs)
+    return due.map(suspect => {
+      suspect.askedAt = now
+      return { type: 'ask', suspected: { service: suspect.service, part: suspect.part, sinceMs: now - firstCrashAt(suspect) } }
+    })
+  }
+
+  /** @returns the reply if requests of the service, and perhaps with the part, were sound since the first crash */
+  function answer ({ service, part, sinceMs }: SuspectedPart, now: number): EvidenceAction[] {
+    if ((lastSoundAt.get(service) ?? -Infinity) <= now - sinceMs) return []
+    const isPartSound = (soundParts.get(suspectKey(service, part)) ?? -Infinity) > now - sinceMs
+    return [{ type: 'reply', message: { kind: 'cleared', cleared: { service, parts: isPartSound ? [part] : [] } } }]
   }
 
   function crashesNeeded ({ service, part }: Suspect): number {
@@ -161,8 +233,8 @@
 
   /** @returns the parts in the most crashes and of these the ones in the fewest requests; several if they cannot be told apart */
   function culprits (now: number): Suspect[] {
-    const counted = [...suspects.values()].map(suspect => ({ suspect, crashes: separateCrashes(suspect, now) }))
-    const candidates = counted.filter(({ suspect, crashes }) => crashes >= crashesNeeded(suspect) && isDistinct(suspect))
+    const counted = [...suspects.values()].map(suspect => ({ suspect, crashes: separateCrashes(suspect, now - settleMs) }))
+    const candidates = counted.filter(({ suspect, crashes }) => crashes >= crashesNeeded(suspect) && isDistinct(suspect) && isConfirmed(suspect, now))
     if (candidates.length === 0) return []
     const most = Math.max(...candidates.map(({ crashes }) => crashes))
     const worst = candidates.filter(({ crashes }) => crashes === most).map(({ suspect }) => suspect)
@@ -171,6 +243,18 @@
     return inDoubt && most < crashesToBlockInDoubt ? [] : worst.filter(({ starts }) => starts === leastStarts)
   }
 
+  /** Holds parts that nothing has cleared, but that may have crashed no engine: all were lost at once, or nothing is sound yet. */
+  function holdSuspects (now: number): EvidenceAction[] {
+    if (options.asksAll !== true) return []
+    const isDue = ({ hold, crashes }: Suspect): boolean => hold === undefined || (now >= hold.endsAt && crashes.size > hold.crashes)
+    const due = [...suspects.values()].filter(suspect => isDue(suspect) && suspect.crashes.size >= crashesNeeded(suspect) && isConfirmed(suspect, now))
+    return due.map(suspect => {
+      const forMs = Math.min(longestHoldMs, suspect.hold === undefined ? firstHoldMs : 2 * suspect.hold.forMs)
+      suspect.hold = { endsAt: now + forMs, forMs, crashes: suspect.crashes.size }
+      return { type: 'hold', part: suspect.part, engines: [...suspect.crashes.keys()], forMs }
+    })
+  }
+
   function decide (now: number): EvidenceAction[] {
     return culprits(now).map(({ service, part, crashes }) => {
       const engines = [...crashes.keys()]
@@ -180,14 +264,14 @@
     })
   }
 
-  function recordLoss ({ service, engine, parts }: EngineLoss, now: number): void {
+  function recordLoss ({ service, engine, parts, ranMs }: EngineLoss, now: number): void {
     if (explained.has(engine)) return
     if (parts.some(part => options.isBlocked(part))) return explain(engine, now)
     for (const part of parts) {
       const key = suspectKey(service, part)
-      const suspect = suspects.get(key) ?? { service, part, crashes: new Map<string, number>(), starts: 1 }
+      const suspect = suspects.get(key) ?? { service, part, crashes: new Map<string, Crash>(), starts: 1 }
       suspects.set(key, suspect)
-      if (!suspect.crashes.has(engine)) suspect.crashes.set(engine, now)
+      if (!suspect.crashes.has(engine)) suspect.crashes.set(engine, { at: now, startedAt: ranMs === undefined ? -Infinity : now - ranMs })
     }
     while (suspects.size > maxSuspects) suspects.delete(suspects.keys().next().value!)
   }
@@ -197,7 +281,7 @@
       if (now - at > retentionMs) explained.delete(engine)
     }
     for (const [key, { crashes }] of suspects) {
-      for (const [engine, at] of crashes) {
+      for (const [engine, { at }] of crashes) {
         if (now - at > retentionMs) crashes.delete(engine)
       }
       if (crashes.size === 0) suspects.delete(key)
@@ -225,16 +309,17 @@
       if (run === undefined || run.sound) return []
       if (isSound(run, now) || (run.firstEventAt !== undefined && outcome === 'ok')) return markSound(run, now)
       if (outcome !== 'disconnected' || run.parts.length === 0) return []
-      const { service, engine, parts } = run
-      const loss = { id, service, engine, parts }
+      const { service, engine, parts, startedAt } = run
+      const loss = { id, service, engine, parts, ...(startedAt === undefined ? {} : { ranMs: now - startedAt }) }
       const settled = settleRuns(now)
       recordLoss(loss, now)
       return [...settled, { type: 'share', message: { kind: 'loss', loss } }]
     },
     receive (message, now) {
+      if (message.kind === 'suspected') return [...settleRuns(now), ...answer(message.suspected, now)]
       if (message.kind === 'cleared') {
         lastSoundAt.set(message.cleared.service, now)
-        clear(message.cleared.service, message.cleared.parts)
+        clear(message.cleared.service, message.cleared.parts, now)
         return []
       }
       const settled = settleRuns(now)
@@ -243,7 +328,7 @@
     },
     tick (now) {
       forget(now)
-      return [...settleRuns(now), ...decide(now)]
+      return [...settleRuns(now), ...decide(now), ...holdSuspects(now), ...ask(now)]
     }
   }
 }
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -3,14 +3,14 @@
  * it, continues an interrupted stream on another engine.
  */
 import type { RetryBudget } from '@yuccawharf/coordination'
-import { startAttempt, type Attempt, type AttemptResult } from './attempt'
+import { runOutcomeOf, startAttempt, type Attempt, type AttemptResult } from './attempt'
 import { withoutLength, type ClientExchange } from './client-exchange'
-import type { BackendServer, ModelDemand } from './cluster-types'
+import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
-import type { RunOutcome } from './engine-scheduler'
 import type { Grant, GrantClient } from './grant-client'
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders } from './platform-interface'
+import type { BlockedRequest, RequestRuns } from './request-crashes'
 import type { ServerRestrictions } from './server-restrictions'
 import type { Upstream } from './upstream'
 
@@ -27,8 +27,10 @@
   restrictions: Pick<ServerRestrictions, 'record' | 'waitMs'>
   budget (service: string): RetryBudget
   firstEvent (service: string, seconds: number): void
-  /** @returns whether the prompt has a part that crashes engines, and for how much longer it is refused */
-  blockedPart (demand: ModelDemand): { part: string, remainingMs: number } | undefined
+  /** Sendings of this request, which may crash its engines. */
+  runs: RequestRuns
+  /** @returns why the request is refused, if it or a part of its prompt is blocked */
+  blocked (): BlockedRequest | undefined
 }
 
 /** Maximum number of grants that one request acquires: an engine may refuse it while the adapter is still loading. */
@@ -83,11 +85,11 @@
     else exchange.refuse({ status: 503, outcome: 'not-run' }, reason, retryAfterMs)
   }
 
-  /** @returns whether the request was refused because of a part of its prompt */
-  function refuseBlockedPart (): boolean {
-    const blocked = env.blockedPart(demand!)
+  /** @returns whether the request was refused because it or a part of its prompt crashes engines */
+  function refuseIfBlocked (): boolean {
+    const blocked = env.blocked()
     if (blocked === undefined) return false
-    giveUp(`prompt part ${blocked.part} crashes engines`, blocked.remainingMs)
+    giveUp(blocked.reason, blocked.remainingMs)
     return true
   }
 
@@ -109,7 +111,7 @@
 
   async function acquireGrant (): Promise<Grant | undefined> {
     const waiting = waitingEngines()
-    if (refuseBlockedPart() || refuseIfAllWait(waiting)) return undefined
+    if (refuseIfBlocked() || refuseIfAllWait(waiting)) return undefined
     grantCount += 1
     const grantId = `${metadata.id}#${grantCount}`
     pendingGrantId = grantId
@@ -159,6 +161,7 @@
     const { server } = grant
     sentTo.add(server.id)
     let firstEventSeen = false
+    const run = env.runs.start(server)
     const attempt = startAttempt({
       codec: env.codec,
       upstream: env.upstream,
@@ -181,7 +184,10 @@
       stream: {
         head: (status, headers) => { head = { status, headers } },
         events (bytes, lastId) {
-          if (!firstEventSeen) env.grants.firstEvent(grant)
+          if (!firstEventSeen) {
+            env.grants.firstEvent(grant)
+            run.responded()
+          }
           firstEventSeen = true
           return forwardEvents(grant, bytes, lastId)
         }
@@ -194,20 +200,10 @@
     current = { grant, attempt }
     const result = await attempt.result
     current = undefined
+    run.ended(runOutcomeOf(result))
     return result
   }
 
-  function outcomeOf (result: AttemptResult): RunOutcome {
-    switch (result.type) {
-      case 'not-sent': return 'unreachable'
-      case 'not-run': return result.status === 421 ? 'misdirected' : 'not-run'
-      case 'streamed': return 'ok'
-      case 'response': return result.status < 500 ? 'ok' : 'failed'
-      case 'aborted': return 'cancelled'
-      case 'failed': return result.connectionLost ? 'disconnected' : 'failed'
-    }
-  }
-
   /** @returns whether to retry with another grant */
   function handle (grant: Grant, result: AttemptResult): boolean {
     const { server } = grant
@@ -275,7 +271,7 @@
         env.grants.ended(grant, 'cancelled')
         return
       }
-      if (refuseBlockedPart()) {
+      if (refuseIfBlocked()) {
         env.grants.ended(grant, 'cancelled')
         return
       }
@@ -285,7 +281,7 @@
         return giveUp('engines accept no requests for a while', env.restrictions.waitMs(grant.server))
       }
       const result = await send(grant)
-      env.grants.ended(grant, outcomeOf(result))
+      env.grants.ended(grant, runOutcomeOf(result))
       if (!handle(grant, result)) return
     }
   } finally {
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -175,6 +175,7 @@
         options.blockPart(action.part, action.engines)
         continue
       }
+      if (action.type !== 'share') continue
       const { message } = action
       if (message.kind === 'loss') log.info('engine-lost', { ...message.loss })
       options.shareEvidence(message)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import { createDirectoryServer, createMetricsServer, createReadyServer } from './auxiliary-servers'
 import type { ClientExchange } from './client-exchange'
 import type { ClusterConfig } from './cluster-types'
+import { createCrashBlocking } from './crash-blocking'
 import { isEvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { createDepartures } from './departures'
@@ -12,7 +13,6 @@
 import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
 import { createFeeds } from './feeds'
-import { isName } from './field-checks'
 import { createFleet, nodeRecordOf } from './fleet'
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
@@ -24,7 +24,6 @@
 import { createLogQuestions } from './log-questions'
 import { createOwnRecords } from './own-records'
 import { createOwnerStatusCache } from './owner-status-cache'
-import { createPartBlocking } from './part-blocking'
 import { createPeerLink, type PeerMessage } from './peer-link'
 import { createFeedCache, createPeerFetcher, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import { forwardPlain } from './plain-forwarder'
@@ -120,7 +119,7 @@
     peerPosition: position => { feeds.peerOperatorNext(position) },
     received (from, message) {
       const { kind, payload } = message
-      if (restrictions.receive(from.node, message)) return
+      if (restrictions.receive(from.node, message) || crashes.receive(from.node, message)) return
       if (kind === 'member') fleet.receive(payload)
       else if (kind === 'place' && isGrantMessage(payload)) receiveGrantMessage(from.node, payload)
       else if (kind === 'status') receiveStatus(from.node, payload)
@@ -128,7 +127,6 @@
       else if (kind === 'log-probe') logQuestions.receiveQuestion(from.node, payload)
       else if (kind === 'log-state') logQuestions.receiveReply(from.node, payload)
       else if (kind === 'crash-evidence' && isEvidenceMessage(payload)) owner.receiveEvidence(payload)
-      else if (kind === 'blocked-part' && isName(payload)) partBlocking.receive(from.node, payload)
       else if (kind === 'stopped') owner.ownership.nodeStopped(from.node, from.incarnation, now())
       else log.warn('peer-message-failed', { reason: `message '${kind}' of ${from.node} is unknown or malformed` })
     },
@@ -174,14 +172,15 @@
 
   const ownRecords = createOwnRecords({ fleetLog: platform.fleet, log, random: options.random, leaving: () => leavingSince !== undefined })
 
-  const partBlocking = createPartBlocking({
+  const crashes = createCrashBlocking({
+    self: self.name,
     now,
     wallClock: Date.now,
     log,
     metrics,
-    notifyPeers (part) {
-      for (const { address } of fleet.peers()) deliverToPeer(address, { kind: 'blocked-part', payload: part })
-    },
+    fleet,
+    deliver: deliverToPeer,
+    after: (delayMs, callback) => { setTimeout(callback, delayMs).unref() },
     record: (key, value) => ownRecords.append(key, value, 'block-not-recorded')
   })
 
@@ -207,8 +206,8 @@
     },
     announceLogEnd: () => logQuestions.announce(fleet.peers().map(({ address }) => address)),
     send: sendToNode,
-    blockedParts: partBlocking,
-    blockPart: partBlocking.block,
+    blockedParts: crashes.parts,
+    blockPart: crashes.parts.block,
     shareEvidence (message) {
       for (const node of otherOwners()) {
         const address = fleet.address(node)
@@ -304,11 +303,14 @@
   async function forward (exchange: ClientExchange): Promise<void> {
     const { id, demand } = exchange.metadata
     const digest = requestDigest({ req: exchange.req, body: exchange.body, demand })
-    log.info('request', { id, digest, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: demand === undefined ? undefined : sharedPartIds(demand).slice(0, maxLoggedParts) })
-    if (exchange.service.engine !== undefined && exchange.metadata.demand !== undefined) {
-      return await forwardToEngine(exchange, { now, codec: platform.headers, upstream, kept, grants, log, restrictions, engines: registry.ready, budget: shares.retryBudget, firstEvent: metrics.firstEvent, blockedPart: demand => partBlocking.find(sharedPartIds(demand), now()) })
+    const parts = demand === undefined ? undefined : sharedPartIds(demand)
+    log.info('request', { id, digest, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: parts?.slice(0, maxLoggedParts) })
+    const runs = crashes.requests.runs({ id, digest, service: exchange.service.name, deadlineAt: exchange.deadlineAt })
+    const env = { now, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, runs, blocked: () => crashes.requests.blocked(digest, parts ?? []) }
+    if (exchange.service.engine !== undefined && demand !== undefined) {
+      return await forwardToEngine(exchange, { ...env, grants, engines: registry.ready, firstEvent: metrics.firstEvent })
     }
-    await forwardPlain(exchange, { now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, servers: registry.ready, pool: pools.pool, budget: shares.retryBudget })
+    await forwardPlain(exchange, { ...env, random: options.random, zone: self.zone, servers: registry.ready, pool: pools.pool })
   }
 
   const front = createFrontServer({
@@ -371,7 +373,7 @@
   function applyFleet (records: FeedRecord<FleetRecord | UnreadableRecord>[]): void {
     fleet.apply(records)
     owner.ownership.apply(records, now())
-    partBlocking.apply(records)
+    crashes.parts.apply(records)
     if (records.length > 0) owner.refresh()
   }
 
@@ -439,6 +441,7 @@
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
       applyServers(registry.tick(now()))
       owner.tick()
+      crashes.requests.tick()
     }
     tick()
     timers.push(setInterval(() => fleet.tick(), memberTickMs))
--- a/packages/gateway/src/part-blocking.test.ts
+++ b/packages/gateway/src/part-blocking.test.ts
@@ -25,6 +25,7 @@
       log,
       metrics: createGatewayMetrics(),
       notifyPeers: part => { node.notified.push(part) },
+      notifyHold () {},
       record: async (key, value) => { node.records.push({ key, value }) }
     })
   }
--- a/packages/gateway/src/part-blocking.ts
+++ b/packages/gateway/src/part-blocking.ts
@@ -1,8 +1,9 @@
-/** Blocks prompt parts at all nodes: at once by message, and by a record in the fleet log for nodes that start later. */
+/** Blocks prompt parts and whole requests at all nodes: at once by message, and by a record in the fleet log for nodes that start later. */
 import { createBlockedParts, type BlockedParts } from './blocked-parts'
 import type { DecisionLog, LogFields } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { FeedRecord, FleetRecord, UnreadableRecord } from './platform-interface'
+import { isRequestKey } from './request-digest'
 
 export type PartBlockingOptions = {
   now (): number
@@ -11,6 +12,8 @@
   log: DecisionLog
   metrics: GatewayMetrics
   notifyPeers (part: string): void
+  /** Tells the other nodes that the part is held for a time, in ms. */
+  notifyHold (part: string, forMs: number): void
   /** Appends a record to the fleet log, however long that takes. */
   record (key: string, value: FleetRecord): Promise<void>
 }
@@ -18,6 +21,13 @@
 export type PartBlocking = Pick<BlockedParts, 'find' | 'wasBlocked'> & {
   /** @param engines - the engines that the part crashed */
   block (part: string, engines: string[]): void
+  /**
+   * Refuses a part for a short time at all nodes.
+   *
+   * @param engines - the engines that it probably crashed
+   */
+  hold (part: string, engines: string[], forMs: number): void
+  receiveHold (from: string, part: string, forMs: number): void
   /** Another node has blocked the part. */
   receive (from: string, part: string): void
   apply (records: readonly FeedRecord<FleetRecord | UnreadableRecord>[]): void
@@ -28,10 +38,15 @@
   const parts = createBlockedParts()
 
   function add (part: string, ageMs: number, source: LogFields): void {
-    if (parts.add(part, ageMs, now())) options.log.warn('prompt-part-blocked', { part, ...source })
+    if (parts.add(part, ageMs, now())) options.log.warn(isRequestKey(part) ? 'request-blocked' : 'prompt-part-blocked', { part, ...source })
     options.metrics.gauge('blocked_parts', parts.size(now()))
   }
 
+  function addHold (part: string, forMs: number, source: LogFields): void {
+    parts.hold(part, forMs, now())
+    options.log.warn('request-held', { part, forMs, ...source })
+  }
+
   return {
     find: parts.find,
     wasBlocked: parts.wasBlocked,
@@ -42,6 +57,11 @@
       options.record(key, { type: 'blocked-part', part, at: wallClock() })
         .catch(err => { options.log.error('block-not-recorded', { key, reason: (err as Error).message }) })
     },
+    hold (part, engines, forMs) {
+      addHold(part, forMs, { engines })
+      options.notifyHold(part, forMs)
+    },
+    receiveHold: (from, part, forMs) => addHold(part, forMs, { from }),
     receive: (from, part) => add(part, 0, { from }),
     apply (records) {
       for (const { offset, value } of records) {
--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -75,6 +75,8 @@
     restrictions: { record () {}, waitMs: () => 0, acquire: async ({ id }) => permit(id) },
     servers: () => candidates,
     pool: () => pool,
+    runs: { start: () => ({ responded () {}, ended () {} }) },
+    blocked: () => undefined,
     budget: () => createRetryBudget({ ratio: 0, burst: retries })
   }
   await forwardPlain(exchange, env)
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -1,12 +1,13 @@
 /** Forwards requests to plain services: chooses a server and retries where the route allows it. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { RetryBudget } from '@yuccawharf/coordination'
-import { startAttempt, type Attempt, type AttemptResult } from './attempt'
+import { runOutcomeOf, startAttempt, type Attempt, type AttemptResult } from './attempt'
 import type { ClientExchange } from './client-exchange'
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec } from './platform-interface'
+import type { BlockedRequest, RequestRuns } from './request-crashes'
 import type { ServerRestrictions } from './server-restrictions'
 import type { AttemptOutcome, ServicePool } from './service-pool'
 import type { Upstream } from './upstream'
@@ -24,6 +25,10 @@
   servers (service: string): BackendServer[]
   pool (service: string): ServicePool
   budget (service: string): RetryBudget
+  /** Sendings of this request, which may crash its servers. */
+  runs: RequestRuns
+  /** @returns why the request is refused, if it is blocked */
+  blocked (): BlockedRequest | undefined
 }
 
 /** Attempts that fail before anything is sent cost no server work; more failures than this indicate a persistent fault. */
@@ -81,6 +86,14 @@
     else exchange.refuse({ status: 503, outcome: 'not-run' }, reason, retryAfterMs ?? noServerRetryAfterMs)
   }
 
+  /** @returns whether the request was refused because it crashes servers */
+  function refuseIfBlocked (): boolean {
+    const blocked = env.blocked()
+    if (blocked === undefined) return false
+    giveUp(blocked.reason, blocked.remainingMs)
+    return true
+  }
+
   function outcomeOf (result: AttemptResult): AttemptOutcome {
     if (result.type === 'response') return result.status < 500 ? 'ok' : 'failed'
     if (result.type === 'not-run') return result.status === 421 ? 'failed' : 'full'
@@ -99,6 +112,7 @@
     sentTo.add(server.id)
     pool.started(server.id)
     let responded = false
+    const run = env.runs.start(server)
     const attempt = startAttempt({
       codec: env.codec,
       upstream: env.upstream,
@@ -116,6 +130,7 @@
       kept: env.kept,
       responded (status, response, sentAt) {
         responded = true
+        run.responded()
         env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements })
       },
       warn: env.log.warn
@@ -134,6 +149,7 @@
     clearTimeout(slowTimer)
     current = undefined
     avoidOpenConnections ||= slow && !responded
+    run.ended(runOutcomeOf(result))
     pool.ended(server.id, slow ? 'failed' : outcomeOf(result), env.now() - startedAt, env.now())
     return slow && result.type === 'aborted' && !exchange.ended ? { type: 'slow' } : result
   }
@@ -200,6 +216,7 @@
 
   try {
     while (!exchange.ended) {
+      if (refuseIfBlocked()) return
       const servers = env.servers(service.name)
       for (const server of servers) {
         const waitMs = env.restrictions.waitMs(server)
@@ -210,6 +227,7 @@
       if (server === undefined) return giveUpWithoutServer()
       if (!await obtainPermit(server, servers.filter(({ id }) => !excluded.has(id)).length === 1)) continue
       if (exchange.ended) return
+      if (refuseIfBlocked()) return
       if (handle(server, await send(server)).type === 'done') return
     }
   } finally {
--- a/packages/gateway/src/request-digest.ts
+++ b/packages/gateway/src/request-digest.ts
@@ -33,6 +33,17 @@
   }
 }
 
+const keyPrefix = 'request/'
+
+/** @returns the name under which the request is blocked, as a part of a prompt is under its id */
+export function requestKey (digest: string): string {
+  return `${keyPrefix}${digest}`
+}
+
+export function isRequestKey (part: string): boolean {
+  return part.startsWith(keyPrefix)
+}
+
 /**
  * @returns the same text for requests that are the same to a server. Bodies over 256 KiB that differ
  * only between the blocks that are read count as the same.
