--- a/packages/gateway/src/request-digest.test.ts
+++ b/packages/gateway/src/request-digest.test.ts
@@ -14,7 +14,7 @@
 
 // Guards against a repeated request that is taken for another one.
 test('a request that comes again has the same digest, whatever its id and deadline', () => {
-  assert.is(digest({ headers: { 'x-id': 'r1', 'deadline-ms': '900' } }), digest({ headers: { 'x-id': 'r2', 'deadline-ms': '500' } }))
+  assert.is(digest({ headers: { 'x-id': 'r1', 'x-deadline': '900' } }), digest({ headers: { 'x-id': 'r2', 'x-deadline': '500' } }))
   assert.is(digest({ body: null }), digest({ body: Buffer.alloc(0) }))
 })
 
