Let operators lift a block

Cause: a part of sound requests, or a request, that is blocked by mistake stayed so for ten minutes; nothing could free it. A node that had written the record does not append it again. Conclusion: blocks end by time or by an operator.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -374,6 +374,7 @@
     fleet.apply(records)
     owner.ownership.apply(records, now())
     crashes.parts.apply(records)
+    ownRecords.read(records)
     if (records.length > 0) owner.refresh()
   }
 
--- a/packages/gateway/src/own-records.test.ts
+++ b/packages/gateway/src/own-records.test.ts
@@ -21,4 +21,14 @@
   assert.equal((await fleet.read(3, 0)).unwrap().records.map(({ key }) => key), ['p2', 'p3'])
 })
 
+// Guards against a block that returns after operators have lifted it.
+test('does not append records again that operators have removed', async () => {
+  const { fleet } = createFakePlatform({} as NodeSettings)
+  const own = createOwnRecords({ fleetLog: fleet, log, random: () => 0, leaving: () => false })
+  for (const part of ['p1', 'p2']) await own.append(part, block(part), 'failed')
+  own.read([{ key: 'p1', offset: 2, value: undefined }, { key: 'p2', offset: 0, value: undefined }])
+  await own.appendMissing([])
+  assert.equal((await fleet.read(2, 0)).unwrap().records.map(({ key }) => key), ['p2'])
+})
+
 test.run()
--- a/packages/gateway/src/own-records.ts
+++ b/packages/gateway/src/own-records.ts
@@ -28,6 +28,8 @@
 export type OwnRecords = {
   /** Appends a record, again and again until the store accepts it or this node leaves. */
   append (key: string, value: FleetRecord, failureEvent: string): Promise<void>
+  /** Forgets the records that operators have removed. */
+  read (records: readonly FeedRecord<FleetRecord | UnreadableRecord>[]): void
   /** Appends the records that are missing among the newest of all keys. */
   appendMissing (newest: readonly FeedRecord<FleetRecord | UnreadableRecord>[]): Promise<void>
 }
@@ -67,6 +69,11 @@
 
   return {
     append,
+    read (records) {
+      for (const { key, offset, value } of records) {
+        if (value === undefined && offset > (accepted.get(key)?.position ?? Infinity)) accepted.delete(key)
+      }
+    },
     async appendMissing (newest) {
       const present = new Map(newest.map(record => [record.key, record]))
       const missing = [...accepted].filter(([key, own]) => JSON.stringify(present.get(key)?.value) !== JSON.stringify(own.value) && !isSuperseded(own, present.get(key)))
--- a/packages/gateway/src/part-blocking.test.ts
+++ b/packages/gateway/src/part-blocking.test.ts
@@ -68,4 +68,16 @@
   assert.equal([isBlocked(node, blockMs - 1), isBlocked(node, blockMs + 1)], [true, false])
 })
 
+// Guards against a part of sound requests that operators cannot free for ten minutes.
+test('a block ends at all nodes when operators remove its record', () => {
+  const [writer, other] = [createNode(), createNode()]
+  writer.blocking.block('p', [])
+  other.blocking.receive('writer', 'p')
+  other.blocking.hold('q', [], 15_000)
+  for (const node of [writer, other]) {
+    node.blocking.apply([{ key: 'blocked-part/p', offset: 9, value: undefined }, { key: 'blocked-part/q', offset: 10, value: undefined }, { key: 'node/p', offset: 11, value: undefined }])
+    assert.equal([isBlocked(node, 0), node.blocking.find(['q'], 0), node.blocking.wasBlocked('p')], [false, undefined, false])
+  }
+})
+
 test.run()
--- a/packages/gateway/src/part-blocking.ts
+++ b/packages/gateway/src/part-blocking.ts
@@ -33,6 +33,13 @@
   apply (records: readonly FeedRecord<FleetRecord | UnreadableRecord>[]): void
 }
 
+const recordPrefix = 'blocked-part/'
+
+/** @returns the key of the record of a blocked part; operators remove the record to lift the block */
+export function blockedPartKey (part: string): string {
+  return `${recordPrefix}${part}`
+}
+
 export function createPartBlocking (options: PartBlockingOptions): PartBlocking {
   const { now, wallClock } = options
   const parts = createBlockedParts()
@@ -42,6 +49,11 @@
     options.metrics.gauge('blocked_parts', parts.size(now()))
   }
 
+  function lift (part: string, offset: number): void {
+    if (parts.remove(part, now())) options.log.warn('block-lifted', { part, offset })
+    options.metrics.gauge('blocked_parts', parts.size(now()))
+  }
+
   function addHold (part: string, forMs: number, source: LogFields): void {
     parts.hold(part, forMs, now())
     options.log.warn('request-held', { part, forMs, ...source })
@@ -53,7 +65,7 @@
     block (part, engines) {
       add(part, 0, { engines })
       options.notifyPeers(part)
-      const key = `blocked-part/${part}`
+      const key = blockedPartKey(part)
       options.record(key, { type: 'blocked-part', part, at: wallClock() })
         .catch(err => { options.log.error('block-not-recorded', { key, reason: (err as Error).message }) })
     },
@@ -64,8 +76,9 @@
     receiveHold: (from, part, forMs) => addHold(part, forMs, { from }),
     receive: (from, part) => add(part, 0, { from }),
     apply (records) {
-      for (const { offset, value } of records) {
+      for (const { key, offset, value } of records) {
         if (value?.type === 'blocked-part') add(value.part, wallClock() - value.at, { offset })
+        else if (value === undefined && key.startsWith(recordPrefix)) lift(key.slice(recordPrefix.length), offset)
       }
     }
   }
