Bound the questions about requests that may crash servers

Cause: each suspected request was asked about at all nodes every 0.6 s, for as long as its crashes were remembered. Found by reading. Change: at most 20 requests in that time, those first that were not asked about or longest ago, and only until their hold has ended. Test: crash-evidence.test, 13 of 14 before the change of order (asked without end), 14 of 14 now; request-crashes.test 5 of 5.

--- a/packages/gateway/src/crash-evidence.test.ts
+++ b/packages/gateway/src/crash-evidence.test.ts
@@ -180,6 +180,22 @@
   assert.equal(player.blocked, ['part-4999'])
 })
 
+// Guards against questions to all nodes in any number while many servers are lost again and again.
+test('asks about a bounded number of parts at a time, and not without end', () => {
+  const evidence = createCrashEvidence({ isBlocked: () => false, wasBlocked: () => false, asksAll: true })
+  const askedAt = (now: number): number => evidence.tick(now).filter(({ type }) => type === 'ask').length
+  for (const engine of ['e1', 'e2', 'e3']) {
+    for (let index = 0; index < 100; index++) {
+      const id = `${engine}-${index}`
+      evidence.started({ id, service: 'desk', engine, parts: [`request-${index}`], deadlineAt: 1000 })
+      evidence.ended(id, 'disconnected', 0)
+    }
+  }
+  assert.equal([askedAt(200), askedAt(500), askedAt(900)], [20, 0, 20])
+  for (let now = 1000; now < 60_000; now += 200) askedAt(now)
+  assert.is(askedAt(61_000), 0)
+})
+
 type Surge = {
   /** Requests with the part that were sent later than the allowed time after the fifth crash. */
   lateRequests: number
--- a/packages/gateway/src/crash-evidence.ts
+++ b/packages/gateway/src/crash-evidence.ts
@@ -99,6 +99,8 @@
 export const replyMs = 150
 /** Interval at which nodes are asked again while a part is suspected and not blocked, in ms. */
 const askIntervalMs = 600
+/** Limit of the parts that are asked about within that time: each question goes to all nodes. */
+const maxAskedParts = 20
 /** Time for which a part is held at first, in ms, twice as long each time: servers that crashed are back after some seconds. */
 const firstHoldMs = 15_000
 const longestHoldMs = 600_000
@@ -209,11 +211,15 @@
     return options.asksAll !== true || (askedAt !== undefined && now - askedAt >= replyMs)
   }
 
-  /** Asks about the parts that would be blocked, again and again while nothing sound is known of their service. */
+  /** Asks about the parts that would be blocked, again and again while they are held and nothing sound is known of their service. */
   function ask (now: number): EvidenceAction[] {
     if (options.asksAll !== true) return []
-    const due = [...suspects.values()].filter(suspect => suspect.crashes.size >= crashesNeeded(suspect) && now - (suspect.askedAt ?? -Infinity) >= askIntervalMs)
-    return due.map(suspect => {
+    const all = [...suspects.values()]
+    const isPending = ({ hold, crashes }: Suspect): boolean => hold === undefined || now < hold.endsAt || crashes.size > hold.crashes
+    const isAsked = ({ askedAt }: Suspect): boolean => askedAt !== undefined && now - askedAt < askIntervalMs
+    const due = all.filter(suspect => isPending(suspect) && !isAsked(suspect) && suspect.crashes.size >= crashesNeeded(suspect))
+      .sort((left, right) => (left.askedAt ?? 0) - (right.askedAt ?? 0))
+    return due.slice(0, Math.max(0, maxAskedParts - all.filter(isAsked).length)).map(suspect => {
       suspect.askedAt = now
       return { type: 'ask', suspected: { service: suspect.service, part: suspect.part, sinceMs: now - firstCrashAt(suspect) } }
     })
