--- a/packages/gateway/src/crash-evidence.ts
+++ b/packages/gateway/src/crash-evidence.ts
@@ -12,7 +12,7 @@
 export type PromptRun = {
   id: string
   service: string
-  /** Identifies one start of the engine. */
+  /** Identifies one start of the engine, or of the plain server. */
   engine: string
   /** Ids of the parts that other requests may share. */
   parts: string[]
