Close a refused connection that its client keeps open

Cause: a connection whose request head is late is refused with the end of our side only. HTTP servers of Node.js let the other side stay open, and the check of late heads sees a connection once, so a client that does not close holds a descriptor for as long as it likes.

Change: the connection is destroyed 2 s after its refusal.

unreadable-requests.test.ts: before 1 of 2 (1 connection open 4 s after the refusal, 0 expected), after 2 of 2. requests-after-pause.test.ts 4 of 4, late-headers.test.ts 1 of 1, front-server.test.ts 7 of 7, bad-input.test.ts 11 of 11.

Conclusion: a refused client no longer holds a descriptor beyond 2 s. The users' report is not traced to it.

--- a/packages/clients/src/unreadable-requests.ts
+++ b/packages/clients/src/unreadable-requests.ts
@@ -13,6 +13,9 @@
 /** Error of a connection on which a request does not arrive in time. */
 export const requestLateCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 
+/** Time for which a client may read a refusal before its connection is destroyed, in ms. */
+const refusalReadMs = 2000
+
 /**
  * Refuses what cannot be read, and closes connections that are idle for too long.
  *
@@ -32,6 +35,9 @@
     }
     ending.add(socket)
     refuse(err, socket)
+    // The client may keep its side open.
+    const timer = setTimeout(() => { socket.destroy() }, refusalReadMs)
+    socket.once('close', () => { clearTimeout(timer) })
   }
 
   /** If the process could not run for a while, timers are handled before requests that arrived in time. */
