Run no request behind one without a host

Cause: a request without a host is refused with a response that closes its connection. Requests that had been read behind it still reached the listener, ran, and ended without a response.

Change: the server passes on no request of a connection after one without a host; they still count for the bound.

Conclusion: no request runs behind this refusal. It needs a client that sends an invalid request and pipelines, so the users' report is not traced to it.

--- a/packages/clients/src/bounded-server.ts
+++ b/packages/clients/src/bounded-server.ts
@@ -57,6 +57,8 @@
  */
 export function createBoundedServer (listener: RequestListener, options: ServerOptions = {}, exceeded: (unanswered: number) => void = () => {}): Server {
   const unanswered = new WeakMap<Socket, Set<ServerResponse>>()
+  /** Connections that close with a response to a request without a host. */
+  const refused = new WeakSet<Socket>()
 
   function responsesOf (socket: Socket): Set<ServerResponse> {
     const known = unanswered.get(socket)
@@ -81,8 +83,13 @@
       }
       responses.add(res)
       res.once('close', () => { responses.delete(res) })
-      if (lacksHost(req)) res.writeHead(400, { connection: 'close' }).end()
-      else next(req, res)
+      if (refused.has(socket)) {
+        // It gets no response, so it must not run.
+        req.resume()
+      } else if (lacksHost(req)) {
+        refused.add(socket)
+        res.writeHead(400, { connection: 'close' }).end()
+      } else next(req, res)
     }
   }
 
