Free the lock of a build that is ended by a signal

Cause: SIGINT, SIGTERM and SIGHUP ended a build without freeing its lock, which counts as left behind only after 90 s without a refresh. The next build in the checkout waited for that long; before the lock it began at once.

Change: these signals abort the build, which ends its command, waits until that has closed, and frees the lock.

Conclusion: only a build that is killed by SIGKILL still leaves a lock for 90 s.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -23,8 +23,12 @@
   const line = [command, ...args].join(' ')
   await new Promise((resolve, reject) => {
     const child = spawn(command, args, { cwd: root, stdio: 'inherit', signal })
-    child.on('error', err => reject(new Error(`${line}: ${(signal.aborted ? signal.reason : err).message}`)))
-    child.on('close', (code, endedBy) => code === 0 ? resolve() : reject(new Error(`${line}: ${endedBy === null ? `exit code ${code}` : `ended by ${endedBy}`}`)))
+    // A command that is ended may still write until it closes.
+    child.on('error', err => { if (!signal.aborted) reject(new Error(`${line}: ${err.message}`)) })
+    child.on('close', (code, endedBy) => {
+      if (code === 0) resolve()
+      else reject(new Error(`${line}: ${signal.aborted ? signal.reason.message : endedBy === null ? `exit code ${code}` : `ended by ${endedBy}`}`))
+    })
   })
 }
 
--- a/scripts/build-lock.mjs
+++ b/scripts/build-lock.mjs
@@ -17,6 +17,8 @@
 const settleMs = 200
 /** Longest wait for the lock, in ms; the platform gives a build 15 minutes. */
 const maxWaitMs = 12 * 60_000
+/** Signals that end a build, which then frees the lock. */
+const endingSignals = ['SIGINT', 'SIGTERM', 'SIGHUP']
 
 function readToken (path) {
   try {
@@ -51,9 +53,10 @@
   }
 }
 
-async function acquire (path, token) {
+async function acquire (path, token, signal) {
   const endsAt = Date.now() + maxWaitMs
   for (let told = false; Date.now() < endsAt; await sleep(retryMs)) {
+    signal.throwIfAborted()
     if (create(path, token)) {
       await sleep(settleMs)
       if (readToken(path) === token) return
@@ -70,21 +73,25 @@
  * Runs a build while no other one holds the lock.
  *
  * @param {string} path - file of the lock
- * @param {(signal: AbortSignal) => Promise<void>} build - ends early, with an error, if the signal is aborted because the lock was lost
+ * @param {(signal: AbortSignal) => Promise<void>} build - ends early, with an error, if the signal is aborted because the lock was lost or the process is to end
  * @throws if the lock is not free in time
  */
 export async function withBuildLock (path, build) {
   const token = randomUUID()
-  await acquire(path, token)
-  const lost = new AbortController()
-  const refresh = setInterval(() => {
-    if (readToken(path) === token) utimesSync(path, new Date(), new Date())
-    else lost.abort(new Error(`another build took over ${path}`))
-  }, refreshMs)
+  const abort = new AbortController()
+  const end = name => { abort.abort(new Error(`ended by ${name}`)) }
+  for (const name of endingSignals) process.once(name, end)
+  let refresh
   try {
-    await build(lost.signal)
+    await acquire(path, token, abort.signal)
+    refresh = setInterval(() => {
+      if (readToken(path) === token) utimesSync(path, new Date(), new Date())
+      else abort.abort(new Error(`another build took over ${path}`))
+    }, refreshMs)
+    await build(abort.signal)
   } finally {
     clearInterval(refresh)
+    for (const name of endingSignals) process.off(name, end)
     if (readToken(path) === token) rmSync(path)
   }
 }
