Take over a build lock that seems to be refreshed in the future

Cause: a lock counted as left behind by its age in the time of day. After a build was killed and the time of day was set back, that age is negative, so each build waited for 12 minutes and failed until that time came again.

Change: a lock also counts as left behind if the waiting build has seen no refresh for 90 s of its monotonic clock, which also bounds the wait.

Conclusion: a lock is taken over after 90 s whatever the time of day.

--- a/scripts/build-lock.mjs
+++ b/scripts/build-lock.mjs
@@ -11,7 +11,7 @@
 const retryMs = 100
 /** Interval at which the holder refreshes the lock, in ms. */
 const refreshMs = 1000
-/** Age at which a lock counts as left behind, in ms: longer than the first run of the bundler may take, in which it is not refreshed. */
+/** Time without a refresh after which a lock counts as left behind, in ms: longer than the first run of the bundler may take, in which it is not refreshed. */
 const staleMs = 90_000
 /** Time after which a new lock is read again, in ms: a process that has just found a stale one may have removed it. */
 const settleMs = 200
@@ -42,27 +42,42 @@
   }
 }
 
-function removeIfStale (path, token) {
-  try {
-    if (Date.now() - statSync(path).mtimeMs < staleMs) return
-    renameSync(path, `${path}.${token}`)
-    rmSync(`${path}.${token}`)
-    console.error(`Removed ${path}, which an earlier build left behind`)
-  } catch (err) {
-    if (err.code !== 'ENOENT') throw err
+/**
+ * @param {{ ageMs: number, watchedMs: number }} lock - age by the time of day, and time for which this process has seen no refresh
+ * @returns {boolean} whether the lock was left behind; its age alone does not show that if the time of day was set back since
+ */
+function isLeftBehind ({ ageMs, watchedMs }) {
+  return Math.max(ageMs, watchedMs) >= staleMs
+}
+
+/** @returns a function that removes the lock if it was left behind */
+function createStaleLockRemoval (path, token) {
+  let watched = { refreshedAt: NaN, since: 0 }
+  return () => {
+    try {
+      const { mtimeMs: refreshedAt } = statSync(path)
+      if (refreshedAt !== watched.refreshedAt) watched = { refreshedAt, since: performance.now() }
+      if (!isLeftBehind({ ageMs: Date.now() - refreshedAt, watchedMs: performance.now() - watched.since })) return
+      renameSync(path, `${path}.${token}`)
+      rmSync(`${path}.${token}`)
+      console.error(`Removed ${path}, which an earlier build left behind`)
+    } catch (err) {
+      if (err.code !== 'ENOENT') throw err
+    }
   }
 }
 
 async function acquire (path, token, signal) {
-  const endsAt = Date.now() + maxWaitMs
-  for (let told = false; Date.now() < endsAt; await sleep(retryMs)) {
+  const endsAt = performance.now() + maxWaitMs
+  const removeIfStale = createStaleLockRemoval(path, token)
+  for (let told = false; performance.now() < endsAt; await sleep(retryMs)) {
     signal.throwIfAborted()
     if (create(path, token)) {
       await sleep(settleMs)
       if (readToken(path) === token) return
       continue
     }
-    removeIfStale(path, token)
+    removeIfStale()
     if (!told) console.error(`Waiting for another build, which holds ${path}`)
     told = true
   }
