Keep the lock of a running build when the time of day is set forward

Cause: a waiting build judged the lock by its age in the time of day alone. If that was set forward by more than 90 s, it took over the lock of a running build, which then failed.

Change: the age counts only once no refresh has been seen for three intervals. A lock that was left behind is taken over 3 s later than before.

Conclusion: a running build loses its lock only if it cannot refresh it: after 3 s if the time of day is set forward just then, otherwise after 90 s.

--- a/scripts/build-lock.mjs
+++ b/scripts/build-lock.mjs
@@ -13,6 +13,8 @@
 const refreshMs = 1000
 /** Time without a refresh after which a lock counts as left behind, in ms: longer than the first run of the bundler may take, in which it is not refreshed. */
 const staleMs = 90_000
+/** Shortest time for which a lock is watched before its age counts, in ms: the time of day may have been set forward since its last refresh. */
+const watchMs = 3 * refreshMs
 /** Time after which a new lock is read again, in ms: a process that has just found a stale one may have removed it. */
 const settleMs = 200
 /** Longest wait for the lock, in ms; the platform gives a build 15 minutes. */
@@ -44,10 +46,10 @@
 
 /**
  * @param {{ ageMs: number, watchedMs: number }} lock - age by the time of day, and time for which this process has seen no refresh
- * @returns {boolean} whether the lock was left behind; its age alone does not show that if the time of day was set back since
+ * @returns {boolean} whether the lock was left behind; its age alone does not show that, since the time of day may be set
  */
 function isLeftBehind ({ ageMs, watchedMs }) {
-  return Math.max(ageMs, watchedMs) >= staleMs
+  return watchedMs >= staleMs || (watchedMs >= watchMs && ageMs >= staleMs)
 }
 
 /** @returns a function that removes the lock if it was left behind */
