--- a/scripts/build-lock.mjs
+++ b/scripts/build-lock.mjs
@@ -11,12 +11,16 @@
 const retryMs = 100
 /** Interval at which the holder refreshes the lock, in ms. */
 const refreshMs = 1000
-/** Age at which a lock counts as left behind, in ms: longer than the first run of the bundler may take, in which it is not refreshed. */
+/** Time without a refresh after which a lock counts as left behind, in ms: longer than the first run of the bundler may take, in which it is not refreshed. */
 const staleMs = 90_000
+/** Shortest time for which a lock is watched before its age counts, in ms: the time of day may have been set forward since its last refresh. */
+const watchMs = 3 * refreshMs
 /** Time after which a new lock is read again, in ms: a process that has just found a stale one may have removed it. */
 const settleMs = 200
 /** Longest wait for the lock, in ms; the platform gives a build 15 minutes. */
 const maxWaitMs = 12 * 60_000
+/** Signals that end a build, which then frees the lock. */
+const endingSignals = ['SIGINT', 'SIGTERM', 'SIGHUP']
 
 function readToken (path) {
   try {
@@ -40,26 +44,42 @@
   }
 }
 
-function removeIfStale (path, token) {
-  try {
-    if (Date.now() - statSync(path).mtimeMs < staleMs) return
-    renameSync(path, `${path}.${token}`)
-    rmSync(`${path}.${token}`)
-    console.error(`Removed ${path}, which an earlier build left behind`)
-  } catch (err) {
-    if (err.code !== 'ENOENT') throw err
+/**
+ * @param {{ ageMs: number, watchedMs: number }} lock - age by the time of day, and time for which this process has seen no refresh
+ * @returns {boolean} whether the lock was left behind; its age alone does not show that, since the time of day may be set
+ */
+function isLeftBehind ({ ageMs, watchedMs }) {
+  return watchedMs >= staleMs || (watchedMs >= watchMs && ageMs >= staleMs)
+}
+
+/** @returns a function that removes the lock if it was left behind */
+function createStaleLockRemoval (path, token) {
+  let watched = { refreshedAt: NaN, since: 0 }
+  return () => {
+    try {
+      const { mtimeMs: refreshedAt } = statSync(path)
+      if (refreshedAt !== watched.refreshedAt) watched = { refreshedAt, since: performance.now() }
+      if (!isLeftBehind({ ageMs: Date.now() - refreshedAt, watchedMs: performance.now() - watched.since })) return
+      renameSync(path, `${path}.${token}`)
+      rmSync(`${path}.${token}`)
+      console.error(`Removed ${path}, which an earlier build left behind`)
+    } catch (err) {
+      if (err.code !== 'ENOENT') throw err
+    }
   }
 }
 
-async function acquire (path, token) {
-  const endsAt = Date.now() + maxWaitMs
-  for (let told = false; Date.now() < endsAt; await sleep(retryMs)) {
+async function acquire (path, token, signal) {
+  const endsAt = performance.now() + maxWaitMs
+  const removeIfStale = createStaleLockRemoval(path, token)
+  for (let told = false; performance.now() < endsAt; await sleep(retryMs)) {
+    signal.throwIfAborted()
     if (create(path, token)) {
       await sleep(settleMs)
       if (readToken(path) === token) return
       continue
     }
-    removeIfStale(path, token)
+    removeIfStale()
     if (!told) console.error(`Waiting for another build, which holds ${path}`)
     told = true
   }
@@ -70,21 +90,25 @@
  * Runs a build while no other one holds the lock.
  *
  * @param {string} path - file of the lock
- * @param {(signal: AbortSignal) => Promise<void>} build - ends early, with an error, if the signal is aborted because the lock was lost
+ * @param {(signal: AbortSignal) => Promise<void>} build - ends early, with an error, if the signal is aborted because the lock was lost or the process is to end
  * @throws if the lock is not free in time
  */
 export async function withBuildLock (path, build) {
   const token = randomUUID()
-  await acquire(path, token)
-  const lost = new AbortController()
-  const refresh = setInterval(() => {
-    if (readToken(path) === token) utimesSync(path, new Date(), new Date())
-    else lost.abort(new Error(`another build took over ${path}`))
-  }, refreshMs)
+  const abort = new AbortController()
+  const end = name => { abort.abort(new Error(`ended by ${name}`)) }
+  for (const name of endingSignals) process.once(name, end)
+  let refresh
   try {
-    await build(lost.signal)
+    await acquire(path, token, abort.signal)
+    refresh = setInterval(() => {
+      if (readToken(path) === token) utimesSync(path, new Date(), new Date())
+      else abort.abort(new Error(`another build took over ${path}`))
+    }, refreshMs)
+    await build(abort.signal)
   } finally {
     clearInterval(refresh)
+    for (const name of endingSignals) process.off(name, end)
     if (readToken(path) === token) rmSync(path)
   }
 }
