Keep no request of a connection beyond its response

Cause: to know which response closes a connection of a leaving node, the newest request of each connection was kept, and its body with it, until the next one or the end of the connection. Change: it is kept until its response has ended. Conclusion: class of fault: state for each connection that holds what a client controls.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -191,7 +191,10 @@
       req.resume()
       return
     }
-    newest.set(req.socket, req)
+    const { socket } = req
+    newest.set(socket, req)
+    // Its body would stay in memory until the next request of the connection.
+    res.once('close', () => { if (newest.get(socket) === req) newest.delete(socket) })
     running += 1
     received += 1
     // Emitted when the last byte was handed to the system, or when the connection is closed.
