Keep the process while it cannot read its own memory

Callers saw: all requests in progress ended without a response, and the node was away until its next start. Cause: reading the memory takes a descriptor. The timer of process-usage.ts let the error pass, so the process ended with code 1 and `process-failed` (EMFILE, uv_resident_set_memory). The metrics answered 500 for the same reason. Change: a failed reading is logged when it begins and when it is over, and the last known state holds, also in the metrics. No other synchronous call of the gateway, the clients, coordination, the node of the product's own mode and the platform's adapter that runs in a timer or event takes a descriptor without handling its failure: reading the settings file becomes `settings-rejected`, sockets report by events. Conclusion: class of fault: a call that takes a descriptor or memory in a timer, without a handler. The connections still take all descriptors.

--- a/packages/gateway/src/auxiliary-servers.ts
+++ b/packages/gateway/src/auxiliary-servers.ts
@@ -28,12 +28,17 @@
 
 /** Serves the metrics in the text format of Prometheus. */
 export function createMetricsServer (metrics: GatewayMetrics, path: string, log: DecisionLog): Server {
+  let readable = true
   return createBoundedServer((req, res) => {
     if (req.url !== path) {
       res.writeHead(404).end()
       return
     }
-    metrics.text().then(text => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text), err => {
+    let unreadable: Error | undefined
+    metrics.text(err => { unreadable = err }).finally(() => {
+      if (readable && unreadable !== undefined) log.warn('process-unreadable', { reason: unreadable.message })
+      readable = unreadable === undefined
+    }).then(text => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text), err => {
       log.error('metrics-failed', { reason: (err as Error).message })
       res.writeHead(500).end()
     })
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -20,10 +20,24 @@
   permitDenied (reason: string): void
   storeCall (feed: string, result: string): void
   gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes', value: number): void
-  text (): Promise<string>
+  /** @param unreadable - called if the state of the process cannot be read; the text has the last values then */
+  text (unreadable: (err: Error) => void): Promise<string>
 }
 
-export function createGatewayMetrics (): GatewayMetrics {
+/** Reading the state of the process takes descriptors. */
+export type ProcessSource = {
+  memory (): { rss: number, heapUsed: number, external: number, arrayBuffers: number }
+  /** Number of open descriptors. */
+  descriptors (): Promise<number>
+}
+
+const ownProcess: ProcessSource = {
+  memory: () => process.memoryUsage(),
+  descriptors: async () => (await readdir(descriptorFolder)).length
+}
+
+export function createGatewayMetrics (source = ownProcess): GatewayMetrics {
+  let readError: Error | undefined
   const registers = [new Registry()]
   const requests = new Counter({ name: 'yuccawharf_requests_total', help: 'Requests by service and outcome.', labelNames: ['service', 'outcome'], registers })
   const durations = new Histogram({ name: 'yuccawharf_request_seconds', help: 'Time from arrival to the end of the response.', labelNames: ['service', 'outcome'], buckets: latencyBuckets, registers })
@@ -41,12 +55,16 @@
     registers: [],
     // Read when the metrics are read, because counting descriptors costs a call for each.
     async collect () {
-      const { rss, heapUsed, external, arrayBuffers } = process.memoryUsage()
-      this.set({ name: 'resident_bytes' }, rss)
-      this.set({ name: 'heap_bytes' }, heapUsed)
-      this.set({ name: 'external_bytes' }, external)
-      this.set({ name: 'buffer_bytes' }, arrayBuffers)
-      this.set({ name: 'descriptors' }, (await readdir(descriptorFolder)).length)
+      try {
+        const { rss, heapUsed, external, arrayBuffers } = source.memory()
+        this.set({ name: 'resident_bytes' }, rss)
+        this.set({ name: 'heap_bytes' }, heapUsed)
+        this.set({ name: 'external_bytes' }, external)
+        this.set({ name: 'buffer_bytes' }, arrayBuffers)
+        this.set({ name: 'descriptors' }, await source.descriptors())
+      } catch (err) {
+        readError = err as Error
+      }
     }
   }))
   const gauges = new Gauge({ name: 'yuccawharf_state', help: 'Current values.', labelNames: ['name'], registers })
@@ -64,6 +82,11 @@
     permitDenied: reason => { denials.inc({ reason }) },
     storeCall: (feed, result) => { calls.inc({ feed, result }) },
     gauge: (name, value) => { gauges.set({ name }, value) },
-    text: async () => await registers[0]!.metrics()
+    async text (unreadable) {
+      readError = undefined
+      const text = await registers[0]!.metrics()
+      if (readError !== undefined) unreadable(readError)
+      return text
+    }
   }
 }
--- a/packages/gateway/src/process-usage.test.ts
+++ b/packages/gateway/src/process-usage.test.ts
@@ -8,10 +8,16 @@
 
 type Line = LogFields & { event: string }
 
-function usageAt (residentBytes: number[], limitBytes: number): Line[] {
+/** @param residentBytes - memory at each check; undefined while it cannot be read */
+function usageAt (residentBytes: (number | undefined)[], limitBytes: number): Line[] {
   const lines: Line[] = []
   const log = createDecisionLog('n1', { write: line => { lines.push(JSON.parse(line) as Line) }, flush: async () => {}, dropped: () => 0 })
   let index = 0
+  const resident = (): number => {
+    const bytes = residentBytes[index]
+    if (bytes === undefined) throw new Error('EMFILE: too many open files, uv_resident_set_memory')
+    return bytes
+  }
   const usage = createProcessUsage({
     log,
     metrics: createGatewayMetrics(),
@@ -19,8 +25,8 @@
     keptBytes: () => 7,
     running: () => 3
   }, {
-    rss: () => residentBytes[index]!,
-    usage: () => ({ rss: residentBytes[index]!, heapUsed: 1, external: 2, arrayBuffers: 1 })
+    rss: resident,
+    usage: () => ({ rss: resident(), heapUsed: 1, external: 2, arrayBuffers: 1 })
   })
   for (; index < residentBytes.length; index++) usage.check()
   return lines
@@ -38,4 +44,10 @@
   assert.equal(usageAt([60, 1e12], Infinity), [])
 })
 
+// Guards against a process that ends because its memory cannot be read while it has no descriptors.
+test('memory that cannot be read is logged once, and what was known of it holds', () => {
+  const lines = usageAt([71, undefined, undefined, 72, undefined, 50], 100)
+  assert.equal(lines.map(({ event }) => event), ['memory-high', 'memory-unreadable', 'memory-readable', 'memory-unreadable', 'memory-normal', 'memory-readable'])
+})
+
 test.run()
--- a/packages/gateway/src/process-usage.ts
+++ b/packages/gateway/src/process-usage.ts
@@ -25,7 +25,7 @@
 const ownMemory: MemorySource = { rss: () => process.memoryUsage.rss(), usage: () => process.memoryUsage() }
 
 export type ProcessUsage = {
-  /** Compares the memory with its limit and updates the gauges. */
+  /** Compares the memory with its limit and updates the gauges. If the memory cannot be read, what was known of it holds. */
   check (): void
 }
 
@@ -35,20 +35,32 @@
 
 export function createProcessUsage (env: ProcessUsageEnv, memory = ownMemory): ProcessUsage {
   let high = false
+  let readable = true
+
+  /** Reading the memory takes a descriptor, which the process may lack. */
+  function compare (): void {
+    const residentBytes = memory.rss()
+    const limitBytes = env.memoryLimitBytes()
+    if (high ? residentBytes > limitBytes * normalShare : residentBytes <= limitBytes * highShare) return
+    const { heapUsed, external, arrayBuffers } = memory.usage()
+    high = !high
+    const fields = { residentBytes, limitBytes, heapBytes: heapUsed, externalBytes: external, bufferBytes: arrayBuffers, keptBytes: env.keptBytes(), running: env.running() }
+    if (high) env.log.warn('memory-high', fields)
+    else env.log.info('memory-normal', fields)
+  }
 
   return {
     check () {
-      const residentBytes = memory.rss()
-      const limitBytes = env.memoryLimitBytes()
-      const keptBytes = env.keptBytes()
-      env.metrics.gauge('kept_bytes', keptBytes)
+      env.metrics.gauge('kept_bytes', env.keptBytes())
       env.metrics.gauge('running', env.running())
-      if (high ? residentBytes > limitBytes * normalShare : residentBytes <= limitBytes * highShare) return
-      high = !high
-      const { heapUsed, external, arrayBuffers } = memory.usage()
-      const fields = { residentBytes, limitBytes, heapBytes: heapUsed, externalBytes: external, bufferBytes: arrayBuffers, keptBytes, running: env.running() }
-      if (high) env.log.warn('memory-high', fields)
-      else env.log.info('memory-normal', fields)
+      try {
+        compare()
+        if (!readable) env.log.info('memory-readable')
+        readable = true
+      } catch (err) {
+        if (readable) env.log.warn('memory-unreadable', { reason: (err as Error).message })
+        readable = false
+      }
     }
   }
 }
