Bound the connections of clients by the descriptors

Callers saw: connections that were reset or never accepted, 503 for requests that no connection to a server was left for, and requests without a response when the process ended. Cause: nothing held descriptors back for connections to servers, peers, the store and for files; `max_fds` of the settings was read by nobody. Change: the lower of `max_fds` and the system's soft limit, less 200 for files, is shared: each of the four servers beside the front has 1/32 of it for itself, the front half of the rest, so that each request in progress can have a connection to a server. At the bound the connection that has been idle for longest is closed; one with a request in progress or partly received is not, and the new one is closed if there is no other. Each decision is counted and logged, one line a second for each server; a gauge has the open connections. Why it works: the bounds leave room by construction, and closing a connection frees its descriptor in the same turn. Conclusion: class of fault: a resource that a client takes and that the node itself needs, without a share of its own.

--- a/packages/clients/src/bounded-server.test.ts
+++ b/packages/clients/src/bounded-server.test.ts
@@ -1,6 +1,7 @@
 /** Requests behind one that the server answers itself on the same connection. */
 import { once } from 'node:events'
-import { connect, type AddressInfo } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createBoundedServer } from './bounded-server'
@@ -30,4 +31,62 @@
   assert.equal([...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status), ['200', '400'])
 })
 
+/** Longest time until something happens, in ms. */
+const eventMs = 10_000
+
+async function until (what: string, happened: () => boolean): Promise<void> {
+  for (const endsAt = performance.now() + eventMs; !happened(); await sleep(5)) assert.ok(performance.now() < endsAt, `never: ${what}`)
+}
+
+/** @returns the connections and what each has received; undefined once it is closed */
+async function openConnections (port: number, count: number): Promise<{ sockets: Socket[], received: (string | undefined)[] }> {
+  const received = Array.from({ length: count }, (): string | undefined => '')
+  const sockets: Socket[] = []
+  for (let index = 0; index < count; index++) {
+    const socket = connect(port, '127.0.0.1')
+    socket.on('data', chunk => { received[index] = `${received[index] ?? ''}${String(chunk)}` })
+    socket.on('error', () => {})
+    socket.once('close', () => { received[index] = undefined })
+    await once(socket, 'connect')
+    sockets.push(socket)
+  }
+  return { sockets, received }
+}
+
+// Guards against clients that hold all descriptors of the process, and against requests that end with them.
+test('a connection beyond the bound takes the place of the one that was idle for longest', async () => {
+  const waiting: (() => void)[] = []
+  const closed: string[] = []
+  let open = 0
+  const server = createBoundedServer((_req, res) => { waiting.push(() => res.end('answer')) }, {}, {
+    maxConnections: 3,
+    connectionsChanged (count) { open = count },
+    closedForRoom (connection) { closed.push(connection) }
+  })
+  const accepted: Socket[] = []
+  server.on('connection', (socket: Socket) => { accepted.push(socket) })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  const { sockets, received } = await openConnections(port, 3)
+  sockets[0]!.write(requestText('/in-progress'))
+  sockets[1]!.write('GET /arriving HTTP/1.1\r\nhos')
+  const sent = requestText('/in-progress').length + 'GET /arriving HTTP/1.1\r\nhos'.length
+  await until('both requests are read', () => waiting.length === 1 && accepted.reduce((sum, socket) => sum + socket.bytesRead, 0) === sent)
+  const first = await openConnections(port, 1)
+  await until('the idle connection is closed', () => received[2] === undefined)
+  assert.equal(closed, ['idle'])
+  first.sockets[0]!.write(requestText('/other'))
+  await until('the request of the new connection is read', () => waiting.length === 2)
+  const second = await openConnections(port, 1)
+  await until('the connection beyond the bound is closed', () => second.received[0] === undefined)
+  assert.equal(closed, ['idle', 'new'])
+  assert.is(open, 3)
+  sockets[1]!.write('t: a\r\n\r\n')
+  await until('the request that was arriving is read', () => waiting.length === 3)
+  for (const respond of waiting) respond()
+  await until('all requests are answered', () => [received[0], received[1], first.received[0]].every(text => text?.endsWith('answer')))
+  for (const socket of [...sockets, ...first.sockets]) socket.destroy()
+  server.close()
+})
+
 test.run()
--- a/packages/clients/src/bounded-server.ts
+++ b/packages/clients/src/bounded-server.ts
@@ -1,6 +1,7 @@
-/** Bounds and ends the requests that a client sends on one connection before it has got the responses to earlier ones. */
+/** Bounds the connections of a server, and the requests that a client sends on one before it has got the responses to earlier ones. */
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { createConnectionRoom } from './connection-room'
 
 /** The part of a connection of an HTTP server that Node.js does not document. */
 type ParsedSocket = Socket & {
@@ -49,16 +50,47 @@
   return httpVersion === '1.1' && headers.host === undefined
 }
 
+export type ServerBounds = {
+  /** Largest number of open connections. At more, the one that has been idle for longest is closed, or the new one if none is idle. */
+  maxConnections?: number
+  /** Called with the number of open connections when it has changed. */
+  connectionsChanged? (count: number): void
+  /** Called for each connection that is closed because there are too many. */
+  closedForRoom? (connection: 'idle' | 'new'): void
+  /** Called for a connection that is closed because its client sends too many requests. */
+  exceeded? (unanswered: number): void
+}
+
 /**
  * Creates a server that passes on the requests within the bound; each of their responses emits `close`.
  * The requests that Node.js would answer itself, past the listener, are answered here, so that the bound holds for them.
- *
- * @param exceeded - called for a connection that is closed because its client sends too many requests
  */
-export function createBoundedServer (listener: RequestListener, options: ServerOptions = {}, exceeded: (unanswered: number) => void = () => {}): Server {
+export function createBoundedServer (listener: RequestListener, options: ServerOptions = {}, bounds: ServerBounds = {}): Server {
   const unanswered = new WeakMap<Socket, Set<ServerResponse>>()
   /** Connections that close with a response to a request without a host. */
   const refused = new WeakSet<Socket>()
+  /** Bytes that had been read on a connection when it became idle. */
+  const idleBytes = new WeakMap<Socket, number>()
+  const room = createConnectionRoom<Socket>(bounds.maxConnections ?? Infinity, socket => socket.bytesRead !== idleBytes.get(socket))
+
+  function becomeIdle (socket: Socket): void {
+    idleBytes.set(socket, socket.bytesRead)
+    room.idle(socket)
+  }
+
+  function connected (socket: Socket): void {
+    idleBytes.set(socket, 0)
+    const leaving = room.opened(socket)
+    if (leaving !== undefined) {
+      bounds.closedForRoom?.(leaving === socket ? 'new' : 'idle')
+      leaving.destroy()
+    }
+    socket.once('close', () => {
+      room.closed(socket)
+      bounds.connectionsChanged?.(room.size())
+    })
+    bounds.connectionsChanged?.(room.size())
+  }
 
   function responsesOf (socket: Socket): Set<ServerResponse> {
     const known = unanswered.get(socket)
@@ -77,12 +109,16 @@
       if (socket.destroyed) return
       const responses = responsesOf(socket)
       if (responses.size >= maxUnanswered) {
-        exceeded(responses.size)
+        bounds.exceeded?.(responses.size)
         socket.destroy()
         return
       }
       responses.add(res)
-      res.once('close', () => { responses.delete(res) })
+      room.busy(socket)
+      res.once('close', () => {
+        responses.delete(res)
+        if (responses.size === 0) becomeIdle(socket)
+      })
       if (refused.has(socket)) {
         // It gets no response, so it must not run.
         req.resume()
@@ -94,6 +130,7 @@
   }
 
   const server = createServer({ ...options, requireHostHeader: false }, bounded(listener))
+  server.on('connection', connected)
   server.on('checkExpectation', bounded((_req, res) => { res.writeHead(417).end() }))
   return server
 }
--- a/packages/gateway/src/auxiliary-servers.ts
+++ b/packages/gateway/src/auxiliary-servers.ts
@@ -1,19 +1,19 @@
 /** HTTP servers for readiness checks, address queries and metrics. */
 import type { Server } from 'node:http'
-import { createBoundedServer } from '@yuccawharf/clients'
+import { createBoundedServer, type ServerBounds } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { AddressResponse, AddressQuery, IngressCodec } from './platform-interface'
 
 /** Responds to the platform's readiness checks with 200 while the node is ready, otherwise with 503. */
-export function createReadyServer (ingress: IngressCodec, isReady: () => boolean): Server {
+export function createReadyServer (ingress: IngressCodec, isReady: () => boolean, bounds?: ServerBounds): Server {
   return createBoundedServer((req, res) => {
     res.writeHead(req.url === ingress.readyPath && isReady() ? 200 : 503).end()
-  })
+  }, {}, bounds)
 }
 
 /** Serves the addresses that clients should use; responds with 503 if there are none. */
-export function createDirectoryServer (ingress: IngressCodec, resolveAddresses: (query: AddressQuery) => AddressResponse): Server {
+export function createDirectoryServer (ingress: IngressCodec, resolveAddresses: (query: AddressQuery) => AddressResponse, bounds?: ServerBounds): Server {
   return createBoundedServer((req, res) => {
     const query = ingress.addressQuery(req.method ?? 'GET', req.url ?? '/')
     const response = query === undefined ? undefined : resolveAddresses(query)
@@ -23,11 +23,11 @@
     }
     const body = ingress.addressResponse(response)
     res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
-  })
+  }, {}, bounds)
 }
 
 /** Serves the metrics in the text format of Prometheus. */
-export function createMetricsServer (metrics: GatewayMetrics, path: string, log: DecisionLog): Server {
+export function createMetricsServer (metrics: GatewayMetrics, path: string, log: DecisionLog, bounds?: ServerBounds): Server {
   let readable = true
   return createBoundedServer((req, res) => {
     if (req.url !== path) {
@@ -42,5 +42,5 @@
       log.error('metrics-failed', { reason: (err as Error).message })
       res.writeHead(500).end()
     })
-  })
+  }, {}, bounds)
 }
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { createBoundedServer, refuseUnreadable, requestLateCode } from '@yuccawharf/clients'
+import { createBoundedServer, refuseUnreadable, requestLateCode, type ServerBounds } from '@yuccawharf/clients'
 import { createBodyReader } from './body-reader'
 import { abortResponse, createClientExchange, refusalBody, sendRefusal, sendUnreadRefusal, type ClientExchange, type ExchangeContext, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
@@ -19,6 +19,8 @@
   /** Limit of the process's memory, in bytes, if it is known. */
   memoryBytes?: number | undefined
   log: DecisionLog
+  /** Bounds of connections. */
+  bounds?: ServerBounds
   /** Undefined until a configuration has been read. */
   routes (): RouteTable | undefined
   /** Whether the node is leaving, so that responses close their connection. */
@@ -212,7 +214,10 @@
     // The client's deadline limits the time for long bodies.
     requestTimeout: 0,
     noDelay: true
-  }, unanswered => { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) })
+  }, {
+    ...env.bounds,
+    exceeded (unanswered) { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) }
+  })
   const ending = refuseUnreadable(server, refuseConnection)
 
   return {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -19,7 +19,7 @@
   /** A request got no permit for a server. */
   permitDenied (reason: string): void
   storeCall (feed: string, result: string): void
-  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes', value: number): void
+  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes' | 'client_connections', value: number): void
   /** @param unreadable - called if the state of the process cannot be read; the text has the last values then */
   text (unreadable: (err: Error) => void): Promise<string>
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,9 +3,10 @@
 import { createDirectoryServer, createMetricsServer, createReadyServer } from './auxiliary-servers'
 import type { ClientExchange } from './client-exchange'
 import type { ClusterConfig } from './cluster-types'
+import { connectionLimits } from './connection-limits'
+import { createConnectionReport } from './connection-report'
 import { createCrashBlocking } from './crash-blocking'
 import { isEvidenceMessage } from './crash-evidence'
-import type { DecisionLog } from './decision-log'
 import { createDepartures } from './departures'
 import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
@@ -16,7 +17,7 @@
 import { createFeeds } from './feeds'
 import { createFleet, nodeRecordOf } from './fleet'
 import { createFrontServer } from './front-server'
-import type { GatewayMetrics } from './gateway-metrics'
+import type { Gateway, GatewayOptions } from './gateway-interface'
 import { createGrantClient, type GrantMessage } from './grant-client'
 import { isGrantMessage } from './grant-message'
 import { createKeptBytes, keptBytesLimit } from './kept-bytes'
@@ -28,7 +29,7 @@
 import { createPeerLink, type PeerMessage } from './peer-link'
 import { createFeedCache, createPeerFetcher, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import { forwardPlain } from './plain-forwarder'
-import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
+import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, UnreadableRecord } from './platform-interface'
 import { createProcessUsage } from './process-usage'
 import { sharedPartIds } from './prompt-cache'
 import { requestDigest } from './request-digest'
@@ -43,26 +44,7 @@
 import { createFactClock } from './suspension-detector'
 import { createUpstream } from './upstream'
 
-export type GatewayOptions = {
-  platform: Platform
-  log: DecisionLog
-  metrics: GatewayMetrics
-  /** Port and path of the metrics endpoint. */
-  metricsAddress: { port: number, path: string }
-  /** Monotonic clock, in ms. */
-  now (): number
-  random (): number
-}
-
-export type Gateway = {
-  start (): Promise<void>
-  /** Applies the bounds and seeds of new settings; changed addresses need a restart of the process. */
-  reload (settings: NodeSettings): void
-  /** Leaves the fleet and resolves when the requests in progress have ended or the grace period is nearly over; further calls end with the first. */
-  stop (): Promise<void>
-  /** Ends at once without leaving the fleet, as if the process were killed. */
-  abort (): void
-}
+export type { Gateway, GatewayOptions } from './gateway-interface'
 
 /** Interval at which an owner checks deadlines and requests engine reports, in ms. */
 const tickMs = 50
@@ -315,11 +297,14 @@
     await forwardPlain(exchange, { ...env, random: options.random, zone: self.zone, servers: registry.ready, pool: pools.pool })
   }
 
+  const maxConnections = connectionLimits(settings.maxDescriptors, options.descriptorLimit)
+  const connections = createConnectionReport(maxConnections, log, metrics)
   const front = createFrontServer({
     now,
     codec: platform.headers,
     kept,
     memoryBytes: settings.memoryBytes,
+    bounds: connections.bounds('front'),
     log,
     routes: () => table,
     closing: () => leavingSince !== undefined,
@@ -414,13 +399,13 @@
 
   const statusSender = createStatusSender({ self, now, fleet, link, owner, feeds, statuses: ownerStatuses })
 
-  const readyServer = createReadyServer(platform.ingress, isReady)
-  const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log)
+  const readyServer = createReadyServer(platform.ingress, isReady, connections.bounds('ready'))
+  const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log, connections.bounds('metrics'))
   const directoryServer = createDirectoryServer(platform.ingress, ({ zone }) => ({
     addresses: chooseAddresses(fleet.directory(isReady()), zone, options.random),
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
-  }))
-  const snapshotServer = createSnapshotServer(feedCache, departures.known)
+  }), connections.bounds('directory'))
+  const snapshotServer = createSnapshotServer(feedCache, departures.known, connections.bounds('control'))
   const logQuestions = createLogQuestions({
     self,
     now,
@@ -453,6 +438,7 @@
     timers.push(setInterval(statusSender.send, statusIntervalMs))
     timers.push(setInterval(fetchFromSeeds, seedPollMs))
     timers.push(setInterval(usage.check, usageIntervalMs))
+    timers.push(setInterval(connections.check, usageIntervalMs))
   }
 
   function close (): void {
@@ -474,6 +460,7 @@
     // A busy machine may have kept the process from reading what has arrived; the close resets it.
     await front.readArrived()
     close()
+    connections.check()
     // Connections that were accepted meanwhile.
     await front.readArrived()
     log.info('stopped', {})
@@ -482,7 +469,7 @@
 
   return {
     async start () {
-      log.info('starting', { zone: settings.zone, address: self.address, front: self.front, incarnation: self.incarnation })
+      log.info('starting', { zone: settings.zone, address: self.address, front: self.front, incarnation: self.incarnation, descriptorLimit: options.descriptorLimit, maxDescriptors: settings.maxDescriptors })
       // A node is known to the others only when it accepts requests.
       await listening.other({ host: settings.ip, port: settings.peerPorts[0] }, link.listen)
       await Promise.all([
--- a/packages/gateway/src/peer-state.ts
+++ b/packages/gateway/src/peer-state.ts
@@ -3,7 +3,7 @@
  * node that starts or has missed a change fetches them from another node.
  */
 import type { Server } from 'node:http'
-import { createBoundedServer, createHttpClient, parseJson } from '@yuccawharf/clients'
+import { createBoundedServer, createHttpClient, parseJson, type ServerBounds } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
 import { isPosition } from './field-checks'
 import { usableFleetRecords, usableOperatorRecords, usableServers } from './peer-records'
@@ -73,7 +73,7 @@
 }
 
 /** @param departures - servers that have left; undefined if this node cannot tell yet */
-export function createSnapshotServer (cache: FeedCache, departures: () => Departure[] | undefined): Server {
+export function createSnapshotServer (cache: FeedCache, departures: () => Departure[] | undefined, bounds?: ServerBounds): Server {
   const resources = new Map<string, () => unknown>([[statePath, () => cache.snapshot()], [departuresPath, departures]])
   return createBoundedServer((req, res) => {
     const resource = resources.get(req.url ?? '')
@@ -83,7 +83,7 @@
       return
     }
     res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(value))
-  })
+  }, {}, bounds)
 }
 
 function isSnapshot (value: unknown): value is Record<FeedName, { next: number, records: unknown[] }> {
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -163,6 +163,8 @@
   cpuShare: number
   /** Resident memory above which the platform kills the process, in bytes. */
   memoryBytes?: number
+  /** Largest number of open descriptors that the platform allows. */
+  maxDescriptors?: number
   bounds: Bounds
 }
 
