Refuse each of the requests that a leaving node reads together

Callers saw: of several requests that arrived together on one connection of a leaving node, the first was refused and the others got no response; their connection ended. Cause: a refusal was sent inside the parser's event for the first request, when it was the newest one, so it closed the connection before the next request of the same bytes was parsed. Change: a refusal of a leaving node waits for the next turn of the event loop; then the newest request is known, and only its response closes the connection. Conclusion: none of these requests had run; what was lost is their refusal.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -121,7 +121,9 @@
       const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': env.codec.retryAfter(retryAfterMs) }
       return { ...env.codec.identify(id), ...retry, ...(closing() ? { connection: 'close' } : {}) }
     }
-    const refuse = (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): void => {
+    const refuse = async (status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number): Promise<void> => {
+      // Requests that were read together with it are passed on later in this turn; only the last response may close the connection.
+      if (env.closing()) await nextTurn()
       const { id } = env.codec.request(req.rawHeaders)
       env.log.info('request-refused', { id, status, reason, configVersion: table?.config.version })
       const headers = refusalHeaders(id, retryAfterMs)
@@ -129,8 +131,8 @@
       sendRefusal(res, { status, outcome }, reason, headers)
       req.resume()
     }
-    const refuseHeaders = (pipelined: boolean): void => {
-      if (!pipelined) return refuse(503, 'not-run', 'too many bytes of headers are kept', noRoomRetryAfterMs)
+    const refuseHeaders = async (pipelined: boolean): Promise<void> => {
+      if (!pipelined) return await refuse(503, 'not-run', 'too many bytes of headers are kept', noRoomRetryAfterMs)
       // The refusal would have to wait for the responses before it, and take memory too.
       env.log.warn('connection-closed', { reason: 'too many bytes of headers are kept' })
       req.socket.destroy()
@@ -145,26 +147,26 @@
     // A response has its connection when those before it are complete.
     const pipelined = res.socket === null
     const releaseHeaders = heldHeaders.hold(size, pipelined)
-    if (releaseHeaders === undefined) return refuseHeaders(pipelined)
+    if (releaseHeaders === undefined) return await refuseHeaders(pipelined)
     res.once('close', releaseHeaders)
-    if (table === undefined) return refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryAfterMs)
-    if (env.closed()) return refuse(503, 'not-run', 'the node is leaving', leavingRetryAfterMs)
+    if (table === undefined) return await refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryAfterMs)
+    if (env.closed()) return await refuse(503, 'not-run', 'the node is leaving', leavingRetryAfterMs)
     const { limits } = table.config
-    if (size > limits.headerBytes) return refuse(431, 'invalid', `the headers exceed ${limits.headerBytes} bytes`)
+    if (size > limits.headerBytes) return await refuse(431, 'invalid', `the headers exceed ${limits.headerBytes} bytes`)
     const route = table.match(req.headers.host ?? '', req.url ?? '/')
-    if (route === undefined) return refuse(404, 'invalid', 'no route matches host and path')
+    if (route === undefined) return await refuse(404, 'invalid', 'no route matches host and path')
     const metadata = env.codec.request(req.rawHeaders)
-    if (metadata.id === '') return refuse(400, 'invalid', 'the request has no id')
+    if (metadata.id === '') return await refuse(400, 'invalid', 'the request has no id')
     const deadlineAt = (): number => Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
     const body = await bodies.read(req, limits.bodyBytes, deadlineAt)
     if (body.type === 'aborted') return
-    if (body.type === 'too-large') return refuse(413, 'invalid', `the body exceeds ${limits.bodyBytes} bytes`)
+    if (body.type === 'too-large') return await refuse(413, 'invalid', `the body exceeds ${limits.bodyBytes} bytes`)
     if (body.type === 'refused') return refuseBody(metadata.id, body.reason)
     const target = chooseTarget(route, metadata.id)
     const service = target === undefined ? undefined : table.service(target)
     if (service === undefined) {
       body.release()
-      return refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
+      return await refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
     }
     const context: ExchangeContext = { req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt: deadlineAt() }
     const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, log: env.log, closing })
--- a/packages/gateway/src/pipelined-stop.test.ts
+++ b/packages/gateway/src/pipelined-stop.test.ts
@@ -12,6 +12,8 @@
 const serverMs = 300
 /** Time in which all requests of a test are answered, in ms. */
 const answeredMs = 2000
+/** Time after which a leaving node refuses requests, in ms; one that was accepted before keeps it. */
+const leavingMs = 2550
 
 let nodes: TestNodes
 let backend: FakeBackend
@@ -19,7 +21,7 @@
 let received: string
 let stopped: Promise<void>
 
-const requestText = (index: number): string => `POST /order/x HTTP/1.1\r\nhost: a.example\r\nx-id: r${index}\r\ncontent-length: 2\r\n\r\nhi`
+const requestText = (index: number, path = '/order/x'): string => `POST ${path} HTTP/1.1\r\nhost: a.example\r\nx-id: r${index}\r\ncontent-length: 2\r\n\r\nhi`
 const ran = (): string[] => backend.requests.map(req => String(req.headers['x-id'])).filter(id => id.startsWith('r'))
 const answered = (): string[] => [...received.matchAll(/to-(r\d)/g)].map(([, id]) => id!)
 
@@ -71,4 +73,23 @@
   assert.equal(ran(), ['r0'])
 })
 
+// Guards against requests that arrive together, of which only the first is answered because its refusal closes their connection.
+for (const [when, path, status] of [['accepts requests', '/unknown/x', 404], ['no longer accepts requests', '/order/x', 503]] as const) {
+  test(`requests that are read together are all refused by a leaving node that ${when}`, async () => {
+    stopped = nodes.stop()
+    if (status === 503) {
+      await sleep(leavingMs - serverMs / 2)
+      const other = sendTestRequest(nodes.fronts[0]!, '/order/x', 'other')
+      await sleep(serverMs / 2)
+      stopped = Promise.all([stopped, other]).then(() => {})
+    }
+    client.write([0, 1, 2].map(index => requestText(index, path)).join(''))
+    await sleep(serverMs)
+    assert.equal([...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, text]) => Number(text)), [status, status, status])
+    assert.is([...received.matchAll(/connection: close/gi)].length, 1)
+    assert.match(received.slice(received.lastIndexOf('HTTP/1.1')), /connection: close/i)
+    assert.equal(ran(), [])
+  })
+}
+
 test.run()
