Answer the requests before one that is late or too large

Callers saw: a client that pipelines lost the response to a request that ran, at any time, when the head of the request behind it arrived later than the header timeout or was larger than the limit: the node closed the connection at once, and the server's work was aborted. Cause: a refusal must not be sent inside the response to an earlier request or in its place, so the connection was destroyed instead, and the earlier responses with it. Change: the refusal waits for the responses before it, and nothing that arrives meanwhile runs. A client that leaves meanwhile is seen to leave. Bytes that are not HTTP still close the connection without a further byte, as front-server.test demands. Conclusion: only clients that pipeline meet it; that the users' clients do is not shown.

--- a/packages/clients/src/response-tracker.ts
+++ b/packages/clients/src/response-tracker.ts
@@ -5,6 +5,8 @@
 export type ResponseTracker = {
   /** Whether a request on the connection was read as a whole, or its response has begun, and the response is not complete. */
   isResponding (socket: Duplex): boolean
+  /** Resolves when the responses for which `isResponding` holds now are complete or cut. */
+  responded (socket: Duplex): Promise<void>
 }
 
 export function trackResponses (server: Server): ResponseTracker {
@@ -14,5 +16,12 @@
     exchanges.set(req.socket, current.set(res, req))
     res.on('close', () => current.delete(res))
   })
-  return { isResponding: socket => [...exchanges.get(socket) ?? []].some(([res, req]) => req.complete || res.headersSent) }
+  const open = (socket: Duplex): ServerResponse[] => [...exchanges.get(socket) ?? []].filter(([res, req]) => req.complete || res.headersSent).map(([res]) => res)
+
+  return {
+    isResponding: socket => open(socket).length > 0,
+    async responded (socket) {
+      await Promise.all(open(socket).map(async res => await new Promise<void>(resolve => { res.once('close', resolve) })))
+    }
+  }
 }
--- a/packages/clients/src/unreadable-requests.test.ts
+++ b/packages/clients/src/unreadable-requests.test.ts
@@ -14,7 +14,12 @@
 const closedMs = 4000
 const pollMs = 50
 
+/** Time after which a request to `/slow` is answered, in ms: longer than the header timeout and the interval of its check. */
+const slowMs = 800
+
 let server: Server
+/** Time at which the client of a request to `/slow` was seen to leave before its response, in ms. */
+let leftAt: number | undefined
 
 function countConnections (): Promise<number> {
   return new Promise((resolve, reject) => {
@@ -23,7 +28,15 @@
 }
 
 test.before.each(async () => {
-  server = createBoundedServer((_req, res) => { res.end() }, { headersTimeout: 100, connectionsCheckingInterval: 100 })
+  leftAt = undefined
+  server = createBoundedServer((req, res) => {
+    if (req.url !== '/slow') return res.end()
+    const timer = setTimeout(() => { res.writeHead(200, { 'content-length': 4 }).end('slow') }, slowMs)
+    res.once('close', () => {
+      clearTimeout(timer)
+      if (!res.writableFinished) leftAt = performance.now()
+    })
+  }, { headersTimeout: 100, connectionsCheckingInterval: 100 })
   refuseUnreadable(server, (_err, socket) => { socket.end(refusal) })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
 })
@@ -32,7 +45,9 @@
   server.close()
 })
 
-for (const [name, bytes] of [['is late', 'GET / HTTP/1.1\r\nhost: a'], ['is not HTTP', 'none\r\n\r\n']] as const) {
+const unreadable = [['is late', 'GET / HTTP/1.1\r\nhost: a'], ['is not HTTP', 'none\r\n\r\n'], ['is too large', `GET / HTTP/1.1\r\nhost: a\r\nx: ${'x'.repeat(20_000)}\r\n\r\n`]] as const
+
+for (const [name, bytes] of unreadable) {
   // Guards against a node without descriptors, because clients keep their side of refused connections open.
   test(`a connection whose request ${name} is closed after its refusal also if its client does not close it`, async () => {
     let received = ''
@@ -49,4 +64,35 @@
   })
 }
 
+for (const [name, bytes] of unreadable.filter(([reason]) => reason !== 'is not HTTP')) {
+  // Guards against a request that runs and gets no response, because the connection is closed for what its client sends behind it.
+  test(`a request before one that ${name} is answered`, async () => {
+    let received = ''
+    const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    client.on('error', () => {})
+    client.on('data', chunk => { received += String(chunk) })
+    client.write(`GET /slow HTTP/1.1\r\nhost: a\r\n\r\n${bytes}`)
+    for (let waitedMs = 0; waitedMs < closedMs && !client.destroyed; waitedMs += pollMs) {
+      await sleep(pollMs)
+      // Later parts of the input are refused once.
+      if (waitedMs < slowMs / 2) client.write('x')
+    }
+    assert.match(received, /^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nslowHTTP\/1\.1 400 Refused\r\n/)
+    assert.is(received.split('Refused').length, 2)
+    assert.ok(client.destroyed)
+  })
+
+  // Guards against servers that work for a client that has left, because the connection is no longer read.
+  test(`a client that leaves after a request that ${name} is seen to leave`, async () => {
+    const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    client.on('error', () => {})
+    client.write(`GET /slow HTTP/1.1\r\nhost: a\r\n\r\n${bytes}`)
+    await sleep(slowMs / 2)
+    client.end()
+    const endedAt = performance.now()
+    await sleep(slowMs / 4)
+    assert.ok(leftAt !== undefined && leftAt - endedAt < slowMs / 4, `left at ${leftAt}`)
+  })
+}
+
 test.run()
--- a/packages/clients/src/unreadable-requests.ts
+++ b/packages/clients/src/unreadable-requests.ts
@@ -13,6 +13,9 @@
 /** Error of a connection on which a request does not arrive in time. */
 export const requestLateCode = 'ERR_HTTP_REQUEST_TIMEOUT'
 
+/** Errors of connections on which what has arrived is HTTP, so that the requests before are sound. */
+const limitCodes: ReadonlySet<string> = new Set([requestLateCode, 'HPE_HEADER_OVERFLOW'])
+
 /** Time for which a client may read a refusal before its connection is destroyed, in ms. */
 const refusalReadMs = 2000
 
@@ -24,20 +27,29 @@
 export function refuseUnreadable (server: Server, refuse: (err: NodeJS.ErrnoException, socket: Socket) => void): EndingConnections {
   const responses = trackResponses(server)
   const ending = new WeakSet<Socket>()
+  /** Connections that end with a refusal of what cannot be read, once the responses before it are complete. */
+  const refused = new WeakSet<Socket>()
   /** Connections whose time is over, while what has arrived on them is read. */
   const late = new WeakSet<Socket>()
 
   function end (err: NodeJS.ErrnoException, socket: Socket): void {
+    const isMalformed = !limitCodes.has(err.code ?? '')
     // A refusal would be read as part of the response in progress, or in place of it.
-    if (!socket.writable || responses.isResponding(socket)) {
+    if (!socket.writable || socket.readableEnded || (isMalformed && responses.isResponding(socket))) {
       socket.destroy()
       return
     }
+    // Each later part of the input that cannot be read is an error again.
+    if (refused.has(socket)) return
+    refused.add(socket)
     ending.add(socket)
-    refuse(err, socket)
-    // The client may keep its side open.
-    const timer = setTimeout(() => { socket.destroy() }, refusalReadMs)
-    socket.once('close', () => { clearTimeout(timer) })
+    responses.responded(socket).then(() => {
+      if (!socket.writable) return
+      refuse(err, socket)
+      // The client may keep its side open.
+      const timer = setTimeout(() => { socket.destroy() }, refusalReadMs)
+      socket.once('close', () => { clearTimeout(timer) })
+    }, (failure: Error) => { socket.destroy(failure) })
   }
 
   /** If the process could not run for a while, timers are handled before requests that arrived in time. */
