Free the lock of a build that cannot write it

Callers saw: after a build on a full disk the next one, with space again, waited for a lock that nobody held.

Cause: the lock was created and filled in one call. When the write failed the file stayed, empty, and nobody refreshed or removed it.

The process that created the file, and no other, removes it when it cannot be filled, so no lock is left without a holder.

--- a/scripts/build-lock.mjs
+++ b/scripts/build-lock.mjs
@@ -3,7 +3,7 @@
  * lock, so that one whose process was killed is taken over, also from another process namespace.
  */
 import { randomUUID } from 'node:crypto'
-import { mkdirSync, readFileSync, renameSync, rmSync, statSync, utimesSync, writeFileSync } from 'node:fs'
+import { closeSync, mkdirSync, openSync, readFileSync, renameSync, rmSync, statSync, utimesSync, writeFileSync } from 'node:fs'
 import { dirname } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 
@@ -33,15 +33,25 @@
 
 /** @returns whether the lock was created */
 function create (path, token) {
+  let file
   try {
     mkdirSync(dirname(path), { recursive: true })
-    writeFileSync(path, token, { flag: 'wx' })
-    return true
+    file = openSync(path, 'wx')
   } catch (err) {
     // The folder may be removed at the same time.
     if (err.code === 'EEXIST' || err.code === 'ENOENT') return false
     throw err
   }
+  try {
+    writeFileSync(file, token)
+    return true
+  } catch (err) {
+    // Others would wait for a lock that nobody holds.
+    rmSync(path, { force: true })
+    throw err
+  } finally {
+    closeSync(file)
+  }
 }
 
 /**
