Keep a node whose log cannot be written

Callers saw: in the product's own mode a node whose standard output cannot be written ended by itself with exit code 1 at its first log lines (trial of the yuccawharf command with a full disk for standard output: ended; the message of ENOSPC is on standard error).

The logger listens to the errors of the streams that it writes to; other streams keep theirs.

--- a/packages/node/src/observability.ts
+++ b/packages/node/src/observability.ts
@@ -7,8 +7,14 @@
 
 const levels = { error: 0, warn: 1, info: 3, debug: 4 }
 
+/** There is nowhere to report that the log cannot be written, and an error without a listener ends the process. */
+function outlastFailedWrite (): void {}
+
 /** @param level least severe level that is logged */
 export function createLogger (level: keyof typeof levels): Logger {
+  for (const stream of [process.stdout, process.stderr]) {
+    if (!stream.listeners('error').includes(outlastFailedWrite)) stream.on('error', outlastFailedWrite)
+  }
   return createConsola({ level: levels[level], formatOptions: { date: true, colors: false } })
 }
 
