Build nothing, and write nothing, in a checkout that is built

Callers saw: the build command failed with exit code 1 in a checkout that already held the program of the same sources but could not be written (EFBIG with a size limit of 0 in place of a full disk), and waited for a lock that a killed build had left although there was nothing to do.

Cause: the command took the lock, which is a file, before it looked whether there was anything to build.

The record names the digests of the sources and of each file of the program, and each file is replaced by a rename. So a record that matches shows a whole build without a lock; a file that another build removes meanwhile counts as absent and leads to the lock as before.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -2,7 +2,7 @@
  * Build command of deploy/system.toml: installs the packages if those that are there cannot be used,
  * and builds `target/`. An earlier build stays until the new one is whole, since processes may start
  * meanwhile. After a failure the program is absent, so that no earlier build is taken for the new one.
- * Builds that are started at the same time follow one another; one of the same sources has nothing to do.
+ * Builds that are started at the same time follow one another; one of the same sources has nothing to do, and writes nothing.
  */
 import { spawn } from 'node:child_process'
 import { mkdirSync, mkdtempSync, readdirSync, renameSync, rmSync } from 'node:fs'
@@ -97,8 +97,10 @@
 }
 
 try {
-  mkdirSync(target, { recursive: true })
-  await withBuildLock(lock, build)
+  if (!isCurrent(target, readRecord(target), digestInputs(root))) {
+    mkdirSync(target, { recursive: true })
+    await withBuildLock(lock, build)
+  }
 } catch (err) {
   console.error(`The build failed: ${err.message}`)
   process.exitCode = 1
--- a/scripts/build-record.mjs
+++ b/scripts/build-record.mjs
@@ -52,7 +52,17 @@
   }
 }
 
-/** @returns {boolean} whether the folder holds a complete build from these inputs */
+/** @returns {string | undefined} undefined if the file is absent; another build may remove it at any time */
+function digestIfPresent (path) {
+  try {
+    return digestOf(path)
+  } catch (err) {
+    if (err.code === 'ENOENT') return undefined
+    throw err
+  }
+}
+
+/** @returns {boolean} whether the folder holds a complete build from these inputs; needs no lock, since each file is replaced at once */
 export function isCurrent (folder, { inputs, outputs }, inputsDigest) {
-  return inputs === inputsDigest && Object.entries(outputs).every(([name, digest]) => existsSync(join(folder, name)) && digestOf(join(folder, name)) === digest)
+  return inputs === inputsDigest && Object.entries(outputs).every(([name, digest]) => digestIfPresent(join(folder, name)) === digest)
 }
