Keep the installed packages when the program cannot be written

Callers saw: a build on a full disk installed the packages again, which removes those that are there first. Without a registry, or with the disk still full, the checkout then has no packages either.

Cause: any failure of the bundler counted as packages that cannot be used.

The program that is built is the same, byte for byte.

The bundler first bundles in memory, which needs the packages, and then writes; a failed write has an exit code of its own, after which an install does not help.

--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -8,6 +8,7 @@
 import { mkdirSync, mkdtempSync, readdirSync, renameSync, rmSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { cannotWriteExitCode } from './build-exit-codes.mjs'
 import { withBuildLock } from './build-lock.mjs'
 import { digestInputs, isCurrent, readRecord, writeRecord } from './build-record.mjs'
 import { findInstallFault } from './installed-packages.mjs'
@@ -27,7 +28,7 @@
     child.on('error', err => { if (!signal.aborted) reject(new Error(`${line}: ${err.message}`)) })
     child.on('close', (code, endedBy) => {
       if (code === 0) resolve()
-      else reject(new Error(`${line}: ${signal.aborted ? signal.reason.message : endedBy === null ? `exit code ${code}` : `ended by ${endedBy}`}`))
+      else reject(Object.assign(new Error(`${line}: ${signal.aborted ? signal.reason.message : endedBy === null ? `exit code ${code}` : `ended by ${endedBy}`}`), { exitCode: code }))
     })
   })
 }
@@ -57,7 +58,7 @@
   try {
     return await bundle(signal)
   } catch (err) {
-    if (fault !== undefined || signal.aborted) throw err
+    if (fault !== undefined || signal.aborted || err.exitCode === cannotWriteExitCode) throw err
     await installPackages(`the build failed: ${err.message}`, signal)
     return await bundle(signal)
   }
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -8,6 +8,7 @@
 import { join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
+import { cannotWriteExitCode } from './build-exit-codes.mjs'
 import { bundleOptions } from './bundle-options.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
@@ -31,14 +32,20 @@
 
 const { outputFiles: [node] } = await build({ ...options, entryPoints: [join(root, 'platform/src/node-process.ts')], write: false })
 const nodeBundle = `yuccawharf-node-${createHash('sha256').update(node.contents).digest('hex').slice(0, digestLength)}.cjs`
-mkdirSync(target, { recursive: true })
-writeFileSync(join(target, nodeBundle), node.contents)
-await build({
+const { outputFiles: [entryPoint] } = await build({
   ...options,
   entryPoints: [join(root, 'platform/src/main.ts')],
-  outfile: join(target, 'yuccawharf.cjs'),
+  write: false,
   plugins: [separateNode(nodeBundle)],
   banner: {},
   // A call of require is faster than the loader of modules.
   supported: { 'dynamic-import': false }
 })
+try {
+  mkdirSync(target, { recursive: true })
+  writeFileSync(join(target, nodeBundle), node.contents)
+  writeFileSync(join(target, 'yuccawharf.cjs'), entryPoint.contents)
+} catch (err) {
+  console.error(`${target} cannot be written: ${err.message}`)
+  process.exitCode = cannotWriteExitCode
+}
