--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -2,12 +2,13 @@
  * Build command of deploy/system.toml: installs the packages if those that are there cannot be used,
  * and builds `target/`. An earlier build stays until the new one is whole, since processes may start
  * meanwhile. After a failure the program is absent, so that no earlier build is taken for the new one.
- * Builds that are started at the same time follow one another; one of the same sources has nothing to do.
+ * Builds that are started at the same time follow one another; one of the same sources has nothing to do, and writes nothing.
  */
 import { spawn } from 'node:child_process'
 import { mkdirSync, mkdtempSync, readdirSync, renameSync, rmSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { cannotWriteExitCode } from './build-exit-codes.mjs'
 import { withBuildLock } from './build-lock.mjs'
 import { digestInputs, isCurrent, readRecord, writeRecord } from './build-record.mjs'
 import { findInstallFault } from './installed-packages.mjs'
@@ -27,7 +28,7 @@
     child.on('error', err => { if (!signal.aborted) reject(new Error(`${line}: ${err.message}`)) })
     child.on('close', (code, endedBy) => {
       if (code === 0) resolve()
-      else reject(new Error(`${line}: ${signal.aborted ? signal.reason.message : endedBy === null ? `exit code ${code}` : `ended by ${endedBy}`}`))
+      else reject(Object.assign(new Error(`${line}: ${signal.aborted ? signal.reason.message : endedBy === null ? `exit code ${code}` : `ended by ${endedBy}`}`), { exitCode: code }))
     })
   })
 }
@@ -57,7 +58,7 @@
   try {
     return await bundle(signal)
   } catch (err) {
-    if (fault !== undefined || signal.aborted) throw err
+    if (fault !== undefined || signal.aborted || err.exitCode === cannotWriteExitCode) throw err
     await installPackages(`the build failed: ${err.message}`, signal)
     return await bundle(signal)
   }
@@ -97,8 +98,10 @@
 }
 
 try {
-  mkdirSync(target, { recursive: true })
-  await withBuildLock(lock, build)
+  if (!isCurrent(target, readRecord(target), digestInputs(root))) {
+    mkdirSync(target, { recursive: true })
+    await withBuildLock(lock, build)
+  }
 } catch (err) {
   console.error(`The build failed: ${err.message}`)
   process.exitCode = 1
