Read the software version of servers and the name of the stream that is taken up

Change: the field version of an entry and the header Resumes are decoded, checked in records of peers and relayed as a change; a version that is no text makes the entry unreadable. The stand-in of the headers forwards the id of the last event. No decision uses either yet.

--- a/packages/gateway/src/cluster-types.ts
+++ b/packages/gateway/src/cluster-types.ts
@@ -76,6 +76,8 @@
   /** Start time of the process, Unix ms; distinguishes two starts under one id. */
   bornAt: number
   service: string
+  /** Version of its software; absent if its entry states none. */
+  version?: string
   address: string
   zone: string
   state: 'ready' | 'draining'
--- a/packages/gateway/src/peer-records.ts
+++ b/packages/gateway/src/peer-records.ts
@@ -15,6 +15,7 @@
   id: isName,
   bornAt: isPosition,
   service: isName,
+  version: optional(isText),
   address: isAddress,
   zone: isText,
   state: isOneOf(['ready', 'draining']),
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -71,6 +71,8 @@
   deadlineMs?: number
   /** Id of the last stream event that the client has received. */
   lastEventId?: string
+  /** Id of the client's request that brought the first event of the stream that this one takes up. */
+  resumes?: string
   demand?: ModelDemand
   /** Headers to forward, without hop-by-hop headers and those that only the gateway sets. */
   headers: RawHeaders
--- a/packages/gateway/src/server-relay.test.ts
+++ b/packages/gateway/src/server-relay.test.ts
@@ -20,6 +20,14 @@
   assert.equal(relay.updateFor([removal, record('s2', 9, { state: 'draining' })], 7, 10, undefined).records, [removal])
 })
 
+// Guards against nodes that let a stream go on at a server whose software has changed since.
+test('relays an entry in which only the version of the software changed', () => {
+  const relay = createServerRelay()
+  relay.seen([record('s1', 1, { version: 'v1' }), record('s2', 2)])
+  const changes = [record('s1', 3, { version: 'v2' }), record('s2', 4, { version: 'v1' })]
+  assert.equal(relay.updateFor(changes, 3, 5, undefined).records, changes)
+})
+
 // Guards against a server that registers again under its id and stays unknown to the zone.
 test('relays an entry that is written again after its removal', () => {
   const relay = createServerRelay()
--- a/packages/gateway/src/server-relay.ts
+++ b/packages/gateway/src/server-relay.ts
@@ -45,8 +45,8 @@
 function contentOf (value: ServerRecord | undefined): string {
   if (value === undefined) return ''
   if (value.type !== 'server') return value.type
-  const { id, bornAt, service, address, zone, state, slots, models } = value.server
-  return JSON.stringify([id, bornAt, service, address, zone, state, slots, models.map(({ name }) => name)])
+  const { id, bornAt, service, version, address, zone, state, slots, models } = value.server
+  return JSON.stringify([id, bornAt, service, version, address, zone, state, slots, models.map(({ name }) => name)])
 }
 
 export function createServerRelay (): ServerRelay {
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -11,13 +11,17 @@
 export const testCodec: HeaderCodec = {
   request (raw) {
     const adapter = valueOf(raw, 'x-adapter')
+    const resumes = valueOf(raw, 'x-resumes')
+    const lastEventId = valueOf(raw, 'x-last')
     const partIds = valueOf(raw, 'x-parts')
     const parts = (partIds ?? '').split(',').filter(id => id !== '').map(id => ({ id, tokens: 10 }))
     const demand = { model: 'base', ...(adapter === undefined ? {} : { adapter }), promptTokens: 100, outputTokens: 10, parts }
-    const headers = raw.filter((_, index) => !['connection', 'host', 'content-length', 'transfer-encoding'].includes(raw[index - index % 2]!.toLowerCase()))
-    return { id: valueOf(raw, 'x-id') ?? '', headers, ...(adapter === undefined && partIds === undefined ? {} : { demand }) }
+    const headers = raw.filter((_, index) => !['connection', 'host', 'x-last', 'content-length', 'transfer-encoding'].includes(raw[index - index % 2]!.toLowerCase()))
+    return { id: valueOf(raw, 'x-id') ?? '', headers, ...(lastEventId === undefined ? {} : { lastEventId }), ...(resumes === undefined ? {} : { resumes }), ...(adapter === undefined && partIds === undefined ? {} : { demand }) }
+  },
+  attempt (metadata, { instanceId, remainingMs, version, lastEventId = metadata.lastEventId }) {
+    return [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs)), ...(version === undefined ? [] : ['X-Version', String(version)]), ...(lastEventId === undefined ? [] : ['X-Last', lastEventId])]
   },
-  attempt: (metadata, { instanceId, remainingMs, version }) => [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs)), ...(version === undefined ? [] : ['X-Version', String(version)])],
   response (status, raw) {
     const requestId = valueOf(raw, 'x-id')
     const limit = valueOf(raw, 'x-limit')
