Let streams go on only at the software version that began them

Callers saw: answers joined from two software versions of a service, with nothing to show it (ORDER), within an answer when an engine ended and over a client's tries when nodes ended. Cause: nothing knew at which version a stream had begun, and nothing asked for the version of the engine that was to go on with it. Change: the version of the engine that sends the first event binds the stream: the owners that are asked, the engines that they grant and load, the choice without an owner and the node that sends. A client that takes a stream up gets the version from the node's own memory, from the fact that the service has had one version only, or from a record in the store, which processes write while a service has several versions. A stream whose version is not known, or has no engine, is refused at once as not run. Conclusion: class of fault: state that decides how work may continue is kept only where the work began. With one version nothing is recorded or read.

--- a/packages/gateway/src/engine-choice.test.ts
+++ b/packages/gateway/src/engine-choice.test.ts
@@ -65,8 +65,8 @@
 test('an engine that states a limit is not used without its owner', () => {
   const scopes = new Set([cacheScope(demand('x1'))])
   const engines = [engine('e1', 'a', 'owner-a', { scopes, limited: true }), engine('e2', 'b', 'owner-b', { scopes })]
-  assert.is(chooseWithoutOwner(engines, demand('x1'), 'a', [], () => 0)?.id, 'e2')
-  assert.is(chooseWithoutOwner(engines.slice(0, 1), demand('x1'), 'a', [], () => 0), undefined)
+  assert.is(chooseWithoutOwner(engines, demand('x1'), 'a', { excluded: [] }, () => 0)?.id, 'e2')
+  assert.is(chooseWithoutOwner(engines.slice(0, 1), demand('x1'), 'a', { excluded: [] }, () => 0), undefined)
 })
 
 test.run()
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -6,7 +6,9 @@
  */
 import { topNode } from '@yuccawharf/coordination'
 import type { BackendServer, ModelDemand } from './cluster-types'
+import type { ScheduledRequest } from './engine-scheduler-types'
 import { cacheScope } from './prompt-cache'
+import { softwareVersionOf } from './software-versions'
 
 /** An engine with the status that its owner last sent. */
 export type EngineCandidate = {
@@ -26,6 +28,15 @@
   ageMs: number
 }
 
+/** What restricts the engines to which a request may be sent. */
+export type EngineRestriction = Pick<ScheduledRequest, 'excluded' | 'only' | 'softwareVersion'>
+
+/** @returns whether the request may be sent to the engine */
+export function mayRunAt (server: BackendServer, { excluded, only, softwareVersion }: EngineRestriction): boolean {
+  return !excluded.includes(server.id) && (only === undefined || only.includes(server.id)) &&
+    (softwareVersion === undefined || softwareVersion === softwareVersionOf(server))
+}
+
 /** Cost of a load from the weight store in addition to its duration, in ms. */
 const loadCostMs = 100
 /** Cost of transferring a request to another zone, in ms. */
@@ -86,12 +97,12 @@
  *
  * @returns undefined if no engine had it
  */
-export function chooseWithoutOwner (engines: readonly EngineCandidate[], demand: ModelDemand, zone: string, excluded: readonly string[], inProgress: (id: string) => number): BackendServer | undefined {
+export function chooseWithoutOwner (engines: readonly EngineCandidate[], demand: ModelDemand, zone: string, restriction: EngineRestriction, inProgress: (id: string) => number): BackendServer | undefined {
   const scope = demand.adapter === undefined ? undefined : cacheScope(demand)
   let best: BackendServer | undefined
   let bestCost = Infinity
   for (const engine of engines) {
-    if (engine.limited === true || excluded.includes(engine.server.id)) continue
+    if (engine.limited === true || !mayRunAt(engine.server, restriction)) continue
     if (scope !== undefined && !engine.scopes.has(scope)) continue
     const cost = engineCost(engine, scope, zone, false) + inProgress(engine.server.id) * loadCostMs
     if (cost < bestCost) {
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -14,6 +14,8 @@
 import { cacheScope } from './prompt-cache'
 import type { BlockedRequest, RequestRuns } from './request-crashes'
 import type { ServerRestrictions } from './server-restrictions'
+import { softwareVersionOf } from './software-versions'
+import type { StreamProgress } from './stream-versions'
 import type { Upstream } from './upstream'
 
 export type EngineForwarderEnv = {
@@ -30,6 +32,10 @@
   restrictions: Pick<ServerRestrictions, 'record' | 'waitMs'>
   budget (service: string): RetryBudget
   firstEvent (service: string, seconds: number): void
+  /** The only software version at which the request may run, because a client takes up a stream that began there. */
+  softwareVersion: string | undefined
+  /** Remembers where the stream began. */
+  progress: StreamProgress
   /** Sendings of this request, which may crash its engines. */
   runs: RequestRuns
   /** @returns why the request is refused, if it or a part of its prompt is blocked */
@@ -40,6 +46,8 @@
 const maxGrants = 6
 const maxResponseBytes = 16 * 1024 * 1024
 const noGrantRetryAfterMs = 700
+/** Delay suggested to clients while no engine of the stream's software version serves, in ms: one that ended is back within seconds. */
+const noVersionRetryAfterMs = 2000
 /** Highest priority value that engines support; it is the least urgent. */
 const maxPriority = 9
 
@@ -57,6 +65,8 @@
   let maybeRun = false
   let lastEventId = metadata.lastEventId
   let responseStarted = false
+  /** Software version of the engine that sent the stream's first event. */
+  let softwareVersion = env.softwareVersion
   /** Time at which the request arrived, then at which the last event was sent to the client. */
   let waitingSince = exchange.arrivedAt
   let firstEventAfterMs: number | undefined
@@ -98,6 +108,10 @@
     return true
   }
 
+  function isOfVersion (server: BackendServer): boolean {
+    return softwareVersion === undefined || softwareVersionOf(server) === softwareVersion
+  }
+
   /** Engines that want no requests from this node, with the time until they may be asked. */
   function waitingEngines (): Map<string, number> {
     return new Map(env.engines(service.name).flatMap((server): [string, number][] => {
@@ -108,15 +122,22 @@
 
   /** @returns whether the request was refused because no engine that may take it wants requests */
   function refuseIfAllWait (waiting: ReadonlyMap<string, number>): boolean {
-    const candidates = sentTo.size >= route.attempts ? [...sentTo] : env.engines(service.name).map(({ id }) => id).filter(id => !excluded.has(id))
+    const candidates = sentTo.size >= route.attempts ? [...sentTo] : env.engines(service.name).filter(isOfVersion).map(({ id }) => id).filter(id => !excluded.has(id))
     if (waiting.size === 0 || candidates.length === 0 || candidates.some(id => !waiting.has(id))) return false
     giveUp('engines accept no requests for a while', Math.min(...candidates.map(id => waiting.get(id)!)))
     return true
   }
 
+  /** @returns whether the request was refused because no engine can go on with its stream */
+  function refuseIfVersionGone (): boolean {
+    if (softwareVersion === undefined || env.engines(service.name).some(isOfVersion)) return false
+    giveUp('no engine of the stream\'s software version', noVersionRetryAfterMs)
+    return true
+  }
+
   async function acquireGrant (): Promise<Grant | undefined> {
     const waiting = waitingEngines()
-    if (refuseIfBlocked() || refuseIfAllWait(waiting)) return undefined
+    if (refuseIfBlocked() || refuseIfVersionGone() || refuseIfAllWait(waiting)) return undefined
     grantCount += 1
     const grantId = `${metadata.id}#${grantCount}`
     pendingGrantId = grantId
@@ -131,7 +152,8 @@
       ...(route.pauseMs === undefined ? {} : { pauseMs: route.pauseMs }),
       deadlineAt: exchange.deadlineAt,
       excluded: [...excluded, ...waiting.keys()],
-      ...(sentTo.size >= route.attempts ? { only: [...sentTo] } : {})
+      ...(sentTo.size >= route.attempts ? { only: [...sentTo] } : {}),
+      ...(softwareVersion === undefined ? {} : { softwareVersion })
     })
     pendingGrantId = undefined
     if (result.type === 'granted') return result.grant
@@ -149,6 +171,8 @@
     if (exchange.ended) return true
     if (!responseStarted) {
       responseStarted = true
+      softwareVersion = softwareVersionOf(grant.server)
+      if (resumable) env.progress.began(grant.server)
       sendHead()
       env.firstEvent(service.name, (env.now() - exchange.arrivedAt) / 1000)
     }
@@ -217,6 +241,7 @@
       id: metadata.id,
       service: service.name,
       server: server.id,
+      softwareVersion: grant.server.version,
       owner: grant.owner,
       result: result.type,
       status: 'status' in result ? result.status : undefined,
@@ -286,11 +311,19 @@
         if (grantCount < maxGrants) continue
         return giveUp('engines accept no requests for a while', env.restrictions.waitMs(grant.server))
       }
+      if (!isOfVersion(grant.server)) {
+        // The owner has an older entry of the engine.
+        env.grants.ended(grant, 'cancelled')
+        excluded.add(grant.server.id)
+        if (grantCount < maxGrants) continue
+        return giveUp('no engine of the stream\'s software version', noVersionRetryAfterMs)
+      }
       const result = await send(grant)
       env.grants.ended(grant, runOutcomeOf(result))
       if (!handle(grant, result)) return
     }
   } finally {
     clearTimeout(deadline)
+    env.progress.ended(exchange.outcome() === 'answered')
   }
 }
--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -3,6 +3,7 @@
  * versions, and base models of engines that started empty. Applies the results of the commands.
  */
 import type { EngineCommandResult } from './cluster-types'
+import { mayRunAt } from './engine-choice'
 import { countColdLoads, decideLoad, earlyRefusalMs, evictionCandidate, isProbed, type WantedAdapter } from './load-placement'
 import type { SchedulerAction, SchedulerConfig, ScheduledRequest } from './engine-scheduler-types'
 import type { LoadLimit } from './load-limit'
@@ -124,8 +125,9 @@
     return view
   }
 
-  function wantedAdapters (blocked: WaitingRequest[], view: EnginesView, now: number): WantedAdapter[] {
-    const wanted = new Map<string, WantedAdapter>()
+  /** @returns adapters, with the requests that wait for them */
+  function wantedAdapters (blocked: WaitingRequest[], view: EnginesView, now: number): (WantedAdapter & { requests: WaitingRequest[] })[] {
+    const wanted = new Map<string, WantedAdapter & { requests: WaitingRequest[] }>()
     /** Requests that wait for an engine which states a limit. */
     const queued = new Map<EngineState, number>()
     const engineWaitMs = (engine: EngineState): number => {
@@ -134,14 +136,15 @@
     }
     for (const req of blocked) {
       const { model, adapter } = req.demand
-      if (adapter === undefined || isLoading(req.scope, view)) continue
+      if (adapter === undefined || isLoadingFor(req, view)) continue
       const usable = usableEngines(req, view, now)
       const waitMs = usable.length === 0 ? Infinity : Math.min(...usable.map(engine => hasCapacity(engine, req.demand) ? engineWaitMs(engine) : Infinity))
       for (const engine of usable) queued.set(engine, (queued.get(engine) ?? 0) + 1)
       if (waitMs < (usable.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
       const version = versions.get(req.scope)?.newest()
-      const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0 }
+      const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0, requests: [] }
       entry.weight += req.objectiveAt > now ? onTimeWeight : 1
+      entry.requests.push(req)
       wanted.set(req.scope, entry)
     }
     return [...wanted.values()].sort((left, right) => right.weight - left.weight)
@@ -151,6 +154,12 @@
     return view.pendingLoads.has(scope) || (view.enginesByScope.get(scope)?.some(({ replicas }) => replicas.get(scope)?.state === 'loading') ?? false)
   }
 
+  /** Whether an engine that may run the request loads its adapter. */
+  function isLoadingFor (req: WaitingRequest, view: EnginesView): boolean {
+    if (view.pendingLoads.has(req.scope)) return true
+    return view.enginesByScope.get(req.scope)?.some(({ server, replicas }) => mayRunAt(server, req) && replicas.get(req.scope)?.state === 'loading') ?? false
+  }
+
   /** Adapters in use of which engines have only older versions. */
   function outdatedAdapters (view: EnginesView, now: number): WantedAdapter[] {
     const outdated: WantedAdapter[] = []
@@ -206,8 +215,10 @@
     const ctx = { now, commandable: (engine: EngineState) => engine.pending === undefined, coldLoads: view.coldLoads, coldLoadMs: state.coldLoadMs, warmLoadMs: state.warmLoadMs, maxColdLoads: state.coldLoadLimit.value(), limitReached: false }
     const wantedNow = wantedAdapters(blocked, view, now)
     const replacements = [...pendingReplacements.values()].filter(({ scope }) => !neededScopes.has(scope))
-    for (const wanted of [...wantedNow, ...replacements, ...outdatedAdapters(view, now)]) {
+    const maintained = [...replacements, ...outdatedAdapters(view, now)].map(wanted => ({ ...wanted, requests: undefined }))
+    for (const { requests, ...wanted } of [...wantedNow, ...maintained]) {
       const candidates = commandableEngines.filter(engine => {
+        if (requests?.some(req => mayRunAt(engine.server, req)) === false) return false
         const replica = engine.replicas.get(wanted.scope)
         return replica === undefined || !isCurrent(replica, wanted.scope)
       })
@@ -310,7 +321,7 @@
 
   function usableEngines (req: WaitingRequest, view: EnginesView, now: number): EngineState[] {
     const candidates = view.enginesByScope.get(req.scope) ?? []
-    return candidates.filter(engine => engine.avoidedUntil <= now && !req.excluded.includes(engine.server.id) && isUsable(engine.replicas.get(req.scope)!, req.scope, now))
+    return candidates.filter(engine => engine.avoidedUntil <= now && mayRunAt(engine.server, req) && isUsable(engine.replicas.get(req.scope)!, req.scope, now))
   }
 
   function adjustEstimate (replica: AdapterReplica, factor: number): void {
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -21,6 +21,8 @@
   excluded: string[]
   /** The only engines to which the request may be sent once its attempts are used up. */
   only?: string[]
+  /** The only software version of engines to which the request may be sent; see `softwareVersionOf`. */
+  softwareVersion?: string
 }
 
 /** `limited`: the engines that may take the request have got what they accept. */
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -6,6 +6,7 @@
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
 import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, updatePrefillRate, recordFailure, recordSuccess, fitsPauseLimits, recordPrefill, prefillMs, resetEngine, avoidEngine, uncachedTokens, type EngineState } from './engine-state'
+import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
 import { recordRequest } from './request-pace'
@@ -61,7 +62,7 @@
 
   function isEligible (engine: EngineState, req: WaitingRequest, now: number): boolean {
     return engine.server.service === req.service && engine.server.state === 'ready' && engine.avoidedUntil <= now &&
-      engine.models.has(req.demand.model) && !req.excluded.includes(engine.server.id) && (req.only === undefined || req.only.includes(engine.server.id))
+      engine.models.has(req.demand.model) && mayRunAt(engine.server, req)
   }
 
   /** Eligible engines on which the request's adapter is usable; all eligible engines if it names none. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -18,6 +18,8 @@
   serverStatement (kind: 'limit' | 'limit-lifted' | 'leaving' | 'wait' | 'unusable'): void
   /** A request got no permit for a server. */
   permitDenied (reason: string): void
+  /** A client takes up a stream; `unknown` if its software version is not known. */
+  takeUp (source: 'own' | 'only-version' | 'record' | 'unknown'): void
   storeCall (feed: string, result: string): void
   gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes', value: number): void
   text (): Promise<string>
@@ -34,6 +36,7 @@
   const calls = new Counter({ name: 'yuccawharf_store_calls_total', help: 'Calls to the platform store by feed and result.', labelNames: ['feed', 'result'], registers })
   const statements = new Counter({ name: 'yuccawharf_server_statements_total', help: 'Changes of what servers state about themselves, by kind.', labelNames: ['kind'], registers })
   const denials = new Counter({ name: 'yuccawharf_permits_denied_total', help: 'Requests without a permit for a server that states a limit, by reason.', labelNames: ['reason'], registers })
+  const takeUps = new Counter({ name: 'yuccawharf_stream_take_ups_total', help: 'Streams that clients take up, by how their software version is known.', labelNames: ['source'], registers })
   registers[0]!.registerMetric(new Gauge({
     name: 'yuccawharf_process',
     help: 'Memory in bytes and number of open descriptors of the process.',
@@ -62,6 +65,7 @@
     command: (operation, result) => { commands.inc({ operation, result }) },
     serverStatement: kind => { statements.inc({ kind }) },
     permitDenied: reason => { denials.inc({ reason }) },
+    takeUp: source => { takeUps.inc({ source }) },
     storeCall: (feed, result) => { calls.inc({ feed, result }) },
     gauge: (name, value) => { gauges.set({ name }, value) },
     text: async () => await registers[0]!.metrics()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,6 @@
 /** One gateway node: connects the decision modules with clients, backend servers, peers and the store. */
 import { createAdapterVersions } from './adapter-versions'
 import { createDirectoryServer, createMetricsServer, createReadyServer } from './auxiliary-servers'
-import type { ClientExchange } from './client-exchange'
 import type { ClusterConfig } from './cluster-types'
 import { createCrashBlocking } from './crash-blocking'
 import { isEvidenceMessage } from './crash-evidence'
@@ -10,11 +9,11 @@
 import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
 import type { OwnedEngine } from './engine-scheduler'
-import { forwardToEngine } from './engine-forwarder'
 import { createEngineOwner } from './engine-owner'
 import { createEventLoopTurns } from './event-loop-turns'
 import { createFeeds } from './feeds'
 import { createFleet, nodeRecordOf } from './fleet'
+import { createForwarding } from './forwarding'
 import { createFrontServer } from './front-server'
 import type { GatewayMetrics } from './gateway-metrics'
 import { createGrantClient, type GrantMessage } from './grant-client'
@@ -27,11 +26,8 @@
 import { createOwnerStatusCache } from './owner-status-cache'
 import { createPeerLink, type PeerMessage } from './peer-link'
 import { createFeedCache, createPeerFetcher, createSnapshotServer, type PeerSnapshot } from './peer-state'
-import { forwardPlain } from './plain-forwarder'
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, Platform, UnreadableRecord } from './platform-interface'
 import { createProcessUsage } from './process-usage'
-import { sharedPartIds } from './prompt-cache'
-import { requestDigest } from './request-digest'
 import { createRouteTable, type RouteTable } from './route-table'
 import { logServerChanges } from './server-change-log'
 import { runOnce } from './run-once'
@@ -40,6 +36,7 @@
 import { createServicePools } from './service-pool'
 import { createServiceShares } from './service-shares'
 import { createStatusSender, statusIntervalMs } from './status-sender'
+import { createStreamVersions } from './stream-versions'
 import { createFactClock } from './suspension-detector'
 import { createUpstream } from './upstream'
 
@@ -86,8 +83,6 @@
 const lastResponseMs = 100
 /** Number of peers that an owner asks first whether they can read the log. */
 const logProbeSample = 4
-/** Number of prompt parts that the log names for a request. */
-const maxLoggedParts = 8
 
 export function createGateway (options: GatewayOptions): Gateway {
   const { platform, log, metrics } = options
@@ -105,6 +100,7 @@
   const timers: NodeJS.Timeout[] = []
   let table: RouteTable | undefined
   let serversLoaded = false
+  let fleetLogRead = false
   let leavingSince: number | undefined
   let tickTimer: NodeJS.Timeout | undefined
   /** Offset up to which operator records were applied from a peer's snapshot. */
@@ -186,6 +182,8 @@
     record: (key, value) => ownRecords.append(key, value, 'block-not-recorded')
   })
 
+  const streamVersions = createStreamVersions({ self, fleetLog: platform.fleet, streamLog: platform.streams, log, metrics, now, wallClock: Date.now, nodes: () => [self.name, ...fleet.peers().map(({ name }) => name)], fleetLogRead: () => fleetLogRead, after: (delayMs, callback) => { setTimeout(callback, delayMs).unref() } })
+
   const owner = createEngineOwner({
     name: self.name,
     zone: self.zone,
@@ -290,6 +288,7 @@
     applyOperator(operator.records, -Infinity)
     applyServers(registry.apply(servers.records, now()))
     serversLoaded ||= servers.records.length > 0
+    fleetLogRead = true
     applyFleet(nodes.records)
   }
 
@@ -302,18 +301,7 @@
     if (others.length > 0) peerFetcher.fetch(others)
   }
 
-  async function forward (exchange: ClientExchange): Promise<void> {
-    const { id, demand } = exchange.metadata
-    const digest = requestDigest({ req: exchange.req, body: exchange.body, demand })
-    const parts = demand === undefined ? undefined : sharedPartIds(demand)
-    log.info('request', { id, digest, route: exchange.route.name, service: exchange.service.name, kind: exchange.route.kind, deadlineInMs: Math.round(exchange.deadlineAt - now()), configVersion: table?.config.version, adapter: demand?.adapter, sharedParts: parts?.slice(0, maxLoggedParts) })
-    const runs = crashes.requests.runs({ id, digest, service: exchange.service.name, deadlineAt: exchange.deadlineAt })
-    const env = { now, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, runs, blocked: () => crashes.requests.blocked(digest, parts ?? []) }
-    if (exchange.service.engine !== undefined && demand !== undefined) {
-      return await forwardToEngine(exchange, { ...env, grants, versions, engines: registry.ready, firstEvent: metrics.firstEvent })
-    }
-    await forwardPlain(exchange, { ...env, random: options.random, zone: self.zone, servers: registry.ready, pool: pools.pool })
-  }
+  const forward = createForwarding({ now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, crashes: crashes.requests, streamVersions, configVersion: () => table?.config.version, grants, versions, engines: registry.ready, servers: registry.ready, pool: pools.pool, firstEvent: metrics.firstEvent })
 
   const front = createFrontServer({
     now,
@@ -368,6 +356,7 @@
     restrictions.retain(registry.all())
     const ids = new Set(registry.all().map(({ id }) => id))
     pools.retain(ids)
+    streamVersions.observe(registry.all())
     ownerStatuses.retain(ids, now())
     owner.refresh()
   }
@@ -377,6 +366,7 @@
     owner.ownership.apply(records, now())
     crashes.parts.apply(records)
     ownRecords.read(records)
+    streamVersions.apply(records)
     if (records.length > 0) owner.refresh()
   }
 
@@ -404,6 +394,8 @@
     serversLoaded () { serversLoaded = true },
     fleet: applyFleet,
     fleetReplaced (records) {
+      fleetLogRead = true
+      streamVersions.recordsReplaced()
       applyFleet(records)
       departures.learn()
       ownRecords.appendMissing(records).catch(err => { log.error('records-missing', { reason: (err as Error).message }) })
@@ -447,6 +439,7 @@
       applyServers(registry.tick(now()))
       owner.tick()
       crashes.requests.tick()
+      streamVersions.tick()
     }
     tick()
     timers.push(setInterval(() => fleet.tick(), memberTickMs))
--- a/packages/gateway/src/grant-client.ts
+++ b/packages/gateway/src/grant-client.ts
@@ -7,6 +7,7 @@
 import { createDatedFact, type DatedFact, type Suspensions } from './dated-fact'
 import { chooseWithoutOwner, createUseCounter, rankOwners, type EngineCandidate } from './engine-choice'
 import type { RefusalReason, RunOutcome, ScheduledRequest } from './engine-scheduler'
+import { softwareVersionOf } from './software-versions'
 
 export type GrantRequest = Omit<ScheduledRequest, 'id' | 'node'> & {
   /** Unique to this request for a grant. */
@@ -119,8 +120,8 @@
   }
 
   function grantWithoutOwner (req: GrantRequest): GrantResult {
-    const server = chooseWithoutOwner(env.engines(req.service), req.demand, env.zone, req.excluded, id => sentWithoutOwner.get(id) ?? 0)
-    if (server === undefined || (req.only !== undefined && !req.only.includes(server.id))) return { type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryAfterMs }
+    const server = chooseWithoutOwner(env.engines(req.service), req.demand, env.zone, req, id => sentWithoutOwner.get(id) ?? 0)
+    if (server === undefined) return { type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryAfterMs }
     sentWithoutOwner.set(server.id, (sentWithoutOwner.get(server.id) ?? 0) + 1)
     env.log('place-without-owner', { id: req.requestId, server: server.id })
     // Without an owner the version on the engine is unknown, so the request names the newest; the engine refuses if it has another one.
@@ -136,8 +137,14 @@
     env.send(owner, message).catch(() => {})
   }
 
+  /** Engines of which an owner may grant one. */
+  function enginesFor ({ service, softwareVersion }: GrantRequest): EngineCandidate[] {
+    const engines = env.engines(service)
+    return softwareVersion === undefined ? engines : engines.filter(({ server }) => softwareVersionOf(server) === softwareVersion)
+  }
+
   async function askOwners (req: GrantRequest): Promise<GrantResult | 'outdated'> {
-    const ranked = rankOwners(env.engines(req.service), req.demand, env.zone, recentUses(req.demand))
+    const ranked = rankOwners(enginesFor(req), req.demand, env.zone, recentUses(req.demand))
     const isAvoided = (owner: string): boolean => (avoided.get(owner) ?? 0) > env.now()
     const owners = [...ranked.filter(owner => !isAvoided(owner)), ...ranked.filter(isAvoided)].slice(0, maxOwnersAsked)
     let refusal: GrantResult | undefined
--- a/packages/gateway/src/stream-versions.known-red.ts
+++ b/packages/gateway/src/joined-streams.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert'
 import { countStreams, startVersionStreams, type ClientOptions, type VersionStreams } from './testing'
 
-const test = suite('streams of several versions, known to fail')
+const test = suite('streams of several versions')
 
 const twoOfEach = ['v1', 'v1', 'v2', 'v2']
 const streamCount = 24
--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -45,6 +45,7 @@
     deadlineAt: now() + 1000,
     get ended () { return ended },
     onDisconnect () {},
+    outcome: () => 'answered',
     refuse: ({ status }: RefusalStatus, _reason: string, retryAfterMs?: number) => end(status, retryAfterMs),
     respond: (status: number) => end(status)
   } as unknown as ClientExchange
@@ -72,6 +73,8 @@
       close () {}
     },
     log: createDecisionLog('n1', { write () {}, flush: async () => {}, dropped: () => 0 }),
+    softwareVersion: undefined,
+    progress: { began () {}, ended () {} },
     restrictions: { record () {}, waitMs: () => 0, acquire: async ({ id }) => permit(id) },
     servers: () => candidates,
     pool: () => pool,
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -10,6 +10,8 @@
 import type { BlockedRequest, RequestRuns } from './request-crashes'
 import type { ServerRestrictions } from './server-restrictions'
 import type { AttemptOutcome, ServicePool } from './service-pool'
+import { softwareVersionOf } from './software-versions'
+import type { StreamProgress } from './stream-versions'
 import type { Upstream } from './upstream'
 
 export type PlainForwarderEnv = {
@@ -25,6 +27,10 @@
   servers (service: string): BackendServer[]
   pool (service: string): ServicePool
   budget (service: string): RetryBudget
+  /** The only software version at which the request may run, because a client takes up a stream that began there. */
+  softwareVersion: string | undefined
+  /** Remembers where the stream began. */
+  progress: StreamProgress
   /** Sendings of this request, which may crash its servers. */
   runs: RequestRuns
   /** @returns why the request is refused, if it is blocked */
@@ -86,6 +92,11 @@
     else exchange.refuse({ status: 503, outcome: 'not-run' }, reason, retryAfterMs ?? noServerRetryAfterMs)
   }
 
+  function usableServers (): BackendServer[] {
+    const servers = env.servers(service.name)
+    return env.softwareVersion === undefined ? servers : servers.filter(server => softwareVersionOf(server) === env.softwareVersion)
+  }
+
   /** @returns whether the request was refused because it crashes servers */
   function refuseIfBlocked (): boolean {
     const blocked = env.blocked()
@@ -102,7 +113,7 @@
 
   /** Takes a retry from the budget, if the request may be retried on another server. */
   function tryRetry (): boolean {
-    return idempotent && sentTo.size < route.attempts && exchange.deadlineAt - env.now() > minRetryMs && env.servers(service.name).some(({ id }) => !sentTo.has(id)) && budget.tryTake()
+    return idempotent && sentTo.size < route.attempts && exchange.deadlineAt - env.now() > minRetryMs && usableServers().some(({ id }) => !sentTo.has(id)) && budget.tryTake()
   }
 
   async function send (server: BackendServer): Promise<AttemptResult | SlowResult> {
@@ -185,6 +196,7 @@
           releaseUnused = env.kept.hold(result.body.length)
           return { type: 'retry' }
         }
+        if (route.resumable) env.progress.began(server)
         exchange.respond(result.status, result.headers, result.body)
         return { type: 'done' }
       default:
@@ -203,7 +215,7 @@
     }
     const startInMs = (result.permit.read(env.now())?.value.startAt ?? -Infinity) - env.now()
     if (startInMs > 0) await sleep(startInMs)
-    const isUsable = result.permit.read(env.now()) !== undefined && env.restrictions.waitMs(server) === 0 && env.servers(service.name).some(({ id }) => id === server.id)
+    const isUsable = result.permit.read(env.now()) !== undefined && env.restrictions.waitMs(server) === 0 && usableServers().some(({ id }) => id === server.id)
     if (!isUsable) unavailable.set(server.id, Math.max(serversFullRetryAfterMs, env.restrictions.waitMs(server)))
     return isUsable
   }
@@ -217,7 +229,7 @@
   try {
     while (!exchange.ended) {
       if (refuseIfBlocked()) return
-      const servers = env.servers(service.name)
+      const servers = usableServers()
       for (const server of servers) {
         const waitMs = env.restrictions.waitMs(server)
         if (waitMs > 0) unavailable.set(server.id, waitMs)
@@ -233,5 +245,6 @@
   } finally {
     clearTimeout(deadline)
     releaseUnused()
+    env.progress.ended(exchange.outcome() === 'answered')
   }
 }
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -1,5 +1,6 @@
 /** Interfaces between the gateway and the platform it runs on; `platform/` implements them. */
 import type { Result } from 'ts-results/result.js'
+import type { RecordedStream } from './stream-origins'
 import type { AdapterVersion, BackendServer, ClusterConfig, EngineCommand, EngineCommandResult, EngineReport, ModelDemand } from './cluster-types'
 
 /** `noResponse`: the call timed out, so its connection may be stalled. `expired`: the store no longer has all records after the position, or has come back from a copy. */
@@ -44,6 +45,8 @@
   | { type: 'challenge', node: string, incarnation: number, by?: string }
   /** A prompt part that crashes engines; `at` is the time at which it was blocked, Unix ms. */
   | { type: 'blocked-part', part: string, at: number }
+  /** Software versions of a service's servers, while there are several; the record is removed with the last but one. */
+  | { type: 'service-versions', service: string, versions: string[] }
 
 export interface FleetLog extends Feed<FleetRecord | UnreadableRecord> {
   /**
@@ -56,6 +59,16 @@
   check (value: unknown): FleetRecord | UnreadableRecord
 }
 
+/** Streams that clients of one process may take up; `at` is the time of the record, Unix ms. */
+export type StreamsRecord = { type: 'streams', at: number, streams: RecordedStream[] }
+
+/** Records of where streams began, apart from the fleet log, because nodes read them only when a client takes up a stream. */
+export interface StreamLog {
+  /** Reads the newest record of each key. */
+  newest (): Promise<Result<FeedPage<StreamsRecord | UnreadableRecord>, FeedFailure>>
+  append (records: { key: string, value: StreamsRecord | undefined }[]): Promise<Result<number, AppendFailure>>
+}
+
 export interface EngineControl {
   command (server: BackendServer, command: EngineCommand): Promise<EngineCommandResult>
   report (server: BackendServer): Promise<EngineReport | undefined>
@@ -173,6 +186,7 @@
   operator: Feed<OperatorRecord>
   servers: Feed<ServerRecord>
   fleet: FleetLog
+  streams: StreamLog
   /** Sends later calls to the store on new connections, because the open ones may be stalled. */
   renewStoreConnections (): void
   engines: EngineControl
--- a/packages/gateway/src/testing/fake-platform.ts
+++ b/packages/gateway/src/testing/fake-platform.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Err, Ok } from 'ts-results/result.js'
 import type { BackendServer, ClusterConfig, EngineReport } from '../cluster-types'
-import type { EngineControl, Feed, FeedPage, FleetLog, FleetRecord, NodeSettings, OperatorRecord, Platform, ServerRecord, UnreadableRecord } from '../platform-interface'
+import type { EngineControl, Feed, FeedPage, FleetLog, FleetRecord, NodeSettings, OperatorRecord, Platform, ServerRecord, StreamLog, StreamsRecord, UnreadableRecord } from '../platform-interface'
 import { testCodec } from './test-codec'
 
 export type FakeFeed<Value> = Feed<Value> & {
@@ -49,6 +49,14 @@
   }
 }
 
+function createFakeStreamLog (): StreamLog {
+  const feed = createFakeFeed<StreamsRecord | UnreadableRecord>()
+  return {
+    newest: async () => (await feed.newest()).map(({ records, next }) => ({ records: [...new Map(records.map(record => [record.key, record])).values()], next })),
+    append: async records => Ok(records.map(({ key, value }) => feed.append(key, value))[0] ?? 0)
+  }
+}
+
 function createFakeFleetLog (): FleetLog {
   const feed = createFakeFeed<FleetRecord | UnreadableRecord>()
   let length = 0
@@ -94,6 +102,7 @@
     operator: createFakeFeed<OperatorRecord>(),
     servers: createFakeFeed<ServerRecord>(),
     fleet: createFakeFleetLog(),
+    streams: createFakeStreamLog(),
     renewStoreConnections () {},
     engines: createFakeEngine('base'),
     headers: testCodec,
