--- a/packages/gateway/src/stream-records.test.ts
+++ b/packages/gateway/src/stream-records.test.ts
@@ -4,6 +4,7 @@
 import type { StreamLog, StreamsRecord } from './platform-interface'
 import type { RecordedStream } from './stream-origins'
 import { createStreamRecords, type StreamRecords } from './stream-records'
+import { createVirtualTime, type VirtualTime } from './testing/virtual-time'
 
 const test = suite('stream records')
 
@@ -13,18 +14,17 @@
   records: Map<string, StreamsRecord>
   calls: string[]
   streams: RecordedStream[]
-  state: { nowMs: number, down: boolean }
+  state: { down: boolean }
   node (key: string): StreamRecords
-  /** Lets time pass; callbacks that are due in between are called in order. */
-  pass (ms: number): Promise<void>
+  pass: VirtualTime['pass']
 }
 
 function createBed (): Bed {
   const records = new Map<string, StreamsRecord>()
   const calls: string[] = []
   const streams: RecordedStream[] = []
-  const state = { nowMs: 1_000_000, down: false }
-  let timers: { at: number, callback: () => void }[] = []
+  const time = createVirtualTime(1_000_000)
+  const state = { down: false }
   const streamLog: StreamLog = {
     async newest () {
       calls.push('read')
@@ -40,27 +40,13 @@
       return Ok(0)
     }
   }
-  const settle = async (): Promise<void> => { for (let turn = 0; turn < 20; turn++) await Promise.resolve() }
   return {
     records,
     calls,
     streams,
     state,
-    node: key => createStreamRecords({ key, streamLog, log: { info () {}, warn () {} }, now: () => state.nowMs, wallClock: () => state.nowMs, fleetSize: () => 9, streams: () => [...streams], after: (delayMs, callback) => { timers.push({ at: state.nowMs + delayMs, callback }) } }),
-    async pass (ms) {
-      await settle()
-      for (const end = state.nowMs + ms; ;) {
-        const next = timers.filter(({ at }) => at <= end).sort((left, right) => left.at - right.at)[0]
-        if (next === undefined) {
-          state.nowMs = end
-          return
-        }
-        timers = timers.filter(timer => timer !== next)
-        state.nowMs = Math.max(state.nowMs, next.at)
-        next.callback()
-        await settle()
-      }
-    }
+    node: key => createStreamRecords({ key, streamLog, log: { info () {}, warn () {} }, now: time.now, wallClock: time.now, fleetSize: () => 9, streams: () => [...streams], after: time.after }),
+    pass: time.pass
   }
 }
 
--- a/packages/gateway/src/stream-take-ups.test.ts
+++ b/packages/gateway/src/stream-take-ups.test.ts
@@ -6,6 +6,7 @@
 import { createDecisionLog } from './decision-log'
 import type { FeedRecord, FleetRecord, StreamsRecord } from './platform-interface'
 import { createStreamVersions, type RequiredVersion, type StreamRequest, type StreamVersions } from './stream-versions'
+import { createVirtualTime, type VirtualTime } from './testing/virtual-time'
 
 const test = suite('taking up streams')
 
@@ -15,18 +16,17 @@
   fleet: FeedRecord<FleetRecord>[]
   streams: Map<string, StreamsRecord>
   lines: Record<string, unknown>[]
-  state: { nowMs: number, fleetLogRead: boolean }
-  pass (ms: number): Promise<void>
+  state: { fleetLogRead: boolean }
+  pass: VirtualTime['pass']
 }
 
 function createBed (): Bed {
   const fleet: FeedRecord<FleetRecord>[] = []
   const streams = new Map<string, StreamsRecord>()
   const lines: Record<string, unknown>[] = []
-  const state = { nowMs: 1_000_000, fleetLogRead: true }
-  let timers: { at: number, callback: () => void }[] = []
+  const time = createVirtualTime(1_000_000)
+  const state = { fleetLogRead: true }
   const log = createDecisionLog('n', { write: line => { lines.push(JSON.parse(line) as Record<string, unknown>) }, flush: async () => {}, dropped: () => 0 })
-  const settle = async (): Promise<void> => { for (let turn = 0; turn < 20; turn++) await Promise.resolve() }
   return {
     fleet,
     streams,
@@ -52,26 +52,13 @@
       },
       log,
       metrics: { takeUp () {} },
-      now: () => state.nowMs,
-      wallClock: () => state.nowMs,
+      now: time.now,
+      wallClock: time.now,
       nodes: () => ['n1', 'n2', 'n3'],
       fleetLogRead: () => state.fleetLogRead,
-      after: (delayMs, callback) => { timers.push({ at: state.nowMs + delayMs, callback }) }
+      after: time.after
     }),
-    async pass (ms) {
-      await settle()
-      for (const end = state.nowMs + ms; ;) {
-        const next = timers.filter(({ at }) => at <= end).sort((left, right) => left.at - right.at)[0]
-        if (next === undefined) {
-          state.nowMs = end
-          return
-        }
-        timers = timers.filter(timer => timer !== next)
-        state.nowMs = Math.max(state.nowMs, next.at)
-        next.callback()
-        await settle()
-      }
-    }
+    pass: time.pass
   }
 }
 
