Count a version as the only one while no peer uses unknown servers

Cause: such a node takes the versions that it has read for all there are. Change: while an owner announces an engine of which the node has read no entry, not even one that was removed, the version of a stream must be recorded.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -164,7 +164,7 @@
     record: (key, value) => ownRecords.append(key, value, 'block-not-recorded')
   })
 
-  const streamVersions = createStreamVersions({ self, fleetLog: platform.fleet, streamLog: platform.streams, log, metrics, now, wallClock: Date.now, nodes: () => [self.name, ...fleet.peers().map(({ name }) => name)], fleetLogRead: () => fleetLogRead, after: (delayMs, callback) => { setTimeout(callback, delayMs).unref() } })
+  const streamVersions = createStreamVersions({ self, fleetLog: platform.fleet, streamLog: platform.streams, log, metrics, now, wallClock: Date.now, nodes: () => [self.name, ...fleet.peers().map(({ name }) => name)], fleetLogRead: () => fleetLogRead, lacksServers: () => ownerStatuses.announced(now()).some(id => !registry.isKnown(id)), after: (delayMs, callback) => { setTimeout(callback, delayMs).unref() } })
 
   const owner = createEngineOwner({
     name: self.name,
--- a/packages/gateway/src/owner-status-cache.test.ts
+++ b/packages/gateway/src/owner-status-cache.test.ts
@@ -55,4 +55,11 @@
   assert.is(statuses[2]!.ageMs, 100)
 })
 
+// Guards against a node that counts an engine as in use for long after its owner has last named it.
+test('an engine counts as announced for three seconds after its last status', () => {
+  const cache = createOwnerStatusCache(notSuspended)
+  cache.setOwn('n1', [engine(1, [])], 1000)
+  assert.equal([cache.announced(3900), cache.announced(4100)], [['i-1d699934e'], []])
+})
+
 test.run()
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -27,6 +27,8 @@
   /** @returns messages that each fit into a datagram; none if nothing has changed and the last ones are younger than `maxMs` */
   encode (status: OwnerStatus, now: number, maxMs: number): PackedStatus[]
   engineStatus (engine: string, now: number): Pick<EngineCandidate, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'loadWaitMs' | 'ageMs'>
+  /** @returns the engines of which owners have sent a status that is still valid */
+  announced (now: number): string[]
   /** Removes what is known of other engines, unless it has just arrived: their entries may not be read yet. */
   retain (ids: ReadonlySet<string>, now: number): void
 }
@@ -135,6 +137,7 @@
       const load = entry?.load.read(now)
       return { commandable: entry?.commandable ?? true, scopes: entry?.scopes ?? new Set(), ...load?.value ?? unknownLoad, ageMs: load?.ageMs ?? Infinity }
     },
+    announced: now => [...entries].filter(([, { load }]) => load.read(now) !== undefined).map(([id]) => id),
     retain (ids, now) {
       for (const [id, { load }] of entries) {
         if (!ids.has(id) && load.read(now) === undefined) entries.delete(id)
--- a/packages/gateway/src/server-registry.test.ts
+++ b/packages/gateway/src/server-registry.test.ts
@@ -155,4 +155,11 @@
   assert.equal(readyIds(registry), ['s1'])
 })
 
+// Guards against a node that takes an engine which has just left for one that it has not heard of.
+test('a server that was removed is known, one without an entry is not', () => {
+  const registry = createServerRegistry()
+  registry.apply([entry('s1', 0), removal('s1', 1)], 0)
+  assert.equal([registry.isKnown('s1'), registry.isKnown('s2')], [true, false])
+})
+
 test.run()
--- a/packages/gateway/src/server-registry.ts
+++ b/packages/gateway/src/server-registry.ts
@@ -50,6 +50,8 @@
   storeRecovered (now: number): void
   /** Applies delayed removals when the delay has ended. */
   tick (now: number): RegistryChange[]
+  /** Whether an entry of the server has been read, also if it was removed since. */
+  isKnown (id: string): boolean
   /** @returns the server if it accepts new requests */
   readyServer (id: string): BackendServer | undefined
   /** Servers that accept new requests. */
@@ -190,6 +192,7 @@
       if (now < graceUntil) return []
       return [...entries].flatMap(([key, entry]) => entry.removedAt === undefined ? [] : drop(key, entry))
     },
+    isKnown: id => entries.has(id) || removed.has(id),
     readyServer (id) {
       const server = entries.get(id)?.server
       return server?.state === 'ready' ? server : undefined
--- a/packages/gateway/src/stream-take-ups.test.ts
+++ b/packages/gateway/src/stream-take-ups.test.ts
@@ -16,7 +16,7 @@
   fleet: FeedRecord<FleetRecord>[]
   streams: Map<string, StreamsRecord>
   lines: Record<string, unknown>[]
-  state: { fleetLogRead: boolean }
+  state: { fleetLogRead: boolean, lacksServers: boolean }
   pass: VirtualTime['pass']
 }
 
@@ -25,7 +25,7 @@
   const streams = new Map<string, StreamsRecord>()
   const lines: Record<string, unknown>[] = []
   const time = createVirtualTime(1_000_000)
-  const state = { fleetLogRead: true }
+  const state = { fleetLogRead: true, lacksServers: false }
   const log = createDecisionLog('n', { write: line => { lines.push(JSON.parse(line) as Record<string, unknown>) }, flush: async () => {}, dropped: () => 0 })
   return {
     fleet,
@@ -56,6 +56,7 @@
       wallClock: time.now,
       nodes: () => ['n1', 'n2', 'n3'],
       fleetLogRead: () => state.fleetLogRead,
+      lacksServers: () => state.lacksServers,
       after: time.after
     }),
     pass: time.pass
@@ -187,6 +188,19 @@
   assert.is((await required).known, false)
 })
 
+// Guards against a node that is cut off from the store when a second version appears, and takes its own for the only one.
+test('a version is not the only one while peers use servers that are not known here', async () => {
+  const bed = createBed()
+  const node = bed.node('n1')
+  node.observe([oldEngine])
+  bed.state.lacksServers = true
+  assert.is((await requiredAt(bed, node, request('r2', { resumes: 'r1' }))).known, false)
+  const other = bed.node('n2')
+  other.observe([oldEngine, newEngine])
+  await begin(bed, other, 'r1', newEngine)
+  assert.is(await versionAt(bed, node, request('r3', { resumes: 'r1' })), 'v2')
+})
+
 test('the versions of a service are recorded by one node, and removed when one is left for long', async () => {
   const bed = createBed()
   const nodes = ['n1', 'n2', 'n3'].map(name => bed.node(name))
--- a/packages/gateway/src/stream-versions.ts
+++ b/packages/gateway/src/stream-versions.ts
@@ -25,6 +25,8 @@
   nodes (): string[]
   /** Whether the fleet log, or a peer's copy of it, has been read. */
   fleetLogRead (): boolean
+  /** Whether peers use servers of which this node has read no entry, so that it may lack a version. */
+  lacksServers (): boolean
   /** Calls back after a time, in ms. */
   after (delayMs: number, callback: () => void): void
 }
@@ -144,9 +146,9 @@
     return true
   }
 
-  async function writeRecord ({ service, versions }: VersionsRecord): Promise<void> {
-    const result = await options.fleetLog.append([{ key: serviceVersionsKey(service), value: versions.length === 0 ? undefined : { type: 'service-versions', service, versions } }])
-    log.info('service-versions-recorded', { service, versions, ...(result.err ? { reason: result.val } : {}) })
+  async function writeRecord ({ service, versions: current }: VersionsRecord): Promise<void> {
+    const result = await options.fleetLog.append([{ key: serviceVersionsKey(service), value: current.length === 0 ? undefined : { type: 'service-versions', service, versions: current } }])
+    log.info('service-versions-recorded', { service, versions: current, ...(result.err ? { reason: result.val } : {}) })
   }
 
   return {
@@ -156,7 +158,7 @@
       const own = resumes === undefined ? undefined : origins.find(resumes, now())
       if (own !== undefined && belongsTo(req, own.origin)) return found(req, own.origin.version, 'own', own.ageMs)
       if (!await fleetLogRead()) return unknown(req, 'the versions of the service have not been read')
-      const only = versions.only(service, now())
+      const only = options.lacksServers() ? undefined : versions.only(service, now())
       if (only !== undefined) return found(req, only, 'only-version')
       if (resumes === undefined || resumes === '' || resumes.length > maxIdLength) return unknown(req, 'the request names no stream')
       const recorded = await records.find(resumes)
