Write no record of software versions before the fleet log was read

Cause: a process that starts sees the servers some tens of ms before the fleet log. While two versions serve, it wrote their record at once and so removed a third version, whose last server had left within two minutes; the others wrote it back up to 2.7 s later.

The test failed before.

--- a/packages/gateway/src/stream-take-ups.test.ts
+++ b/packages/gateway/src/stream-take-ups.test.ts
@@ -222,4 +222,26 @@
   assert.equal(bed.fleet.map(({ value }) => value === undefined), [false, true])
 })
 
+// Guards against a record that loses a version whose last server has left, each time a process starts while two others serve.
+test('a process that starts writes no record of versions before it has read the fleet log', async () => {
+  const bed = createBed()
+  bed.state.fleetLogRead = false
+  const nodes = ['n1', 'n2', 'n3'].map(name => bed.node(name))
+  const play = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 100) {
+      for (const node of nodes) {
+        node.observe([server('e2', 'v2'), server('e3', 'v3')])
+        node.tick()
+      }
+      await bed.pass(100)
+    }
+  }
+  await play(1000)
+  assert.is(bed.fleet.length, 0)
+  for (const node of nodes) node.apply([{ key: 'service-versions/llm', offset: 0, value: { type: 'service-versions', service: 'llm', versions: ['v1', 'v2', 'v3'] } }])
+  bed.state.fleetLogRead = true
+  await play(3000)
+  assert.equal(bed.fleet, [])
+})
+
 test.run()
--- a/packages/gateway/src/stream-versions.ts
+++ b/packages/gateway/src/stream-versions.ts
@@ -185,6 +185,8 @@
     recordsReplaced: versions.recordsReplaced,
     tick () {
       updateMixed([...mixed])
+      // The record may name versions whose servers have left.
+      if (!options.fleetLogRead()) return
       const outdated = versions.outdatedRecords(now())
       const keys = new Set(outdated.map(record => JSON.stringify(record)))
       for (const key of due.keys()) {
