--- a/packages/gateway/src/stream-records.test.ts
+++ b/packages/gateway/src/stream-records.test.ts
@@ -87,7 +87,7 @@
   await bed.pass(500)
   const found = bed.node('n2/1').find('r1')
   await bed.pass(1000)
-  assert.equal(await found, { origin: { service: 'llm', version: 'v1', digest: 'd1' }, ageMs: 500 })
+  assert.equal(await found, { type: 'found', origin: { service: 'llm', version: 'v1', digest: 'd1' }, ageMs: 500 })
 })
 
 // Guards against take-ups that are refused because they are faster than the record of their stream.
@@ -98,7 +98,8 @@
   bed.streams.push(stream('r1'))
   bed.node('n1/1').changed()
   await bed.pass(1000)
-  assert.is((await found)?.origin.version, 'v1')
+  const result = await found
+  assert.is(result.type === 'found' ? result.origin.version : result.type, 'v1')
 })
 
 // Guards against calls to the store that grow with the clients that come back at the same time.
@@ -107,16 +108,17 @@
   const node = bed.node('n2/1')
   const found = Array.from({ length: 50 }, (_, number) => node.find(`r${number}`))
   await bed.pass(1000)
-  assert.ok((await Promise.all(found)).every(result => result === undefined))
+  assert.ok((await Promise.all(found)).every(({ type }) => type === 'absent'))
   assert.ok(bed.calls.length <= 4, `${bed.calls.length} reads`)
 })
 
-test('a stream is unknown while the store cannot be read', async () => {
+// Guards against a store that cannot be read and looks like a stream that nobody has recorded.
+test('a stream is unread, not absent, while the store cannot be read', async () => {
   const bed = createBed()
   bed.state.down = true
   const found = bed.node('n2/1').find('r1')
   await bed.pass(1000)
-  assert.is(await found, undefined)
+  assert.equal(await found, { type: 'unread' })
 })
 
 // Guards against records of processes that are gone, which would fill the store.
--- a/packages/gateway/src/stream-records.ts
+++ b/packages/gateway/src/stream-records.ts
@@ -22,11 +22,14 @@
   after (delayMs: number, callback: () => void): void
 }
 
+/** `ageMs` is the age of the record by the time of day. `absent`: no record names the stream; `unread`: the records could not be read in time. */
+export type FoundStream = { type: 'found', origin: StreamOrigin, ageMs: number } | { type: 'absent' | 'unread' }
+
 export type StreamRecords = {
   /** Writes the record, because a stream has begun or streams are recorded from now on. */
   changed (): void
-  /** @returns where the stream began, with the age of the record in ms by the time of day; undefined if no record names it */
-  find (id: string): Promise<{ origin: StreamOrigin, ageMs: number } | undefined>
+  /** @returns where the stream began */
+  find (id: string): Promise<FoundStream>
 }
 
 /** Shortest interval between two writes of one node, in ms for each node of the fleet. */
@@ -38,6 +41,8 @@
 const writeRetryMs = 300
 /** Time for which a node waits for a record that another one may just be writing, beyond the interval of writes, in ms. */
 const writeMarginMs = 60
+/** Number of times that the records are read for a stream. */
+const maxReads = 2
 /** Longest time for which a request waits for the records, in ms. */
 const findTimeoutMs = 800
 /** Age of a record from which it is removed, in ms: no stream of it is taken up any more. */
@@ -52,7 +57,7 @@
   let lastWriteAt = -Infinity
   let lastReadAt = -Infinity
   /** Read that has not started yet; all lookups until it starts share its result. */
-  let nextRead: Promise<Index> | undefined
+  let nextRead: Promise<Index | undefined> | undefined
   let reading: Promise<unknown> = Promise.resolve()
 
   const wait = (delayMs: number): Promise<void> => new Promise(resolve => after(delayMs, resolve))
@@ -83,12 +88,13 @@
     if (dirty) schedule(lastWriteAt + writeIntervalMs() - now())
   }
 
-  async function read (): Promise<Index> {
+  /** @returns undefined if the store cannot be read */
+  async function read (): Promise<Index | undefined> {
     const result = await streamLog.newest()
     const index = new Map<string, { origin: StreamOrigin, at: number }>()
     if (result.err) {
       log.warn('stream-records-unread', { reason: result.val.type === 'unavailable' ? result.val.reason : result.val.type })
-      return index
+      return undefined
     }
     const expired: string[] = []
     for (const record of result.val.records) {
@@ -114,7 +120,7 @@
   }
 
   /** Reads after the call; reads follow each other. */
-  function readAfterNow (): Promise<Index> {
+  function readAfterNow (): Promise<Index | undefined> {
     if (nextRead !== undefined) return nextRead
     const started = reading.then(async () => {
       const pauseMs = lastReadAt + readIntervalMs - now()
@@ -128,11 +134,14 @@
     return started
   }
 
-  async function search (id: string): Promise<{ origin: StreamOrigin, at: number } | undefined> {
-    const first = (await readAfterNow()).get(id)
-    if (first !== undefined) return first
-    await wait(writeIntervalMs() + writeMarginMs)
-    return (await readAfterNow()).get(id)
+  async function search (id: string): Promise<FoundStream> {
+    for (let attempt = 1; ; attempt++) {
+      const index = await readAfterNow()
+      const found = index?.get(id)
+      if (found !== undefined) return { type: 'found', origin: found.origin, ageMs: Math.max(0, wallClock() - found.at) }
+      if (attempt === maxReads) return { type: index === undefined ? 'unread' : 'absent' }
+      await wait(writeIntervalMs() + writeMarginMs)
+    }
   }
 
   return {
@@ -140,9 +149,6 @@
       dirty = true
       if (!writing) schedule(lastWriteAt + writeIntervalMs() - now())
     },
-    async find (id) {
-      const found = await Promise.race([search(id), wait(findTimeoutMs)])
-      return found === undefined ? undefined : { origin: found.origin, ageMs: Math.max(0, wallClock() - found.at) }
-    }
+    find: id => Promise.race([search(id), wait(findTimeoutMs).then((): FoundStream => ({ type: 'unread' }))])
   }
 }
--- a/packages/gateway/src/stream-versions.ts
+++ b/packages/gateway/src/stream-versions.ts
@@ -162,7 +162,7 @@
       if (only !== undefined) return found(req, only, 'only-version')
       if (resumes === undefined || resumes === '' || resumes.length > maxIdLength) return unknown(req, 'the request names no stream')
       const recorded = await records.find(resumes)
-      if (recorded === undefined) return unknown(req, 'no record of the stream')
+      if (recorded.type !== 'found') return unknown(req, recorded.type === 'absent' ? 'no record of the stream' : 'the records of streams could not be read')
       if (!belongsTo(req, recorded.origin)) return unknown(req, 'the stream is of another request')
       return found(req, recorded.origin.version, 'record', recorded.ageMs)
     },
