Make room for connections after what has arrived is read

Callers saw at the bound of connections: a kept connection that was reset although its next request had arrived, a connection that was reset with a part of its next request, and a node that refused each new connection until the header timeout.

Cause: the connection to close was chosen when a new one was accepted, which may be before requests are read that arrived earlier. Bytes that had arrived before the response to the request before counted as none. A connection with a part of a head was never closed.

Only at the bound itself is one chosen at once. Connections whose request was read are never closed.

--- a/packages/clients/src/bounded-server.test.ts
+++ b/packages/clients/src/bounded-server.test.ts
@@ -1,10 +1,12 @@
 /** Requests behind one that the server answers itself on the same connection. */
 import { once } from 'node:events'
+import type { Server } from 'node:http'
 import { connect, type AddressInfo, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createBoundedServer } from './bounded-server'
+import { headTimeMs } from './connection-room'
 
 const test = suite('bounded server')
 
@@ -89,4 +91,68 @@
   server.close()
 })
 
+/** Longest time until connections without a request may be closed for new ones, in ms. */
+const crowdedMs = 2 * headTimeMs + 200
+
+async function listen (server: Server): Promise<number> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return (server.address() as AddressInfo).port
+}
+
+// Guards against a client whose request has arrived but is unread when its kept connection is closed for a new one.
+test('a request that arrives behind a new connection is answered', async () => {
+  const server = createBoundedServer((_req, res) => { res.end('answer') }, {}, { maxConnections: 8 })
+  const port = await listen(server)
+  const { sockets, received } = await openConnections(port, 8)
+  await sleep(crowdedMs)
+  const kept = received.findIndex(text => text !== undefined)
+  const fresh = connect(port, '127.0.0.1')
+  // The new connection is accepted before the request is read.
+  process.nextTick(() => { sockets[kept]!.write(requestText('/next')) })
+  await once(fresh, 'connect')
+  await sleep(answerMs)
+  assert.match(received[kept] ?? 'closed', /answer$/)
+  for (const socket of [...sockets, fresh]) socket.destroy()
+  server.close()
+})
+
+// Guards against clients that send parts of heads and so keep new connections away until the header timeout.
+test('connections with a part of a head leave places for new ones', async () => {
+  const closed: string[] = []
+  const server = createBoundedServer((_req, res) => { res.end('answer') }, {}, { maxConnections: 8, closedForRoom: connection => { closed.push(connection) } })
+  const port = await listen(server)
+  const parts = await openConnections(port, 8)
+  for (const socket of parts.sockets) socket.write('GET / HTTP/1.1\r\nhos')
+  await sleep(crowdedMs)
+  const fresh = await openConnections(port, 1)
+  await sleep(answerMs)
+  fresh.sockets[0]!.write(requestText('/'))
+  await sleep(answerMs)
+  assert.match(fresh.received[0] ?? 'closed', /answer$/)
+  assert.equal([...new Set(closed)], ['receiving'])
+  for (const socket of [...parts.sockets, ...fresh.sockets]) socket.destroy()
+  server.close()
+})
+
+// Guards against a request that is cut because its first part arrived before the response to the one before.
+test('a connection with a part of the next request is not idle', async () => {
+  const waiting: (() => void)[] = []
+  const server = createBoundedServer((_req, res) => { waiting.push(() => res.end('answer')) }, {}, { maxConnections: 1 })
+  const port = await listen(server)
+  const { sockets: [socket], received } = await openConnections(port, 1)
+  socket!.write(requestText('/first'))
+  await until('the first request is read', () => waiting.length === 1)
+  socket!.write('GET /second HTTP/1.1\r\nhos')
+  await sleep(answerMs)
+  waiting[0]!()
+  await until('the first request is answered', () => received[0]?.endsWith('answer') === true)
+  const fresh = await openConnections(port, 1)
+  await sleep(answerMs)
+  socket!.write('t: a\r\n\r\n')
+  await until('the second request is read, or cut', () => waiting.length === 2 || received[0] === undefined)
+  assert.is.not(received[0], undefined)
+  for (const each of [socket!, ...fresh.sockets]) each.destroy()
+  server.close()
+})
+
 test.run()
--- a/packages/clients/src/bounded-server.ts
+++ b/packages/clients/src/bounded-server.ts
@@ -1,7 +1,7 @@
 /** Bounds the connections of a server, and the requests that a client sends on one before it has got the responses to earlier ones. */
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { createConnectionRoom } from './connection-room'
+import { createConnectionRoom, headTimeMs } from './connection-room'
 
 /** The part of a connection of an HTTP server that Node.js does not document. */
 type ParsedSocket = Socket & {
@@ -50,13 +50,23 @@
   return httpVersion === '1.1' && headers.host === undefined
 }
 
+/** `receiving` is one on which a part of a request's head has arrived. */
+export type ClosedConnection = 'idle' | 'receiving' | 'new'
+
+function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 export type ServerBounds = {
-  /** Largest number of open connections. At more, the one that has been idle for longest is closed, or the new one if none is idle. */
+  /**
+   * Largest number of open connections. Before it is reached, those are closed that have been idle for longest, then those
+   * that have sent a part of a request's head for longest. At more, the new one is closed if none is idle.
+   */
   maxConnections?: number
   /** Called with the number of open connections when it has changed. */
   connectionsChanged? (count: number): void
   /** Called for each connection that is closed because there are too many. */
-  closedForRoom? (connection: 'idle' | 'new'): void
+  closedForRoom? (connection: ClosedConnection): void
   /** Called for a connection that is closed because its client sends too many requests. */
   exceeded? (unanswered: number): void
 }
@@ -69,21 +79,35 @@
   const unanswered = new WeakMap<Socket, Set<ServerResponse>>()
   /** Connections that close with a response to a request without a host. */
   const refused = new WeakSet<Socket>()
-  /** Bytes that had been read on a connection when it became idle. */
-  const idleBytes = new WeakMap<Socket, number>()
-  const room = createConnectionRoom<Socket>(bounds.maxConnections ?? Infinity, socket => socket.bytesRead !== idleBytes.get(socket))
+  /** Bytes that had been read on a connection when its newest request was. */
+  const requestBytes = new WeakMap<Socket, number>()
+  const isReceiving = (socket: Socket): boolean => socket.bytesRead !== requestBytes.get(socket)
+  const room = createConnectionRoom<Socket>(bounds.maxConnections ?? Infinity, isReceiving, () => performance.now())
+  let makingRoom = false
+
+  function close (socket: Socket, kind: ClosedConnection): void {
+    bounds.closedForRoom?.(kind)
+    socket.destroy()
+  }
+
+  function makeRoom (): void {
+    for (let leaving = room.excess(); leaving !== undefined; leaving = room.excess()) close(leaving, isReceiving(leaving) ? 'receiving' : 'idle')
+    makingRoom = room.isCrowded()
+    if (makingRoom) setTimeout(makeRoomAfterReading, headTimeMs).unref()
+  }
 
-  function becomeIdle (socket: Socket): void {
-    idleBytes.set(socket, socket.bytesRead)
-    room.idle(socket)
+  /** New connections may be accepted before requests are read that had arrived earlier. */
+  function makeRoomAfterReading (): void {
+    setImmediate(() => setImmediate(makeRoom))
   }
 
   function connected (socket: Socket): void {
-    idleBytes.set(socket, 0)
+    requestBytes.set(socket, 0)
     const leaving = room.opened(socket)
-    if (leaving !== undefined) {
-      bounds.closedForRoom?.(leaving === socket ? 'new' : 'idle')
-      leaving.destroy()
+    if (leaving !== undefined) close(leaving, leaving === socket ? 'new' : isReceiving(leaving) ? 'receiving' : 'idle')
+    if (!makingRoom && room.isCrowded()) {
+      makingRoom = true
+      makeRoomAfterReading()
     }
     socket.once('close', () => {
       room.closed(socket)
@@ -115,9 +139,13 @@
       }
       responses.add(res)
       room.busy(socket)
+      const read = (): void => { requestBytes.set(socket, socket.bytesRead) }
+      read()
+      // Without a body this would come only after the response, when the next request may be arriving.
+      if (hasBody(req)) req.once('end', read)
       res.once('close', () => {
         responses.delete(res)
-        if (responses.size === 0) becomeIdle(socket)
+        if (responses.size === 0) room.idle(socket)
       })
       if (refused.has(socket)) {
         // It gets no response, so it must not run.
--- a/packages/gateway/src/connection-report.test.ts
+++ b/packages/gateway/src/connection-report.test.ts
@@ -15,11 +15,11 @@
   const report = createConnectionReport(connectionLimits(512), log, metrics)
   const { maxConnections, connectionsChanged, closedForRoom } = report.bounds('front')
   connectionsChanged!(168)
-  for (const connection of ['idle', 'new', 'idle'] as const) closedForRoom!(connection)
+  for (const connection of ['idle', 'new', 'receiving', 'idle'] as const) closedForRoom!(connection)
   report.check()
   report.check()
-  assert.equal(lines.map(({ event, server, idle, refused, open, maxConnections }) => ({ event, server, idle, refused, open, maxConnections })), [
-    { event: 'connections-closed', server: 'front', idle: 2, refused: 1, open: 168, maxConnections }
+  assert.equal(lines.map(({ event, server, idle, receiving, refused, open, maxConnections }) => ({ event, server, idle, receiving, refused, open, maxConnections })), [
+    { event: 'connections-closed', server: 'front', idle: 2, receiving: 1, refused: 1, open: 168, maxConnections }
   ])
   assert.match(await metrics.text(() => {}), 'yuccawharf_state{name="client_connections"} 168')
 })
--- a/packages/gateway/src/connection-report.ts
+++ b/packages/gateway/src/connection-report.ts
@@ -1,5 +1,5 @@
 /** Bounds the connections of a node's servers, and reports how many are open and which were closed to make room. */
-import type { ServerBounds } from '@yuccawharf/clients'
+import type { ClosedConnection, ServerBounds } from '@yuccawharf/clients'
 import type { ConnectionLimits, ServerName } from './connection-limits'
 import type { DecisionLog } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
@@ -12,14 +12,14 @@
 
 export function createConnectionReport (limits: ConnectionLimits, log: DecisionLog, metrics: GatewayMetrics): ConnectionReport {
   const open = new Map<ServerName, number>()
-  const closed = new Map<ServerName, { idle: number, new: number }>()
+  const closed = new Map<ServerName, Record<ClosedConnection, number>>()
 
   return {
     bounds: server => ({
       maxConnections: limits[server],
       connectionsChanged (count) { open.set(server, count) },
       closedForRoom (connection) {
-        const counts = closed.get(server) ?? { idle: 0, new: 0 }
+        const counts = closed.get(server) ?? { idle: 0, receiving: 0, new: 0 }
         closed.set(server, counts)
         counts[connection] += 1
       }
@@ -27,7 +27,7 @@
     check () {
       metrics.gauge('client_connections', open.get('front') ?? 0)
       for (const [server, counts] of closed) {
-        log.warn('connections-closed', { server, idle: counts.idle, refused: counts.new, open: open.get(server), maxConnections: limits[server] })
+        log.warn('connections-closed', { server, idle: counts.idle, receiving: counts.receiving, refused: counts.new, open: open.get(server), maxConnections: limits[server] })
       }
       closed.clear()
     }
