Answer the requests before CONNECT, and refuse it

Callers saw: a request in progress ends without a response when its client sends CONNECT behind it on the connection.

Cause: Node.js destroys the connection of a CONNECT for which the server has no listener.

Change: the server refuses CONNECT with 501 once the responses before it are complete, and closes the connection at most 2 s later. What follows CONNECT is not read as requests. Node.js has taken its listeners off by then, so errors, the client's end and the drain of long responses are handled here.

--- a/packages/clients/src/bounded-server.test.ts
+++ b/packages/clients/src/bounded-server.test.ts
@@ -155,4 +155,38 @@
   server.close()
 })
 
+// Guards against a request in progress whose connection is cut because its client sends CONNECT behind it.
+test('a request before CONNECT is answered, and then CONNECT is refused', async () => {
+  const body = 'x'.repeat(8 * 1024 * 1024)
+  const handled: string[] = []
+  const server = createBoundedServer((req, res) => {
+    handled.push(req.url ?? '')
+    setTimeout(() => { if (!res.write(body)) res.once('drain', () => res.end('answer')) }, answerMs)
+  })
+  const port = await listen(server)
+  const { sockets: [socket], received } = await openConnections(port, 1)
+  let text = ''
+  socket!.on('data', chunk => { text += String(chunk) })
+  socket!.write(requestText('/first') + 'CONNECT b:1 HTTP/1.1\r\nhost: b:1\r\n\r\n' + requestText('/behind'))
+  await until('the connection ends', () => received[0] === undefined)
+  server.close()
+  assert.equal(handled, ['/first'])
+  assert.equal([...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status), ['200', '501'])
+  assert.ok(text.includes('answer'))
+})
+
+// Guards against a request that goes on for a client that has left.
+test('a request before CONNECT ends when its client leaves', async () => {
+  let closed = false
+  const server = createBoundedServer((_req, res) => { res.once('close', () => { closed = true }) })
+  const port = await listen(server)
+  const { sockets: [socket] } = await openConnections(port, 1)
+  socket!.write(requestText('/first') + 'CONNECT b:1 HTTP/1.1\r\nhost: b:1\r\n\r\n')
+  await sleep(answerMs)
+  assert.not.ok(closed)
+  socket!.end()
+  await until('the response is closed', () => closed)
+  server.close()
+})
+
 test.run()
--- a/packages/clients/src/bounded-server.ts
+++ b/packages/clients/src/bounded-server.ts
@@ -11,6 +11,9 @@
   } | null
 }
 
+/** Time for which a client may read a refusal before its connection is destroyed, in ms. */
+const refusalReadMs = 2000
+
 /** Result of a request's listener in the parser. */
 const parserError = -1
 
@@ -157,8 +160,31 @@
     }
   }
 
+  /** Node.js has handed over the connection, so its listeners are missing, and what follows is not read as requests. */
+  function refuseTunnel (socket: Socket): void {
+    const responses = responsesOf(socket)
+    room.busy(socket)
+    socket.on('error', () => { socket.destroy() })
+    socket.on('end', () => { socket.destroy() })
+    socket.on('drain', () => {
+      for (const res of responses) if (res.socket === socket) res.emit('drain')
+    })
+    socket.resume()
+    const respond = (): void => {
+      if (responses.size > 0 || !socket.writable) return
+      room.busy(socket)
+      socket.end('HTTP/1.1 501 Not Implemented\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
+      const timer = setTimeout(() => { socket.destroy() }, refusalReadMs)
+      socket.once('close', () => { clearTimeout(timer) })
+    }
+    for (const res of responses) res.once('close', respond)
+    respond()
+  }
+
   const server = createServer({ ...options, requireHostHeader: false }, bounded(listener))
   server.on('connection', connected)
+  // Without a listener Node.js destroys the connection, and with it the requests in progress.
+  server.on('connect', (req: IncomingMessage) => { refuseTunnel(req.socket) })
   server.on('checkExpectation', bounded((_req, res) => { res.writeHead(417).end() }))
   return server
 }
