Tell a build whose lock cannot be refreshed to end

Callers would see: a build that ends in the middle with a stack trace, and leaves its lock, which the next build waits for up to 90 s, and its staging folder.

Cause: the timer that refreshes the lock threw where the file could not be read or written, for example for lack of descriptors. That ended the process past all cleaning up.

Change: the timer aborts the build with the reason instead.

Evidence: build-lock.test.ts, 0 of 1 before, now 1 of 1.

--- a/scripts/build-lock.mjs
+++ b/scripts/build-lock.mjs
@@ -112,8 +112,13 @@
   try {
     await acquire(path, token, abort.signal)
     refresh = setInterval(() => {
-      if (readToken(path) === token) utimesSync(path, new Date(), new Date())
-      else abort.abort(new Error(`another build took over ${path}`))
+      try {
+        if (readToken(path) === token) utimesSync(path, new Date(), new Date())
+        else abort.abort(new Error(`another build took over ${path}`))
+      } catch (err) {
+        // Thrown in a timer, it would end the process past the end of the build.
+        abort.abort(new Error(`${path} cannot be refreshed: ${err.message}`))
+      }
     }, refreshMs)
     await build(abort.signal)
   } finally {
