Answer all requests that have arrived before the end of a process

Callers saw: requests to a leaving node got no response, the connection was reset; none had run. Cause: what has arrived was read for 100 ms of the clock at most, a few turns of the event loop on a busy machine.

--- a/packages/gateway/src/front-server.test.ts
+++ b/packages/gateway/src/front-server.test.ts
@@ -128,4 +128,36 @@
   assert.equal(errors, ['ECONNRESET'])
 })
 
+// Guards against requests that a process which gets little processor time leaves unread at its end.
+test('requests that have arrived are answered before the end, however slowly the process runs', async () => {
+  let nowMs = 0
+  const stopping = createFrontServer({
+    // A turn of the event loop takes long.
+    now: () => { nowMs += 200; return nowMs },
+    codec: testCodec,
+    kept: createKeptBytes(),
+    log,
+    routes: () => createRouteTable(testConfig),
+    closing: () => true,
+    closed: () => true,
+    respondsUntil: () => Infinity,
+    forward: async () => {},
+    ended () {}
+  })
+  await new Promise<void>(resolve => stopping.server.listen(0, '127.0.0.1', resolve))
+  const clients = Array.from({ length: 8 }, (_, index) => {
+    const client = connect((stopping.server.address() as AddressInfo).port, '127.0.0.1')
+    const answers = { text: '' }
+    client.on('data', chunk => { answers.text += String(chunk) })
+    client.on('error', () => {})
+    client.write(requestText(`r${index}`))
+    return { client, answers }
+  })
+  await stopping.readArrived(Infinity)
+  stopping.server.close()
+  stopping.server.closeAllConnections()
+  await until(() => clients.every(({ client }) => client.destroyed))
+  assert.equal(clients.map(({ answers }) => answers.text.slice(0, 12)), clients.map(() => 'HTTP/1.1 503'))
+})
+
 test.run()
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -46,8 +46,8 @@
    * requests that are still in progress with an unknown outcome, and aborts responses that have begun.
    */
   finish (earliestAt: number, latestAt: number): Promise<void>
-  /** Resolves when no request waits to be read, or after `arrivedMaxMs`. To be called once the node is closed, right before the end. */
-  readArrived (): Promise<void>
+  /** Resolves when no request waits to be read, or at `latestAt`. To be called once the node is closed, right before the end. */
+  readArrived (latestAt: number): Promise<void>
 }
 
 /** Limit of the HTTP parser until a configuration is known. */
@@ -66,8 +66,6 @@
 const finishCheckMs = 50
 /** Turns of the event loop without a request after which none waits: one accepts connections, the next one reads them. */
 const quietTurns = 3
-/** Longest time for which requests that have arrived are read at the end, in ms. */
-const arrivedMaxMs = 100
 const notConfiguredRetryAfterMs = 500
 const leavingRetryAfterMs = 100
 /** Time after which there may be room for a body, in ms: a few requests with large bodies have ended. */
@@ -236,14 +234,13 @@
         else exchange.refuse({ status: 502, outcome: 'unknown' }, 'the node stops before the server has answered')
       }
     },
-    async readArrived () {
-      const endsAt = env.now() + arrivedMaxMs
+    async readArrived (latestAt) {
       let quiet = 0
       do {
         const before = received
         await nextTurn()
         quiet = received === before ? quiet + 1 : 0
-      } while (quiet < quietTurns && env.now() < endsAt)
+      } while (quiet < quietTurns && env.now() < latestAt)
     },
     configure () {
       const limits = env.routes()?.config.limits
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,6 +61,8 @@
 const leavingAcceptMs = 2500
 /** A leaving node ends the remaining requests this long before the platform ends the process, in ms. */
 const stopMarginMs = 700
+/** Part of that margin in which requests that have arrived are still read and refused, in ms. */
+const lastReadMs = 500
 /** Requests that arrive at a leaving node have a deadline this long before that, in ms, so that they end like others at their deadline. */
 const lastResponseMs = 100
 /** Number of peers that an owner asks first whether they can read the log. */
@@ -447,15 +449,16 @@
     log.info('stopping', { running: front.running(), graceMs: settings.bounds.graceMs })
     fleet.leave()
     owner.stopClaiming()
-    await front.finish(leavingSince + leavingAcceptMs, now() + settings.bounds.graceMs - stopMarginMs)
+    const latestAt = now() + settings.bounds.graceMs - stopMarginMs
+    await front.finish(leavingSince + leavingAcceptMs, latestAt)
     owner.stopCommands()
     await Promise.all(fleet.peers().map(({ address }) => link.deliver(address, { kind: 'stopped', payload: null })))
     // A busy machine may have kept the process from reading what has arrived; the close resets it.
-    await front.readArrived()
+    await front.readArrived(latestAt + lastReadMs)
     close()
     connections.check()
     // Connections that were accepted meanwhile.
-    await front.readArrived()
+    await front.readArrived(latestAt + lastReadMs)
     log.info('stopped', {})
     await log.close()
   }
