Judge appends to a log by their bytes, not by 100 ms

Cause: client and server share the test's process; when it is held up for over 100 ms between the request and its reading, the client's timeout is handled first. Change: the timeout is 5 s where a whole response or an end comes, and 1 s in the test of a missing response.

--- a/packages/clients/src/log-client.test.ts
+++ b/packages/clients/src/log-client.test.ts
@@ -5,9 +5,13 @@
 import type { AppendResult, ReadResult } from './interfaces'
 import { httpResponse, startRawServer, type AfterBytes } from './raw-server.test-helper'
 
-async function appendTo (bytes: string, after: AfterBytes, count = 2): Promise<AppendResult> {
+/** Longer than a busy process is held up; only appends without a whole response take as long as their timeout. */
+const respondingMs = 5000
+const withoutResponseMs = 1000
+
+async function appendTo (bytes: string, after: AfterBytes, timeoutMs = respondingMs, count = 2): Promise<AppendResult> {
   const server = await startRawServer(bytes, after)
-  const client = createLogClient({ baseUrl: server.url, timeoutMs: 100, maxBytes: 4096 })
+  const client = createLogClient({ baseUrl: server.url, timeoutMs, maxBytes: 4096 })
   const result = await client.append('s', Array.from({ length: count }, (_, at) => at))
   assert.is(server.requests(), 1, 'an append is sent once')
   await client.close()
@@ -17,7 +21,7 @@
 
 async function readFrom (bytes: string, from = 5, limit = 3): Promise<ReadResult> {
   const server = await startRawServer(bytes, 'end')
-  const client = createLogClient({ baseUrl: server.url, timeoutMs: 100, maxBytes: 4096 })
+  const client = createLogClient({ baseUrl: server.url, timeoutMs: respondingMs, maxBytes: 4096 })
   const result = await client.read('s', from, limit, 0)
   await client.close()
   await server.close()
@@ -35,8 +39,8 @@
 })
 
 test('an append without a response in time is unknown', async () => {
-  assert.is((await appendTo('', 'hang')).type, 'unknown')
-  assert.is((await appendTo('HTTP/1.1 200 OK\r\ncontent-length: 17\r\n\r\n{"off', 'hang')).type, 'unknown')
+  assert.is((await appendTo('', 'hang', withoutResponseMs)).type, 'unknown')
+  assert.is((await appendTo('HTTP/1.1 200 OK\r\ncontent-length: 17\r\n\r\n{"off', 'hang', withoutResponseMs)).type, 'unknown')
 })
 
 test('a refusal proves that nothing was appended, a server error does not', async () => {
