Answer the requests before too many on one connection

What callers saw: a client that sends more than 32 requests on one connection before it has their responses is cut off, and the 32 requests that run end without a response.

Change: the request beyond the bound is refused as not run with the last response of its connection, parsing ends there, and the responses before it are sent. The parser's own end is no malformed input any more.

Evidence: the new test of bounded-server.test.ts failed before (7 of 8: 0 of 32 responses) and passes now (8 of 8). The tests of floods and of memory under pipelined requests pass unchanged (3 of 3, 4 of 4), as do those of pipelined requests, stops and refused bodies.

Conclusion: fixed; that it is what the users met is only suspected.

--- a/packages/clients/src/bounded-server.test.ts
+++ b/packages/clients/src/bounded-server.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createBoundedServer } from './bounded-server'
+import { createBoundedServer, maxUnanswered } from './bounded-server'
 import { headTimeMs } from './connection-room'
 
 const test = suite('bounded server')
@@ -33,6 +33,27 @@
   assert.equal([...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status), ['200', '400'])
 })
 
+// Guards against requests in progress that end without a response because their client sends more of them on the connection.
+test('requests before too many on one connection are answered, and none behind them runs', async () => {
+  const handled: string[] = []
+  const server = createBoundedServer((req, res) => {
+    handled.push(req.url ?? '')
+    setTimeout(() => { res.end(req.url) }, answerMs)
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  let received = ''
+  client.on('data', chunk => { received += String(chunk) })
+  const paths = Array.from({ length: maxUnanswered + 8 }, (_, index) => `/${index}`)
+  client.write(paths.map(path => requestText(path)).join(''))
+  client.once('connect', () => { setTimeout(() => { client.write(requestText('/late')) }, answerMs / 2) })
+  await once(client, 'close')
+  server.close()
+  assert.equal(handled, paths.slice(0, maxUnanswered))
+  assert.equal([...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status), [...handled.map(() => '200'), '503'])
+  assert.equal([...received.matchAll(/^\/\d+/gm)].map(([path]) => path.replace(/HTTP.*/, '')), handled)
+})
+
 /** Longest time until something happens, in ms. */
 const eventMs = 10_000
 
--- a/packages/clients/src/bounded-server.ts
+++ b/packages/clients/src/bounded-server.ts
@@ -17,6 +17,9 @@
 /** Result of a request's listener in the parser. */
 const parserError = -1
 
+/** Error of a connection whose parser was ended by that result. */
+const parserEndedCode = 'HPE_CB_HEADERS_COMPLETE'
+
 /**
  * Number of requests of one connection that may have no complete response. Node.js starts all that it
  * reads, and stops reading only if complete responses fill a buffer, which requests in progress do not.
@@ -27,16 +30,20 @@
  * Node.js creates all requests of the bytes that it has read, up to 64 KiB, also after the connection is destroyed, and
  * keeps them until the connections that are readable at the same time have all been read. This ends it before the next one.
  */
-function endParsingWhenDestroyed (socket: ParsedSocket): void {
-  const { parser } = socket
+function endParsingWhen (ended: () => boolean, { parser }: ParsedSocket): void {
   const { onIncoming } = parser ?? {}
   if (!parser || !onIncoming) return
   parser.onIncoming = (req, keepsConnection) => {
     const result = onIncoming(req, keepsConnection)
-    return socket.destroyed ? parserError : result
+    return ended() ? parserError : result
   }
 }
 
+/** Whether the server has ended the connection's parser itself; the responses that are due are still sent. */
+export function isParserEnded ({ code }: NodeJS.ErrnoException): boolean {
+  return code === parserEndedCode
+}
+
 /**
  * Node.js emits `close` only for the response whose turn on the connection it is, so those behind it
  * would keep what was counted for them when their client has left.
@@ -70,8 +77,12 @@
   connectionsChanged? (count: number): void
   /** Called for each connection that is closed because there are too many. */
   closedForRoom? (connection: ClosedConnection): void
-  /** Called for a connection that is closed because its client sends too many requests. */
-  exceeded? (unanswered: number): void
+  /**
+   * Refuses the first of too many requests on a connection. Its response is the last one of the connection.
+   *
+   * @param unanswered - number of requests before it that have no complete response
+   */
+  exceeded? (unanswered: number, req: IncomingMessage, res: ServerResponse): void
 }
 
 /**
@@ -79,9 +90,11 @@
  * The requests that Node.js would answer itself, past the listener, are answered here, so that the bound holds for them.
  */
 export function createBoundedServer (listener: RequestListener, options: ServerOptions = {}, bounds: ServerBounds = {}): Server {
-  const unanswered = new WeakMap<Socket, Set<ServerResponse>>()
-  /** Connections that close with a response to a request without a host. */
+  const unansweredOf = new WeakMap<Socket, Set<ServerResponse>>()
+  /** Connections that close with the response to a request that was refused. */
   const refused = new WeakSet<Socket>()
+  /** Those of them on which nothing further is parsed. */
+  const overfull = new WeakSet<Socket>()
   /** Bytes that had been read on a connection when its newest request was. */
   const requestBytes = new WeakMap<Socket, number>()
   const isReceiving = (socket: Socket): boolean => socket.bytesRead !== requestBytes.get(socket)
@@ -120,12 +133,12 @@
   }
 
   function responsesOf (socket: Socket): Set<ServerResponse> {
-    const known = unanswered.get(socket)
+    const known = unansweredOf.get(socket)
     if (known !== undefined) return known
     const responses = new Set<ServerResponse>()
-    unanswered.set(socket, responses)
+    unansweredOf.set(socket, responses)
     socket.once('close', () => { closeAll(responses) })
-    endParsingWhenDestroyed(socket)
+    endParsingWhen(() => socket.destroyed || overfull.has(socket), socket)
     return responses
   }
 
@@ -135,11 +148,7 @@
       // Requests that were read together with those before the close still arrive.
       if (socket.destroyed) return
       const responses = responsesOf(socket)
-      if (responses.size >= maxUnanswered) {
-        bounds.exceeded?.(responses.size)
-        socket.destroy()
-        return
-      }
+      const unanswered = responses.size
       responses.add(res)
       room.busy(socket)
       const read = (): void => { requestBytes.set(socket, socket.bytesRead) }
@@ -153,6 +162,13 @@
       if (refused.has(socket)) {
         // It gets no response, so it must not run.
         req.resume()
+      } else if (unanswered >= maxUnanswered) {
+        refused.add(socket)
+        overfull.add(socket)
+        req.resume()
+        res.shouldKeepAlive = false
+        bounds.exceeded?.(unanswered, req, res)
+        if (!res.writableEnded) res.writeHead(503).end()
       } else if (lacksHost(req)) {
         refused.add(socket)
         res.writeHead(400, { connection: 'close' }).end()
@@ -185,6 +201,12 @@
   server.on('connection', connected)
   // Without a listener Node.js destroys the connection, and with it the requests in progress.
   server.on('connect', (req: IncomingMessage) => { refuseTunnel(req.socket) })
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+    // With a listener Node.js leaves the connection to it.
+    if (isParserEnded(err) || server.listenerCount('clientError') > 1) return
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n')
+    else socket.destroy()
+  })
   server.on('checkExpectation', bounded((_req, res) => { res.writeHead(417).end() }))
   return server
 }
--- a/packages/clients/src/unreadable-requests.ts
+++ b/packages/clients/src/unreadable-requests.ts
@@ -1,6 +1,7 @@
 /** Ends connections of an HTTP server on which no request arrives in time, or none that can be read. */
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
+import { isParserEnded } from './bounded-server'
 import { trackResponses } from './response-tracker'
 
 export type EndingConnections = {
@@ -59,6 +60,7 @@
   }
 
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+    if (isParserEnded(err)) return
     if (err.code !== requestLateCode || responses.isResponding(socket)) end(err, socket)
     else afterReading(socket, () => { end(err, socket) })
   })
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -216,7 +216,11 @@
     noDelay: true
   }, {
     ...env.bounds,
-    exceeded (unanswered) { env.log.warn('connection-closed', { reason: 'too many requests without a response', unanswered }) }
+    exceeded (unanswered, req, res) {
+      const { id } = env.codec.request(req.rawHeaders)
+      env.log.warn('connection-closed', { id, reason: 'too many requests without a response', unanswered })
+      sendRefusal(res, { status: 503, outcome: 'not-run' }, 'too many requests on the connection have no response', { ...env.codec.identify(id), 'retry-after': env.codec.retryAfter(noRoomRetryAfterMs) })
+    }
   })
   const ending = refuseUnreadable(server, refuseConnection)
 
