--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -1,5 +1,6 @@
 /** Interfaces between the gateway and the platform it runs on; `platform/` implements them. */
 import type { Result } from 'ts-results/result.js'
+import type { Dispatcher } from 'undici'
 import type { RecordedStream } from './stream-origins'
 import type { AdapterVersion, BackendServer, ClusterConfig, EngineCommand, EngineCommandResult, EngineReport, ModelDemand } from './cluster-types'
 
@@ -71,7 +72,8 @@
 
 export interface EngineControl {
   command (server: BackendServer, command: EngineCommand): Promise<EngineCommandResult>
-  report (server: BackendServer): Promise<EngineReport | undefined>
+  /** @param dispatcher - sends the question in place of the node itself, on a path around links that are cut */
+  report (server: BackendServer, dispatcher?: Dispatcher): Promise<EngineReport | undefined>
 }
 
 /** Header names and values in turn: name, value, name, value. */
