Send requests through other nodes while the links to servers are cut

What callers saw: at nodes that had lost their links to all servers 1 of 109 first tries was served, 70 of 118 at the others; while an owner was cut off, its engines were lost to all nodes.

Cause: a node knew one path to a server, its own link, and could not tell a server that is gone from links that are cut. Owners judged their engines, and commands, by the same link.

Change: a node judges its links by service (server-links, link-monitor): a connection that cannot be opened, or no byte of any server while requests wait, makes it try a few servers; it is cut off if it reaches none. Until one of them can be reached again its requests go through other nodes (relay-connector, relay-server): one connection for each, so that the node that relays judges whether the server may be used, and learns what the server asks of it. Requests that may be repeated are given up on the cut link and sent again; what waits there is reset. Owners read the reports of their engines through other nodes and give no commands meanwhile, as only the owner may, so that others load what is missing.

--- a/packages/clients/src/bounded-server.ts
+++ b/packages/clients/src/bounded-server.ts
@@ -73,6 +73,8 @@
    * that have sent a part of a request's head for longest. At more, the new one is closed if none is idle.
    */
   maxConnections?: number
+  /** Number of places among them that are taken otherwise. */
+  reserved? (): number
   /** Called with the number of open connections when it has changed. */
   connectionsChanged? (count: number): void
   /** Called for each connection that is closed because there are too many. */
@@ -98,7 +100,7 @@
   /** Bytes that had been read on a connection when its newest request was. */
   const requestBytes = new WeakMap<Socket, number>()
   const isReceiving = (socket: Socket): boolean => socket.bytesRead !== requestBytes.get(socket)
-  const room = createConnectionRoom<Socket>(bounds.maxConnections ?? Infinity, isReceiving, () => performance.now())
+  const room = createConnectionRoom<Socket>(bounds.maxConnections ?? Infinity, isReceiving, () => performance.now(), () => bounds.reserved?.() ?? 0)
   let makingRoom = false
 
   function close (socket: Socket, kind: ClosedConnection): void {
--- a/packages/clients/src/connection-room.test.ts
+++ b/packages/clients/src/connection-room.test.ts
@@ -45,6 +45,17 @@
   assert.is(room.size(), 1)
 })
 
+// Guards against a node that runs out of descriptors because it relays requests of others.
+test('places that are taken otherwise are not given to connections', () => {
+  let reserved = 0
+  const room = createConnectionRoom<string>(3, () => false, () => 0, () => reserved)
+  for (const name of ['a', 'b']) assert.is(room.opened(name), undefined)
+  reserved = 1
+  assert.is(room.opened('c'), 'a')
+  reserved = 3
+  assert.is(room.opened('d'), 'b')
+})
+
 // Guards against clients that send parts of heads and so keep new connections away until the header timeout.
 test('the connection with a part of a head for longest leaves after those that are idle, and before the new one', () => {
   let nowMs = 0
--- a/packages/clients/src/connection-room.ts
+++ b/packages/clients/src/connection-room.ts
@@ -35,8 +35,9 @@
  * @param maxConnections - largest number of connections
  * @param isReceiving - whether a part of a request has arrived since the connection was opened or became idle
  * @param now - time in ms
+ * @param reserved - number of places that are taken otherwise
  */
-export function createConnectionRoom<Connection> (maxConnections: number, isReceiving: (connection: Connection) => boolean, now: () => number): ConnectionRoom<Connection> {
+export function createConnectionRoom<Connection> (maxConnections: number, isReceiving: (connection: Connection) => boolean, now: () => number, reserved: () => number = () => 0): ConnectionRoom<Connection> {
   const crowdedAt = maxConnections === Infinity ? Infinity : maxConnections - Math.floor(maxConnections * freeShare)
   const open = new Set<Connection>()
   /** Times at which they became idle, in this order. */
@@ -44,6 +45,8 @@
   /** Connections with a part of a request's head, and the times at which it was noticed. */
   const receiving = new Map<Connection, number>()
 
+  const isCrowded = (): boolean => open.size + reserved() > crowdedAt
+
   function remove (connection: Connection): void {
     open.delete(connection)
     idle.delete(connection)
@@ -69,17 +72,17 @@
   return {
     opened (connection) {
       open.add(connection)
-      const leaving = open.size > maxConnections ? longestWithoutRequest() ?? longestIdle(0) ?? connection : undefined
+      const leaving = open.size + reserved() > maxConnections ? longestWithoutRequest() ?? longestIdle(0) ?? connection : undefined
       idle.set(connection, now())
       if (leaving !== undefined) remove(leaving)
       return leaving
     },
     excess () {
-      const leaving = open.size > crowdedAt ? longestWithoutRequest() : undefined
+      const leaving = isCrowded() ? longestWithoutRequest() : undefined
       if (leaving !== undefined) remove(leaving)
       return leaving
     },
-    isCrowded: () => open.size > crowdedAt,
+    isCrowded,
     busy (connection) {
       idle.delete(connection)
       receiving.delete(connection)
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -53,8 +53,8 @@
   }
   maxBodyBytes: number
   kept: KeptBytes
-  /** The response is passed on or counts as a refusal of the server; called before its body arrives. */
-  responded? (status: number, metadata: ResponseMetadata, sentAt: number): void
+  /** The response is passed on or counts as a refusal of the server; called before its body arrives, with the node that relays it, if one does. */
+  responded? (status: number, metadata: ResponseMetadata, sentAt: number, through?: string): void
   warn (event: string, fields: Record<string, string | number>): void
 }
 
@@ -125,7 +125,7 @@
   }
 
   const call = upstream.send(server, options.req, {
-    headers (code, raw) {
+    headers (code, raw, through) {
       status = code
       metadata = codec.response(code, raw)
       framing = framingOf(raw)
@@ -136,7 +136,7 @@
         call.abort(reason)
         return fail(reason)
       }
-      options.responded?.(status, metadata, sentAt)
+      options.responded?.(status, metadata, sentAt, through)
       if (metadata.notRun) {
         resolveResult({ type: 'not-run', status })
         return
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -209,7 +209,8 @@
           ...(lastEventId === undefined ? {} : { lastEventId })
         }),
         body: exchange.body,
-        newConnection: refusedBy.has(server.id)
+        newConnection: refusedBy.has(server.id),
+        repeatable: resumable
       },
       stream: {
         head: (status, headers) => { head = { status, headers } },
@@ -224,7 +225,7 @@
       },
       maxBodyBytes: maxResponseBytes,
       kept: env.kept,
-      responded: (status, response, sentAt) => env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements }),
+      responded: (status, response, sentAt, through) => env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements, ...(through === undefined ? {} : { through }) }),
       warn: env.log.warn
     })
     current = { grant, attempt }
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -1,6 +1,7 @@
 /** Manages the engines that this node owns: claims them in the fleet log, runs their scheduler and sends its commands. */
+import type { Dispatcher } from 'undici'
 import type { BlockedParts } from './blocked-parts'
-import type { AdapterVersion, EngineCommand, EngineCommandResult } from './cluster-types'
+import type { AdapterVersion, BackendServer, EngineCommand, EngineCommandResult } from './cluster-types'
 import { createCrashEvidence, type EvidenceAction, type EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { createEngineOwnership, type Claim, type EngineOwnership, type FleetMember } from './engine-ownership'
@@ -28,6 +29,10 @@
   /** Offset up to which this process has read the fleet log. */
   logPosition (): number | undefined
   engineControl: EngineControl
+  /** Whether this node reaches no engine of the service of this one itself. Only the owner may give commands, so no other node can pass them on. */
+  linksCut (engine: string): boolean
+  /** Sends questions to the engine through other nodes while this node's links are cut. */
+  relay (server: BackendServer): Dispatcher | undefined
   /** Engines of all services that accept requests, with their limits. */
   listEngines (): OwnedEngine[]
   members (): FleetMember[]
@@ -119,7 +124,7 @@
 
   function mayCommand (engine: string, at: number): boolean {
     const from = ownership.commandsFrom(engine)
-    return !commandsStopped && from !== undefined && from <= at && freshness.excludesNewOwner(at, options.fleetSize())
+    return !commandsStopped && !options.linksCut(engine) && from !== undefined && from <= at && freshness.excludesNewOwner(at, options.fleetSize())
   }
 
   const scheduler = createEngineScheduler({ versionMs: options.versionMs, mayCommand })
@@ -165,7 +170,7 @@
 
   async function report (engine: string): Promise<void> {
     const server = options.listEngines().find(({ server }) => server.id === engine)?.server
-    const engineReport = server === undefined ? undefined : await options.engineControl.report(server)
+    const engineReport = server === undefined ? undefined : await options.engineControl.report(server, options.relay(server))
     log.info('engine-report', { engine, found: engineReport !== undefined, commandCount: engineReport?.commandCount, queued: engineReport?.queued, active: engineReport?.active })
     perform(scheduler.applyReport(engine, engineReport, now()))
   }
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -27,6 +27,8 @@
   closing (): boolean
   /** Whether the node no longer accepts requests. */
   closed (): boolean
+  /** Number of requests of other nodes that this one relays. */
+  relaying? (): number
   /** Time until which the node can respond; infinite unless it is leaving. */
   respondsUntil (): number
   forward (exchange: ClientExchange): Promise<void>
@@ -42,7 +44,7 @@
   /** Applies the limits of a new configuration. */
   configure (): void
   /**
-   * Resolves when no request is in progress and `earliestAt` has passed. At `latestAt` it answers the
+   * Resolves when no request is in progress or relayed and `earliestAt` has passed. At `latestAt` it answers the
    * requests that are still in progress with an unknown outcome, and aborts responses that have begun.
    */
   finish (earliestAt: number, latestAt: number): Promise<void>
@@ -230,7 +232,7 @@
     requestBytes: requestBytes.total,
     async finish (earliestAt, latestAt) {
       for (; env.now() < latestAt; await new Promise(resolve => setTimeout(resolve, finishCheckMs))) {
-        if (running === 0 && env.now() > earliestAt) return
+        if (running === 0 && (env.relaying?.() ?? 0) === 0 && env.now() > earliestAt) return
       }
       env.log.warn('stopping-with-requests', { running })
       for (const exchange of exchanges) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import { createRouteTable, type RouteTable } from './route-table'
 import { logServerChanges } from './server-change-log'
 import { runOnce } from './run-once'
+import { createServerDetour } from './server-detour'
 import { createServerRestrictions } from './server-restrictions'
 import { createServerRegistry, type RegistryChange } from './server-registry'
 import { createServicePools } from './service-pool'
@@ -144,7 +145,9 @@
 
   const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
   const kept = createKeptBytes(keptBytesLimit(settings.memoryBytes))
-  const upstream = createUpstream({ now, connections: shares.connections })
+  const maxConnections = connectionLimits(settings.maxDescriptors, options.descriptorLimit)
+  const detour = createServerDetour({ zone: self.zone, now, random: options.random, log, metrics, fleet, registry, waitMs: restrictions.waitMs, leaving: () => leavingSince !== undefined, maxClients: maxConnections.front, running: () => front.running() })
+  const upstream = createUpstream({ now, connections: shares.connections, detour })
 
   /** Ready engines of all services with their limits. */
   function listEngines (): OwnedEngine[] {
@@ -181,6 +184,8 @@
     fleetLog: platform.fleet,
     logPosition: () => feeds.fleetNext(),
     engineControl: platform.engines,
+    linksCut: detour.isCutFrom,
+    relay: upstream.relay,
     listEngines,
     members: () => fleet.members(),
     fleetSize: () => fleet.size(),
@@ -287,18 +292,18 @@
 
   const forward = createForwarding({ now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, crashes: crashes.requests, streamVersions, configVersion: () => table?.config.version, grants, versions, engines: registry.ready, servers: registry.ready, pool: pools.pool, firstEvent: metrics.firstEvent })
 
-  const maxConnections = connectionLimits(settings.maxDescriptors, options.descriptorLimit)
   const connections = createConnectionReport(maxConnections, log, metrics)
   const front = createFrontServer({
     now,
     codec: platform.headers,
     kept,
     memoryBytes: settings.memoryBytes,
-    bounds: connections.bounds('front'),
+    bounds: { ...connections.bounds('front'), reserved: detour.relayServer.running },
     log,
     routes: () => table,
     closing: () => leavingSince !== undefined,
     closed: () => leavingSince !== undefined && now() - leavingSince > leavingAcceptMs,
+    relaying: detour.relayServer.running,
     respondsUntil: () => leavingSince === undefined ? Infinity : leavingSince + settings.bounds.graceMs - stopMarginMs - lastResponseMs,
     forward,
     ended (exchange) {
@@ -423,6 +428,7 @@
     const tick = (): void => {
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
       turns.mark()
+      detour.links.tick()
       applyServers(registry.tick(now()))
       owner.tick()
       crashes.requests.tick()
@@ -434,10 +440,12 @@
     timers.push(setInterval(fetchFromSeeds, seedPollMs))
     timers.push(setInterval(usage.check, usageIntervalMs))
     timers.push(setInterval(connections.check, usageIntervalMs))
+    timers.push(setInterval(detour.report, usageIntervalMs))
   }
 
   function close (): void {
     for (const server of [front.server, directoryServer, readyServer, metricsServer, snapshotServer]) server.close()
+    detour.close()
     for (const timer of [...timers, tickTimer]) clearTimeout(timer)
     feeds.stop()
     link.close()
@@ -472,6 +480,7 @@
         listening.server(front.server, settings.front),
         listening.server(readyServer, settings.ready),
         listening.server(directoryServer, settings.directory),
+        listening.server(detour.relayServer.server, { host: settings.ip, port: settings.peerPorts[0] }),
         ...(settings.control === undefined ? [] : [listening.server(snapshotServer, settings.control)])
       ])
       if (leavingSince !== undefined) return
--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -69,6 +69,7 @@
         return { abort () {}, pause () {}, resume () {} }
       },
       disableReuse () {},
+      relay: () => undefined,
       retain () {},
       close () {}
     },
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -135,14 +135,15 @@
         path: exchange.req.url ?? '/',
         headers: env.codec.attempt(metadata, { instanceId: server.id, remainingMs: exchange.deadlineAt - startedAt }),
         body: exchange.body,
-        newConnection: avoidOpenConnections
+        newConnection: avoidOpenConnections,
+        repeatable: idempotent
       },
       maxBodyBytes: maxResponseBytes,
       kept: env.kept,
-      responded (status, response, sentAt) {
+      responded (status, response, sentAt, through) {
         responded = true
         run.responded()
-        env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements })
+        env.restrictions.record(server, metadata.id, { status, identified: response.requestId === metadata.id, sentAt, statements: response.statements, ...(through === undefined ? {} : { through }) })
       },
       warn: env.log.warn
     })
--- /dev/null
+++ b/packages/gateway/src/relay-server.test.ts
@@ -0,0 +1,136 @@
+/** Connections to servers that a node opens for another one. */
+import { once } from 'node:events'
+import { request } from 'node:http'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { setImmediate as nextTurn } from 'node:timers/promises'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { BackendServer } from './cluster-types'
+import { createDecisionLog } from './decision-log'
+import { createRelayServer, relayedServerHeader, relayedStartHeader, type RelayServer, type RelayServerOptions } from './relay-server'
+
+const test = suite('relay server')
+
+/** Turns of the event loop within which a connection that is closed counts as such. */
+const maxTurns = 1000
+
+let relay: RelayServer
+let upstream: Server
+let accepted: Socket[]
+let backend: BackendServer
+let open: Socket[]
+
+async function listen (server: Pick<Server, 'listen' | 'address'>): Promise<number> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return (server.address() as AddressInfo).port
+}
+
+async function start (changes: Partial<RelayServerOptions> = {}): Promise<void> {
+  relay = createRelayServer({
+    log: createDecisionLog('n1', { write () {}, flush: async () => {}, dropped: () => 0 }),
+    isPeer: () => true,
+    leaving: () => false,
+    isCut: () => false,
+    server: ({ id, bornAt }) => id === backend.id && bornAt === backend.bornAt ? backend : undefined,
+    hasRoom: () => true,
+    ...changes
+  })
+  await listen(relay.server)
+}
+
+/** @returns the status, and the connection if it is relayed */
+async function ask (start = { id: 's 1', bornAt: 1 }): Promise<{ status: number, socket: Socket }> {
+  const { port } = relay.server.address() as AddressInfo
+  const req = request({ host: '127.0.0.1', port, method: 'CONNECT', path: 'any:1', agent: false, headers: { [relayedServerHeader]: encodeURIComponent(start.id), [relayedStartHeader]: start.bornAt } })
+  req.end()
+  const [res, socket] = await once(req, 'connect') as [{ statusCode: number }, Socket]
+  socket.on('error', () => {})
+  open.push(socket)
+  return { status: res.statusCode, socket }
+}
+
+test.before.each(async () => {
+  accepted = []
+  open = []
+  upstream = createServer(socket => {
+    socket.on('error', () => {})
+    accepted.push(socket)
+  })
+  const port = await listen(upstream)
+  backend = { id: 's 1', bornAt: 1, service: 'desk', address: `127.0.0.1:${port}`, zone: 'a', state: 'ready', slots: 4, models: [] }
+})
+test.after.each(() => {
+  for (const socket of [...open, ...accepted]) socket.destroy()
+  relay.close()
+  relay.server.close()
+  upstream.close()
+})
+
+test('bytes are passed on in both directions', async () => {
+  await start()
+  const { status, socket } = await ask()
+  assert.is(status, 200)
+  socket.write('question')
+  assert.is(String((await once(accepted[0]!, 'data'))[0]), 'question')
+  accepted[0]!.write('answer')
+  assert.is(String((await once(socket, 'data'))[0]), 'answer')
+  assert.is(relay.running(), 1)
+})
+
+// Guards against a response that was cut off and looks complete at the node that asked.
+test('a reset of the server is passed on as a reset', async () => {
+  await start()
+  const { socket } = await ask()
+  socket.resume()
+  const failed = once(socket, 'error')
+  accepted[0]!.resetAndDestroy()
+  assert.is(((await failed)[0] as NodeJS.ErrnoException).code, 'ECONNRESET')
+})
+
+test('a regular close of the server is passed on as one', async () => {
+  await start()
+  const { socket } = await ask()
+  socket.resume()
+  accepted[0]!.end()
+  await once(socket, 'end')
+})
+
+// Guards against servers that stay at work on a request that was given up.
+test('the connection to the server ends with that of the node', async () => {
+  await start()
+  const { socket } = await ask()
+  accepted[0]!.resume()
+  socket.destroy()
+  await once(accepted[0]!, 'close')
+  for (let turns = 0; relay.running() > 0 && turns < maxTurns; turns++) await nextTurn()
+  assert.is(relay.running(), 0)
+})
+
+for (const [name, status, changes] of [
+  ['a client that is no node', 403, { isPeer: () => false }],
+  ['others while the node leaves', 503, { leaving: () => true }],
+  ['others without room', 503, { hasRoom: () => false }],
+  ['others while its own links are cut', 503, { isCut: () => true }],
+  ['requests to a server that accepts none', 409, { server: () => undefined }]
+] as const) {
+  test(`a node does not relay for ${name}`, async () => {
+    await start(changes)
+    assert.is((await ask()).status, status)
+    assert.is(accepted.length, 0)
+  })
+}
+
+test('another start of the server is not reached', async () => {
+  await start()
+  assert.is((await ask({ id: 's 1', bornAt: 2 })).status, 409)
+})
+
+test('a server that cannot be reached is said to be so', async () => {
+  await start()
+  upstream.close()
+  await once(upstream, 'close')
+  assert.is((await ask()).status, 502)
+  assert.is(relay.running(), 0)
+})
+
+test.run()
--- /dev/null
+++ b/packages/gateway/src/relay-server.ts
@@ -0,0 +1,109 @@
+/**
+ * Connections to backend servers for nodes whose own links are cut: another node asks with CONNECT for a
+ * server, and its bytes are passed on in both directions. Each connection carries one request.
+ */
+import { createServer, type IncomingMessage, type Server } from 'node:http'
+import { connect, type Socket } from 'node:net'
+import type { BackendServer } from './cluster-types'
+import type { DecisionLog } from './decision-log'
+import type { ServerStart } from './server-registry'
+
+/** Names the server, as its address may be another one's by now. */
+export const relayedServerHeader = 'x-relayed-server'
+export const relayedStartHeader = 'x-relayed-start'
+
+export type RelayServerOptions = {
+  log: DecisionLog
+  /** Whether the address belongs to another node. */
+  isPeer (ip: string): boolean
+  leaving (): boolean
+  /** Whether this node's own links to the service are cut. */
+  isCut (service: string): boolean
+  /** @returns the server if it accepts requests of this node */
+  server (start: ServerStart): BackendServer | undefined
+  /** @returns whether there is room for one more beside those that are relayed */
+  hasRoom (relayed: number): boolean
+}
+
+export type RelayServer = {
+  server: Server
+  /** Number of connections that are being relayed. */
+  running (): number
+  /** Closes all relayed connections. */
+  close (): void
+}
+
+/** Connect timeout in ms, as that of a node's own requests. */
+const connectTimeoutMs = 400
+
+function startOf ({ headers }: IncomingMessage): ServerStart {
+  return { id: decodeURIComponent(String(headers[relayedServerHeader] ?? '')), bornAt: Number(headers[relayedStartHeader]) }
+}
+
+/** Passes bytes on in both directions; what ends or resets one side does so to the other. */
+function join (client: Socket, upstream: Socket): void {
+  client.pipe(upstream)
+  upstream.pipe(client)
+  upstream.on('error', () => { client.resetAndDestroy() })
+  // Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more.
+  upstream.on('end', () => { if (upstream.remotePort === undefined) client.resetAndDestroy() })
+  client.on('error', () => { upstream.resetAndDestroy() })
+  // A node closes its side only if it gives the request up.
+  client.on('end', () => { client.destroy() })
+}
+
+export function createRelayServer (options: RelayServerOptions): RelayServer {
+  const { log } = options
+  const relayed = new Set<Socket>()
+  const server = createServer((_req, res) => { res.writeHead(405).end() })
+
+  function refuse (client: Socket, status: number, reason: string): void {
+    client.end(`HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\n\r\n`)
+  }
+
+  function relay (client: Socket, { id, address }: BackendServer): void {
+    const [host, port] = address.split(':')
+    const upstream = connect({ host: host!, port: Number(port), noDelay: true })
+    relayed.add(client)
+    client.once('close', () => {
+      clearTimeout(timer)
+      relayed.delete(client)
+      upstream.destroy()
+    })
+    const failed = (reason: string): void => {
+      clearTimeout(timer)
+      upstream.destroy()
+      relayed.delete(client)
+      log.info('relay-refused', { server: id, reason })
+      refuse(client, 502, 'server not reached')
+    }
+    const notConnected = (err: NodeJS.ErrnoException): void => failed(err.code ?? err.message)
+    const timer = setTimeout(() => failed('connect timeout'), connectTimeoutMs)
+    upstream.once('error', notConnected)
+    upstream.once('connect', () => {
+      clearTimeout(timer)
+      upstream.off('error', notConnected)
+      client.write('HTTP/1.1 200 Connected\r\n\r\n')
+      join(client, upstream)
+    })
+  }
+
+  server.on('connect', (req: IncomingMessage, client: Socket) => {
+    client.setNoDelay(true)
+    client.on('error', () => { client.destroy() })
+    if (!options.isPeer(client.remoteAddress ?? '')) return refuse(client, 403, 'not a node')
+    if (options.leaving() || !options.hasRoom(relayed.size)) return refuse(client, 503, 'does not relay')
+    const target = options.server(startOf(req))
+    if (target === undefined) return refuse(client, 409, 'server accepts no requests')
+    if (options.isCut(target.service)) return refuse(client, 503, 'links are cut')
+    relay(client, target)
+  })
+
+  return {
+    server,
+    running: () => relayed.size,
+    close () {
+      for (const client of relayed) client.resetAndDestroy()
+    }
+  }
+}
--- a/packages/gateway/src/server-restrictions.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -48,6 +48,10 @@
     notifyPeers (kind, payload) {
       for (const { address } of fleet.peers()) deliver(address, { kind, payload })
     },
+    notifyRelay (node, wait) {
+      const address = fleet.address(node)
+      if (address !== undefined) deliver(address, { kind: 'stated-wait', payload: wait })
+    },
     notifyPacer (limit) {
       const address = fleet.address(engineOwner(limit.id) ?? permits.pacer(limit))
       if (address !== undefined) link.notify(address, { kind: 'stated-limit', payload: limit })
@@ -80,7 +84,7 @@
       return result
     },
     receive (from, { kind, payload }) {
-      if (kind === 'stated-limit' || kind === 'stated-leaving') statements.receive(from, kind, payload)
+      if (kind === 'stated-limit' || kind === 'stated-leaving' || kind === 'stated-wait') statements.receive(from, kind, payload)
       else if (kind === 'permit' && isPermitMessage(payload)) permits.receive(from, payload)
       else return false
       return true
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -10,8 +10,13 @@
   /** Time at which the request was sent. */
   sentAt: number
   statements: ServerStatements
+  /** Node that has relayed the request: for the server that node has sent it. */
+  through?: string
 }
 
+/** The server wants no requests from the node that is told so, for a time. */
+export type SharedWait = ServerStart & { waitMs: number }
+
 /** Absent `requestsPerSecond`: the server no longer states a limit. */
 export type SharedLimit = ServerStart & { requestsPerSecond?: number }
 
@@ -116,6 +121,13 @@
   return typeof start === 'object' && start !== null && typeof start.id === 'string' && Number.isSafeInteger(start.bornAt)
 }
 
+/** @returns whether a message of another node is about the time for which a server wants no requests from this one */
+export function isSharedWait (value: unknown): value is SharedWait {
+  if (!isServerStart(value)) return false
+  const { waitMs } = value as Partial<SharedWait>
+  return Number.isFinite(waitMs) && waitMs! >= 0
+}
+
 /** @returns whether a message of another node is about a limit */
 export function isSharedLimit (value: unknown): value is SharedLimit {
   if (!isServerStart(value)) return false
--- a/packages/gateway/src/statement-recorder.test.ts
+++ b/packages/gateway/src/statement-recorder.test.ts
@@ -13,10 +13,12 @@
 
 let recorder: StatementRecorder
 let messages: unknown[]
+let relayed: unknown[]
 let events: string[]
 
 test.before.each(() => {
   messages = []
+  relayed = []
   events = []
   const registry = createServerRegistry()
   registry.apply([{ key: 's1', offset: 0, value: { type: 'server', server, sequence: 1 } }], 0)
@@ -25,6 +27,7 @@
     log: createDecisionLog('n1', { write: line => { events.push((JSON.parse(line) as { event: string }).event) }, flush: async () => {}, dropped: () => 0 }),
     metrics: createGatewayMetrics(),
     notifyPeers: (kind, payload) => { messages.push([kind, payload]) },
+    notifyRelay: (node, wait) => { relayed.push([node, wait]) },
     notifyPacer () {},
     changed () {},
     leave: registry.leave
@@ -53,6 +56,17 @@
   assert.is(recorder.limit(server), 3)
 })
 
+// Guards against a node that goes on to send requests to a server that has answered one it relayed.
+test('a node that relays is told for how long the server wants no requests from it', () => {
+  recorder.record(server, 'r1', { status: 503, identified: true, sentAt: 0, statements: { unusable: [], waitMs: 2000 }, through: 'n2' })
+  assert.equal(relayed, [['n2', { id: 's1', bornAt: 1, waitMs: 2000 }]])
+  const relay = createStatementRecorder({ now: () => 1000, log: createDecisionLog('n2', { write () {}, flush: async () => {}, dropped: () => 0 }), metrics: createGatewayMetrics(), notifyPeers () {}, notifyRelay () {}, notifyPacer () {}, changed () {}, leave: () => [] })
+  relay.receive('n1', 'stated-wait', { id: 's1', bornAt: 1, waitMs: 2000 })
+  assert.is(relay.waitMs(server), 2000)
+  for (const payload of [null, 'x', { id: 's1' }, { id: 's1', bornAt: 1 }, { id: 's1', bornAt: 1, waitMs: -1 }]) relay.receive('n1', 'stated-wait', payload)
+  assert.is(relay.waitMs(server), 2000)
+})
+
 // Guards against a malformed value or message that ends the process or passes without a trace.
 test('unusable values and messages are logged and have no effect', () => {
   respond(200, { unusable: ['limit: much'] })
--- a/packages/gateway/src/statement-recorder.ts
+++ b/packages/gateway/src/statement-recorder.ts
@@ -3,13 +3,15 @@
 import type { DecisionLog, LogFields } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { RegistryChange, ServerStart } from './server-registry'
-import { createServerStatements, isServerStart, isSharedLimit, type ServerStatementsState, type SharedLimit, type StatingResponse } from './server-statements'
+import { createServerStatements, isServerStart, isSharedLimit, isSharedWait, type ServerStatementsState, type SharedLimit, type SharedWait, type StatingResponse } from './server-statements'
 
 export type StatementRecorderOptions = {
   now (): number
   log: DecisionLog
   metrics: Pick<GatewayMetrics, 'serverStatement'>
   notifyPeers (kind: 'stated-limit' | 'stated-leaving', payload: SharedLimit | ServerStart): void
+  /** Tells the node that has relayed a request for how long the server wants no more from it. */
+  notifyRelay (node: string, wait: SharedWait): void
   /** Notifies the node that paces the requests to the server. */
   notifyPacer (limit: SharedLimit): void
   /** The limit of a server has changed. */
@@ -28,13 +30,16 @@
   /** Time for which the server wants no further requests from this node, in ms; 0 if it accepts them. */
   waitMs (server: ServerStart): number
   /** Applies a message of another node. */
-  receive (from: string, kind: 'stated-limit' | 'stated-leaving', payload: unknown): void
+  receive (from: string, kind: StatementKind, payload: unknown): void
 }
 
+/** Kinds of messages between nodes about statements. */
+export type StatementKind = 'stated-limit' | 'stated-leaving' | 'stated-wait'
+
 /** Length to which values from responses are cut in the log, in characters. */
 const maxLoggedValueLength = 40
 
-export function createStatementRecorder ({ now, log, metrics, notifyPeers, notifyPacer, changed, leave }: StatementRecorderOptions): StatementRecorder {
+export function createStatementRecorder ({ now, log, metrics, notifyPeers, notifyRelay, notifyPacer, changed, leave }: StatementRecorderOptions): StatementRecorder {
   const statements = createServerStatements()
 
   /** @param source - the request or the node from which this node learned it */
@@ -62,7 +67,7 @@
     changed()
   }
 
-  function recordWait (server: BackendServer, source: LogFields, waitMs: number): void {
+  function recordWait (server: ServerStart, source: LogFields, waitMs: number): void {
     if (!statements.recordWait(server, waitMs, now())) return
     metrics.serverStatement('wait')
     log.info('server-statement', { ...source, server: server.id, waitMs })
@@ -79,7 +84,10 @@
       const source = { id: requestId, service: server.service }
       const { waitMs, leaving } = response.statements
       recordLimit(server, source, response)
-      if (waitMs !== undefined) recordWait(server, source, waitMs)
+      if (waitMs !== undefined) {
+        recordWait(server, source, waitMs)
+        if (response.through !== undefined) notifyRelay(response.through, { id: server.id, bornAt: server.bornAt, waitMs })
+      }
       if (leaving === undefined || leave(server).length === 0) return
       logLeave(server, source)
       notifyPeers('stated-leaving', { id: server.id, bornAt: server.bornAt })
@@ -91,6 +99,8 @@
         if (!statements.learn(payload, now())) return
         logLimit(payload, { from })
         changed()
+      } else if (kind === 'stated-wait' && isSharedWait(payload)) {
+        recordWait(payload, { from }, payload.waitMs)
       } else logUnusable({ from, kind })
     }
   }
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,8 +1,10 @@
 /** Requests to backend servers over HTTP/1.1 without pipelining; response data is forwarded as it arrives. */
 import type { Socket } from 'node:net'
-import { buildConnector, Pool, type Dispatcher } from 'undici'
+import { Agent, buildConnector, Pool, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
+import type { LinkMonitor } from './link-monitor'
 import type { RawHeaders } from './platform-interface'
+import type { RelayConnector } from './relay-connector'
 
 export type UpstreamFailure = {
   /** The request was started on a connection; if false, no byte of it left this process. */
@@ -11,7 +13,8 @@
 }
 
 export type UpstreamHandler = {
-  headers (status: number, raw: RawHeaders): void
+  /** @param through - node that has relayed the request, if one has */
+  headers (status: number, raw: RawHeaders, through?: string): void
   data (chunk: Buffer): void
   /** The body is complete. */
   complete (): void
@@ -32,12 +35,16 @@
   body: Buffer | null
   /** Sends the request on a connection of its own, on which no other response can arrive. */
   newConnection?: boolean
+  /** The request may run again, so that it is given up when the links are cut before its response begins. */
+  repeatable?: boolean
 }
 
 export type Upstream = {
   send (server: BackendServer, req: UpstreamRequest, handler: UpstreamHandler): UpstreamCall
   /** Opens a new connection for each request for a while, because responses on reused connections cannot be trusted. */
   disableReuse (server: BackendServer, since: number): void
+  /** Sends requests to the server through other nodes while this node's links are cut; undefined while they work. */
+  relay (server: BackendServer): Dispatcher | undefined
   /** Closes the connections to all other servers when their requests have ended. */
   retain (servers: readonly BackendServer[]): void
   close (): void
@@ -47,6 +54,8 @@
   now (): number
   /** Maximum number of connections of this node to one server of the service. */
   connections (service: string): number
+  /** Links of this node to the servers, and the way around them. Without, a server that cannot be reached counts as gone. */
+  detour?: { links: Pick<LinkMonitor, 'isCut' | 'onCut' | 'notConnected' | 'sent' | 'received'>, relays: RelayConnector }
 }
 
 /** Connect timeout in ms; connecting takes a few round trips of a few ms each within a zone. */
@@ -60,6 +69,9 @@
 
 type Entry = { pool: Pool, noReuseUntil: number, watch: ConnectionWatch }
 
+/** A request on a link of this node whose response has not begun. */
+type Unanswered = { service: string, repeatable: boolean, giveUp (): void }
+
 function keyOf (server: BackendServer): string {
   return `${server.id}@${server.address}#${server.bornAt}`
 }
@@ -73,6 +85,8 @@
   resetting: boolean
   /** Count of the connection whose bytes are being parsed. */
   reading?: { bytesWithoutProgress: number }
+  /** Node that relays the connection. */
+  through?: string
 }
 
 /**
@@ -96,16 +110,35 @@
   }
 }
 
+/** What waits on a cut link when its request is given up would otherwise still reach the server later. */
+function resetWhenCut (socket: Socket, isCut: () => boolean): void {
+  const destroy = socket.destroy.bind(socket)
+  socket.destroy = err => {
+    if (err !== undefined && !socket.destroyed && isCut()) socket.resetAndDestroy()
+    return destroy(err)
+  }
+}
+
+/** Opens the connection through another node. */
+function createRelayedConnector (relays: RelayConnector, server: BackendServer, opened: (node: string) => void = () => {}): buildConnector.connector {
+  return (_options, callback) => {
+    relays.open(server).then(({ socket, node }) => {
+      opened(node)
+      callback(null, socket)
+    }, (err: Error) => { callback(err, null) })
+  }
+}
+
 /**
  * Creates a connector that detects resets before undici does. When a connection is reset, undici
  * reports a response without a length as complete, although only a regular close completes it.
  */
-function createWatchedConnector (watch: ConnectionWatch): buildConnector.connector {
-  const connect = buildConnector({ timeout: connectTimeoutMs })
+function createWatchedConnector (watch: ConnectionWatch, connect: buildConnector.connector, isCut: () => boolean): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
       limitUselessBytes(socket, watch)
+      resetWhenCut(socket, isCut)
       const markReset = (): void => {
         watch.resetting = true
         // undici reports the end of the response within the same event.
@@ -133,15 +166,21 @@
   return Array.isArray(raw) ? raw.map(item => typeof item === 'string' ? item : item.toString('latin1')) : flattenHeaders(parsed)
 }
 
+const noDetour: NonNullable<UpstreamOptions['detour']> = {
+  links: { isCut: () => false, onCut () {}, notConnected: async () => false, sent: () => () => {}, received () {} },
+  relays: { open: async ({ id }) => { throw new Error(`no other node reaches ${id}`) } }
+}
+
 export function createUpstream (options: UpstreamOptions): Upstream {
+  const { links, relays } = options.detour ?? noDetour
   const entries = new Map<string, Entry>()
+  const unanswered = new Set<Unanswered>()
 
-  function createEntry (server: BackendServer, connections: number): Entry {
-    const watch: ConnectionWatch = { resetting: false }
+  function createEntry (server: BackendServer, connections: number, connect: buildConnector.connector = buildConnector({ timeout: connectTimeoutMs }), watch: ConnectionWatch = { resetting: false }): Entry {
     const pool = new Pool(`http://${server.address}`, {
       connections,
       pipelining: 1,
-      connect: createWatchedConnector(watch),
+      connect: createWatchedConnector(watch, connect, () => links.isCut(server.service)),
       keepAliveTimeout: idleMs,
       keepAliveTimeoutThreshold: idleMarginMs,
       // The caller enforces deadlines, because it knows how long the client waits.
@@ -165,55 +204,131 @@
     entry.pool.close().catch(() => {})
   }
 
-  return {
-    send (server, { method, path, headers, body, newConnection = false }, handler) {
-      const entry = newConnection ? createEntry(server, 1) : entryOf(server)
-      let controller: Dispatcher.DispatchController | undefined
-      let ended = false
-      const state: { aborted?: string } = {}
-      const progressed = (): void => { if (entry.watch.reading !== undefined) entry.watch.reading.bytesWithoutProgress = 0 }
-
-      entry.pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body, reset: newConnection || entry.noReuseUntil > options.now() }, {
-        onRequestStart (started) {
-          controller = started
-          if (state.aborted !== undefined) started.abort(new Error(state.aborted))
-        },
-        onResponseStart (started, status, parsed) {
-          // Ignores interim (1xx) responses.
-          if (status < 200) return
-          progressed()
-          if (!ended) handler.headers(status, rawHeaders(started, parsed))
-        },
-        onResponseData (_started, chunk) {
-          progressed()
-          if (!ended) handler.data(chunk)
-        },
-        onResponseEnd () {
-          progressed()
-          if (ended) return
-          ended = true
-          if (entry.watch.resetting) handler.failed({ sent: true, reason: 'reset within a response without a length' })
-          else handler.complete()
-        },
-        onResponseError (_started, err) {
-          if (ended) return
-          ended = true
-          handler.failed({ sent: controller !== undefined, reason: (err as { code?: string }).code ?? err.message })
+  function createRelayedEntry (server: BackendServer): Entry {
+    const watch: ConnectionWatch = { resetting: false }
+    return createEntry(server, 1, createRelayedConnector(relays, server, node => { watch.through = node }), watch)
+  }
+
+  /** @param isOwnLink - whether the connections are this node's own */
+  function sendOn (entry: Entry, service: string, { method, path, headers, body, newConnection = false, repeatable = false }: UpstreamRequest, isOwnLink: boolean, handler: UpstreamHandler): UpstreamCall {
+    let controller: Dispatcher.DispatchController | undefined
+    let ended = false
+    const state: { aborted?: string } = {}
+    let answered: () => void = () => {}
+    const progressed = (): void => {
+      if (entry.watch.reading !== undefined) entry.watch.reading.bytesWithoutProgress = 0
+      if (isOwnLink) links.received(service)
+    }
+
+    function abort (reason: string): void {
+      ended = true
+      answered()
+      state.aborted = reason
+      controller?.abort(new Error(reason))
+    }
+
+    function watchLink (): void {
+      const call: Unanswered = {
+        service,
+        repeatable,
+        giveUp () {
+          abort('links cut')
+          handler.failed({ sent: true, reason: 'links to servers are cut' })
         }
-      })
+      }
+      const noLongerWaits = links.sent(service)
+      unanswered.add(call)
+      answered = () => {
+        noLongerWaits()
+        unanswered.delete(call)
+      }
+    }
+
+    entry.pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body, reset: newConnection || entry.noReuseUntil > options.now() }, {
+      onRequestStart (started) {
+        controller = started
+        if (state.aborted !== undefined) return started.abort(new Error(state.aborted))
+        if (isOwnLink) watchLink()
+      },
+      onResponseStart (started, status, parsed) {
+        // Ignores interim (1xx) responses.
+        if (status < 200) return
+        progressed()
+        answered()
+        if (!ended) handler.headers(status, rawHeaders(started, parsed), entry.watch.through)
+      },
+      onResponseData (_started, chunk) {
+        progressed()
+        if (!ended) handler.data(chunk)
+      },
+      onResponseEnd () {
+        progressed()
+        if (ended) return
+        ended = true
+        if (entry.watch.resetting) handler.failed({ sent: true, reason: 'reset within a response without a length' })
+        else handler.complete()
+      },
+      onResponseError (_started, err) {
+        answered()
+        if (ended) return
+        ended = true
+        handler.failed({ sent: controller !== undefined, reason: (err as { code?: string }).code ?? err.message })
+      }
+    })
+
+    return {
+      abort,
+      pause: () => controller?.pause(),
+      resume: () => controller?.resume()
+    }
+  }
+
+  function sendDirectly (server: BackendServer, req: UpstreamRequest, handler: UpstreamHandler): UpstreamCall {
+    const entry = req.newConnection === true ? createEntry(server, 1) : entryOf(server)
+    const call = sendOn(entry, server.service, req, true, handler)
+    if (req.newConnection === true) closePool(entry)
+    return call
+  }
+
+  /** Other requests get connections of their own, so that the node that relays judges each time whether the server may be used. */
+  function sendThroughNode (server: BackendServer, req: UpstreamRequest, handler: UpstreamHandler): UpstreamCall {
+    const entry = createRelayedEntry(server)
+    const call = sendOn(entry, server.service, { ...req, newConnection: true }, false, handler)
+    closePool(entry)
+    return call
+  }
 
-      if (newConnection) closePool(entry)
+  links.onCut(service => {
+    for (const call of [...unanswered]) {
+      if (call.service === service && call.repeatable) call.giveUp()
+    }
+  })
 
+  return {
+    send (server, req, handler) {
+      if (links.isCut(server.service)) return sendThroughNode(server, req, handler)
+      let aborted = false
+      let current = sendDirectly(server, req, {
+        ...handler,
+        failed (failure) {
+          if (failure.sent) return handler.failed(failure)
+          links.notConnected(server).then(cut => {
+            if (aborted) return
+            if (cut) current = sendThroughNode(server, req, handler)
+            else handler.failed(failure)
+          }).catch((err: Error) => { if (!aborted) handler.failed({ sent: false, reason: err.message }) })
+        }
+      })
       return {
         abort (reason) {
-          ended = true
-          state.aborted = reason
-          controller?.abort(new Error(reason))
+          aborted = true
+          current.abort(reason)
         },
-        pause: () => controller?.pause(),
-        resume: () => controller?.resume()
+        pause: () => current.pause(),
+        resume: () => current.resume()
       }
     },
+    relay: server => links.isCut(server.service) ? new Agent({ connect: createRelayedConnector(relays, server), pipelining: 0 }) : undefined,
     disableReuse (server, since) {
       // Idle connections may hold bytes of other responses; requests in progress keep their connections.
       closePool(entryOf(server))
