Read the servers' entries again before a stream goes on at the only version

Cause, by reading: a node counted a service as of one version by the entries that it had read, however old they were. A node that stood still, or was cut off from the store and the others, lacks the new version, and what owners announce of it does not reach it either.

Change: the only version counts if this node has read the entries within 300 ms, less than a new server needs until a stream of it has begun, broken off and been taken up; otherwise they are read for the request, once for all that wait. While the store cannot be read the version counts only if owners are heard, whose statuses show engines that this node lacks.

--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -31,8 +31,8 @@
   servers (records: FeedRecord<ServerRecord>[], complete: boolean): void
   /** Receives the newest record of each key; they replace all earlier records. */
   serversReplaced (records: FeedRecord<ServerRecord>[], next: number): void
-  /** Called after each successful read of the servers' entries. */
-  serversLoaded (): void
+  /** Called after each successful read of the servers' entries, which is at least as recent as `asOf`. */
+  serversLoaded (asOf: number): void
   fleet (records: FeedRecord<FleetRecord | UnreadableRecord>[]): void
   /** Receives the newest record of each key. */
   fleetReplaced (records: FeedRecord<FleetRecord | UnreadableRecord>[]): void
@@ -54,6 +54,8 @@
   /** A peer has read up to this offset of the fleet log, or of the operator's records. */
   peerFleetNext (next: number): void
   peerOperatorNext (next: number): void
+  /** Reads the servers' entries now. */
+  readServers (): void
   /** A server that was removed seems to be back; its next entry is needed, which the zone's reader may leave out. */
   confirmServers (): void
   /** Handles an update of the servers' entries from the zone's reader. */
@@ -236,6 +238,7 @@
     appended: () => fleet?.wake(),
     peerFleetNext: next => fleet?.behind(next),
     peerOperatorNext: next => operator?.behind(next),
+    readServers: () => servers?.wake(),
     confirmServers () {
       clearTimeout(confirmTimer)
       confirmTimer = setTimeout(() => servers?.readNewest(), nextEntryMs)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import { createConnectionReport } from './connection-report'
 import { createCrashBlocking } from './crash-blocking'
 import { isEvidenceMessage } from './crash-evidence'
+import { createDatedFact } from './dated-fact'
 import { createDepartures } from './departures'
 import { chooseAddresses, drawSample } from './directory'
 import type { EngineCandidate } from './engine-choice'
@@ -66,6 +67,8 @@
 const lastReadMs = 500
 /** Requests that arrive at a leaving node have a deadline this long before that, in ms, so that they end like others at their deadline. */
 const lastResponseMs = 100
+/** Time for which a status shows that its owner is heard, in ms: owners repeat theirs about once a second. */
+const statusValidMs = 1500
 /** Number of peers that an owner asks first whether they can read the log. */
 const logProbeSample = 4
 
@@ -85,6 +88,8 @@
   const timers: NodeJS.Timeout[] = []
   let table: RouteTable | undefined
   let serversLoaded = false
+  /** That the servers' entries were read. */
+  const entriesRead = createDatedFact<true>(Infinity, clock)
   let fleetLogRead = false
   let leavingSince: number | undefined
   let tickTimer: NodeJS.Timeout | undefined
@@ -169,7 +174,7 @@
     record: (key, value) => ownRecords.append(key, value, 'block-not-recorded')
   })
 
-  const streamVersions = createStreamVersions({ self, fleetLog: platform.fleet, streamLog: platform.streams, log, metrics, now, wallClock: Date.now, nodes: () => [self.name, ...fleet.peers().map(({ name }) => name)], fleetLogRead: () => fleetLogRead, lacksServers: () => ownerStatuses.announced(now()).some(id => !registry.isKnown(id)), after: (delayMs, callback) => { setTimeout(callback, delayMs).unref() } })
+  const streamVersions = createStreamVersions({ self, fleetLog: platform.fleet, streamLog: platform.streams, log, metrics, now, wallClock: Date.now, nodes: () => [self.name, ...fleet.peers().map(({ name }) => name)], fleetLogRead: () => fleetLogRead, lacksServers: () => ownerStatuses.announced(now()).some(id => !registry.isKnown(id)), entriesAgeMs: () => entriesRead.read(now())?.ageMs ?? Infinity, readEntries: () => feeds.readServers(), hearsOwners: () => otherOwners().size === 0 || ownerStatuses.heardAgeMs(now()) <= statusValidMs, after: (delayMs, callback) => { setTimeout(callback, delayMs).unref() } })
 
   const owner = createEngineOwner({
     name: self.name,
@@ -383,7 +388,10 @@
     operator: applyOperator,
     servers: (records, complete) => applyServers(registry.apply(records, now(), complete)),
     serversReplaced: (records, next) => applyServers(registry.replace(records, next, now())),
-    serversLoaded () { serversLoaded = true },
+    serversLoaded (asOf) {
+      serversLoaded = true
+      entriesRead.record(true, asOf)
+    },
     fleet: applyFleet,
     fleetReplaced (records) {
       fleetLogRead = true
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -27,6 +27,8 @@
   /** @returns messages that each fit into a datagram; none if nothing has changed and the last ones are younger than `maxMs` */
   encode (status: OwnerStatus, now: number, maxMs: number): PackedStatus[]
   engineStatus (engine: string, now: number): Pick<EngineCandidate, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'loadWaitMs' | 'ageMs'>
+  /** Time since the newest status of another owner arrived, in ms. */
+  heardAgeMs (now: number): number
   /** @returns the engines of which owners have sent a status that is still valid */
   announced (now: number): string[]
   /** Removes what is known of other engines, unless it has just arrived: their entries may not be read yet. */
@@ -100,12 +102,15 @@
     entries.set(id, { scopes: new Set(unpackScopes(scopes)), commandable: commandable === 1, load })
   }
 
+  let heardAt = -Infinity
+
   return {
     receive (_from, payload, now) {
       if (!isPacked(payload)) return undefined
       const { engines, ...positions } = payload
       const usable = engines.filter(isPackedEngine)
       for (const engine of usable) store(engine, now)
+      heardAt = now
       return { ...positions, unusable: engines.length - usable.length }
     },
     setOwn (_node, engines, now) {
@@ -137,6 +142,7 @@
       const load = entry?.load.read(now)
       return { commandable: entry?.commandable ?? true, scopes: entry?.scopes ?? new Set(), ...load?.value ?? unknownLoad, ageMs: load?.ageMs ?? Infinity }
     },
+    heardAgeMs: now => now - heardAt,
     announced: now => [...entries].filter(([, { load }]) => load.read(now) !== undefined).map(([id]) => id),
     retain (ids, now) {
       for (const [id, { load }] of entries) {
--- a/packages/gateway/src/stream-take-ups.test.ts
+++ b/packages/gateway/src/stream-take-ups.test.ts
@@ -10,13 +10,17 @@
 
 const test = suite('taking up streams')
 
+/** Time that a read of the servers' entries takes, in ms. */
+const readMs = 10
+
 type Bed = {
   node (name: string, incarnation?: number): StreamVersions
   /** Records of the fleet log and of streams. */
   fleet: FeedRecord<FleetRecord>[]
   streams: Map<string, StreamsRecord>
   lines: Record<string, unknown>[]
-  state: { fleetLogRead: boolean, lacksServers: boolean }
+  /** `storeServers` is what a read of the servers' entries shows; undefined while the store cannot be read. */
+  state: { fleetLogRead: boolean, lacksServers: boolean, entriesSeenAt: number, hearsOwners: boolean, storeServers?: BackendServer[] }
   pass: VirtualTime['pass']
 }
 
@@ -25,40 +29,54 @@
   const streams = new Map<string, StreamsRecord>()
   const lines: Record<string, unknown>[] = []
   const time = createVirtualTime(1_000_000)
-  const state = { fleetLogRead: true, lacksServers: false }
+  const state: Bed['state'] = { fleetLogRead: true, lacksServers: false, entriesSeenAt: Infinity, hearsOwners: true }
   const log = createDecisionLog('n', { write: line => { lines.push(JSON.parse(line) as Record<string, unknown>) }, flush: async () => {}, dropped: () => 0 })
   return {
     fleet,
     streams,
     lines,
     state,
-    node: (name, incarnation = 1) => createStreamVersions({
-      self: { name, incarnation },
-      fleetLog: {
-        async append (records) {
-          for (const { key, value } of records) fleet.push({ key, offset: fleet.length, value })
-          return Ok(fleet.length)
-        }
-      },
-      streamLog: {
-        newest: async () => Ok({ records: [...streams].map(([key, value], offset) => ({ key, offset, value })), next: 0 }),
-        async append (records) {
-          for (const { key, value } of records) {
-            if (value === undefined) streams.delete(key)
-            else streams.set(key, value)
+    node (name, incarnation = 1) {
+      const node = createStreamVersions({
+        self: { name, incarnation },
+        fleetLog: {
+          async append (records) {
+            for (const { key, value } of records) fleet.push({ key, offset: fleet.length, value })
+            return Ok(fleet.length)
+          }
+        },
+        streamLog: {
+          newest: async () => Ok({ records: [...streams].map(([key, value], offset) => ({ key, offset, value })), next: 0 }),
+          async append (records) {
+            for (const { key, value } of records) {
+              if (value === undefined) streams.delete(key)
+              else streams.set(key, value)
+            }
+            return Ok(0)
           }
-          return Ok(0)
-        }
-      },
-      log,
-      metrics: { takeUp () {} },
-      now: time.now,
-      wallClock: time.now,
-      nodes: () => ['n1', 'n2', 'n3'],
-      fleetLogRead: () => state.fleetLogRead,
-      lacksServers: () => state.lacksServers,
-      after: time.after
-    }),
+        },
+        log,
+        metrics: { takeUp () {} },
+        now: time.now,
+        wallClock: time.now,
+        nodes: () => ['n1', 'n2', 'n3'],
+        fleetLogRead: () => state.fleetLogRead,
+        lacksServers: () => state.lacksServers,
+        entriesAgeMs: () => Math.max(0, time.now() - state.entriesSeenAt),
+        readEntries () {
+          const { storeServers } = state
+          if (storeServers === undefined) return
+          const sentAt = time.now()
+          time.after(readMs, () => {
+            node.observe(storeServers)
+            state.entriesSeenAt = sentAt
+          })
+        },
+        hearsOwners: () => state.hearsOwners,
+        after: time.after
+      })
+      return node
+    },
     pass: time.pass
   }
 }
@@ -92,6 +110,36 @@
   await bed.pass(100)
 }
 
+// Guards against a node that was cut off or stood still, and takes the version that it knew for the only one.
+test('a stream is not taken for one of the only known version before the entries of servers are read again', async () => {
+  const bed = createBed()
+  const [other, late] = [bed.node('n1'), bed.node('n2')]
+  late.observe([oldEngine])
+  other.observe([oldEngine, newEngine])
+  await begin(bed, other, 'r1', newEngine)
+  Object.assign(bed.state, { entriesSeenAt: 0, storeServers: [oldEngine, newEngine] })
+  assert.is(await versionAt(bed, late, request('r2', { resumes: 'r1' })), 'v2')
+})
+
+test('a node that reads the only version again lets its streams go on', async () => {
+  const bed = createBed()
+  const node = bed.node('n1')
+  node.observe([oldEngine])
+  Object.assign(bed.state, { entriesSeenAt: 0, storeServers: [oldEngine] })
+  assert.is(await versionAt(bed, node, request('r2', { resumes: 'r1' })), 'v1')
+})
+
+// Guards against streams that do not go on in an outage of the store, in which no server of another version can join.
+test('while the store cannot be read the statuses of owners show that no version was missed', async () => {
+  const bed = createBed()
+  const node = bed.node('n1')
+  node.observe([oldEngine])
+  bed.state.entriesSeenAt = 0
+  assert.is(await versionAt(bed, node, request('r2', { resumes: 'r1' })), 'v1')
+  bed.state.hearsOwners = false
+  assert.equal(await requiredAt(bed, node, request('r3', { resumes: 'r1' })), { known: false, reason: 'the servers of the service are not known at present' })
+})
+
 test('a request without the id of an event may run at any version', async () => {
   const bed = createBed()
   const node = bed.node('n1')
--- a/packages/gateway/src/stream-versions.ts
+++ b/packages/gateway/src/stream-versions.ts
@@ -27,6 +27,12 @@
   fleetLogRead (): boolean
   /** Whether peers use servers of which this node has read no entry, so that it may lack a version. */
   lacksServers (): boolean
+  /** Age of the newest read of the servers' entries by this node, in ms; Infinity if none counts. */
+  entriesAgeMs (): number
+  /** Reads the servers' entries now. */
+  readEntries (): void
+  /** Whether this node hears the other owners of engines, so that it learns from them of engines whose entries it cannot read. */
+  hearsOwners (): boolean
   /** Calls back after a time, in ms. */
   after (delayMs: number, callback: () => void): void
 }
@@ -64,6 +70,15 @@
 /** Interval at which a request checks whether the fleet log has been read, and the longest time for which it waits, in ms. */
 const fleetLogCheckMs = 25
 const fleetLogWaitMs = 1500
+/**
+ * Age of the servers' entries up to which their versions count as all there are, in ms: less than a new server needs
+ * until its first stream has begun, broken off and been taken up.
+ */
+const entriesValidMs = 300
+/** Interval at which a request checks whether they have been read again, the time after which they are read once more, and the longest wait, in ms. */
+const entriesCheckMs = 10
+const entriesRetryMs = 250
+const entriesWaitMs = 600
 /** Longest id that a client can name. */
 const maxIdLength = 256
 
@@ -120,6 +135,18 @@
     return true
   }
 
+  /** @returns whether no version can be missing among those of the entries that this node has read */
+  async function versionsComplete (): Promise<boolean> {
+    const startedAt = now()
+    for (let readAt = -Infinity; options.entriesAgeMs() > entriesValidMs; await new Promise<void>(resolve => options.after(entriesCheckMs, resolve))) {
+      if (now() - startedAt >= entriesWaitMs) return options.hearsOwners()
+      if (now() - readAt < entriesRetryMs) continue
+      readAt = now()
+      options.readEntries()
+    }
+    return true
+  }
+
   /** Records the streams in progress of services that have got a second version: they began unrecorded. */
   function updateMixed (services: Iterable<string>): void {
     let added = false
@@ -158,8 +185,9 @@
       const own = resumes === undefined ? undefined : origins.find(resumes, now())
       if (own !== undefined && belongsTo(req, own.origin)) return found(req, own.origin.version, 'own', own.ageMs)
       if (!await fleetLogRead()) return unknown(req, 'the versions of the service have not been read')
+      if (versions.only(service, now()) !== undefined && !await versionsComplete()) return unknown(req, 'the servers of the service are not known at present')
       const only = options.lacksServers() ? undefined : versions.only(service, now())
-      if (only !== undefined) return found(req, only, 'only-version')
+      if (only !== undefined) return found(req, only, 'only-version', options.entriesAgeMs())
       if (resumes === undefined || resumes === '' || resumes.length > maxIdLength) return unknown(req, 'the request names no stream')
       const recorded = await records.find(resumes)
       if (recorded.type !== 'found') return unknown(req, recorded.type === 'absent' ? 'no record of the stream' : 'the records of streams could not be read')
