Keep plain servers that cannot bear rejections from being overfilled

Cause: nodes choose a plain server by their own requests in progress alone. Together they overfill its slots in a surge, and learn of it by rejections.

Change: the statement is decoded, shared and ended like a limit.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -15,7 +15,7 @@
   refused (reason: string): void
   command (operation: string, result: string): void
   /** Something that a server has stated, as this node learned it from the server or from another node. */
-  serverStatement (kind: 'limit' | 'limit-lifted' | 'leaving' | 'wait' | 'unusable'): void
+  serverStatement (kind: 'limit' | 'limit-lifted' | 'brittle' | 'leaving' | 'wait' | 'unusable'): void
   /** A request got no permit for a server. */
   permitDenied (reason: string): void
   /** A client takes up a stream; `unknown` if its software version is not known. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,7 +26,7 @@
 import { createLogQuestions } from './log-questions'
 import { createOwnRecords } from './own-records'
 import { createOwnerStatusCache } from './owner-status-cache'
-import { createPeerLink, type PeerMessage } from './peer-link'
+import { createPeerDelivery, createPeerLink } from './peer-link'
 import { createFeedCache, createPeerFetcher, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, UnreadableRecord } from './platform-interface'
 import { createProcessUsage } from './process-usage'
@@ -121,6 +121,8 @@
     onError: reason => { log.warn('peer-message-failed', { reason }) }
   })
 
+  const deliverToPeer = createPeerDelivery(link, log)
+
   const fleet = createFleet({
     self,
     now,
@@ -138,6 +140,10 @@
     fleet,
     link,
     deliver: deliverToPeer,
+    capacity (start) {
+      const server = registry.readyServer(start.id)
+      return server === undefined || table?.service(server.service)?.engine !== undefined ? undefined : pools.pool(server.service).capacity(server)
+    },
     engineOwner: id => owner.ownership.term(id)?.node,
     leaving: () => leavingSince !== undefined,
     changed: () => owner.refresh(),
@@ -253,12 +259,6 @@
     return nodes
   }
 
-  function deliverToPeer (address: string, message: PeerMessage): void {
-    link.deliver(address, message).then(delivered => {
-      if (!delivered) log.warn('peer-message-failed', { reason: `${message.kind} was not acknowledged by ${address}` })
-    }).catch(err => { log.error('peer-message-failed', { reason: (err as Error).message }) })
-  }
-
   function receiveGrantMessage (from: string, message: GrantMessage): void {
     if (message.kind === 'granted' || message.kind === 'refused') grants.receiveReply(from, message)
     else owner.receive(from, message)
--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -4,6 +4,7 @@
  * connection setup, and a stalled connection cannot block later messages.
  */
 import { createSocket, type Socket } from 'node:dgram'
+import type { DecisionLog } from './decision-log'
 
 export type PeerMessage = { kind: string, payload: unknown }
 export type PeerId = { node: string, incarnation: number }
@@ -170,3 +171,12 @@
     }
   }
 }
+
+/** @returns sends a message to a peer, and logs it if it is not acknowledged */
+export function createPeerDelivery (link: Pick<PeerLink, 'deliver'>, log: DecisionLog): (address: string, message: PeerMessage) => void {
+  return (address, message) => {
+    link.deliver(address, message).then(delivered => {
+      if (!delivered) log.warn('peer-message-failed', { reason: `${message.kind} was not acknowledged by ${address}` })
+    }).catch(err => { log.error('peer-message-failed', { reason: (err as Error).message }) })
+  }
+}
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -106,6 +106,8 @@
 export type ServerStatements = {
   /** Requests a second that the server accepts from all nodes together; above 0. */
   requestsPerSecond?: number
+  /** The server ends if it has to turn away more requests a second for want of room than this. */
+  rejectionsPerSecond?: number
   /** The server is leaving and accepts no further requests. */
   leaving?: true
   /** Time for which the server wants no requests from this node, in ms. */
--- a/packages/gateway/src/request-permits.test.ts
+++ b/packages/gateway/src/request-permits.test.ts
@@ -25,7 +25,10 @@
     suspensions: { endedAt: () => suspensionEndedAt },
     peers: () => names.filter(other => other !== name && !leaving.has(other)),
     leaving: () => leaving.has(name),
-    limit: () => limits.get(name),
+    limit () {
+      const requestsPerSecond = limits.get(name)
+      return requestsPerSecond === undefined ? undefined : { requestsPerSecond }
+    },
     async send (node, message) {
       if (silent.has(node)) return false
       if (message.kind !== 'acquire' && delayed !== undefined) delayed.push(() => nodes.get(node)!.receive(name, message))
--- a/packages/gateway/src/request-permits.ts
+++ b/packages/gateway/src/request-permits.ts
@@ -6,17 +6,22 @@
 import { topNode } from '@yuccawharf/coordination'
 import type { BackendServer } from './cluster-types'
 import { createDatedFact, type DatedFact, type Suspensions } from './dated-fact'
-import { fieldsCheck, isName, isNumber, isOneOf } from './field-checks'
+import { fieldsCheck, isName, isNumber, isOneOf, optional } from './field-checks'
 import { createRequestPace, paceWaitMs, recordRequest, type RequestPace } from './request-pace'
 import { startKey, type ServerStart } from './server-registry'
-import { isSharedLimit, type SharedLimit } from './server-statements'
+import { isSharedLimit } from './server-statements'
+
+/** Requests a second that all nodes together may send to a server; `burst`: number of them that may come at once, if that is restricted too. */
+export type RequestLimit = { requestsPerSecond: number, burst?: number }
 
 export type PermitMessage =
-  | { kind: 'acquire', id: string, limit: SharedLimit, maxWaitMs: number }
+  | { kind: 'acquire', id: string, limit: ServerStart & Partial<RequestLimit>, maxWaitMs: number }
   | { kind: 'permitted', id: string, startInMs: number }
   | { kind: 'denied', id: string, retryAfterMs: number }
 
-const isAcquire = fieldsCheck<PermitMessage & { kind: 'acquire' }>({ kind: isOneOf(['acquire']), id: isName, limit: isSharedLimit, maxWaitMs: isNumber })
+const isLimit = (value: unknown): value is ServerStart & Partial<RequestLimit> => isSharedLimit(value) && optional(isNumber)((value as Partial<RequestLimit>).burst)
+
+const isAcquire = fieldsCheck<PermitMessage & { kind: 'acquire' }>({ kind: isOneOf(['acquire']), id: isName, limit: isLimit, maxWaitMs: isNumber })
 const isPermitted = fieldsCheck<PermitMessage & { kind: 'permitted' }>({ kind: isOneOf(['permitted']), id: isName, startInMs: isNumber })
 const isDenied = fieldsCheck<PermitMessage & { kind: 'denied' }>({ kind: isOneOf(['denied']), id: isName, retryAfterMs: isNumber })
 
@@ -41,8 +46,8 @@
   peers (): string[]
   /** Whether this node is leaving, so that the others no longer ask it. */
   leaving (): boolean
-  /** Limit as this node knows it, in requests a second. */
-  limit (server: ServerStart): number | undefined
+  /** Limit as this node knows it. */
+  limit (server: ServerStart): RequestLimit | undefined
   /** @returns whether the node acknowledged the message */
   send (node: string, message: PermitMessage): Promise<boolean>
   onError (reason: string): void
@@ -90,17 +95,17 @@
   const pending = new Map<string, (decision: Decision) => void>()
   let lastId = 0
 
-  function paceOf (server: ServerStart, requestsPerSecond: number): RequestPace {
+  function paceOf (server: ServerStart, { requestsPerSecond, burst }: RequestLimit): RequestPace {
     const key = startKey(server)
     const existing = paces.get(key)
     if (existing?.requestsPerSecond === requestsPerSecond) return existing.pace
-    const pace = createRequestPace(requestsPerSecond, now(), existing?.pace)
+    const pace = createRequestPace(requestsPerSecond, now(), existing?.pace, burst)
     paces.set(key, { pace, requestsPerSecond })
     return pace
   }
 
   /** @param stated - limit as the asking node knows it; this node may have started since it was stated */
-  function issue (server: ServerStart, stated: number, maxWaitMs: number): Decision {
+  function issue (server: ServerStart, stated: RequestLimit, maxWaitMs: number): Decision {
     const pace = paceOf(server, options.limit(server) ?? stated)
     const waitMs = paceWaitMs(pace, now())
     if (waitMs > maxWaitMs) return { type: 'denied', reason: 'limit', retryAfterMs: waitMs }
@@ -118,7 +123,7 @@
     return decision.type === 'denied' ? decision : createPermit(now() + decision.startInMs, askedAt, suspensions)
   }
 
-  function ask (node: string, limit: SharedLimit, maxWaitMs: number): Promise<PermitResult> {
+  function ask (node: string, limit: ServerStart & RequestLimit, maxWaitMs: number): Promise<PermitResult> {
     return new Promise(resolve => {
       const id = `${options.incarnation}.${++lastId}`
       const askedAt = now()
@@ -145,21 +150,22 @@
   return {
     pacer,
     async acquire (server, maxWaitMs) {
-      const requestsPerSecond = options.limit(server)
-      if (requestsPerSecond === undefined) return createPermit(now(), now(), suspensions)
+      const limit = options.limit(server)
+      if (limit === undefined) return createPermit(now(), now(), suspensions)
+      const { requestsPerSecond } = limit
       const denial = denials.get(startKey(server))
       const deniedMs = denial?.requestsPerSecond === requestsPerSecond ? denial.until - now() : 0
       if (deniedMs > maxWaitMs) return { type: 'denied', reason: 'limit', retryAfterMs: deniedMs }
       const node = pacer(server)
       const { id, bornAt } = server
-      const result = node === self ? resultOf(issue(server, requestsPerSecond, maxWaitMs), now()) : await ask(node, { id, bornAt, requestsPerSecond }, maxWaitMs)
+      const result = node === self ? resultOf(issue(server, limit, maxWaitMs), now()) : await ask(node, { id, bornAt, ...limit }, maxWaitMs)
       if (result.type === 'denied') denials.set(startKey(server), { until: now() + result.retryAfterMs, requestsPerSecond })
       return result
     },
     receive (from, message) {
       if (message.kind === 'acquire') {
         const { id, limit } = message
-        const decision = issue(limit, limit.requestsPerSecond ?? Infinity, message.maxWaitMs)
+        const decision = issue(limit, { ...limit, requestsPerSecond: limit.requestsPerSecond ?? Infinity }, message.maxWaitMs)
         const reply: PermitMessage = decision.type === 'permitted' ? { kind: 'permitted', id, startInMs: decision.startInMs } : { kind: 'denied', id, retryAfterMs: decision.retryAfterMs }
         options.send(from, reply).catch(err => options.onError((err as Error).message))
         return
--- a/packages/gateway/src/server-statements.test.ts
+++ b/packages/gateway/src/server-statements.test.ts
@@ -32,6 +32,19 @@
   assert.is(statements.limit(server), undefined)
 })
 
+test('what a server can bear is shared, and ends like a limit', () => {
+  const statements = createServerStatements()
+  const brittle: StatingResponse = { ...response(undefined), statements: { rejectionsPerSecond: 0, unusable: [] } }
+  assert.equal(statements.record(server, brittle, 100), { type: 'change', limit: { ...server, rejectionsPerSecond: 0 } })
+  assert.equal([statements.isBrittle(server), statements.limit(server)], [true, undefined])
+  const other = createServerStatements()
+  assert.is(other.learn({ ...server, rejectionsPerSecond: 0 }, 100), true)
+  assert.is(other.learn({ ...server, rejectionsPerSecond: 0 }, 110), false)
+  assert.is(other.isBrittle(server), true)
+  assert.equal(statements.record(server, response(undefined, { sentAt: 150 }), 200), { type: 'change', limit: server })
+  assert.is(statements.isBrittle(server), false)
+})
+
 // Guards against messages to all nodes for each response of a server that states another limit each time.
 test('changes are shared a few times a second, and an unchanged limit is repeated once a second', () => {
   const statements = createServerStatements()
--- a/packages/gateway/src/server-statements.ts
+++ b/packages/gateway/src/server-statements.ts
@@ -17,8 +17,11 @@
 /** The server wants no requests from the node that is told so, for a time. */
 export type SharedWait = ServerStart & { waitMs: number }
 
-/** Absent `requestsPerSecond`: the server no longer states a limit. */
-export type SharedLimit = ServerStart & { requestsPerSecond?: number }
+/** What a server states that restricts all nodes together. */
+export type StatedLimit = Pick<ServerStatements, 'requestsPerSecond' | 'rejectionsPerSecond'>
+
+/** Without a limit: the server no longer states one. */
+export type SharedLimit = ServerStart & StatedLimit
 
 /** `change` is sent to all nodes; `repeat` to the one that paces the server's requests, which may have started since. */
 export type LimitUpdate = { type: 'change' | 'repeat', limit: SharedLimit }
@@ -38,6 +41,8 @@
   learn (limit: SharedLimit, now: number): boolean
   /** Requests a second that the server accepts from all nodes together, if it states a limit. */
   limit (server: ServerStart): number | undefined
+  /** Whether the server ends if it has to turn away a few requests. */
+  isBrittle (server: ServerStart): boolean
   /**
    * Applies the time for which the server wants no requests from this node.
    *
@@ -50,7 +55,7 @@
   retain (servers: readonly ServerStart[]): void
 }
 
-type Entry = { requestsPerSecond: number, statedAt: number, sharedLimit?: number, sharedAt: number }
+type Entry = { stated: StatedLimit, statedAt: number, shared?: StatedLimit, sharedAt: number }
 
 /** Shortest time between two changes of one server's limit that are shared, in ms. A server may state another limit in each response. */
 const minShareIntervalMs = 200
@@ -60,6 +65,15 @@
 /** Longest time for which a server may want no requests, in ms. After it, the next response shows whether it still does. */
 const maxWaitMs = 3_600_000
 
+function statedIn ({ requestsPerSecond, rejectionsPerSecond }: StatedLimit): StatedLimit | undefined {
+  if (requestsPerSecond === undefined && rejectionsPerSecond === undefined) return undefined
+  return { ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }), ...(rejectionsPerSecond === undefined ? {} : { rejectionsPerSecond }) }
+}
+
+function isSame (one: StatedLimit | undefined, other: StatedLimit): boolean {
+  return one?.requestsPerSecond === other.requestsPerSecond && one?.rejectionsPerSecond === other.rejectionsPerSecond
+}
+
 export function createServerStatements (): ServerStatementsState {
   const entries = new Map<string, Entry>()
   const waitsUntil = new Map<string, number>()
@@ -68,20 +82,21 @@
     return waitsUntil.size === 0 ? 0 : Math.max(0, (waitsUntil.get(startKey(server)) ?? -Infinity) - now)
   }
 
-  function recordLimit ({ id, bornAt }: ServerStart, requestsPerSecond: number, now: number): LimitUpdate | undefined {
+  function recordLimit ({ id, bornAt }: ServerStart, stated: StatedLimit, now: number): LimitUpdate | undefined {
     const key = startKey({ id, bornAt })
-    const entry: Entry = { sharedAt: -Infinity, ...entries.get(key), requestsPerSecond, statedAt: now }
+    const entry: Entry = { sharedAt: -Infinity, ...entries.get(key), stated, statedAt: now }
     entries.set(key, entry)
-    const changed = entry.sharedLimit !== requestsPerSecond
+    const changed = entry.shared === undefined || !isSame(entry.shared, stated)
     if (now - entry.sharedAt < (changed ? minShareIntervalMs : repeatIntervalMs)) return undefined
-    entry.sharedLimit = requestsPerSecond
+    entry.shared = stated
     entry.sharedAt = now
-    return { type: changed ? 'change' : 'repeat', limit: { id, bornAt, requestsPerSecond } }
+    return { type: changed ? 'change' : 'repeat', limit: { id, bornAt, ...stated } }
   }
 
   return {
     record (server, { status, identified, sentAt, statements }, now) {
-      if (statements.requestsPerSecond !== undefined) return recordLimit(server, statements.requestsPerSecond, now)
+      const stated = statedIn(statements)
+      if (stated !== undefined) return recordLimit(server, stated, now)
       const { id, bornAt } = server
       const known = entries.get(startKey(server))
       // A response to an earlier request may have been written before the limit was stated, and an error by other code.
@@ -91,13 +106,15 @@
     },
     learn (limit, now) {
       const key = startKey(limit)
-      const { requestsPerSecond } = limit
-      if (requestsPerSecond === undefined) return entries.delete(key)
-      const changed = entries.get(key)?.requestsPerSecond !== requestsPerSecond
-      entries.set(key, { requestsPerSecond, statedAt: now, sharedLimit: requestsPerSecond, sharedAt: now })
+      const stated = statedIn(limit)
+      if (stated === undefined) return entries.delete(key)
+      const known = entries.get(key)
+      const changed = known === undefined || !isSame(known.stated, stated)
+      entries.set(key, { stated, statedAt: now, shared: stated, sharedAt: now })
       return changed
     },
-    limit: server => entries.size === 0 ? undefined : entries.get(startKey(server))?.requestsPerSecond,
+    limit: server => entries.size === 0 ? undefined : entries.get(startKey(server))?.stated.requestsPerSecond,
+    isBrittle: server => entries.size > 0 && entries.get(startKey(server))?.stated.rejectionsPerSecond !== undefined,
     recordWait (server, statedMs, now) {
       const remainingMs = waitMs(server, now)
       waitsUntil.set(startKey(server), now + Math.max(remainingMs, Math.min(maxWaitMs, statedMs)))
@@ -131,6 +148,7 @@
 /** @returns whether a message of another node is about a limit */
 export function isSharedLimit (value: unknown): value is SharedLimit {
   if (!isServerStart(value)) return false
-  const { requestsPerSecond } = value as Partial<SharedLimit>
-  return requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond > 0)
+  const { requestsPerSecond, rejectionsPerSecond } = value as Partial<SharedLimit>
+  const isLimit = requestsPerSecond === undefined || (Number.isFinite(requestsPerSecond) && requestsPerSecond > 0)
+  return isLimit && (rejectionsPerSecond === undefined || (Number.isFinite(rejectionsPerSecond) && rejectionsPerSecond >= 0))
 }
--- a/packages/gateway/src/statement-recorder.ts
+++ b/packages/gateway/src/statement-recorder.ts
@@ -24,7 +24,7 @@
   leave (server: ServerStart): RegistryChange[]
 }
 
-export type StatementRecorder = Pick<ServerStatementsState, 'limit' | 'retain'> & {
+export type StatementRecorder = Pick<ServerStatementsState, 'limit' | 'isBrittle' | 'retain'> & {
   /** @param requestId - request that the server responded to */
   record (server: BackendServer, requestId: string, response: StatingResponse): void
   /** Time for which the server wants no further requests from this node, in ms; 0 if it accepts them. */
@@ -43,9 +43,9 @@
   const statements = createServerStatements()
 
   /** @param source - the request or the node from which this node learned it */
-  function logLimit ({ id: server, requestsPerSecond }: SharedLimit, source: LogFields): void {
-    metrics.serverStatement(requestsPerSecond === undefined ? 'limit-lifted' : 'limit')
-    log.info('server-statement', { ...source, server, requestsPerSecond: requestsPerSecond ?? null })
+  function logLimit ({ id: server, requestsPerSecond, rejectionsPerSecond }: SharedLimit, source: LogFields): void {
+    metrics.serverStatement(rejectionsPerSecond !== undefined ? 'brittle' : requestsPerSecond === undefined ? 'limit-lifted' : 'limit')
+    log.info('server-statement', { ...source, server, requestsPerSecond: requestsPerSecond ?? null, rejectionsPerSecond })
   }
 
   function logLeave ({ id: server }: ServerStart, source: LogFields): void {
@@ -75,6 +75,7 @@
 
   return {
     limit: statements.limit,
+    isBrittle: statements.isBrittle,
     retain: statements.retain,
     waitMs: server => statements.waitMs(server, now()),
     record (server, requestId, response) {
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -25,9 +25,11 @@
   response (status, raw) {
     const requestId = valueOf(raw, 'x-id')
     const limit = valueOf(raw, 'x-limit')
+    const rejections = valueOf(raw, 'x-brittle')
     const waitSeconds = status === 503 ? valueOf(raw, 'retry-after') : undefined
     const statements = {
       ...(limit === undefined ? {} : { requestsPerSecond: Number(limit) }),
+      ...(rejections === undefined ? {} : { rejectionsPerSecond: Number(rejections) }),
       ...(valueOf(raw, 'x-leaving') === undefined ? {} : { leaving: true as const }),
       ...(waitSeconds === undefined ? {} : { waitMs: 1000 * Number(waitSeconds) }),
       unusable: []
