Take what fails on cut links for no sign of a server's failure

Cause: a request that was given up because the links of its node are cut ended as one whose server broke off, and one that no other node relayed as one whose engine cannot be reached. So owners avoided engines for all nodes, and the loss counted as a crash for the prompt parts of the request.

Change: both end as cancelled.

--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createKeptBytes } from './kept-bytes'
-import { startAttempt, type AttemptOptions, type AttemptResult } from './attempt'
+import { runOutcomeOf, startAttempt, type AttemptOptions, type AttemptResult } from './attempt'
 import type { BackendServer } from './cluster-types'
 import { testCodec } from './testing'
 import { createUpstream, type Upstream } from './upstream'
@@ -154,4 +154,27 @@
   assert.ok(result.type === 'failed' && result.eventsSent)
 })
 
+// Guards against engines that are avoided, and requests that are blocked as crashing them, because a node is cut off.
+test('a request that ends because links are cut says nothing about its server', async () => {
+  let isCut = false
+  let cut: (service: string) => void = () => {}
+  await listen(() => { setImmediate(() => cut('svc')) })
+  upstream.close()
+  upstream = createUpstream({
+    now: () => performance.now(),
+    connections: () => 4,
+    detour: {
+      links: { isCut: () => isCut, onCut (listener) { cut = listener }, notConnected: async () => isCut, sent: () => () => {}, received () {} },
+      relays: { open: async () => { throw new Error('no node') } }
+    }
+  })
+  const given = await run('r1', { req: { method: 'GET', path: '/', headers: ['X-Id', 'r1'], body: null, repeatable: true } })
+  assert.is(given.type, 'failed')
+  assert.is(runOutcomeOf(given), 'cancelled')
+  isCut = true
+  const unsent = await run('r2')
+  assert.is(unsent.type, 'not-sent')
+  assert.is(runOutcomeOf(unsent), 'cancelled')
+})
+
 test.run()
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -12,15 +12,15 @@
 
 export type AttemptResult =
   /** No byte was sent. */
-  | { type: 'not-sent', reason: string }
+  | { type: 'not-sent', reason: string, linksCut?: true }
   /** The server confirmed that it did not run the request. */
   | { type: 'not-run', status: number }
   /** A complete response; a status of 400 or more is an error of the server itself. */
   | { type: 'response', status: number, headers: RawHeaders, body: Buffer }
   /** All events were forwarded. */
   | { type: 'streamed', framing: BodyFraming }
-  /** The request may have run. `eventsSent`: some of its events were forwarded; `connectionLost`: the server broke off. */
-  | { type: 'failed', reason: string, eventsSent: boolean, connectionLost: boolean }
+  /** The request may have run. `eventsSent`: some of its events were forwarded; `connectionLost`: the server broke off; `linksCut`: this node is cut off, which says nothing about the server. */
+  | { type: 'failed', reason: string, eventsSent: boolean, connectionLost: boolean, linksCut?: true }
   | { type: 'aborted' }
 
 /** What marks the end of a body (RFC 9112, section 6.3). */
@@ -28,6 +28,7 @@
 
 /** How the server's run of a request ended. */
 export function runOutcomeOf (result: AttemptResult): RunOutcome {
+  if ('linksCut' in result) return 'cancelled'
   switch (result.type) {
     case 'not-sent': return 'unreachable'
     case 'not-run': return result.status === 421 ? 'misdirected' : 'not-run'
@@ -183,9 +184,10 @@
       if (retryLaterStatuses.has(status)) return fail(`status ${status} without proof that the request has not run`)
       resolveResult({ type: 'response', status, headers: metadata?.headers ?? [], body: Buffer.concat(chunks) })
     },
-    failed ({ sent, reason }) {
-      if (sent) fail(reason, true)
-      else resolveResult({ type: 'not-sent', reason })
+    failed ({ sent, reason, linksCut }) {
+      const cut = linksCut === undefined ? {} : { linksCut }
+      if (sent) resolveResult({ type: 'failed', reason, eventsSent, connectionLost: true, ...cut })
+      else resolveResult({ type: 'not-sent', reason, ...cut })
     }
   })
 
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -10,6 +10,8 @@
   /** The request was started on a connection; if false, no byte of it left this process. */
   sent: boolean
   reason: string
+  /** The links of this node are cut, so it says nothing about the server. */
+  linksCut?: true
 }
 
 export type UpstreamHandler = {
@@ -233,7 +235,7 @@
         repeatable,
         giveUp () {
           abort('links cut')
-          handler.failed({ sent: true, reason: 'links to servers are cut' })
+          handler.failed({ sent: true, reason: 'links to servers are cut', linksCut: true })
         }
       }
       const noLongerWaits = links.sent(service)
@@ -272,7 +274,8 @@
         answered()
         if (ended) return
         ended = true
-        handler.failed({ sent: controller !== undefined, reason: (err as { code?: string }).code ?? err.message })
+        const sent = controller !== undefined
+        handler.failed({ sent, ...(sent || isOwnLink ? {} : { linksCut: true }), reason: (err as { code?: string }).code ?? err.message })
       }
     })
 
