Reset connections on cut links without leaving their descriptors open

Cause: a socket was destroyed in the turn in which its reset had begun. Node.js ends the socket before a reset, and one that is destroyed in between could keep its descriptor: beside load the test's process did not exit (six of six at once).

Change: the reset is left to end by itself, within 100 ms; a relayed connection that breaks off is no longer destroyed beside its reset.

--- a/packages/gateway/src/link-monitor.ts
+++ b/packages/gateway/src/link-monitor.ts
@@ -102,8 +102,6 @@
       open(known.find(server => server.id === id)!.address).then(connected => {
         service.links.tried(id, connected, now())
         log.info('server-link-tried', { service: name, server: id, connected, reason: due.reason, afterMs: Math.round(now() - startedAt) })
-        // A server that is silent and cannot be reached begins the check of others.
-        tick()
         update(name, service, due.reason)
       }).catch(err => { log.error('server-link-failed', { service: name, server: id, reason: (err as Error).message }) })
     }
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -42,14 +42,18 @@
 
 /** Passes bytes on in both directions; what ends or resets one side does so to the other. */
 function join (client: Socket, upstream: Socket): void {
+  let broken = false
+  const breakOff = (): void => {
+    broken = true
+    client.resetAndDestroy()
+  }
   client.pipe(upstream)
   upstream.pipe(client)
-  upstream.on('error', () => { client.resetAndDestroy() })
+  upstream.on('error', breakOff)
   // Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more.
-  upstream.on('end', () => { if (upstream.remotePort === undefined) client.resetAndDestroy() })
-  client.on('error', () => { upstream.resetAndDestroy() })
+  upstream.on('end', () => { if (upstream.remotePort === undefined) breakOff() })
   // A node closes its side only if it gives the request up.
-  client.on('end', () => { client.destroy() })
+  client.on('end', () => { if (!broken) client.destroy() })
 }
 
 export function createRelayServer (options: RelayServerOptions): RelayServer {
--- a/packages/gateway/src/server-links.ts
+++ b/packages/gateway/src/server-links.ts
@@ -18,8 +18,6 @@
 
 export type ServerLinks = {
   state (): LinkState
-  /** Time since which the state holds, in ms. */
-  since (): number
   /** A request was sent on a link. @returns to be called when it has ended */
   sent (now: number): () => void
   /** Bytes of a server have arrived on a link. */
@@ -48,7 +46,6 @@
 
 export function createServerLinks (): ServerLinks {
   let state: LinkState = 'connected'
-  let since = -Infinity
   let nextCheckAt = -Infinity
   let lastByteAt = -Infinity
   let suspected = false
@@ -56,11 +53,9 @@
   const failed = new Set<string>()
   /** Servers of the current check without a result. */
   const trying = new Set<string>()
-  let reasonOfCheck: CheckReason = 'interval'
   const waiting = new Map<object, number>()
 
   function enter (next: LinkState, now: number): void {
-    if (next !== state) since = now
     state = next
     if (next === 'checking') return
     nextCheckAt = now + (next === 'cut' ? cutIntervalMs : checkIntervalMs)
@@ -84,7 +79,6 @@
 
   return {
     state: () => state,
-    since: () => since,
     sent (now) {
       const entry = {}
       waiting.set(entry, now)
@@ -103,20 +97,15 @@
       const reason = reasonToCheck(now)
       if (reason === undefined) return undefined
       const untried = servers.filter(id => !failed.has(id))
-      const chosen = untried.slice(0, reason === 'silence' || reason === 'interval' ? 1 : Math.max(1, serversToTry - failed.size))
+      const chosen = untried.slice(0, reason === 'interval' ? 1 : Math.max(1, serversToTry - failed.size))
       for (const id of chosen) trying.add(id)
-      reasonOfCheck = reason
       if (reason !== 'interval') enter(chosen.length === 0 ? 'cut' : 'checking', now)
       return { reason, servers: chosen }
     },
     tried (server, connected, now) {
       if (!trying.delete(server)) return
-      if (connected) return enter('connected', now)
-      if (trying.size > 0) return
-      if (reasonOfCheck !== 'silence') return enter('cut', now)
-      // Servers that are silent may only be slow; one that cannot be reached either calls for the others.
-      state = 'connected'
-      failed.add(server)
+      if (connected) enter('connected', now)
+      else if (trying.size === 0) enter('cut', now)
     }
   }
 }
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -69,6 +69,9 @@
 /** Time without connection reuse after a rejected response, such as one that belongs to another request, in ms. */
 const noReuseMs = 10_000
 
+/** Time in which a socket is ended before its reset; one that has bytes to write never is. In ms. */
+const resetMs = 100
+
 type Entry = { pool: Pool, noReuseUntil: number, watch: ConnectionWatch }
 
 /** A request on a link of this node whose response has not begun. */
@@ -115,9 +118,15 @@
 /** What waits on a cut link when its request is given up would otherwise still reach the server later. */
 function resetWhenCut (socket: Socket, isCut: () => boolean): void {
   const destroy = socket.destroy.bind(socket)
+  let resetting = false
   socket.destroy = err => {
-    if (err !== undefined && !socket.destroyed && isCut()) socket.resetAndDestroy()
-    return destroy(err)
+    if (err === undefined || socket.destroyed || !isCut()) return destroy(err)
+    if (resetting) return socket
+    resetting = true
+    // Node.js ends the socket first; one that is destroyed before that is complete keeps its descriptor.
+    const timer = setTimeout(() => { destroy(err) }, resetMs)
+    socket.once('close', () => { clearTimeout(timer) })
+    return socket.resetAndDestroy()
   }
 }
 
