Count the requests at a brittle server in place of spacing them

Cause: spaced the requests to a server by the durations of earlier ones.

Change: the server's pacer counts the requests in progress.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -140,9 +140,9 @@
     fleet,
     link,
     deliver: deliverToPeer,
-    capacity (start) {
-      const server = registry.readyServer(start.id)
-      return server === undefined || table?.service(server.service)?.engine !== undefined ? undefined : pools.pool(server.service).capacity(server)
+    plainSlots ({ id }) {
+      const server = registry.readyServer(id)
+      return server === undefined || table?.service(server.service)?.engine !== undefined ? undefined : server.slots
     },
     engineOwner: id => owner.ownership.term(id)?.node,
     leaving: () => leavingSince !== undefined,
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -74,6 +74,7 @@
   /** An error of a server, passed on if no other server can be tried. */
   let unusedResponse: AttemptResult & { type: 'response' } | undefined
   let releaseUnused: () => void = () => {}
+  let releasePermit: () => void = () => {}
   let current: Attempt | undefined
 
   budget.recordAttempt()
@@ -158,6 +159,7 @@
     const canRetry = idempotent && sentTo.size < route.attempts
     const slowTimer = canRetry ? setTimeout(retryElsewhere, Math.min(route.objectiveMs * slowAfterObjectives, (exchange.deadlineAt - startedAt) / 2)) : undefined
     const result = await attempt.result
+    releasePermit()
     clearTimeout(slowTimer)
     current = undefined
     avoidOpenConnections ||= slow && !responded
@@ -208,15 +210,17 @@
   /** @returns whether the request may be sent to the server now */
   async function obtainPermit (server: BackendServer, isLast: boolean): Promise<boolean> {
     const maxWaitMs = isLast ? Math.min(route.objectiveMs * permitWaitObjectives, exchange.deadlineAt - env.now() - minRetryMs) : 0
-    const result = await env.restrictions.acquire(server, Math.max(0, maxWaitMs))
+    const result = await env.restrictions.acquire(server, Math.max(0, maxWaitMs), exchange.deadlineAt - env.now())
     if (result.type === 'denied') {
       unavailable.set(server.id, result.retryAfterMs)
       env.log.info('permit-denied', { id: metadata.id, server: server.id, reason: result.reason, retryAfterMs: Math.round(result.retryAfterMs) })
       return false
     }
+    releasePermit = result.release
     const startInMs = (result.permit.read(env.now())?.value.startAt ?? -Infinity) - env.now()
     if (startInMs > 0) await sleep(startInMs)
     const isUsable = result.permit.read(env.now()) !== undefined && env.restrictions.waitMs(server) === 0 && usableServers().some(({ id }) => id === server.id)
+    if (!isUsable) releasePermit()
     if (!isUsable) unavailable.set(server.id, Math.max(serversFullRetryAfterMs, env.restrictions.waitMs(server)))
     return isUsable
   }
@@ -239,8 +243,7 @@
       const server = pool.choose(servers, env.zone, excluded, env.random(), env.now())
       if (server === undefined) return giveUpWithoutServer()
       if (!await obtainPermit(server, servers.filter(({ id }) => !excluded.has(id)).length === 1)) continue
-      if (exchange.ended) return
-      if (refuseIfBlocked()) return
+      if (exchange.ended || refuseIfBlocked()) return releasePermit()
       if (handle(server, await send(server)).type === 'done') return
     }
   } finally {
--- a/packages/gateway/src/request-pace.ts
+++ b/packages/gateway/src/request-pace.ts
@@ -8,27 +8,22 @@
   intervalMs: number
   /** Time at which the next request is due if no request comes early. */
   nextAt: number
-  /** Time by which requests may come early after a pause, in ms. */
-  burstMs: number
 }
 
-/** The usual time by which requests may come early, in ms: they arrive at random, and a pause cannot be made up for otherwise. */
+/** Time for which requests may come early after a pause, in ms: they arrive at random, and a pause cannot be made up for otherwise. */
 const burstMs = 500
 /** Lowest rate, in requests a second. The server's next response shows whether it still states the limit. */
 const minRequestsPerSecond = 0.1
 
-/**
- * @param previous - pace under the limit that was stated before
- * @param burst - number of requests that may come at once
- */
-export function createRequestPace (requestsPerSecond: number, now: number, previous?: RequestPace, burst = Infinity): RequestPace {
+/** @param previous - pace under the limit that was stated before */
+export function createRequestPace (requestsPerSecond: number, now: number, previous?: RequestPace): RequestPace {
   const intervalMs = 1000 / Math.max(minRequestsPerSecond, requestsPerSecond)
-  return { intervalMs, nextAt: Math.min(previous?.nextAt ?? now, now + intervalMs), burstMs: Math.min(burstMs, burst * intervalMs) }
+  return { intervalMs, nextAt: Math.min(previous?.nextAt ?? now, now + intervalMs) }
 }
 
 /** @returns time until a request may be sent, in ms */
-export function paceWaitMs (pace: RequestPace, now: number): number {
-  return Math.max(0, pace.nextAt - Math.max(0, pace.burstMs - pace.intervalMs) - now)
+export function paceWaitMs ({ intervalMs, nextAt }: RequestPace, now: number): number {
+  return Math.max(0, nextAt - Math.max(0, burstMs - intervalMs) - now)
 }
 
 /** Counts a request, which is sent now or after {@link paceWaitMs}. */
--- a/packages/gateway/src/server-restrictions.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -4,7 +4,7 @@
 import type { Fleet } from './fleet'
 import type { PeerLink, PeerMessage } from './peer-link'
 import type { GatewayMetrics } from './gateway-metrics'
-import { createRequestPermits, isPermitMessage, type RequestLimit, type RequestPermits } from './request-permits'
+import { createRequestPermits, isPermitMessage, type RequestPermits } from './request-permits'
 import type { RegistryChange, ServerStart } from './server-registry'
 import { createStatementRecorder, type StatementRecorder } from './statement-recorder'
 
@@ -19,8 +19,8 @@
   link: PeerLink
   /** Delivers a message and logs a failure. */
   deliver (address: string, message: PeerMessage): void
-  /** What the plain server can take; undefined for an engine, whose owner keeps count of what it runs. */
-  capacity (server: ServerStart): RequestLimit | undefined
+  /** Number of requests that the plain server can run at once; undefined for an engine, whose owner keeps count of what it runs. */
+  plainSlots (server: ServerStart): number | undefined
   /** Node that owns the engine, if the server is one. */
   engineOwner (server: string): string | undefined
   /** Whether this node is leaving. */
@@ -42,7 +42,7 @@
   retain (servers: readonly ServerStart[]): void
 }
 
-export function createServerRestrictions ({ self, now, suspensions, log, metrics, fleet, link, deliver, capacity, engineOwner, leaving, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
+export function createServerRestrictions ({ self, now, suspensions, log, metrics, fleet, link, deliver, plainSlots, engineOwner, leaving, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
   const statements = createStatementRecorder({
     now,
     log,
@@ -69,11 +69,12 @@
     peers: () => fleet.members().flatMap(({ name, state }) => state === 'alive' ? name : []),
     leaving,
     limit (server) {
-      const stated = statements.limit(server)
-      // A server that must not be overfilled gets what it can take, rather than what fills its queue.
-      const room = statements.isBrittle(server) ? capacity(server) : undefined
-      if (room !== undefined) return { ...room, requestsPerSecond: Math.min(room.requestsPerSecond, stated ?? Infinity) }
-      return stated === undefined ? undefined : { requestsPerSecond: stated }
+      const requestsPerSecond = statements.limit(server)
+      const slots = statements.isBrittle(server) ? plainSlots(server) : undefined
+      // A new connection may hold a slot for a moment.
+      const concurrent = slots === undefined ? undefined : Math.max(1, slots - 1)
+      if (requestsPerSecond === undefined && concurrent === undefined) return undefined
+      return { ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }), ...(concurrent === undefined ? {} : { concurrent }) }
     },
     async send (node, message) {
       const address = fleet.address(node)
@@ -86,8 +87,8 @@
     limit: statements.limit,
     record: statements.record,
     waitMs: statements.waitMs,
-    async acquire (server, maxWaitMs) {
-      const result = await permits.acquire(server, maxWaitMs)
+    async acquire (server, maxWaitMs, endInMs) {
+      const result = await permits.acquire(server, maxWaitMs, endInMs)
       if (result.type === 'denied') metrics.permitDenied(result.reason)
       return result
     },
--- a/packages/gateway/src/service-pool.ts
+++ b/packages/gateway/src/service-pool.ts
@@ -4,7 +4,6 @@
  * have few slots and are shared by nodes that do not see each other's requests.
  */
 import type { BackendServer } from './cluster-types'
-import type { RequestLimit } from './request-permits'
 
 /** Consecutive failures after which a server is ejected; a single one may be due to its connection. */
 const failuresToEject = 2
@@ -22,14 +21,6 @@
 /** Rounds of choices, each of as many as there are servers, for which a slow server is passed over before one request measures it again. */
 const roundsToMeasure = 50
 
-/** Share of a server's slots that is to be busy on average while it must not be overfilled, and share that may be filled at once. */
-const capacityShare = 0.7
-const burstShare = 0.5
-/** Steps of the capacity, so that a pace lasts while durations vary. */
-const capacityStep = 1.25
-/** Duration of requests to a server that has served none of this node, in ms. */
-const assumedDurationMs = 100
-
 export type AttemptOutcome = 'ok' | 'failed' | 'full'
 
 export type ServicePool = {
@@ -38,8 +29,6 @@
   started (id: string): void
   ended (id: string, outcome: AttemptOutcome, durationMs: number, now: number): void
   inProgress (id: string): number
-  /** Requests a second that the server can take without a queue, by the durations that this node has measured. */
-  capacity (server: BackendServer): RequestLimit
   /** Removes the state of all other servers. */
   retain (ids: ReadonlySet<string>): void
 }
@@ -134,10 +123,6 @@
       state.failures += 1
       if (state.failures >= failuresToEject) state.ejectedUntil = now + Math.min(maxEjectMs, ejectMs * 2 ** (state.failures - failuresToEject))
     },
-    capacity ({ id, slots }) {
-      const requestsPerSecond = capacityShare * slots * 1000 / (states.get(id)?.durationMs || assumedDurationMs)
-      return { requestsPerSecond: capacityStep ** Math.floor(Math.log(requestsPerSecond) / Math.log(capacityStep)), burst: Math.max(1, slots * burstShare) }
-    },
     inProgress: id => states.get(id)?.inProgress ?? 0,
     retain (ids) {
       for (const id of states.keys()) {
