--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -1,6 +1,6 @@
 /** A client request and its response. At most one response is sent; the connection is closed if it cannot be completed. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Route, ServiceSpec } from './cluster-types'
+import type { Account, Route, ServiceSpec } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec, RawHeaders, RequestMetadata } from './platform-interface'
@@ -14,6 +14,10 @@
   metadata: RequestMetadata
   route: Route
   service: ServiceSpec
+  /** Absent if the configuration names no accounts, and for anonymous requests. */
+  account?: Account
+  /** 0 is the most urgent; by the account, then the route. */
+  priority: number
   body: Buffer | null
   arrivedAt: number
   /** The client's deadline or the route's timeout, whichever is earlier. */
--- a/packages/gateway/src/cluster-types.ts
+++ b/packages/gateway/src/cluster-types.ts
@@ -26,6 +26,28 @@
   attempts: number
   /** Whether a broken stream may continue at another server. */
   resumable: boolean
+  /** Whether requests need no key. */
+  anonymous?: boolean
+}
+
+/** Limit of an account over all nodes together. */
+export type AccountQuota = {
+  unit: 'requests' | 'tokens'
+  /** Units a second; above 0. */
+  ratePerSecond: number
+  /** Units beyond the rate that may be used at once. */
+  burst: number
+  /** Cost of a request that states no tokens, if the unit is tokens. */
+  plainTokens: number
+}
+
+/** A client account with the digests of its keys. */
+export type Account = {
+  name: string
+  keyDigests: string[]
+  /** 0 is the most urgent; comes before the priority of the route. */
+  priority?: number
+  quota?: AccountQuota
 }
 
 export type ModelSpec = { name: string, weightsMb: number, adapterMb: number }
@@ -62,6 +84,8 @@
   routes: Route[]
   services: ServiceSpec[]
   limits: IngressLimits
+  /** Absent if requests need no keys. */
+  accounts?: Account[]
 }
 
 /** A newer version of an adapter that requests must run on. */
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -146,7 +146,8 @@
       requestId: metadata.id,
       service: service.name,
       demand: demand!,
-      priority: route.priority,
+      priority: exchange.priority,
+      ...(exchange.account === undefined ? {} : { account: exchange.account.name }),
       objectiveAt: exchange.arrivedAt + route.objectiveMs,
       startBy: Math.min(exchange.deadlineAt, waitingSince + route.patienceMs),
       ...(route.pauseMs === undefined ? {} : { pauseMs: route.pauseMs }),
@@ -204,7 +205,7 @@
         headers: env.codec.attempt(metadata, {
           instanceId: server.id,
           remainingMs: exchange.deadlineAt - env.now(),
-          priority: Math.min(maxPriority, route.priority),
+          priority: Math.min(maxPriority, exchange.priority),
           ...(version === undefined ? {} : { version }),
           ...(lastEventId === undefined ? {} : { lastEventId })
         }),
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -8,6 +8,8 @@
   node: string
   service: string
   demand: ModelDemand
+  /** Name of the client account, if there is one. */
+  account?: string
   /** 0 is the most urgent. */
   priority: number
   objectiveAt: number
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -2,8 +2,8 @@
 import { eraOf } from './log-position'
 import type { Feed, FeedFailure, FeedRecord } from './platform-interface'
 
-/** `behind-peer`: a peer has read later records; `other-feed`: another feed of the store has stalled, was regained or restored. */
-export type AbortCause = 'behind-peer' | 'other-feed'
+/** `behind-peer`: a peer has read later records; `other-feed`: another feed of the store has stalled, was regained or restored; `too-old`: the last read is too old. */
+export type AbortCause = 'behind-peer' | 'other-feed' | 'too-old'
 
 export type FollowerEvents<Value> = {
   /** Receives the newest record of each key; they replace all earlier records. */
@@ -67,6 +67,8 @@
   readNewest (): void
   /** Aborts the current read or pause and reads again, because another feed of the store has stalled, was regained or restored. */
   restart (): void
+  /** Aborts a long poll and reads at once, because the last read is too old. */
+  refresh (): void
   /**
    * Advances the position with changes that a peer has read, in place of a read by this process.
    *
@@ -86,7 +88,7 @@
   let wake: (() => void) | undefined
   let pauseUntil = -Infinity
   let newestWanted = false
-  let reading: { abort: AbortController, sentAt: number } | undefined
+  let reading: { abort: AbortController, sentAt: number, waitMs: number } | undefined
   let graceMs = behindGraceMs
   let behindTimer: NodeJS.Timeout | undefined
   /** Latest time at which the store is known to have had no record beyond the position. */
@@ -163,9 +165,9 @@
   async function readChanges (from: number): Promise<void> {
     const sentAt = options.now()
     const abort = new AbortController()
-    reading = { abort, sentAt }
     // During an outage a read without a wait detects the store's recovery; a long poll would block until its timeout.
     const waitMs = failures > 0 ? 0 : options.waitMs()
+    reading = { abort, sentAt, waitMs }
     const result = await feed.read(from, waitMs, abort.signal)
     const aborted = abort.signal.aborted
     interrupted ||= aborted
@@ -185,7 +187,8 @@
     endKnownAt = Math.max(sentAt, writtenAfter)
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
-    succeeded(waited ? sentAt + waitMs : sentAt, result.val.next)
+    const asOf = result.val.more === true ? -Infinity : waited ? sentAt + waitMs : sentAt
+    succeeded(asOf, result.val.next)
     await pause(options.pauseMs())
   }
 
@@ -234,6 +237,9 @@
       abortRead('other-feed')
       wake?.()
     },
+    refresh () {
+      if (reading !== undefined && reading.waitMs > 0) abortRead('too-old')
+    },
     behind (next) {
       if (position === undefined || next <= position) return
       peerAheadAt = Math.min(peerAheadAt, options.now())
--- a/packages/gateway/src/feeds.test.ts
+++ b/packages/gateway/src/feeds.test.ts
@@ -44,6 +44,9 @@
     lastTurn: () => node.stoppedSince ?? performance.now() + node.pausedMs,
     random: () => 0.5,
     ownsEngines: () => node.ownsEngines,
+    revokeMs: () => undefined,
+    needsOperatorRead: () => false,
+    operatorRead () {},
     members: () => nodes.filter(other => other !== node).map((other): FleetMember => ({ name: other.name, zone: 'a', incarnation: 1, capacity: 1, state: 'alive' })),
     sendToZone: update => { for (const other of nodes) if (other !== node && !other.dropsUpdates) other.feeds.receiveServerUpdate(JSON.parse(JSON.stringify(update))) },
     operator (records, writtenAfter) {
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -8,7 +8,7 @@
 import type { FeedRecord, FleetRecord, OperatorRecord, Platform, ServerRecord, UnreadableRecord } from './platform-interface'
 import { createStoreOutage } from './store-outage'
 import { rewriteMs } from './server-registry'
-import { createServerRelay, isZoneReader, parseServerUpdate, type ServerUpdate } from './server-relay'
+import { createServerRelay, parseServerUpdate, zoneReader, type ServerUpdate } from './server-relay'
 
 export type FeedsOptions = {
   platform: Platform
@@ -21,12 +21,18 @@
   lastTurn (): number
   random (): number
   ownsEngines (): boolean
+  /** Time after which no request with a removed key may run, in ms; undefined if it is not bounded. */
+  revokeMs (): number | undefined
+  /** Whether this node has to read the operator's records now, because its knowledge of them is too old. */
+  needsOperatorRead (): boolean
   /** The other nodes; the same array until they change. */
   members (): FleetMember[]
   /** Sends what was read of the servers' entries to the other nodes of the zone. */
   sendToZone (update: ServerUpdate): void
   /** @param writtenAfter - time after which the records were written, in ms; -Infinity if unknown */
   operator (records: FeedRecord<OperatorRecord>[], writtenAfter: number): void
+  /** The operator's records were read to their end, which is at least as recent as `asOf`. */
+  operatorRead (asOf: number): void
   /** @param complete - whether the last entry of a server that is removed is among these records or earlier ones */
   servers (records: FeedRecord<ServerRecord>[], complete: boolean): void
   /** Receives the newest record of each key; they replace all earlier records. */
@@ -54,6 +60,10 @@
   /** A peer has read up to this offset of the fleet log, or of the operator's records. */
   peerFleetNext (next: number): void
   peerOperatorNext (next: number): void
+  /** Reads the operator's records now if the knowledge of them is too old, in place of a long poll that may be stalled. */
+  refreshOperator (): void
+  /** Name of the node that reads the servers' entries for the zone. */
+  serverReader (): string
   /** Reads the servers' entries now. */
   readServers (): void
   /** A server that was removed seems to be back; its next entry is needed, which the zone's reader may leave out. */
@@ -76,6 +86,8 @@
 /** Long polls of owners are shorter, in ms, because a completed read proves that the owner has seen the end of the log. */
 const ownerWaitMs = 800
 const ownerConfigWaitMs = 2500
+/** Wait of the zone's reader for operator records, as a share of the time after which removed keys must not be used: the end of the read is evidence for the zone. */
+const revokeWaitShare = 0.2
 /** Pause after a read of the fleet log by a node without engines, in ms per node: nodes that start together append one record each. */
 const fleetPausePerNodeMs = 10
 const fleetPauseMaxMs = 1000
@@ -147,15 +159,26 @@
   }
 
   let rankedMembers: FleetMember[] | undefined
-  let isReader = false
+  let reader = settings.name
 
-  function isServerReader (): boolean {
+  function serverReader (): string {
     const members = options.members()
     if (members !== rankedMembers) {
       rankedMembers = members
-      isReader = isZoneReader(settings, members)
+      reader = zoneReader(settings, members)
     }
-    return isReader
+    return reader
+  }
+
+  function isServerReader (): boolean {
+    return serverReader() === settings.name
+  }
+
+  function operatorWaitMs (): number {
+    if (options.needsOperatorRead()) return 0
+    const revokeMs = options.revokeMs()
+    const readerWaitMs = revokeMs === undefined || !isServerReader() ? Infinity : revokeMs * revokeWaitShare
+    return Math.min(options.ownsEngines() ? ownerConfigWaitMs : longWaitMs, readerWaitMs)
   }
 
   function serverPauseMs (): number {
@@ -185,13 +208,16 @@
           // The monotonic clock stands still in a suspension, so a time before it says nothing about the time since.
           options.operator(records, writtenAfter <= options.suspensions.endedAt() ? -Infinity : writtenAfter)
         },
-        succeeded () { operatorReachable = true },
+        succeeded (asOf) {
+          operatorReachable = true
+          options.operatorRead(asOf)
+        },
         lost (reason) {
           operatorReachable = false
           log.warn('dependency-lost', { dependency: 'operator', reason })
           outage.lost('operator')
         }
-      }, { ...base('operator'), waitMs: () => options.ownsEngines() ? ownerConfigWaitMs : longWaitMs, pauseMs: () => 0 })
+      }, { ...base('operator'), waitMs: operatorWaitMs, pauseMs: () => 0 })
       servers = followFeed(platform.servers, {
         ...outageEvents('servers', () => {
           recoveredAt = now()
@@ -238,6 +264,8 @@
     appended: () => fleet?.wake(),
     peerFleetNext: next => fleet?.behind(next),
     peerOperatorNext: next => operator?.behind(next),
+    refreshOperator: () => operator?.refresh(),
+    serverReader,
     readServers: () => servers?.wake(),
     confirmServers () {
       clearTimeout(confirmTimer)
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -8,7 +8,8 @@
 import type { DecisionLog } from './decision-log'
 import { createHeaderBytes } from './header-bytes'
 import { keptBytesLimit, type KeptBytes } from './kept-bytes'
-import type { HeaderCodec } from './platform-interface'
+import type { HeaderCodec, RequestMetadata } from './platform-interface'
+import type { Account, Route } from './cluster-types'
 import { createRequestBytes, type BodyRefusal } from './request-bytes'
 import { chooseTarget, type RouteTable } from './route-table'
 
@@ -23,6 +24,8 @@
   bounds?: ServerBounds
   /** Undefined until a configuration has been read. */
   routes (): RouteTable | undefined
+  /** Whether the configuration is known to be recent enough to accept keys. */
+  configIsCurrent? (): boolean
   /** Whether the node is leaving, so that responses close their connection. */
   closing (): boolean
   /** Whether the node no longer accepts requests. */
@@ -70,6 +73,8 @@
 const quietTurns = 3
 const notConfiguredRetryAfterMs = 500
 const leavingRetryAfterMs = 100
+/** Delay after which a client with a key comes back, in ms: another node may know the configuration better. */
+const outdatedRetryAfterMs = 100
 /** Time after which there may be room for a body, in ms: a few requests with large bodies have ended. */
 const noRoomRetryAfterMs = 500
 
@@ -83,6 +88,14 @@
   return raw.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
+/** Why a request is refused before it is forwarded. */
+type EarlyRefusal = { status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number }
+
+type AuthenticationResult = { type: 'accepted', account?: Account } | ({ type: 'refused' } & EarlyRefusal)
+
+const outdatedRefusal: AuthenticationResult = { type: 'refused', status: 503, outcome: 'not-run', reason: 'the configuration is too old to check keys', retryAfterMs: outdatedRetryAfterMs }
+const unknownKeyRefusal: AuthenticationResult = { type: 'refused', status: 401, outcome: 'invalid', reason: 'the key is missing or unknown' }
+
 const unreadableStatuses: Record<string, RefusalStatus> = {
   HPE_HEADER_OVERFLOW: { status: 431, outcome: 'invalid' },
   // The request was not read, and the node may be too busy to read it.
@@ -115,6 +128,14 @@
     return true
   }
 
+  function authenticate ({ accounts }: RouteTable, route: Route, { key }: RequestMetadata): AuthenticationResult {
+    if (!accounts.enabled) return { type: 'accepted' }
+    // A configuration that is too old may lack the key, or hold one that was removed.
+    if ((key !== undefined || route.anonymous !== true) && env.configIsCurrent?.() === false) return outdatedRefusal
+    const result = accounts.authenticate(key, route)
+    return result.type === 'accepted' ? result : unknownKeyRefusal
+  }
+
   async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = env.now()
     const closing = (): boolean => closesConnection(req)
@@ -128,7 +149,7 @@
       if (env.closing()) await nextTurn()
       const { id } = env.codec.request(req.rawHeaders)
       env.log.info('request-refused', { id, status, reason, configVersion: table?.config.version })
-      const headers = refusalHeaders(id, retryAfterMs)
+      const headers: Record<string, string> = { ...refusalHeaders(id, retryAfterMs), ...(status === 401 ? { 'www-authenticate': 'Bearer' } : {}) }
       if ('connection' in headers) return sendUnreadRefusal(req, res, { status, outcome }, reason, headers)
       sendRefusal(res, { status, outcome }, reason, headers)
       req.resume()
@@ -159,6 +180,9 @@
     if (route === undefined) return await refuse(404, 'invalid', 'no route matches host and path')
     const metadata = env.codec.request(req.rawHeaders)
     if (metadata.id === '') return await refuse(400, 'invalid', 'the request has no id')
+    const refuseEarly = async ({ status, outcome, reason, retryAfterMs }: EarlyRefusal): Promise<void> => await refuse(status, outcome, reason, retryAfterMs)
+    const early = authenticate(table, route, metadata)
+    if (early.type === 'refused') return await refuseEarly(early)
     const deadlineAt = (): number => Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
     const body = await bodies.read(req, limits.bodyBytes, deadlineAt)
     if (body.type === 'aborted') return
@@ -170,7 +194,26 @@
       body.release()
       return await refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
     }
-    const context: ExchangeContext = { req, res, metadata, route, service, body: body.bytes, arrivedAt, deadlineAt: deadlineAt() }
+    // The body may have taken long, and the key may have been removed meanwhile.
+    const { accounts } = env.routes() ?? table
+    const authentication = authenticate(env.routes() ?? table, route, metadata)
+    if (authentication.type === 'refused') {
+      body.release()
+      return await refuseEarly(authentication)
+    }
+    const { account } = authentication
+    const context: ExchangeContext = {
+      req,
+      res,
+      metadata: accounts.enabled ? env.codec.withAccount(metadata, account?.name) : metadata,
+      route,
+      service,
+      ...(account === undefined ? {} : { account }),
+      priority: accounts.priority(account, route),
+      body: body.bytes,
+      arrivedAt,
+      deadlineAt: deadlineAt()
+    }
     const exchange = createClientExchange(context, { codec: env.codec, kept: env.kept, log: env.log, closing })
     // If the process could not run for a while, the close of a client that has left is read after its request, in the next turn of the event loop.
     await nextTurn()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,8 @@
 import { createAdapterVersions } from './adapter-versions'
 import { createDirectoryServer, createMetricsServer, createReadyServer } from './auxiliary-servers'
 import type { ClusterConfig } from './cluster-types'
+import type { ConfigPosition } from './config-age'
+import { createConfigKnowledge } from './config-knowledge'
 import { connectionLimits } from './connection-limits'
 import { createConnectionReport } from './connection-report'
 import { createCrashBlocking } from './crash-blocking'
@@ -24,11 +26,13 @@
 import { createListening } from './listening'
 import { createLogProbe } from './log-probe'
 import { createLogQuestions } from './log-questions'
+import { createOperatorRecords } from './operator-records'
 import { createOwnRecords } from './own-records'
 import { createOwnerStatusCache } from './owner-status-cache'
 import { createPeerDelivery, createPeerLink } from './peer-link'
-import { createFeedCache, createPeerFetcher, createSnapshotServer, type PeerSnapshot } from './peer-state'
-import type { FeedRecord, FleetRecord, NodeSettings, OperatorRecord, UnreadableRecord } from './platform-interface'
+import { createPeerFallback } from './peer-fallback'
+import { createFeedCache, createSnapshotServer, type PeerSnapshot } from './peer-state'
+import type { FeedRecord, FleetRecord, NodeSettings, UnreadableRecord } from './platform-interface'
 import { createProcessUsage } from './process-usage'
 import { createRouteTable, type RouteTable } from './route-table'
 import { logServerChanges } from './server-change-log'
@@ -93,8 +97,6 @@
   let fleetLogRead = false
   let leavingSince: number | undefined
   let tickTimer: NodeJS.Timeout | undefined
-  /** Offset up to which operator records were applied from a peer's snapshot. */
-  let peerOperatorNext = -1
 
   const self = nodeRecordOf(settings, startedAt)
 
@@ -107,7 +109,7 @@
     peerPosition: position => { feeds.peerOperatorNext(position) },
     received (from, message) {
       const { kind, payload } = message
-      if (restrictions.receive(from.node, message) || crashes.receive(from.node, message)) return
+      if (restrictions.receive(from.node, message) || crashes.receive(from.node, message) || configKnowledge.receive(from.node, message)) return
       if (kind === 'member') fleet.receive(payload)
       else if (kind === 'place' && isGrantMessage(payload)) receiveGrantMessage(from.node, payload)
       else if (kind === 'status') receiveStatus(from.node, payload)
@@ -154,6 +156,20 @@
     }
   })
 
+  const configKnowledge = createConfigKnowledge({
+    self,
+    now,
+    random: options.random,
+    suspensions: clock,
+    revokeMs: () => table?.accounts.enabled === true ? settings.bounds.revokeMs : undefined,
+    own: (): ConfigPosition => ({ next: Math.max(feeds.operatorNext() ?? -1, peerFallback.operatorNext()), version: table?.config.version ?? -1 }),
+    fleet,
+    link,
+    log,
+    feeds: () => feeds,
+    fetchFrom: node => peerFallback.fetchFrom(node)
+  })
+
   const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
   const kept = createKeptBytes(keptBytesLimit(settings.memoryBytes))
   const maxConnections = connectionLimits(settings.maxDescriptors, options.descriptorLimit)
@@ -270,15 +286,10 @@
     if (status === undefined) return
     owner.receiveStatus(from, status.fleetNext)
     feeds.peerFleetNext(status.fleetNext)
-    const ownNext = feeds.operatorNext()
-    if (!feeds.operatorReachable() && (ownNext === undefined || status.operatorNext > Math.max(ownNext, peerOperatorNext))) {
-      const control = fleet.control(from)
-      if (control !== undefined) peerFetcher.fetch([control])
-    }
+    peerFallback.peerPosition(from, status.operatorNext)
   }
 
   function applySnapshot ({ operator, servers, fleet: nodes }: PeerSnapshot): void {
-    peerOperatorNext = operator.next
     applyOperator(operator.records, -Infinity)
     applyServers(registry.apply(servers.records, now()))
     serversLoaded ||= servers.records.length > 0
@@ -286,14 +297,7 @@
     applyFleet(nodes.records)
   }
 
-  const peerFetcher = createPeerFetcher({ log, checkFleetRecord: platform.fleet.check, needed: () => !feeds.operatorReachable(), apply: applySnapshot })
-
-  /** Fetches a snapshot from the seed nodes in the settings if the node starts while the store is unavailable. */
-  function fetchFromSeeds (): void {
-    if (table !== undefined && serversLoaded) return
-    const others = settings.seeds.filter(address => address !== self.control)
-    if (others.length > 0) peerFetcher.fetch(others)
-  }
+  const peerFallback = createPeerFallback({ self, seeds: () => settings.seeds, log, checkFleetRecord: platform.fleet.check, fleet, feeds: () => feeds, isComplete: () => table !== undefined && serversLoaded, apply: applySnapshot })
 
   const forward = createForwarding({ now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, crashes: crashes.requests, streamVersions, configVersion: () => table?.config.version, grants, versions, engines: registry.ready, servers: registry.ready, pool: pools.pool, firstEvent: metrics.firstEvent })
 
@@ -306,6 +310,7 @@
     bounds: { ...connections.bounds('front'), reserved: detour.relayServer.running },
     log,
     routes: () => table,
+    configIsCurrent: configKnowledge.isCurrent,
     closing: () => leavingSince !== undefined,
     closed: () => leavingSince !== undefined && now() - leavingSince > leavingAcceptMs,
     relaying: detour.relayServer.running,
@@ -331,19 +336,7 @@
     owner.refresh()
   }
 
-  /** @param writtenAfter - time after which the records were written, in ms; -Infinity if unknown */
-  function applyOperator (records: FeedRecord<OperatorRecord>[], writtenAfter: number): void {
-    for (const { key, offset, value } of records) {
-      if (value === undefined || value.type === 'other') continue
-      if (value.type === 'config') applyConfig(value.config, offset)
-      else if (value.type === 'adapter-version') {
-        const { model, adapter, version } = value
-        if (!versions.add(value, writtenAfter, now())) continue
-        log.info('adapter-version', { model, adapter, version, offset, recent: writtenAfter > -Infinity, ageMs: writtenAfter === -Infinity ? undefined : Math.round(now() - writtenAfter) })
-        owner.setVersion({ model, adapter, version }, writtenAfter)
-      } else log.warn('operator-record-unreadable', { key, offset, reason: value.reason })
-    }
-  }
+  const applyOperator = createOperatorRecords({ now, log, versions, applyConfig, setVersion: owner.setVersion })
 
   function applyServers (changes: RegistryChange[]): void {
     logServerChanges(changes, log)
@@ -379,6 +372,8 @@
     lastTurn: turns.lastAt,
     random: options.random,
     ownsEngines: () => owner.ownsEngines(),
+    revokeMs: configKnowledge.revokeMs,
+    needsOperatorRead: configKnowledge.needsRead,
     members: () => fleet.members(),
     sendToZone (update) {
       for (const { address, zone } of fleet.peers()) {
@@ -386,6 +381,7 @@
       }
     },
     operator: applyOperator,
+    operatorRead: configKnowledge.read,
     servers: (records, complete) => applyServers(registry.apply(records, now(), complete)),
     serversReplaced: (records, next) => applyServers(registry.replace(records, next, now())),
     serversLoaded (asOf) {
@@ -437,6 +433,7 @@
       tickTimer = setTimeout(tick, owner.ownsEngines() || isStartingUp() ? tickMs : idleTickMs)
       turns.mark()
       detour.links.tick()
+      configKnowledge.tick()
       applyServers(registry.tick(now()))
       owner.tick()
       crashes.requests.tick()
@@ -445,7 +442,7 @@
     tick()
     timers.push(setInterval(() => fleet.tick(), memberTickMs))
     timers.push(setInterval(statusSender.send, statusIntervalMs))
-    timers.push(setInterval(fetchFromSeeds, seedPollMs))
+    timers.push(setInterval(peerFallback.fetchFromSeeds, seedPollMs))
     timers.push(setInterval(usage.check, usageIntervalMs))
     timers.push(setInterval(connections.check, usageIntervalMs))
     timers.push(setInterval(detour.report, usageIntervalMs))
--- a/packages/gateway/src/grant-message.ts
+++ b/packages/gateway/src/grant-message.ts
@@ -15,8 +15,8 @@
 
 function isAcquired (value: unknown): boolean {
   if (!isFields(value)) return false
-  const { id, service, demand, priority, objectiveInMs, startInMs, deadlineInMs, pauseMs, excluded, only, softwareVersion } = value
-  return isText(id) && isText(service) && isDemand(demand) && [priority, objectiveInMs, startInMs, deadlineInMs].every(isNumber) &&
+  const { id, service, demand, account, priority, objectiveInMs, startInMs, deadlineInMs, pauseMs, excluded, only, softwareVersion } = value
+  return isText(id) && isText(service) && isDemand(demand) && (account === undefined || isText(account)) && [priority, objectiveInMs, startInMs, deadlineInMs].every(isNumber) &&
     (pauseMs === undefined || isNumber(pauseMs)) && isTextList(excluded) && (only === undefined || isTextList(only)) && (softwareVersion === undefined || isText(softwareVersion))
 }
 
--- a/packages/gateway/src/peer-records.ts
+++ b/packages/gateway/src/peer-records.ts
@@ -3,8 +3,9 @@
  * that cannot be used would fail later, in a request or in a timer, at every node that has the record.
  */
 import { isAddress } from '@yuccawharf/coordination'
-import type { AdapterVersion, BackendServer, ClusterConfig, EngineSpec, IngressLimits, LoadedAdapter, LoadedModel, ModelSpec, Route, RouteTarget, ServiceSpec } from './cluster-types'
-import { fieldsCheck, isCount, isListOf, isName, isNumber, isOneOf, isPosition, isText, optional } from './field-checks'
+import { sharedKey } from './accounts'
+import type { Account, AccountQuota, AdapterVersion, BackendServer, ClusterConfig, EngineSpec, IngressLimits, LoadedAdapter, LoadedModel, ModelSpec, Route, RouteTarget, ServiceSpec } from './cluster-types'
+import { fieldsCheck, isCount, isListOf, isName, isNumber, isOneOf, isPosition, isText, isTextList, optional } from './field-checks'
 import type { FeedRecord, FleetLog, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
 
 const isBoolean = (value: unknown): value is boolean => typeof value === 'boolean'
@@ -36,7 +37,8 @@
   priority: isNumber,
   targets: value => isListOf(value, isTarget),
   attempts: isCount,
-  resumable: isBoolean
+  resumable: isBoolean,
+  anonymous: optional(isBoolean)
 })
 const isModelSpec = fieldsCheck<ModelSpec>({ name: isText, weightsMb: isCount, adapterMb: isCount })
 const isEngineSpec = fieldsCheck<EngineSpec>({
@@ -49,11 +51,14 @@
 })
 const isService = fieldsCheck<ServiceSpec>({ name: isText, maxConnections: isCount, engine: optional(isEngineSpec) })
 const isLimits = fieldsCheck<IngressLimits>({ headerBytes: isCount, bodyBytes: isCount, headerTimeoutMs: isCount, idleTimeoutMs: isCount })
+const isQuota = fieldsCheck<AccountQuota>({ unit: isOneOf(['requests', 'tokens']), ratePerSecond: isCount, burst: isCount, plainTokens: isCount })
+const isAccount = fieldsCheck<Account>({ name: isName, keyDigests: isTextList, priority: optional(isNumber), quota: optional(isQuota) })
 const isConfig = fieldsCheck<ClusterConfig>({
   version: isPosition,
   routes: value => isListOf(value, isRoute),
   services: value => isListOf(value, isService),
-  limits: isLimits
+  limits: isLimits,
+  accounts: optional(value => isListOf(value, isAccount) && sharedKey(value) === undefined)
 })
 const isAdapterVersion = fieldsCheck<AdapterVersion>({ model: isName, adapter: isName, version: isPosition })
 
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -12,8 +12,8 @@
  * `offset` is the record's position; see log-position.
  */
 export type FeedRecord<Value> = { key: string, offset: number, value: Value | undefined }
-/** `next` is the position to continue from. */
-export type FeedPage<Value> = { records: FeedRecord<Value>[], next: number }
+/** `next` is the position to continue from; `more`: there were later records at the time of the read. */
+export type FeedPage<Value> = { records: FeedRecord<Value>[], next: number, more?: true }
 
 /** Keyed records in the order in which the store accepted them. */
 export interface Feed<Value> {
@@ -89,6 +89,10 @@
   /** Id of the client's request that brought the first event of the stream that this one takes up. */
   resumes?: string
   demand?: ModelDemand
+  /** Prompt tokens and the most tokens that may be generated, together, if the request states them. */
+  statedTokens?: number
+  /** Key of a client account. */
+  key?: string
   /** Headers to forward, without hop-by-hop headers and those that only the gateway sets. */
   headers: RawHeaders
 }
@@ -132,6 +136,13 @@
 /** Converts the headers between clients, gateway and backend servers. */
 export interface HeaderCodec {
   request (raw: RawHeaders): RequestMetadata
+  /**
+   * Replaces what the client sent about its account.
+   *
+   * @param account - name of the account; undefined for an anonymous request
+   * @returns the metadata without the key
+   */
+  withAccount (metadata: RequestMetadata, account: string | undefined): RequestMetadata
   attempt (metadata: RequestMetadata, attempt: AttemptHeaders): RawHeaders
   response (status: number, raw: RawHeaders): ResponseMetadata
   /** @returns headers of a refusal that identify its request */
@@ -164,6 +175,10 @@
   leaseMs: number
   versionMs: number
   addressTtlMaxMs: number
+  /** Time after which no request with a removed key may run, in ms; absent if it is not bounded. */
+  revokeMs?: number
+  /** Tolerance within which the limits of accounts are kept, over any `windowMs`: a share of the limit and units. */
+  quota?: { windowMs: number, overshoot: number, slack: number }
 }
 
 export type NodeSettings = {
--- a/packages/gateway/src/route-table.ts
+++ b/packages/gateway/src/route-table.ts
@@ -1,9 +1,11 @@
 /** Route lookup by host and longest path prefix, and the weighted choice of a route's target. */
 import { hashText } from '@yuccawharf/coordination'
+import { createAccountTable, type AccountTable } from './accounts'
 import type { ClusterConfig, Route, ServiceSpec } from './cluster-types'
 
 export type RouteTable = {
   readonly config: ClusterConfig
+  readonly accounts: AccountTable
   /** @returns undefined when no route matches */
   match (host: string, url: string): Route | undefined
   service (name: string): ServiceSpec | undefined
@@ -50,6 +52,7 @@
 
   return {
     config,
+    accounts: createAccountTable(config),
     match (host, url) {
       const path = pathOf(url)
       return byHost.get(hostName(host))?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
--- a/packages/gateway/src/server-relay.test.ts
+++ b/packages/gateway/src/server-relay.test.ts
@@ -3,7 +3,7 @@
 import type { BackendServer } from './cluster-types'
 import { logPosition } from './log-position'
 import type { FeedRecord, ServerRecord } from './platform-interface'
-import { createServerRelay, isZoneReader, parseServerUpdate } from './server-relay'
+import { createServerRelay, parseServerUpdate, zoneReader } from './server-relay'
 
 const test = suite('server relay')
 
@@ -74,10 +74,10 @@
 test('exactly one alive node of a zone reads, regardless of other zones', () => {
   const node = (name: string, zone = 'a', state: 'alive' | 'dead' = 'alive') => ({ name, zone, incarnation: 1, capacity: 1, state })
   const names = ['n1', 'n2', 'n3']
-  const readers = names.filter(name => isZoneReader({ name, zone: 'a' }, [...names.filter(other => other !== name).map(other => node(other)), node('m1', 'b'), node('m2', 'b')]))
+  const readers = names.filter(name => zoneReader({ name, zone: 'a' }, [...names.filter(other => other !== name).map(other => node(other)), node('m1', 'b'), node('m2', 'b')]) === name)
   assert.is(readers.length, 1)
   const rest = names.filter(name => name !== readers[0])
-  assert.is(rest.filter(name => isZoneReader({ name, zone: 'a' }, names.filter(other => other !== name).map(other => node(other, 'a', other === readers[0] ? 'dead' : 'alive')))).length, 1)
+  assert.is(rest.filter(name => zoneReader({ name, zone: 'a' }, names.filter(other => other !== name).map(other => node(other, 'a', other === readers[0] ? 'dead' : 'alive'))) === name).length, 1)
 })
 
 test('rejects malformed messages', () => {
--- a/packages/gateway/src/server-relay.ts
+++ b/packages/gateway/src/server-relay.ts
@@ -118,9 +118,9 @@
 
 /**
  * @param members - the other nodes
- * @returns whether this node is the reader of its zone
+ * @returns name of the node that reads the servers' entries for the zone of this node
  */
-export function isZoneReader (self: { name: string, zone: string }, members: readonly FleetMember[]): boolean {
+export function zoneReader (self: { name: string, zone: string }, members: readonly FleetMember[]): string {
   const others = members.filter(({ zone, state }) => zone === self.zone && state === 'alive')
-  return rankNodes('servers-reader', [self, ...others].map(({ name }) => ({ id: name })))[0]!.id === self.name
+  return rankNodes('servers-reader', [self, ...others].map(({ name }) => ({ id: name })))[0]!.id
 }
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -16,8 +16,14 @@
     const partIds = valueOf(raw, 'x-parts')
     const parts = (partIds ?? '').split(',').filter(id => id !== '').map(id => ({ id, tokens: 10 }))
     const demand = { model: 'base', ...(adapter === undefined ? {} : { adapter }), promptTokens: 100, outputTokens: 10, parts }
+    const tokens = valueOf(raw, 'x-tokens')
+    const key = valueOf(raw, 'x-key')
     const headers = raw.filter((_, index) => !['connection', 'host', 'x-last', 'content-length', 'transfer-encoding'].includes(raw[index - index % 2]!.toLowerCase()))
-    return { id: valueOf(raw, 'x-id') ?? '', headers, ...(lastEventId === undefined ? {} : { lastEventId }), ...(resumes === undefined ? {} : { resumes }), ...(adapter === undefined && partIds === undefined ? {} : { demand }) }
+    return { id: valueOf(raw, 'x-id') ?? '', headers, ...(lastEventId === undefined ? {} : { lastEventId }), ...(resumes === undefined ? {} : { resumes }), ...(adapter === undefined && partIds === undefined ? {} : { demand }), ...(tokens === undefined ? {} : { statedTokens: Number(tokens) }), ...(key === undefined ? {} : { key }) }
+  },
+  withAccount ({ key: _key, ...metadata }, account) {
+    const headers = metadata.headers.filter((_, index) => !['x-key', 'x-account'].includes(metadata.headers[index - index % 2]!.toLowerCase()))
+    return { ...metadata, headers: account === undefined ? headers : [...headers, 'X-Account', account] }
   },
   attempt (metadata, { instanceId, remainingMs, version, lastEventId = metadata.lastEventId }) {
     return [...metadata.headers, 'X-Instance', instanceId, 'X-Remaining', String(Math.floor(remainingMs)), ...(version === undefined ? [] : ['X-Version', String(version)]), ...(lastEventId === undefined ? [] : ['X-Last', lastEventId])]
