--- a/packages/gateway/src/config-knowledge.ts
+++ b/packages/gateway/src/config-knowledge.ts
@@ -5,6 +5,7 @@
 import type { DecisionLog } from './decision-log'
 import type { Feeds } from './feeds'
 import type { Fleet } from './fleet'
+import type { GatewayMetrics } from './gateway-metrics'
 import type { PeerLink } from './peer-link'
 
 export type ConfigKnowledgeOptions = {
@@ -18,6 +19,7 @@
   fleet: Pick<Fleet, 'peers' | 'address'>
   link: Pick<PeerLink, 'notify'>
   log: DecisionLog
+  metrics: Pick<GatewayMetrics, 'gauge'>
   feeds (): Pick<Feeds, 'serverReader' | 'peerOperatorNext' | 'operatorReachable' | 'refreshOperator'>
   /** Fetches the records that the node has read. */
   fetchFrom (node: string): void
@@ -31,7 +33,6 @@
   isCurrent (): boolean
   /** Whether this node should read the store itself at once. */
   needsRead (): boolean
-  ageMs (): number
   tick (): void
 }
 
@@ -57,11 +58,13 @@
     malformed: reason => { log.warn('peer-message-failed', { reason }) }
   })
 
-  function logChange (): void {
+  function report (): void {
+    if (options.revokeMs() === undefined) return
     const isCurrent = age.isCurrent(now())
-    if (options.revokeMs() === undefined || isCurrent === wasCurrent) return
-    wasCurrent = isCurrent
     const ageMs = age.ageMs(now())
+    options.metrics.gauge('config_age_ms', ageMs)
+    if (isCurrent === wasCurrent) return
+    wasCurrent = isCurrent
     log.info('keys-accepted', { accepted: isCurrent, ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, version: options.own().version })
   }
 
@@ -71,11 +74,10 @@
     read: age.read,
     isCurrent: () => age.isCurrent(now()),
     needsRead: () => age.needsRead(now()),
-    ageMs: () => age.ageMs(now()),
     tick () {
       questions.tick()
       if (age.needsRead(now())) feeds().refreshOperator()
-      logChange()
+      report()
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -166,6 +166,7 @@
     fleet,
     link,
     log,
+    metrics,
     feeds: () => feeds,
     fetchFrom: node => peerFallback.fetchFrom(node)
   })
