--- a/packages/gateway/src/accounts.ts
+++ b/packages/gateway/src/accounts.ts
@@ -8,6 +8,8 @@
 export type AccountTable = {
   /** Whether the configuration names accounts. */
   readonly enabled: boolean
+  /** @returns the account of this name */
+  account (name: string): Account | undefined
   /** @param key - key of the request, if it has one */
   authenticate (key: string | undefined, route: Route): Authentication
   /** @returns priority of the request from 0, the most urgent, to {@link lowestPriority} */
@@ -58,10 +60,12 @@
 
 export function createAccountTable (config: ClusterConfig): AccountTable {
   const byDigest = new Map(config.accounts?.flatMap(account => account.keyDigests.map((digest): [string, Account] => [digest, account])))
+  const byName = new Map(config.accounts?.map(account => [account.name, account]))
   const enabled = config.accounts !== undefined
   const priorities = enabled ? createPriorities(config) : (_account: Account | undefined, route: Route) => route.priority
   return {
     enabled,
+    account: name => byName.get(name),
     authenticate (key, route) {
       if (!enabled) return { type: 'accepted' }
       const account = key === undefined ? undefined : byDigest.get(keyDigest(key))
--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -29,6 +29,8 @@
   readonly ended: boolean
   readonly disconnected: boolean
   readonly headersSent: boolean
+  /** The request was refused, and has not run and will not run. */
+  readonly refusedNotRun: boolean
   /** Called once if the client disconnects before the response is complete. */
   onDisconnect (listener: () => void): void
   refuse (refusal: RefusalStatus, reason: string, retryAfterMs?: number): void
@@ -103,6 +105,7 @@
   let ended = false
   let disconnected = false
   let outcome = 'open'
+  let refusedNotRun = false
   const disconnectListeners: (() => void)[] = []
 
   res.on('close', () => {
@@ -141,9 +144,11 @@
     get ended () { return ended },
     get disconnected () { return disconnected },
     get headersSent () { return res.headersSent },
+    get refusedNotRun () { return refusedNotRun },
     onDisconnect: listener => { disconnectListeners.push(listener) },
     refuse (refusal, reason, retryAfterMs) {
       if (!finish(`refused-${refusal.status}`)) return
+      refusedNotRun = refusal.outcome === 'not-run'
       const retry: Record<string, string> = retryAfterMs === undefined ? {} : { 'retry-after': options.codec.retryAfter(retryAfterMs) }
       sendRefusal(res, refusal, reason, { ...options.codec.identify(ctx.metadata.id), ...retry, ...closeHeader() })
     },
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -4,6 +4,7 @@
 import { forwardPlain, type PlainForwarderEnv } from './plain-forwarder'
 import { sharedPartIds } from './prompt-cache'
 import type { RequestCrashes } from './request-crashes'
+import type { Quotas } from './quotas'
 import { requestDigest } from './request-digest'
 import type { StreamVersions } from './stream-versions'
 
@@ -13,6 +14,7 @@
 export type ForwardingOptions = Omit<EngineForwarderEnv & PlainForwarderEnv, PerRequest> & {
   crashes: Pick<RequestCrashes, 'runs' | 'blocked'>
   streamVersions: Pick<StreamVersions, 'required' | 'progress'>
+  quotas: Pick<Quotas, 'admit'>
   /** Version of the configuration in force, if any has been read. */
   configVersion (): number | undefined
 }
@@ -23,8 +25,8 @@
 const unknownStreamRetryAfterMs = 1000
 
 /** @returns a function that resolves when the request has ended */
-export function createForwarding ({ crashes, streamVersions, configVersion, ...options }: ForwardingOptions): (exchange: ClientExchange) => Promise<void> {
-  return async exchange => {
+export function createForwarding ({ crashes, streamVersions, quotas, configVersion, ...options }: ForwardingOptions): (exchange: ClientExchange) => Promise<void> {
+  async function forward (exchange: ClientExchange): Promise<void> {
     const { route, service } = exchange
     const { id, demand, resumes, lastEventId } = exchange.metadata
     const digest = requestDigest({ req: exchange.req, body: exchange.body, demand })
@@ -44,4 +46,16 @@
     if (service.engine !== undefined && demand !== undefined) await forwardToEngine(exchange, env)
     else await forwardPlain(exchange, env)
   }
+
+  /** Forwards the request if the limit of its account admits it. */
+  return async exchange => {
+    const { account, metadata } = exchange
+    if (account?.quota === undefined) return await forward(exchange)
+    const admission = await quotas.admit(account, metadata)
+    if (admission.type === 'over-limit') return exchange.refuse({ status: 429, outcome: 'not-run' }, `account ${account.name} is above its limit`, admission.retryAfterMs)
+    if (admission.type === 'unavailable') return exchange.refuse({ status: 503, outcome: 'not-run' }, `the limit of account ${account.name} cannot be checked`, admission.retryAfterMs)
+    if (exchange.ended) return admission.refund()
+    await forward(exchange)
+    if (exchange.refusedNotRun) admission.refund()
+  }
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -20,6 +20,10 @@
   permitDenied (reason: string): void
   /** A client takes up a stream; `unknown` if its software version is not known. */
   takeUp (source: 'own' | 'only-version' | 'record' | 'unknown'): void
+  /** Units of an account's limit; `refused` includes requests for which no node lent. */
+  quotaUnits (kind: 'admitted' | 'refused' | 'lent', account: string, units: number): void
+  /** Fill level of the ledger of an account's limit at this node, in the limit's unit. */
+  quotaLevel (account: string, units: number): void
   storeCall (feed: string, result: string): void
   gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes' | 'client_connections' | 'cut_services' | 'relayed_connections', value: number): void
   /** @param unreadable - called if the state of the process cannot be read; the text has the last values then */
@@ -51,6 +55,8 @@
   const statements = new Counter({ name: 'yuccawharf_server_statements_total', help: 'Changes of what servers state about themselves, by kind.', labelNames: ['kind'], registers })
   const denials = new Counter({ name: 'yuccawharf_permits_denied_total', help: 'Requests without a permit for a server that states a limit, by reason.', labelNames: ['reason'], registers })
   const takeUps = new Counter({ name: 'yuccawharf_stream_take_ups_total', help: 'Streams that clients take up, by how their software version is known.', labelNames: ['source'], registers })
+  const quotaUnits = new Counter({ name: 'yuccawharf_quota_units_total', help: 'Units of the limits of accounts that were admitted, refused and lent.', labelNames: ['kind', 'account'], registers })
+  const quotaLevels = new Gauge({ name: 'yuccawharf_quota_level', help: 'Fill level of the ledgers of accounts at this node.', labelNames: ['account'], registers })
   registers[0]!.registerMetric(new Gauge({
     name: 'yuccawharf_process',
     help: 'Memory in bytes and number of open descriptors of the process.',
@@ -84,6 +90,8 @@
     serverStatement: kind => { statements.inc({ kind }) },
     permitDenied: reason => { denials.inc({ reason }) },
     takeUp: source => { takeUps.inc({ source }) },
+    quotaUnits: (kind, account, units) => { quotaUnits.inc({ kind, account }, units) },
+    quotaLevel: (account, units) => { quotaLevels.set({ account }, units) },
     storeCall: (feed, result) => { calls.inc({ feed, result }) },
     gauge: (name, value) => { gauges.set({ name }, value) },
     async text (unreadable) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,7 @@
 import { createFeedCache, createSnapshotServer, type PeerSnapshot } from './peer-state'
 import type { FeedRecord, FleetRecord, NodeSettings, UnreadableRecord } from './platform-interface'
 import { createProcessUsage } from './process-usage'
+import { createQuotas } from './quotas'
 import { createRouteTable, type RouteTable } from './route-table'
 import { logServerChanges } from './server-change-log'
 import { runOnce } from './run-once'
@@ -109,7 +110,7 @@
     peerPosition: position => { feeds.peerOperatorNext(position) },
     received (from, message) {
       const { kind, payload } = message
-      if (restrictions.receive(from.node, message) || crashes.receive(from.node, message) || configKnowledge.receive(from.node, message)) return
+      if (quotas.receive(from, message) || restrictions.receive(from.node, message) || crashes.receive(from.node, message) || configKnowledge.receive(from.node, message)) return
       if (kind === 'member') fleet.receive(payload)
       else if (kind === 'place' && isGrantMessage(payload)) receiveGrantMessage(from.node, payload)
       else if (kind === 'status') receiveStatus(from.node, payload)
@@ -170,6 +171,8 @@
     fetchFrom: node => peerFallback.fetchFrom(node)
   })
 
+  const quotas = createQuotas({ self: { node: self.name, incarnation: self.incarnation }, now, suspensions: clock, after: (delayMs, callback) => { setTimeout(callback, delayMs).unref() }, members: fleet.members, leaving: () => leavingSince !== undefined, tolerance: () => settings.bounds.quota, quota: name => table?.accounts.account(name)?.quota, notify (node, message) { const address = fleet.address(node); if (address !== undefined) link.notify(address, message) }, log, metrics })
+
   const shares = createServiceShares({ bounds: settings.bounds, fleetSize: () => fleet.size(), maxConnections: service => table?.service(service)?.maxConnections })
   const kept = createKeptBytes(keptBytesLimit(settings.memoryBytes))
   const maxConnections = connectionLimits(settings.maxDescriptors, options.descriptorLimit)
@@ -299,7 +302,7 @@
 
   const peerFallback = createPeerFallback({ self, seeds: () => settings.seeds, log, checkFleetRecord: platform.fleet.check, fleet, feeds: () => feeds, isComplete: () => table !== undefined && serversLoaded, apply: applySnapshot })
 
-  const forward = createForwarding({ now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, crashes: crashes.requests, streamVersions, configVersion: () => table?.config.version, grants, versions, engines: registry.ready, servers: registry.ready, pool: pools.pool, firstEvent: metrics.firstEvent })
+  const forward = createForwarding({ now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, crashes: crashes.requests, streamVersions, quotas, configVersion: () => table?.config.version, grants, versions, engines: registry.ready, servers: registry.ready, pool: pools.pool, firstEvent: metrics.firstEvent })
 
   const connections = createConnectionReport(maxConnections, log, metrics)
   const front = createFrontServer({
@@ -443,9 +446,7 @@
     timers.push(setInterval(() => fleet.tick(), memberTickMs))
     timers.push(setInterval(statusSender.send, statusIntervalMs))
     timers.push(setInterval(peerFallback.fetchFromSeeds, seedPollMs))
-    timers.push(setInterval(usage.check, usageIntervalMs))
-    timers.push(setInterval(connections.check, usageIntervalMs))
-    timers.push(setInterval(detour.report, usageIntervalMs))
+    for (const check of [usage.check, connections.check, detour.report]) timers.push(setInterval(check, usageIntervalMs))
   }
 
   function close (): void {
--- a/packages/gateway/src/testing/virtual-time.ts
+++ b/packages/gateway/src/testing/virtual-time.ts
@@ -12,7 +12,8 @@
 
 export function createVirtualTime (startMs: number): VirtualTime {
   let nowMs = startMs
-  let timers: { at: number, callback: () => void }[] = []
+  /** By time, and by order of creation for the same time. */
+  const timers: { at: number, callback: () => void }[] = []
 
   async function settle (): Promise<void> {
     for (let turn = 0; turn < settleTurns; turn++) await Promise.resolve()
@@ -20,16 +21,25 @@
 
   return {
     now: () => nowMs,
-    after (delayMs, callback) { timers.push({ at: nowMs + delayMs, callback }) },
+    after (delayMs, callback) {
+      const at = nowMs + delayMs
+      let low = 0
+      for (let high = timers.length; low < high;) {
+        const middle = (low + high) >>> 1
+        if (timers[middle]!.at <= at) low = middle + 1
+        else high = middle
+      }
+      timers.splice(low, 0, { at, callback })
+    },
     async pass (ms) {
       await settle()
       for (const end = nowMs + ms; ;) {
-        const next = timers.filter(({ at }) => at <= end).sort((left, right) => left.at - right.at)[0]
-        if (next === undefined) {
+        const next = timers[0]
+        if (next === undefined || next.at > end) {
           nowMs = end
           return
         }
-        timers = timers.filter(timer => timer !== next)
+        timers.shift()
         nowMs = Math.max(nowMs, next.at)
         next.callback()
         await settle()
