--- a/packages/gateway/src/engine-choice.test.ts
+++ b/packages/gateway/src/engine-choice.test.ts
@@ -69,4 +69,21 @@
   assert.is(chooseWithoutOwner(engines.slice(0, 1), demand('x1'), 'a', { excluded: [] }, () => 0), undefined)
 })
 
+// Guards against nodes that all send to the same engine, because they have the same statuses.
+test('requests without an owner spread over the engines of a zone', () => {
+  const engines = Array.from({ length: 42 }, (_, index) => engine(`e${index}`, zones[index % 3]!, `owner-${index}`, { running: index % 4, ageMs: 1000 }))
+  const total = new Map<string, number>()
+  for (let node = 0; node < 74; node++) {
+    const own = new Map<string, number>()
+    for (let index = 0; index < 3; index++) {
+      const { id, zone } = chooseWithoutOwner(engines, { model: 'base', promptTokens: 100, outputTokens: 10, parts: [] }, zones[node % 3]!, { excluded: [] }, id => own.get(id) ?? 0, `r${node}-${index}`)!
+      assert.is(zone, zones[node % 3])
+      own.set(id, (own.get(id) ?? 0) + 1)
+      total.set(id, (total.get(id) ?? 0) + 1)
+    }
+  }
+  const largestOverMean = Math.max(...total.values()) / (74 * 3 / 42)
+  assert.ok(largestOverMean < 3, String(largestOverMean))
+})
+
 test.run()
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -47,6 +47,11 @@
 const runningCostMs = 4
 /** Cost of a load at an owner other than the preferred one, in ms: a second replica takes another slot. */
 const extraReplicaCostMs = 200
+/**
+ * Difference of cost that says nothing when no owner replies, in ms: that of one request in progress.
+ * All nodes have nearly the same, old statuses, and other nodes have sent requests since.
+ */
+const equalCostMs = loadCostMs
 /** Number of recent requests for an adapter from which a replica in the node's own zone pays off. */
 const hotUseCount = 4
 
@@ -95,22 +100,19 @@
 /**
  * Chooses an engine that had the adapter by its last status, for use when no owner replies.
  *
+ * @param key - id of the request; requests with different ones spread over engines of nearly the same cost
  * @returns undefined if no engine had it
  */
-export function chooseWithoutOwner (engines: readonly EngineCandidate[], demand: ModelDemand, zone: string, restriction: EngineRestriction, inProgress: (id: string) => number): BackendServer | undefined {
+export function chooseWithoutOwner (engines: readonly EngineCandidate[], demand: ModelDemand, zone: string, restriction: EngineRestriction, inProgress: (id: string) => number, key = ''): BackendServer | undefined {
   const scope = demand.adapter === undefined ? undefined : cacheScope(demand)
-  let best: BackendServer | undefined
-  let bestCost = Infinity
+  const costs: Array<{ server: BackendServer, costMs: number }> = []
   for (const engine of engines) {
     if (engine.limited === true || !mayRunAt(engine.server, restriction)) continue
     if (scope !== undefined && !engine.scopes.has(scope)) continue
-    const cost = engineCost(engine, scope, zone, false) + inProgress(engine.server.id) * loadCostMs
-    if (cost < bestCost) {
-      best = engine.server
-      bestCost = cost
-    }
+    costs.push({ server: engine.server, costMs: engineCost(engine, scope, zone, false) + inProgress(engine.server.id) * loadCostMs })
   }
-  return best
+  const leastMs = Math.min(...costs.map(({ costMs }) => costMs))
+  return topNode(key, costs.filter(({ costMs }) => costMs < leastMs + equalCostMs).map(({ server }) => server))
 }
 
 /** Counts requests by adapter with exponential decay. */
--- a/packages/gateway/src/grant-client.ts
+++ b/packages/gateway/src/grant-client.ts
@@ -120,7 +120,7 @@
   }
 
   function grantWithoutOwner (req: GrantRequest): GrantResult {
-    const server = chooseWithoutOwner(env.engines(req.service), req.demand, env.zone, req, id => sentWithoutOwner.get(id) ?? 0)
+    const server = chooseWithoutOwner(env.engines(req.service), req.demand, env.zone, req, id => sentWithoutOwner.get(id) ?? 0, req.requestId)
     if (server === undefined) return { type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryAfterMs }
     sentWithoutOwner.set(server.id, (sentWithoutOwner.get(server.id) ?? 0) + 1)
     env.log('place-without-owner', { id: req.requestId, server: server.id })
