--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,7 @@
 import { configApplyCommand } from './config-apply-command'
 import { configGetCommand, configHistoryCommand } from './config-commands'
 import { demoCommand } from './demo-command'
+import { explainCommand } from './explain-command'
 import { nodeCommand } from './node-command'
 import { addressesCommand, statusCommand } from './status-commands'
 import { timelineCommand } from './timeline-command'
@@ -16,6 +17,7 @@
   configHistoryCommand,
   statusCommand,
   addressesCommand,
+  explainCommand,
   timelineCommand,
   demoCommand
 ]
--- a/packages/gateway/src/auxiliary-servers.ts
+++ b/packages/gateway/src/auxiliary-servers.ts
@@ -1,7 +1,8 @@
 /** HTTP servers for readiness checks, address queries and metrics. */
-import type { Server } from 'node:http'
+import type { RequestListener, Server } from 'node:http'
 import { createBoundedServer, type ServerBounds } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
+import { explainPath } from './explain-resource'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { AddressResponse, AddressQuery, IngressCodec } from './platform-interface'
 
@@ -26,10 +27,11 @@
   }, {}, bounds)
 }
 
-/** Serves the metrics in the text format of Prometheus. */
-export function createMetricsServer (metrics: GatewayMetrics, path: string, log: DecisionLog, bounds?: ServerBounds): Server {
+/** Serves the metrics in the text format of Prometheus, and explanations of requests at `/explain`. */
+export function createMetricsServer (metrics: GatewayMetrics, path: string, log: DecisionLog, bounds?: ServerBounds, explain?: RequestListener): Server {
   let readable = true
   return createBoundedServer((req, res) => {
+    if (req.url === explainPath && explain !== undefined) return explain(req, res)
     if (req.url !== path) {
       res.writeHead(404).end()
       return
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -116,7 +116,11 @@
 }
 
 /** Counts requests by adapter with exponential decay. */
-export type UseCounter = { add (scope: string, now: number): number }
+export type UseCounter = {
+  add (scope: string, now: number): number
+  /** @returns what `add` would, without counting the request */
+  peek (scope: string, now: number): number
+}
 
 /** Half-life of the counts, in ms. */
 const useHalfLifeMs = 10_000
@@ -124,10 +128,15 @@
 
 export function createUseCounter (): UseCounter {
   const counts = new Map<string, { value: number, at: number }>()
+  function peek (scope: string, now: number): number {
+    const entry = counts.get(scope)
+    return (entry === undefined ? 0 : entry.value * 0.5 ** ((now - entry.at) / useHalfLifeMs)) + 1
+  }
+
   return {
+    peek,
     add (scope, now) {
-      const entry = counts.get(scope)
-      const value = (entry === undefined ? 0 : entry.value * 0.5 ** ((now - entry.at) / useHalfLifeMs)) + 1
+      const value = peek(scope, now)
       counts.delete(scope)
       counts.set(scope, { value, at: now })
       if (counts.size > maxCountedAdapters) counts.delete(counts.keys().next().value!)
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -13,7 +13,7 @@
 import type { HeaderCodec, RawHeaders } from './platform-interface'
 import { cacheScope } from './prompt-cache'
 import type { BlockedRequest, RequestRuns } from './request-crashes'
-import type { ServerRestrictions } from './server-restrictions'
+import { statedWaits, type ServerRestrictions } from './server-restrictions'
 import { softwareVersionOf } from './software-versions'
 import type { StreamProgress } from './stream-versions'
 import type { Upstream } from './upstream'
@@ -114,10 +114,7 @@
 
   /** Engines that want no requests from this node, with the time until they may be asked. */
   function waitingEngines (): Map<string, number> {
-    return new Map(env.engines(service.name).flatMap((server): [string, number][] => {
-      const waitMs = env.restrictions.waitMs(server)
-      return waitMs > 0 ? [[server.id, waitMs]] : []
-    }))
+    return statedWaits(env.engines(service.name), env.restrictions.waitMs)
   }
 
   /** @returns whether the request was refused because no engine that may take it wants requests */
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -8,10 +8,10 @@
 import type { DecisionLog } from './decision-log'
 import { createHeaderBytes } from './header-bytes'
 import { keptBytesLimit, type KeptBytes } from './kept-bytes'
-import type { HeaderCodec, RequestMetadata } from './platform-interface'
-import type { Account, Route } from './cluster-types'
+import type { HeaderCodec } from './platform-interface'
+import { admitRequest, authenticate, chooseService, type EarlyRefusal } from './request-admission'
 import { createRequestBytes, type BodyRefusal } from './request-bytes'
-import { chooseTarget, type RouteTable } from './route-table'
+import type { RouteTable } from './route-table'
 
 export type FrontServerEnv = {
   now (): number
@@ -71,10 +71,6 @@
 const finishCheckMs = 50
 /** Turns of the event loop without a request after which none waits: one accepts connections, the next one reads them. */
 const quietTurns = 3
-const notConfiguredRetryAfterMs = 500
-const leavingRetryAfterMs = 100
-/** Delay after which a client with a key comes back, in ms: another node may know the configuration better. */
-const outdatedRetryAfterMs = 100
 /** Time after which there may be room for a body, in ms: a few requests with large bodies have ended. */
 const noRoomRetryAfterMs = 500
 
@@ -88,14 +84,6 @@
   return raw.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
-/** Why a request is refused before it is forwarded. */
-type EarlyRefusal = { status: number, outcome: 'not-run' | 'invalid', reason: string, retryAfterMs?: number }
-
-type AuthenticationResult = { type: 'accepted', account?: Account } | ({ type: 'refused' } & EarlyRefusal)
-
-const outdatedRefusal: AuthenticationResult = { type: 'refused', status: 503, outcome: 'not-run', reason: 'the configuration is too old to check keys', retryAfterMs: outdatedRetryAfterMs }
-const unknownKeyRefusal: AuthenticationResult = { type: 'refused', status: 401, outcome: 'invalid', reason: 'the key is missing or unknown' }
-
 const unreadableStatuses: Record<string, RefusalStatus> = {
   HPE_HEADER_OVERFLOW: { status: 431, outcome: 'invalid' },
   // The request was not read, and the node may be too busy to read it.
@@ -128,13 +116,7 @@
     return true
   }
 
-  function authenticate ({ accounts }: RouteTable, route: Route, { key }: RequestMetadata): AuthenticationResult {
-    if (!accounts.enabled) return { type: 'accepted' }
-    // A configuration that is too old may lack the key, or hold one that was removed.
-    if ((key !== undefined || route.anonymous !== true) && env.configIsCurrent?.() === false) return outdatedRefusal
-    const result = accounts.authenticate(key, route)
-    return result.type === 'accepted' ? result : unknownKeyRefusal
-  }
+  const configIsCurrent = (): boolean => env.configIsCurrent?.() !== false
 
   async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = env.now()
@@ -172,31 +154,26 @@
     const releaseHeaders = heldHeaders.hold(size, pipelined)
     if (releaseHeaders === undefined) return await refuseHeaders(pipelined)
     res.once('close', releaseHeaders)
-    if (table === undefined) return await refuse(503, 'not-run', 'no configuration is known yet', notConfiguredRetryAfterMs)
-    if (env.closed()) return await refuse(503, 'not-run', 'the node is leaving', leavingRetryAfterMs)
-    const { limits } = table.config
-    if (size > limits.headerBytes) return await refuse(431, 'invalid', `the headers exceed ${limits.headerBytes} bytes`)
-    const route = table.match(req.headers.host ?? '', req.url ?? '/')
-    if (route === undefined) return await refuse(404, 'invalid', 'no route matches host and path')
-    const metadata = env.codec.request(req.rawHeaders)
-    if (metadata.id === '') return await refuse(400, 'invalid', 'the request has no id')
     const refuseEarly = async ({ status, outcome, reason, retryAfterMs }: EarlyRefusal): Promise<void> => await refuse(status, outcome, reason, retryAfterMs)
-    const early = authenticate(table, route, metadata)
-    if (early.type === 'refused') return await refuseEarly(early)
+    const metadata = env.codec.request(req.rawHeaders)
+    const admission = admitRequest({ table, closed: env.closed(), headerBytes: size, host: req.headers.host ?? '', url: req.url ?? '/', metadata, configIsCurrent })
+    if (admission.type === 'refused') return await refuseEarly(admission)
+    const { route, table: { config: { limits } } } = admission
     const deadlineAt = (): number => Math.min(arrivedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs), env.respondsUntil())
     const body = await bodies.read(req, limits.bodyBytes, deadlineAt)
     if (body.type === 'aborted') return
     if (body.type === 'too-large') return await refuse(413, 'invalid', `the body exceeds ${limits.bodyBytes} bytes`)
     if (body.type === 'refused') return refuseBody(metadata.id, body.reason)
-    const target = chooseTarget(route, metadata.id)
-    const service = target === undefined ? undefined : table.service(target)
-    if (service === undefined) {
+    const choice = chooseService(admission.table, route, metadata.id)
+    if (choice.type === 'refused') {
       body.release()
-      return await refuse(503, 'not-run', `the route's service ${target ?? ''} is not configured`, notConfiguredRetryAfterMs)
+      return await refuseEarly(choice)
     }
+    const { service } = choice
     // The body may have taken long, and the key may have been removed meanwhile.
-    const { accounts } = env.routes() ?? table
-    const authentication = authenticate(env.routes() ?? table, route, metadata)
+    const latest = env.routes() ?? admission.table
+    const { accounts } = latest
+    const authentication = authenticate(latest, route, metadata, configIsCurrent)
     if (authentication.type === 'refused') {
       body.release()
       return await refuseEarly(authentication)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import type { OwnedEngine } from './engine-scheduler'
 import { createEngineOwner } from './engine-owner'
 import { createEventLoopTurns } from './event-loop-turns'
+import { createExplainResource } from './explain-resource'
 import { createFeeds } from './feeds'
 import { createFleet, nodeRecordOf } from './fleet'
 import { createForwarding } from './forwarding'
@@ -323,9 +324,7 @@
     }
   })
 
-  function isReady (): boolean {
-    return table !== undefined && serversLoaded && leavingSince === undefined
-  }
+  const isReady = (): boolean => table !== undefined && serversLoaded && leavingSince === undefined
 
   function applyConfig (config: ClusterConfig, offset: number): void {
     if (table !== undefined && config.version <= table.config.version) return
@@ -403,7 +402,7 @@
   const statusSender = createStatusSender({ self, now, fleet, link, owner, feeds, statuses: ownerStatuses })
 
   const readyServer = createReadyServer(platform.ingress, isReady, connections.bounds('ready'))
-  const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log, connections.bounds('metrics'))
+  const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log, connections.bounds('metrics'), createExplainResource({ node: self.name, zone: self.zone, now, random: options.random, codec: platform.headers, routes: () => table, closed: () => leavingSince !== undefined && now() - leavingSince > leavingAcceptMs, configIsCurrent: configKnowledge.isCurrent, servers: registry.ready, engines: enginesOf, pool: pools.pool, waitMs: restrictions.waitMs, grants, newestVersion: versions.newest, blocked: crashes.requests.blocked }, log))
   const directoryServer = createDirectoryServer(platform.ingress, ({ zone }) => ({
     addresses: chooseAddresses(fleet.directory(isReady()), zone, options.random),
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
--- a/packages/gateway/src/grant-client.ts
+++ b/packages/gateway/src/grant-client.ts
@@ -5,7 +5,7 @@
 import type { BackendServer, ModelDemand } from './cluster-types'
 import { cacheScope } from './prompt-cache'
 import { createDatedFact, type DatedFact, type Suspensions } from './dated-fact'
-import { chooseWithoutOwner, createUseCounter, rankOwners, type EngineCandidate } from './engine-choice'
+import { chooseWithoutOwner, createUseCounter, rankOwners, type EngineCandidate, type UseCounter } from './engine-choice'
 import type { RefusalReason, RunOutcome, ScheduledRequest } from './engine-scheduler'
 import { softwareVersionOf } from './software-versions'
 
@@ -51,7 +51,12 @@
   log (event: string, fields: Record<string, string | number | boolean | undefined>): void
 }
 
+/** What the choice of an engine depends on. */
+export type EngineQuestion = Pick<GrantRequest, 'service' | 'demand' | 'requestId' | 'softwareVersion' | 'excluded' | 'only'>
+
 export type GrantClient = {
+  /** @returns the owners that a request would be asked of, in order, and the engine it would be sent to without an owner; nothing is sent or counted */
+  explain (req: EngineQuestion): { owners: string[], withoutOwner: BackendServer | undefined }
   acquire (req: GrantRequest): Promise<GrantResult>
   /** The grant is no longer needed. */
   abandon (grantId: string): void
@@ -65,7 +70,7 @@
 const maxOwnersAsked = 3
 /** Interval at which a request is sent again to an owner that has not replied, in ms: its process may have ended. */
 const resendMs = 400
-const noOwnerRetryAfterMs = 700
+export const noOwnerRetryAfterMs = 700
 /** Delay before owners are asked again that had no engine because they have just started, in ms. */
 const startupRetryMs = 80
 /** Time for which an owner that did not acknowledge a request is asked last, in ms. */
@@ -119,8 +124,12 @@
     })
   }
 
+  function engineWithoutOwner (req: EngineQuestion): BackendServer | undefined {
+    return chooseWithoutOwner(env.engines(req.service), req.demand, env.zone, req, id => sentWithoutOwner.get(id) ?? 0, req.requestId)
+  }
+
   function grantWithoutOwner (req: GrantRequest): GrantResult {
-    const server = chooseWithoutOwner(env.engines(req.service), req.demand, env.zone, req, id => sentWithoutOwner.get(id) ?? 0, req.requestId)
+    const server = engineWithoutOwner(req)
     if (server === undefined) return { type: 'refused', reason: 'no-owner', retryAfterMs: noOwnerRetryAfterMs }
     sentWithoutOwner.set(server.id, (sentWithoutOwner.get(server.id) ?? 0) + 1)
     env.log('place-without-owner', { id: req.requestId, server: server.id })
@@ -129,8 +138,8 @@
     return { type: 'granted', grant: { grantId: req.grantId, server, ...(version === undefined ? {} : { version }) } }
   }
 
-  function recentUses ({ model, adapter }: ModelDemand): number {
-    return adapter === undefined ? Infinity : uses.add(cacheScope({ model, adapter }), env.now())
+  function recentUses ({ model, adapter }: ModelDemand, count: UseCounter['add']): number {
+    return adapter === undefined ? Infinity : count(cacheScope({ model, adapter }), env.now())
   }
 
   function notifyOwner (owner: string, message: GrantMessage): void {
@@ -138,15 +147,19 @@
   }
 
   /** Engines of which an owner may grant one. */
-  function enginesFor ({ service, softwareVersion }: GrantRequest): EngineCandidate[] {
+  function enginesFor ({ service, softwareVersion }: EngineQuestion): EngineCandidate[] {
     const engines = env.engines(service)
     return softwareVersion === undefined ? engines : engines.filter(({ server }) => softwareVersionOf(server) === softwareVersion)
   }
 
-  async function askOwners (req: GrantRequest): Promise<GrantResult | 'outdated'> {
-    const ranked = rankOwners(enginesFor(req), req.demand, env.zone, recentUses(req.demand))
+  function ownersToAsk (req: EngineQuestion, useCount: number): string[] {
+    const ranked = rankOwners(enginesFor(req), req.demand, env.zone, useCount)
     const isAvoided = (owner: string): boolean => (avoided.get(owner) ?? 0) > env.now()
-    const owners = [...ranked.filter(owner => !isAvoided(owner)), ...ranked.filter(isAvoided)].slice(0, maxOwnersAsked)
+    return [...ranked.filter(owner => !isAvoided(owner)), ...ranked.filter(isAvoided)].slice(0, maxOwnersAsked)
+  }
+
+  async function askOwners (req: GrantRequest): Promise<GrantResult | 'outdated'> {
+    const owners = ownersToAsk(req, recentUses(req.demand, uses.add))
     let refusal: GrantResult | undefined
     for (const owner of owners) {
       const result = await askOwner(owner, req)
@@ -178,6 +191,7 @@
   }
 
   return {
+    explain: req => ({ owners: ownersToAsk(req, recentUses(req.demand, uses.peek)), withoutOwner: engineWithoutOwner(req) }),
     async acquire (req) {
       for (let round = 1; ; round++) {
         // An owner repeats its reply to an id that it has seen, so each round needs a new one.
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -8,7 +8,7 @@
 import type { KeptBytes } from './kept-bytes'
 import type { HeaderCodec } from './platform-interface'
 import type { BlockedRequest, RequestRuns } from './request-crashes'
-import type { ServerRestrictions } from './server-restrictions'
+import { statedWaits, type ServerRestrictions } from './server-restrictions'
 import type { AttemptOutcome, ServicePool } from './service-pool'
 import { softwareVersionOf } from './software-versions'
 import type { StreamProgress } from './stream-versions'
@@ -57,6 +57,12 @@
   | { type: 'done' }
   | { type: 'retry' }
 
+/** @param unavailable - time until servers that accept no requests now may be asked, in ms */
+export function refusalWithoutServer (unavailable: ReadonlyMap<string, number>): { reason: string, retryAfterMs: number } {
+  if (unavailable.size === 0) return { reason: 'no server', retryAfterMs: noServerRetryAfterMs }
+  return { reason: 'servers accept no requests for a while', retryAfterMs: Math.min(...unavailable.values()) }
+}
+
 export async function forwardPlain (exchange: ClientExchange, env: PlainForwarderEnv): Promise<void> {
   const { route, service, metadata } = exchange
   const pool = env.pool(service.name)
@@ -226,19 +232,16 @@
   }
 
   function giveUpWithoutServer (): void {
-    if (unusedResponse !== undefined) exchange.respond(unusedResponse.status, unusedResponse.headers, unusedResponse.body)
-    else if (unavailable.size > 0) giveUp('servers accept no requests for a while', Math.min(...unavailable.values()))
-    else giveUp('no server')
+    if (unusedResponse !== undefined) return exchange.respond(unusedResponse.status, unusedResponse.headers, unusedResponse.body)
+    const { reason, retryAfterMs } = refusalWithoutServer(unavailable)
+    giveUp(reason, retryAfterMs)
   }
 
   try {
     while (!exchange.ended) {
       if (refuseIfBlocked()) return
       const servers = usableServers()
-      for (const server of servers) {
-        const waitMs = env.restrictions.waitMs(server)
-        if (waitMs > 0) unavailable.set(server.id, waitMs)
-      }
+      for (const [id, waitMs] of statedWaits(servers, env.restrictions.waitMs)) unavailable.set(id, waitMs)
       const excluded = new Set([...sentTo, ...unreachable, ...unavailable.keys()])
       const server = pool.choose(servers, env.zone, excluded, env.random(), env.now())
       if (server === undefined) return giveUpWithoutServer()
--- a/packages/gateway/src/server-loads.ts
+++ b/packages/gateway/src/server-loads.ts
@@ -44,7 +44,14 @@
   intervalMs: number
 }
 
+/** What is known of a server's load. Times in ms; `serviceMs` is 0, and `measuredAgeMs` infinite, before the first measurement. */
+export type LoadFigures = { inProgress: number, serviceMs: number, waitMs: number, measuredAgeMs: number, share: number }
+
 export type ServerLoads = {
+  /** @returns a copy whose choices have no effect on this one */
+  copy (): ServerLoads
+  /** @returns the figures of the last choice; `share` is relative to the mean of its servers */
+  figures (id: string, now: number): LoadFigures
   /**
    * @param candidates - servers that may take the request
    * @param random - number from 0 to 1, for the servers that enter the turn
@@ -65,12 +72,15 @@
   retain (ids: ReadonlySet<string>): void
 }
 
-export function createServerLoads (): ServerLoads {
-  const loads = new Map<string, Load>()
+type State = { loads: ReadonlyMap<string, Load>, idleShare: number, reached: number | undefined }
+
+/** @param state - state to start from; it is copied */
+export function createServerLoads (state?: State): ServerLoads {
+  const loads = new Map([...state?.loads ?? []].map(([id, load]): [string, Load] => [id, { ...load }]))
   /** Part of the lead of connected servers that is in force: none while requests wait as long as they run, as a new connection costs less than that. */
-  let idleShare = 1
+  let idleShare = state?.idleShare ?? 1
   /** Point that the turn has reached, without leads; undefined before the first choice. */
-  let reached: number | undefined
+  let reached = state?.reached
 
   function loadOf (id: string): Load {
     const existing = loads.get(id)
@@ -119,6 +129,11 @@
   }
 
   return {
+    copy: () => createServerLoads({ loads, idleShare, reached }),
+    figures (id, now) {
+      const load = loadOf(id)
+      return { inProgress: load.inProgress, serviceMs: load.serviceMs, waitMs: currentWaitMs(load, now), measuredAgeMs: now - load.measuredAt, share: load.weight }
+    },
     choose (candidates, zone, random, now) {
       if (candidates.length === 0) return undefined
       updateWeights(candidates, now)
--- a/packages/gateway/src/server-restrictions.ts
+++ b/packages/gateway/src/server-restrictions.ts
@@ -1,4 +1,5 @@
 /** What backend servers ask of the nodes in their responses: shared with the other nodes, with permits for plain servers that state a limit. */
+import type { BackendServer } from './cluster-types'
 import type { Suspensions } from './dated-fact'
 import type { DecisionLog } from './decision-log'
 import type { Fleet } from './fleet'
@@ -42,6 +43,11 @@
   retain (servers: readonly ServerStart[]): void
 }
 
+/** @returns time until each server that accepts no requests now may be asked, in ms */
+export function statedWaits (servers: readonly BackendServer[], waitMs: (server: BackendServer) => number): Map<string, number> {
+  return new Map(servers.map((server): [string, number] => [server.id, waitMs(server)]).filter(([, ms]) => ms > 0))
+}
+
 export function createServerRestrictions ({ self, now, suspensions, log, metrics, fleet, link, deliver, plainSlots, engineOwner, leaving, changed, leave }: ServerRestrictionsOptions): ServerRestrictions {
   const statements = createStatementRecorder({
     now,
--- a/packages/gateway/src/service-pool.ts
+++ b/packages/gateway/src/service-pool.ts
@@ -3,7 +3,7 @@
  * moment those that were full; the others get requests by their capacity and load.
  */
 import type { BackendServer } from './cluster-types'
-import { createServerLoads } from './server-loads'
+import { createServerLoads, type LoadFigures } from './server-loads'
 
 /** Consecutive failures after which a server is ejected; a single one may be due to its connection. */
 const failuresToEject = 2
@@ -15,7 +15,12 @@
 
 export type AttemptOutcome = 'ok' | 'failed' | 'full'
 
+/** `available`: the server takes part in the choice. Remaining times in ms. */
+export type PoolCandidate = { server: BackendServer, available: boolean, ejectedForMs: number, fullForMs: number } & LoadFigures
+
 export type ServicePool = {
+  /** @returns what `choose` would return, and what it would decide from; nothing changes */
+  explain (...args: Parameters<ServicePool['choose']>): { chosen: BackendServer | undefined, candidates: PoolCandidate[] }
   /** @param excluded - ids of servers to which this request was already sent */
   choose (servers: readonly BackendServer[], zone: string, excluded: ReadonlySet<string>, random: number, now: number): BackendServer | undefined
   started (id: string): void
@@ -48,6 +53,22 @@
   }
 
   return {
+    explain (servers, zone, excluded, random, now) {
+      const candidates = available(servers.filter(({ id }) => !excluded.has(id)), now)
+      const copy = loads.copy()
+      const chosen = copy.choose(candidates, zone, random, now)
+      const remainingMs = (until: number): number => Math.max(0, until - now)
+      return {
+        chosen,
+        candidates: servers.map(server => ({
+          server,
+          available: candidates.includes(server),
+          ejectedForMs: remainingMs(states.get(server.id)?.ejectedUntil ?? 0),
+          fullForMs: remainingMs(states.get(server.id)?.fullUntil ?? 0),
+          ...copy.figures(server.id, now)
+        }))
+      }
+    },
     choose (servers, zone, excluded, random, now) {
       return loads.choose(available(servers.filter(({ id }) => !excluded.has(id)), now), zone, random, now)
     },
