--- a/packages/gateway/src/explain.test.ts
+++ b/packages/gateway/src/explain.test.ts
@@ -67,6 +67,15 @@
   assert.equal(explain(createEnv({ blocked: () => ({ reason: 'the request crashes servers', remainingMs: 2000 }) })).refusal, { status: 503, outcome: 'not-run', reason: 'the request crashes servers', retryAfter: '2' })
 })
 
+test('tells which owners would be asked, and the engine without them', () => {
+  const engines = [{ server: { ...server('e1', 'a'), service: 'llm' }, owner: 'n2', commandable: true, scopes: new Set<string>(), backlogMs: 50, running: 3, loadWaitMs: 250, ageMs: 700 }]
+  const routes = () => createRouteTable({ ...config, routes: [{ ...config.routes[0]!, targets: [{ service: 'llm', weight: 1 }] }], services: [{ name: 'llm', engine: {} }] } as unknown as ClusterConfig)
+  const { choice, candidates, adapterVersion } = explain(createEnv({ routes, servers: () => engines.map(engine => engine.server), engines: () => engines, grants: { explain: () => ({ owners: ['n2'], withoutOwner: engines[0]!.server }) }, newestVersion: () => 4 }), ['x-id', 'r1', 'x-key', key, 'x-adapter', 'x1'])
+  assert.equal(choice, { owners: ['n2'], withoutOwner: 'e1' })
+  assert.is(adapterVersion, 4)
+  assert.equal(candidates[0]?.figures, { owner: 'n2', hasAdapter: false, commandable: true, backlogMs: 50, running: 3, loadWaitMs: 250, ageMs: 700 })
+})
+
 // Guards against a key that appears in tickets and terminals.
 test('never contains the key', () => {
   for (const known of [key, 'unknown-key']) {
--- a/packages/gateway/src/explain.ts
+++ b/packages/gateway/src/explain.ts
@@ -63,11 +63,11 @@
 
 const round = (value: number): number => Math.round(value * 100) / 100
 
-/** @returns the finite values only, as JSON has no others */
+/** @returns the values that are known; JSON has no infinite numbers */
 function figuresOf (values: Record<string, number | string | boolean | undefined>): ExplainedCandidate['figures'] {
   return Object.fromEntries(Object.entries(values).flatMap(([name, value]): [string, number | string | boolean][] => {
     if (typeof value === 'number') return Number.isFinite(value) ? [[name, round(value)]] : []
-    return value === undefined ? [] : [[name, value]]
+    return value === undefined || value === '' ? [] : [[name, value]]
   }))
 }
 
