--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,7 +87,7 @@
   const startedAt = Date.now()
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
-  const pools = createServicePools()
+  const pools = createServicePools(() => fleet.size())
   const versions = createAdapterVersions(settings.bounds.versionMs)
   const ownerStatuses = createOwnerStatusCache(clock)
   const feedCache = createFeedCache()
--- a/packages/gateway/src/service-pool.ts
+++ b/packages/gateway/src/service-pool.ts
@@ -3,6 +3,7 @@
  * moment those that were full; the others get requests by their capacity and load.
  */
 import type { BackendServer } from './cluster-types'
+import { createOwnLoadChoice } from './own-load-choice'
 import { createServerLoads, type LoadFigures } from './server-loads'
 
 /** Consecutive failures after which a server is ejected; a single one may be due to its connection. */
@@ -32,9 +33,16 @@
 
 type ServerState = { failures: number, ejectedUntil: number, fullUntil: number }
 
-export function createServicePool (): ServicePool {
+/** @param fleetSize - number of nodes that send requests to the service */
+export function createServicePool (fleetSize = (): number => Infinity): ServicePool {
   const states = new Map<string, ServerState>()
   const loads = createServerLoads()
+  const ownLoads = createOwnLoadChoice()
+
+  /** Whether nodes are so many that the requests of one say little about the load of a server. */
+  function isShared (servers: readonly BackendServer[]): boolean {
+    return fleetSize() > servers.reduce((sum, { slots }) => sum + slots, 0)
+  }
 
   function stateOf (id: string): ServerState {
     const existing = states.get(id)
@@ -56,7 +64,8 @@
     explain (servers, zone, excluded, random, now) {
       const candidates = available(servers.filter(({ id }) => !excluded.has(id)), now)
       const copy = loads.copy()
-      const chosen = copy.choose(candidates, zone, random, now)
+      const sharedChoice = copy.choose(candidates, zone, random, now)
+      const chosen = isShared(servers) ? sharedChoice : ownLoads.copy().choose(candidates, zone, random, now)
       const remainingMs = (until: number): number => Math.max(0, until - now)
       return {
         chosen,
@@ -70,14 +79,17 @@
       }
     },
     choose (servers, zone, excluded, random, now) {
-      return loads.choose(available(servers.filter(({ id }) => !excluded.has(id)), now), zone, random, now)
+      const choice = isShared(servers) ? loads : ownLoads
+      return choice.choose(available(servers.filter(({ id }) => !excluded.has(id)), now), zone, random, now)
     },
     started (id) {
       loads.started(id)
+      ownLoads.started(id)
     },
     ended (id, outcome, durationMs, now) {
       const state = stateOf(id)
       loads.ended(id)
+      ownLoads.ended(id)
       if (outcome === 'full') {
         state.fullUntil = now + fullMs
         loads.refused(id, now)
@@ -86,6 +98,7 @@
       if (outcome === 'ok') {
         state.failures = 0
         loads.measured(id, durationMs, now)
+        ownLoads.measured(id, durationMs, now)
         return
       }
       state.failures += 1
@@ -94,6 +107,7 @@
     inProgress: loads.inProgress,
     retain (ids) {
       loads.retain(ids)
+      ownLoads.retain(ids)
       for (const id of states.keys()) {
         if (!ids.has(id)) states.delete(id)
       }
@@ -107,13 +121,13 @@
   retain: ServicePool['retain']
 }
 
-export function createServicePools (): ServicePools {
+export function createServicePools (fleetSize: () => number): ServicePools {
   const pools = new Map<string, ServicePool>()
   return {
     pool (service) {
       const existing = pools.get(service)
       if (existing !== undefined) return existing
-      const created = createServicePool()
+      const created = createServicePool(fleetSize)
       pools.set(service, created)
       return created
     },
