--- a/packages/clients/src/bounded-server.ts
+++ b/packages/clients/src/bounded-server.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { createConnectionRoom, headTimeMs } from './connection-room'
+import { sharedReads } from './shared-reads'
 
 /** The part of a connection of an HTTP server that Node.js does not document. */
 type ParsedSocket = Socket & {
@@ -198,6 +199,7 @@
 
   const server = createServer({ ...options, requireHostHeader: false }, bounded(listener))
   server.on('connection', connected)
+  sharedReads.add(server)
   // Without a listener Node.js destroys the connection, and with it the requests in progress.
   server.on('connect', (req: IncomingMessage) => { refuseTunnel(req.socket) })
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
--- /dev/null
+++ b/packages/clients/src/read-shares.ts
@@ -0,0 +1,103 @@
+/**
+ * Decides which connections are read when some of them make the process work without body bytes: tiny chunks, chunk
+ * extensions, empty lines, trailers, headers, requests that are refused again and again. Bytes outside of bodies measure this work.
+ */
+
+export type ReadSharesConfig = {
+  /** Bytes outside of bodies that a connection may send beyond its body bytes before its reads are shared. */
+  overheadBytes: number
+  /** Bytes a second by which what a connection has sent beyond them is forgotten. */
+  overheadBytesPerSecond: number
+}
+
+/** Headers may have 16 KB, and a client that sends requests one after another gets its share in any case. */
+export const readSharesDefaults: ReadSharesConfig = { overheadBytes: 64 * 1024, overheadBytesPerSecond: 64 * 1024 }
+
+/** `hold` stops the reads of a connection, `release` starts them again. */
+export type ReadAction<Connection> = { type: 'hold' | 'release', connection: Connection }
+
+export type ReadShares<Connection> = {
+  opened (connection: Connection): ReadAction<Connection>[]
+  /**
+   * One read of the connection was parsed. Of the connections with much overhead one is read between two calls of `grant`.
+   *
+   * @param readBytes - bytes that were read
+   * @param bodyBytes - bytes of bodies among them
+   * @param now - time in ms
+   */
+  received (connection: Connection, readBytes: number, bodyBytes: number, now: number): ReadAction<Connection>[]
+  /** To be called in a later turn of the event loop while `waiting` is above 0. */
+  grant (): ReadAction<Connection>[]
+  closed (connection: Connection): void
+  /** Number of connections whose reads are stopped. */
+  waiting (): number
+}
+
+type State = { overheadBytes: number, at: number, state: 'unread' | 'free' | 'held' | 'granted' }
+
+export function createReadShares<Connection> (config: ReadSharesConfig = readSharesDefaults): ReadShares<Connection> {
+  const states = new Map<Connection, State>()
+  /** Connections that have not been read yet. Whether they will cause work is not known. */
+  const unread = new Set<Connection>()
+  /** Those among them whose reads are stopped, in the order of their opening. */
+  const heldUnread = new Set<Connection>()
+  /** Connections with much overhead that wait, and those that are read; in the order of their turns. */
+  const held = new Set<Connection>()
+  const granted = new Set<Connection>()
+
+  function hold (connection: Connection, state: State): ReadAction<Connection> {
+    granted.delete(connection)
+    held.add(connection)
+    state.state = 'held'
+    return { type: 'hold', connection }
+  }
+
+  function holdUnread (): ReadAction<Connection>[] {
+    const added = [...unread].filter(connection => !heldUnread.has(connection))
+    for (const connection of added) heldUnread.add(connection)
+    return added.map(connection => ({ type: 'hold', connection }))
+  }
+
+  return {
+    opened (connection) {
+      states.set(connection, { overheadBytes: 0, at: 0, state: 'unread' })
+      unread.add(connection)
+      return []
+    },
+    received (connection, readBytes, bodyBytes, now) {
+      const state = states.get(connection)
+      if (state === undefined) return []
+      unread.delete(connection)
+      const forgotten = (now - state.at) / 1000 * config.overheadBytesPerSecond
+      const overhead = Math.max(0, readBytes - bodyBytes)
+      state.overheadBytes = Math.max(0, state.overheadBytes - forgotten) + overhead
+      state.overheadBytes = Math.max(0, state.overheadBytes - bodyBytes)
+      state.at = now
+      const isLarge = overhead * 2 > config.overheadBytes
+      const actions = isLarge ? holdUnread() : []
+      if (!isLarge && state.overheadBytes <= config.overheadBytes) {
+        granted.delete(connection)
+        state.state = 'free'
+        return actions
+      }
+      // Of the connections that are readable at the same time, one is read.
+      for (const other of granted) if (other !== connection) actions.push(hold(other, states.get(other)!))
+      actions.push(hold(connection, state))
+      return actions
+    },
+    grant () {
+      const actions: ReadAction<Connection>[] = [...heldUnread].map(connection => ({ type: 'release', connection }))
+      heldUnread.clear()
+      const [next] = held
+      if (next === undefined) return actions
+      held.delete(next)
+      granted.add(next)
+      states.get(next)!.state = 'granted'
+      return [...actions, { type: 'release', connection: next }]
+    },
+    closed (connection) {
+      for (const connections of [states, unread, heldUnread, held, granted]) connections.delete(connection)
+    },
+    waiting: () => held.size + heldUnread.size
+  }
+}
--- /dev/null
+++ b/packages/clients/src/shared-reads.ts
@@ -0,0 +1,142 @@
+/** Shares the thread of the process among the connections of all its servers; see {@link createReadShares}. */
+import { IncomingMessage, type Server } from 'node:http'
+import type { Socket } from 'node:net'
+import { createReadShares, readSharesDefaults, type ReadAction, type ReadSharesConfig } from './read-shares'
+
+/** The part of the parser of a connection that Node.js does not document: it calls a numbered property after each read. */
+type Parser = { [callback: number]: ((result: number | Error) => void) | null, constructor: { kOnExecute?: number } }
+
+type Reads = {
+  bytesRead: number
+  /** Bytes of bodies since the last read. */
+  bodyBytes: number
+  held: boolean
+  /** Whether reads would go on if they were not held. */
+  wanted: boolean
+}
+
+export type SharedReads = {
+  /** Counts what is read on all connections of the server. */
+  add (server: Server): void
+  /** Applies to connections that are opened from now on as well as to others. */
+  configure (config: Partial<ReadSharesConfig>): void
+  /** Number of connections whose reads wait for their turn. */
+  waiting (): number
+  /** @returns number of times that reads of connections were stopped since the last call */
+  takeStopped (): number
+}
+
+/** Longest pause between two reads of connections with much overhead, in ms. */
+const maxGapMs = 200
+
+export function createSharedReads (now: () => number): SharedReads {
+  const config = { ...readSharesDefaults }
+  const shares = createReadShares<Socket>(config)
+  const reads = new WeakMap<Socket, Reads>()
+  let granting = false
+  let grantedAt = 0
+  let stopped = 0
+
+  function apply (actions: ReadAction<Socket>[]): void {
+    for (const { type, connection } of actions) {
+      const read = reads.get(connection)
+      if (read === undefined || read.held === (type === 'hold')) continue
+      if (type === 'hold') {
+        stopped += 1
+        read.wanted = !connection.isPaused()
+        connection.pause()
+        read.held = true
+      } else {
+        read.held = false
+        if (read.wanted) connection.resume()
+      }
+    }
+  }
+
+  function grant (): void {
+    granting = false
+    grantedAt = now()
+    apply(shares.grant())
+    if (shares.waiting() > 0) schedule(0)
+  }
+
+  function schedule (gapMs: number): void {
+    if (granting) return
+    granting = true
+    if (gapMs < 1) setImmediate(grant)
+    else setTimeout(grant, gapMs)
+  }
+
+  function received (socket: Socket): void {
+    const read = reads.get(socket)
+    if (read === undefined || socket.destroyed) return
+    const bytes = socket.bytesRead - read.bytesRead
+    const { bodyBytes } = read
+    read.bytesRead = socket.bytesRead
+    read.bodyBytes = 0
+    const at = now()
+    apply(shares.received(socket, bytes, bodyBytes, at))
+    const waiting = shares.waiting()
+    // Others get as much of the thread as the read took; a connection that is alone goes on at once.
+    if (waiting > 0) schedule(waiting === 1 ? 0 : Math.min(maxGapMs, at - grantedAt))
+  }
+
+  function opened (socket: Socket): void {
+    const { parser } = socket as Socket & { parser?: Parser | null }
+    const key = parser?.constructor.kOnExecute
+    const parsed = key === undefined ? undefined : parser?.[key]
+    if (parser == null || key === undefined || parsed == null) return
+    const read: Reads = { bytesRead: 0, bodyBytes: 0, held: false, wanted: true }
+    reads.set(socket, read)
+    parser[key] = result => {
+      parsed(result)
+      // Without a parser the connection has become a tunnel.
+      if ((socket as { parser?: unknown }).parser === parser) received(socket)
+      else leave(socket)
+    }
+    // Requests and their bodies pause and resume their connection, too.
+    const { pause, resume } = socket
+    socket.pause = () => {
+      if (read.held) read.wanted = false
+      return read.held ? socket : pause.call(socket)
+    }
+    socket.resume = () => {
+      if (read.held) read.wanted = true
+      return read.held ? socket : resume.call(socket)
+    }
+    socket.once('close', () => { shares.closed(socket) })
+    apply(shares.opened(socket))
+  }
+
+  function leave (socket: Socket): void {
+    shares.closed(socket)
+    apply([{ type: 'release', connection: socket }])
+    reads.delete(socket)
+  }
+
+  function countBody (req: IncomingMessage): void {
+    const read = reads.get(req.socket)
+    if (read === undefined || (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined)) return
+    req.push = (chunk: Buffer | null) => {
+      read.bodyBytes += chunk?.length ?? 0
+      return IncomingMessage.prototype.push.call(req, chunk)
+    }
+  }
+
+  return {
+    add (server) {
+      server.on('connection', opened)
+      server.prependListener('request', countBody)
+    },
+    configure (next) { Object.assign(config, next) },
+    waiting: shares.waiting,
+    takeStopped () {
+      const count = stopped
+      stopped = 0
+      return count
+    }
+  }
+}
+
+/** All servers of a process share its one thread. */
+export const sharedReads = createSharedReads(() => performance.now())
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import { connect, type Socket } from 'node:net'
+import { sharedReads } from '@yuccawharf/clients'
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import type { ServerStart } from './server-registry'
@@ -60,6 +61,7 @@
   const { log } = options
   const relayed = new Set<Socket>()
   const server = createServer((_req, res) => { res.writeHead(405).end() })
+  sharedReads.add(server)
 
   function refuse (client: Socket, status: number, reason: string): void {
     client.end(`HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\n\r\n`)
