--- /dev/null
+++ b/packages/clients/src/complete-responses.ts
@@ -0,0 +1,73 @@
+/** Passes on no response whose status is none, and none as complete whose connection was reset. */
+import type { Socket } from 'node:net'
+import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici'
+
+/** State of connections within the current event. */
+export type ResetWatch = {
+  /** A connection is being reset. */
+  resetting: boolean
+}
+
+/** The statuses that HTTP defines (RFC 9110, section 15). */
+export function isValidStatus (status: number): boolean {
+  return Number.isInteger(status) && status >= 100 && status <= 599
+}
+
+/**
+ * Detects resets before undici does. To be called before undici uses the connection. When one is reset, undici
+ * reports a response without a length as complete, although only a regular close completes it.
+ */
+export function watchResets (socket: Socket, watch: ResetWatch): void {
+  const markReset = (): void => {
+    watch.resetting = true
+    // undici reports the end of the response within the same event.
+    queueMicrotask(() => { watch.resetting = false })
+  }
+  socket.on('error', markReset)
+  // Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more.
+  socket.on('end', () => { if (socket.remotePort === undefined) markReset() })
+}
+
+interface ResponseHandler {
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[]>, message?: string): void
+  onResponseEnd (controller: Dispatcher.DispatchController, trailers: Record<string, string | string[]>): void
+  onResponseError (controller: Dispatcher.DispatchController, err: Error): void
+}
+
+/** The types of undici lack the methods of this class. */
+const ForwardingHandler = DecoratorHandler as unknown as new (handler: Dispatcher.DispatchHandler) => ResponseHandler
+
+class CompleteResponseHandler extends ForwardingHandler {
+  constructor (handler: Dispatcher.DispatchHandler, private readonly watch: ResetWatch) {
+    super(handler)
+  }
+
+  override onResponseStart (...args: Parameters<ResponseHandler['onResponseStart']>): void {
+    const [, status] = args
+    // undici closes the connection and reports the error.
+    if (!isValidStatus(status)) throw new Error(`the response has the invalid status ${status}`)
+    super.onResponseStart(...args)
+  }
+
+  override onResponseEnd (...args: Parameters<ResponseHandler['onResponseEnd']>): void {
+    const [controller] = args
+    if (this.watch.resetting) super.onResponseError(controller, new Error('reset within a response without a length'))
+    else super.onResponseEnd(...args)
+  }
+}
+
+/** Creates a pool of connections that reports only valid and complete responses as such. */
+export function createCheckedAgent (options: Agent.Options, connect: buildConnector.connector): Dispatcher {
+  const watch: ResetWatch = { resetting: false }
+  const agent = new Agent({
+    ...options,
+    connect (target, callback) {
+      connect(target, (...[err, socket]) => {
+        if (err !== null) return callback(err, null)
+        watchResets(socket, watch)
+        callback(null, socket)
+      })
+    }
+  })
+  return agent.compose(dispatch => (target, handler) => dispatch(target, new CompleteResponseHandler(handler, watch)))
+}
--- a/packages/clients/src/http-client.ts
+++ b/packages/clients/src/http-client.ts
@@ -4,7 +4,8 @@
  */
 import type { Readable } from 'node:stream'
 import { gunzipSync } from 'node:zlib'
-import { Agent, type Dispatcher } from 'undici'
+import { buildConnector, type Dispatcher } from 'undici'
+import { createCheckedAgent } from './complete-responses'
 
 export type HttpRequest = {
   method: string
@@ -58,8 +59,8 @@
 const connectTimeoutMs = 1000
 
 /** Creates a connection pool for several clients. Without pipelining, a lost connection fails only one request. */
-export function createConnections (): Agent {
-  return new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 1, keepAliveTimeout: 4000 })
+export function createConnections (): Dispatcher {
+  return createCheckedAgent({ pipelining: 1, keepAliveTimeout: 4000 }, buildConnector({ timeout: connectTimeoutMs }))
 }
 
 type SystemError = { code?: string, syscall?: string, message?: string, errors?: unknown[] }
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,6 +1,7 @@
 /** Requests to backend servers over HTTP/1.1 without pipelining; response data is forwarded as it arrives. */
 import type { Socket } from 'node:net'
-import { Agent, buildConnector, Pool, type Dispatcher } from 'undici'
+import { createCheckedAgent, isValidStatus, watchResets, type ResetWatch } from '@yuccawharf/clients'
+import { buildConnector, Pool, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { LinkMonitor } from './link-monitor'
 import type { RawHeaders } from './platform-interface'
@@ -85,9 +86,7 @@
 const maxBytesWithoutProgress = 64 * 1024
 
 /** State of the connections of one pool within the current event. */
-type ConnectionWatch = {
-  /** A connection is being reset. */
-  resetting: boolean
+type ConnectionWatch = ResetWatch & {
   /** Count of the connection whose bytes are being parsed. */
   reading?: { bytesWithoutProgress: number }
   /** Node that relays the connection. */
@@ -140,24 +139,14 @@
   }
 }
 
-/**
- * Creates a connector that detects resets before undici does. When a connection is reset, undici
- * reports a response without a length as complete, although only a regular close completes it.
- */
+/** Creates a connector that detects resets before undici does, and closes connections that are of no use. */
 function createWatchedConnector (watch: ConnectionWatch, connect: buildConnector.connector, isCut: () => boolean): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
       limitUselessBytes(socket, watch)
       resetWhenCut(socket, isCut)
-      const markReset = (): void => {
-        watch.resetting = true
-        // undici reports the end of the response within the same event.
-        queueMicrotask(() => { watch.resetting = false })
-      }
-      socket.on('error', markReset)
-      // Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more.
-      socket.on('end', () => { if (socket.remotePort === undefined) markReset() })
+      watchResets(socket, watch)
       callback(null, socket)
     })
   }
@@ -262,6 +251,8 @@
         if (isOwnLink) watchLink()
       },
       onResponseStart (started, status, parsed) {
+        // undici closes the connection and reports the error.
+        if (!isValidStatus(status)) throw new Error(`the response has the invalid status ${status}`)
         // Ignores interim (1xx) responses.
         if (status < 200) return
         progressed()
@@ -340,7 +331,7 @@
         resume: () => current.resume()
       }
     },
-    relay: server => links.isCut(server.service) ? new Agent({ connect: createRelayedConnector(relays, server), pipelining: 0 }) : undefined,
+    relay: server => links.isCut(server.service) ? createCheckedAgent({ pipelining: 0 }, createRelayedConnector(relays, server)) : undefined,
     disableReuse (server, since) {
       // Idle connections may hold bytes of other responses; requests in progress keep their connections.
       closePool(entryOf(server))
