--- a/packages/clients/src/read-shares.ts
+++ b/packages/clients/src/read-shares.ts
@@ -17,7 +17,7 @@
 export type ReadAction<Connection> = { type: 'hold' | 'release', connection: Connection }
 
 export type ReadShares<Connection> = {
-  opened (connection: Connection): ReadAction<Connection>[]
+  opened (connection: Connection): void
   /**
    * One read of the connection was parsed. Of the connections with much overhead one is read between two calls of `grant`.
    *
@@ -33,7 +33,7 @@
   waiting (): number
 }
 
-type State = { overheadBytes: number, at: number, state: 'unread' | 'free' | 'held' | 'granted' }
+type State = { overheadBytes: number, at: number }
 
 export function createReadShares<Connection> (config: ReadSharesConfig = readSharesDefaults): ReadShares<Connection> {
   const states = new Map<Connection, State>()
@@ -45,10 +45,9 @@
   const held = new Set<Connection>()
   const granted = new Set<Connection>()
 
-  function hold (connection: Connection, state: State): ReadAction<Connection> {
+  function hold (connection: Connection): ReadAction<Connection> {
     granted.delete(connection)
     held.add(connection)
-    state.state = 'held'
     return { type: 'hold', connection }
   }
 
@@ -60,14 +59,14 @@
 
   return {
     opened (connection) {
-      states.set(connection, { overheadBytes: 0, at: 0, state: 'unread' })
+      states.set(connection, { overheadBytes: 0, at: 0 })
       unread.add(connection)
-      return []
     },
     received (connection, readBytes, bodyBytes, now) {
       const state = states.get(connection)
       if (state === undefined) return []
       unread.delete(connection)
+      const wasHeld = heldUnread.delete(connection)
       const forgotten = (now - state.at) / 1000 * config.overheadBytesPerSecond
       const overhead = Math.max(0, readBytes - bodyBytes)
       state.overheadBytes = Math.max(0, state.overheadBytes - forgotten) + overhead
@@ -77,12 +76,11 @@
       const actions = isLarge ? holdUnread() : []
       if (!isLarge && state.overheadBytes <= config.overheadBytes) {
         granted.delete(connection)
-        state.state = 'free'
-        return actions
+        return wasHeld ? [...actions, { type: 'release', connection }] : actions
       }
       // Of the connections that are readable at the same time, one is read.
-      for (const other of granted) if (other !== connection) actions.push(hold(other, states.get(other)!))
-      actions.push(hold(connection, state))
+      for (const other of granted) if (other !== connection) actions.push(hold(other))
+      actions.push(hold(connection))
       return actions
     },
     grant () {
@@ -92,7 +90,6 @@
       if (next === undefined) return actions
       held.delete(next)
       granted.add(next)
-      states.get(next)!.state = 'granted'
       return [...actions, { type: 'release', connection: next }]
     },
     closed (connection) {
--- a/packages/clients/src/shared-reads.ts
+++ b/packages/clients/src/shared-reads.ts
@@ -22,7 +22,7 @@
   configure (config: Partial<ReadSharesConfig>): void
   /** Number of connections whose reads wait for their turn. */
   waiting (): number
-  /** @returns number of times that reads of connections were stopped since the last call */
+  /** @returns number of times that reads were stopped in favour of other connections since the last call */
   takeStopped (): number
 }
 
@@ -38,11 +38,12 @@
   let stopped = 0
 
   function apply (actions: ReadAction<Socket>[]): void {
+    const isShared = actions.filter(({ type }) => type === 'hold').length > 1 || shares.waiting() > 1
     for (const { type, connection } of actions) {
       const read = reads.get(connection)
       if (read === undefined || read.held === (type === 'hold')) continue
       if (type === 'hold') {
-        stopped += 1
+        if (isShared) stopped += 1
         read.wanted = !connection.isPaused()
         connection.pause()
         read.held = true
@@ -105,7 +106,7 @@
       return read.held ? socket : resume.call(socket)
     }
     socket.once('close', () => { shares.closed(socket) })
-    apply(shares.opened(socket))
+    shares.opened(socket)
   }
 
   function leave (socket: Socket): void {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -21,7 +21,7 @@
   /** A client takes up a stream; `unknown` if its software version is not known. */
   takeUp (source: 'own' | 'only-version' | 'record' | 'unknown'): void
   storeCall (feed: string, result: string): void
-  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes' | 'client_connections' | 'cut_services' | 'relayed_connections', value: number): void
+  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'ready' | 'blocked_parts' | 'kept_bytes' | 'client_connections' | 'waiting_reads' | 'cut_services' | 'relayed_connections', value: number): void
   /** @param unreadable - called if the state of the process cannot be read; the text has the last values then */
   text (unreadable: (err: Error) => void): Promise<string>
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -301,7 +301,7 @@
 
   const forward = createForwarding({ now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, crashes: crashes.requests, streamVersions, configVersion: () => table?.config.version, grants, versions, engines: registry.ready, servers: registry.ready, pool: pools.pool, firstEvent: metrics.firstEvent })
 
-  const connections = createConnectionReport(maxConnections, log, metrics)
+  const connections = createConnectionReport(maxConnections, log, metrics, settings.readOverheadBytes)
   const front = createFrontServer({
     now,
     codec: platform.headers,
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -199,6 +199,8 @@
   memoryBytes?: number
   /** Largest number of open descriptors that the platform allows. */
   maxDescriptors?: number
+  /** Bytes outside of bodies that a connection may send before its reads are shared; see `ReadSharesConfig`. */
+  readOverheadBytes?: number
   bounds: Bounds
 }
 
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,8 +1,8 @@
 /** Assembles one node from the core, the shells around it and the HTTP server. */
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
-import { Agent, type Dispatcher } from 'undici'
-import type { EngineReport } from '@yuccawharf/clients'
+import { buildConnector, type Dispatcher } from 'undici'
+import { createCheckedAgent, sharedReads, type EngineReport } from '@yuccawharf/clients'
 import type { ClassConfig, Settings } from '@yuccawharf/schema'
 import { createHybridClock, type HybridClock } from '@yuccawharf/timeline'
 import { createResponseRegistry } from './response-registry'
@@ -96,7 +96,7 @@
   const now = createMonotonicNow()
   const timers = new Set<NodeJS.Timeout>()
   // A stream has no event while its request is queued, so undici's own timeouts are disabled.
-  const dispatcher = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000, connect: { timeout: 1000 } })
+  const dispatcher = createCheckedAgent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000 }, buildConnector({ timeout: 1000 }))
   const directory = createDirectory()
   const attainment = createAttainmentTracker()
   const reports = new Map<string, EngineReport>()
@@ -211,6 +211,7 @@
       responses.sweep()
       services.sweep()
       metrics.gauge('requests.running', responses.running())
+      metrics.gauge('connections.waiting_reads', sharedReads.waiting())
     })
     every(instancePollMs, () => { shells.pollInstances().catch(() => {}) })
     every(enginePollMs, () => shells.pollEngines(enginePolls.due(options.watchedEngines())))
--- a/packages/node/src/http-router.ts
+++ b/packages/node/src/http-router.ts
@@ -1,7 +1,7 @@
 /** HTTP server of a node: routing, limits on header size and receive times, and isolation of failing requests. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { createBoundedServer, refuseUnreadable, requestLateCode } from '@yuccawharf/clients'
+import { createBoundedServer, refuseUnreadable, requestLateCode, sharedReads } from '@yuccawharf/clients'
 import { createProblem, sendProblem } from './problem'
 
 export type RouteContext = {
@@ -26,6 +26,8 @@
   /** Longest time for receiving a whole request, in ms. */
   requestMs: number
   keepAliveMs: number
+  /** See `ReadSharesConfig.overheadBytes`; the last server that states it decides for the process. */
+  readOverheadBytes?: number
 }
 
 export const defaultHttpLimits: HttpLimits = { headerBytes: 16 * 1024, headersMs: 10_000, requestMs: 30_000, keepAliveMs: 65_000 }
@@ -108,6 +110,7 @@
     connectionsCheckingInterval: 1000,
     noDelay: true
   })
+  if (limits.readOverheadBytes !== undefined) sharedReads.configure({ overheadBytes: limits.readOverheadBytes })
   const ending = refuseUnreadable(server, refuseConnection)
   return server
 }
