--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, updatePrefillRate, recordFailure, recordSuccess, fitsPauseLimits, recordPrefill, prefillMs, resetEngine, avoidEngine, uncachedTokens, type EngineState } from './engine-state'
+import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, avoidEngine, type EngineState } from './engine-state'
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
@@ -90,7 +90,7 @@
       const replica = engine.replicas.get(req.scope)
       // A replica of an older version is avoided while a current one exists.
       const outdatedMs = replica !== undefined && !isCurrent(replica, req.scope) ? outdatedCostMs : 0
-      const cost = (backlogMs(engine, now) + prefillMs(engine, req.demand)) * (1 + failureCostFactor * engine.failureRate) + engine.runs.size + outdatedMs
+      const cost = (backlogMs(engine, now) + prefillMs(engine, req.demand, now)) * (1 + failureCostFactor * engine.failureRate) + engine.runs.size + outdatedMs
       if (cost < bestCost) {
         best = engine
         bestCost = cost
@@ -102,7 +102,7 @@
 
   function grant (req: WaitingRequest, engine: EngineState, now: number): SchedulerAction {
     waiting.delete(req.id)
-    const requestPrefillMs = prefillMs(engine, req.demand)
+    const requestPrefillMs = prefillMs(engine, req.demand, now)
     recordPrefill(engine, req.demand, now)
     if (engine.limit !== undefined) recordRequest(engine.limit.pace, now)
     engine.runs.set(req.id, {
@@ -112,8 +112,7 @@
       demand: req.demand,
       sentAt: now,
       deadlineAt: req.deadlineAt,
-      uncachedTokens: uncachedTokens(engine, req.demand),
-      prefillMs: requestPrefillMs,
+      nominalMs: nominalPrefillMs(engine, req.demand),
       expectedFirstEventAt: now + backlogMs(engine, now) + requestPrefillMs,
       ...(req.pauseMs === undefined ? {} : { pauseMs: req.pauseMs })
     })
@@ -154,7 +153,7 @@
    * with shorter objectives least.
    */
   function inServiceOrder (view: EnginesView, now: number): WaitingRequest[] {
-    const rate = meanPrefillTokensPerMs()
+    const rate = meanPrefillTokensPerMs(now)
     const late = new Map<string, boolean>()
     for (const req of waiting.values()) {
       const loadMs = hasReplica(req, view, now) ? 0 : state.coldLoadMs
@@ -238,7 +237,7 @@
     const ahead: QueueAhead = { prefillMs: 0, requests: 0 }
     const loadScopes = new Set<string>()
     const view = planner.view(now)
-    const rate = meanPrefillTokensPerMs()
+    const rate = meanPrefillTokensPerMs(now)
     const reserved = new Set<EngineState>()
     for (const req of inServiceOrder(view, now)) {
       const engine = bestEngine(req, view, reserved, now)
@@ -260,9 +259,9 @@
     return actions
   }
 
-  function meanPrefillTokensPerMs (): number {
+  function meanPrefillTokensPerMs (now: number): number {
     let sum = 0
-    for (const { prefillTokensPerMs } of engines.values()) sum += prefillTokensPerMs
+    for (const engine of engines.values()) sum += prefillTokensPerMs(engine, now)
     return engines.size === 0 ? 1 : sum / engines.size
   }
 
@@ -359,9 +358,7 @@
       const engine = engines.get(granted.get(id) ?? '')
       const run = engine?.runs.get(id)
       if (engine === undefined || run === undefined) return []
-      run.firstEventAt = now
-      engine.lastFirstEventAt = now
-      updatePrefillRate(engine, run, now)
+      recordFirstEvent(engine, run, now)
       recordSuccess(engine)
       const replica = engine.replicas.get(run.scope)
       if (replica?.state === 'loading') {
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -1,6 +1,7 @@
 /** State of an engine at its owner: adapters, the pending command, running requests and estimates of its speed. */
 import type { BackendServer, EngineReport, EngineSpec, LoadedModel, ModelDemand } from './cluster-types'
 import { cacheScope, createPromptCache, type PromptCache } from './prompt-cache'
+import { createEngineSpeed, type EngineSpeed, type PrefillInProgress } from './engine-speed'
 import { createRequestPace, paceWaitMs, type RequestPace } from './request-pace'
 
 export type AdapterReplica = {
@@ -34,10 +35,8 @@
   demand: ModelDemand
   sentAt: number
   deadlineAt: number
-  /** Tokens of the prompt that were not cached when the request was sent. */
-  uncachedTokens: number
-  /** Estimated time to prefill them, in ms. */
-  prefillMs: number
+  /** Time to prefill the prompt without its cached part at nominal speed, in ms. */
+  nominalMs: number
   /** Time of the first event, as estimated when the request was sent. */
   expectedFirstEventAt: number
   firstEventAt?: number
@@ -79,7 +78,9 @@
   prefillingSince: number
   /** Time of the newest first event of a stream. */
   lastFirstEventAt: number
-  prefillTokensPerMs: number
+  speed: EngineSpeed
+  /** First events since the speed was last updated, and the time that the engine took for them. */
+  unmeasured: { nominalMs: number, busyMs: number }
   /** Share of recent requests that failed, 0 to 1. */
   failureRate: number
   /** The engine does not respond and gets no new requests until then. */
@@ -90,15 +91,14 @@
   limit?: { requestsPerSecond: number, pace: RequestPace }
 }
 
-/** Prefill speed assumed before the first measurement: about that of a 70 B model on two accelerators. */
-const initialPrefillTokensPerMs = 30
+/** Prefill speed of an engine of speed 1, in tokens per ms: about that of a 70 B model on two accelerators. */
+const nominalTokensPerMs = 30
 /** Share of the KV memory that running requests may use; the rest absorbs outputs that exceed their estimate. */
 const kvShare = 0.9
 /** Time to a first event beyond the prefill, in ms: the network and one step of the batch. */
 const firstEventOverheadMs = 15
-/** Shorter prompts say little about the prefill speed. */
-const minSampleTokens = 1000
-const prefillRateStep = 0.015
+/** Prefill at nominal speed that makes up a measurement, in ms: shorter prompts are dominated by the batch's other work. */
+const minSampleMs = 30
 /** Number of unloaded adapters that an engine is assumed to keep in its memory. */
 const maxWarmAdapters = 40
 const minAvoidanceMs = 500
@@ -122,7 +122,8 @@
     recentPrefill: { ms: 0, at: now },
     prefillingSince: now,
     lastFirstEventAt: -Infinity,
-    prefillTokensPerMs: initialPrefillTokensPerMs,
+    speed: createEngineSpeed(),
+    unmeasured: { nominalMs: 0, busyMs: 0 },
     failureRate: 0,
     avoidedUntil: -Infinity,
     avoidanceMs: minAvoidanceMs
@@ -213,6 +214,8 @@
   delete state.modelLoadCheckAt
   delete state.loadingModel
   delete state.limit
+  state.speed.reset()
+  state.unmeasured = { nominalMs: 0, busyMs: 0 }
   state.lastFirstEventAt = -Infinity
   state.avoidedUntil = -Infinity
   state.avoidanceMs = minAvoidanceMs
@@ -279,8 +282,18 @@
 }
 
 /** Estimated time to prefill a prompt, without its cached part, in ms. */
-export function prefillMs (state: EngineState, demand: ModelDemand): number {
-  return uncachedTokens(state, demand) / state.prefillTokensPerMs
+export function prefillMs (state: EngineState, demand: ModelDemand, now: number): number {
+  return nominalPrefillMs(state, demand) / currentSpeed(state, now)
+}
+
+/** Time to prefill a prompt, without its cached part, at speed 1, in ms. */
+export function nominalPrefillMs (state: EngineState, demand: ModelDemand): number {
+  return uncachedTokens(state, demand) / nominalTokensPerMs
+}
+
+/** Long-term prefill speed, in tokens per ms. */
+export function prefillTokensPerMs ({ speed }: EngineState, now: number): number {
+  return nominalTokensPerMs * speed.longTerm(now)
 }
 
 /** Time without a first event beyond the estimate after which an engine counts as stalled, in ms. */
@@ -291,23 +304,40 @@
  * event is overdue are left out if later ones got theirs: their responses are lost, not late.
  */
 export function backlogMs (state: EngineState, now: number): number {
-  let pendingPrefillMs = 0
-  let oldestSentAt = Infinity
+  let pendingNominalMs = 0
   let overdueMs = 0
   for (const run of state.runs.values()) {
-    if (run.firstEventAt !== undefined || run.expectedFirstEventAt + stallMs < state.lastFirstEventAt) continue
-    pendingPrefillMs += run.prefillMs
-    oldestSentAt = Math.min(oldestSentAt, run.sentAt)
+    if (!awaitsFirstEvent(state, run)) continue
+    pendingNominalMs += run.nominalMs
     overdueMs = Math.max(overdueMs, now - run.expectedFirstEventAt)
   }
-  if (pendingPrefillMs === 0) return 0
-  if (overdueMs > stallMs) return Math.max(pendingPrefillMs, overdueMs)
-  return Math.max(0, pendingPrefillMs - (now - Math.max(oldestSentAt, state.lastFirstEventAt)))
+  if (pendingNominalMs === 0) return 0
+  const pendingMs = pendingNominalMs / currentSpeed(state, now)
+  if (overdueMs > stallMs) return Math.max(pendingMs, overdueMs)
+  return Math.max(0, pendingMs - inProgress(state, now)!.elapsedMs)
+}
+
+function awaitsFirstEvent ({ lastFirstEventAt }: EngineState, { firstEventAt, expectedFirstEventAt }: Run): boolean {
+  return firstEventAt === undefined && expectedFirstEventAt + stallMs >= lastFirstEventAt
+}
+
+/** The prompt that the engine prefills now: engines do this in the order of arrival. */
+function inProgress (state: EngineState, now: number): PrefillInProgress | undefined {
+  for (const run of state.runs.values()) {
+    if (awaitsFirstEvent(state, run)) return { nominalMs: run.nominalMs, elapsedMs: now - Math.max(run.sentAt, state.lastFirstEventAt) }
+  }
+  return undefined
+}
+
+/** Speed that new work can expect. */
+function currentSpeed (state: EngineState, now: number): number {
+  const current = inProgress(state, now)
+  return state.speed.current(now, current === undefined ? undefined : { nominalMs: current.nominalMs, elapsedMs: current.elapsedMs - firstEventOverheadMs })
 }
 
 function isPrefilling (state: EngineState): boolean {
   for (const run of state.runs.values()) {
-    if (run.firstEventAt === undefined && run.expectedFirstEventAt + stallMs >= state.lastFirstEventAt) return true
+    if (awaitsFirstEvent(state, run)) return true
   }
   return false
 }
@@ -315,7 +345,7 @@
 /** Records the prefill of a request that is about to be sent, and the end of a break before it. */
 export function recordPrefill (state: EngineState, demand: ModelDemand, now: number): void {
   if (!isPrefilling(state)) state.prefillingSince = now
-  state.recentPrefill = { ms: decayedPrefillMs(state, now) + prefillMs(state, demand), at: now }
+  state.recentPrefill = { ms: decayedPrefillMs(state, now) + prefillMs(state, demand, now), at: now }
 }
 
 /** Half-life of recent prefill, in ms: about the duration of a stream. */
@@ -343,15 +373,24 @@
   if (!isPrefilling(state)) return true
   let pauseMs = Infinity
   for (const run of state.runs.values()) pauseMs = Math.min(pauseMs, run.pauseMs ?? Infinity)
-  return now - state.prefillingSince + backlogMs(state, now) + prefillMs(state, demand) <= pauseMs * prefillPauseShare
+  return now - state.prefillingSince + backlogMs(state, now) + prefillMs(state, demand, now) <= pauseMs * prefillPauseShare
 }
 
-/** Corrects the prefill speed when the first event of a run arrives. */
-export function updatePrefillRate (state: EngineState, run: Run, now: number): void {
-  const actualMs = now - run.sentAt - firstEventOverheadMs
-  if (run.uncachedTokens < minSampleTokens || actualMs <= 0) return
-  // Contention only makes prefill look slower, so the estimate follows the faster observations: a fifth of them exceed it.
-  state.prefillTokensPerMs *= run.uncachedTokens / actualMs > state.prefillTokensPerMs ? 1 + 4 * prefillRateStep : 1 - prefillRateStep
+/**
+ * Records the first event of a run, and measures the speed by it. An engine prefills in the order of
+ * arrival, so it has worked on this prompt since the first event before, or since the prompt was sent.
+ */
+export function recordFirstEvent (state: EngineState, run: Run, now: number): void {
+  run.firstEventAt = now
+  const idleBefore = run.sentAt >= state.lastFirstEventAt
+  const busyMs = now - Math.max(run.sentAt, state.lastFirstEventAt) - (idleBefore ? firstEventOverheadMs : 0)
+  state.lastFirstEventAt = now
+  const { unmeasured } = state
+  unmeasured.nominalMs += run.nominalMs
+  unmeasured.busyMs += Math.max(0, busyMs)
+  if (unmeasured.nominalMs < minSampleMs || unmeasured.busyMs === 0) return
+  state.speed.delivered(unmeasured.nominalMs, unmeasured.busyMs, now)
+  state.unmeasured = { nominalMs: 0, busyMs: 0 }
 }
 
 export function hasCapacity (state: EngineState, demand: ModelDemand): boolean {
--- a/packages/gateway/src/testing/load-simulation.ts
+++ b/packages/gateway/src/testing/load-simulation.ts
@@ -10,6 +10,8 @@
 import type { PendingCommand } from '../engine-state'
 import { cacheScope, createPromptCache, type PromptCache } from '../prompt-cache'
 import { createOwnerStatusCache } from '../owner-status-cache'
+import { createSlowness, type SimulatedSpeeds } from './engine-slowness'
+import { createEventQueue } from './event-queue'
 
 /** Requests of one kind; times in ms. */
 export type SimulatedClass = {
@@ -51,6 +53,10 @@
   rank?: typeof rankOwners
   /** Some engines of each zone state a limit for a while; all nodes know it at once. Times in ms. */
   limit?: { enginesPerZone: number, requestsPerSecond: number, from: number, until: number }
+  /** All engines have the same constant speed by default. */
+  speeds?: SimulatedSpeeds
+  /** The share of requests that a zone gets rises and falls by `depth`, with another phase in each zone. */
+  waves?: { depth: number, periodMs: number }
 }
 
 /** `paused` counts late responses with a pause that was too long. */
@@ -62,12 +68,15 @@
   warmLoads: number
   /** Requests that an engine refused because their adapter was not loaded yet. */
   notLoaded: number
-  /** Requests that were sent to another zone. */
+  /** Requests that were sent to another zone, and their prompt tokens. */
   crossZone: number
+  crossZoneTokens: number
   /** Mean number of prompt tokens that an engine had to prefill for a request. */
   meanPrefillTokens: number
   /** Largest number of requests that an engine got in {@link limitWindowMs} while it stated a limit. */
   mostUnderLimit: number
+  /** Prefill that each engine has done, in ms at speed 1, and the times of its requests. */
+  engines: Record<string, { workMs: number, arrivals: number[] }>
 }
 
 const model = 'base'
@@ -106,50 +115,6 @@
 type Engine = { server: BackendServer, replicas: Map<string, { readyAt: number, running: number }>, warmAdapters: Map<string, true>, commandCount: number, cache: PromptCache, prefilling: RunningRequest[], decoding: RunningRequest[], stepping: boolean }
 type Owner = { name: string, zone: string, scheduler: EngineScheduler, engines: Engine[], pending: Map<string, { req: ClientRequest, rest: string[] }>, decisionScheduled: boolean }
 
-/** Event queue of the virtual clock; events at the same time run in the order of their scheduling. */
-function createEventQueue (): { at (time: number, run: () => void): void, runUntil (until: number): void, now (): number } {
-  const heap: { time: number, order: number, run: () => void }[] = []
-  let clock = 0
-  let order = 0
-  const before = (left: number, right: number): boolean => heap[left]!.time < heap[right]!.time || (heap[left]!.time === heap[right]!.time && heap[left]!.order < heap[right]!.order)
-  const swap = (left: number, right: number): void => { [heap[left], heap[right]] = [heap[right]!, heap[left]!] }
-
-  function siftDown (): void {
-    for (let index = 0; ;) {
-      let least = index
-      for (const child of [2 * index + 1, 2 * index + 2]) if (child < heap.length && before(child, least)) least = child
-      if (least === index) return
-      swap(index, least)
-      index = least
-    }
-  }
-
-  return {
-    now: () => clock,
-    at (time, run) {
-      heap.push({ time: Math.max(time, clock), order: order++, run })
-      for (let index = heap.length - 1; index > 0;) {
-        const parent = (index - 1) >> 1
-        if (!before(index, parent)) return
-        swap(index, parent)
-        index = parent
-      }
-    },
-    runUntil (until) {
-      while (heap.length > 0 && heap[0]!.time <= until) {
-        const { time, run } = heap[0]!
-        const last = heap.pop()!
-        if (heap.length > 0) {
-          heap[0] = last
-          siftDown()
-        }
-        clock = time
-        run()
-      }
-    }
-  }
-}
-
 export function simulateLoad (load: SimulatedLoad): SimulationResult {
   const random = xoroshiro128plus(load.seed)
   const uniform = (): number => unsafeUniformIntDistribution(0, 0x7ffffffe, random) / 0x7fffffff
@@ -159,7 +124,7 @@
   const spec: EngineSpec = { slots: 64, kvTokens: 232_000, weightsMb: 74_700, adapterSlots: load.adapterSlots, loadsPerSecond: 26, models: [{ name: model, weightsMb: 72_700, adapterMb: 66 }] }
   const statusCache = createOwnerStatusCache({ endedAt: () => -Infinity })
   const useCounters = new Map(load.zones.map(zone => [zone, createUseCounter()]))
-  const result: SimulationResult = { classes: {}, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, meanPrefillTokens: 0, mostUnderLimit: 0 }
+  const result: SimulationResult = { classes: {}, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, crossZoneTokens: 0, meanPrefillTokens: 0, mostUnderLimit: 0, engines: {} }
   const owners: Owner[] = []
   let activeColdLoads = 0
   let sentRequests = 0
@@ -210,6 +175,8 @@
   }
 
   const engineById = new Map(engines.map(({ engine }) => [engine.server.id, engine]))
+  const slowness = load.speeds === undefined ? () => 1 : createSlowness([...engineById.keys()], load.speeds, uniform, eventQueue)
+  for (const id of engineById.keys()) result.engines[id] = { workMs: 0, arrivals: [] }
 
   function perform (owner: Owner, actions: SchedulerAction[]): void {
     for (const action of actions) {
@@ -299,7 +266,11 @@
       })
     }
     sentRequests += 1
-    if (engine.server.zone !== req.zone) result.crossZone += 1
+    result.engines[engine.server.id]!.arrivals.push(now())
+    if (engine.server.zone !== req.zone) {
+      result.crossZone += 1
+      result.crossZoneTokens += req.demand.promptTokens
+    }
     replica.running += 1
     engine.prefilling.push({ req, grantId, owner, remainingTokens: 0, prefilledTokens: 0, tokens: 0 })
     if (!engine.stepping) step(engine)
@@ -327,7 +298,8 @@
       run.prefilledTokens += part
     }
     const contextTokens = engine.decoding.reduce((sum, run) => sum + run.req.demand.promptTokens + run.tokens, 0)
-    const durationMs = stepMs + stepPerRunMs * engine.decoding.length + stepPerContextTokenMs * contextTokens + (prefillMs === 0 ? 0 : prefillSetupMs + prefillMs)
+    result.engines[engine.server.id]!.workMs += prefillMs
+    const durationMs = slowness(engine.server.id) * (stepMs + stepPerRunMs * engine.decoding.length + stepPerContextTokenMs * contextTokens + (prefillMs === 0 ? 0 : prefillSetupMs + prefillMs))
     eventQueue.at(now() + durationMs, () => {
       for (const run of [...engine.decoding]) {
         run.tokens += 1
@@ -422,10 +394,18 @@
     return Math.max(1, mean * Math.exp(normal - 0.5))
   }
 
+  function drawZone (): string {
+    const { zones, waves } = load
+    const drawn = zones[Math.floor(uniform() * zones.length)]!
+    if (waves === undefined) return drawn
+    const weight = 1 + waves.depth * Math.sin(2 * Math.PI * (now() / waves.periodMs + zones.indexOf(drawn) / zones.length))
+    return uniform() * (1 + waves.depth) < weight ? drawn : drawZone()
+  }
+
   function submit (cls: SimulatedClass): void {
     const adapter = drawAdapter()
     const id = `r${++requestCount}`
-    const zone = load.zones[Math.floor(uniform() * load.zones.length)]!
+    const zone = drawZone()
     const ownTokens = Math.round(Math.min(10 * cls.ownTokens, drawLogNormal(cls.ownTokens)))
     const outputTokens = Math.round(Math.min(3 * cls.outputTokens, drawLogNormal(cls.outputTokens)))
     const sharedParts = cls.sharedParts.map(({ tokens, texts }, index) => ({ id: `${cls.name}-${index}-${Math.floor(uniform() * texts)}`, tokens }))
