--- a/packages/gateway/src/engine-choice.test.ts
+++ b/packages/gateway/src/engine-choice.test.ts
@@ -69,4 +69,11 @@
   assert.is(chooseWithoutOwner(engines.slice(0, 1), demand('x1'), 'a', { excluded: [] }, () => 0), undefined)
 })
 
+// Guards against nodes without an owner that send as much to slow engines as to others.
+test('a faster engine is chosen without an owner', () => {
+  const scopes = new Set([cacheScope(demand('x1'))])
+  const engines = [engine('e1', 'a', 'owner-a', { scopes, speed: 0.5 }), engine('e2', 'a', 'owner-a', { scopes, speed: 1.2 })]
+  assert.is(chooseWithoutOwner(engines, demand('x1'), 'a', { excluded: [] }, () => 0)?.id, 'e2')
+})
+
 test.run()
--- a/packages/gateway/src/engine-choice.ts
+++ b/packages/gateway/src/engine-choice.ts
@@ -7,6 +7,7 @@
 import { topNode } from '@yuccawharf/coordination'
 import type { BackendServer, ModelDemand } from './cluster-types'
 import type { ScheduledRequest } from './engine-scheduler-types'
+import { nominalTokensPerMs } from './engine-speed'
 import { cacheScope } from './prompt-cache'
 import { softwareVersionOf } from './software-versions'
 
@@ -24,6 +25,8 @@
   loadWaitMs: number
   /** The engine states a limit, so that only its owner may decide who sends to it. */
   limited?: boolean
+  /** Long-term speed; absent if no owner has shared one lately. */
+  speed?: number | undefined
   /** Age of the status, in ms; Infinity if the owner has sent none. */
   ageMs: number
 }
@@ -104,7 +107,7 @@
   for (const engine of engines) {
     if (engine.limited === true || !mayRunAt(engine.server, restriction)) continue
     if (scope !== undefined && !engine.scopes.has(scope)) continue
-    const cost = engineCost(engine, scope, zone, false) + inProgress(engine.server.id) * loadCostMs
+    const cost = engineCost(engine, scope, zone, false) + inProgress(engine.server.id) * loadCostMs + demand.promptTokens / nominalTokensPerMs / (engine.speed ?? 1)
     if (cost < bestCost) {
       best = engine.server
       bestCost = cost
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -1,5 +1,6 @@
 /** Inputs, actions and interface of the scheduler of owned engines. */
 import type { AdapterVersion, BackendServer, EngineCommandResult, EngineReport, EngineSpec, ModelDemand } from './cluster-types'
+import type { SharedSpeed } from './engine-speed'
 import type { PendingCommand } from './engine-state'
 
 export type ScheduledRequest = {
@@ -60,6 +61,8 @@
   running: number
   /** Estimated time until an adapter that no engine has is loaded, in ms. */
   loadWaitMs: number
+  /** Long-term speed of the engine's start at `bornAt`; absent if nothing recent supports it. */
+  speed?: SharedSpeed & { bornAt: number }
 }
 
 export type SchedulerConfig = {
@@ -69,8 +72,8 @@
   mayCommand (engine: string, now: number): boolean
 }
 
-/** `requestsPerSecond` is the limit that the engine states for all nodes together. */
-export type OwnedEngine = { server: BackendServer, spec: EngineSpec, requestsPerSecond?: number | undefined }
+/** `requestsPerSecond` is the limit that the engine states for all nodes together, `speed` what an earlier owner has measured of this start. */
+export type OwnedEngine = { server: BackendServer, spec: EngineSpec, requestsPerSecond?: number | undefined, speed?: SharedSpeed | undefined }
 
 export type EngineScheduler = {
   /** Sets the engines that this node owns. Requests are granted only to these. */
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, avoidEngine, type EngineState } from './engine-state'
+import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type EngineState } from './engine-state'
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
@@ -318,10 +318,11 @@
         engines.delete(id)
       }
       state.coldLoadLimit.setEngines(owned.length)
-      for (const { server, spec, requestsPerSecond } of owned) {
+      for (const { server, spec, requestsPerSecond, speed } of owned) {
         const engine = engines.get(server.id)
         if (engine === undefined) {
           const created = createEngineState(server, spec, now)
+          if (speed !== undefined) created.speed.adopt(speed, now)
           setRequestLimit(created, requestsPerSecond, now)
           engines.set(server.id, created)
           continue
@@ -429,7 +430,8 @@
         scopes: [...engine.replicas].filter(([scope, replica]) => replica.state !== 'unloading' && isCurrent(replica, scope)).map(([scope]) => scope),
         backlogMs: Math.round(reportedBacklogMs(engine, now)),
         running: engine.runs.size,
-        loadWaitMs
+        loadWaitMs,
+        ...sharedSpeed(engine, now)
       }))
     },
     waitingCount: () => waiting.size,
--- a/packages/gateway/src/engine-speed.ts
+++ b/packages/gateway/src/engine-speed.ts
@@ -5,6 +5,9 @@
  * such a period now. Speeds are ratios of delivered to nominal speed.
  */
 
+/** Prefill speed of an engine of speed 1, in tokens per ms: about that of a 70 B model on two accelerators. */
+export const nominalTokensPerMs = 30
+
 /** Speed with the age of its evidence. */
 export type SharedSpeed = { speed: number, ageMs: number }
 
@@ -22,7 +25,7 @@
   /** Long-term estimate. */
   longTerm (now: number): number
   /**
-   * The lower of the long-term and the short-term estimate.
+   * The long-term estimate, or the short-term one if it shows that the engine is in a slow period.
    *
    * @param inProgress - prefill without a first event yet; it counts if it already takes longer than expected
    */
@@ -38,11 +41,13 @@
 /** Half-life of the evidence for the long-term estimate, in ms: many slow periods, and still short against the life of an engine. */
 const longHalfLifeMs = 12_000
 /** The same for the short-term estimate, in ms: shorter than a slow period, so that it is noticed within one and forgotten after it. */
-const shortHalfLifeMs = 250
+const shortHalfLifeMs = 150
 /** Busy time as which the nominal speed counts before the first measurement, in ms: a few prompts outweigh it. */
 const priorMs = 500
 /** Busy time as which the long-term speed counts in the short-term one, in ms: a single prompt that is late by a batch step says little. */
-const shortPriorMs = 150
+const shortPriorMs = 50
+/** Share of the long-term speed below which the short-term one shows a slow period; single prompts of engines that are all alike scatter above it. */
+const slowPeriodShare = 0.7
 /** Busy time as which a fresh estimate of another owner counts, in ms. */
 const adoptedMs = 2000
 /** Age from which an estimate is not passed on and not adopted, in ms: five half-lives, after which the nominal speed is as good. */
@@ -96,7 +101,8 @@
     longTerm,
     current (now, inProgress) {
       const longSpeed = longTerm(now)
-      return clamp(Math.min(longSpeed, shortTerm(longSpeed, now, inProgress)))
+      const shortSpeed = shortTerm(longSpeed, now, inProgress)
+      return shortSpeed < longSpeed * slowPeriodShare ? clamp(shortSpeed) : longSpeed
     },
     shared: now => now - measuredAt > maxSpeedAgeMs ? undefined : { speed: longTerm(now), ageMs: now - measuredAt },
     adopt ({ speed, ageMs }, now) {
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -1,7 +1,7 @@
 /** State of an engine at its owner: adapters, the pending command, running requests and estimates of its speed. */
 import type { BackendServer, EngineReport, EngineSpec, LoadedModel, ModelDemand } from './cluster-types'
 import { cacheScope, createPromptCache, type PromptCache } from './prompt-cache'
-import { createEngineSpeed, type EngineSpeed, type PrefillInProgress } from './engine-speed'
+import { createEngineSpeed, nominalTokensPerMs, type EngineSpeed, type PrefillInProgress, type SharedSpeed } from './engine-speed'
 import { createRequestPace, paceWaitMs, type RequestPace } from './request-pace'
 
 export type AdapterReplica = {
@@ -91,12 +91,12 @@
   limit?: { requestsPerSecond: number, pace: RequestPace }
 }
 
-/** Prefill speed of an engine of speed 1, in tokens per ms: about that of a 70 B model on two accelerators. */
-const nominalTokensPerMs = 30
 /** Share of the KV memory that running requests may use; the rest absorbs outputs that exceed their estimate. */
 const kvShare = 0.9
 /** Time to a first event beyond the prefill, in ms: the network and one step of the batch. */
 const firstEventOverheadMs = 15
+/** Share of an engine's time that goes to the prompt in progress; the rest goes to the streams of the batch. */
+const prefillTimeShare = 0.8
 /** Prefill at nominal speed that makes up a measurement, in ms: shorter prompts are dominated by the batch's other work. */
 const minSampleMs = 30
 /** Number of unloaded adapters that an engine is assumed to keep in its memory. */
@@ -281,6 +281,12 @@
   return Math.max(0, demand.promptTokens - state.cache.cachedTokens(demand))
 }
 
+/** What other nodes are told of the engine's speed. */
+export function sharedSpeed ({ speed, bornAt }: EngineState, now: number): { speed?: SharedSpeed & { bornAt: number } } {
+  const shared = speed.shared(now)
+  return shared === undefined ? {} : { speed: { ...shared, bornAt } }
+}
+
 /** Estimated time to prefill a prompt, without its cached part, in ms. */
 export function prefillMs (state: EngineState, demand: ModelDemand, now: number): number {
   return nominalPrefillMs(state, demand) / currentSpeed(state, now)
@@ -332,14 +338,11 @@
 /** Speed that new work can expect. */
 function currentSpeed (state: EngineState, now: number): number {
   const current = inProgress(state, now)
-  return state.speed.current(now, current === undefined ? undefined : { nominalMs: current.nominalMs, elapsedMs: current.elapsedMs - firstEventOverheadMs })
+  return state.speed.current(now, current === undefined ? undefined : { nominalMs: current.nominalMs, elapsedMs: (current.elapsedMs - firstEventOverheadMs) * prefillTimeShare })
 }
 
 function isPrefilling (state: EngineState): boolean {
-  for (const run of state.runs.values()) {
-    if (awaitsFirstEvent(state, run)) return true
-  }
-  return false
+  return [...state.runs.values()].some(run => awaitsFirstEvent(state, run))
 }
 
 /** Records the prefill of a request that is about to be sent, and the end of a break before it. */
@@ -389,7 +392,7 @@
   unmeasured.nominalMs += run.nominalMs
   unmeasured.busyMs += Math.max(0, busyMs)
   if (unmeasured.nominalMs < minSampleMs || unmeasured.busyMs === 0) return
-  state.speed.delivered(unmeasured.nominalMs, unmeasured.busyMs, now)
+  state.speed.delivered(unmeasured.nominalMs, unmeasured.busyMs * prefillTimeShare, now)
   state.unmeasured = { nominalMs: 0, busyMs: 0 }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -179,7 +179,7 @@
   /** Ready engines of all services with their limits. */
   function listEngines (): OwnedEngine[] {
     if (table === undefined) return []
-    return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine, requestsPerSecond: restrictions.limit(server) })))
+    return table.config.services.flatMap(({ name, engine }) => engine === undefined ? [] : registry.ready(name).map(server => ({ server, spec: engine, requestsPerSecond: restrictions.limit(server), speed: ownerStatuses.sharedSpeed(server, now()) })))
   }
 
   const ownRecords = createOwnRecords({ fleetLog: platform.fleet, log, random: options.random, leaving: () => leavingSince !== undefined })
@@ -254,7 +254,7 @@
     return registry.ready(service).map(server => {
       const term = owner.ownership.term(server.id)
       const alive = term !== undefined && (term.node === self.name || fleet.isAlive(term.node))
-      return { server, ...(alive ? { owner: term.node } : {}), limited: restrictions.limit(server) !== undefined, ...ownerStatuses.engineStatus(server.id, at) }
+      return { server, ...(alive ? { owner: term.node } : {}), limited: restrictions.limit(server) !== undefined, ...ownerStatuses.engineStatus(server.id, at), speed: ownerStatuses.sharedSpeed(server, at)?.speed }
     })
   }
 
--- a/packages/gateway/src/load-placement.ts
+++ b/packages/gateway/src/load-placement.ts
@@ -23,6 +23,8 @@
 export const earlyRefusalMs = 15
 /** Cost of an engine that prefills without a break, in ms: a request of the usual length takes that much longer there. */
 const continuousPrefillCostMs = 600
+/** Cost of an engine of speed 1, in ms, in inverse proportion to its speed: the adapter's later prompts run there too. */
+const promptCostMs = 300
 /** Cost of an eviction for each recent request to the evicted replica, in ms. */
 const evictionCostPerUseMs = 60
 
@@ -96,7 +98,7 @@
     }
     const evicted = existing ?? (usedAdapterSlots(engine) < adapterSlotLimit(engine) ? undefined : evictionCandidate(engine, neededScopes))
     if (evicted === undefined && usedAdapterSlots(engine) >= adapterSlotLimit(engine)) continue
-    const cost = backlogMs(engine, ctx.now) + limitWaitMs(engine, ctx.now) + limitIntervalMs(engine) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs
+    const cost = backlogMs(engine, ctx.now) + limitWaitMs(engine, ctx.now) + limitIntervalMs(engine) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs + promptCostMs / engine.speed.longTerm(ctx.now)
     if (cost >= bestCost) continue
     bestCost = cost
     best = evicted === undefined ? { type: 'load', engine, wanted } : { type: 'unload', engine, replica: evicted }
--- a/packages/gateway/src/owner-status-cache.test.ts
+++ b/packages/gateway/src/owner-status-cache.test.ts
@@ -62,4 +62,22 @@
   assert.equal([cache.announced(3900), cache.announced(4100)], [['i-1d699934e'], []])
 })
 
+// Guards against a speed of a former start of the engine, messages of earlier builds that are rejected, malformed speeds, and datagrams that are too large.
+test('speeds are shared with their age for one start of an engine', () => {
+  const shared = (index: number): OwnedEngineStatus => ({ ...engine(index, Array.from({ length: 10 }, (_, adapter) => `bocu288f3c/a${9000 + adapter}`)), speed: { speed: 0.456, ageMs: 2000, bornAt: 1_700_000_012_345 } })
+  const messages = createOwnerStatusCache(notSuspended).encode(statusOf(Array.from({ length: 12 }, (_, index) => shared(index))), 0, 1000)
+  for (const message of messages) assert.ok(JSON.stringify(message).length <= maxDatagramBytes)
+  const receiver = createOwnerStatusCache(notSuspended)
+  for (const message of messages) receiver.receive('n1', JSON.parse(JSON.stringify(message)), 5000)
+  const server = { id: 'i-1d699934e', bornAt: 1_700_000_012_345 }
+  assert.equal(receiver.sharedSpeed(server, 6000), { speed: 0.46, ageMs: 3000 })
+  assert.is(receiver.sharedSpeed({ ...server, bornAt: server.bornAt + 60_001 }, 6000), undefined)
+  assert.is(receiver.sharedSpeed(server, 70_000), undefined)
+  const packed = ['i-1d699934e', [], 0, 0, 1, 0]
+  const frame = { fleetNext: 1, fleetAgeMs: 0, operatorNext: 1 }
+  assert.is(receiver.receive('n2', { ...frame, engines: [packed] }, 6000)?.unusable, 0)
+  assert.is(receiver.sharedSpeed(server, 6000)?.speed, 0.46, 'a status without a speed says nothing about it')
+  for (const speed of [[], [0, 0, 0], [1e9, 0, 0], [1, -1, 0], [1, 0], 'fast']) assert.is(receiver.receive('n2', { ...frame, engines: [[...packed, speed]] }, 6000)?.unusable, 1)
+})
+
 test.run()
--- a/packages/gateway/src/owner-status-cache.ts
+++ b/packages/gateway/src/owner-status-cache.ts
@@ -1,7 +1,9 @@
 /** Caches the status that owners send of their engines and of their position in the logs. */
+import type { BackendServer } from './cluster-types'
 import { createDatedFact, type DatedFact, type Suspensions } from './dated-fact'
 import type { EngineCandidate } from './engine-choice'
 import type { EngineStatus } from './engine-scheduler'
+import { maxSpeed, maxSpeedAgeMs, minSpeed, type SharedSpeed } from './engine-speed'
 import { isCount, isListOf, isName, isPosition, isTextList } from './field-checks'
 import { maxDatagramBytes } from './peer-link'
 
@@ -16,8 +18,10 @@
   operatorNext: number
 }
 
+/** `start` tells the starts of one engine apart, since its speed may differ after a restart. */
+type PackedSpeed = [speed: number, ageMs: number, start: number]
 /** `scopes` are grouped, because names of models are long and repeat: each group is a model followed by its adapters. */
-type PackedEngine = [id: string, scopes: string[][], backlogMs: number, running: number, commandable: 0 | 1, loadWaitMs: number]
+type PackedEngine = [id: string, scopes: string[][], backlogMs: number, running: number, commandable: 0 | 1, loadWaitMs: number, speed?: PackedSpeed]
 type PackedStatus = { engines: PackedEngine[], fleetNext: number, fleetAgeMs: number, operatorNext: number }
 
 export type OwnerStatusCache = {
@@ -27,6 +31,8 @@
   /** @returns messages that each fit into a datagram; none if nothing has changed and the last ones are younger than `maxMs` */
   encode (status: OwnerStatus, now: number, maxMs: number): PackedStatus[]
   engineStatus (engine: string, now: number): Pick<EngineCandidate, 'commandable' | 'scopes' | 'backlogMs' | 'running' | 'loadWaitMs' | 'ageMs'>
+  /** @returns what owners have said of the speed of this start of the engine, unless it is too old */
+  sharedSpeed (server: Pick<BackendServer, 'id' | 'bornAt'>, now: number): SharedSpeed | undefined
   /** Time since the newest status of another owner arrived, in ms. */
   heardAgeMs (now: number): number
   /** @returns the engines of which owners have sent a status that is still valid */
@@ -38,8 +44,12 @@
 type Load = Pick<EngineStatus, 'backlogMs' | 'running' | 'loadWaitMs'>
 
 /** The adapters are a hint of any age: owners and engines refuse what they no longer have. */
-type Entry = { commandable: boolean, scopes: Set<string>, load: DatedFact<Load> }
+type Entry = { commandable: boolean, scopes: Set<string>, load: DatedFact<Load>, speed: DatedFact<{ speed: number, start: number }> }
 
+/** Modulus that shortens an engine's start time in a message. */
+const startModulus = 100_000
+/** Ages of speeds are rounded up to this step, in ms. */
+const ageStepMs = 1000
 /** Backlogs are rounded to this step, in ms; smaller differences do not change a choice. */
 const backlogStepMs = 50
 /** Age up to which backlog, running requests and load wait of a status are used, in ms. */
@@ -73,8 +83,14 @@
   return groups.flatMap(([model, ...names]) => names.map(name => model === '' ? name : `${model}${scopeSeparator}${name}`))
 }
 
-function pack ({ id, scopes, backlogMs, running, commandable, loadWaitMs }: OwnedEngineStatus): PackedEngine {
-  return [id, packScopes(scopes), roundToStep(backlogMs), running, commandable ? 1 : 0, roundToStep(loadWaitMs)]
+function packSpeed ({ speed, ageMs, bornAt }: NonNullable<EngineStatus['speed']>): PackedSpeed {
+  return [Math.round(speed * 100) / 100, Math.ceil(ageMs / ageStepMs) * ageStepMs, bornAt % startModulus]
+}
+
+function pack ({ id, scopes, backlogMs, running, commandable, loadWaitMs, speed }: OwnedEngineStatus): PackedEngine {
+  const packed: PackedEngine = [id, packScopes(scopes), roundToStep(backlogMs), running, commandable ? 1 : 0, roundToStep(loadWaitMs)]
+  if (speed !== undefined) packed.push(packSpeed(speed))
+  return packed
 }
 
 /** A sender that has not read a feed yet states -1. */
@@ -85,10 +101,18 @@
   return typeof status === 'object' && status !== null && Array.isArray(status.engines) && Number.isFinite(status.fleetAgeMs) && [status.fleetNext, status.operatorNext].every(isReadPosition)
 }
 
+/** Nodes of earlier builds state no speed. */
+function isPackedSpeed (value: unknown): boolean {
+  if (value === undefined) return true
+  if (!Array.isArray(value) || !value.every(isCount)) return false
+  const [speed, ageMs, start] = value as (number | undefined)[]
+  return speed !== undefined && speed >= minSpeed && speed <= maxSpeed && ageMs !== undefined && start !== undefined
+}
+
 function isPackedEngine (value: unknown): value is PackedEngine {
   if (!Array.isArray(value)) return false
-  const [id, scopes, backlogMs, running, commandable, loadWaitMs] = value as unknown[]
-  return isName(id) && isListOf(scopes, isTextList) && [backlogMs, running, loadWaitMs].every(isCount) && (commandable === 0 || commandable === 1)
+  const [id, scopes, backlogMs, running, commandable, loadWaitMs, speed] = value as unknown[]
+  return isName(id) && isListOf(scopes, isTextList) && [backlogMs, running, loadWaitMs].every(isCount) && (commandable === 0 || commandable === 1) && isPackedSpeed(speed)
 }
 
 export function createOwnerStatusCache (suspensions: Suspensions): OwnerStatusCache {
@@ -96,10 +120,13 @@
   let lastEncoded = ''
   let lastSentAt = -Infinity
 
-  function store ([id, scopes, backlogMs, running, commandable, loadWaitMs]: PackedEngine, now: number): void {
+  function store ([id, scopes, backlogMs, running, commandable, loadWaitMs, packedSpeed]: PackedEngine, now: number): void {
     const load = createDatedFact<Load>(backlogValidMs, suspensions)
     load.record({ backlogMs, running, loadWaitMs }, now)
-    entries.set(id, { scopes: new Set(unpackScopes(scopes)), commandable: commandable === 1, load })
+    // An owner of an earlier build states no speed; that of the owner before still counts until it is too old.
+    const speed = entries.get(id)?.speed ?? createDatedFact(maxSpeedAgeMs, suspensions)
+    if (packedSpeed !== undefined) speed.record({ speed: packedSpeed[0], start: packedSpeed[2] }, now - packedSpeed[1])
+    entries.set(id, { scopes: new Set(unpackScopes(scopes)), commandable: commandable === 1, load, speed })
   }
 
   let heardAt = -Infinity
@@ -142,6 +169,10 @@
       const load = entry?.load.read(now)
       return { commandable: entry?.commandable ?? true, scopes: entry?.scopes ?? new Set(), ...load?.value ?? unknownLoad, ageMs: load?.ageMs ?? Infinity }
     },
+    sharedSpeed ({ id, bornAt }, now) {
+      const fact = entries.get(id)?.speed.read(now)
+      return fact === undefined || fact.value.start !== bornAt % startModulus ? undefined : { speed: fact.value.speed, ageMs: fact.ageMs }
+    },
     heardAgeMs: now => now - heardAt,
     announced: now => [...entries].filter(([, { load }]) => load.read(now) !== undefined).map(([id]) => id),
     retain (ids, now) {
