--- a/packages/gateway/src/load-placement.ts
+++ b/packages/gateway/src/load-placement.ts
@@ -23,8 +23,10 @@
 export const earlyRefusalMs = 15
 /** Cost of an engine that prefills without a break, in ms: a request of the usual length takes that much longer there. */
 const continuousPrefillCostMs = 600
-/** Cost of an engine of speed 1, in ms, in inverse proportion to its speed: the adapter's later prompts run there too. */
+/** Cost of an engine of the mean speed, in ms, in inverse proportion to the speed: the adapter's later prompts run there too. */
 const promptCostMs = 300
+/** Speed relative to the mean from which an engine counts as no slower than others: estimates of engines that are all alike scatter by this much. */
+const alikeShare = 0.85
 /** Cost of an eviction for each recent request to the evicted replica, in ms. */
 const evictionCostPerUseMs = 60
 
@@ -84,6 +86,7 @@
 export function decideLoad (wanted: WantedAdapter, engines: readonly EngineState[], neededScopes: ReadonlySet<string>, ctx: LoadContext): LoadDecision | undefined {
   let best: LoadDecision | undefined
   let bestCost = Infinity
+  const meanSpeed = engines.reduce((sum, { speed }) => sum + speed.longTerm(ctx.now), 0) / engines.length
   const atColdLoadLimit = ctx.coldLoads >= ctx.maxColdLoads
   for (const engine of engines) {
     if (!engine.models.has(wanted.model) || engine.avoidedUntil > ctx.now || !ctx.commandable(engine)) continue
@@ -98,7 +101,9 @@
     }
     const evicted = existing ?? (usedAdapterSlots(engine) < adapterSlotLimit(engine) ? undefined : evictionCandidate(engine, neededScopes))
     if (evicted === undefined && usedAdapterSlots(engine) >= adapterSlotLimit(engine)) continue
-    const cost = backlogMs(engine, ctx.now) + limitWaitMs(engine, ctx.now) + limitIntervalMs(engine) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs + promptCostMs / engine.speed.longTerm(ctx.now)
+    const shareOfMean = engine.speed.longTerm(ctx.now) / meanSpeed
+    const relativeSpeed = shareOfMean < alikeShare ? shareOfMean : 1
+    const cost = backlogMs(engine, ctx.now) + limitWaitMs(engine, ctx.now) + limitIntervalMs(engine) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs + promptCostMs / relativeSpeed
     if (cost >= bestCost) continue
     bestCost = cost
     best = evicted === undefined ? { type: 'load', engine, wanted } : { type: 'unload', engine, replica: evicted }
--- a/packages/gateway/src/testing/load-simulation.test.ts
+++ b/packages/gateway/src/testing/load-simulation.test.ts
@@ -25,6 +25,8 @@
   ]
 }
 
+const unevenSpeeds = { speeds: [0.55, 1.2, 1.2, 1.2], slowPeriods: { factor: 2.5, share: 0.15, periodMs: 600 } }
+
 const seeds = [1, 2, 3]
 
 function simulateSeeds (overrides: Partial<SimulatedLoad>): SimulationResult[] {
@@ -69,4 +71,26 @@
   assert.ok(total(limited, ({ worthShare }) => worthShare) > total(unused, ({ worthShare }) => worthShare))
 })
 
+// Guards against engines of unequal speed, slow in periods of 0.6 s, that get the same work, and against requests that are late for it.
+test('work follows the speed of the engines', () => {
+  const results = simulateSeeds({ adapterSlots: 7, enginesPerZone: 4, classes: officeLoad.classes.map(cls => ({ ...cls, perSecond: cls.perSecond * 1.2 })), speeds: unevenSpeeds })
+  const workOf = (index: number): number => total(results, ({ engines }) => Object.entries(engines).filter(([id]) => id.endsWith(`-e${index}`)).reduce((sum, [, { workMs }]) => sum + workMs, 0))
+  const share = workOf(0) / ((workOf(1) + workOf(2) + workOf(3)) / 3) / (unevenSpeeds.speeds[0]! / unevenSpeeds.speeds[1]!)
+  assert.ok(share > 0.9 && share < 1.1, `${share} of the work that its speed allows`)
+})
+
+// Guards against new work for an engine that has become slow, and against one that stays without work after it has recovered.
+test('an engine that turns slow sheds new work within a second and gets it back', () => {
+  // Which engine has the popular adapters differs with the seed, so the shares are means over several seeds, against an even share.
+  const results = [1, 2, 3, 4, 5, 6].map(seed => simulateLoad({ ...officeLoad, seed, seconds: 30, speeds: { speeds: [1], change: { factor: 2.5, from: 10_000, until: 16_000 } } }))
+  const relativeShare = (from: number, until: number): number => {
+    const count = (suffix: string): number => total(results, ({ engines }) => Object.entries(engines).filter(([id]) => id.endsWith(suffix)).reduce((sum, [, { arrivals }]) => sum + arrivals.filter(at => at >= from && at < until).length, 0))
+    return count('-e0') / count('') * officeLoad.enginesPerZone
+  }
+  const [before, slow, after] = [relativeShare(3000, 10_000), relativeShare(11_000, 13_000), relativeShare(21_000, 30_000)]
+  assert.ok(before > 0.85, `${before} before`)
+  assert.ok(slow < before * 0.8, `${slow} while slow, ${before} before`)
+  assert.ok(after > 0.85, `${after} after`)
+})
+
 test.run()
--- a/packages/gateway/src/testing/load-simulation.ts
+++ b/packages/gateway/src/testing/load-simulation.ts
@@ -53,6 +53,8 @@
   rank?: typeof rankOwners
   /** Some engines of each zone state a limit for a while; all nodes know it at once. Times in ms. */
   limit?: { enginesPerZone: number, requestsPerSecond: number, from: number, until: number }
+  /** Nodes of a zone that receive requests, each with its own count of uses; one by default. */
+  nodesPerZone?: number
   /** All engines have the same constant speed by default. */
   speeds?: SimulatedSpeeds
   /** The share of requests that a zone gets rises and falls by `depth`, with another phase in each zone. */
@@ -123,7 +125,7 @@
   const rank = load.rank ?? rankOwners
   const spec: EngineSpec = { slots: 64, kvTokens: 232_000, weightsMb: 74_700, adapterSlots: load.adapterSlots, loadsPerSecond: 26, models: [{ name: model, weightsMb: 72_700, adapterMb: 66 }] }
   const statusCache = createOwnerStatusCache({ endedAt: () => -Infinity })
-  const useCounters = new Map(load.zones.map(zone => [zone, createUseCounter()]))
+  const useCounters = new Map(load.zones.map(zone => [zone, Array.from({ length: load.nodesPerZone ?? 1 }, createUseCounter)]))
   const result: SimulationResult = { classes: {}, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, crossZoneTokens: 0, meanPrefillTokens: 0, mostUnderLimit: 0, engines: {} }
   const owners: Owner[] = []
   let activeColdLoads = 0
@@ -357,7 +359,8 @@
   }
 
   function requestGrant (req: ClientRequest): void {
-    const recent = useCounters.get(req.zone)!.add(cacheScope(req.demand), now())
+    const counters = useCounters.get(req.zone)!
+    const recent = counters[requestCount % counters.length]!.add(cacheScope(req.demand), now())
     const ranked = rank(candidates(), req.demand, req.zone, recent).slice(0, maxOwnersAsked)
     askOwner(req, ranked, Infinity)
   }
