--- a/packages/gateway/src/load-placement.ts
+++ b/packages/gateway/src/load-placement.ts
@@ -24,7 +24,7 @@
 /** Cost of an engine that prefills without a break, in ms: a request of the usual length takes that much longer there. */
 const continuousPrefillCostMs = 600
 /** Cost of an engine of the mean speed, in ms, in inverse proportion to the speed: the adapter's later prompts run there too. */
-const promptCostMs = 300
+const promptCostMs = 450
 /** Speed relative to the mean from which an engine counts as no slower than others: estimates of engines that are all alike scatter by this much. */
 const alikeShare = 0.85
 /** Cost of an eviction for each recent request to the evicted replica, in ms. */
