--- a/packages/gateway/src/engine-choice.test.ts
+++ b/packages/gateway/src/engine-choice.test.ts
@@ -86,4 +86,12 @@
   assert.ok(largestOverMean < 3, String(largestOverMean))
 })
 
+// Guards against nodes without an owner that send as much to slow engines as to others.
+test('a faster engine is chosen without an owner', () => {
+  const scopes = new Set([cacheScope(demand('x1'))])
+  const engines = [engine('e1', 'a', 'owner-a', { scopes, speed: 0.5 }), engine('e2', 'a', 'owner-a', { scopes, speed: 1.2 })]
+  // For a short prompt the difference is below that of one request in progress, which statuses do not tell.
+  assert.is(chooseWithoutOwner(engines, { ...demand('x1'), promptTokens: 9000 }, 'a', { excluded: [] }, () => 0)?.id, 'e2')
+})
+
 test.run()
