--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -9,6 +9,7 @@
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
+import { choosePromptSource } from './prompt-fetch'
 import { recordRequest } from './request-pace'
 import { createVersionHistory } from './version-history'
 
@@ -102,8 +103,9 @@
 
   function grant (req: WaitingRequest, engine: EngineState, now: number): SchedulerAction {
     waiting.delete(req.id)
-    const requestPrefillMs = prefillMs(engine, req.demand)
-    recordPrefill(engine, req.demand, now)
+    const source = choosePromptSource(engines.values(), engine, req.demand, now)
+    const requestPrefillMs = prefillMs(engine, req.demand) - (source?.savedMs ?? 0)
+    recordPrefill(engine, requestPrefillMs, now)
     if (engine.limit !== undefined) recordRequest(engine.limit.pace, now)
     engine.runs.set(req.id, {
       id: req.id,
@@ -112,7 +114,7 @@
       demand: req.demand,
       sentAt: now,
       deadlineAt: req.deadlineAt,
-      uncachedTokens: uncachedTokens(engine, req.demand),
+      uncachedTokens: uncachedTokens(engine, req.demand) - (source?.tokens ?? 0),
       prefillMs: requestPrefillMs,
       expectedFirstEventAt: now + backlogMs(engine, now) + requestPrefillMs,
       ...(req.pauseMs === undefined ? {} : { pauseMs: req.pauseMs })
@@ -137,6 +139,7 @@
       engine: engine.server.id,
       address: engine.server.address,
       ...(version === undefined ? {} : { version }),
+      ...(source === undefined ? {} : { fetchFrom: source.engine.server.address }),
       waitedMs: now - req.arrivedAt,
       running: engine.runs.size,
       prefillMs: requestPrefillMs
