--- a/packages/gateway/src/testing/load-simulation.ts
+++ b/packages/gateway/src/testing/load-simulation.ts
@@ -10,6 +10,8 @@
 import type { PendingCommand } from '../engine-state'
 import { cacheScope, createPromptCache, type PromptCache } from '../prompt-cache'
 import { createOwnerStatusCache } from '../owner-status-cache'
+import { createEventQueue } from './event-queue'
+import { createWeightedDraw } from './weighted-draw'
 
 /** Requests of one kind; times in ms. */
 export type SimulatedClass = {
@@ -43,6 +45,8 @@
   fullSpeedColdLoads: number
   coldLoadMs: number
   classes: SimulatedClass[]
+  /** Client accounts, whose usual rates follow a Zipf law. One of them may send a multiple of its usual rate in addition to the load of the others. */
+  accounts?: { count: number, skew: number, flood?: { account: number, factor: number } }
   /** Interval at which owners publish their status, in ms. */
   statusIntervalMs: number
   /** Whether requests to owners state the longest pause of their stream. */
@@ -54,9 +58,15 @@
 }
 
 /** `paused` counts late responses with a pause that was too long. */
+/** `served` counts complete responses, on time or late. */
+export type AccountResult = { submitted: number, served: number, onTime: number }
 export type ClassResult = { submitted: number, onTime: number, late: number, paused: number, refused: number, failed: number, worthShare: number }
 export type SimulationResult = {
   classes: Record<string, ClassResult>
+  /** Results by account, in the order of their usual rates; empty without accounts. */
+  accounts: AccountResult[]
+  /** Requests that were sent again after the time in `Retry-After`, and those of them that an owner granted. */
+  retries: { sent: number, granted: number }
   worthShare: number
   coldLoads: number
   warmLoads: number
@@ -94,8 +104,10 @@
   cls: SimulatedClass
   zone: string
   demand: ModelDemand
+  account?: number
   arrivedAt: number
   retried: boolean
+  retryGranted: boolean
   grantCount: number
   pausesOnTime: boolean
   lastEventAt?: number
@@ -104,51 +116,7 @@
 
 type RunningRequest = { req: ClientRequest, grantId: string, owner: Owner, remainingTokens: number, prefilledTokens: number, tokens: number }
 type Engine = { server: BackendServer, replicas: Map<string, { readyAt: number, running: number }>, warmAdapters: Map<string, true>, commandCount: number, cache: PromptCache, prefilling: RunningRequest[], decoding: RunningRequest[], stepping: boolean }
-type Owner = { name: string, zone: string, scheduler: EngineScheduler, engines: Engine[], pending: Map<string, { req: ClientRequest, rest: string[] }>, decisionScheduled: boolean }
-
-/** Event queue of the virtual clock; events at the same time run in the order of their scheduling. */
-function createEventQueue (): { at (time: number, run: () => void): void, runUntil (until: number): void, now (): number } {
-  const heap: { time: number, order: number, run: () => void }[] = []
-  let clock = 0
-  let order = 0
-  const before = (left: number, right: number): boolean => heap[left]!.time < heap[right]!.time || (heap[left]!.time === heap[right]!.time && heap[left]!.order < heap[right]!.order)
-  const swap = (left: number, right: number): void => { [heap[left], heap[right]] = [heap[right]!, heap[left]!] }
-
-  function siftDown (): void {
-    for (let index = 0; ;) {
-      let least = index
-      for (const child of [2 * index + 1, 2 * index + 2]) if (child < heap.length && before(child, least)) least = child
-      if (least === index) return
-      swap(index, least)
-      index = least
-    }
-  }
-
-  return {
-    now: () => clock,
-    at (time, run) {
-      heap.push({ time: Math.max(time, clock), order: order++, run })
-      for (let index = heap.length - 1; index > 0;) {
-        const parent = (index - 1) >> 1
-        if (!before(index, parent)) return
-        swap(index, parent)
-        index = parent
-      }
-    },
-    runUntil (until) {
-      while (heap.length > 0 && heap[0]!.time <= until) {
-        const { time, run } = heap[0]!
-        const last = heap.pop()!
-        if (heap.length > 0) {
-          heap[0] = last
-          siftDown()
-        }
-        clock = time
-        run()
-      }
-    }
-  }
-}
+type Owner = { name: string, zone: string, scheduler: EngineScheduler, engines: Engine[], pending: Map<string, { req: ClientRequest, rest: string[], leastRetryMs: number }>, decisionScheduled: boolean }
 
 export function simulateLoad (load: SimulatedLoad): SimulationResult {
   const random = xoroshiro128plus(load.seed)
@@ -159,26 +127,19 @@
   const spec: EngineSpec = { slots: 64, kvTokens: 232_000, weightsMb: 74_700, adapterSlots: load.adapterSlots, loadsPerSecond: 26, models: [{ name: model, weightsMb: 72_700, adapterMb: 66 }] }
   const statusCache = createOwnerStatusCache({ endedAt: () => -Infinity })
   const useCounters = new Map(load.zones.map(zone => [zone, createUseCounter()]))
-  const result: SimulationResult = { classes: {}, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, meanPrefillTokens: 0, mostUnderLimit: 0 }
+  const result: SimulationResult = { classes: {}, accounts: [], retries: { sent: 0, granted: 0 }, worthShare: 0, coldLoads: 0, warmLoads: 0, notLoaded: 0, crossZone: 0, meanPrefillTokens: 0, mostUnderLimit: 0 }
   const owners: Owner[] = []
   let activeColdLoads = 0
   let sentRequests = 0
   let requestCount = 0
 
-  const cumulativeWeights: number[] = []
-  for (let position = 1, sum = 0; position <= load.adapters; position++) cumulativeWeights.push(sum += position ** -load.skew)
-
-  function drawAdapter (): string {
-    const drawnWeight = uniform() * cumulativeWeights.at(-1)!
-    let low = 0
-    let high = cumulativeWeights.length - 1
-    while (low < high) {
-      const middle = (low + high) >> 1
-      if (cumulativeWeights[middle]! < drawnWeight) low = middle + 1
-      else high = middle
-    }
-    return `a${low}`
-  }
+  const adapterDraw = createWeightedDraw(uniform, load.adapters, index => (index + 1) ** -load.skew)
+  const { count: accountCount = 0, skew: accountSkew = 0, flood } = load.accounts ?? {}
+  const usualRate = (account: number): number => (account + 1) ** -accountSkew
+  const accountDraw = createWeightedDraw(uniform, accountCount, account => usualRate(account) * (account === flood?.account ? flood.factor : 1))
+  /** Rate of all accounts together relative to the usual one. */
+  const rateFactor = flood === undefined ? 1 : accountDraw.totalWeight / createWeightedDraw(uniform, accountCount, usualRate).totalWeight
+  for (let account = 0; account < accountCount; account++) result.accounts.push({ submitted: 0, served: 0, onTime: 0 })
 
   for (const zone of load.zones) {
     const engines = Array.from({ length: load.enginesPerZone }, (_, index): Engine => ({
@@ -283,6 +244,10 @@
   function granted (owner: Owner, grantId: string, engineId: string): void {
     const { req } = owner.pending.get(grantId)!
     owner.pending.delete(grantId)
+    if (req.retried && !req.retryGranted) {
+      req.retryGranted = true
+      result.retries.granted += 1
+    }
     const engine = engineOf(engineId)
     eventQueue.at(now() + 2 * networkDelayMs, () => arrive(engine, owner, grantId, req))
   }
@@ -364,8 +329,13 @@
     const { req } = run
     const entry = result.classes[req.cls.name]!
     end(run.owner, run.grantId, isExpired(req) ? 'cancelled' : 'ok')
+    const onTime = req.firstEventAt !== undefined && req.firstEventAt - req.arrivedAt <= req.cls.objectiveMs && req.pausesOnTime
+    if (req.account !== undefined && !isExpired(req)) {
+      result.accounts[req.account]!.served += 1
+      if (onTime) result.accounts[req.account]!.onTime += 1
+    }
     if (isExpired(req)) entry.failed += 1
-    else if (req.firstEventAt! - req.arrivedAt <= req.cls.objectiveMs && req.pausesOnTime) entry.onTime += 1
+    else if (onTime) entry.onTime += 1
     else {
       entry.late += 1
       if (!req.pausesOnTime) entry.paused += 1
@@ -395,16 +365,16 @@
     if (owner === undefined) return handleRefusal(req, retryAfterMs)
     req.grantCount += 1
     const grantId = `${req.id}#${req.grantCount}`
-    owner.pending.set(grantId, { req, rest: ranked.slice(1) })
+    owner.pending.set(grantId, { req, rest: ranked.slice(1), leastRetryMs: retryAfterMs })
     const { cls } = req
-    const scheduled: ScheduledRequest = { id: grantId, node: 'n', service: 'llm', demand: req.demand, priority: cls.priority, objectiveAt: req.arrivedAt + cls.objectiveMs, startBy: req.arrivedAt + cls.deadlineMs, ...(load.sendsPauseLimit ? { pauseMs: maxPauseMs } : {}), deadlineAt: req.arrivedAt + cls.deadlineMs, excluded: [] }
+    const scheduled: ScheduledRequest = { id: grantId, node: 'n', service: 'llm', demand: req.demand, ...(req.account === undefined ? {} : { account: `account-${req.account}` }), priority: cls.priority, objectiveAt: req.arrivedAt + cls.objectiveMs, startBy: req.arrivedAt + cls.deadlineMs, ...(load.sendsPauseLimit ? { pauseMs: maxPauseMs } : {}), deadlineAt: req.arrivedAt + cls.deadlineMs, excluded: [] }
     eventQueue.at(now() + networkDelayMs, () => perform(owner, owner.scheduler.submit(scheduled, now())))
   }
 
   function refused (owner: Owner, grantId: string, retryAfterMs: number): void {
-    const { req, rest } = owner.pending.get(grantId)!
+    const { req, rest, leastRetryMs } = owner.pending.get(grantId)!
     owner.pending.delete(grantId)
-    eventQueue.at(now() + networkDelayMs, () => askOwner(req, rest, retryAfterMs))
+    eventQueue.at(now() + networkDelayMs, () => askOwner(req, rest, Math.min(leastRetryMs, retryAfterMs)))
   }
 
   function handleRefusal (req: ClientRequest, retryAfterMs: number): void {
@@ -412,6 +382,7 @@
     if (req.retried || retryAfterMs > leftMs / 3) result.classes[req.cls.name]!.refused += 1
     else {
       req.retried = true
+      result.retries.sent += 1
       eventQueue.at(now() + retryAfterMs, () => requestGrant(req))
     }
   }
@@ -423,7 +394,7 @@
   }
 
   function submit (cls: SimulatedClass): void {
-    const adapter = drawAdapter()
+    const adapter = `a${adapterDraw.draw()}`
     const id = `r${++requestCount}`
     const zone = load.zones[Math.floor(uniform() * load.zones.length)]!
     const ownTokens = Math.round(Math.min(10 * cls.ownTokens, drawLogNormal(cls.ownTokens)))
@@ -431,14 +402,16 @@
     const sharedParts = cls.sharedParts.map(({ tokens, texts }, index) => ({ id: `${cls.name}-${index}-${Math.floor(uniform() * texts)}`, tokens }))
     const promptTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, ownTokens)
     const demand: ModelDemand = { model, adapter, promptTokens, outputTokens, parts: [...sharedParts, { id, tokens: ownTokens }] }
+    const account = accountCount === 0 ? undefined : accountDraw.draw()
     result.classes[cls.name]!.submitted += 1
-    requestGrant({ id, cls, zone, demand, arrivedAt: now(), retried: false, grantCount: 0, pausesOnTime: true })
+    if (account !== undefined) result.accounts[account]!.submitted += 1
+    requestGrant({ id, cls, zone, demand, ...(account === undefined ? {} : { account }), arrivedAt: now(), retried: false, retryGranted: false, grantCount: 0, pausesOnTime: true })
   }
 
   for (const cls of load.classes) {
     result.classes[cls.name] = { submitted: 0, onTime: 0, late: 0, paused: 0, refused: 0, failed: 0, worthShare: 0 }
     const next = (): void => {
-      const at = now() - Math.log(1 - uniform()) * 1000 / cls.perSecond
+      const at = now() - Math.log(1 - uniform()) * 1000 / (cls.perSecond * rateFactor)
       if (at < load.seconds * 1000) eventQueue.at(at, () => { submit(cls); next() })
     }
     next()
