--- a/packages/gateway/src/engine-load-planner.ts
+++ b/packages/gateway/src/engine-load-planner.ts
@@ -9,10 +9,11 @@
 import type { LoadLimit } from './load-limit'
 import { backlogMs, removeReplica, hasCapacity, isIdle, freeWeightsMb, adapterSlotLimit, loadedModelsMb, limitIntervalMs, limitWaitMs, prefillShare, type AdapterReplica, type EngineState, type PendingCommand } from './engine-state'
 import { cacheScope } from './prompt-cache'
+import type { Standing } from './service-order'
 import type { VersionHistory } from './version-history'
 
 /** `hasTurn`: it waits for its turn at an engine that states a limit. */
-export type WaitingRequest = ScheduledRequest & { scope: string, arrivedAt: number, hasTurn: boolean }
+export type WaitingRequest = ScheduledRequest & { scope: string, arrivedAt: number, hasTurn: boolean, standing: Standing, late: boolean }
 
 /** State of one owner that the scheduler and the load planner share. */
 export type SchedulerState = {
@@ -78,6 +79,8 @@
 export const modelLoadCheckMs = 1000
 /** Weight of a waiting request that can still meet its objective, relative to one that cannot. */
 const onTimeWeight = 4
+/** The same for one that the service order defers: an adapter slot goes to others first, unless many wait for it. */
+const deferredWeight = 0.1
 /** Recent use from which a newer version is loaded before a request needs it. */
 const minReplaceUse = 0.5
 /** Bounds of the estimated duration of a load, in ms. */
@@ -143,7 +146,7 @@
       if (waitMs < (usable.length === 0 ? 0 : state.coldLoadMs + replicateAfterMs)) continue
       const version = versions.get(req.scope)?.newest()
       const entry = wanted.get(req.scope) ?? { scope: req.scope, model, adapter, ...(version === undefined ? {} : { version }), weight: 0, requests: [] }
-      entry.weight += req.objectiveAt > now ? onTimeWeight : 1
+      entry.weight += req.standing === 'deferred' ? deferredWeight : req.objectiveAt > now ? onTimeWeight : 1
       entry.requests.push(req)
       wanted.set(req.scope, entry)
     }
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -10,12 +10,15 @@
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
 import { recordRequest } from './request-pace'
+import { createServiceOrder, type RequestWork } from './service-order'
 import { createVersionHistory } from './version-history'
 
 export * from './engine-scheduler-types'
 
 /** Prefill time that may be queued at an engine, in ms; a longer queue would delay later, more urgent requests. */
 const maxBacklogMs = 250
+/** The same for requests that the service order defers, in ms, so that others find room. */
+const maxDeferredBacklogMs = 100
 /** Multiple of its delay that is added to the cost of an engine that fails all requests. */
 const failureCostFactor = 4
 /** Cost of a replica of an older version, in ms: more than any delay for which a request would wait. */
@@ -54,6 +57,7 @@
   const planner = createEngineLoadPlanner(cfg, state)
   const { isCurrent, isUsable } = planner
   const waiting = new Map<string, WaitingRequest>()
+  const order = createServiceOrder()
   /** Engine of each granted request, by request id. */
   const granted = new Map<string, string>()
   /** Requests that could not be granted at the last decision. */
@@ -83,7 +87,7 @@
     let needsBreak: EngineState | undefined
     for (const engine of enginesWithAdapter(req, view, now)) {
       if (reserved.has(engine) || !hasCapacity(engine, req.demand) || limitWaitMs(engine, now) > 0) continue
-      if (backlogMs(engine, now) > maxBacklogMs || !fitsPauseLimits(engine, req.demand, now)) {
+      if (backlogMs(engine, now) > (req.standing === 'deferred' ? maxDeferredBacklogMs : maxBacklogMs) || !fitsPauseLimits(engine, req.demand, now)) {
         if (needsBreak === undefined || backlogMs(engine, now) < backlogMs(needsBreak, now)) needsBreak = engine
         continue
       }
@@ -102,6 +106,7 @@
 
   function grant (req: WaitingRequest, engine: EngineState, now: number): SchedulerAction {
     waiting.delete(req.id)
+    order.granted(req, workOf(req, engine), now)
     const requestPrefillMs = prefillMs(engine, req.demand)
     recordPrefill(engine, req.demand, now)
     if (engine.limit !== undefined) recordRequest(engine.limit.pace, now)
@@ -145,23 +150,30 @@
 
   function refuse (req: WaitingRequest, reason: RefusalReason, retryAfterMs: number, now: number): SchedulerAction {
     waiting.delete(req.id)
-    return { type: 'refuse', request: req.id, node: req.node, reason, retryAfterMs: Math.round(Math.max(minRetryAfterMs, retryAfterMs)), waitedMs: now - req.arrivedAt }
+    const returnMs = order.refused(req, workOf(req), Math.max(minRetryAfterMs, retryAfterMs), now)
+    return { type: 'refuse', request: req.id, node: req.node, reason, retryAfterMs: Math.round(returnMs), waitedMs: now - req.arrivedAt }
   }
 
   /**
-   * Sorts the waiting requests: those that can still meet their objective or have a turn at an engine
-   * that states a limit first, then by the time of the objective. A surge thus delays all classes, those
-   * with shorter objectives least.
+   * Sorts the waiting requests by `service-order`. One can still meet its objective if it has a turn at
+   * an engine that states a limit.
    */
   function inServiceOrder (view: EnginesView, now: number): WaitingRequest[] {
     const rate = meanPrefillTokensPerMs()
-    const late = new Map<string, boolean>()
-    for (const req of waiting.values()) {
+    const isLate = (req: WaitingRequest): boolean => {
       const loadMs = hasReplica(req, view, now) ? 0 : state.coldLoadMs
-      late.set(req.id, !req.hasTurn && now + loadMs + req.demand.promptTokens / rate > req.objectiveAt)
+      return !req.hasTurn && now + loadMs + req.demand.promptTokens / rate > req.objectiveAt
     }
-    const rank = (req: WaitingRequest): number => late.get(req.id) === true ? 1 : 0
-    return [...waiting.values()].sort((left, right) => rank(left) - rank(right) || left.objectiveAt - right.objectiveAt || left.priority - right.priority)
+    return order.sort(waiting.values(), isLate, req => workOf(req), now)
+  }
+
+  /** @param engine - engine that runs the request; by default one that has neither its prompt nor its adapter */
+  function workOf (req: WaitingRequest, engine?: EngineState): RequestWork {
+    const { slots, adapterSlots } = (engine ?? engines.values().next().value)?.spec ?? { slots: 1, adapterSlots: 1 }
+    const replica = engine === undefined ? [...engines.values()].find(({ replicas }) => replicas.has(req.scope))?.replicas.get(req.scope) : engine.replicas.get(req.scope)
+    const alone = req.demand.adapter !== undefined && (replica === undefined || replica.use < 1)
+    const prefill = engine === undefined ? req.demand.promptTokens / meanPrefillTokensPerMs() : prefillMs(engine, req.demand)
+    return { prefillMs: prefill, runMs: state.meanRunMs, slots, adapterSlots, ...(alone ? { loadMs: state.coldLoadMs } : {}) }
   }
 
   /**
@@ -212,6 +224,7 @@
     const startMs = Math.max(earliest.startMs, replicaExists ? 0 : planner.loadWaitMs(loadsAhead, view))
     if (startMs === Infinity) return refuse(req, 'no-engine', noEngineRetryAfterMs, now)
     if (!replicaExists && !canLoadAnywhere(req, now)) return refuse(req, 'cannot-load', noEngineRetryAfterMs, now)
+    if (order.refusesNow(req, startMs, now)) return refuse(req, 'too-late', startMs, now)
     const slackMs = req.startBy - now - minRunMs
     // Another owner may have an engine without a limit.
     if (earliest.limited && startMs > Math.min(slackMs, maxLimitWaitMs(req, now))) return refuse(req, 'limited', startMs, now)
@@ -219,7 +232,7 @@
     // A request that is already late is overtaken by others, so its estimated start means little.
     // It is refused after half of the time from its objective to its latest start.
     const lateMs = now - req.objectiveAt
-    if (lateMs > 0 && lateMs > slackMs) return refuse(req, 'too-late', startMs, now)
+    if (lateMs > 0 && lateMs > slackMs && req.standing !== 'returning') return refuse(req, 'too-late', startMs, now)
     return startMs > slackMs ? refuse(req, 'too-late', startMs - Math.max(0, slackMs), now) : undefined
   }
 
@@ -346,9 +359,10 @@
     },
     submit (req, now) {
       if (waiting.has(req.id)) return []
-      const entry: WaitingRequest = { ...req, scope: cacheScope(req.demand), arrivedAt: now, hasTurn: false }
+      const entry: WaitingRequest = { ...req, scope: cacheScope(req.demand), arrivedAt: now, hasTurn: false, standing: 'usual', late: false }
       waiting.set(req.id, entry)
-      if (waiting.size > maxWaitingRequests) return [refuse(entry, 'queue-full', noEngineRetryAfterMs, now)]
+      order.submitted(entry, now)
+      if (waiting.size > maxWaitingRequests) return [refuse(order.excess(waiting.values(), entry), 'queue-full', noEngineRetryAfterMs, now)]
       return decide(now)
     },
     cancel (id, now) {
