--- a/packages/gateway/src/service-order.ts
+++ b/packages/gateway/src/service-order.ts
@@ -60,8 +60,6 @@
 const lateReturnMs = 1000
 /** Places that are kept for requests that come back. */
 const maxPlaces = 4096
-/** Difference of served shares from which a less urgent priority is deferred: less than half of the five in 100 that callers accept. */
-const maxPriorityGap = 0.02
 /** Half-life of the served shares of priorities, in ms. */
 const priorityHalfLifeMs = 4000
 /** Decayed number of requests from which a priority's served share counts. */
@@ -108,7 +106,7 @@
     const own = priorities.get(priority)
     if (own === undefined || own.requests < minPriorityRequests) return false
     for (const [other, { granted, requests }] of priorities) {
-      if (other < priority && requests >= minPriorityRequests && granted / requests < own.granted / own.requests - maxPriorityGap) return true
+      if (other < priority && requests >= minPriorityRequests && granted / requests < own.granted / own.requests) return true
     }
     return false
   }
