--- a/packages/gateway/src/cluster-types.ts
+++ b/packages/gateway/src/cluster-types.ts
@@ -58,9 +58,6 @@
   slots: number
   /** KV memory for prompts and generated tokens, in tokens. */
   kvTokens: number
-  /** KV memory of one token, in bytes, and speed at which an engine fetches it from another one, in Mbit/s; absent if engines do not fetch. */
-  kvTokenBytes?: number
-  linkMbps?: number
   weightsMb: number
   adapterSlots: number
   /** Loads of base models from the weight store, over all engines. */
--- a/packages/gateway/src/engine-forwarder.ts
+++ b/packages/gateway/src/engine-forwarder.ts
@@ -204,7 +204,6 @@
           remainingMs: exchange.deadlineAt - env.now(),
           priority: Math.min(maxPriority, exchange.priority),
           ...(version === undefined ? {} : { version }),
-          ...(grant.fetchFrom === undefined ? {} : { fetchFrom: grant.fetchFrom }),
           ...(lastEventId === undefined ? {} : { lastEventId })
         }),
         body: exchange.body,
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -219,8 +219,8 @@
             break
           }
           options.metrics.queueWait(action.waitedMs / 1000)
-          log.info('place-granted', { id: action.request, asker: action.node, server: action.engine, version: action.version, fetchFrom: action.fetchFrom, waitedMs: Math.round(action.waitedMs), running: action.running, prefillMs: Math.round(action.prefillMs) })
-          reply(action.node, { kind: 'granted', id: action.request, engine: action.engine, ...(action.version === undefined ? {} : { version: action.version }), ...(action.fetchFrom === undefined ? {} : { fetchFrom: action.fetchFrom }) })
+          log.info('place-granted', { id: action.request, asker: action.node, server: action.engine, version: action.version, waitedMs: Math.round(action.waitedMs), running: action.running, prefillMs: Math.round(action.prefillMs) })
+          reply(action.node, { kind: 'granted', id: action.request, engine: action.engine, ...(action.version === undefined ? {} : { version: action.version }) })
           break
         case 'refuse':
           submissions.delete(action.request)
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -32,7 +32,7 @@
 export type RefusalReason = 'limited' | 'no-engine' | 'cannot-load' | 'too-late' | 'queue-full' | 'blocked-part'
 
 export type SchedulerAction =
-  | { type: 'grant', request: string, node: string, engine: string, address: string, version?: number, fetchFrom?: string, waitedMs: number, running: number, prefillMs: number }
+  | { type: 'grant', request: string, node: string, engine: string, address: string, version?: number, waitedMs: number, running: number, prefillMs: number }
   | { type: 'refuse', request: string, node: string, retryAfterMs: number, reason: RefusalReason, waitedMs: number }
   | { type: 'command', engine: string, command: PendingCommand }
   | { type: 'report', engine: string }
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -9,7 +9,6 @@
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
-import { choosePromptSource } from './prompt-fetch'
 import { recordRequest } from './request-pace'
 import { createServiceOrder, type RequestWork } from './service-order'
 import { createVersionHistory } from './version-history'
@@ -107,10 +106,9 @@
 
   function grant (req: WaitingRequest, engine: EngineState, now: number): SchedulerAction {
     waiting.delete(req.id)
-    const source = choosePromptSource(engines.values(), engine, req.demand, now)
     order.granted(req, workOf(req, now, engine), now)
-    const requestPrefillMs = prefillMs(engine, req.demand, now) - (source?.savedMs ?? 0)
-    recordPrefill(engine, requestPrefillMs, now)
+    const requestPrefillMs = prefillMs(engine, req.demand, now)
+    recordPrefill(engine, req.demand, now)
     if (engine.limit !== undefined) recordRequest(engine.limit.pace, now)
     engine.runs.set(req.id, {
       id: req.id,
@@ -119,7 +117,7 @@
       demand: req.demand,
       sentAt: now,
       deadlineAt: req.deadlineAt,
-      nominalMs: nominalPrefillMs(engine, req.demand) - (source?.savedNominalMs ?? 0),
+      nominalMs: nominalPrefillMs(engine, req.demand),
       expectedFirstEventAt: now + backlogMs(engine, now) + requestPrefillMs,
       ...(req.pauseMs === undefined ? {} : { pauseMs: req.pauseMs })
     })
@@ -143,7 +141,6 @@
       engine: engine.server.id,
       address: engine.server.address,
       ...(version === undefined ? {} : { version }),
-      ...(source === undefined ? {} : { fetchFrom: source.engine.server.address }),
       waitedMs: now - req.arrivedAt,
       running: engine.runs.size,
       prefillMs: requestPrefillMs
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -345,14 +345,10 @@
   return [...state.runs.values()].some(run => awaitsFirstEvent(state, run))
 }
 
-/**
- * Records the prefill of a request that is about to be sent, and the end of a break before it.
- *
- * @param requestMs - estimated time of the prefill, in ms
- */
-export function recordPrefill (state: EngineState, requestMs: number, now: number): void {
+/** Records the prefill of a request that is about to be sent, and the end of a break before it. */
+export function recordPrefill (state: EngineState, demand: ModelDemand, now: number): void {
   if (!isPrefilling(state)) state.prefillingSince = now
-  state.recentPrefill = { ms: decayedPrefillMs(state, now) + requestMs, at: now }
+  state.recentPrefill = { ms: decayedPrefillMs(state, now) + prefillMs(state, demand, now), at: now }
 }
 
 /** Half-life of recent prefill, in ms: about the duration of a stream. */
--- a/packages/gateway/src/grant-client.ts
+++ b/packages/gateway/src/grant-client.ts
@@ -19,8 +19,6 @@
   grantId: string
   server: BackendServer
   version?: number
-  /** Address of an engine from which this one fetches kept parts of the prompt. */
-  fetchFrom?: string
   /** Node that gave the grant; absent if this node chose an engine without an owner. */
   owner?: string
 }
@@ -35,7 +33,7 @@
   | { kind: 'cancel', id: string }
   | { kind: 'first-event', id: string }
   | { kind: 'ended', id: string, outcome: RunOutcome }
-  | { kind: 'granted', id: string, engine: string, version?: number, fetchFrom?: string }
+  | { kind: 'granted', id: string, engine: string, version?: number }
   | { kind: 'refused', id: string, reason: RefusalReason, retryAfterMs: number }
 
 export type GrantClientEnv = {
@@ -237,7 +235,7 @@
         notifyOwner(owner, { kind: 'ended', id: reply.id, outcome: 'cancelled' })
         return pendingGrant!.resolve('outdated')
       }
-      if (reply.kind === 'granted') pendingGrant!.resolve({ type: 'granted', grant: { grantId: reply.id, server: server!, owner, ...(reply.version === undefined ? {} : { version: reply.version }), ...(reply.fetchFrom === undefined ? {} : { fetchFrom: reply.fetchFrom }) } })
+      if (reply.kind === 'granted') pendingGrant!.resolve({ type: 'granted', grant: { grantId: reply.id, server: server!, owner, ...(reply.version === undefined ? {} : { version: reply.version }) } })
       else pendingGrant?.resolve({ type: 'refused', reason: reply.reason, retryAfterMs: reply.retryAfterMs })
     }
   }
--- a/packages/gateway/src/grant-message.ts
+++ b/packages/gateway/src/grant-message.ts
@@ -1,5 +1,4 @@
 /** Checks messages about grants. A field of another type would fail later, in a timer that serves all waiting requests. */
-import { isAddress } from '@yuccawharf/coordination'
 import type { ModelDemand } from './cluster-types'
 import { isCount, isFields, isNumber, isText, isTextList } from './field-checks'
 import type { GrantMessage } from './grant-client'
@@ -30,7 +29,7 @@
     case 'cancel':
     case 'first-event': return true
     case 'ended': return isText(value['outcome'])
-    case 'granted': return isText(value['engine']) && (value['version'] === undefined || Number.isSafeInteger(value['version'])) && (value['fetchFrom'] === undefined || isAddress(value['fetchFrom']))
+    case 'granted': return isText(value['engine']) && (value['version'] === undefined || Number.isSafeInteger(value['version']))
     case 'refused': return isText(value['reason']) && isNumber(value['retryAfterMs'])
     default: return false
   }
--- a/packages/gateway/src/peer-records.ts
+++ b/packages/gateway/src/peer-records.ts
@@ -44,8 +44,6 @@
 const isEngineSpec = fieldsCheck<EngineSpec>({
   slots: isCount,
   kvTokens: isCount,
-  kvTokenBytes: optional(isCount),
-  linkMbps: optional(isCount),
   weightsMb: isCount,
   adapterSlots: isCount,
   loadsPerSecond: isCount,
--- a/packages/gateway/src/platform-interface.ts
+++ b/packages/gateway/src/platform-interface.ts
@@ -103,8 +103,6 @@
   remainingMs: number
   version?: number
   priority?: number
-  /** Address of a server from which this one fetches kept parts of the prompt. */
-  fetchFrom?: string
   lastEventId?: string
 }
 
