--- a/packages/gateway/src/quota-owners.ts
+++ b/packages/gateway/src/quota-owners.ts
@@ -24,6 +24,8 @@
    * @returns how much this node may give as the owner or in its place
    */
   mode (account: string, suspendedUntil: number, now: number, forOwner?: boolean): LedgerMode
+  /** The node that would have taken the account over does not give the whole rate: it has started too, as after the loss of all nodes. */
+  unopposed (account: string): void
   /** @returns whether this node has owned the ledger within {@link formerMs} */
   wasOwner (account: string, now: number): boolean
   /** @returns time since which this node may give the whole rate; only if the mode is full */
@@ -44,6 +46,10 @@
 const formerMs = 5000
 /** Time for which lost nodes count as part of the fleet, in ms: an isolated node takes minutes to declare a large fleet dead. */
 const knownMs = 300_000
+/** Time after its start for which an owner without a predecessor gives the whole rate before it is in contact, in ms: contact takes about two seconds. */
+const startMs = 4000
+/** Accounts that are remembered for that time. */
+const maxUnopposed = 1024
 
 export function createQuotaOwners (self: string, startedAt: number): QuotaOwners {
   const heardAt = new Map<string, number>()
@@ -60,6 +66,8 @@
   const since = new Map<string, number>()
   /** Time at which this node ceased to own a ledger. */
   const formerAt = new Map<string, number>()
+  /** Accounts that no other node has taken over. */
+  const withoutPredecessor = new Set<string>()
   let changedAt = startedAt
 
   /** Nodes that are alive or were lost a while ago. */
@@ -148,6 +156,7 @@
     mode (account, suspendedUntil, now, forOwner = false) {
       checkContact(now)
       const known = knownCount(now)
+      if (withoutPredecessor.has(account) && now - startedAt < startMs && suspendedUntil < startedAt && order(account)[0] === self && seesMajority(now)) return { type: 'full' }
       // All nodes without contact together stay within the tolerance.
       if (noContactAt === now) return { type: 'part', share: Math.min(1, (Math.min(heardCount(now), alive.size - 1) + 1) / known) }
       const isOwner = order(account)[0] === self || forOwner
@@ -155,6 +164,9 @@
       const settles = now < settledAt || now - suspendedUntil < settleMs
       return isOwner && !settles ? { type: 'full' } : { type: 'part', share: 1 }
     },
+    unopposed (account) {
+      if (withoutPredecessor.size < maxUnopposed) withoutPredecessor.add(account)
+    },
     wasOwner: (account, now) => now - (formerAt.get(account) ?? -Infinity) <= formerMs,
     ownerSince
   }
--- a/packages/gateway/src/quotas.ts
+++ b/packages/gateway/src/quotas.ts
@@ -183,6 +183,7 @@
     const [owner, former] = owners.order(account)
     const other = owner !== self.node ? owner : owners.mode(account, suspensions.endedAt(), now()).type === 'part' ? former : undefined
     const reply = other === undefined || isPassedOver(other) ? undefined : await ask(other, account, question, deputyTimeoutMs, true)
+    if (reply?.type === 'declined' && owner === self.node) owners.unopposed(account)
     return reply === undefined || reply.type === 'declined' ? lend(account, question) : reply
   }
 
