--- a/packages/gateway/src/quota-nodes.test.ts
+++ b/packages/gateway/src/quota-nodes.test.ts
@@ -64,6 +64,12 @@
   assert.equal([...new Set(statuses)], [503])
 })
 
+// Guards against a request of a limited account that costs nothing and fails, or waits for a reply that never comes.
+test('requests that cost nothing are served', async () => {
+  const outcomes = await Promise.all(nodes.fronts.map(front => send(front, 'k1', 0)))
+  assert.equal(outcomes.map(({ status }) => status), [200, 200, 200])
+})
+
 // Guards against an account without a limit that waits for a ledger.
 test('an account without a limit is served while another is above its own', async () => {
   const outcomes = await Promise.all(nodes.fronts.map(front => send(front, 'k2', 1_000_000)))
--- a/packages/gateway/src/quotas.ts
+++ b/packages/gateway/src/quotas.ts
@@ -329,6 +329,8 @@
       const { name, quota } = account
       const cost = quotaCost(quota, metadata)
       const state = stateOf(name, quota)
+      // Such a question would look like the return of an unused amount, which is not answered.
+      if (cost === 0) return admitted(name, state.client, cost)
       state.client.expect(cost, now())
       if (state.waiting.length === 0 && state.client.take(cost, now())) return admitted(name, state.client, cost)
       const refusedMs = state.client.refusedMs(cost, now())
