--- a/packages/gateway/src/config-age.test.ts
+++ b/packages/gateway/src/config-age.test.ts
@@ -64,6 +64,15 @@
   assert.ok(age.isCurrent(1300))
 })
 
+// Guards against reads without a pause by a node that has read a restored store, in which it finds no newer version.
+test('a newer version at a peer is no reason to read the store', () => {
+  const { age } = create()
+  age.read(1000)
+  age.peerRead(1100, { next: 7, version: 4 })
+  assert.not(age.needsRead(1200))
+  assert.ok(age.needsRead(1000 + 0.45 * revokeMs))
+})
+
 // Guards against a flood of questions, and against a zone that depends on one node.
 test('asks the reader first, then others, at intervals, until the evidence is young', () => {
   const { age } = create()
--- a/packages/gateway/src/config-age.ts
+++ b/packages/gateway/src/config-age.ts
@@ -60,8 +60,13 @@
   /** Questions since the evidence was last young enough. */
   let questions = 0
 
+  /** Age of the newest evidence, also of one that does not count because a peer has a newer version. */
+  function evidenceMs (now: number): number {
+    return evidence.read(now)?.ageMs ?? Infinity
+  }
+
   function ageMs (now: number): number {
-    return own().version < newestVersion ? Infinity : evidence.read(now)?.ageMs ?? Infinity
+    return own().version < newestVersion ? Infinity : evidenceMs(now)
   }
 
   return {
@@ -81,7 +86,8 @@
     },
     needsRead (now) {
       const boundMs = revokeMs()
-      return boundMs !== undefined && ageMs(now) >= boundMs * readShare
+      // A store that came back from a copy does not have the newer version, however often it is read.
+      return boundMs !== undefined && evidenceMs(now) >= boundMs * readShare
     },
     nextQuestion (now) {
       const boundMs = revokeMs()
