--- a/packages/gateway/src/config-age.ts
+++ b/packages/gateway/src/config-age.ts
@@ -38,8 +38,11 @@
   isCurrent (now: number): boolean
   /** Whether this node should read the store itself, because other nodes have not helped in time. */
   needsRead (now: number): boolean
-  /** @returns the nodes to be asked now, if any */
-  nextQuestion (now: number): ConfigSource | undefined
+  /**
+   * @param isReader - this node reads the store for its zone, so that its evidence is always young
+   * @returns the nodes to be asked now, if any
+   */
+  nextQuestion (now: number, isReader?: boolean): ConfigSource | undefined
 }
 
 /** Share of the bound by which evidence counts for less, for the time that a request takes from the check to its server. */
@@ -57,6 +60,8 @@
   const evidence = createDatedFact<true>(Infinity, suspensions)
   let newestVersion = -1
   let askedAt = -Infinity
+  /** Time of the newest question before an answer. */
+  let comparedAt = -Infinity
   /** Questions since the evidence was last young enough. */
   let questions = 0
 
@@ -73,6 +78,7 @@
     read: asOf => evidence.record(true, asOf),
     peerRead (asOf, { next, version }) {
       newestVersion = Math.max(newestVersion, version)
+      comparedAt = askedAt
       const { next: ownNext, version: ownVersion } = own()
       if (next > ownNext || version > ownVersion) return true
       // A peer that has not noticed a restoration of the store has read another history.
@@ -89,15 +95,16 @@
       // A store that came back from a copy does not have the newer version, however often it is read.
       return boundMs !== undefined && evidenceMs(now) >= boundMs * readShare
     },
-    nextQuestion (now) {
+    nextQuestion (now, isReader = false) {
       const boundMs = revokeMs()
       if (boundMs === undefined) return undefined
-      if (ageMs(now) < boundMs * askShare) {
-        questions = 0
-        return undefined
-      }
+      const isYoung = ageMs(now) < boundMs * askShare
+      if (isYoung) questions = 0
+      // A store that came back from a copy may lack the newest version, which only other nodes can tell.
+      if (isYoung && !(isReader && now - comparedAt >= boundMs * askShare)) return undefined
       if (now - askedAt < replyMs) return undefined
       askedAt = now
+      if (isYoung) return 'fleet'
       questions += 1
       return questions === 1 ? 'reader' : questions <= zoneQuestions ? 'zone' : 'fleet'
     }
--- a/packages/gateway/src/config-questions.ts
+++ b/packages/gateway/src/config-questions.ts
@@ -47,10 +47,10 @@
   }
 
   function addressToAsk (): string | undefined {
-    const source = age.nextQuestion(now())
+    const reader = options.zoneReader()
+    const source = age.nextQuestion(now(), reader === self.name)
     if (source === undefined) return undefined
     const peers = options.peers()
-    const reader = options.zoneReader()
     if (source === 'reader' && reader !== self.name) return options.address(reader)
     return draw(source === 'zone' ? peers.filter(({ zone }) => zone === self.zone) : peers) ?? draw(peers)
   }
