--- a/packages/gateway/src/quotas.ts
+++ b/packages/gateway/src/quotas.ts
@@ -21,7 +21,7 @@
 type QuotaAsk = { id: number, account: string, needed: number, tokens: number, returned: number, deputy?: true }
 type QuotaLent = { id: number, tokens: number, validMs: number }
 type QuotaRefused = { id: number, retryAfterMs: number }
-/** The former owner does not give the whole rate either. */
+/** The former owner does not give the whole rate either, or the node does not know the account. */
 type QuotaDeclined = { id: number, declined: true }
 type QuotaReply = { type: 'lent', tokens: number, validMs: number } | { type: 'over-limit', retryAfterMs: number } | { type: 'declined' }
 
@@ -196,7 +196,7 @@
         const question = state.client.question(state.waiting.map(({ cost }) => cost), askedAt)
         const reply = node === self.node ? await lendOrPassOn(account, question) : await ask(node, account, question, replyTimeoutMs, false)
         if (reply !== undefined && reply.type !== 'declined') return { reply, node, askedAt }
-        if (node === self.node) break
+        if (reply !== undefined || node === self.node) break
       }
     }
     return undefined
@@ -304,7 +304,11 @@
     const { id, account, needed, tokens, returned, deputy } = message
     updateView()
     const quota = options.quota(account)
-    if (quota === undefined) return log.warn('quota-unknown', { account, from: from.node })
+    if (quota === undefined) {
+      log.warn('quota-unknown', { account, from: from.node })
+      // A missed reply would count against the other accounts of this node too.
+      return options.notify(from.node, { kind: 'quota-lent', payload: { id, declined: true } satisfies QuotaDeclined })
+    }
     if (!isNewQuestion(account, from, id)) return
     const question: QuotaQuestion = { needed, wanted: Math.max(needed, tokens), returned }
     const isFromOwner = owners.order(account)[0] === from.node
@@ -335,9 +339,13 @@
       if (state.waiting.length === 0 && state.client.take(cost, now())) return admitted(name, state.client, cost)
       const refusedMs = state.client.refusedMs(cost, now())
       if (refusedMs > 0) return refuse(name, cost, Math.max(minRetryAfterMs, refusedMs), undefined)
-      return new Promise((resolve, reject) => {
+      return new Promise(resolve => {
         state.waiting.push({ cost, resolve })
-        if (!state.asking) serveWaiting(name, state).catch(reject)
+        if (state.asking) return
+        serveWaiting(name, state).catch(err => {
+          log.warn('quota-question-failed', { account: name, reason: (err as Error).message })
+          settle(name, state, undefined)
+        })
       })
     },
     receive (from, { kind, payload }) {
