--- a/packages/gateway/src/accounts.ts
+++ b/packages/gateway/src/accounts.ts
@@ -24,6 +24,12 @@
   return createHash('sha256').update(key).digest('base64')
 }
 
+/** Characters that a header can carry: names are sent to servers in one. */
+const headerText = /^[\x20-\x7e\x80-\xff]+$/
+
+/** @returns whether an account can have this name */
+export const isAccountName = (value: unknown): value is string => typeof value === 'string' && headerText.test(value)
+
 /** @returns the first key that belongs to two entries, as the names of its accounts */
 export function sharedKey (accounts: readonly Account[]): [string, string] | undefined {
   const owners = new Map<string, string>()
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,5 @@
 /** Gateway in front of many backend servers: routes, engines with adapters, plain services. */
-export { keyDigest, sharedKey } from './accounts'
+export { isAccountName, keyDigest, sharedKey } from './accounts'
 export * from './cluster-types'
 export * from './decision-log'
 export * from './gateway'
--- a/packages/gateway/src/peer-records.ts
+++ b/packages/gateway/src/peer-records.ts
@@ -3,7 +3,7 @@
  * that cannot be used would fail later, in a request or in a timer, at every node that has the record.
  */
 import { isAddress } from '@yuccawharf/coordination'
-import { sharedKey } from './accounts'
+import { isAccountName, sharedKey } from './accounts'
 import type { Account, AccountQuota, AdapterVersion, BackendServer, ClusterConfig, EngineSpec, IngressLimits, LoadedAdapter, LoadedModel, ModelSpec, Route, RouteTarget, ServiceSpec } from './cluster-types'
 import { fieldsCheck, isCount, isListOf, isName, isNumber, isOneOf, isPosition, isText, isTextList, optional } from './field-checks'
 import type { FeedRecord, FleetLog, FleetRecord, OperatorRecord, ServerRecord, UnreadableRecord } from './platform-interface'
@@ -54,7 +54,7 @@
 const isService = fieldsCheck<ServiceSpec>({ name: isText, maxConnections: isCount, engine: optional(isEngineSpec) })
 const isLimits = fieldsCheck<IngressLimits>({ headerBytes: isCount, bodyBytes: isCount, headerTimeoutMs: isCount, idleTimeoutMs: isCount })
 const isQuota = fieldsCheck<AccountQuota>({ unit: isOneOf(['requests', 'tokens']), ratePerSecond: isCount, burst: isCount, plainTokens: isCount })
-const isAccount = fieldsCheck<Account>({ name: isName, keyDigests: isTextList, priority: optional(isNumber), quota: optional(isQuota) })
+const isAccount = fieldsCheck<Account>({ name: isAccountName, keyDigests: isTextList, priority: optional(isNumber), quota: optional(isQuota) })
 const isConfig = fieldsCheck<ClusterConfig>({
   version: isPosition,
   routes: value => isListOf(value, isRoute),
