--- a/packages/gateway/src/feed-follower.test.ts
+++ b/packages/gateway/src/feed-follower.test.ts
@@ -182,4 +182,23 @@
   assert.ok(writtenAfter >= writtenAt, 'the next change is new again')
 })
 
+// Guards against a process that was stopped, and takes an empty page of before for as recent as the end of a wait that the store had cut short.
+test('an empty page is no more recent than the last turn in which the read still waited', async () => {
+  let now = 0
+  const known: number[] = []
+  const ends: (() => void)[] = []
+  const feed: Feed<string> = { newest: async () => Ok(page(5, 4)), read: () => new Promise(resolve => { ends.push(() => resolve(Ok(page(5)))) }) }
+  const ignore = (): void => {}
+  let lastTurn = -Infinity
+  follower = followFeed(feed, { replaced: ignore, changed: ignore, succeeded: (_asOf, _next, provenAsOf) => { known.push(provenAsOf) }, lost: ignore, regained: ignore, restored: ignore, failed: ignore, aborted: ignore, stalled: ignore, call: ignore }, { now: () => now, lastTurn: () => lastTurn, waitMs: () => 1000, pauseMs: () => 0, retryPauseMs: () => 100 })
+  for (const [end, turn] of [[1000, 950], [8000, 1100], [10_000, 9900]] as const) {
+    await sleep(5)
+    now = end
+    lastTurn = turn
+    ends.shift()!()
+  }
+  await sleep(5)
+  assert.equal(known, [0, 950, 1100, 9000])
+})
+
 test.run()
--- a/packages/gateway/src/feed-follower.ts
+++ b/packages/gateway/src/feed-follower.ts
@@ -14,8 +14,13 @@
    * @param writtenAfter - time after which the records were written, in ms
    */
   changed (records: FeedRecord<Value>[], next: number, writtenAfter: number): void
-  /** A call succeeded; its result is at least as recent as `asOf`. */
-  succeeded (asOf: number, next: number): void
+  /**
+   * A call succeeded; its result is at least as recent as `asOf`.
+   *
+   * @param provenAsOf - the same if the store may have ended a wait early and the process been stopped since:
+   * no later than the last turn of the event loop in which the read still waited
+   */
+  succeeded (asOf: number, next: number, provenAsOf: number): void
   /** The feed became unreachable, or reachable again. */
   lost (reason: string): void
   regained (lostForMs: number): void
@@ -128,11 +133,11 @@
     era = eraOf(next)
   }
 
-  function succeeded (asOf: number, next: number): void {
+  function succeeded (asOf: number, next: number, provenAsOf = asOf): void {
     position = next
     interrupted = false
     peerAheadAt = Infinity
-    events.succeeded(asOf, next)
+    events.succeeded(asOf, next, provenAsOf)
   }
 
   async function failed (failure: FeedFailure, sentAt: number): Promise<void> {
@@ -188,7 +193,7 @@
     // A read without records returned when its wait ended, so its result is as recent as the end of the wait.
     const waited = result.val.records.length === 0 && options.now() - sentAt >= waitMs
     const asOf = result.val.more === true ? -Infinity : waited ? sentAt + waitMs : sentAt
-    succeeded(asOf, result.val.next)
+    succeeded(asOf, result.val.next, Math.min(asOf, Math.max(sentAt, options.lastTurn())))
     await pause(options.pauseMs())
   }
 
--- a/packages/gateway/src/feeds.ts
+++ b/packages/gateway/src/feeds.ts
@@ -208,9 +208,9 @@
           // The monotonic clock stands still in a suspension, so a time before it says nothing about the time since.
           options.operator(records, writtenAfter <= options.suspensions.endedAt() ? -Infinity : writtenAfter)
         },
-        succeeded (asOf) {
+        succeeded (_asOf, _next, provenAsOf) {
           operatorReachable = true
-          options.operatorRead(asOf)
+          options.operatorRead(provenAsOf)
         },
         lost (reason) {
           operatorReachable = false
