--- a/packages/gateway/src/quotas.test.ts
+++ b/packages/gateway/src/quotas.test.ts
@@ -35,7 +35,8 @@
     ...killOwner(48), ...killOwner(50, 1),
     ...between(58, 59, faults => faults.kill(...all), faults => faults.start(...all)),
     ...between(62, 72, faults => faults.suspend(faults.owner()), faults => faults.resume(faults.owner())),
-    ...between(80, 92, faults => faults.cutLink(faults.owner(), faults.owner(1)), faults => faults.heal())
+    ...between(80, 92, faults => faults.cutLink(faults.owner(), faults.owner(1)), faults => faults.heal()),
+    ...between(96, 100, faults => faults.stop(faults.owner()), faults => faults.resume(faults.owner()))
   ]
 }
 
@@ -43,7 +44,7 @@
   // Guards against two owners, new owners and isolated nodes that together give more than the limit.
   test(`an account far above its limit stays within it while ${nodes} nodes fail`, async () => {
     for (const quota of [large, small]) {
-      const result = await simulate('flood', quota, 4, { nodes, seconds: 100, faults: hardFaults(nodes) })
+      const result = await simulate('flood', quota, 4, { nodes, seconds: 108, faults: hardFaults(nodes) })
       assert.ok(result.windowShare <= 1, `${result.windowShare} of what is allowed`)
     }
   })
--- a/packages/gateway/src/testing/quota-simulation.ts
+++ b/packages/gateway/src/testing/quota-simulation.ts
@@ -29,6 +29,9 @@
   kill (...nodes: number[]): void
   start (...nodes: number[]): void
   suspend (node: number): void
+  /** Stops the process; the monotonic clock runs on, unlike in a suspension. */
+  stop (node: number): void
+  /** Ends a suspension or a stop. */
   resume (node: number): void
   /** Cuts the nodes off from the others, not from each other. */
   cut (...nodes: number[]): void
@@ -60,7 +63,7 @@
 const warmUpMs = 10_000
 const account = 'acme'
 
-type Node = { quotas: Quotas, incarnation: number, alive: boolean, offsetMs: number, endedAt: number, suspendedAt?: number, backlog: (() => void)[], probes: number[], dead: Set<number>, members: FleetMember[] }
+type Node = { quotas: Quotas, incarnation: number, alive: boolean, offsetMs: number, endedAt: number, suspendedAt?: number, clockRuns?: boolean, backlog: (() => void)[], probes: number[], dead: Set<number>, members: FleetMember[] }
 
 export async function simulateQuota (load: QuotaSimulation): Promise<QuotaSimulationResult> {
   const time = createVirtualTime(0)
@@ -99,7 +102,7 @@
   function start (index: number): void {
     const incarnation = (nodes[index]?.incarnation ?? 0) + 1
     const node: Node = { quotas: undefined as unknown as Quotas, incarnation, alive: true, offsetMs: draw(1e9), endedAt: -Infinity, backlog: [], probes: [], dead: new Set(), members: listMembers(index, new Set()) }
-    const now = (): number => (node.suspendedAt ?? time.now()) + node.offsetMs
+    const now = (): number => (node.clockRuns === true ? time.now() : node.suspendedAt ?? time.now()) + node.offsetMs
     node.quotas = createQuotas({
       self: { node: names[index]!, incarnation },
       now,
@@ -153,13 +156,17 @@
     owner: (rank = 0) => ranked[rank]!,
     kill (...killed) { for (const index of killed) nodes[index]!.alive = false },
     start (...started) { for (const index of started) start(index) },
-    suspend (index) { nodes[index]!.suspendedAt = time.now() },
+    suspend (index) { Object.assign(nodes[index]!, { suspendedAt: time.now(), clockRuns: false }) },
+    stop (index) { Object.assign(nodes[index]!, { suspendedAt: time.now(), clockRuns: true }) },
     resume (index) {
       const node = nodes[index]!
-      // The monotonic clock stands still during a suspension.
-      node.offsetMs -= time.now() - node.suspendedAt!
+      const { suspendedAt, clockRuns } = node
       delete node.suspendedAt
-      node.endedAt = time.now() + node.offsetMs
+      // The monotonic clock stands still during a suspension.
+      if (clockRuns !== true) {
+        node.offsetMs -= time.now() - suspendedAt!
+        node.endedAt = time.now() + node.offsetMs
+      }
       for (const callback of node.backlog.splice(0)) callback()
     },
     cut (...cut) { cutOff = new Set(cut) },
