--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type EngineState } from './engine-state'
+import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type AdapterReplica, type EngineState } from './engine-state'
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
@@ -166,15 +166,23 @@
       const loadMs = hasReplica(req, view, now) ? 0 : state.coldLoadMs
       return !req.hasTurn && now + loadMs + req.demand.promptTokens / rate > req.objectiveAt
     }
-    return order.sort(waiting.values(), isLate, req => workOf(req, now), now)
+    return order.sort(waiting.values(), isLate, req => workOf(req, now, undefined, rate), now)
+  }
+
+  function anyReplica (scope: string): AdapterReplica | undefined {
+    for (const { replicas } of engines.values()) {
+      const replica = replicas.get(scope)
+      if (replica !== undefined) return replica
+    }
+    return undefined
   }
 
   /** @param engine - engine that runs the request; by default one that has neither its prompt nor its adapter */
-  function workOf (req: WaitingRequest, now: number, engine?: EngineState): RequestWork {
+  function workOf (req: WaitingRequest, now: number, engine?: EngineState, rate = meanPrefillTokensPerMs(now)): RequestWork {
     const { slots, adapterSlots } = (engine ?? engines.values().next().value)?.spec ?? { slots: 1, adapterSlots: 1 }
-    const replica = engine === undefined ? [...engines.values()].find(({ replicas }) => replicas.has(req.scope))?.replicas.get(req.scope) : engine.replicas.get(req.scope)
+    const replica = engine === undefined ? anyReplica(req.scope) : engine.replicas.get(req.scope)
     const alone = req.demand.adapter !== undefined && (replica === undefined || replica.use < 1)
-    const prefill = engine === undefined ? req.demand.promptTokens / meanPrefillTokensPerMs(now) : prefillMs(engine, req.demand, now)
+    const prefill = engine === undefined ? req.demand.promptTokens / rate : prefillMs(engine, req.demand, now)
     return { prefillMs: prefill, runMs: state.meanRunMs, slots, adapterSlots, ...(alone ? { loadMs: state.coldLoadMs } : {}) }
   }
 
--- a/packages/gateway/src/engine-speed.ts
+++ b/packages/gateway/src/engine-speed.ts
@@ -73,14 +73,20 @@
   /** Time of the newest evidence; -Infinity if there is none. */
   let measuredAt = -Infinity
   let measuredHere = false
+  /** The estimates at one time: a decision asks for them once for each waiting request. */
+  let estimate: { at: number, longSpeed: number, short: Evidence } | undefined
 
-  function longTerm (now: number): number {
+  function estimateAt (now: number): NonNullable<typeof estimate> {
+    if (estimate?.at === now) return estimate
     const { nominalMs, busyMs } = decayed(long, longHalfLifeMs, now)
-    return clamp((nominalMs + priorMs) / (busyMs + priorMs))
+    estimate = { at: now, longSpeed: clamp((nominalMs + priorMs) / (busyMs + priorMs)), short: decayed(short, shortHalfLifeMs, now) }
+    return estimate
   }
 
+  const longTerm = (now: number): number => estimateAt(now).longSpeed
+
   function shortTerm (longSpeed: number, now: number, inProgress?: PrefillInProgress): number {
-    const { nominalMs, busyMs } = decayed(short, shortHalfLifeMs, now)
+    const { nominalMs, busyMs } = estimateAt(now).short
     const work = nominalMs + shortPriorMs * longSpeed
     const time = busyMs + shortPriorMs
     const speed = work / time
@@ -97,6 +103,7 @@
       }
       measuredAt = now
       measuredHere = true
+      estimate = undefined
     },
     longTerm,
     current (now, inProgress) {
@@ -109,12 +116,14 @@
       if (measuredHere || ageMs > maxSpeedAgeMs || now - ageMs <= measuredAt) return
       measuredAt = now - ageMs
       long = { nominalMs: adoptedMs * clamp(speed), busyMs: adoptedMs, at: measuredAt }
+      estimate = undefined
     },
     reset () {
       long = none
       short = none
       measuredAt = -Infinity
       measuredHere = false
+      estimate = undefined
     }
   }
 }
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -312,37 +312,42 @@
 export function backlogMs (state: EngineState, now: number): number {
   let pendingNominalMs = 0
   let overdueMs = 0
+  let first: Run | undefined
   for (const run of state.runs.values()) {
     if (!awaitsFirstEvent(state, run)) continue
+    first ??= run
     pendingNominalMs += run.nominalMs
     overdueMs = Math.max(overdueMs, now - run.expectedFirstEventAt)
   }
   if (pendingNominalMs === 0) return 0
-  const pendingMs = pendingNominalMs / currentSpeed(state, now)
+  const current = inProgress(state, first, now)
+  const pendingMs = pendingNominalMs / currentSpeed(state, now, current)
   if (overdueMs > stallMs) return Math.max(pendingMs, overdueMs)
-  return Math.max(0, pendingMs - inProgress(state, now)!.elapsedMs)
+  return Math.max(0, pendingMs - current!.elapsedMs)
 }
 
-function awaitsFirstEvent ({ lastFirstEventAt }: EngineState, { firstEventAt, expectedFirstEventAt }: Run): boolean {
-  return firstEventAt === undefined && expectedFirstEventAt + stallMs >= lastFirstEventAt
+function awaitsFirstEvent (state: EngineState, run: Run): boolean {
+  return run.firstEventAt === undefined && run.expectedFirstEventAt + stallMs >= state.lastFirstEventAt
 }
 
-/** The prompt that the engine prefills now: engines do this in the order of arrival. */
-function inProgress (state: EngineState, now: number): PrefillInProgress | undefined {
-  for (const run of state.runs.values()) {
-    if (awaitsFirstEvent(state, run)) return { nominalMs: run.nominalMs, elapsedMs: now - Math.max(run.sentAt, state.lastFirstEventAt) }
-  }
+/** The first run of which the engine has not sent an event. */
+function firstAwaited (state: EngineState): Run | undefined {
+  for (const run of state.runs.values()) if (awaitsFirstEvent(state, run)) return run
   return undefined
 }
 
+/** The prompt that the engine prefills now: engines do this in the order of arrival. */
+function inProgress ({ lastFirstEventAt }: EngineState, first: Run | undefined, now: number): PrefillInProgress | undefined {
+  return first === undefined ? undefined : { nominalMs: first.nominalMs, elapsedMs: now - Math.max(first.sentAt, lastFirstEventAt) }
+}
+
 /** Speed that new work can expect. */
-function currentSpeed (state: EngineState, now: number): number {
-  const current = inProgress(state, now)
+function currentSpeed (state: EngineState, now: number, current = inProgress(state, firstAwaited(state), now)): number {
   return state.speed.current(now, current === undefined ? undefined : { nominalMs: current.nominalMs, elapsedMs: (current.elapsedMs - firstEventOverheadMs) * prefillTimeShare })
 }
 
 function isPrefilling (state: EngineState): boolean {
-  return [...state.runs.values()].some(run => awaitsFirstEvent(state, run))
+  return firstAwaited(state) !== undefined
 }
 
 /**
