--- a/packages/gateway/src/service-order.test.ts
+++ b/packages/gateway/src/service-order.test.ts
@@ -74,6 +74,24 @@
   assert.equal(order.sort([other, back], req => req === back, () => work, retryAfterMs).map(({ id }) => id), ['x', 'o'])
 })
 
+// Guards against a class that is refused for ever because a more urgent one was refused before it went silent.
+test('what a surge has shown of a priority is forgotten after it', () => {
+  const order = createServiceOrder()
+  for (let index = 0; index < 40; index++) {
+    order.refused(request(`u${index}`, { account: 'urgent', priority: 0 }), work, 200, 0)
+    order.granted(request(`b${index}`, { account: 'batch', priority: 5, late: true }), work, 0)
+  }
+  const standingAt = (now: number): string => {
+    const req = request('b', { account: 'batch', priority: 5, objectiveAt: now + 1000 })
+    order.sort([req], () => false, () => work, now)
+    return `${req.standing} ${order.refusesNow(req, 10, now)}`
+  }
+  assert.is(standingAt(0), 'deferred true')
+  // The requests of the batch class are deferred ones, and granted.
+  for (let at = 0; at < 60_000; at += 200) order.granted(request(`l${at}`, { account: 'batch', priority: 5, standing: 'deferred' }), work, at)
+  assert.is(standingAt(60_000), 'usual false')
+})
+
 // Guards against a full queue in which one account's requests cost others their place.
 test('when no more requests may wait, the account with the most gives way', () => {
   const queue = [request('a', { account: 'large' }), request('b', { account: 'large' }), request('c', { account: 'small' })]
--- a/packages/gateway/src/service-order.ts
+++ b/packages/gateway/src/service-order.ts
@@ -95,18 +95,21 @@
   /** Earliest time of the next such place, by account. */
   const nextPlaceAt = new Map<string, number>()
 
+  const priorityFactor = (at: number, now: number): number => 0.5 ** ((now - at) / priorityHalfLifeMs)
+
   function count (priority: number, granted: number, now: number): void {
     const entry = priorities.get(priority) ?? { granted: 0, requests: 0, at: now }
-    const factor = 0.5 ** ((now - entry.at) / priorityHalfLifeMs)
+    const factor = priorityFactor(entry.at, now)
     priorities.set(priority, { granted: entry.granted * factor + granted, requests: entry.requests * factor + 1, at: now })
   }
 
   /** Whether a more urgent priority is served less often than this one. */
-  function isAhead (priority: number): boolean {
+  function isAhead (priority: number, now: number): boolean {
     const own = priorities.get(priority)
-    if (own === undefined || own.requests < minPriorityRequests) return false
-    for (const [other, { granted, requests }] of priorities) {
-      if (other < priority && requests >= minPriorityRequests && granted / requests < own.granted / own.requests) return true
+    if (own === undefined || own.requests * priorityFactor(own.at, now) < minPriorityRequests) return false
+    for (const [other, { granted, requests, at }] of priorities) {
+      // Without new requests the share of a priority stays as it was, so only their decayed number tells that it is outdated.
+      if (other < priority && requests * priorityFactor(at, now) >= minPriorityRequests && granted / requests < own.granted / own.requests) return true
     }
     return false
   }
@@ -164,13 +167,13 @@
       const over = waitingCosts.size === 0 || !isScarce() ? undefined : shares.overShare(waitingCosts, now)
       const ranks = new Map<string, number>()
       for (const req of sorted) {
-        if (req.account !== undefined && req.standing !== 'returning') req.standing = over?.has(req.account) === true || (isScarce() && isAhead(req.priority)) ? 'deferred' : 'usual'
+        if (req.account !== undefined && req.standing !== 'returning') req.standing = over?.has(req.account) === true || (isScarce() && isAhead(req.priority, now)) ? 'deferred' : 'usual'
         req.late = isLate(req)
         ranks.set(req.id, (req.late && req.standing !== 'returning' ? standingRanks.deferred + 1 : 0) + standingRanks[req.standing])
       }
       return sorted.sort((left, right) => ranks.get(left.id)! - ranks.get(right.id)! || left.objectiveAt - right.objectiveAt || left.priority - right.priority)
     },
-    refusesNow: ({ standing, objectiveAt, priority }, startMs, now) => standing === 'deferred' && startMs > (objectiveAt - now) * (isAhead(priority) ? 0 : maxDeferredStartShare),
+    refusesNow: ({ standing, objectiveAt, priority }, startMs, now) => standing === 'deferred' && startMs > (objectiveAt - now) * (isAhead(priority, now) ? 0 : maxDeferredStartShare),
     granted (req, work, now) {
       const { account, priority } = req
       if (account === undefined) return
