--- a/packages/gateway/src/service-order.test.ts
+++ b/packages/gateway/src/service-order.test.ts
@@ -92,6 +92,15 @@
   assert.is(standingAt(60_000), 'usual false')
 })
 
+// Guards against an account that is deferred a minute after a surge, when nothing has been late since.
+test('what a surge has shown of an account is forgotten after it', () => {
+  const order = createServiceOrder()
+  surge(order)
+  const req = request('l', { account: 'large', objectiveAt: 61_000 })
+  order.sort([req], () => false, () => work, 60_000)
+  assert.is(req.standing, 'usual')
+})
+
 // Guards against a full queue in which one account's requests cost others their place.
 test('when no more requests may wait, the account with the most gives way', () => {
   const queue = [request('a', { account: 'large' }), request('b', { account: 'large' }), request('c', { account: 'small' })]
--- a/packages/gateway/src/service-order.ts
+++ b/packages/gateway/src/service-order.ts
@@ -69,6 +69,8 @@
 const latenessHalfLifeMs = 1000
 /** Share of them that is granted late or refused from which there is too little room. Loads of adapters make some late at any time. */
 const maxLateShare = 0.04
+/** Decayed number of them below which they tell nothing; some seconds after the last one. */
+const minUsualRequests = 0.1
 /** Part of the time to its objective within which a deferred request must start by the estimate, as it is overtaken by others. */
 const maxDeferredStartShare = 0.5
 
@@ -124,8 +126,8 @@
    * Whether so many requests that are not deferred are late or refused that others must be deferred. Without
    * this evidence the refusals of an account would keep up the impression that there is too little for all.
    */
-  function isScarce (): boolean {
-    return usual.late > usual.requests * maxLateShare
+  function isScarce (now: number): boolean {
+    return usual.late > usual.requests * maxLateShare && usual.requests * 0.5 ** ((now - usual.at) / latenessHalfLifeMs) > minUsualRequests
   }
 
   function dropExpired (entries: Map<string, number>, now: number): void {
@@ -160,14 +162,15 @@
     },
     sort (requests, isLate, workOf, now) {
       const sorted = [...requests]
+      const scarce = isScarce(now)
       const waitingCosts = new Map<string, number>()
-      for (const req of sorted) {
+      for (const req of scarce ? sorted : []) {
         if (req.account !== undefined) waitingCosts.set(req.account, (waitingCosts.get(req.account) ?? 0) + engineTimeMs(workOf(req)))
       }
-      const over = waitingCosts.size === 0 || !isScarce() ? undefined : shares.overShare(waitingCosts, now)
+      const over = waitingCosts.size === 0 ? undefined : shares.overShare(waitingCosts, now)
       const ranks = new Map<string, number>()
       for (const req of sorted) {
-        if (req.account !== undefined && req.standing !== 'returning') req.standing = over?.has(req.account) === true || (isScarce() && isAhead(req.priority, now)) ? 'deferred' : 'usual'
+        if (req.account !== undefined && req.standing !== 'returning') req.standing = over?.has(req.account) === true || (scarce && isAhead(req.priority, now)) ? 'deferred' : 'usual'
         req.late = isLate(req)
         ranks.set(req.id, (req.late && req.standing !== 'returning' ? standingRanks.deferred + 1 : 0) + standingRanks[req.standing])
       }
