--- a/packages/gateway/src/server-loads.test.ts
+++ b/packages/gateway/src/server-loads.test.ts
@@ -74,4 +74,11 @@
   })
 }
 
+// Guards against a server that gets no requests for thousands of choices because its first one met a cold start.
+test('a server whose first response was slow is measured again soon', () => {
+  const loads = createServerLoads()
+  countChosen(loads, servers, 30, id => id === 'first' ? 10_000 : 10)
+  assert.ok((countChosen(loads, servers, 300, () => 10, 3000)['first'] ?? 0) > 0)
+})
+
 test.run()
--- a/packages/gateway/src/server-loads.ts
+++ b/packages/gateway/src/server-loads.ts
@@ -18,6 +18,8 @@
 const maxResponseMs = 2000
 /** Smallest part of its share that a server with long waits keeps, so that its recovery is noticed. */
 const minPressureShare = 0.25
+/** Largest multiple of the fastest server's duration that counts. One that is slower, as after a cold start, is measured again after that many rounds at most. */
+const maxServiceRatio = 60
 /** Lead of a server of the own zone in the turn, in requests to a server of mean capacity. A lead does not change the shares. */
 const zoneLead = 1
 /** Lead of a server to which a connection is open, in the same unit: nodes with few requests open fewer connections. */
@@ -98,14 +100,16 @@
   }
 
   function updateWeights (candidates: readonly BackendServer[], now: number): void {
-    const known = candidates.map(({ id }) => loadOf(id).serviceMs).filter(ms => ms > 0)
+    const measured = candidates.map(({ id }) => loadOf(id).serviceMs).filter(ms => ms > 0)
+    const maxServiceMs = Math.min(...measured) * maxServiceRatio
+    const known = measured.map(ms => Math.min(ms, maxServiceMs))
     const meanServiceMs = known.reduce((sum, ms) => sum + ms, 0) / Math.max(1, known.length)
     const waits = candidates.map(({ id }) => currentWaitMs(loadOf(id), now))
     const leastWaitMs = Math.min(...waits)
     idleShare = meanServiceMs === 0 ? 1 : Math.max(0, 1 - Math.max(...waits) / meanServiceMs)
     const capacities = candidates.map(({ id, slots }, index) => {
       const load = loadOf(id)
-      const speed = load.serviceMs > 0 ? meanServiceMs / load.serviceMs : 1
+      const speed = load.serviceMs > 0 ? meanServiceMs / Math.min(load.serviceMs, maxServiceMs) : 1
       const pressure = Math.max(minPressureShare, 1 - (waits[index]! - leastWaitMs) / responseMs(load))
       return Math.max(1, slots) * speed * pressure
     })
