--- a/packages/gateway/src/engine-speed.test.ts
+++ b/packages/gateway/src/engine-speed.test.ts
@@ -73,4 +73,20 @@
   assert.equal(scheduler.status(20).map(({ speed }) => speed), [undefined, undefined])
 })
 
+// Guards against an engine that is taken for slow because its prompts are cached, so that the batch takes nearly all of the time to their events.
+test('prompts that are shorter than a step of the batch say nothing about the speed', () => {
+  const spec: EngineSpec = { slots: 64, kvTokens: 232_000, weightsMb: 74_700, adapterSlots: 8, loadsPerSecond: 3, models: [{ name: 'base', weightsMb: 72_700, adapterMb: 66 }] }
+  const engine: BackendServer = { id: 'e1', bornAt: 1, service: 'llm', address: 'e1:1', zone: 'a', state: 'ready', slots: 64, models: [{ name: 'base', adapters: [] }] }
+  const scheduler = createEngineScheduler({ versionMs: 5000, mayCommand: () => true })
+  scheduler.setEngines([{ server: engine, spec }], 0)
+  const play = (id: string, promptTokens: number, at: number, durationMs: number): void => {
+    scheduler.submit({ id, node: 'n1', service: 'llm', demand: { model: 'base', promptTokens, outputTokens: 50, parts: [] }, priority: 1, objectiveAt: at + 1000, startBy: at + 6000, deadlineAt: at + 6000, excluded: [] }, at)
+    scheduler.firstEvent(id, at + durationMs)
+    scheduler.ended(id, 'ok', at + durationMs)
+  }
+  for (let index = 0; index < 200; index++) play(`short${index}`, 60, index * 50, 45)
+  play('long', 3000, 10_000, 140)
+  assert.ok((scheduler.status(10_140)[0]?.speed?.speed ?? 1) > 0.9, `${scheduler.status(10_140)[0]?.speed?.speed}`)
+})
+
 test.run()
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -99,6 +99,8 @@
 const prefillTimeShare = 0.8
 /** Prefill at nominal speed that makes up a measurement, in ms: shorter prompts are dominated by the batch's other work. */
 const minSampleMs = 30
+/** Prefill at nominal speed that takes about as long as a step of the batch, in ms: shorter prompts, such as cached ones, say nothing. */
+const minPromptMs = 10
 /** Number of unloaded adapters that an engine is assumed to keep in its memory. */
 const maxWarmAdapters = 40
 const minAvoidanceMs = 500
@@ -397,6 +399,8 @@
   const idleBefore = run.sentAt >= state.lastFirstEventAt
   const busyMs = now - Math.max(run.sentAt, state.lastFirstEventAt) - (idleBefore ? firstEventOverheadMs : 0)
   state.lastFirstEventAt = now
+  // Another prompt that is in progress may have taken the time.
+  if (run.nominalMs < minPromptMs && ![...state.runs.values()].some(other => other.nominalMs >= minPromptMs && awaitsFirstEvent(state, other))) return
   const { unmeasured } = state
   unmeasured.nominalMs += run.nominalMs
   unmeasured.busyMs += Math.max(0, busyMs)
