--- a/packages/clients/src/read-shares.test.ts
+++ b/packages/clients/src/read-shares.test.ts
@@ -49,4 +49,14 @@
   assert.equal(shares.grant(), [{ type: 'release', connection: 'next' }])
 })
 
+// Guards against a connection that is slowed for hours after a long series of requests without bodies.
+test('what a connection has sent beyond its bytes is forgotten within seconds, however much it was', () => {
+  const shares = createReadShares<string>()
+  shares.opened('busy')
+  for (let at = 0; at < 600_000; at += 100) shares.received('busy', 16 * 1024, 0, at)
+  assert.is(shares.waiting(), 1)
+  shares.grant()
+  assert.equal(shares.received('busy', 1000, 0, 610_000), [])
+})
+
 test.run()
--- a/packages/clients/src/read-shares.ts
+++ b/packages/clients/src/read-shares.ts
@@ -10,6 +10,9 @@
   overheadBytesPerSecond: number
 }
 
+/** Multiple of `overheadBytes` that is remembered at most, so that a connection that has become quiet is free again within seconds. */
+const maxRemembered = 4
+
 /** Headers may have 16 KB, and a client that sends requests one after another gets its share in any case. */
 export const readSharesDefaults: ReadSharesConfig = { overheadBytes: 64 * 1024, overheadBytesPerSecond: 64 * 1024 }
 
@@ -70,7 +73,7 @@
       const forgotten = (now - state.at) / 1000 * config.overheadBytesPerSecond
       const overhead = Math.max(0, readBytes - bodyBytes)
       state.overheadBytes = Math.max(0, state.overheadBytes - forgotten) + overhead
-      state.overheadBytes = Math.max(0, state.overheadBytes - bodyBytes)
+      state.overheadBytes = Math.min(maxRemembered * config.overheadBytes, Math.max(0, state.overheadBytes - bodyBytes))
       state.at = now
       const isLarge = overhead * 2 > config.overheadBytes
       const actions = isLarge ? holdUnread() : []
