--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -99,6 +99,8 @@
 const prefillTimeShare = 0.8
 /** Prefill at nominal speed that makes up a measurement, in ms: shorter prompts are dominated by the batch's other work. */
 const minSampleMs = 30
+/** Prefill at nominal speed that takes about as long as a step of the batch, in ms: shorter prompts, such as cached ones, say nothing. */
+const minPromptMs = 10
 /** Number of unloaded adapters that an engine is assumed to keep in its memory. */
 const maxWarmAdapters = 40
 const minAvoidanceMs = 500
@@ -312,37 +314,42 @@
 export function backlogMs (state: EngineState, now: number): number {
   let pendingNominalMs = 0
   let overdueMs = 0
+  let first: Run | undefined
   for (const run of state.runs.values()) {
     if (!awaitsFirstEvent(state, run)) continue
+    first ??= run
     pendingNominalMs += run.nominalMs
     overdueMs = Math.max(overdueMs, now - run.expectedFirstEventAt)
   }
   if (pendingNominalMs === 0) return 0
-  const pendingMs = pendingNominalMs / currentSpeed(state, now)
+  const current = inProgress(state, first, now)
+  const pendingMs = pendingNominalMs / currentSpeed(state, now, current)
   if (overdueMs > stallMs) return Math.max(pendingMs, overdueMs)
-  return Math.max(0, pendingMs - inProgress(state, now)!.elapsedMs)
+  return Math.max(0, pendingMs - current!.elapsedMs)
 }
 
-function awaitsFirstEvent ({ lastFirstEventAt }: EngineState, { firstEventAt, expectedFirstEventAt }: Run): boolean {
-  return firstEventAt === undefined && expectedFirstEventAt + stallMs >= lastFirstEventAt
+function awaitsFirstEvent (state: EngineState, run: Run): boolean {
+  return run.firstEventAt === undefined && run.expectedFirstEventAt + stallMs >= state.lastFirstEventAt
 }
 
-/** The prompt that the engine prefills now: engines do this in the order of arrival. */
-function inProgress (state: EngineState, now: number): PrefillInProgress | undefined {
-  for (const run of state.runs.values()) {
-    if (awaitsFirstEvent(state, run)) return { nominalMs: run.nominalMs, elapsedMs: now - Math.max(run.sentAt, state.lastFirstEventAt) }
-  }
+/** The first run of which the engine has not sent an event. */
+function firstAwaited (state: EngineState): Run | undefined {
+  for (const run of state.runs.values()) if (awaitsFirstEvent(state, run)) return run
   return undefined
 }
 
+/** The prompt that the engine prefills now: engines do this in the order of arrival. */
+function inProgress ({ lastFirstEventAt }: EngineState, first: Run | undefined, now: number): PrefillInProgress | undefined {
+  return first === undefined ? undefined : { nominalMs: first.nominalMs, elapsedMs: now - Math.max(first.sentAt, lastFirstEventAt) }
+}
+
 /** Speed that new work can expect. */
-function currentSpeed (state: EngineState, now: number): number {
-  const current = inProgress(state, now)
+function currentSpeed (state: EngineState, now: number, current = inProgress(state, firstAwaited(state), now)): number {
   return state.speed.current(now, current === undefined ? undefined : { nominalMs: current.nominalMs, elapsedMs: (current.elapsedMs - firstEventOverheadMs) * prefillTimeShare })
 }
 
 function isPrefilling (state: EngineState): boolean {
-  return [...state.runs.values()].some(run => awaitsFirstEvent(state, run))
+  return firstAwaited(state) !== undefined
 }
 
 /** Records the prefill of a request that is about to be sent, and the end of a break before it. */
@@ -388,6 +395,8 @@
   const idleBefore = run.sentAt >= state.lastFirstEventAt
   const busyMs = now - Math.max(run.sentAt, state.lastFirstEventAt) - (idleBefore ? firstEventOverheadMs : 0)
   state.lastFirstEventAt = now
+  // Another prompt that is in progress may have taken the time.
+  if (run.nominalMs < minPromptMs && ![...state.runs.values()].some(other => other.nominalMs >= minPromptMs && awaitsFirstEvent(state, other))) return
   const { unmeasured } = state
   unmeasured.nominalMs += run.nominalMs
   unmeasured.busyMs += Math.max(0, busyMs)
