--- a/packages/gateway/src/account-keys.test.ts
+++ b/packages/gateway/src/account-keys.test.ts
@@ -77,6 +77,15 @@
   }
 })
 
+// Guards against a node that has read a restored store, and refuses all keys until operators write again.
+test('a node whose store lacks the newest version takes it from the others', async () => {
+  for (const feed of feeds.slice(0, 2)) feed.append('config', { type: 'config', config: configOf(2, ['k2']) })
+  // Its store has as many records, so that nothing but the version shows the difference.
+  feeds[2]!.append('other', { type: 'other' })
+  assert.ok(await until(async () => (await send(nodes.fronts[2]!, 'k1')).status === 401, 2 * revokeMs + 2000))
+  assert.is((await send(nodes.fronts[2]!, 'k2')).status, 200)
+})
+
 // Guards against keys that are accepted for as long as the store is away, and against a node that stays shut afterwards.
 test('without the store keys are refused as not run after the bound, and accepted again when it is back', async () => {
   for (const feed of feeds) feed.setDown(true)
--- a/packages/gateway/src/config-age.ts
+++ b/packages/gateway/src/config-age.ts
@@ -36,6 +36,8 @@
   ageMs (now: number): number
   /** Whether requests with keys may be accepted. */
   isCurrent (now: number): boolean
+  /** Whether a peer has had a newer version for longer than it takes to read it from the store. */
+  lacksVersion (now: number): boolean
   /** Whether this node should read the store itself, because other nodes have not helped in time. */
   needsRead (now: number): boolean
   /**
@@ -53,12 +55,16 @@
 const readShare = 0.45
 /** Time without a useful reply after which another node is asked, in ms. */
 const replyMs = 300
+/** Time after which a newer version is not expected from the store, in ms: reads take some tens, a stalled one is replaced within 250. */
+const lackMs = 1000
 /** Questions to nodes of the own zone before others are asked. */
 const zoneQuestions = 2
 
 export function createConfigAge ({ revokeMs, suspensions, own }: ConfigAgeOptions): ConfigAge {
   const evidence = createDatedFact<true>(Infinity, suspensions)
   let newestVersion = -1
+  /** Time of the question whose answer named the newest version. */
+  let newestAt = -Infinity
   let askedAt = -Infinity
   /** Time of the newest question before an answer. */
   let comparedAt = -Infinity
@@ -77,7 +83,10 @@
   return {
     read: asOf => evidence.record(true, asOf),
     peerRead (asOf, { next, version }) {
-      newestVersion = Math.max(newestVersion, version)
+      if (version > newestVersion) {
+        newestVersion = version
+        newestAt = askedAt
+      }
       comparedAt = askedAt
       const { next: ownNext, version: ownVersion } = own()
       if (next > ownNext || version > ownVersion) return true
@@ -90,6 +99,7 @@
       const boundMs = revokeMs()
       return boundMs === undefined || ageMs(now) < boundMs * (1 - marginShare)
     },
+    lacksVersion: now => own().version < newestVersion && now - newestAt > lackMs,
     needsRead (now) {
       const boundMs = revokeMs()
       // A store that came back from a copy does not have the newer version, however often it is read.
--- a/packages/gateway/src/config-knowledge.ts
+++ b/packages/gateway/src/config-knowledge.ts
@@ -31,6 +31,8 @@
   read (asOf: number): void
   /** Whether requests with keys may be accepted. */
   isCurrent (): boolean
+  /** Whether a peer has a newer version that the store does not have. */
+  lacksVersion (): boolean
   /** Whether this node should read the store itself at once. */
   needsRead (): boolean
   tick (): void
@@ -53,7 +55,7 @@
     notify: options.link.notify,
     behind (node, next) {
       feeds().peerOperatorNext(next)
-      if (!feeds().operatorReachable()) options.fetchFrom(node)
+      if (!feeds().operatorReachable() || age.lacksVersion(now())) options.fetchFrom(node)
     },
     malformed: reason => { log.warn('peer-message-failed', { reason }) }
   })
@@ -73,6 +75,7 @@
     revokeMs: options.revokeMs,
     read: age.read,
     isCurrent: () => age.isCurrent(now()),
+    lacksVersion: () => age.lacksVersion(now()),
     needsRead: () => age.needsRead(now()),
     tick () {
       questions.tick()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -302,7 +302,7 @@
     applyFleet(nodes.records)
   }
 
-  const peerFallback = createPeerFallback({ self, seeds: () => settings.seeds, log, checkFleetRecord: platform.fleet.check, fleet, feeds: () => feeds, isComplete: () => table !== undefined && serversLoaded, apply: applySnapshot })
+  const peerFallback = createPeerFallback({ self, seeds: () => settings.seeds, log, checkFleetRecord: platform.fleet.check, fleet, feeds: () => feeds, isComplete: () => table !== undefined && serversLoaded, lacksVersion: configKnowledge.lacksVersion, apply: applySnapshot, cache: feedCache, applyOperator: records => applyOperator(records, -Infinity) })
 
   const forward = createForwarding({ now, random: options.random, zone: self.zone, codec: platform.headers, upstream, kept, log, restrictions, budget: shares.retryBudget, crashes: crashes.requests, streamVersions, quotas, configVersion: () => table?.config.version, grants, versions, engines: registry.ready, servers: registry.ready, pool: pools.pool, firstEvent: metrics.firstEvent })
 
--- a/packages/gateway/src/peer-fallback.ts
+++ b/packages/gateway/src/peer-fallback.ts
@@ -1,8 +1,8 @@
-/** Takes the records of the store from other nodes while this one cannot read them itself. */
+/** Takes the records of the store from other nodes while this one cannot read them itself, or the store came back without them. */
 import type { DecisionLog } from './decision-log'
 import type { Feeds } from './feeds'
 import type { Fleet } from './fleet'
-import { createPeerFetcher, type PeerSnapshot } from './peer-state'
+import { createPeerFetcher, type FeedCache, type PeerSnapshot } from './peer-state'
 import type { FleetLog } from './platform-interface'
 
 export type PeerFallbackOptions = {
@@ -15,7 +15,12 @@
   feeds (): Pick<Feeds, 'operatorNext' | 'operatorReachable'>
   /** Whether this node has a configuration and servers. */
   isComplete (): boolean
+  /** Whether a peer has a newer version of the configuration that the store does not have. */
+  lacksVersion (): boolean
   apply (snapshot: PeerSnapshot): void
+  cache: Pick<FeedCache, 'update'>
+  /** Applies only the operators' records, as the store has the others. */
+  applyOperator (records: PeerSnapshot['operator']['records']): void
 }
 
 export type PeerFallback = {
@@ -35,8 +40,14 @@
   const fetcher = createPeerFetcher({
     log: options.log,
     checkFleetRecord: options.checkFleetRecord,
-    needed: () => !feeds().operatorReachable(),
+    needed: () => !feeds().operatorReachable() || options.lacksVersion(),
     apply (snapshot) {
+      if (feeds().operatorReachable()) {
+        options.applyOperator(snapshot.operator.records)
+        // Kept for nodes that start later; the position stays that of the store.
+        options.cache.update('operator', snapshot.operator.records, 0)
+        return
+      }
       appliedNext = snapshot.operator.next
       options.apply(snapshot)
     }
