--- a/packages/clients/src/shared-reads.test.ts
+++ b/packages/clients/src/shared-reads.test.ts
@@ -1,9 +1,10 @@
 /** Requests within the limits whose chunks or headers make up most of their bytes. */
-import type { Server } from 'node:http'
+import { createServer, type Server } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createBoundedServer } from './bounded-server'
+import { createSharedReads } from './shared-reads'
 
 const test = suite('shared reads')
 const bodyBytes = 4_194_304
@@ -62,4 +63,37 @@
   assert.is(await send(`${head}a: ${'x'.repeat(16_000)}\r\ncontent-length: 1\r\n\r\nx`), '200')
 })
 
+// Guards against clients that wait although the thread is free, because the time without requests counted as time of a read.
+test('requests that arrive after a pause are read without a further one', async () => {
+  let now = 0
+  const reads = createSharedReads(() => now)
+  reads.configure({ overheadBytes: 64, overheadBytesPerSecond: 0 })
+  const other = createServer((_req, res) => { res.end() })
+  reads.add(other)
+  await new Promise<void>(resolve => other.listen(0, '127.0.0.1', resolve))
+  const clients = [1, 2].map(() => connect((other.address() as AddressInfo).port, '127.0.0.1'))
+  const { setTimeout } = globalThis
+  let pauses = 0
+  globalThis.setTimeout = ((...args: Parameters<typeof setTimeout>) => {
+    pauses += 1
+    return setTimeout(...args)
+  }) as typeof setTimeout
+  try {
+    for (let round = 0; round < 10; round++) {
+      await Promise.all(clients.map(async client => await new Promise<void>(resolve => {
+        client.once('data', () => { resolve() })
+        client.write(`GET / HTTP/1.1\r\nhost: a\r\na: ${'x'.repeat(200)}\r\n\r\n`)
+      })))
+      // All turns that were due come before the next requests.
+      for (let turn = 0; turn < 10; turn++) await new Promise(resolve => { setImmediate(resolve) })
+      now += 1000
+    }
+  } finally {
+    globalThis.setTimeout = setTimeout
+    for (const client of clients) client.destroy()
+    other.close()
+  }
+  assert.is(pauses, 0)
+})
+
 test.run()
--- a/packages/clients/src/shared-reads.ts
+++ b/packages/clients/src/shared-reads.ts
@@ -35,6 +35,8 @@
   const reads = new WeakMap<Socket, Reads>()
   let granting = false
   let grantedAt = 0
+  /** Whether the event loop is in the turn after the last grant, in which what was granted is read if it has arrived. */
+  let inTurn = false
   let stopped = 0
 
   function apply (actions: ReadAction<Socket>[]): void {
@@ -57,6 +59,9 @@
   function grant (): void {
     granting = false
     grantedAt = now()
+    inTurn = true
+    // Runs after the reads of this turn.
+    setImmediate(() => { inTurn = false })
     apply(shares.grant())
     if (shares.waiting() > 0) schedule(0)
   }
@@ -78,8 +83,8 @@
     const at = now()
     apply(shares.received(socket, bytes, bodyBytes, at))
     const waiting = shares.waiting()
-    // Others get as much of the thread as the read took; a connection that is alone goes on at once.
-    if (waiting > 0) schedule(waiting === 1 ? 0 : Math.min(maxGapMs, at - grantedAt))
+    // Others get as much of the thread as the read took; a connection that is alone, or had nothing to read in its turn, goes on at once.
+    if (waiting > 0) schedule(waiting === 1 || !inTurn ? 0 : Math.min(maxGapMs, at - grantedAt))
   }
 
   function opened (socket: Socket): void {
