--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { applyLoadedModels, applyReport, backlogMs, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type AdapterReplica, type EngineState } from './engine-state'
+import { applyLoadedModels, applyReport, backlogMs, compareSpeeds, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type AdapterReplica, type EngineState } from './engine-state'
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
@@ -354,6 +354,7 @@
         setRequestLimit(engine, requestsPerSecond, now)
         if (engine.models.size === 0 && server.models.length > 0) applyLoadedModels(engine, server.models, now)
       }
+      compareSpeeds(engines.values(), now)
       return decide(now)
     },
     setVersion ({ model, adapter, version }, writtenAfter, now) {
@@ -441,6 +442,7 @@
       decayUse(now)
       releaseExpired(now)
       planner.settleLoads(now)
+      compareSpeeds(engines.values(), now)
       for (const engine of engines.values()) scheduleStallReport(engine, now)
       return decide(now)
     },
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -79,6 +79,10 @@
   /** Time of the newest first event of a stream. */
   lastFirstEventAt: number
   speed: EngineSpeed
+  /** Prefill speed as a multiple of the nominal one, by the faster observations; in force while the owner's engines are alike. */
+  steadySpeed: number
+  /** Whether the owner's engines differ in speed, so that `speed` is in force. */
+  uneven: boolean
   /** First events since the speed was last updated, and the time that the engine took for them. */
   unmeasured: { nominalMs: number, busyMs: number }
   /** Share of recent requests that failed, 0 to 1. */
@@ -101,6 +105,9 @@
 const minSampleMs = 30
 /** Prefill at nominal speed that takes about as long as a step of the batch, in ms: shorter prompts, such as cached ones, say nothing. */
 const minPromptMs = 10
+/** Shorter prompts say little about the steady speed. */
+const minSteadySampleTokens = 1000
+const steadySpeedStep = 0.015
 /** Number of unloaded adapters that an engine is assumed to keep in its memory. */
 const maxWarmAdapters = 40
 const minAvoidanceMs = 500
@@ -125,6 +132,8 @@
     prefillingSince: now,
     lastFirstEventAt: -Infinity,
     speed: createEngineSpeed(),
+    steadySpeed: 1,
+    uneven: false,
     unmeasured: { nominalMs: 0, busyMs: 0 },
     failureRate: 0,
     avoidedUntil: -Infinity,
@@ -300,8 +309,8 @@
 }
 
 /** Long-term prefill speed, in tokens per ms. */
-export function prefillTokensPerMs ({ speed }: EngineState, now: number): number {
-  return nominalTokensPerMs * speed.longTerm(now)
+export function prefillTokensPerMs ({ speed, steadySpeed, uneven }: EngineState, now: number): number {
+  return nominalTokensPerMs * (uneven ? speed.longTerm(now) : steadySpeed)
 }
 
 /** Time without a first event beyond the estimate after which an engine counts as stalled, in ms. */
@@ -344,7 +353,12 @@
 }
 
 /** Speed that new work can expect. */
-function currentSpeed (state: EngineState, now: number, current = inProgress(state, firstAwaited(state), now)): number {
+function currentSpeed (state: EngineState, now: number, current?: PrefillInProgress): number {
+  return state.uneven ? measuredSpeed(state, now, current) : state.steadySpeed
+}
+
+/** Speed by the newest measurements and the prompt in progress. */
+function measuredSpeed (state: EngineState, now: number, current = inProgress(state, firstAwaited(state), now)): number {
   return state.speed.current(now, current === undefined ? undefined : { nominalMs: current.nominalMs, elapsedMs: (current.elapsedMs - firstEventOverheadMs) * prefillTimeShare })
 }
 
@@ -386,12 +400,31 @@
   return now - state.prefillingSince + backlogMs(state, now) + prefillMs(state, demand, now) <= pauseMs * prefillPauseShare
 }
 
+function updateSteadySpeed (state: EngineState, run: Run, now: number): void {
+  const actualMs = now - run.sentAt - firstEventOverheadMs
+  if (run.nominalMs * nominalTokensPerMs < minSteadySampleTokens || actualMs <= 0) return
+  // Contention only makes prefill look slower, so the estimate follows the faster observations: a fifth of them exceed it.
+  state.steadySpeed *= run.nominalMs / actualMs > state.steadySpeed ? 1 + 4 * steadySpeedStep : 1 - steadySpeedStep
+}
+
+/** Long-term speeds differ by more than this between engines of unequal speed; those of engines that are alike scatter by less. */
+const unevenRatio = 1.5
+
+/** Puts the measured speeds in force while the engines of one owner differ. */
+export function compareSpeeds (engines: Iterable<EngineState>, now: number): void {
+  const all = [...engines]
+  const long = all.map(({ speed }) => speed.longTerm(now))
+  const uneven = Math.max(...long) > unevenRatio * Math.min(...long)
+  for (const engine of all) engine.uneven = uneven
+}
+
 /**
  * Records the first event of a run, and measures the speed by it. An engine prefills in the order of
  * arrival, so it has worked on this prompt since the first event before, or since the prompt was sent.
  */
 export function recordFirstEvent (state: EngineState, run: Run, now: number): void {
   run.firstEventAt = now
+  updateSteadySpeed(state, run, now)
   const idleBefore = run.sentAt >= state.lastFirstEventAt
   const busyMs = now - Math.max(run.sentAt, state.lastFirstEventAt) - (idleBefore ? firstEventOverheadMs : 0)
   state.lastFirstEventAt = now
--- a/packages/gateway/src/load-placement.ts
+++ b/packages/gateway/src/load-placement.ts
@@ -102,7 +102,7 @@
     const evicted = existing ?? (usedAdapterSlots(engine) < adapterSlotLimit(engine) ? undefined : evictionCandidate(engine, neededScopes))
     if (evicted === undefined && usedAdapterSlots(engine) >= adapterSlotLimit(engine)) continue
     const shareOfMean = engine.speed.longTerm(ctx.now) / meanSpeed
-    const relativeSpeed = shareOfMean < alikeShare ? shareOfMean : 1
+    const relativeSpeed = engine.uneven && shareOfMean < alikeShare ? shareOfMean : 1
     const cost = backlogMs(engine, ctx.now) + limitWaitMs(engine, ctx.now) + limitIntervalMs(engine) + prefillShare(engine, ctx.now) * continuousPrefillCostMs + (warm ? ctx.warmLoadMs : ctx.coldLoadMs) + (evicted?.use ?? 0) * evictionCostPerUseMs + promptCostMs / relativeSpeed
     if (cost >= bestCost) continue
     bestCost = cost
