Count the pieces of responses, and log a heap close to its limit

Cause: at the end of a process by V8 no line told a heap full of small pieces from buffers full of bytes or from heads and framing: memory-high compared only the resident memory with the limit of the settings (70 % of 350 MB), which lies above the memory at which the heap of 160 MB is full. Change: memory-high also at 70 % of the heap's limit, with the response in progress that has the most pieces (server, pieces, bytes of body and on the wire); the same counts as metrics; pieces in response-given-up. No behaviour towards clients or servers changes.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -95,12 +95,13 @@
   let streaming = false
   let eventsSent = false
   let bytes = 0
+  let pieces = 0
   let ended = false
   const chunks: Buffer[] = []
   const splitter = createEventSplitter()
 
   const kept = options.kept.open(() => {
-    options.warn('response-given-up', { server: server.id, requestId: options.requestId, bytes, keptBytes: options.kept.total() })
+    options.warn('response-given-up', { server: server.id, requestId: options.requestId, bytes, pieces, keptBytes: options.kept.total() })
     call.abort('too many bytes of responses')
     fail('the node keeps too many bytes of responses')
   })
@@ -147,6 +148,7 @@
     },
     data (chunk) {
       bytes += chunk.length
+      pieces += 1
       if (metadata?.notRun === true) {
         if (bytes > maxRefusalBytes) call.abort('refusal is too large')
         return
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -25,7 +25,7 @@
   /** Fill level of the ledger of an account's limit at this node, in the limit's unit. */
   quotaLevel (account: string, units: number): void
   storeCall (feed: string, result: string): void
-  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'config_age_ms' | 'ready' | 'blocked_parts' | 'kept_bytes' | 'client_connections' | 'waiting_reads' | 'cut_services' | 'relayed_connections', value: number): void
+  gauge (name: 'waiting' | 'running' | 'engines_owned' | 'config_version' | 'config_age_ms' | 'ready' | 'blocked_parts' | 'kept_bytes' | 'response_pieces' | 'response_body_bytes' | 'response_wire_bytes' | 'client_connections' | 'waiting_reads' | 'cut_services' | 'relayed_connections', value: number): void
   /** @param unreadable - called if the state of the process cannot be read; the text has the last values then */
   text (unreadable: (err: Error) => void): Promise<string>
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -423,7 +423,7 @@
     notify: link.notify
   })
 
-  const usage = createProcessUsage({ log, metrics, memoryLimitBytes: () => settings.memoryBytes ?? Infinity, keptBytes: () => kept.total() + front.requestBytes(), running: () => front.running() })
+  const usage = createProcessUsage({ log, metrics, memoryLimitBytes: () => settings.memoryBytes ?? Infinity, keptBytes: () => kept.total() + front.requestBytes(), running: () => front.running(), traffic: upstream.traffic })
   const listening = createListening({ log, stopped: () => leavingSince !== undefined })
 
   clock.onSuspension(gapMs => {
--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -70,6 +70,7 @@
       },
       disableReuse () {},
       relay: () => undefined,
+      traffic: { totals: () => ({ pieces: 0, bodyBytes: 0, wireBytes: 0 }), mostPieces: () => undefined },
       retain () {},
       close () {}
     },
--- a/packages/gateway/src/process-usage.test.ts
+++ b/packages/gateway/src/process-usage.test.ts
@@ -8,8 +8,11 @@
 
 type Line = LogFields & { event: string }
 
-/** @param residentBytes - memory at each check; undefined while it cannot be read */
-function usageAt (residentBytes: (number | undefined)[], limitBytes: number): Line[] {
+/**
+ * @param residentBytes - memory at each check; undefined while it cannot be read
+ * @param heapBytes - heap at each check, of 100
+ */
+function usageAt (residentBytes: (number | undefined)[], limitBytes: number, heapBytes: number[] = []): Line[] {
   const lines: Line[] = []
   const log = createDecisionLog('n1', { write: line => { lines.push(JSON.parse(line) as Line) }, flush: async () => {}, dropped: () => 0 })
   let index = 0
@@ -23,10 +26,12 @@
     metrics: createGatewayMetrics(),
     memoryLimitBytes: () => limitBytes,
     keptBytes: () => 7,
-    running: () => 3
+    running: () => 3,
+    traffic: { totals: () => ({ pieces: 9, bodyBytes: 9, wireBytes: 54 }), mostPieces: () => ({ server: 's1', pieces: 9, bodyBytes: 9, wireBytes: 54 }) }
   }, {
     rss: resident,
-    usage: () => ({ rss: resident(), heapUsed: 1, external: 2, arrayBuffers: 1 })
+    usage: () => ({ rss: resident(), heapUsed: 1, external: 2, arrayBuffers: 1 }),
+    heap: () => ({ usedBytes: heapBytes[index] ?? 0, limitBytes: 100 })
   })
   for (; index < residentBytes.length; index++) usage.check()
   return lines
@@ -40,6 +45,13 @@
   assert.is(lines[0]!.running, 3)
 })
 
+// Guards against a process that ends at the limit of its heap without a line that names the cause.
+test('a heap close to its limit is logged with the response that has the most pieces', () => {
+  const lines = usageAt([1, 1, 1, 1], 100, [70, 71, 65, 59])
+  assert.equal(lines.map(({ event }) => event), ['memory-high', 'memory-normal'])
+  assert.equal(lines[0]!.mostPieces, { server: 's1', pieces: 9, bodyBytes: 9, wireBytes: 54 })
+})
+
 test('memory without a known limit is never high', () => {
   assert.equal(usageAt([60, 1e12], Infinity), [])
 })
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -6,6 +6,7 @@
 import type { LinkMonitor } from './link-monitor'
 import type { RawHeaders } from './platform-interface'
 import type { RelayConnector } from './relay-connector'
+import { createTrafficMonitor, type ConnectionTraffic, type TrafficMonitor } from './response-traffic'
 
 export type UpstreamFailure = {
   /** The request was started on a connection; if false, no byte of it left this process. */
@@ -48,6 +49,8 @@
   disableReuse (server: BackendServer, since: number): void
   /** Sends requests to the server through other nodes while this node's links are cut; undefined while they work. */
   relay (server: BackendServer): Dispatcher | undefined
+  /** What has arrived from servers. */
+  traffic: Pick<TrafficMonitor, 'totals' | 'mostPieces'>
   /** Closes the connections to all other servers when their requests have ended. */
   retain (servers: readonly BackendServer[]): void
   close (): void
@@ -88,7 +91,7 @@
 /** State of the connections of one pool within the current event. */
 type ConnectionWatch = ResetWatch & {
   /** Count of the connection whose bytes are being parsed. */
-  reading?: { bytesWithoutProgress: number }
+  reading?: { bytesWithoutProgress: number, traffic: ConnectionTraffic }
   /** Node that relays the connection. */
   through?: string
 }
@@ -97,8 +100,9 @@
  * Closes a connection on which bytes arrive that lead to no response. undici limits the size of header
  * fields, but neither of a status line nor of the number of interim responses.
  */
-function limitUselessBytes (socket: Socket, watch: ConnectionWatch): void {
-  const count = { bytesWithoutProgress: 0 }
+function limitUselessBytes (socket: Socket, watch: ConnectionWatch, traffic: ConnectionTraffic): void {
+  const count = { bytesWithoutProgress: 0, traffic }
+  socket.once('close', traffic.closed)
   const read = socket.read.bind(socket)
   // undici parses what this returns within the same event, so the callbacks of a response know their connection.
   socket.read = size => {
@@ -106,6 +110,7 @@
     if (chunk === null) return chunk
     watch.reading = count
     count.bytesWithoutProgress += chunk.length
+    traffic.read(chunk.length)
     if (count.bytesWithoutProgress - chunk.length > maxBytesWithoutProgress) {
       socket.destroy(new Error(`${count.bytesWithoutProgress} bytes without a response`))
       return null
@@ -140,11 +145,11 @@
 }
 
 /** Creates a connector that detects resets before undici does, and closes connections that are of no use. */
-function createWatchedConnector (watch: ConnectionWatch, connect: buildConnector.connector, isCut: () => boolean): buildConnector.connector {
+function createWatchedConnector (watch: ConnectionWatch, connect: buildConnector.connector, isCut: () => boolean, traffic: () => ConnectionTraffic): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
-      limitUselessBytes(socket, watch)
+      limitUselessBytes(socket, watch, traffic())
       resetWhenCut(socket, isCut)
       watchResets(socket, watch)
       callback(null, socket)
@@ -175,12 +180,13 @@
   const { links, relays } = options.detour ?? noDetour
   const entries = new Map<string, Entry>()
   const unanswered = new Set<Unanswered>()
+  const traffic = createTrafficMonitor()
 
   function createEntry (server: BackendServer, connections: number, connect: buildConnector.connector = buildConnector({ timeout: connectTimeoutMs }), watch: ConnectionWatch = { resetting: false }): Entry {
     const pool = new Pool(`http://${server.address}`, {
       connections,
       pipelining: 1,
-      connect: createWatchedConnector(watch, connect, () => links.isCut(server.service)),
+      connect: createWatchedConnector(watch, connect, () => links.isCut(server.service), () => traffic.connected(server.id)),
       keepAliveTimeout: idleMs,
       keepAliveTimeoutThreshold: idleMarginMs,
       // The caller enforces deadlines, because it knows how long the client waits.
@@ -261,10 +267,12 @@
       },
       onResponseData (_started, chunk) {
         progressed()
+        entry.watch.reading?.traffic.piece(chunk.length)
         if (!ended) handler.data(chunk)
       },
       onResponseEnd () {
         progressed()
+        entry.watch.reading?.traffic.responseEnded()
         if (ended) return
         ended = true
         if (entry.watch.resetting) handler.failed({ sent: true, reason: 'reset within a response without a length' })
@@ -338,6 +346,7 @@
       entries.delete(keyOf(server))
       entryOf(server).noReuseUntil = since + noReuseMs
     },
+    traffic,
     retain (servers) {
       const keys = new Set(servers.map(keyOf))
       for (const [key, entry] of entries) {
