--- a/packages/gateway/src/endless-memory.test.ts
+++ b/packages/gateway/src/endless-memory.test.ts
@@ -1,82 +1,12 @@
 /** The memory of a node while a server answers many requests without end. */
-import { createServer, type Server, type Socket } from 'node:net'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
-import * as assert from 'uvu/assert'
-import { forkNode, sendTestRequest, startBackend, untilServed, type FakeBackend, type ForkedNode, type TestOutcome } from './testing'
+import { checkMemory, useEndlessServer } from './testing'
 
 const test = suite('memory under endless responses')
+useEndlessServer(test)
 
-/** Memory of the smallest instances, in bytes. */
-const memoryBytes = 350 * 1024 * 1024
-const requestCount = 150
-/** Endless responses that must be open at once, at least. */
-const leastEndless = 20
-/** Time after which a node has read a new entry, in ms. */
-const entryReadMs = 1500
 const filler = 'x'.repeat(64 * 1024)
 
-let node: ForkedNode
-let sound: FakeBackend
-let endless: Server
-let sockets: Set<Socket>
-let sent = 0
-/** Resolves when enough connections to the endless server are open; both servers answer then, so that neither counts as the less busy or the failing one before. */
-let enoughOpen: Promise<void>
-let connectionOpened: () => void
-
-function awaitConnections (): void {
-  enoughOpen = new Promise(resolve => {
-    connectionOpened = () => { if (sockets.size >= leastEndless) resolve() }
-  })
-}
-
-async function send (path: string): Promise<TestOutcome> {
-  return await sendTestRequest(node.front, path, `r${++sent}`)
-}
-
-async function startEndless (head: string, repeated: string): Promise<void> {
-  awaitConnections()
-  endless = createServer(socket => {
-    sockets.add(socket)
-    connectionOpened()
-    socket.on('error', () => {})
-    socket.once('data', async bytes => {
-      await enoughOpen
-      const id = /x-id: (\S+)/i.exec(bytes.toString('latin1'))?.[1] ?? ''
-      socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-seal: s\r\n${head}\r\n`)
-      const fill = (): void => {
-        if (socket.destroyed) return
-        if (socket.write(repeated)) setImmediate(fill)
-        else socket.once('drain', fill)
-      }
-      fill()
-    })
-  })
-  await new Promise<void>(resolve => endless.listen(0, '127.0.0.1', resolve))
-  const { port } = endless.address() as { port: number }
-  node.command({ type: 'server', id: 's2', record: { type: 'server', server: { ...sound.server, id: 's2', address: `127.0.0.1:${port}` }, sequence: 1 } })
-  await sleep(entryReadMs)
-}
-
-test.before.each(async () => {
-  sockets = new Set()
-  enoughOpen = Promise.resolve()
-  node = await forkNode(['--max-old-space-size=160', '--max-semi-space-size=4'])
-  sound = await startBackend('s1', 'desk', async (req, res) => {
-    await enoughOpen
-    setTimeout(() => res.writeHead(200, { 'x-id': req.headers['x-id'] ?? '', 'x-seal': 's' }).end('ok'), 20)
-  }, { slots: 500 })
-  node.command({ type: 'server', id: 's1', record: { type: 'server', server: sound.server, sequence: 1 } })
-  await untilServed({ fronts: [node.front] }, () => send('/order/x'))
-})
-test.after.each(async () => {
-  for (const socket of sockets) socket.destroy()
-  endless.close()
-  sound.close()
-  await node.stop()
-})
-
 for (const [name, head, repeated] of [
   ['a body that only the close would end', '', filler],
   ['chunks', 'transfer-encoding: chunked\r\n', `10000\r\n${filler}\r\n`],
@@ -84,19 +14,7 @@
 ] as const) {
   // Guards against a node that is killed for its memory, and with it the requests of all other clients.
   test(`a server that sends ${name} without end does not fill the memory`, async () => {
-    await startEndless(head, repeated)
-    const sendMany = async (path: string): Promise<TestOutcome[]> => await Promise.all(Array.from({ length: requestCount / 2 }, async () => await send(path)))
-    // A read is given up at a slow server, which then counts as failing.
-    const orders = sendMany('/order/x')
-    await Promise.race([enoughOpen, orders])
-    const outcomes = [...await sendMany('/read/x'), ...await orders]
-    assert.equal(outcomes.filter(({ status }) => status === 0), [], 'each request has a response')
-    assert.ok(sockets.size >= leastEndless, `${sockets.size} connections to the server`)
-    assert.ok(outcomes.filter(({ status }) => status === 200).length > requestCount / 4, 'the sound server still serves')
-    const memory = node.replied('memory')
-    node.command({ type: 'memory' })
-    const { peakBytes } = await memory
-    assert.ok(peakBytes < memoryBytes, `the node had ${Math.round(peakBytes / 2 ** 20)} MB`)
+    await checkMemory(head, repeated)
   })
 }
 
--- a/packages/gateway/src/testing/index.ts
+++ b/packages/gateway/src/testing/index.ts
@@ -1,4 +1,5 @@
 /** Test helpers of the gateway. */
+export * from './endless-server'
 export * from './fake-platform'
 export * from './forked-node'
 export * from './free-ports'
