Keep the pieces of a response in one buffer

What callers saw: a node ended for lack of heap, and with it the requests of all its clients, while one server sent a body in small chunks without end. Cause: each chunk was kept as an object until the body was complete. One of one byte takes 107 bytes of heap, and keeps the read of up to 64 KB that it is a part of, while only its one byte counted towards the bounds. Change: a byte collector in the clients package, made of the one that bodies of requests had, copies pieces into one buffer; a piece that is a small part of its read is copied, too. Bodies of requests and responses use it, and what counts is what was written of the buffer.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -1,5 +1,6 @@
 /** Interfaces of the platform's services and their HTTP clients, and what HTTP servers share. */
 export * from './bounded-server'
+export * from './byte-collector'
 export * from './complete-responses'
 export * from './connection-room'
 export * from './engine-client'
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,6 +3,7 @@
  * complete. A client never gets a response to another request, a success without the server's
  * signature, or a truncated response that looks complete.
  */
+import { createByteCollector } from '@yuccawharf/clients'
 import type { BackendServer } from './cluster-types'
 import type { RunOutcome } from './engine-scheduler'
 import { createEventSplitter } from './event-splitter'
@@ -97,7 +98,7 @@
   let bytes = 0
   let pieces = 0
   let ended = false
-  const chunks: Buffer[] = []
+  const body = createByteCollector({ limitBytes: options.maxBodyBytes })
   const splitter = createEventSplitter()
 
   const kept = options.kept.open(() => {
@@ -170,8 +171,8 @@
         call.abort('response is too large')
         return fail('response is too large')
       }
-      chunks.push(chunk)
-      kept.set(bytes)
+      body.append(chunk)
+      kept.set(body.keptBytes)
     },
     complete () {
       if (streaming) {
@@ -184,7 +185,7 @@
       }
       // A client reads these statuses as "not run", which the server has not confirmed.
       if (retryLaterStatuses.has(status)) return fail(`status ${status} without proof that the request has not run`)
-      resolveResult({ type: 'response', status, headers: metadata?.headers ?? [], body: Buffer.concat(chunks) })
+      resolveResult({ type: 'response', status, headers: metadata?.headers ?? [], body: body.bytes() })
     },
     failed ({ sent, reason, linksCut }) {
       const cut = linksCut === undefined ? {} : { linksCut }
--- a/packages/gateway/src/body-reader.ts
+++ b/packages/gateway/src/body-reader.ts
@@ -1,5 +1,6 @@
 /** Reads the bodies of requests within the bounds of one request and of the node. */
 import type { IncomingMessage } from 'node:http'
+import { createByteCollector, type ByteCollector } from '@yuccawharf/clients'
 import { bodyCheckMs, type BodyRefusal, type RequestBytes } from './request-bytes'
 
 export type Body =
@@ -18,48 +19,6 @@
   read (req: IncomingMessage, maxBytes: number, deadlineAt: () => number): Promise<Body>
 }
 
-/** Smallest buffer for a body that arrives in several pieces, in bytes. */
-const minBufferBytes = 1024
-
-/**
- * Collects a body. Each piece is copied into one buffer, because a buffer of its own for each costs
- * some hundred bytes, and clients choose the size of their pieces.
- */
-class BodyBuffer {
-  size = 0
-  private buffer: Buffer | undefined
-
-  /** @param limitBytes - length that the body states or must not exceed */
-  constructor (private readonly statedBytes: number | undefined, private readonly limitBytes: number) {}
-
-  /** Memory that the body takes, in bytes. */
-  get keptBytes (): number {
-    return this.buffer?.length ?? 0
-  }
-
-  append (chunk: Buffer): void {
-    const size = this.size + chunk.length
-    if (this.buffer === undefined) this.buffer = chunk
-    else {
-      if (size > this.buffer.length) this.grow(size)
-      chunk.copy(this.buffer, this.size)
-    }
-    this.size = size
-  }
-
-  bytes (): Buffer {
-    return this.buffer?.subarray(0, this.size) ?? Buffer.alloc(0)
-  }
-
-  private grow (size: number): void {
-    const capacity = this.statedBytes !== undefined && size > minBufferBytes ? this.statedBytes : Math.min(this.limitBytes, Math.max(minBufferBytes, 2 * size))
-    // Pages that nothing is written to take no memory.
-    const grown = Buffer.allocUnsafeSlow(Math.max(capacity, size))
-    this.buffer!.copy(grown, 0, 0, this.size)
-    this.buffer = grown
-  }
-}
-
 /** @returns the length that the request states for its body, in bytes */
 function statedLength (req: IncomingMessage): number | undefined {
   const text = req.headers['content-length']
@@ -88,7 +47,7 @@
         }
         const statedBytes = statedLength(req)
         if (statedBytes !== undefined && statedBytes > maxBytes) return resolve({ type: 'too-large' })
-        let body: BodyBuffer | undefined = new BodyBuffer(statedBytes, maxBytes)
+        let body: ByteCollector | undefined = createByteCollector({ statedBytes, limitBytes: maxBytes })
 
         const counted = account.open({
           statedBytes,
