Collect the pieces of an event in one buffer

What callers saw: with a faulty engine in front a node came near the end of its heap, and streams at it waited to their deadline. Cause: the same as of bodies: each piece of an event that is not complete was kept as an object, and its last pieces were joined again for each further one. Change: the event splitter uses the byte collector and searches each byte once.

--- a/packages/gateway/src/event-splitter.test.ts
+++ b/packages/gateway/src/event-splitter.test.ts
@@ -1,3 +1,5 @@
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createEventSplitter } from './event-splitter'
@@ -35,6 +37,32 @@
   })
 }
 
+function heapBytes (): number {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  collect()
+  return process.memoryUsage().heapUsed
+}
+
+// Guards against a node that ends because each piece of an event costs many times its bytes.
+test('an incomplete event that arrives a byte at a time takes little heap', () => {
+  const eventBytes = 256 * 1024
+  const read = Buffer.alloc(eventBytes, 'x')
+  const splitter = createEventSplitter()
+  const before = heapBytes()
+  for (let at = 0; at < eventBytes; at++) splitter.push(read.subarray(at, at + 1))
+  const taken = heapBytes() - before
+  assert.is(splitter.restBytes(), eventBytes)
+  assert.ok(taken < 4 * eventBytes, `${taken} bytes of heap for an event of ${eventBytes}`)
+})
+
+// Guards against events that are written over by what follows them.
+test('events stay as they are while the next ones arrive', () => {
+  const splitter = createEventSplitter()
+  const events = ['data: a', '\n\ndata: b', 'c\n\ndata', ': d\n\n'].map(text => splitter.push(Buffer.from(text)))
+  assert.equal(events.map(bytes => bytes?.toString()), [undefined, 'data: a\n\n', 'data: bc\n\n', 'data: d\n\n'])
+})
+
 test('finds the end of an event whose lines end differently', () => {
   assert.equal(split(['id: 1\r\ndata: a\n\r\nid: 2\r\n']), { events: 'id: 1\r\ndata: a\n\r\n', rest: 'id: 2\r\n', insideEvent: true, lastId: '1' })
 })
--- a/packages/gateway/src/event-splitter.ts
+++ b/packages/gateway/src/event-splitter.ts
@@ -1,7 +1,8 @@
 /**
  * Splits a stream of server-sent events at event boundaries, so that only complete events are forwarded.
- * Chunks of an incomplete event are joined once it is complete, so that each byte is copied once.
+ * The bytes of an incomplete event are collected in one buffer, and searched once.
  */
+import { createByteCollector } from '@yuccawharf/clients'
 
 export type EventSplitter = {
   /** @returns the bytes of all events that are complete with this chunk, or undefined if there are none */
@@ -35,35 +36,29 @@
 }
 
 export function createEventSplitter (): EventSplitter {
-  let chunks: Buffer[] = []
-  let size = 0
+  const rest = createByteCollector()
   let id: string | undefined
 
-  /** Last bytes received, enough to find the end of an event that the next chunk completes. */
-  function tail (): Buffer {
-    const last = chunks.at(-1)
-    if (last === undefined || last.length >= maxEndBytes) return last?.subarray(-(maxEndBytes - 1)) ?? Buffer.alloc(0)
-    return Buffer.concat(chunks.slice(-maxEndBytes)).subarray(-(maxEndBytes - 1))
+  /** @returns number of bytes, from the beginning of those collected, that complete events take */
+  function append (chunk: Buffer): number {
+    // The end of an event may be split between what was searched before and the chunk.
+    const from = Math.max(0, rest.size - (maxEndBytes - 1))
+    rest.append(chunk)
+    const end = eventsEnd(rest.bytes().subarray(from))
+    return end === 0 ? 0 : from + end
   }
 
   return {
     push (chunk) {
-      const isComplete = eventsEnd(chunk) > 0 || (size > 0 && eventsEnd(Buffer.concat([tail(), chunk.subarray(0, maxEndBytes)])) > 0)
-      chunks.push(chunk)
-      size += chunk.length
-      if (!isComplete) return undefined
-      const bytes = chunks.length === 1 ? chunk : Buffer.concat(chunks)
-      const end = eventsEnd(bytes)
-      chunks = end === bytes.length ? [] : [bytes.subarray(end)]
-      size = bytes.length - end
+      const end = append(chunk)
       if (end === 0) return undefined
-      const completeEvents = bytes.subarray(0, end)
+      const completeEvents = rest.take(end)
       for (const [, value] of completeEvents.toString('latin1').matchAll(idLine)) id = value
       return completeEvents
     },
-    rest: () => Buffer.concat(chunks),
-    restBytes: () => size,
-    insideEvent: () => chunks.some(chunk => !chunk.every(isLineEnd)),
+    rest: () => rest.bytes(),
+    restBytes: () => rest.size,
+    insideEvent: () => !rest.bytes().every(isLineEnd),
     lastId: () => id
   }
 }
