Pass the pieces of a response on once a read

What callers saw: with one server that sends small chunks, all requests of the node became slow: each chunk went through the checks of the response, the event splitter and a write of its own to the client. Cause: the server chooses how many pieces a read has, and all work was done for each of them. Change: the pieces that are parsed in one turn of the event loop are joined and passed on as one (piece-batch.ts), at most 64 KB at a time; the end of a response and an error pass on what is left first.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -147,9 +147,9 @@
       streaming = stream !== undefined && status < 300 && isEventStream(raw)
       if (streaming) stream!.head(status, metadata.headers)
     },
-    data (chunk) {
+    data (chunk, count) {
       bytes += chunk.length
-      pieces += 1
+      pieces += count
       if (metadata?.notRun === true) {
         if (bytes > maxRefusalBytes) call.abort('refusal is too large')
         return
--- /dev/null
+++ b/packages/gateway/src/piece-batch.ts
@@ -0,0 +1,52 @@
+/**
+ * Joins the pieces of a response that are parsed in one turn of the event loop, so that what follows works on reads
+ * and not on pieces, whose size the server chooses.
+ */
+import { createByteCollector } from '@yuccawharf/clients'
+
+export type PieceBatch = {
+  push (piece: Buffer): void
+  /** Passes on at once what was collected. */
+  flush (): void
+  /** Nothing is passed on any more. */
+  discard (): void
+}
+
+/** Bytes that are passed on without waiting for the end of the turn: about one read. */
+const maxBatchBytes = 64 * 1024
+
+/** @param passOn - gets the bytes of one or several pieces, with memory of their own */
+export function createPieceBatch (passOn: (bytes: Buffer, pieces: number) => void): PieceBatch {
+  const collected = createByteCollector()
+  let pieces = 0
+  let scheduled = false
+  let discarded = false
+
+  function flush (): void {
+    if (pieces === 0) return
+    const count = pieces
+    pieces = 0
+    passOn(collected.take(), count)
+  }
+
+  return {
+    push (piece) {
+      if (discarded) return
+      collected.append(piece)
+      pieces += 1
+      if (collected.size >= maxBatchBytes) return flush()
+      if (scheduled) return
+      scheduled = true
+      queueMicrotask(() => {
+        scheduled = false
+        flush()
+      })
+    },
+    flush,
+    discard () {
+      discarded = true
+      pieces = 0
+      collected.take()
+    }
+  }
+}
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -4,6 +4,7 @@
 import { buildConnector, Pool, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { LinkMonitor } from './link-monitor'
+import { createPieceBatch } from './piece-batch'
 import type { RawHeaders } from './platform-interface'
 import type { RelayConnector } from './relay-connector'
 import { createTrafficMonitor, type ConnectionTraffic, type TrafficMonitor } from './response-traffic'
@@ -19,7 +20,8 @@
 export type UpstreamHandler = {
   /** @param through - node that has relayed the request, if one has */
   headers (status: number, raw: RawHeaders, through?: string): void
-  data (chunk: Buffer): void
+  /** @param pieces - number of pieces in which the bytes have arrived */
+  data (bytes: Buffer, pieces: number): void
   /** The body is complete. */
   complete (): void
   failed (failure: UpstreamFailure): void
@@ -221,6 +223,7 @@
     let ended = false
     const state: { aborted?: string } = {}
     let answered: () => void = () => {}
+    const batch = createPieceBatch((bytes, pieces) => { handler.data(bytes, pieces) })
     const progressed = (): void => {
       if (entry.watch.reading !== undefined) entry.watch.reading.bytesWithoutProgress = 0
       if (isOwnLink) links.received(service)
@@ -228,6 +231,7 @@
 
     function abort (reason: string): void {
       ended = true
+      batch.discard()
       answered()
       state.aborted = reason
       controller?.abort(new Error(reason))
@@ -268,11 +272,12 @@
       onResponseData (_started, chunk) {
         progressed()
         entry.watch.reading?.traffic.piece(chunk.length)
-        if (!ended) handler.data(chunk)
+        if (!ended) batch.push(chunk)
       },
       onResponseEnd () {
         progressed()
         entry.watch.reading?.traffic.responseEnded()
+        batch.flush()
         if (ended) return
         ended = true
         if (entry.watch.resetting) handler.failed({ sent: true, reason: 'reset within a response without a length' })
@@ -280,6 +285,7 @@
       },
       onResponseError (_started, err) {
         answered()
+        batch.flush()
         if (ended) return
         ended = true
         const sent = controller !== undefined
