Read responses with much framing in turns

What callers saw: beside a server that sends small pieces without end, requests to sound servers waited for the thread, some to their deadline. Cause: connections of clients share the thread since the crowds of clients; connections to servers did not, although parsing a read of 64 KB takes many times as long if it holds chunks of one byte. Change: connections to servers take part in the same shares of reads. A connection that has to wait is not read until its turn; bytes that a paused parser returns are not counted twice. The unit tests of shared reads and of responses pass unchanged.

--- a/packages/clients/src/shared-reads.ts
+++ b/packages/clients/src/shared-reads.ts
@@ -1,4 +1,4 @@
-/** Shares the thread of the process among the connections of all its servers; see {@link createReadShares}. */
+/** Shares the thread of the process among the connections of its servers, and those to other servers; see {@link createReadShares}. */
 import { IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { createReadShares, readSharesDefaults, type ReadAction, type ReadSharesConfig } from './read-shares'
@@ -6,18 +6,47 @@
 /** The part of the parser of a connection that Node.js does not document: it calls a numbered property after each read. */
 type Parser = { [callback: number]: ((result: number | Error) => void) | null, constructor: { kOnExecute?: number } }
 
-type Reads = {
+/** A connection whose reads are shared. */
+type Reader = {
+  held: boolean
+  /** Stops the reads. */
+  hold (): void
+  /** Starts them again. */
+  release (): void
+}
+
+/** A connection of a server. */
+type Reads = Reader & {
   bytesRead: number
   /** Bytes of bodies since the last read. */
   bodyBytes: number
-  held: boolean
   /** Whether reads would go on if they were not held. */
   wanted: boolean
 }
 
+/** The turns of a connection that asks before each read. */
+export type ReadTurns = {
+  /** Whether the connection must not be read now. */
+  held (): boolean
+  /**
+   * One read was parsed.
+   *
+   * @param readBytes - bytes that were read
+   * @param bodyBytes - bytes of bodies among them
+   */
+  parsed (readBytes: number, bodyBytes: number): void
+  closed (): void
+}
+
 export type SharedReads = {
   /** Counts what is read on all connections of the server. */
   add (server: Server): void
+  /**
+   * Counts what is read on a connection to a server.
+   *
+   * @param readOn - reads on after the connection was held
+   */
+  addClient (readOn: () => void): ReadTurns
   /** Applies to connections that are opened from now on as well as to others. */
   configure (config: Partial<ReadSharesConfig>): void
   /** Number of connections whose reads wait for their turn. */
@@ -31,7 +60,7 @@
 
 export function createSharedReads (now: () => number): SharedReads {
   const config = { ...readSharesDefaults }
-  const shares = createReadShares<Socket>(config)
+  const shares = createReadShares<Reader>(config)
   const reads = new WeakMap<Socket, Reads>()
   let granting = false
   let grantedAt = 0
@@ -39,20 +68,18 @@
   let inTurn = false
   let stopped = 0
 
-  function apply (actions: ReadAction<Socket>[]): void {
+  function apply (actions: ReadAction<Reader>[]): void {
     const isShared = actions.filter(({ type }) => type === 'hold').length > 1 || shares.waiting() > 1
     for (const { type, connection } of actions) {
-      const read = reads.get(connection)
-      if (read === undefined || read.held === (type === 'hold')) continue
-      if (type === 'hold') {
-        if (isShared) stopped += 1
-        read.wanted = !connection.isPaused()
-        connection.pause()
-        read.held = true
-      } else {
-        read.held = false
-        if (read.wanted) connection.resume()
+      if (connection.held === (type === 'hold')) continue
+      if (type === 'release') {
+        connection.held = false
+        connection.release()
+        continue
       }
+      if (isShared) stopped += 1
+      connection.hold()
+      connection.held = true
     }
   }
 
@@ -73,6 +100,14 @@
     else setTimeout(grant, gapMs)
   }
 
+  function parsed (reader: Reader, readBytes: number, bodyBytes: number): void {
+    const at = now()
+    apply(shares.received(reader, readBytes, bodyBytes, at))
+    const waiting = shares.waiting()
+    // Others get as much of the thread as the read took; a connection that is alone, or had nothing to read in its turn, goes on at once.
+    if (waiting > 0) schedule(waiting === 1 || !inTurn ? 0 : Math.min(maxGapMs, at - grantedAt))
+  }
+
   function received (socket: Socket): void {
     const read = reads.get(socket)
     if (read === undefined || socket.destroyed) return
@@ -80,22 +115,28 @@
     const { bodyBytes } = read
     read.bytesRead = socket.bytesRead
     read.bodyBytes = 0
-    const at = now()
-    apply(shares.received(socket, bytes, bodyBytes, at))
-    const waiting = shares.waiting()
-    // Others get as much of the thread as the read took; a connection that is alone, or had nothing to read in its turn, goes on at once.
-    if (waiting > 0) schedule(waiting === 1 || !inTurn ? 0 : Math.min(maxGapMs, at - grantedAt))
+    parsed(read, bytes, bodyBytes)
   }
 
   function opened (socket: Socket): void {
     const { parser } = socket as Socket & { parser?: Parser | null }
     const key = parser?.constructor.kOnExecute
-    const parsed = key === undefined ? undefined : parser?.[key]
-    if (parser == null || key === undefined || parsed == null) return
-    const read: Reads = { bytesRead: 0, bodyBytes: 0, held: false, wanted: true }
+    const parsedRead = key === undefined ? undefined : parser?.[key]
+    if (parser == null || key === undefined || parsedRead == null) return
+    const read: Reads = {
+      bytesRead: 0,
+      bodyBytes: 0,
+      held: false,
+      wanted: true,
+      hold () {
+        read.wanted = !socket.isPaused()
+        socket.pause()
+      },
+      release () { if (read.wanted) socket.resume() }
+    }
     reads.set(socket, read)
     parser[key] = result => {
-      parsed(result)
+      parsedRead(result)
       // Without a parser the connection has become a tunnel.
       if ((socket as { parser?: unknown }).parser === parser) received(socket)
       else leave(socket)
@@ -110,13 +151,15 @@
       if (read.held) read.wanted = true
       return read.held ? socket : resume.call(socket)
     }
-    socket.once('close', () => { shares.closed(socket) })
-    shares.opened(socket)
+    socket.once('close', () => { shares.closed(read) })
+    shares.opened(read)
   }
 
   function leave (socket: Socket): void {
-    shares.closed(socket)
-    apply([{ type: 'release', connection: socket }])
+    const read = reads.get(socket)
+    if (read === undefined) return
+    shares.closed(read)
+    apply([{ type: 'release', connection: read }])
     reads.delete(socket)
   }
 
@@ -134,6 +177,15 @@
       server.on('connection', opened)
       server.prependListener('request', countBody)
     },
+    addClient (readOn) {
+      const reader: Reader = { held: false, hold () {}, release: readOn }
+      shares.opened(reader)
+      return {
+        held: () => reader.held,
+        parsed: (readBytes, bodyBytes) => { parsed(reader, readBytes, bodyBytes) },
+        closed: () => { shares.closed(reader) }
+      }
+    },
     configure (next) { Object.assign(config, next) },
     waiting: shares.waiting,
     takeStopped () {
@@ -144,5 +196,5 @@
   }
 }
 
-/** All servers of a process share its one thread. */
+/** All connections of a process share its one thread. */
 export const sharedReads = createSharedReads(() => performance.now())
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,6 +1,6 @@
 /** Requests to backend servers over HTTP/1.1 without pipelining; response data is forwarded as it arrives. */
 import type { Socket } from 'node:net'
-import { createCheckedAgent, isValidStatus, watchResets, type ResetWatch } from '@yuccawharf/clients'
+import { createCheckedAgent, isValidStatus, sharedReads, watchResets, type ResetWatch } from '@yuccawharf/clients'
 import { buildConnector, Pool, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { LinkMonitor } from './link-monitor'
@@ -90,35 +90,71 @@
 /** Bytes that a server may send without completing a response head or sending a part of a body. */
 const maxBytesWithoutProgress = 64 * 1024
 
+/** What the connection whose bytes are being parsed counts. */
+type ReadCounts = {
+  bytesWithoutProgress: number
+  /** Bytes of bodies in the current read. */
+  bodyBytes: number
+  traffic: ConnectionTraffic
+}
+
 /** State of the connections of one pool within the current event. */
 type ConnectionWatch = ResetWatch & {
-  /** Count of the connection whose bytes are being parsed. */
-  reading?: { bytesWithoutProgress: number, traffic: ConnectionTraffic }
+  reading?: ReadCounts
   /** Node that relays the connection. */
   through?: string
 }
 
 /**
- * Closes a connection on which bytes arrive that lead to no response. undici limits the size of header
- * fields, but neither of a status line nor of the number of interim responses.
+ * Reads a connection in its turns, and closes it if bytes arrive that lead to no response. undici limits the
+ * size of header fields, but neither of a status line nor of the number of interim responses.
  */
-function limitUselessBytes (socket: Socket, watch: ConnectionWatch, traffic: ConnectionTraffic): void {
-  const count = { bytesWithoutProgress: 0, traffic }
-  socket.once('close', traffic.closed)
-  const read = socket.read.bind(socket)
-  // undici parses what this returns within the same event, so the callbacks of a response know their connection.
+function limitReads (socket: Socket, watch: ConnectionWatch, traffic: ConnectionTraffic): void {
+  const counts: ReadCounts = { bytesWithoutProgress: 0, bodyBytes: 0, traffic }
+  // Outside of the parser, which must not be entered again.
+  const turns = sharedReads.addClient(() => process.nextTick(() => { if (!socket.destroyed) socket.emit('readable') }))
+  let readBytes = 0
+
+  function count (bytes: number): void {
+    readBytes += bytes
+    counts.bytesWithoutProgress += bytes
+    traffic.read(bytes)
+  }
+
+  function endRead (): void {
+    if (readBytes === 0) return
+    const bytes = readBytes
+    const { bodyBytes } = counts
+    readBytes = counts.bodyBytes = 0
+    turns.parsed(bytes, bodyBytes)
+  }
+
+  const { read, unshift } = socket
+  // undici parses what this returns before it reads again, so the callbacks of a response know their connection.
   socket.read = size => {
-    const chunk = read(size) as Buffer | null
+    endRead()
+    if (turns.held()) return null
+    const chunk = read.call(socket, size) as Buffer | null
     if (chunk === null) return chunk
-    watch.reading = count
-    count.bytesWithoutProgress += chunk.length
-    traffic.read(chunk.length)
-    if (count.bytesWithoutProgress - chunk.length > maxBytesWithoutProgress) {
-      socket.destroy(new Error(`${count.bytesWithoutProgress} bytes without a response`))
+    watch.reading = counts
+    count(chunk.length)
+    if (counts.bytesWithoutProgress - chunk.length > maxBytesWithoutProgress) {
+      socket.destroy(new Error(`${counts.bytesWithoutProgress} bytes without a response`))
       return null
     }
+    // A parser that is paused does not read again.
+    queueMicrotask(endRead)
     return chunk
   }
+  // A parser that is paused returns what it has not parsed, and reads it again.
+  socket.unshift = (chunk, ...rest) => {
+    count(-(chunk as Buffer).length)
+    unshift.call(socket, chunk, ...rest)
+  }
+  socket.once('close', () => {
+    traffic.closed()
+    turns.closed()
+  })
 }
 
 /** What waits on a cut link when its request is given up would otherwise still reach the server later. */
@@ -151,7 +187,7 @@
   return (options, callback) => {
     connect(options, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
-      limitUselessBytes(socket, watch, traffic())
+      limitReads(socket, watch, traffic())
       resetWhenCut(socket, isCut)
       watchResets(socket, watch)
       callback(null, socket)
@@ -271,7 +307,10 @@
       },
       onResponseData (_started, chunk) {
         progressed()
-        entry.watch.reading?.traffic.piece(chunk.length)
+        if (entry.watch.reading !== undefined) {
+          entry.watch.reading.bodyBytes += chunk.length
+          entry.watch.reading.traffic.piece(chunk.length)
+        }
         if (!ended) batch.push(chunk)
       },
       onResponseEnd () {
