Give up a response whose framing is out of proportion

What callers saw: a response of few bytes in chunks with long extensions kept the thread of a node at work until the deadline of its caller. Cause: bytes without progress were bounded, but each byte of a body counts as progress, and the next 64 KB were free again. Change: framing of more than 1 MiB and 16 bytes for each byte of the body ends the response; chunks of one byte have five. An attempt whose response this node gave up, because nobody could have used it, says so (unusable), and does not count as a lost connection: the server has not crashed.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -20,8 +20,8 @@
   | { type: 'response', status: number, headers: RawHeaders, body: Buffer }
   /** All events were forwarded. */
   | { type: 'streamed', framing: BodyFraming }
-  /** The request may have run. `eventsSent`: some of its events were forwarded; `connectionLost`: the server broke off; `linksCut`: this node is cut off, which says nothing about the server. */
-  | { type: 'failed', reason: string, eventsSent: boolean, connectionLost: boolean, linksCut?: true }
+  /** The request may have run. `eventsSent`: some of its events were forwarded; `connectionLost`: the server broke off; `linksCut`: this node is cut off, which says nothing about the server; `unusable`: this node gave the response up, because nobody could have used it. */
+  | { type: 'failed', reason: string, eventsSent: boolean, connectionLost: boolean, linksCut?: true, unusable?: true }
   | { type: 'aborted' }
 
 /** What marks the end of a body (RFC 9112, section 6.3). */
@@ -103,8 +103,7 @@
 
   const kept = options.kept.open(() => {
     options.warn('response-given-up', { server: server.id, requestId: options.requestId, bytes, pieces, keptBytes: options.kept.total() })
-    call.abort('too many bytes of responses')
-    fail('the node keeps too many bytes of responses')
+    giveUp('the node keeps too many bytes of responses')
   })
 
   function resolveResult (attemptResult: AttemptResult): void {
@@ -117,6 +116,12 @@
     resolveResult({ type: 'failed', reason, eventsSent, connectionLost })
   }
 
+  /** Ends a response that nobody could use. */
+  function giveUp (reason: string): void {
+    call.abort(reason)
+    resolveResult({ type: 'failed', reason, eventsSent, connectionLost: false, unusable: true })
+  }
+
   /** @returns why the response must not be forwarded to the client, or undefined if it may be */
   function rejectionReason (response: ResponseMetadata): string | undefined {
     if (response.requestId !== options.requestId && (response.requestId !== undefined || status < 300)) return 'response belongs to another request'
@@ -159,8 +164,7 @@
         kept.set(splitter.restBytes())
         if (ended) return
         if (splitter.restBytes() > maxEventBytes) {
-          call.abort('event is too large')
-          return fail('event is too large')
+          return giveUp('event is too large')
         }
         if (completeEvents === undefined) return
         eventsSent = true
@@ -168,8 +172,7 @@
         return
       }
       if (bytes > options.maxBodyBytes) {
-        call.abort('response is too large')
-        return fail('response is too large')
+        return giveUp('response is too large')
       }
       body.append(chunk)
       kept.set(body.keptBytes)
@@ -187,9 +190,9 @@
       if (retryLaterStatuses.has(status)) return fail(`status ${status} without proof that the request has not run`)
       resolveResult({ type: 'response', status, headers: metadata?.headers ?? [], body: body.bytes() })
     },
-    failed ({ sent, reason, linksCut }) {
+    failed ({ sent, reason, linksCut, unusable }) {
       const cut = linksCut === undefined ? {} : { linksCut }
-      if (sent) resolveResult({ type: 'failed', reason, eventsSent, connectionLost: true, ...cut })
+      if (sent) resolveResult({ type: 'failed', reason, eventsSent, connectionLost: unusable === undefined, ...cut, ...(unusable === undefined ? {} : { unusable }) })
       else resolveResult({ type: 'not-sent', reason, ...cut })
     }
   })
--- a/packages/gateway/src/endless-response.test.ts
+++ b/packages/gateway/src/endless-response.test.ts
@@ -26,6 +26,7 @@
   { name: 'bytes that are no response', first: '', repeated: filler, stream: false },
   { name: 'a body without length or end', first: `${signedHead}\r\n`, repeated: filler, stream: false },
   { name: 'chunks without end', first: `${signedHead}transfer-encoding: chunked\r\n\r\n`, repeated: `4000\r\n${filler}\r\n`, stream: false },
+  { name: 'chunk extensions without end', first: `${signedHead}transfer-encoding: chunked\r\n\r\n`, repeated: `1;a=${'b'.repeat(1000)}\r\nx\r\n`.repeat(16), stream: false },
   { name: 'an event without end', first: `${signedHead}content-type: text/event-stream\r\n\r\ndata: `, repeated: filler, stream: true },
   { name: 'an event without end after a complete one', first: `${signedHead}content-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\ndata: `, repeated: filler, stream: true },
   { name: 'trailers without end', first: `${signedHead}transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n`, repeated: `x-a: ${'y'.repeat(1000)}\r\n`.repeat(16), stream: false }
@@ -92,6 +93,19 @@
   })
 }
 
+// Guards against a stream that takes the thread until the client's deadline.
+test('events with long chunk extensions without end fail at a limit, and the connection is closed', async () => {
+  const { result, written, closed } = await play({
+    name: 'events with long chunk extensions',
+    first: `${signedHead}transfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n\r\n`,
+    repeated: `5;a=${'b'.repeat(1000)}\r\na:b\n\n\r\n`.repeat(16),
+    stream: true
+  }, 20_000)
+  assert.is(result.type, 'failed', `the attempt ended as ${JSON.stringify(result).slice(0, 200)}`)
+  assert.ok(closed, 'the connection is still open')
+  assert.ok(written < maxBodyBytes + socketBufferBytes, `${written} bytes were read`)
+})
+
 // Guards against a node that runs out of memory when a service of many servers fails in this way.
 test('64 connections with an event without end take a bounded amount of memory', async () => {
   const endless = cases.find(({ name }) => name === 'an event without end')!
--- a/packages/gateway/src/response-traffic.ts
+++ b/packages/gateway/src/response-traffic.ts
@@ -16,6 +16,8 @@
   read (bytes: number): void
   piece (bytes: number): void
   responseEnded (): void
+  /** The response in progress. */
+  current: Readonly<TrafficCounts>
   closed (): void
 }
 
@@ -37,6 +39,7 @@
       const current: ResponseTraffic = { server, pieces: 0, bodyBytes: 0, wireBytes: 0 }
       connections.add(current)
       return {
+        current,
         read (bytes) {
           totals.wireBytes += bytes
           current.wireBytes += bytes
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -15,6 +15,8 @@
   reason: string
   /** The links of this node are cut, so it says nothing about the server. */
   linksCut?: true
+  /** This node gave the response up, because nobody could have used it. */
+  unusable?: true
 }
 
 export type UpstreamHandler = {
@@ -90,6 +92,16 @@
 /** Bytes that a server may send without completing a response head or sending a part of a body. */
 const maxBytesWithoutProgress = 64 * 1024
 
+/**
+ * Bytes of heads, chunk sizes, chunk extensions and trailers that a response may have beside `maxFramingRatio` for each
+ * byte of its body. Chunks of one byte have five for each.
+ */
+const maxFramingBytes = 1024 * 1024
+const maxFramingRatio = 16
+
+/** Nobody could have used the response. */
+class UnusableResponseError extends Error {}
+
 /** What the connection whose bytes are being parsed counts. */
 type ReadCounts = {
   bytesWithoutProgress: number
@@ -129,6 +141,14 @@
     turns.parsed(bytes, bodyBytes)
   }
 
+  /** @returns why nobody could use the response, if so; the bytes that have just been read are not parsed yet */
+  function unusableReason (unparsedBytes: number): string | undefined {
+    if (counts.bytesWithoutProgress - unparsedBytes > maxBytesWithoutProgress) return `${counts.bytesWithoutProgress} bytes without a response`
+    const { wireBytes, bodyBytes } = traffic.current
+    const framingBytes = wireBytes - unparsedBytes - bodyBytes
+    return framingBytes > maxFramingBytes + maxFramingRatio * bodyBytes ? `${framingBytes} bytes of framing for ${bodyBytes} of a body` : undefined
+  }
+
   const { read, unshift } = socket
   // undici parses what this returns before it reads again, so the callbacks of a response know their connection.
   socket.read = size => {
@@ -138,8 +158,9 @@
     if (chunk === null) return chunk
     watch.reading = counts
     count(chunk.length)
-    if (counts.bytesWithoutProgress - chunk.length > maxBytesWithoutProgress) {
-      socket.destroy(new Error(`${counts.bytesWithoutProgress} bytes without a response`))
+    const reason = unusableReason(chunk.length)
+    if (reason !== undefined) {
+      socket.destroy(new UnusableResponseError(reason))
       return null
     }
     // A parser that is paused does not read again.
@@ -298,7 +319,7 @@
       },
       onResponseStart (started, status, parsed) {
         // undici closes the connection and reports the error.
-        if (!isValidStatus(status)) throw new Error(`the response has the invalid status ${status}`)
+        if (!isValidStatus(status)) throw new UnusableResponseError(`the response has the invalid status ${status}`)
         // Ignores interim (1xx) responses.
         if (status < 200) return
         progressed()
@@ -328,7 +349,7 @@
         if (ended) return
         ended = true
         const sent = controller !== undefined
-        handler.failed({ sent, ...(sent || isOwnLink ? {} : { linksCut: true }), reason: (err as { code?: string }).code ?? err.message })
+        handler.failed({ sent, ...(sent || isOwnLink ? {} : { linksCut: true }), ...(err instanceof UnusableResponseError ? { unusable: true } : {}), reason: (err as { code?: string }).code ?? err.message })
       }
     })
 
