Give up at its head a response that states too large a body

What callers saw: a response with a length of a million megabytes kept its caller waiting until 16 MiB of it had been read. Cause: the stated length was not compared with the limit. Change: the attempt fails with the head of the response.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -79,6 +79,12 @@
   return names.has('content-length') ? 'length' : 'connection-close'
 }
 
+/** @returns length that the response states for its body, in bytes */
+function statedLength (raw: RawHeaders): number | undefined {
+  const index = raw.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === 'content-length')
+  return index < 0 ? undefined : Number(raw[index + 1])
+}
+
 /** A response without a type counts as one, because the route announces a stream. */
 function isEventStream (raw: RawHeaders): boolean {
   const index = raw.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === 'content-type')
@@ -151,6 +157,7 @@
       }
       streaming = stream !== undefined && status < 300 && isEventStream(raw)
       if (streaming) stream!.head(status, metadata.headers)
+      else if ((statedLength(raw) ?? 0) > options.maxBodyBytes) giveUp('response is too large')
     },
     data (chunk, count) {
       bytes += chunk.length
--- a/packages/gateway/src/endless-response.test.ts
+++ b/packages/gateway/src/endless-response.test.ts
@@ -93,6 +93,14 @@
   })
 }
 
+// Guards against reading megabytes of a response that is known to be too large.
+test('a response that states more than the limit fails with its head', async () => {
+  const { result, written, closed } = await play({ name: 'a stated length', first: `${signedHead}content-length: ${maxBodyBytes + 1}\r\n\r\n`, repeated: 'x', stream: false }, 5000)
+  assert.is(result.type === 'failed' && result.reason, 'response is too large')
+  assert.ok(closed, 'the connection is still open')
+  assert.ok(written < maxBodyBytes, `${written} bytes were read`)
+})
+
 // Guards against a stream that takes the thread until the client's deadline.
 test('events with long chunk extensions without end fail at a limit, and the connection is closed', async () => {
   const { result, written, closed } = await play({
