Bound and share the reads of all connections to servers

What callers saw: nothing yet; found while looking for the cause elsewhere. Cause: the bounds on bytes without a response and on framing, the turns of reads and the batches of pieces held for forwarded requests only. Reports of engines, commands, calls of the store, health of servers at other nodes and the own mode use another pool, where a body in chunks of one byte was an object for each in the buffer of its reader. Change: both pools call the same code, which moves to the clients package (response-reads, response-traffic, piece-batch).

--- a/packages/clients/src/complete-responses.ts
+++ b/packages/clients/src/complete-responses.ts
@@ -1,6 +1,9 @@
-/** Passes on no response whose status is none, and none as complete whose connection was reset. */
+/** Passes on no response whose status is none, and none as complete whose connection was reset; bounds what servers may send beside it. */
 import type { Socket } from 'node:net'
 import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici'
+import { createPieceBatch } from './piece-batch'
+import { limitReads, type ResponseReads } from './response-reads'
+import { createTrafficMonitor } from './response-traffic'
 
 /** State of connections within the current event. */
 export type ResetWatch = {
@@ -28,8 +31,15 @@
   socket.on('end', () => { if (socket.remotePort === undefined) markReset() })
 }
 
+/** State of the connections of an agent within the current event. */
+type AgentWatch = ResetWatch & {
+  /** The connection whose bytes are being parsed. */
+  reading?: ResponseReads
+}
+
 interface ResponseHandler {
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[]>, message?: string): void
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void
   onResponseEnd (controller: Dispatcher.DispatchController, trailers: Record<string, string | string[]>): void
   onResponseError (controller: Dispatcher.DispatchController, err: Error): void
 }
@@ -38,32 +48,53 @@
 const ForwardingHandler = DecoratorHandler as unknown as new (handler: Dispatcher.DispatchHandler) => ResponseHandler
 
 class CompleteResponseHandler extends ForwardingHandler {
-  constructor (handler: Dispatcher.DispatchHandler, private readonly watch: ResetWatch) {
+  private controller: Dispatcher.DispatchController | undefined
+  private readonly batch = createPieceBatch(bytes => { super.onResponseData(this.controller!, bytes) })
+
+  constructor (handler: Dispatcher.DispatchHandler, private readonly watch: AgentWatch) {
     super(handler)
   }
 
   override onResponseStart (...args: Parameters<ResponseHandler['onResponseStart']>): void {
-    const [, status] = args
+    const [controller, status] = args
     // undici closes the connection and reports the error.
     if (!isValidStatus(status)) throw new Error(`the response has the invalid status ${status}`)
+    this.controller = controller
+    if (status >= 200) this.watch.reading?.progressed()
     super.onResponseStart(...args)
   }
 
+  override onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.watch.reading?.progressed()
+    this.watch.reading?.piece(chunk.length)
+    this.batch.push(chunk)
+  }
+
   override onResponseEnd (...args: Parameters<ResponseHandler['onResponseEnd']>): void {
     const [controller] = args
+    this.watch.reading?.progressed()
+    this.watch.reading?.ended()
+    this.batch.flush()
     if (this.watch.resetting) super.onResponseError(controller, new Error('reset within a response without a length'))
     else super.onResponseEnd(...args)
   }
+
+  override onResponseError (...args: Parameters<ResponseHandler['onResponseError']>): void {
+    this.batch.flush()
+    super.onResponseError(...args)
+  }
 }
 
 /** Creates a pool of connections that reports only valid and complete responses as such. */
 export function createCheckedAgent (options: Agent.Options, connect: buildConnector.connector): Dispatcher {
-  const watch: ResetWatch = { resetting: false }
+  const watch: AgentWatch = { resetting: false }
+  const traffic = createTrafficMonitor()
   const agent = new Agent({
     ...options,
     connect (target, callback) {
       connect(target, (...[err, socket]) => {
         if (err !== null) return callback(err, null)
+        limitReads(socket, reads => { watch.reading = reads }, traffic.connected(target.hostname))
         watchResets(socket, watch)
         callback(null, socket)
       })
--- a/packages/gateway/src/piece-batch.ts
+++ b/packages/clients/src/piece-batch.ts
@@ -2,7 +2,7 @@
  * Joins the pieces of a response that are parsed in one turn of the event loop, so that what follows works on reads
  * and not on pieces, whose size the server chooses.
  */
-import { createByteCollector } from '@yuccawharf/clients'
+import { createByteCollector } from './byte-collector'
 
 export type PieceBatch = {
   push (piece: Buffer): void
--- a/packages/gateway/src/process-usage.ts
+++ b/packages/gateway/src/process-usage.ts
@@ -1,8 +1,8 @@
 /** Reports the memory of the process while it or the heap is close to its limit, so that a process that is killed for it leaves a trace. */
 import { getHeapStatistics } from 'node:v8'
+import type { TrafficMonitor } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
 import type { GatewayMetrics } from './gateway-metrics'
-import type { TrafficMonitor } from './response-traffic'
 
 export type MemoryUsage = { rss: number, heapUsed: number, external: number, arrayBuffers: number }
 
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,13 +1,11 @@
 /** Requests to backend servers over HTTP/1.1 without pipelining; response data is forwarded as it arrives. */
 import type { Socket } from 'node:net'
-import { createCheckedAgent, isValidStatus, sharedReads, watchResets, type ResetWatch } from '@yuccawharf/clients'
+import { createCheckedAgent, createPieceBatch, createTrafficMonitor, isValidStatus, limitReads, UnusableResponseError, watchResets, type ConnectionTraffic, type ResetWatch, type ResponseReads, type TrafficMonitor } from '@yuccawharf/clients'
 import { buildConnector, Pool, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { LinkMonitor } from './link-monitor'
-import { createPieceBatch } from './piece-batch'
 import type { RawHeaders } from './platform-interface'
 import type { RelayConnector } from './relay-connector'
-import { createTrafficMonitor, type ConnectionTraffic, type TrafficMonitor } from './response-traffic'
 
 export type UpstreamFailure = {
   /** The request was started on a connection; if false, no byte of it left this process. */
@@ -89,95 +87,14 @@
   return `${server.id}@${server.address}#${server.bornAt}`
 }
 
-/** Bytes that a server may send without completing a response head or sending a part of a body. */
-const maxBytesWithoutProgress = 64 * 1024
-
-/**
- * Bytes of heads, chunk sizes, chunk extensions and trailers that a response may have beside `maxFramingRatio` for each
- * byte of its body. Chunks of one byte have five for each.
- */
-const maxFramingBytes = 1024 * 1024
-const maxFramingRatio = 16
-
-/** Nobody could have used the response. */
-class UnusableResponseError extends Error {}
-
-/** What the connection whose bytes are being parsed counts. */
-type ReadCounts = {
-  bytesWithoutProgress: number
-  /** Bytes of bodies in the current read. */
-  bodyBytes: number
-  traffic: ConnectionTraffic
-}
-
 /** State of the connections of one pool within the current event. */
 type ConnectionWatch = ResetWatch & {
-  reading?: ReadCounts
+  /** The connection whose bytes are being parsed. */
+  reading?: ResponseReads
   /** Node that relays the connection. */
   through?: string
 }
 
-/**
- * Reads a connection in its turns, and closes it if bytes arrive that lead to no response. undici limits the
- * size of header fields, but neither of a status line nor of the number of interim responses.
- */
-function limitReads (socket: Socket, watch: ConnectionWatch, traffic: ConnectionTraffic): void {
-  const counts: ReadCounts = { bytesWithoutProgress: 0, bodyBytes: 0, traffic }
-  // Outside of the parser, which must not be entered again.
-  const turns = sharedReads.addClient(() => process.nextTick(() => { if (!socket.destroyed) socket.emit('readable') }))
-  let readBytes = 0
-
-  function count (bytes: number): void {
-    readBytes += bytes
-    counts.bytesWithoutProgress += bytes
-    traffic.read(bytes)
-  }
-
-  function endRead (): void {
-    if (readBytes === 0) return
-    const bytes = readBytes
-    const { bodyBytes } = counts
-    readBytes = counts.bodyBytes = 0
-    turns.parsed(bytes, bodyBytes)
-  }
-
-  /** @returns why nobody could use the response, if so; the bytes that have just been read are not parsed yet */
-  function unusableReason (unparsedBytes: number): string | undefined {
-    if (counts.bytesWithoutProgress - unparsedBytes > maxBytesWithoutProgress) return `${counts.bytesWithoutProgress} bytes without a response`
-    const { wireBytes, bodyBytes } = traffic.current
-    const framingBytes = wireBytes - unparsedBytes - bodyBytes
-    return framingBytes > maxFramingBytes + maxFramingRatio * bodyBytes ? `${framingBytes} bytes of framing for ${bodyBytes} of a body` : undefined
-  }
-
-  const { read, unshift } = socket
-  // undici parses what this returns before it reads again, so the callbacks of a response know their connection.
-  socket.read = size => {
-    endRead()
-    if (turns.held()) return null
-    const chunk = read.call(socket, size) as Buffer | null
-    if (chunk === null) return chunk
-    watch.reading = counts
-    count(chunk.length)
-    const reason = unusableReason(chunk.length)
-    if (reason !== undefined) {
-      socket.destroy(new UnusableResponseError(reason))
-      return null
-    }
-    // A parser that is paused does not read again.
-    queueMicrotask(endRead)
-    return chunk
-  }
-  // A parser that is paused returns what it has not parsed, and reads it again.
-  socket.unshift = (chunk, ...rest) => {
-    count(-(chunk as Buffer).length)
-    unshift.call(socket, chunk, ...rest)
-  }
-  socket.once('close', () => {
-    traffic.closed()
-    turns.closed()
-  })
-}
-
 /** What waits on a cut link when its request is given up would otherwise still reach the server later. */
 function resetWhenCut (socket: Socket, isCut: () => boolean): void {
   const destroy = socket.destroy.bind(socket)
@@ -208,7 +125,7 @@
   return (options, callback) => {
     connect(options, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
-      limitReads(socket, watch, traffic())
+      limitReads(socket, reads => { watch.reading = reads }, traffic())
       resetWhenCut(socket, isCut)
       watchResets(socket, watch)
       callback(null, socket)
@@ -282,7 +199,7 @@
     let answered: () => void = () => {}
     const batch = createPieceBatch((bytes, pieces) => { handler.data(bytes, pieces) })
     const progressed = (): void => {
-      if (entry.watch.reading !== undefined) entry.watch.reading.bytesWithoutProgress = 0
+      entry.watch.reading?.progressed()
       if (isOwnLink) links.received(service)
     }
 
@@ -328,15 +245,12 @@
       },
       onResponseData (_started, chunk) {
         progressed()
-        if (entry.watch.reading !== undefined) {
-          entry.watch.reading.bodyBytes += chunk.length
-          entry.watch.reading.traffic.piece(chunk.length)
-        }
+        entry.watch.reading?.piece(chunk.length)
         if (!ended) batch.push(chunk)
       },
       onResponseEnd () {
         progressed()
-        entry.watch.reading?.traffic.responseEnded()
+        entry.watch.reading?.ended()
         batch.flush()
         if (ended) return
         ended = true
