Try a server with one request at a time after its ejection

What callers saw: a server of a plain service that failed all its requests got as many as a sound one again whenever an ejection ended; all of them failed. Cause: the end of the ejection made the server a choice like any other, until two further requests had failed. Change: after an ejection a server is on probation: it gets a request only if it has none in progress, until one succeeds. A failure on probation ejects it again at once. A success of a request from before the ejection does not end the probation. If no server is usable, any of them is tried, as before.

--- a/packages/gateway/src/explain.ts
+++ b/packages/gateway/src/explain.ts
@@ -71,11 +71,13 @@
   }))
 }
 
-function plainCandidate ({ server, available, ejectedForMs, fullForMs, inProgress, serviceMs, waitMs, measuredAgeMs, share }: PoolCandidate, statedWaitMs: number | undefined): ExplainedCandidate {
+function plainCandidate ({ server, available, use, ejectedForMs, fullForMs, inProgress, serviceMs, waitMs, measuredAgeMs, share }: PoolCandidate, statedWaitMs: number | undefined): ExplainedCandidate {
   const reason = statedWaitMs !== undefined
     ? `states that it wants no requests for ${Math.round(statedWaitMs)} ms`
-    : ejectedForMs > 0 ? `ejected after failures for ${Math.round(ejectedForMs)} ms` : `was full, skipped for ${Math.round(fullForMs)} ms`
-  return { id: server.id, zone: server.zone, ...(available ? {} : { ruledOut: reason }), figures: figuresOf({ slots: server.slots, softwareVersion: softwareVersionOf(server), inProgress, serviceMs, waitMs, measuredAgeMs, share }) }
+    : ejectedForMs > 0
+      ? `ejected after failures for ${Math.round(ejectedForMs)} ms`
+      : use === 'probation' && inProgress > 0 ? 'on probation after failures, with a request in progress' : `was full, skipped for ${Math.round(fullForMs)} ms`
+  return { id: server.id, zone: server.zone, ...(available ? {} : { ruledOut: reason }), figures: figuresOf({ slots: server.slots, softwareVersion: softwareVersionOf(server), use, inProgress, serviceMs, waitMs, measuredAgeMs, share }) }
 }
 
 function engineCandidate ({ server, owner, commandable, limited, scopes, backlogMs, running, loadWaitMs, ageMs }: EngineCandidate, scope: string | undefined, statedWaitMs: number | undefined): ExplainedCandidate {
--- a/packages/gateway/src/service-pool.test.ts
+++ b/packages/gateway/src/service-pool.test.ts
@@ -29,6 +29,35 @@
     assert.is(pool.choose(servers, 'a', none, 0.5, 1500)?.id, 'near')
   })
 
+  // Guards against all requests of a moment going to a server that fails, whenever an ejection ends.
+  test(`sends a server one request at a time after an ejection, until one succeeds (${fleetSize} nodes)`, () => {
+    const pool = createServicePool(() => fleetSize)
+    pool.started('near')
+    for (let index = 0; index < 2; index++) pool.ended('near', 'failed', 1, 0)
+    pool.started('near')
+    assert.is(pool.choose(servers, 'a', none, 0.5, 1500)?.id, 'far')
+    pool.ended('near', 'failed', 1, 1500)
+    assert.is(pool.choose(servers, 'a', none, 0.5, 3000)?.id, 'far', 'the next ejection is longer')
+    assert.is(pool.choose(servers, 'a', none, 0.5, 3500)?.id, 'near')
+    pool.started('near')
+    pool.ended('near', 'ok', 1, 3500)
+    for (let index = 0; index < 2; index++) {
+      assert.is(pool.choose(servers, 'a', none, 0.5, 3500)?.id, 'near')
+      pool.started('near')
+    }
+  })
+
+  // Guards against a late response that ends the probation of a server that has failed since.
+  test(`a success during the ejection does not replace the probation (${fleetSize} nodes)`, () => {
+    const pool = createServicePool(() => fleetSize)
+    for (let index = 0; index < 2; index++) pool.ended('near', 'failed', 1, 0)
+    pool.ended('near', 'ok', 1, 10)
+    pool.started('near')
+    assert.is(pool.choose(servers, 'a', none, 0.5, 1500)?.id, 'far')
+    pool.ended('near', 'failed', 1, 1500)
+    assert.is(pool.choose(servers, 'a', none, 0.5, 1600)?.id, 'far')
+  })
+
   test(`tries some server when all are ejected (${fleetSize} nodes)`, () => {
     const pool = createServicePool(() => fleetSize)
     for (const { id } of servers) {
--- a/packages/gateway/src/service-pool.ts
+++ b/packages/gateway/src/service-pool.ts
@@ -1,6 +1,7 @@
 /**
  * Chooses a server of a plain service. Servers whose recent requests failed are left out, and for a
- * moment those that were full; the others get requests by their capacity and load.
+ * moment those that were full; the others get requests by their capacity and load. A server that was
+ * left out gets one request at a time until one succeeds.
  */
 import type { BackendServer } from './cluster-types'
 import { createOwnLoadChoice } from './own-load-choice'
@@ -16,8 +17,11 @@
 
 export type AttemptOutcome = 'ok' | 'failed' | 'full'
 
+/** `probation`: the ejection has ended, and no request has succeeded since. */
+export type ServerUse = 'in-use' | 'ejected' | 'probation'
+
 /** `available`: the server takes part in the choice. Remaining times in ms. */
-export type PoolCandidate = { server: BackendServer, available: boolean, ejectedForMs: number, fullForMs: number } & LoadFigures
+export type PoolCandidate = { server: BackendServer, available: boolean, use: ServerUse, ejectedForMs: number, fullForMs: number } & LoadFigures
 
 export type ServicePool = {
   /** @returns what `choose` would return, and what it would decide from; nothing changes */
@@ -31,7 +35,8 @@
   retain (ids: ReadonlySet<string>): void
 }
 
-type ServerState = { failures: number, ejectedUntil: number, fullUntil: number }
+/** `suspect`: the server was ejected, and no request has succeeded since the end of the ejection. */
+type ServerState = { failures: number, suspect: boolean, ejectedUntil: number, fullUntil: number }
 
 /** @param fleetSize - number of nodes that send requests to the service */
 export function createServicePool (fleetSize = (): number => Infinity): ServicePool {
@@ -47,17 +52,29 @@
   function stateOf (id: string): ServerState {
     const existing = states.get(id)
     if (existing !== undefined) return existing
-    const created = { failures: 0, ejectedUntil: -Infinity, fullUntil: -Infinity }
+    const created = { failures: 0, suspect: false, ejectedUntil: -Infinity, fullUntil: -Infinity }
     states.set(id, created)
     return created
   }
 
+  function useOf (id: string, now: number): ServerUse {
+    const { suspect, ejectedUntil } = stateOf(id)
+    if (ejectedUntil > now) return 'ejected'
+    return suspect ? 'probation' : 'in-use'
+  }
+
+  /** Whether a server is neither ejected nor busy with its one request on probation. */
+  function isUsable (id: string, now: number): boolean {
+    const use = useOf(id, now)
+    return use === 'in-use' || (use === 'probation' && loads.inProgress(id) === 0)
+  }
+
   function available (servers: readonly BackendServer[], now: number): readonly BackendServer[] {
-    const notEjected = servers.filter(({ id }) => stateOf(id).ejectedUntil <= now)
-    const notFull = notEjected.filter(({ id }) => stateOf(id).fullUntil <= now)
+    const usable = servers.filter(({ id }) => isUsable(id, now))
+    const notFull = usable.filter(({ id }) => stateOf(id).fullUntil <= now)
     if (notFull.length > 0) return notFull
-    // If every server is ejected, trying one is better than refusing all requests.
-    return notEjected.length > 0 ? notEjected : servers
+    // If no server is usable, trying one is better than refusing all requests.
+    return usable.length > 0 ? usable : servers
   }
 
   return {
@@ -72,6 +89,7 @@
         candidates: servers.map(server => ({
           server,
           available: candidates.includes(server),
+          use: useOf(server.id, now),
           ejectedForMs: remainingMs(states.get(server.id)?.ejectedUntil ?? 0),
           fullForMs: remainingMs(states.get(server.id)?.fullUntil ?? 0),
           ...copy.figures(server.id, now)
@@ -97,12 +115,16 @@
       }
       if (outcome === 'ok') {
         state.failures = 0
+        // A request that was sent before the ejection may succeed during it.
+        if (state.ejectedUntil <= now) state.suspect = false
         loads.measured(id, durationMs, now)
         ownLoads.measured(id, durationMs, now)
         return
       }
       state.failures += 1
-      if (state.failures >= failuresToEject) state.ejectedUntil = now + Math.min(maxEjectMs, ejectMs * 2 ** (state.failures - failuresToEject))
+      if (state.failures < failuresToEject && !state.suspect) return
+      state.suspect = true
+      state.ejectedUntil = now + Math.min(maxEjectMs, ejectMs * 2 ** Math.max(0, state.failures - failuresToEject))
     },
     inProgress: loads.inProgress,
     retain (ids) {
