Count a response that has not ended at the deadline as a failure

What callers saw: a server of a plain service that began its responses and never ended them got requests for as long as it did so; each that may not be retried took its caller to the deadline. Cause: an attempt that was aborted counted as a success of its server, for whatever reason it was aborted. Change: an attempt that is aborted at the deadline after its response has begun counts as a failure. One without any response, or whose client left, counts as before.

--- a/packages/gateway/src/plain-forwarder.test.ts
+++ b/packages/gateway/src/plain-forwarder.test.ts
@@ -7,7 +7,7 @@
 import { createDecisionLog } from './decision-log'
 import { forwardPlain, type PlainForwarderEnv } from './plain-forwarder'
 import { createPermit, permitValidMs, type PermitResult } from './request-permits'
-import { createServicePool } from './service-pool'
+import { createServicePool, type ServicePool } from './service-pool'
 import { testCodec, testConfig } from './testing'
 
 const test = suite('plain forwarder')
@@ -15,18 +15,22 @@
 const servers = ['s1', 's2'].map((id): BackendServer => ({ id, bornAt: 1, service: 'desk', address: `${id}:1`, zone: 'a', state: 'ready', slots: 4, models: [] }))
 
 type Outcome = { sentTo: string[], newConnections?: boolean[], status?: number, retryAfterMs?: number | undefined }
+type PoolEnd = Parameters<ServicePool['ended']>[1]
 
 /** How a server responds: at once with a status, with headers whose body never ends, or not at all. */
 type Behaviour = number | 'endless' | 'silent'
 
-/** `answerMs` is the time that each server takes, and `retries` the number of retries in the budget. */
-type Options = { candidates?: BackendServer[], answerMs?: Record<string, number>, retries?: number }
+/**
+ * `answerMs` is the time that each server takes, `retries` the number of retries in the budget, and
+ * `ends` collects how the attempts ended for the choice of servers.
+ */
+type Options = { candidates?: BackendServer[], answerMs?: Record<string, number>, retries?: number, leavesAfterMs?: number, ends?: PoolEnd[] }
 
 /**
  * @param permit - reply to each request for a permit
  * @param behaviours - how each server responds; otherwise with 200
  */
-async function forward (permit: (server: string) => PermitResult, behaviours: Record<string, Behaviour> = {}, { candidates = servers, answerMs = {}, retries = 10 }: Options = {}): Promise<Outcome> {
+async function forward (permit: (server: string) => PermitResult, behaviours: Record<string, Behaviour> = {}, { candidates = servers, answerMs = {}, retries = 10, leavesAfterMs, ends = [] }: Options = {}): Promise<Outcome> {
   const newConnections: boolean[] = []
   const outcome: Outcome = { sentTo: [] }
   let ended = false
@@ -44,7 +48,9 @@
     arrivedAt: now(),
     deadlineAt: now() + 1000,
     get ended () { return ended },
-    onDisconnect () {},
+    onDisconnect (callback: () => void) {
+      if (leavesAfterMs !== undefined) setTimeout(() => { ended = true; callback() }, leavesAfterMs)
+    },
     outcome: () => 'answered',
     refuse: ({ status }: RefusalStatus, _reason: string, retryAfterMs?: number) => end(status, retryAfterMs),
     respond: (status: number) => end(status)
@@ -79,7 +85,13 @@
     progress: { began () {}, ended () {} },
     restrictions: { record () {}, waitMs: () => 0, acquire: async ({ id }) => permit(id) },
     servers: () => candidates,
-    pool: () => pool,
+    pool: () => ({
+      ...pool,
+      ended (id, outcome, durationMs, at) {
+        ends.push(outcome)
+        pool.ended(id, outcome, durationMs, at)
+      }
+    }),
     runs: { start: () => ({ responded () {}, ended () {} }) },
     blocked: () => undefined,
     budget: () => createRetryBudget({ ratio: 0, burst: retries })
@@ -125,4 +137,17 @@
   assert.equal(await forward(() => permitted(), { s1: 'endless' }), { sentTo: ['s1', 's2'], status: 200, retryAfterMs: undefined })
 })
 
+// Guards against a server whose responses never end and that counts as sound for it.
+test('a response that began and has not ended at the deadline counts as a failure of its server', async () => {
+  const lastServer = { candidates: servers.slice(0, 1) }
+  const endsOf = async (behaviour: Behaviour, options: Options = {}): Promise<PoolEnd[]> => {
+    const ends: PoolEnd[] = []
+    await forward(() => permitted(), { s1: behaviour }, { ...lastServer, ...options, ends })
+    return ends
+  }
+  assert.equal(await endsOf('endless'), ['failed'])
+  assert.equal(await endsOf('silent'), ['ok'], 'no response')
+  assert.equal(await endsOf('endless', { leavesAfterMs: 50 }), ['ok'], 'the client left')
+})
+
 test.run()
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -82,12 +82,14 @@
   let releaseUnused: () => void = () => {}
   let releasePermit: () => void = () => {}
   let current: Attempt | undefined
+  let deadlinePassed = false
 
   budget.recordAttempt()
   exchange.onDisconnect(() => { current?.abort('client left') })
   const deadline = setTimeout(() => {
     // The server may be running the current attempt.
     if (current !== undefined) maybeRun = true
+    deadlinePassed = true
     current?.abort('deadline')
     giveUp('deadline')
   }, Math.max(0, exchange.deadlineAt - env.now()))
@@ -112,10 +114,13 @@
     return true
   }
 
-  function outcomeOf (result: AttemptResult): AttemptOutcome {
+  /** @param responded - whether the response had begun */
+  function outcomeOf (result: AttemptResult, responded: boolean): AttemptOutcome {
     if (result.type === 'response') return result.status < 500 ? 'ok' : 'failed'
     if (result.type === 'not-run') return result.status === 421 ? 'failed' : 'full'
-    return result.type === 'aborted' ? 'ok' : 'failed'
+    if (result.type !== 'aborted') return 'failed'
+    // A response without end takes its request to the deadline. Without any response, the request may just have come late.
+    return deadlinePassed && responded ? 'failed' : 'ok'
   }
 
   /** Takes a retry from the budget, if the request may be retried on another server. */
@@ -170,7 +175,7 @@
     current = undefined
     avoidOpenConnections ||= slow && !responded
     run.ended(runOutcomeOf(result))
-    pool.ended(server.id, slow ? 'failed' : outcomeOf(result), env.now() - startedAt, env.now())
+    pool.ended(server.id, slow ? 'failed' : outcomeOf(result, responded), env.now() - startedAt, env.now())
     return slow && result.type === 'aborted' && !exchange.ended ? { type: 'slow' } : result
   }
 
