Don't count an aborted request as a success of its server

Cause: a request whose client left, or that had no response at its deadline, cleared the failures of its server, so that a server that fails all requests was ejected late, and its probation ended without a success. Change: an aborted request is measured as before, but leaves the failures and the probation as they are. The forwarder's case of a response that has not begun expects 'aborted' in place of 'ok', which the forwarder reported for both kinds before.

--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -120,7 +120,7 @@
     if (result.type === 'not-run') return result.status === 421 ? 'failed' : 'full'
     if (result.type !== 'aborted') return 'failed'
     // A response without end takes its request to the deadline. Without any response, the request may just have come late.
-    return deadlinePassed && responded ? 'failed' : 'ok'
+    return deadlinePassed && responded ? 'failed' : 'aborted'
   }
 
   /** Takes a retry from the budget, if the request may be retried on another server. */
--- a/packages/gateway/src/service-pool.test.ts
+++ b/packages/gateway/src/service-pool.test.ts
@@ -58,6 +58,16 @@
     assert.is(pool.choose(servers, 'a', none, 0.5, 1600)?.id, 'far')
   })
 
+  // Guards against a server that fails all requests and counts as sound because clients leave.
+  test(`an aborted request is no success of the server (${fleetSize} nodes)`, () => {
+    const pool = createServicePool(() => fleetSize)
+    for (const outcome of ['failed', 'aborted', 'failed'] as const) pool.ended('near', outcome, 1, 0)
+    assert.is(pool.choose(servers, 'a', none, 0.5, 1)?.id, 'far')
+    pool.ended('near', 'aborted', 1, 1500)
+    pool.started('near')
+    assert.is(pool.choose(servers, 'a', none, 0.5, 1500)?.id, 'far')
+  })
+
   test(`tries some server when all are ejected (${fleetSize} nodes)`, () => {
     const pool = createServicePool(() => fleetSize)
     for (const { id } of servers) {
--- a/packages/gateway/src/service-pool.ts
+++ b/packages/gateway/src/service-pool.ts
@@ -15,7 +15,8 @@
 /** Time for which a server that refused because it was full is skipped, in ms: about the duration of one request. */
 const fullMs = 60
 
-export type AttemptOutcome = 'ok' | 'failed' | 'full'
+/** `aborted`: given up for a reason that need not lie with the server. */
+export type AttemptOutcome = 'ok' | 'failed' | 'full' | 'aborted'
 
 /** `probation`: the ejection has ended, and no request has succeeded since. */
 export type ServerUse = 'in-use' | 'ejected' | 'probation'
@@ -113,12 +114,15 @@
         loads.refused(id, now)
         return
       }
+      if (outcome === 'ok' || outcome === 'aborted') {
+        loads.measured(id, durationMs, now)
+        ownLoads.measured(id, durationMs, now)
+      }
+      if (outcome === 'aborted') return
       if (outcome === 'ok') {
         state.failures = 0
         // A request that was sent before the ejection may succeed during it.
         if (state.ejectedUntil <= now) state.suspect = false
-        loads.measured(id, durationMs, now)
-        ownLoads.measured(id, durationMs, now)
         return
       }
       state.failures += 1
