Avoid an engine whose responses are given up in succession

What callers saw: beside a sound engine, one whose responses were all given up (an event larger than the limit, no end, no response) went on getting requests; they ended in 502. Cause: a response that was given up only raised the cost of its engine, and the first event of the next stream lowered it again. Change: the outcome 'unusable' tells such a response apart. After two in succession the owner avoids the engine like one that does not respond, for 0.5 to 4 s, and then sends it one request at a time until one ends well; neither a first event nor a report ends this. Other failures count as before. The outcome is sent as 'failed' with a further field, which nodes of earlier builds ignore.

--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -177,4 +177,10 @@
   assert.is(runOutcomeOf(unsent), 'cancelled')
 })
 
+// Guards against a response that this node gave up and that counts as a crash, or as an error of a single request.
+test('a response that was given up is told apart from a lost connection and from one that cannot be trusted', () => {
+  const failed = { type: 'failed', reason: 'r', eventsSent: false, connectionLost: false } as const
+  assert.equal([failed, { ...failed, connectionLost: true }, { ...failed, unusable: true } as const].map(runOutcomeOf), ['failed', 'disconnected', 'unusable'])
+})
+
 test.run()
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -36,7 +36,7 @@
     case 'streamed': return 'ok'
     case 'response': return result.status < 500 ? 'ok' : 'failed'
     case 'aborted': return 'cancelled'
-    case 'failed': return result.connectionLost ? 'disconnected' : 'failed'
+    case 'failed': return result.unusable !== undefined ? 'unusable' : result.connectionLost ? 'disconnected' : 'failed'
   }
 }
 
--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -334,9 +334,11 @@
         case 'first-event':
           evidence.firstEvent(message.id, now())
           return perform(scheduler.firstEvent(message.id, now()))
-        case 'ended':
-          ended(message.id, message.outcome)
-          return perform(scheduler.ended(message.id, message.outcome, now()))
+        case 'ended': {
+          const outcome = message.unusable === undefined ? message.outcome : 'unusable'
+          ended(message.id, outcome)
+          return perform(scheduler.ended(message.id, outcome, now()))
+        }
       }
     },
     receiveStatus (node, logNext) {
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -40,8 +40,10 @@
 /** How a granted request ended, according to the node that sent it. */
 export type RunOutcome =
   | 'ok'
-  /** Error response, or a response that cannot be used. */
+  /** Error response, or a response that cannot be trusted. */
   | 'failed'
+  /** The response had no end, was none or exceeded a limit, so that the node gave it up. */
+  | 'unusable'
   /** The engine broke off before the response was complete. */
   | 'disconnected'
   /** Refused without being run, because the engine is full or the adapter is not loaded yet. */
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer, EngineReport, EngineSpec, LoadedModel } from './cluster-types'
-import { createEngineScheduler, type EngineScheduler, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
+import { createEngineScheduler, type EngineScheduler, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
 
 const test = suite('engine scheduler')
 
@@ -453,4 +453,50 @@
   assert.ok(actionTypes(scheduler.setEngines([{ server: { ...server, bornAt: 2 }, spec }], 30)).includes('grant'))
 })
 
+/** Grants a request and reports its outcome. @returns the engine that it was granted to */
+function runOnce (scheduler: EngineScheduler, id: string, outcome: RunOutcome, at: number, streams = false): string | undefined {
+  const [grant] = filterActions(scheduler.submit(request(id, undefined, { objectiveAt: at + 1000, deadlineAt: at + 6000 }), at), 'grant')
+  if (grant === undefined) return undefined
+  if (streams) scheduler.firstEvent(id, at)
+  scheduler.ended(id, outcome, at)
+  return grant.engine
+}
+
+// Guards against an engine whose responses are all given up and that goes on getting requests.
+for (const streams of [false, true]) {
+  test(`avoids an engine after two unusable responses in succession, and tries it with one request (${streams ? 'after' : 'before'} a first event)`, () => {
+    const scheduler = createScheduler([engine('e1')], {})
+    assert.equal(['r1', 'r2', 'r3'].map(id => runOnce(scheduler, id, 'unusable', 10, streams)), ['e1', 'e1', undefined])
+    scheduler.applyReport('e1', report(0, []), 300)
+    assert.is(runOnce(scheduler, 'r4', 'ok', 300), undefined, 'a report does not end the avoidance')
+    const later = (id: string, at: number): number => filterActions(scheduler.submit(request(id, undefined, { objectiveAt: at + 1000, deadlineAt: at + 6000 }), at), 'grant').length
+    assert.equal([later('r5', 600), later('r6', 600)], [1, 0])
+    if (streams) assert.equal(filterActions(scheduler.firstEvent('r5', 600), 'grant'), [])
+    scheduler.cancel('r6', 600)
+    scheduler.ended('r5', 'unusable', 600)
+    assert.is(runOnce(scheduler, 'r7', 'ok', 1500), undefined, 'the next avoidance is longer')
+    assert.equal([later('r8', 1700), later('r9', 1700)], [1, 0])
+    assert.is(filterActions(scheduler.ended('r8', 'ok', 1800), 'grant')[0]?.request, 'r9')
+    assert.is(later('r10', 1800), 1)
+  })
+}
+
+// Guards against a sound engine that is avoided because of single requests.
+test('avoids no engine whose unusable responses have successes between them, or that fails requests otherwise', () => {
+  const scheduler = createScheduler([engine('e1')], {})
+  const outcomes: RunOutcome[] = ['unusable', 'ok', 'unusable', 'ok', 'failed', 'failed', 'disconnected', 'disconnected', 'failed', 'unusable']
+  assert.equal(outcomes.map((outcome, index) => runOnce(scheduler, `r${index}`, outcome, 10 + index)), outcomes.map(() => 'e1'))
+  assert.is(runOnce(scheduler, 'last', 'ok', 30), 'e1')
+})
+
+// Guards against an avoidance whose length depends on how many requests were at the engine.
+test('unusable responses that end together count as one failed contact', () => {
+  const scheduler = createScheduler([engine('e1')], {})
+  const ids = ['r1', 'r2', 'r3', 'r4', 'r5']
+  for (const id of ids) scheduler.submit(request(id, undefined, { demand: { model: 'base', promptTokens: 10, outputTokens: 10, parts: [{ id, tokens: 10 }] } }), 10)
+  for (const id of ids) scheduler.ended(id, 'unusable', 20)
+  assert.is(runOnce(scheduler, 'r6', 'ok', 400), undefined)
+  assert.is(runOnce(scheduler, 'r7', 'ok', 600), 'e1')
+})
+
 test.run()
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { applyLoadedModels, applyReport, backlogMs, compareSpeeds, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, recordFailure, recordSuccess, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type AdapterReplica, type EngineState } from './engine-state'
+import { applyLoadedModels, applyReport, backlogMs, compareSpeeds, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, isOnProbation, recordFailure, recordFirstResponse, recordSuccess, recordUnusable, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type AdapterReplica, type EngineState } from './engine-state'
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
@@ -319,7 +319,8 @@
 
   function reportedBacklogMs (engine: EngineState, now: number): number {
     const limitMs = limitWaitMs(engine, now) + Math.min(maxReportedLimitMs, limitIntervalMs(engine) / 2)
-    return Math.max(backlogMs(engine, now), limitMs, engine.avoidedUntil > now ? maxBacklogMs * 4 : 0)
+    const takesNone = engine.avoidedUntil > now || (isOnProbation(engine) && engine.runs.size > 0)
+    return Math.max(backlogMs(engine, now), limitMs, takesNone ? maxBacklogMs * 4 : 0)
   }
 
   function releaseExpired (now: number): void {
@@ -383,7 +384,7 @@
       const run = engine?.runs.get(id)
       if (engine === undefined || run === undefined) return []
       recordFirstEvent(engine, run, now)
-      recordSuccess(engine)
+      recordFirstResponse(engine)
       const replica = engine.replicas.get(run.scope)
       if (replica?.state === 'loading') {
         replica.state = 'resident'
@@ -400,6 +401,7 @@
       }
       if (outcome === 'ok') recordSuccess(engine)
       else if (outcome === 'failed' || outcome === 'disconnected') recordFailure(engine)
+      else if (outcome === 'unusable') recordUnusable(engine, now)
       else if (outcome === 'unreachable') avoidEngine(engine, now)
       else if (outcome === 'misdirected' || outcome === 'not-run') planner.replicaMissing(engine, run.scope, now)
       return decide(now)
@@ -429,7 +431,8 @@
         avoidEngine(engine, now)
         return decide(now)
       }
-      engine.avoidedUntil = -Infinity
+      // A report says nothing about the responses to requests.
+      if (!isOnProbation(engine)) engine.avoidedUntil = -Infinity
       if (!applyReport(engine, report, state.coldLoadMs, now)) engine.reportAt = now + commandVisibilityMs
       if (engine.models.size === 0 && (report.busy || engine.modelLoadCheckAt !== undefined)) {
         engine.reportAt = now + modelLoadCheckMs
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -87,7 +87,9 @@
   unmeasured: { nominalMs: number, busyMs: number }
   /** Share of recent requests that failed, 0 to 1. */
   failureRate: number
-  /** The engine does not respond and gets no new requests until then. */
+  /** Responses in succession that nodes gave up because nobody could have used them. */
+  unusableResponses: number
+  /** The engine does not respond, or not usably, and gets no new requests until then. */
   avoidedUntil: number
   /** Duration of the next avoidance, in ms; doubles with each failed contact. */
   avoidanceMs: number
@@ -112,6 +114,8 @@
 const maxWarmAdapters = 40
 const minAvoidanceMs = 500
 const maxAvoidanceMs = 4000
+/** Unusable responses in succession from which an engine is avoided; a single one may be due to its request. */
+const unusableToAvoid = 2
 /** Weight of the newest outcome in the failure rate. */
 const failureWeight = 0.15
 
@@ -136,6 +140,7 @@
     uneven: false,
     unmeasured: { nominalMs: 0, busyMs: 0 },
     failureRate: 0,
+    unusableResponses: 0,
     avoidedUntil: -Infinity,
     avoidanceMs: minAvoidanceMs
   }
@@ -228,6 +233,7 @@
   state.speed.reset()
   state.unmeasured = { nominalMs: 0, busyMs: 0 }
   state.lastFirstEventAt = -Infinity
+  state.unusableResponses = 0
   state.avoidedUntil = -Infinity
   state.avoidanceMs = minAvoidanceMs
   state.reportAt = now
@@ -438,9 +444,14 @@
   state.unmeasured = { nominalMs: 0, busyMs: 0 }
 }
 
+/** Whether the engine gets one request at a time, because its last responses were unusable. */
+export function isOnProbation ({ unusableResponses }: EngineState): boolean {
+  return unusableResponses >= unusableToAvoid
+}
+
 export function hasCapacity (state: EngineState, demand: ModelDemand): boolean {
   if (state.runs.size === 0) return true
-  return state.runs.size < state.spec.slots && runningTokens(state) + addedTokens(state, demand) <= state.spec.kvTokens * kvShare
+  return !isOnProbation(state) && state.runs.size < state.spec.slots && runningTokens(state) + addedTokens(state, demand) <= state.spec.kvTokens * kvShare
 }
 
 export function setRequestLimit (state: EngineState, requestsPerSecond: number | undefined, now: number): void {
@@ -458,8 +469,17 @@
   return limit?.pace.intervalMs ?? 0
 }
 
+/** Records that a request has ended well. */
 export function recordSuccess (state: EngineState): void {
+  state.unusableResponses = 0
+  recordFirstResponse(state)
+}
+
+/** Records that a response has begun well. */
+export function recordFirstResponse (state: EngineState): void {
   state.failureRate *= 1 - failureWeight
+  // The response may still be without end.
+  if (isOnProbation(state)) return
   state.avoidanceMs = minAvoidanceMs
   state.avoidedUntil = -Infinity
 }
@@ -469,6 +489,14 @@
   state.failureRate += failureWeight * (1 - state.failureRate)
 }
 
+/** Records a response that a node gave up because nobody could have used it. */
+export function recordUnusable (state: EngineState, now: number): void {
+  recordFailure(state)
+  state.unusableResponses += 1
+  // Responses that are given up together are one failed contact.
+  if (isOnProbation(state) && state.avoidedUntil <= now) avoidEngine(state, now)
+}
+
 /** Sends no requests to an engine that does not respond, for a time that doubles with each failed contact. */
 export function avoidEngine (state: EngineState, now: number): void {
   state.avoidedUntil = now + state.avoidanceMs
--- a/packages/gateway/src/grant-client.test.ts
+++ b/packages/gateway/src/grant-client.test.ts
@@ -2,6 +2,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createGrantClient, type GrantMessage, type GrantRequest, type GrantClient } from './grant-client'
+import { isGrantMessage } from './grant-message'
 
 const test = suite('grant client')
 
@@ -139,4 +140,16 @@
   assert.equal(await acquireAcross(env => { env.now = 5001 }), { type: 'refused', returned: ['r1#1'] })
 })
 
+// Guards against an owner of an earlier build that counts no failure, and against an outcome that is lost on the way.
+test('an unusable response is a failure to owners that do not know it', () => {
+  const sent: GrantMessage[] = []
+  const env = { now: () => 0, suspensions: notSuspended, zone: 'a', engines: () => [], server: () => server, startingUp: () => false, newestVersion: () => undefined, log () {} }
+  const client = createGrantClient({ ...env, async send (_owner, message) { sent.push(message); return true } })
+  client.ended({ grantId: 'r1#1', server, owner: 'n1' }, 'unusable')
+  client.ended({ grantId: 'r2#1', server, owner: 'n1' }, 'failed')
+  assert.equal(sent, [{ kind: 'ended', id: 'r1#1', outcome: 'failed', unusable: true }, { kind: 'ended', id: 'r2#1', outcome: 'failed' }])
+  assert.ok(sent.every(isGrantMessage))
+  assert.not.ok(isGrantMessage({ ...sent[0], unusable: 'yes' }))
+})
+
 test.run()
--- a/packages/gateway/src/grant-client.ts
+++ b/packages/gateway/src/grant-client.ts
@@ -32,7 +32,8 @@
   | { kind: 'acquire', place: Omit<ScheduledRequest, 'node' | 'objectiveAt' | 'startBy' | 'deadlineAt'> & { objectiveInMs: number, startInMs: number, deadlineInMs: number } }
   | { kind: 'cancel', id: string }
   | { kind: 'first-event', id: string }
-  | { kind: 'ended', id: string, outcome: RunOutcome }
+  /** Nodes before `unusable` know that outcome as `failed`. */
+  | { kind: 'ended', id: string, outcome: Exclude<RunOutcome, 'unusable'>, unusable?: true }
   | { kind: 'granted', id: string, engine: string, version?: number }
   | { kind: 'refused', id: string, reason: RefusalReason, retryAfterMs: number }
 
@@ -220,7 +221,7 @@
       if (owner !== undefined) notifyOwner(owner, { kind: 'first-event', id: grantId })
     },
     ended ({ owner, grantId, server }, outcome) {
-      if (owner !== undefined) return notifyOwner(owner, { kind: 'ended', id: grantId, outcome })
+      if (owner !== undefined) return notifyOwner(owner, outcome === 'unusable' ? { kind: 'ended', id: grantId, outcome: 'failed', unusable: true } : { kind: 'ended', id: grantId, outcome })
       sentWithoutOwner.set(server.id, Math.max(0, (sentWithoutOwner.get(server.id) ?? 0) - 1))
     },
     receiveReply (owner, reply) {
--- a/packages/gateway/src/grant-message.ts
+++ b/packages/gateway/src/grant-message.ts
@@ -28,7 +28,7 @@
   switch (value['kind']) {
     case 'cancel':
     case 'first-event': return true
-    case 'ended': return isText(value['outcome'])
+    case 'ended': return isText(value['outcome']) && (value['unusable'] === undefined || value['unusable'] === true)
     case 'granted': return isText(value['engine']) && (value['version'] === undefined || Number.isSafeInteger(value['version']))
     case 'refused': return isText(value['reason']) && isNumber(value['retryAfterMs'])
     default: return false
