Bound the lines of heads and trailers of responses

What callers saw: nothing yet; found by the review of this fix. Change: more than 256 lines that complete neither a head nor a part of a body end the response. Reads of short lines are given to the parser in parts of 1 KB, so that the lines are counted before they are kept.

--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -9,6 +9,16 @@
 /** Bytes that a server may send without completing a response head or sending a part of a body. */
 const maxBytesWithoutProgress = 64 * 1024
 
+/**
+ * Lines that a server may send without completing a response head or sending a part of a body. undici bounds the bytes
+ * of header fields and trailers, and keeps some hundred bytes for each, however short it is.
+ */
+const maxLinesWithoutProgress = 256
+/** Reads whose lines are shorter than this on average, in bytes, are parsed in parts, so that their lines are counted in time. */
+const shortLineBytes = 64
+const partBytes = 1024
+const lineFeed = 0x0a
+
 /**
  * Bytes of heads, chunk sizes, chunk extensions and trailers that a response may have beside `maxFramingRatio` for each
  * byte of its body. Chunks of one byte have five for each.
@@ -19,6 +29,12 @@
 /** Nobody could have used the response. */
 export class UnusableResponseError extends Error {}
 
+function countLines (bytes: Buffer): number {
+  let lines = 0
+  for (let at = 0; at < bytes.length; at++) if (bytes[at] === lineFeed) lines += 1
+  return lines
+}
+
 /** What the parser reports of the connection whose bytes it parses. */
 export type ResponseReads = {
   /** The head of a response is complete, or a part of its body or its end has arrived. */
@@ -38,12 +54,15 @@
   // Outside of the parser, which must not be entered again.
   const turns = sharedReads.addClient(() => process.nextTick(() => { if (!socket.destroyed) socket.emit('readable') }))
   let bytesWithoutProgress = 0
+  let linesWithoutProgress = 0
+  /** What the parser has not been given yet of a read that it gets in parts. */
+  let rest: Buffer | undefined
   /** Bytes of the current read, and those of bodies among them. */
   let readBytes = 0
   let bodyBytes = 0
 
   const reads: ResponseReads = {
-    progressed () { bytesWithoutProgress = 0 },
+    progressed () { bytesWithoutProgress = linesWithoutProgress = 0 },
     piece (bytes) {
       bodyBytes += bytes
       traffic.piece(bytes)
@@ -51,9 +70,10 @@
     ended: traffic.responseEnded
   }
 
-  function count (bytes: number): void {
+  function count (bytes: number, lines: number): void {
     readBytes += bytes
     bytesWithoutProgress += bytes
+    linesWithoutProgress += lines
     traffic.read(bytes)
   }
 
@@ -64,36 +84,58 @@
     turns.parsed(parsed.readBytes, parsed.bodyBytes)
   }
 
-  /** @returns why nobody could use the response, if so; the bytes that have just been read are not parsed yet */
-  function unusableReason (unparsedBytes: number): string | undefined {
+  /** @returns why nobody could use the response, if so; what has just been read is not parsed yet */
+  function unusableReason (unparsedBytes: number, unparsedLines: number): string | undefined {
     if (bytesWithoutProgress - unparsedBytes > maxBytesWithoutProgress) return `${bytesWithoutProgress} bytes without a response`
+    if (linesWithoutProgress - unparsedLines > maxLinesWithoutProgress) return `${linesWithoutProgress} lines without a response`
     const { current } = traffic
     const framingBytes = current.wireBytes - unparsedBytes - current.bodyBytes
     return framingBytes > maxFramingBytes + maxFramingRatio * current.bodyBytes ? `${framingBytes} bytes of framing for ${current.bodyBytes} of a body` : undefined
   }
 
   const { read, unshift } = socket
+
+  function nextPart (size: number | undefined): { part: Buffer, lines: number } | undefined {
+    if (rest === undefined) {
+      const bytes = read.call(socket, size) as Buffer | null
+      if (bytes === null) return undefined
+      const lines = countLines(bytes)
+      if (lines * shortLineBytes <= bytes.length) return { part: bytes, lines }
+      rest = bytes
+    }
+    const part = rest.subarray(0, partBytes)
+    rest = rest.length > partBytes ? rest.subarray(partBytes) : undefined
+    return { part, lines: countLines(part) }
+  }
+
   // undici parses what this returns before it reads again, so the callbacks of a response know their connection.
   socket.read = size => {
-    endRead()
-    if (turns.held()) return null
-    const chunk = read.call(socket, size) as Buffer | null
-    if (chunk === null) return chunk
+    if (rest === undefined) {
+      endRead()
+      if (turns.held()) return null
+    }
+    const next = nextPart(size)
+    if (next === undefined) return null
+    const { part, lines } = next
     reading(reads)
-    count(chunk.length)
-    const reason = unusableReason(chunk.length)
+    count(part.length, lines)
+    const reason = unusableReason(part.length, lines)
     if (reason !== undefined) {
+      rest = undefined
       socket.destroy(new UnusableResponseError(reason))
       return null
     }
     // A parser that is paused does not read again.
     queueMicrotask(endRead)
-    return chunk
+    return part
   }
   // A parser that is paused returns what it has not parsed, and reads it again.
-  socket.unshift = (chunk, ...rest) => {
-    count(-(chunk as Buffer).length)
-    unshift.call(socket, chunk, ...rest)
+  socket.unshift = (chunk, ...encoding) => {
+    const bytes = chunk as Buffer
+    count(-bytes.length, -countLines(bytes))
+    const all = rest === undefined ? bytes : Buffer.concat([bytes, rest])
+    rest = undefined
+    unshift.call(socket, all, ...encoding)
   }
   socket.once('close', () => {
     traffic.closed()
--- a/packages/gateway/src/endless-response.test.ts
+++ b/packages/gateway/src/endless-response.test.ts
@@ -101,6 +101,17 @@
   assert.ok(written < maxBodyBytes, `${written} bytes were read`)
 })
 
+// Guards against heads that fill the heap: each field is kept as objects of some hundred bytes while the response is open.
+for (const [name, first] of [
+  ['a head', `${signedHead}${'a:\r\n'.repeat(15_000)}transfer-encoding: chunked\r\n\r\n`],
+  ['trailers', `${signedHead}transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n${'a:\r\n'.repeat(15_000)}`]
+] as const) {
+  test(`${name} of many short lines fails at a limit`, async () => {
+    const { result } = await play({ name, first, repeated: name === 'a head' ? '1\r\nx\r\n' : '', stream: false }, 5000)
+    assert.match(result.type === 'failed' ? result.reason : result.type, /lines without a response/)
+  })
+}
+
 // Guards against a stream that takes the thread until the client's deadline.
 test('events with long chunk extensions without end fail at a limit, and the connection is closed', async () => {
   const { result, written, closed } = await play({
