Accept a response to HEAD that states a large body

What callers saw: none has reported it; found in review. A response to HEAD whose content-length is above the limit of bodies failed with 'response is too large', and counted as an unusable response of its server.

Cause: the check of the stated length did not regard that a response to HEAD has no body.

Evidence: the test of this commit failed before with the result 'failed', passes now, and passes on, from before the check.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -79,8 +79,9 @@
   return names.has('content-length') ? 'length' : 'connection-close'
 }
 
-/** @returns length that the response states for its body, in bytes */
-function statedLength (raw: RawHeaders): number | undefined {
+/** @returns length that the response states for its body, in bytes; a response to HEAD states that of a GET */
+function statedLength (method: string, raw: RawHeaders): number | undefined {
+  if (method === 'HEAD') return undefined
   const index = raw.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === 'content-length')
   return index < 0 ? undefined : Number(raw[index + 1])
 }
@@ -157,7 +158,7 @@
       }
       streaming = stream !== undefined && status < 300 && isEventStream(raw)
       if (streaming) stream!.head(status, metadata.headers)
-      else if ((statedLength(raw) ?? 0) > options.maxBodyBytes) giveUp('response is too large')
+      else if ((statedLength(options.req.method, raw) ?? 0) > options.maxBodyBytes) giveUp('response is too large')
     },
     data (chunk, count) {
       bytes += chunk.length
