Give up a response with more than 500 header fields

What callers saw: none has reported it by itself; found in review. A head or trailers of many small fields fill the heap of the process.

Cause: undici limits the bytes of names and values, 16 KB, and keeps a buffer object for each of them while the response is open. A field 'a:' counts one byte, and takes some 220 bytes of the heap.

--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -16,6 +16,12 @@
 const maxFramingBytes = 1024 * 1024
 const maxFramingRatio = 16
 
+/** Fields of a head or of trailers. undici limits their bytes only, and keeps objects of some hundred bytes for each field. */
+const maxHeadFields = 500
+
+/** The part of the parser of undici that it does not document: it is told the size of each name and each value. */
+type HeadParser = { headers: readonly Buffer[], trackHeader (bytes: number): void }
+
 /** Nobody could have used the response. */
 export class UnusableResponseError extends Error {}
 
@@ -28,6 +34,18 @@
   ended (): void
 }
 
+/** Makes the parser of a connection treat a head with too many fields as one with too many bytes. */
+function limitHeadFields (socket: Socket): void {
+  const key = Object.getOwnPropertySymbols(socket).find(symbol => symbol.description === 'parser')
+  const parser = key === undefined ? undefined : (socket as unknown as Record<symbol, HeadParser | null>)[key]
+  if (parser == null) return
+  const { trackHeader } = parser
+  parser.trackHeader = bytes => {
+    // What is left of the read is parsed, too, and undici would create an error for each name and value.
+    if (!socket.destroyed) trackHeader.call(parser, parser.headers.length > 2 * maxHeadFields ? Infinity : bytes)
+  }
+}
+
 /**
  * To be called before undici uses the connection. undici limits the size of header fields, but neither of a
  * status line nor of the number of interim responses.
@@ -41,6 +59,7 @@
   /** Bytes of the current read, and those of bodies among them. */
   let readBytes = 0
   let bodyBytes = 0
+  let isRead = false
 
   const reads: ResponseReads = {
     progressed () { bytesWithoutProgress = 0 },
@@ -79,6 +98,8 @@
     if (turns.held()) return null
     const chunk = read.call(socket, size) as Buffer | null
     if (chunk === null) return chunk
+    if (!isRead) limitHeadFields(socket)
+    isRead = true
     reading(reads)
     count(chunk.length)
     const reason = unusableReason(chunk.length)
