--- a/packages/clients/src/piece-batch.test.ts
+++ b/packages/clients/src/piece-batch.test.ts
@@ -8,7 +8,7 @@
 
 function collect (): { batch: PieceBatch, passed: Passed[] } {
   const passed: Passed[] = []
-  return { batch: createPieceBatch((bytes, pieces) => { passed.push([bytes.toString(), pieces]) }), passed }
+  return { batch: createPieceBatch((bytes, pieces) => { passed.push([bytes.toString(), pieces]) }, err => { throw err }), passed }
 }
 
 // Guards against work for each piece of a response.
@@ -47,4 +47,13 @@
   assert.equal(passed, [])
 })
 
+// Guards against a process that ends because a reader of a response has thrown.
+test('an error of the reader is reported', async () => {
+  const errors: Error[] = []
+  const batch = createPieceBatch(() => { throw new Error('reader') }, err => { errors.push(err) })
+  batch.push(Buffer.from('a'))
+  await Promise.resolve()
+  assert.equal(errors.map(({ message }) => message), ['reader'])
+})
+
 test.run()
--- a/packages/clients/src/piece-batch.ts
+++ b/packages/clients/src/piece-batch.ts
@@ -15,8 +15,11 @@
 /** Bytes that are passed on without waiting for the end of the turn: about one read. */
 const maxBatchBytes = 64 * 1024
 
-/** @param passOn - gets the bytes of one or several pieces, with memory of their own */
-export function createPieceBatch (passOn: (bytes: Buffer, pieces: number) => void): PieceBatch {
+/**
+ * @param passOn - gets the bytes of one or several pieces, with memory of their own
+ * @param failed - gets what `passOn` has thrown at the end of a turn, where no caller could catch it
+ */
+export function createPieceBatch (passOn: (bytes: Buffer, pieces: number) => void, failed: (err: Error) => void): PieceBatch {
   const collected = createByteCollector()
   let pieces = 0
   let scheduled = false
@@ -39,7 +42,11 @@
       scheduled = true
       queueMicrotask(() => {
         scheduled = false
-        flush()
+        try {
+          flush()
+        } catch (err) {
+          failed(err as Error)
+        }
       })
     },
     flush,
--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -19,6 +19,9 @@
 const partBytes = 1024
 const lineFeed = 0x0a
 
+/** Bytes of framing of a complete response that do not count as overhead: this node has asked for it. */
+const freeFramingBytes = 4096
+
 /**
  * Bytes of heads, chunk sizes, chunk extensions and trailers that a response may have beside `maxFramingRatio` for each
  * byte of its body. Chunks of one byte have five for each.
@@ -55,6 +58,7 @@
   const turns = sharedReads.addClient(() => process.nextTick(() => { if (!socket.destroyed) socket.emit('readable') }))
   let bytesWithoutProgress = 0
   let linesWithoutProgress = 0
+  let hasBeenRead = false
   /** What the parser has not been given yet of a read that it gets in parts. */
   let rest: Buffer | undefined
   /** Bytes of the current read, and those of bodies among them. */
@@ -67,7 +71,20 @@
       bodyBytes += bytes
       traffic.piece(bytes)
     },
-    ended: traffic.responseEnded
+    ended () {
+      const { current } = traffic
+      bodyBytes += Math.min(freeFramingBytes, Math.max(0, current.wireBytes - current.bodyBytes))
+      traffic.responseEnded()
+    }
+  }
+  const isRead = (): void => { reading(reads) }
+
+  /**
+   * Whether the connection waits for its turn. undici reads an idle connection before it uses it again, and closes it if
+   * something has arrived, so it is held only within a response, and before its first read.
+   */
+  function mustWait (): boolean {
+    return turns.held() && (!hasBeenRead || traffic.current.wireBytes > 0)
   }
 
   function count (bytes: number, lines: number): void {
@@ -110,14 +127,15 @@
 
   // undici parses what this returns before it reads again, so the callbacks of a response know their connection.
   socket.read = size => {
+    isRead()
     if (rest === undefined) {
       endRead()
-      if (turns.held()) return null
+      if (mustWait()) return null
     }
     const next = nextPart(size)
     if (next === undefined) return null
     const { part, lines } = next
-    reading(reads)
+    hasBeenRead = true
     count(part.length, lines)
     const reason = unusableReason(part.length, lines)
     if (reason !== undefined) {
@@ -137,6 +155,8 @@
     rest = undefined
     unshift.call(socket, all, ...encoding)
   }
+  // undici may report the end of a response at these, too.
+  for (const event of ['end', 'error', 'close']) socket.on(event, isRead)
   socket.once('close', () => {
     traffic.closed()
     turns.closed()
--- a/packages/gateway/src/read-turns.test.ts
+++ b/packages/gateway/src/read-turns.test.ts
@@ -85,4 +85,23 @@
   if (result.type === 'response') assert.is(result.body.length, pieces)
 })
 
+// Guards against kept connections of sound servers that wait because of the heads of their small answers.
+test('many small answers on a connection do not wait', async () => {
+  server.removeAllListeners('connection')
+  server.on('connection', socket => {
+    socket.on('error', () => {})
+    socket.on('data', bytes => {
+      const id = /x-id: (\S+)/i.exec(bytes.toString('latin1'))?.[1] ?? ''
+      socket.write(head(id, `x-pad: ${'p'.repeat(300)}\r\ncontent-length: 2\r\n`) + 'ok')
+    })
+  })
+  let mostWaiting = 0
+  for (let count = 0; count < 600; count++) {
+    const { type } = await send(`r${count}`).result
+    assert.is(type, 'response')
+    mostWaiting = Math.max(mostWaiting, sharedReads.waiting())
+  }
+  assert.is(mostWaiting, 0)
+})
+
 test.run()
