Tell which servers are ejected or on probation

Cause: neither the log nor the metrics nor explain said that a server gets no requests because of its failures; explain told it of plain servers only. Change: a change of a server's use is logged once (server-use-changed) and counted (yuccawharf_server_uses_total), by the node for plain servers and by the owner for engines. explain shows the use; that of an engine only at its owner, since it is not part of what nodes tell each other. The timeline test passes over the new action, which it doesn't model, as over refusals.

--- a/packages/gateway/src/engine-owner.ts
+++ b/packages/gateway/src/engine-owner.ts
@@ -5,7 +5,7 @@
 import { createCrashEvidence, type EvidenceAction, type EvidenceMessage } from './crash-evidence'
 import type { DecisionLog } from './decision-log'
 import { createEngineOwnership, type Claim, type EngineOwnership, type FleetMember } from './engine-ownership'
-import { createEngineScheduler, type EngineStatus, type OwnedEngine, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
+import { createEngineScheduler, type EngineStatus, type EngineUse, type OwnedEngine, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
 import type { GatewayMetrics } from './gateway-metrics'
 import type { EngineControl, FleetLog } from './platform-interface'
 import type { GrantMessage } from './grant-client'
@@ -14,6 +14,7 @@
 import { createLogProbeSchedule } from './log-probe'
 import { sharedPartIds } from './prompt-cache'
 import { startKey } from './server-registry'
+import { reportServerUse } from './server-use'
 
 export type EngineOwnerOptions = {
   name: string
@@ -79,6 +80,8 @@
   /** Gives no more commands, because the process ends. */
   stopCommands (): void
   status (): { engines: (EngineStatus & { commandable: boolean })[], waiting: number }
+  /** @returns how this node uses an engine, if it owns the engine */
+  engineUse (engine: string): EngineUse | undefined
   ownsEngines (): boolean
 }
 
@@ -233,6 +236,9 @@
           break
         case 'report':
           report(action.engine).catch(err => { log.error('engine-report-failed', { engine: action.engine, reason: (err as Error).message }) })
+          break
+        case 'use':
+          reportServerUse(options.listEngines().find(({ server }) => server.id === action.change.server)?.server.service, action.change, log, options.metrics)
       }
     }
     scheduleNext()
@@ -374,6 +380,7 @@
       engines: scheduler.status(now()).map(engine => ({ ...engine, commandable: mayCommand(engine.id, now()) })),
       waiting: scheduler.waitingCount()
     }),
+    engineUse: engine => scheduler.use(engine, now()),
     ownsEngines: () => ownership.owned().length > 0
   }
 }
--- a/packages/gateway/src/engine-scheduler-types.ts
+++ b/packages/gateway/src/engine-scheduler-types.ts
@@ -2,6 +2,7 @@
 import type { AdapterVersion, BackendServer, EngineCommandResult, EngineReport, EngineSpec, ModelDemand } from './cluster-types'
 import type { SharedSpeed } from './engine-speed'
 import type { PendingCommand } from './engine-state'
+import type { ServerUse, ServerUseChange } from './server-use'
 
 export type ScheduledRequest = {
   id: string
@@ -36,6 +37,8 @@
   | { type: 'refuse', request: string, node: string, retryAfterMs: number, reason: RefusalReason, waitedMs: number }
   | { type: 'command', engine: string, command: PendingCommand }
   | { type: 'report', engine: string }
+  /** The use of an engine has changed, by the responses that it gave. */
+  | { type: 'use', change: ServerUseChange }
 
 /** How a granted request ended, according to the node that sent it. */
 export type RunOutcome =
@@ -67,6 +70,8 @@
   speed?: SharedSpeed & { bornAt: number }
 }
 
+export type EngineUse = { use: ServerUse, avoidedForMs: number }
+
 export type SchedulerConfig = {
   /** Time within which a new version must be in use everywhere, in ms. */
   versionMs: number
@@ -92,6 +97,8 @@
   applyReport (engine: string, report: EngineReport | undefined, now: number): SchedulerAction[]
   tick (now: number): SchedulerAction[]
   status (now: number): EngineStatus[]
+  /** @returns how far an owned engine is trusted with requests, and for how long it gets none, in ms */
+  use (engine: string, now: number): EngineUse | undefined
   waitingCount (): number
   /** Next time at which the adapter of a waiting request should be loaded, if any. */
   nextDecisionAt (now: number): number | undefined
--- a/packages/gateway/src/engine-scheduler.test.ts
+++ b/packages/gateway/src/engine-scheduler.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert'
 import type { BackendServer, EngineReport, EngineSpec, LoadedModel } from './cluster-types'
 import { createEngineScheduler, type EngineScheduler, type RunOutcome, type ScheduledRequest, type SchedulerAction } from './engine-scheduler'
+import type { ServerUseChange } from './server-use'
 
 const test = suite('engine scheduler')
 
@@ -499,4 +500,24 @@
   assert.is(runOnce(scheduler, 'r7', 'ok', 600), 'e1')
 })
 
+// Guards against a log that does not say why an engine gets no requests, and one with a line for each request.
+test('reports each change of an engine\'s use once', () => {
+  const scheduler = createScheduler([engine('e1')], {})
+  const changes: ServerUseChange[] = []
+  const collect = (actions: SchedulerAction[]): void => { changes.push(...filterActions(actions, 'use').map(({ change }) => change)) }
+  for (const [outcome, at] of [['unusable', 0], ['unusable', 0], ['unusable', 500], ['ok', 2000]] as const) {
+    const id = `r${changes.length}-${at}`
+    collect(scheduler.submit(request(id, undefined, { objectiveAt: at + 1000, deadlineAt: at + 6000 }), at))
+    collect(scheduler.ended(id, outcome, at))
+    collect(scheduler.tick(at))
+  }
+  assert.equal(changes, [
+    { server: 'e1', use: 'ejected', failures: 2, forMs: 500 },
+    { server: 'e1', use: 'probation', failures: 2 },
+    { server: 'e1', use: 'ejected', failures: 3, forMs: 1000 },
+    { server: 'e1', use: 'probation', failures: 3 },
+    { server: 'e1', use: 'in-use', failures: 0 }
+  ])
+})
+
 test.run()
--- a/packages/gateway/src/engine-scheduler.ts
+++ b/packages/gateway/src/engine-scheduler.ts
@@ -5,7 +5,7 @@
  */
 import { createEngineLoadPlanner, modelLoadCheckMs, commandVisibilityMs, type EnginesView, type SchedulerState, type WaitingRequest } from './engine-load-planner'
 import type { EngineScheduler, RefusalReason, SchedulerAction, SchedulerConfig } from './engine-scheduler-types'
-import { applyLoadedModels, applyReport, backlogMs, compareSpeeds, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, isOnProbation, recordFailure, recordFirstResponse, recordSuccess, recordUnusable, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, type AdapterReplica, type EngineState } from './engine-state'
+import { applyLoadedModels, applyReport, backlogMs, compareSpeeds, createEngineState, hasCapacity, limitIntervalMs, limitWaitMs, setRequestLimit, isOnProbation, recordFailure, recordFirstResponse, recordSuccess, recordUnusable, fitsPauseLimits, recordFirstEvent, recordPrefill, nominalPrefillMs, prefillMs, prefillTokensPerMs, resetEngine, sharedSpeed, avoidEngine, useOf, type AdapterReplica, type EngineState } from './engine-state'
 import { mayRunAt } from './engine-choice'
 import { createLoadLimit } from './load-limit'
 import { cacheScope } from './prompt-cache'
@@ -252,6 +252,16 @@
     })
   }
 
+  function useActions (now: number): SchedulerAction[] {
+    return [...engines.values()].flatMap(engine => {
+      const use = useOf(engine, now)
+      if (use === engine.reportedUse) return []
+      engine.reportedUse = use
+      const forMs = use === 'ejected' ? { forMs: engine.avoidedUntil - now } : {}
+      return [{ type: 'use', change: { server: engine.server.id, use, failures: engine.unusableResponses, ...forMs } } as const]
+    })
+  }
+
   function decide (now: number): SchedulerAction[] {
     const actions: SchedulerAction[] = []
     blocked = []
@@ -276,7 +286,7 @@
       ahead.prefillMs += req.demand.promptTokens / rate
       ahead.requests += 1
     }
-    actions.push(...planner.decide(blocked, view, now), ...reportActions(now))
+    actions.push(...planner.decide(blocked, view, now), ...reportActions(now), ...useActions(now))
     return actions
   }
 
@@ -461,6 +471,10 @@
         ...sharedSpeed(engine, now)
       }))
     },
+    use (id, now) {
+      const engine = engines.get(id)
+      return engine === undefined ? undefined : { use: useOf(engine, now), avoidedForMs: Math.max(0, engine.avoidedUntil - now) }
+    },
     waitingCount: () => waiting.size,
     nextDecisionAt (now) {
       if (blocked.length === 0) return undefined
--- a/packages/gateway/src/engine-state.ts
+++ b/packages/gateway/src/engine-state.ts
@@ -3,6 +3,7 @@
 import { cacheScope, createPromptCache, type PromptCache } from './prompt-cache'
 import { createEngineSpeed, nominalTokensPerMs, type EngineSpeed, type PrefillInProgress, type SharedSpeed } from './engine-speed'
 import { createRequestPace, paceWaitMs, type RequestPace } from './request-pace'
+import type { ServerUse } from './server-use'
 
 export type AdapterReplica = {
   model: string
@@ -89,6 +90,8 @@
   failureRate: number
   /** Responses in succession that nodes gave up because nobody could have used them. */
   unusableResponses: number
+  /** Use that the owner was last told of. */
+  reportedUse: ServerUse
   /** The engine does not respond, or not usably, and gets no new requests until then. */
   avoidedUntil: number
   /** Duration of the next avoidance, in ms; doubles with each failed contact. */
@@ -141,6 +144,7 @@
     unmeasured: { nominalMs: 0, busyMs: 0 },
     failureRate: 0,
     unusableResponses: 0,
+    reportedUse: 'in-use',
     avoidedUntil: -Infinity,
     avoidanceMs: minAvoidanceMs
   }
@@ -449,6 +453,12 @@
   return unusableResponses >= unusableToAvoid
 }
 
+/** How far the engine is trusted with requests, by its responses; one that does not respond at all is not counted here. */
+export function useOf (state: EngineState, now: number): ServerUse {
+  if (!isOnProbation(state)) return 'in-use'
+  return state.avoidedUntil > now ? 'ejected' : 'probation'
+}
+
 export function hasCapacity (state: EngineState, demand: ModelDemand): boolean {
   if (state.runs.size === 0) return true
   return !isOnProbation(state) && state.runs.size < state.spec.slots && runningTokens(state) + addedTokens(state, demand) <= state.spec.kvTokens * kvShare
--- a/packages/gateway/src/explain.test.ts
+++ b/packages/gateway/src/explain.test.ts
@@ -22,7 +22,7 @@
 
 function createEnv (overrides: Partial<ExplainEnv> = {}): ExplainEnv {
   const pool = createServicePool()
-  return { node: 'n1', zone: 'a', now: () => 1000, random: () => 0.5, codec: testCodec, routes: () => createRouteTable(config), closed: () => false, configIsCurrent: () => true, servers: () => servers, engines: () => [], pool: () => pool, waitMs: () => 0, grants: { explain: () => ({ owners: [], withoutOwner: undefined }) }, newestVersion: () => undefined, blocked: () => undefined, ...overrides }
+  return { node: 'n1', zone: 'a', now: () => 1000, random: () => 0.5, codec: testCodec, routes: () => createRouteTable(config), closed: () => false, configIsCurrent: () => true, servers: () => servers, engines: () => [], engineUse: () => undefined, pool: () => pool, waitMs: () => 0, grants: { explain: () => ({ owners: [], withoutOwner: undefined }) }, newestVersion: () => undefined, blocked: () => undefined, ...overrides }
 }
 
 function explain (env: ExplainEnv, headers: string[] = ['x-id', 'r1', 'x-key', key], url = '/'): Explanation {
@@ -42,7 +42,7 @@
     assert.is(chosen, explained)
     assert.is(untouched.choose(servers, 'a', new Set(), 0.5, now)!.id, chosen)
     for (const each of [pool, untouched]) {
-      each.started(chosen)
+      each.started(chosen, now)
       each.ended(chosen, index % 9 === 0 ? 'full' : 'ok', 50 + index, now + 10)
     }
   }
@@ -76,6 +76,19 @@
   assert.equal(candidates[0]?.figures, { owner: 'n2', hasAdapter: false, commandable: true, backlogMs: 50, running: 3, loadWaitMs: 250, ageMs: 700 })
 })
 
+// Guards against an explanation that does not tell why a server that passes its checks gets no requests.
+test('tells which servers are on probation after failures', () => {
+  const pool = createServicePool()
+  for (let index = 0; index < 2; index++) pool.ended('s1', 'failed', 1, -100)
+  pool.started('s1', 950)
+  const plain = explain(createEnv({ pool: () => pool })).candidates[0]!
+  assert.equal([plain.figures['use'], plain.ruledOut], ['probation', 'on probation after failures, with a request in progress'])
+  const engines = [{ server: { ...server('e1', 'a'), service: 'llm' }, owner: 'n1', commandable: true, scopes: new Set<string>(), backlogMs: 50, running: 3, loadWaitMs: 250, ageMs: 700 }]
+  const routes = () => createRouteTable({ ...config, routes: [{ ...config.routes[0]!, targets: [{ service: 'llm', weight: 1 }] }], services: [{ name: 'llm', engine: {} }] } as unknown as ClusterConfig)
+  const ofEngine = explain(createEnv({ routes, servers: () => engines.map(engine => engine.server), engines: () => engines, engineUse: () => ({ use: 'ejected', avoidedForMs: 300 }) }), ['x-id', 'r1', 'x-key', key, 'x-adapter', 'x1']).candidates[0]!
+  assert.equal([ofEngine.figures['use'], ofEngine.ruledOut], ['ejected', 'avoided after failures for 300 ms'])
+})
+
 // Guards against a key that appears in tickets and terminals.
 test('never contains the key', () => {
   for (const known of [key, 'unknown-key']) {
--- a/packages/gateway/src/explain.ts
+++ b/packages/gateway/src/explain.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendServer, Route } from './cluster-types'
 import type { EngineCandidate } from './engine-choice'
+import type { EngineUse } from './engine-scheduler'
 import { noOwnerRetryAfterMs, type GrantClient } from './grant-client'
 import { refusalWithoutServer } from './plain-forwarder'
 import type { HeaderCodec, RawHeaders, RequestMetadata } from './platform-interface'
@@ -54,6 +55,8 @@
   configIsCurrent (): boolean
   servers (service: string): BackendServer[]
   engines (service: string): EngineCandidate[]
+  /** @returns how this node uses an engine, if it owns the engine */
+  engineUse (engine: string): EngineUse | undefined
   pool (service: string): ServicePool
   waitMs (server: BackendServer): number
   grants: Pick<GrantClient, 'explain'>
@@ -80,9 +83,12 @@
   return { id: server.id, zone: server.zone, ...(available ? {} : { ruledOut: reason }), figures: figuresOf({ slots: server.slots, softwareVersion: softwareVersionOf(server), use, inProgress, serviceMs, waitMs, measuredAgeMs, share }) }
 }
 
-function engineCandidate ({ server, owner, commandable, limited, scopes, backlogMs, running, loadWaitMs, ageMs }: EngineCandidate, scope: string | undefined, statedWaitMs: number | undefined): ExplainedCandidate {
+function engineCandidate ({ server, owner, commandable, limited, scopes, backlogMs, running, loadWaitMs, ageMs }: EngineCandidate, scope: string | undefined, statedWaitMs: number | undefined, engineUse: EngineUse | undefined): ExplainedCandidate {
   const hasAdapter = scope === undefined || scopes.has(scope)
-  return { id: server.id, zone: server.zone, ...(statedWaitMs === undefined ? {} : { ruledOut: `states that it wants no requests for ${Math.round(statedWaitMs)} ms` }), figures: figuresOf({ owner, softwareVersion: softwareVersionOf(server), hasAdapter, commandable, limited, backlogMs, running, loadWaitMs, ageMs }) }
+  const reason = statedWaitMs !== undefined
+    ? `states that it wants no requests for ${Math.round(statedWaitMs)} ms`
+    : engineUse !== undefined && engineUse.avoidedForMs > 0 ? `avoided after failures for ${Math.round(engineUse.avoidedForMs)} ms` : undefined
+  return { id: server.id, zone: server.zone, ...(reason === undefined ? {} : { ruledOut: reason }), figures: figuresOf({ owner, use: engineUse?.use, softwareVersion: softwareVersionOf(server), hasAdapter, commandable, limited, backlogMs, running, loadWaitMs, ageMs }) }
 }
 
 /** Removes the key from what the client wrote, in case it is also there. */
@@ -129,7 +135,7 @@
     const scope = demand.adapter === undefined ? undefined : cacheScope(demand)
     const version = scope === undefined ? undefined : env.newestVersion(scope)
     if (version !== undefined) explanation.adapterVersion = version
-    explanation.candidates = env.engines(service.name).map(engine => engineCandidate(engine, scope, waits.get(engine.server.id)))
+    explanation.candidates = env.engines(service.name).map(engine => engineCandidate(engine, scope, waits.get(engine.server.id), env.engineUse(engine.server.id)))
     if (blocked !== undefined) return notRun(blocked.reason, blocked.remainingMs)
     if (servers.length > 0 && waits.size === servers.length) return notRun('engines accept no requests for a while', Math.min(...waits.values()))
     const { owners, withoutOwner } = env.grants.explain({ service: service.name, demand, requestId: metadata.id, excluded: [...waits.keys()] })
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,6 +1,7 @@
 /** Counters, gauges and latency histograms, served as text on the metrics address. */
 import { readdir } from 'node:fs/promises'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { ServerUse } from './server-use'
 
 /** Bucket bounds of the latency histograms, in seconds: from one network hop to the longest deadlines. */
 const latencyBuckets = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1, 1.5, 2.5, 4, 6, 10, 15]
@@ -16,6 +17,8 @@
   command (operation: string, result: string): void
   /** Something that a server has stated, as this node learned it from the server or from another node. */
   serverStatement (kind: 'limit' | 'limit-lifted' | 'brittle' | 'leaving' | 'wait' | 'unusable'): void
+  /** A server was ejected, is on probation or is in use again. */
+  serverUse (use: ServerUse): void
   /** A request got no permit for a server. */
   permitDenied (reason: string): void
   /** A client takes up a stream; `unknown` if its software version is not known. */
@@ -53,6 +56,7 @@
   const commands = new Counter({ name: 'yuccawharf_engine_commands_total', help: 'Commands to engines by operation and result.', labelNames: ['operation', 'result'], registers })
   const calls = new Counter({ name: 'yuccawharf_store_calls_total', help: 'Calls to the platform store by feed and result.', labelNames: ['feed', 'result'], registers })
   const statements = new Counter({ name: 'yuccawharf_server_statements_total', help: 'Changes of what servers state about themselves, by kind.', labelNames: ['kind'], registers })
+  const uses = new Counter({ name: 'yuccawharf_server_uses_total', help: 'Changes of how this node uses servers, by the new use.', labelNames: ['use'], registers })
   const denials = new Counter({ name: 'yuccawharf_permits_denied_total', help: 'Requests without a permit for a server that states a limit, by reason.', labelNames: ['reason'], registers })
   const takeUps = new Counter({ name: 'yuccawharf_stream_take_ups_total', help: 'Streams that clients take up, by how their software version is known.', labelNames: ['source'], registers })
   const quotaUnits = new Counter({ name: 'yuccawharf_quota_units_total', help: 'Units of the limits of accounts that were admitted, refused and lent.', labelNames: ['kind', 'account'], registers })
@@ -88,6 +92,7 @@
     refused: reason => { refusals.inc({ reason }) },
     command: (operation, result) => { commands.inc({ operation, result }) },
     serverStatement: kind => { statements.inc({ kind }) },
+    serverUse: use => { uses.inc({ use }) },
     permitDenied: reason => { denials.inc({ reason }) },
     takeUp: source => { takeUps.inc({ source }) },
     quotaUnits: (kind, account, units) => { quotaUnits.inc({ kind, account }, units) },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,7 +87,7 @@
   const startedAt = Date.now()
   const startedAtMonotonic = now()
   const registry = createServerRegistry()
-  const pools = createServicePools(() => fleet.size())
+  const pools = createServicePools(() => fleet.size(), log, metrics)
   const versions = createAdapterVersions(settings.bounds.versionMs)
   const ownerStatuses = createOwnerStatusCache(clock)
   const feedCache = createFeedCache()
@@ -406,7 +406,7 @@
   const statusSender = createStatusSender({ self, now, fleet, link, owner, feeds, statuses: ownerStatuses })
 
   const readyServer = createReadyServer(platform.ingress, isReady, connections.bounds('ready'))
-  const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log, connections.bounds('metrics'), createExplainResource({ node: self.name, zone: self.zone, now, random: options.random, codec: platform.headers, routes: () => table, closed: () => leavingSince !== undefined && now() - leavingSince > leavingAcceptMs, configIsCurrent: configKnowledge.isCurrent, servers: registry.ready, engines: enginesOf, pool: pools.pool, waitMs: restrictions.waitMs, grants, newestVersion: versions.newest, blocked: crashes.requests.blocked }, log))
+  const metricsServer = createMetricsServer(metrics, options.metricsAddress.path, log, connections.bounds('metrics'), createExplainResource({ node: self.name, zone: self.zone, now, random: options.random, codec: platform.headers, routes: () => table, closed: () => leavingSince !== undefined && now() - leavingSince > leavingAcceptMs, configIsCurrent: configKnowledge.isCurrent, servers: registry.ready, engines: enginesOf, engineUse: owner.engineUse, pool: pools.pool, waitMs: restrictions.waitMs, grants, newestVersion: versions.newest, blocked: crashes.requests.blocked }, log))
   const directoryServer = createDirectoryServer(platform.ingress, ({ zone }) => ({
     addresses: chooseAddresses(fleet.directory(isReady()), zone, options.random),
     keepForMs: Math.min(addressTtlMs, settings.bounds.addressTtlMaxMs)
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -133,7 +133,7 @@
     unusedResponse = undefined
     releaseUnused()
     sentTo.add(server.id)
-    pool.started(server.id)
+    pool.started(server.id, startedAt)
     let responded = false
     const run = env.runs.start(server)
     const attempt = startAttempt({
--- a/packages/gateway/src/service-pool.test.ts
+++ b/packages/gateway/src/service-pool.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
 import { createServicePool, type ServicePool } from './service-pool'
+import type { ServerUseChange } from './server-use'
 
 const test = suite('service pool')
 
@@ -15,7 +16,7 @@
   test(`prefers the own zone until its server has clearly more in progress (${fleetSize} nodes)`, () => {
     const pool = createServicePool(() => fleetSize)
     assert.is(pool.choose(servers, 'a', none, 0.5, 0)?.id, 'near')
-    for (let index = 0; index < 3; index++) pool.started('near')
+    for (let index = 0; index < 3; index++) pool.started('near', 0)
     assert.is(pool.choose(servers, 'a', none, 0.5, 0)?.id, 'far')
   })
 
@@ -32,18 +33,18 @@
   // Guards against all requests of a moment going to a server that fails, whenever an ejection ends.
   test(`sends a server one request at a time after an ejection, until one succeeds (${fleetSize} nodes)`, () => {
     const pool = createServicePool(() => fleetSize)
-    pool.started('near')
+    pool.started('near', 0)
     for (let index = 0; index < 2; index++) pool.ended('near', 'failed', 1, 0)
-    pool.started('near')
+    pool.started('near', 1500)
     assert.is(pool.choose(servers, 'a', none, 0.5, 1500)?.id, 'far')
     pool.ended('near', 'failed', 1, 1500)
     assert.is(pool.choose(servers, 'a', none, 0.5, 3000)?.id, 'far', 'the next ejection is longer')
     assert.is(pool.choose(servers, 'a', none, 0.5, 3500)?.id, 'near')
-    pool.started('near')
+    pool.started('near', 3500)
     pool.ended('near', 'ok', 1, 3500)
     for (let index = 0; index < 2; index++) {
       assert.is(pool.choose(servers, 'a', none, 0.5, 3500)?.id, 'near')
-      pool.started('near')
+      pool.started('near', 3500)
     }
   })
 
@@ -52,7 +53,7 @@
     const pool = createServicePool(() => fleetSize)
     for (let index = 0; index < 2; index++) pool.ended('near', 'failed', 1, 0)
     pool.ended('near', 'ok', 1, 10)
-    pool.started('near')
+    pool.started('near', 1500)
     assert.is(pool.choose(servers, 'a', none, 0.5, 1500)?.id, 'far')
     pool.ended('near', 'failed', 1, 1500)
     assert.is(pool.choose(servers, 'a', none, 0.5, 1600)?.id, 'far')
@@ -64,10 +65,27 @@
     for (const outcome of ['failed', 'aborted', 'failed'] as const) pool.ended('near', outcome, 1, 0)
     assert.is(pool.choose(servers, 'a', none, 0.5, 1)?.id, 'far')
     pool.ended('near', 'aborted', 1, 1500)
-    pool.started('near')
+    pool.started('near', 1500)
     assert.is(pool.choose(servers, 'a', none, 0.5, 1500)?.id, 'far')
   })
 
+  // Guards against a log that does not say why a server gets no requests, and one with a line for each request.
+  test(`reports each change of a server's use once (${fleetSize} nodes)`, () => {
+    const changes: ServerUseChange[] = []
+    const pool = createServicePool(() => fleetSize, change => { changes.push(change) })
+    for (const [outcome, now] of [['ok', 0], ['failed', 0], ['failed', 0], ['failed', 0], ['failed', 3000], ['ok', 9000], ['ok', 9000]] as const) {
+      pool.started('near', now)
+      pool.ended('near', outcome, 1, now)
+    }
+    assert.equal(changes, [
+      { server: 'near', use: 'ejected', failures: 2, forMs: 1000 },
+      { server: 'near', use: 'probation', failures: 3 },
+      { server: 'near', use: 'ejected', failures: 4, forMs: 4000 },
+      { server: 'near', use: 'probation', failures: 4 },
+      { server: 'near', use: 'in-use', failures: 0 }
+    ])
+  })
+
   test(`tries some server when all are ejected (${fleetSize} nodes)`, () => {
     const pool = createServicePool(() => fleetSize)
     for (const { id } of servers) {
@@ -97,7 +115,7 @@
     const chosen = new Map<string, number>()
     for (let index = 0; index < count; index++) {
       const { id } = pool.choose(alike, 'a', none, (index % 10) / 10, index)!
-      pool.started(id)
+      pool.started(id, index)
       pool.ended(id, 'ok', durationMs(id), index)
       chosen.set(id, (chosen.get(id) ?? 0) + 1)
     }
--- a/packages/gateway/src/service-pool.ts
+++ b/packages/gateway/src/service-pool.ts
@@ -4,8 +4,11 @@
  * left out gets one request at a time until one succeeds.
  */
 import type { BackendServer } from './cluster-types'
+import type { DecisionLog } from './decision-log'
+import type { GatewayMetrics } from './gateway-metrics'
 import { createOwnLoadChoice } from './own-load-choice'
 import { createServerLoads, type LoadFigures } from './server-loads'
+import { reportServerUse, type ServerUse, type ServerUseChange } from './server-use'
 
 /** Consecutive failures after which a server is ejected; a single one may be due to its connection. */
 const failuresToEject = 2
@@ -18,9 +21,6 @@
 /** `aborted`: given up for a reason that need not lie with the server. */
 export type AttemptOutcome = 'ok' | 'failed' | 'full' | 'aborted'
 
-/** `probation`: the ejection has ended, and no request has succeeded since. */
-export type ServerUse = 'in-use' | 'ejected' | 'probation'
-
 /** `available`: the server takes part in the choice. Remaining times in ms. */
 export type PoolCandidate = { server: BackendServer, available: boolean, use: ServerUse, ejectedForMs: number, fullForMs: number } & LoadFigures
 
@@ -29,18 +29,24 @@
   explain (...args: Parameters<ServicePool['choose']>): { chosen: BackendServer | undefined, candidates: PoolCandidate[] }
   /** @param excluded - ids of servers to which this request was already sent */
   choose (servers: readonly BackendServer[], zone: string, excluded: ReadonlySet<string>, random: number, now: number): BackendServer | undefined
-  started (id: string): void
+  started (id: string, now: number): void
   ended (id: string, outcome: AttemptOutcome, durationMs: number, now: number): void
   inProgress (id: string): number
   /** Removes the state of all other servers. */
   retain (ids: ReadonlySet<string>): void
 }
 
-/** `suspect`: the server was ejected, and no request has succeeded since the end of the ejection. */
-type ServerState = { failures: number, suspect: boolean, ejectedUntil: number, fullUntil: number }
+/**
+ * `suspect`: the server was ejected, and no request has succeeded since the end of the ejection.
+ * `reported`: what the last change said.
+ */
+type ServerState = { reported: ServerUse, failures: number, suspect: boolean, ejectedUntil: number, fullUntil: number }
 
-/** @param fleetSize - number of nodes that send requests to the service */
-export function createServicePool (fleetSize = (): number => Infinity): ServicePool {
+/**
+ * @param fleetSize - number of nodes that send requests to the service
+ * @param changed - called when the use of a server changes
+ */
+export function createServicePool (fleetSize = (): number => Infinity, changed: (change: ServerUseChange) => void = () => {}): ServicePool {
   const states = new Map<string, ServerState>()
   const loads = createServerLoads()
   const ownLoads = createOwnLoadChoice()
@@ -53,7 +59,7 @@
   function stateOf (id: string): ServerState {
     const existing = states.get(id)
     if (existing !== undefined) return existing
-    const created = { failures: 0, suspect: false, ejectedUntil: -Infinity, fullUntil: -Infinity }
+    const created: ServerState = { reported: 'in-use', failures: 0, suspect: false, ejectedUntil: -Infinity, fullUntil: -Infinity }
     states.set(id, created)
     return created
   }
@@ -64,6 +70,14 @@
     return suspect ? 'probation' : 'in-use'
   }
 
+  function reportUse (id: string, now: number): void {
+    const state = stateOf(id)
+    const use = useOf(id, now)
+    if (use === state.reported) return
+    state.reported = use
+    changed({ server: id, use, failures: state.failures, ...(use === 'ejected' ? { forMs: state.ejectedUntil - now } : {}) })
+  }
+
   /** Whether a server is neither ejected nor busy with its one request on probation. */
   function isUsable (id: string, now: number): boolean {
     const use = useOf(id, now)
@@ -101,7 +115,8 @@
       const choice = isShared(servers) ? loads : ownLoads
       return choice.choose(available(servers.filter(({ id }) => !excluded.has(id)), now), zone, random, now)
     },
-    started (id) {
+    started (id, now) {
+      reportUse(id, now)
       loads.started(id)
       ownLoads.started(id)
     },
@@ -123,12 +138,14 @@
         state.failures = 0
         // A request that was sent before the ejection may succeed during it.
         if (state.ejectedUntil <= now) state.suspect = false
+        reportUse(id, now)
         return
       }
       state.failures += 1
       if (state.failures < failuresToEject && !state.suspect) return
       state.suspect = true
       state.ejectedUntil = now + Math.min(maxEjectMs, ejectMs * 2 ** Math.max(0, state.failures - failuresToEject))
+      reportUse(id, now)
     },
     inProgress: loads.inProgress,
     retain (ids) {
@@ -147,13 +164,13 @@
   retain: ServicePool['retain']
 }
 
-export function createServicePools (fleetSize: () => number): ServicePools {
+export function createServicePools (fleetSize: () => number, log: Pick<DecisionLog, 'info'>, metrics: Pick<GatewayMetrics, 'serverUse'>): ServicePools {
   const pools = new Map<string, ServicePool>()
   return {
     pool (service) {
       const existing = pools.get(service)
       if (existing !== undefined) return existing
-      const created = createServicePool(fleetSize)
+      const created = createServicePool(fleetSize, change => reportServerUse(service, change, log, metrics))
       pools.set(service, created)
       return created
     },
--- a/packages/gateway/src/testing/plain-load-model.ts
+++ b/packages/gateway/src/testing/plain-load-model.ts
@@ -156,7 +156,7 @@
       const delayMs = info.zone === node.zone ? sameZoneMs : crossZoneMs
       const startedAt = now
       sentTo.add(info.id)
-      node.pool.started(info.id)
+      node.pool.started(info.id, now)
       node.lastUse.set(info.id, now)
       total.sent += 1
       if (isNew) total.opened += 1
--- a/packages/gateway/src/version-timeline.test.ts
+++ b/packages/gateway/src/version-timeline.test.ts
@@ -93,7 +93,7 @@
 
   function perform (actions: SchedulerAction[]): void {
     for (const action of actions) {
-      if (action.type === 'refuse') continue
+      if (action.type === 'refuse' || action.type === 'use') continue
       const engine = engines.find(({ id }) => id === action.engine)!
       if (action.type === 'command') command(engine, action.command, 1)
       else if (action.type === 'report') toOwner(5, () => scheduler.applyReport(engine.id, engine.past.findLast(({ at }) => at <= now - reportLagMs)?.report ?? reportOf(engine), now))
