Keep the question of an explanation in one buffer

Cause: each piece of the body was kept as an object of its own, also after a 413. Change: the pieces are collected in one buffer, which is dropped at a 413.

--- a/packages/gateway/src/explain-resource.test.ts
+++ b/packages/gateway/src/explain-resource.test.ts
@@ -1,9 +1,14 @@
 /** Asks a complete node on the loopback interface to explain requests. */
+import { EventEmitter } from 'node:events'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createDecisionLog } from './decision-log'
-import type { Explanation } from './explain'
+import type { Explanation, ExplainEnv } from './explain'
+import { createExplainResource } from './explain-resource'
 import { createGateway, type Gateway } from './gateway'
 import { createGatewayMetrics } from './gateway-metrics'
 import { createFakePlatform, freePorts, startBackend, testConfig, testNodeSettings, type FakeBackend } from './testing'
@@ -67,4 +72,25 @@
   assert.is((await fetch(address.replace('/explain', '/metrics'))).status, 200)
 })
 
+// Guards against pieces kept one by one, of which the memory is a multiple of their bytes.
+test('a description in pieces of one byte takes about the memory of its bytes', () => {
+  setFlagsFromString('--expose-gc')
+  const collectGarbage = runInNewContext('gc') as () => void
+  const questionBytes = 256 * 1024
+  const log = createDecisionLog('n1', { write () {}, flush: async () => {}, dropped: () => 0 })
+  const req = Object.assign(new EventEmitter(), { method: 'POST' })
+  const statuses: number[] = []
+  const res = { writeHead: (status: number) => statuses.push(status) > 0 && { end () {} } }
+  collectGarbage()
+  const before = process.memoryUsage()
+  createExplainResource({} as ExplainEnv, log)(req as IncomingMessage, res as unknown as ServerResponse & { req: IncomingMessage })
+  for (let count = 0; count < questionBytes; count++) req.emit('data', Buffer.from('x'))
+  collectGarbage()
+  const { heapUsed, external } = process.memoryUsage()
+  const growth = heapUsed + external - before.heapUsed - before.external
+  assert.ok(growth < 4 * questionBytes, `${growth} bytes for ${questionBytes}`)
+  req.emit('end')
+  assert.equal(statuses, [400])
+})
+
 test.run()
--- a/packages/gateway/src/explain-resource.ts
+++ b/packages/gateway/src/explain-resource.ts
@@ -1,5 +1,6 @@
 /** Answers `POST /explain` with the explanation of a request that is described as JSON. */
 import type { RequestListener, ServerResponse } from 'node:http'
+import { createByteCollector, type ByteCollector } from '@yuccawharf/clients'
 import type { DecisionLog } from './decision-log'
 import { explainRequest, type ExplainEnv } from './explain'
 import { fieldsCheck, isText, optional } from './field-checks'
@@ -41,17 +42,17 @@
 export function createExplainResource (env: ExplainEnv, log: DecisionLog): RequestListener {
   return (req, res) => {
     if (req.method !== 'POST') return respond(res, 405, { errors: ['send the request to explain with POST'] })
-    const chunks: Buffer[] = []
-    let size = 0
+    let question: ByteCollector | undefined = createByteCollector({ limitBytes: maxQuestionBytes })
     req.on('error', () => {})
     req.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size <= maxQuestionBytes) chunks.push(chunk)
-      else if (!res.headersSent) respond(res, 413, { errors: [`the description exceeds ${maxQuestionBytes} bytes`] })
+      if (question === undefined) return
+      if (question.size + chunk.length <= maxQuestionBytes) return question.append(chunk)
+      question = undefined
+      respond(res, 413, { errors: [`the description exceeds ${maxQuestionBytes} bytes`] })
     })
     req.on('end', () => {
-      if (res.headersSent) return
-      const value = parse(Buffer.concat(chunks))
+      if (question === undefined) return
+      const value = parse(question.bytes())
       const errors = value === undefined ? ['the description is not JSON'] : findingsOf(value)
       if (errors.length > 0 || !isQuestion(value)) return respond(res, 400, { errors })
       const { host, path, method = 'GET', headers = [], body = '' } = value
