Count a write in progress towards what waits for a client

Cause: since events are kept as one for a client that reads slowly, a large write that could not be handed to the system did not stop the stream, so that a second read was kept beside it. Change: no more is asked for while the write in progress and what waits have 16 KB, as before.

--- a/packages/gateway/src/client-exchange.test.ts
+++ b/packages/gateway/src/client-exchange.test.ts
@@ -50,6 +50,16 @@
   assert.is(drained, 1)
 })
 
+// Guards against twice the memory for each client that reads nothing of a stream of large events.
+test('asks for no more while a large write waits', () => {
+  const { exchange, writes } = slowClient()
+  assert.not.ok(exchange.write(Buffer.alloc(64 * 1024)))
+  let drained = 0
+  exchange.onDrain(() => { drained += 1 })
+  writes[0]!.written()
+  assert.is(drained, 1)
+})
+
 // Guards against a complete response that lacks the events that waited.
 test('what waits is written before the end', () => {
   const { exchange, writes, ended } = slowClient()
--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -110,8 +110,8 @@
   let outcome = 'open'
   let refusedNotRun = false
   const disconnectListeners: (() => void)[] = []
-  /** Whether the last write has not been handed to the system yet. */
-  let writing = false
+  /** Size of the write that has not been handed to the system yet, in bytes; 0 if there is none. */
+  let writing = 0
   /** What is written next, as one: each write that Node.js keeps for the connection costs some hundred bytes. */
   const waiting = createByteCollector()
   const drainListeners: (() => void)[] = []
@@ -142,14 +142,14 @@
   }
 
   function written (err?: Error | null): void {
-    writing = false
+    writing = 0
     if (err != null || res.writableEnded) return
     if (waiting.size > 0) write(waiting.take())
     for (const listener of drainListeners.splice(0)) listener()
   }
 
   function write (chunk: Buffer): void {
-    writing = true
+    writing = chunk.length
     res.write(chunk, written)
   }
 
@@ -176,9 +176,9 @@
     head,
     write (chunk) {
       if (ended) return true
-      if (writing) waiting.append(chunk)
+      if (writing > 0) waiting.append(chunk)
       else write(chunk)
-      return waiting.size < maxWaitingBytes
+      return writing + waiting.size < maxWaitingBytes
     },
     onDrain: listener => { drainListeners.push(listener) },
     end,
