Count no heads of complete responses as overhead of their connection

What callers saw: none has reported it; found in review. A connection to a sound server, store or node that carries some hundred small responses a second waited for its turn after each of them.

Cause: heads count as overhead, of which 64 KB a second are forgotten. Up to 2 KB beside the body of a complete response no longer count, because each answers a request of this process.

The test failed before, at the first wait.

--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -16,6 +16,9 @@
 const maxFramingBytes = 1024 * 1024
 const maxFramingRatio = 16
 
+/** Bytes beside its body that a complete response may have without counting as overhead, because each answers a request. */
+const maxAnswerBytes = 2048
+
 /** Fields of a head or of trailers. undici limits their bytes only, and keeps objects of some hundred bytes for each field. */
 const maxHeadFields = 500
 
@@ -67,7 +70,10 @@
       bodyBytes += bytes
       traffic.piece(bytes)
     },
-    ended: traffic.responseEnded
+    ended () {
+      bodyBytes += Math.min(maxAnswerBytes, traffic.current.wireBytes - traffic.current.bodyBytes)
+      traffic.responseEnded()
+    }
   }
 
   function count (bytes: number): void {
--- a/packages/gateway/src/read-turns.test.ts
+++ b/packages/gateway/src/read-turns.test.ts
@@ -85,4 +85,17 @@
   if (result.type === 'response') assert.is(result.body.length, pieces)
 })
 
+// Guards against a sound server whose connection waits for its turn after each of many small responses.
+test('many small responses on one connection do not wait', async () => {
+  server.removeAllListeners('connection')
+  server.on('connection', socket => {
+    socket.on('error', () => {})
+    socket.on('data', () => { socket.write(head('r1', `x-a: ${'y'.repeat(1000)}\r\ncontent-length: 1\r\n`) + 'x') })
+  })
+  for (let count = 0; count < 300; count++) {
+    assert.is((await send('r1').result).type, 'response')
+    assert.is(sharedReads.waiting(), 0)
+  }
+})
+
 test.run()
