Report the end of a response to its own connection

What callers saw: none has reported it; found in review. A response whose framing is out of proportion, or that never begins, can go on while other responses on the same pool end, as each end may restart its counts.

Cause: the callbacks of the parser were attributed to the connection that was read last with bytes. The parser also reports ends without bytes: when the peer closes, and when a paused parser goes on.

Evidence: the test failed before and passes now.

--- /dev/null
+++ b/packages/clients/src/response-reads.test.ts
@@ -0,0 +1,38 @@
+import type { Socket } from 'node:net'
+import { Duplex } from 'node:stream'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { limitReads, type ResponseReads } from './response-reads'
+import { createTrafficMonitor } from './response-traffic'
+
+const test = suite('reads of responses')
+
+let sockets: Socket[]
+let reading: ResponseReads | undefined
+
+function open (): Socket {
+  const socket = new Duplex({ read () {}, write () {} }) as Socket
+  limitReads(socket, reads => { reading = reads }, createTrafficMonitor().connected('s1'))
+  sockets.push(socket)
+  return socket
+}
+
+test.before.each(() => { sockets = [] })
+test.after.each(() => { for (const socket of sockets) socket.destroy() })
+
+// Guards against the end of one response that restarts the counts of another.
+test('the end of a connection is reported as its own', async () => {
+  const [one, other] = [open(), open()]
+  one.push('a')
+  one.read()
+  const own = reading
+  other.push('b')
+  other.read()
+  assert.is.not(reading, own)
+  const ended = new Promise<ResponseReads | undefined>(resolve => one.once('end', () => resolve(reading)))
+  one.push(null)
+  one.resume()
+  assert.is(await ended, own)
+})
+
+test.run()
--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -101,12 +101,13 @@
   // undici parses what this returns before it reads again, so the callbacks of a response know their connection.
   socket.read = size => {
     endRead()
+    // The parser may report the end of a response without bytes.
+    reading(reads)
     if (turns.held()) return null
     const chunk = read.call(socket, size) as Buffer | null
     if (chunk === null) return chunk
     if (!isRead) limitHeadFields(socket)
     isRead = true
-    reading(reads)
     count(chunk.length)
     const reason = unusableReason(chunk.length)
     if (reason !== undefined) {
@@ -122,6 +123,8 @@
     count(-(chunk as Buffer).length)
     unshift.call(socket, chunk, ...rest)
   }
+  // Before the listeners of undici, for whom these events may complete a response.
+  for (const event of ['end', 'error', 'close']) socket.on(event, () => { reading(reads) })
   socket.once('close', () => {
     traffic.closed()
     turns.closed()
