Read idle connections to servers whose turn has not come

What callers saw: none has reported it; found in review. Bytes that arrive late on an idle connection can be taken for the response to its next request, which then fails, or gets them where no id is checked.

Cause: undici reads an idle connection before it uses it again and closes it if something has arrived. A connection that waited for its turn returned nothing then. Now it waits only within a response, and before its first read.

--- a/packages/clients/src/response-reads.test.ts
+++ b/packages/clients/src/response-reads.test.ts
@@ -7,6 +7,7 @@
 
 const test = suite('reads of responses')
 
+const overhead = Buffer.alloc(128 * 1024)
 let sockets: Socket[]
 let reading: ResponseReads | undefined
 
@@ -20,6 +21,19 @@
 test.before.each(() => { sockets = [] })
 test.after.each(() => { for (const socket of sockets) socket.destroy() })
 
+// Guards against late bytes on an idle connection that are taken for the response to its next request.
+test('an idle connection is read when its turn has not come', async () => {
+  const socket = open()
+  socket.push(overhead)
+  socket.read()
+  reading!.progressed()
+  await Promise.resolve()
+  socket.push('rest')
+  assert.is(socket.read(), null)
+  reading!.ended()
+  assert.is(String(socket.read()), 'rest')
+})
+
 // Guards against the end of one response that restarts the counts of another.
 test('the end of a connection is reported as its own', async () => {
   const [one, other] = [open(), open()]
--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -103,7 +103,8 @@
     endRead()
     // The parser may report the end of a response without bytes.
     reading(reads)
-    if (turns.held()) return null
+    // Before its next request undici reads what has arrived on an idle connection, and closes it then.
+    if (turns.held() && (!isRead || traffic.current.wireBytes > 0)) return null
     const chunk = read.call(socket, size) as Buffer | null
     if (chunk === null) return chunk
     if (!isRead) limitHeadFields(socket)
