Fail the request whose consumer throws on a part of its response

What callers saw: none has reported it; found in review. An exception in a consumer of response data ends the process.

Cause: parts of responses are passed on in a microtask since, outside of the parser of undici, which fails the request of a consumer that throws.

--- a/packages/clients/src/complete-responses.ts
+++ b/packages/clients/src/complete-responses.ts
@@ -49,7 +49,7 @@
 
 class CompleteResponseHandler extends ForwardingHandler {
   private controller: Dispatcher.DispatchController | undefined
-  private readonly batch = createPieceBatch(bytes => { super.onResponseData(this.controller!, bytes) })
+  private readonly batch = createPieceBatch(bytes => { super.onResponseData(this.controller!, bytes) }, err => { this.controller!.abort(err) })
 
   constructor (handler: Dispatcher.DispatchHandler, private readonly watch: AgentWatch) {
     super(handler)
--- a/packages/clients/src/piece-batch.test.ts
+++ b/packages/clients/src/piece-batch.test.ts
@@ -8,7 +8,7 @@
 
 function collect (): { batch: PieceBatch, passed: Passed[] } {
   const passed: Passed[] = []
-  return { batch: createPieceBatch((bytes, pieces) => { passed.push([bytes.toString(), pieces]) }), passed }
+  return { batch: createPieceBatch((bytes, pieces) => { passed.push([bytes.toString(), pieces]) }, assert.unreachable), passed }
 }
 
 // Guards against work for each piece of a response.
@@ -47,4 +47,15 @@
   assert.equal(passed, [])
 })
 
+// Guards against an exception of a consumer that ends the process instead of the request.
+test('an exception of the consumer is reported', async () => {
+  const errors: string[] = []
+  const batch = createPieceBatch(() => { throw new Error('refused') }, err => { errors.push(err.message) })
+  batch.push(Buffer.from('a'))
+  await Promise.resolve()
+  batch.push(Buffer.from('b'))
+  await Promise.resolve()
+  assert.equal(errors, ['refused'])
+})
+
 test.run()
--- a/packages/clients/src/piece-batch.ts
+++ b/packages/clients/src/piece-batch.ts
@@ -15,8 +15,11 @@
 /** Bytes that are passed on without waiting for the end of the turn: about one read. */
 const maxBatchBytes = 64 * 1024
 
-/** @param passOn - gets the bytes of one or several pieces, with memory of their own */
-export function createPieceBatch (passOn: (bytes: Buffer, pieces: number) => void): PieceBatch {
+/**
+ * @param passOn - gets the bytes of one or several pieces, with memory of their own
+ * @param failed - called when `passOn` throws outside of `push` and `flush`; nothing is passed on any more
+ */
+export function createPieceBatch (passOn: (bytes: Buffer, pieces: number) => void, failed: (err: Error) => void): PieceBatch {
   const collected = createByteCollector()
   let pieces = 0
   let scheduled = false
@@ -29,6 +32,12 @@
     passOn(collected.take(), count)
   }
 
+  function discard (): void {
+    discarded = true
+    pieces = 0
+    collected.take()
+  }
+
   return {
     push (piece) {
       if (discarded) return
@@ -39,14 +48,15 @@
       scheduled = true
       queueMicrotask(() => {
         scheduled = false
-        flush()
+        try {
+          flush()
+        } catch (err) {
+          discard()
+          failed(err as Error)
+        }
       })
     },
     flush,
-    discard () {
-      discarded = true
-      pieces = 0
-      collected.take()
-    }
+    discard
   }
 }
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -197,7 +197,7 @@
     let ended = false
     const state: { aborted?: string } = {}
     let answered: () => void = () => {}
-    const batch = createPieceBatch((bytes, pieces) => { handler.data(bytes, pieces) })
+    const batch = createPieceBatch((bytes, pieces) => { handler.data(bytes, pieces) }, err => controller?.abort(err))
     const progressed = (): void => {
       entry.watch.reading?.progressed()
       if (isOwnLink) links.received(service)
