--- a/packages/clients/src/piece-batch.ts
+++ b/packages/clients/src/piece-batch.ts
@@ -32,6 +32,12 @@
     passOn(collected.take(), count)
   }
 
+  function discard (): void {
+    discarded = true
+    pieces = 0
+    collected.take()
+  }
+
   return {
     push (piece) {
       if (discarded) return
@@ -50,10 +56,6 @@
       })
     },
     flush,
-    discard () {
-      discarded = true
-      pieces = 0
-      collected.take()
-    }
+    discard
   }
 }
