--- a/packages/clients/src/piece-batch.test.ts
+++ b/packages/clients/src/piece-batch.test.ts
@@ -8,7 +8,7 @@
 
 function collect (): { batch: PieceBatch, passed: Passed[] } {
   const passed: Passed[] = []
-  return { batch: createPieceBatch((bytes, pieces) => { passed.push([bytes.toString(), pieces]) }, err => { throw err }), passed }
+  return { batch: createPieceBatch((bytes, pieces) => { passed.push([bytes.toString(), pieces]) }, assert.unreachable), passed }
 }
 
 // Guards against work for each piece of a response.
@@ -47,13 +47,15 @@
   assert.equal(passed, [])
 })
 
-// Guards against a process that ends because a reader of a response has thrown.
-test('an error of the reader is reported', async () => {
-  const errors: Error[] = []
-  const batch = createPieceBatch(() => { throw new Error('reader') }, err => { errors.push(err) })
+// Guards against an exception of a consumer that ends the process instead of the request.
+test('an exception of the consumer is reported', async () => {
+  const errors: string[] = []
+  const batch = createPieceBatch(() => { throw new Error('refused') }, err => { errors.push(err.message) })
   batch.push(Buffer.from('a'))
   await Promise.resolve()
-  assert.equal(errors.map(({ message }) => message), ['reader'])
+  batch.push(Buffer.from('b'))
+  await Promise.resolve()
+  assert.equal(errors, ['refused'])
 })
 
 test.run()
--- a/packages/clients/src/piece-batch.ts
+++ b/packages/clients/src/piece-batch.ts
@@ -17,7 +17,7 @@
 
 /**
  * @param passOn - gets the bytes of one or several pieces, with memory of their own
- * @param failed - gets what `passOn` has thrown at the end of a turn, where no caller could catch it
+ * @param failed - called when `passOn` throws outside of `push` and `flush`; nothing is passed on any more
  */
 export function createPieceBatch (passOn: (bytes: Buffer, pieces: number) => void, failed: (err: Error) => void): PieceBatch {
   const collected = createByteCollector()
@@ -51,6 +51,7 @@
         try {
           flush()
         } catch (err) {
+          discard()
           failed(err as Error)
         }
       })
