Keep the body of a response in one buffer

Cause: the client of the store, of engines and of peers kept each piece of a body as an object of its own. Change: readBody collects the pieces in one buffer.

--- a/packages/clients/src/clients.test.ts
+++ b/packages/clients/src/clients.test.ts
@@ -1,8 +1,11 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { Readable } from 'node:stream'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { classifyError, createHttpClient } from './http-client'
+import { classifyError, createHttpClient, readBody } from './http-client'
 import { createInstanceListClient } from './instance-list-client'
 import type { ServiceResult } from './interfaces'
 import { createPlainServiceClient } from './plain-service-client'
@@ -127,4 +130,25 @@
   }
 })
 
+// Guards against pieces kept one by one, of which the memory is a multiple of their bytes.
+test('a body in pieces of one byte takes about the memory of its bytes', async () => {
+  setFlagsFromString('--expose-gc')
+  const collectGarbage = runInNewContext('gc') as () => void
+  const takenBytes = (): number => {
+    collectGarbage()
+    const { heapUsed, external } = process.memoryUsage()
+    return heapUsed + external
+  }
+  const bodyBytes = 256 * 1024
+  const before = takenBytes()
+  let growth = 0
+  async function * pieces (): AsyncGenerator<Buffer> {
+    for (let count = 0; count < bodyBytes; count++) yield Buffer.from('x')
+    growth = takenBytes() - before
+  }
+  const body = await readBody(pieces() as unknown as Readable, bodyBytes)
+  assert.is(body?.toString(), 'x'.repeat(bodyBytes))
+  assert.ok(growth < 4 * bodyBytes, `${growth} bytes for ${bodyBytes}`)
+})
+
 test.run()
--- a/packages/clients/src/http-client.ts
+++ b/packages/clients/src/http-client.ts
@@ -5,6 +5,7 @@
 import type { Readable } from 'node:stream'
 import { gunzipSync } from 'node:zlib'
 import { buildConnector, type Dispatcher } from 'undici'
+import { createByteCollector } from './byte-collector'
 import { createCheckedAgent } from './complete-responses'
 
 export type HttpRequest = {
@@ -97,16 +98,14 @@
  * @returns undefined if it exceeds `maxBytes`; the connection is then closed
  */
 export async function readBody (body: Readable, maxBytes: number, received: (bytes: number) => void = () => {}): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const collected = createByteCollector({ limitBytes: maxBytes })
   for await (const chunk of body as AsyncIterable<Buffer>) {
-    bytes += chunk.length
     received(chunk.length)
     // Leaving the loop destroys the body and with it the connection.
-    if (bytes > maxBytes) return undefined
-    chunks.push(chunk)
+    if (collected.size + chunk.length > maxBytes) return undefined
+    collected.append(chunk)
   }
-  return Buffer.concat(chunks)
+  return collected.bytes()
 }
 
 export function createHttpClient (options: HttpClientOptions): HttpClient {
