Keep the body of a request to a node in one buffer

Cause: each piece of a body was kept as an object of its own until the request ended, also after the body was refused as too large. Change: the pieces are collected in one buffer, which is dropped at a refusal.

--- a/packages/node/src/http-body.ts
+++ b/packages/node/src/http-body.ts
@@ -1,5 +1,6 @@
 /** Reads request bodies of bounded size. */
 import type { IncomingMessage } from 'node:http'
+import { createByteCollector, type ByteCollector } from '@yuccawharf/clients'
 import { Err, Ok, type Result } from 'ts-results/result.js'
 import { createProblem, type Problem } from './problem'
 
@@ -18,14 +19,14 @@
     return Promise.resolve(Err(tooLarge(maxBytes)))
   }
   return new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let size = 0
+    let body: ByteCollector | undefined = createByteCollector({ limitBytes: maxBytes })
     req.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size <= maxBytes) chunks.push(chunk)
-      else resolve(Err(tooLarge(maxBytes)))
+      if (body === undefined) return
+      if (body.size + chunk.length <= maxBytes) return body.append(chunk)
+      body = undefined
+      resolve(Err(tooLarge(maxBytes)))
     })
-    req.on('end', () => resolve(Ok(Buffer.concat(chunks))))
+    req.on('end', () => { if (body !== undefined) resolve(Ok(body.bytes())) })
     // Creates the `Err` only for incomplete requests: it captures a stack, which is too costly for every request.
     const failIfIncomplete = (): void => {
       if (!req.complete) resolve(Err(createProblem(400, 'invalid', 'Incomplete body', 'the connection ended inside the body')))
