Parse an event of a response in linear time

Cause: each piece of an event was joined with all before it and searched from the beginning. Change: the pieces are collected in one buffer, and each is searched once.

--- a/packages/serving/src/response-events.ts
+++ b/packages/serving/src/response-events.ts
@@ -4,6 +4,8 @@
  * markers are read, and consecutive token events of a chunk are returned as one run of bytes.
  */
 
+import { createByteCollector } from '@yuccawharf/clients'
+
 /** Consecutive token events; `bytes` are exactly the events `first` to `last`. */
 export type TokenRun = { type: 'tokens', first: number, last: number, bytes: Uint8Array }
 
@@ -112,13 +114,19 @@
 }
 
 export function createResponseParser (): ResponseParser {
-  let incomplete: Buffer | undefined
+  const incomplete = createByteCollector()
 
-  function prependIncomplete (chunk: Uint8Array): Buffer {
+  /** @returns the incomplete event and the chunk if they complete an event, otherwise undefined */
+  function prependIncomplete (chunk: Uint8Array): Buffer | undefined {
     const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length)
-    if (incomplete === undefined) return bytes
-    const joined = Buffer.concat([incomplete, bytes])
-    incomplete = undefined
+    if (incomplete.size === 0) return bytes
+    // The blank line may be split between what was searched before and the chunk.
+    const searchFrom = Math.max(0, incomplete.size - (blankLine.length - 1))
+    incomplete.append(bytes)
+    if (incomplete.bytes().indexOf(blankLine, searchFrom) < 0) return undefined
+    // The events may be kept, so they get no more memory than their bytes.
+    const joined = Buffer.from(incomplete.bytes())
+    incomplete.take()
     return joined
   }
 
@@ -126,21 +134,23 @@
     push (chunk) {
       const bytes = prependIncomplete(chunk)
       const events: ResponseEvent[] = []
-      let from = 0
-      while (from < bytes.length) {
-        const end = bytes.indexOf(blankLine, from)
-        if (end < 0) break
-        appendEvent(events, bytes, from, end + blankLine.length)
-        from = end + blankLine.length
+      if (bytes !== undefined) {
+        let from = 0
+        while (from < bytes.length) {
+          const end = bytes.indexOf(blankLine, from)
+          if (end < 0) break
+          appendEvent(events, bytes, from, end + blankLine.length)
+          from = end + blankLine.length
+        }
+        incomplete.append(bytes.subarray(from))
       }
-      if (from < bytes.length) incomplete = bytes.subarray(from)
-      if (incomplete !== undefined && incomplete.length > maxEventBytes) {
-        incomplete = undefined
+      if (incomplete.size > maxEventBytes) {
+        incomplete.take()
         events.push({ type: 'malformed', reason: `an event is larger than ${maxEventBytes} bytes` })
       }
       return events
     },
-    pendingBytes: () => incomplete?.length ?? 0
+    pendingBytes: () => incomplete.size
   }
 }
 
