Search each line of an event stream once

Cause: the incomplete line was joined with each piece and searched from its beginning for both line ends. Change: the text of the line is collected in one buffer; only what has arrived is searched.

--- a/packages/clients/src/sse-parser.test.ts
+++ b/packages/clients/src/sse-parser.test.ts
@@ -59,4 +59,33 @@
   }
 })
 
+/** @returns number of characters that `run` searches */
+function searchedCharacters (run: () => void): number {
+  const { indexOf } = String.prototype
+  let searched = 0
+  function countingIndexOf (this: string, text: string, from = 0): number {
+    const index = indexOf.call(this, text, from)
+    searched += (index < 0 ? this.length : index) - from
+    return index
+  }
+  Object.assign(String.prototype, { indexOf: countingIndexOf })
+  try {
+    run()
+  } finally {
+    Object.assign(String.prototype, { indexOf })
+  }
+  return searched
+}
+
+// Guards against a line that is searched from its beginning with each piece of it.
+test('a line in pieces of one byte is searched once', () => {
+  const line = Buffer.from(`data: ${'x'.repeat(16 * 1024)}`)
+  const parser = createSseParser()
+  const searched = searchedCharacters(() => {
+    for (let at = 0; at < line.length; at++) parser.push(line.subarray(at, at + 1))
+  })
+  assert.ok(searched <= 2 * line.length, `${searched} characters for ${line.length}`)
+  assert.equal(parser.push(Buffer.from('\n\n')), [{ id: '', data: 'x'.repeat(16 * 1024) }])
+})
+
 test.run()
--- a/packages/clients/src/sse-parser.ts
+++ b/packages/clients/src/sse-parser.ts
@@ -1,5 +1,6 @@
 /** Incremental parser for server-sent events (HTML Living Standard, section 9.2) with bounded memory. */
 import { StringDecoder } from 'node:string_decoder'
+import { createByteCollector } from './byte-collector'
 
 export type ServerSentEvent = { id: string, data: string }
 
@@ -20,6 +21,9 @@
 }
 
 const defaultMaxBytes = 64 * 1024
+/** Encoding in which each UTF-16 code unit of decoded text takes the same number of bytes. */
+const textEncoding = 'utf16le'
+const codeUnitBytes = 2
 
 /** @returns the index of the next occurrence of a character, or the length of the text */
 function nextIndex (text: string, character: string, from: number): number {
@@ -30,7 +34,8 @@
 /** @param maxBytes - size limit of one event, counted in characters of its lines */
 export function createSseParser (maxBytes = defaultMaxBytes): SseParser {
   const decoder = new StringDecoder('utf8')
-  let rest = ''
+  /** Text of the line that is not complete. */
+  const rest = createByteCollector()
   let atStart = true
   let id = ''
   let data: string | undefined
@@ -56,30 +61,36 @@
     size = 0
   }
 
+  /** @returns the line that ends with the text */
+  const completeLine = (text: string): string => {
+    if (rest.size === 0) return text
+    rest.append(Buffer.from(text, textEncoding))
+    return rest.take().toString(textEncoding)
+  }
+
   return {
     push (chunk) {
       const events: ServerSentEvent[] = []
-      let decoded = decoder.write(chunk as Buffer)
-      if (atStart && decoded !== '') {
+      let text = decoder.write(chunk as Buffer)
+      if (atStart && text !== '') {
         atStart = false
-        if (decoded.charCodeAt(0) === 0xfeff) decoded = decoded.slice(1)
+        if (text.charCodeAt(0) === 0xfeff) text = text.slice(1)
       }
-      const completesLineEnd = afterReturn && decoded.startsWith('\n')
-      if (decoded !== '') afterReturn = false
-      if (completesLineEnd) decoded = decoded.slice(1)
-      const text = rest + decoded
+      const completesLineEnd = afterReturn && text.startsWith('\n')
+      if (text !== '') afterReturn = false
+      if (completesLineEnd) text = text.slice(1)
       let from = 0
       // Most streams have no carriage return. Searching for it only once, not for every line, avoids quadratic time.
       let carriageReturn = nextIndex(text, '\r', 0)
       for (let lineFeed = nextIndex(text, '\n', 0); Math.min(lineFeed, carriageReturn) < text.length; lineFeed = nextIndex(text, '\n', from)) {
         const end = Math.min(lineFeed, carriageReturn)
-        processLine(text.slice(from, end), events)
+        processLine(completeLine(text.slice(from, end)), events)
         if (end === carriageReturn && end + 1 === text.length) afterReturn = true
         from = end === carriageReturn && lineFeed === end + 1 ? end + 2 : end + 1
         if (end === carriageReturn) carriageReturn = nextIndex(text, '\r', from)
       }
-      rest = text.slice(from)
-      if (rest.length + size > maxBytes) throw new OversizedEventError(maxBytes)
+      rest.append(Buffer.from(text.slice(from), textEncoding))
+      if (rest.size / codeUnitBytes + size > maxBytes) throw new OversizedEventError(maxBytes)
       return events
     }
   }
