Collect the bodies that wait for room, too

Cause: a body without room was paused as a request, and Node.js went on to parse what it had read: up to 64 KB in chunks of one byte stayed as some 27,000 objects, 3.8 MB for each of up to 128 waiting bodies, while 64 KB counted. Change: while a body waits its connection is not read, and what had been read is collected like the rest of the body.

--- a/packages/gateway/src/body-reader.ts
+++ b/packages/gateway/src/body-reader.ts
@@ -1,5 +1,5 @@
 /** Reads the bodies of requests within the bounds of one request and of the node. */
-import type { IncomingMessage } from 'node:http'
+import { IncomingMessage } from 'node:http'
 import { createByteCollector, type ByteCollector } from '@yuccawharf/clients'
 import { bodyCheckMs, type BodyRefusal, type RequestBytes } from './request-bytes'
 
@@ -53,10 +53,28 @@
           statedBytes,
           maxBytes,
           deadlineAt,
-          proceed: () => { req.resume() },
-          refuse: reason => { stop({ type: 'refused', reason }) }
+          proceed: goOn,
+          refuse: reason => {
+            goOn()
+            stop({ type: 'refused', reason })
+          }
         }, now())
 
+        /**
+         * Stops reading from the connection. What has been read still arrives and is collected: a request that is paused
+         * would keep each chunk of it as an object.
+         */
+        function wait (): void {
+          // Node.js would resume the connection as soon as the request has no bytes left.
+          req._read = () => {}
+          req.socket.pause()
+        }
+
+        function goOn (): void {
+          req._read = IncomingMessage.prototype._read
+          req.socket.resume()
+        }
+
         function stop (result: Body): void {
           body = undefined
           resolve(result)
@@ -69,7 +87,7 @@
             return stop({ type: 'too-large' })
           }
           body.append(chunk)
-          if (!counted.received(body.size, body.keptBytes, now())) req.pause()
+          if (!counted.received(body.size, body.keptBytes, now())) wait()
         })
         req.on('end', () => {
           if (body === undefined) return
@@ -83,7 +101,7 @@
           stop({ type: 'aborted' })
         })
         // A large body is read only when there is room for it.
-        if (!counted.received(0, 0, now())) req.pause()
+        if (!counted.received(0, 0, now())) wait()
         watch()
       })
     }
