Search a chunk of an event stream once for each line end

Cause: the next line feed was searched again from each line, to the end of the chunk if lines end with carriage returns only. Change: it is searched again only after it was passed.

--- a/packages/clients/src/sse-parser.test.ts
+++ b/packages/clients/src/sse-parser.test.ts
@@ -88,4 +88,14 @@
   assert.equal(parser.push(Buffer.from('\n\n')), [{ id: '', data: 'x'.repeat(16 * 1024) }])
 })
 
+// Guards against a search for the other kind of line end from each line to the end of the chunk.
+test('lines with one kind of line end are searched once for each kind', () => {
+  for (const lineEnd of ['\n', '\r']) {
+    const text = Buffer.from(`:${lineEnd}`.repeat(4096))
+    const parser = createSseParser()
+    const searched = searchedCharacters(() => { parser.push(text) })
+    assert.ok(searched <= 4 * text.length, `${searched} characters for ${text.length}`)
+  }
+})
+
 test.run()
--- a/packages/clients/src/sse-parser.ts
+++ b/packages/clients/src/sse-parser.ts
@@ -80,14 +80,16 @@
       if (text !== '') afterReturn = false
       if (completesLineEnd) text = text.slice(1)
       let from = 0
-      // Most streams have no carriage return. Searching for it only once, not for every line, avoids quadratic time.
+      // Most streams have only one kind of line end. Searching for the other only once, not for every line, avoids quadratic time.
       let carriageReturn = nextIndex(text, '\r', 0)
-      for (let lineFeed = nextIndex(text, '\n', 0); Math.min(lineFeed, carriageReturn) < text.length; lineFeed = nextIndex(text, '\n', from)) {
+      let lineFeed = nextIndex(text, '\n', 0)
+      while (Math.min(lineFeed, carriageReturn) < text.length) {
         const end = Math.min(lineFeed, carriageReturn)
         processLine(completeLine(text.slice(from, end)), events)
         if (end === carriageReturn && end + 1 === text.length) afterReturn = true
         from = end === carriageReturn && lineFeed === end + 1 ? end + 2 : end + 1
-        if (end === carriageReturn) carriageReturn = nextIndex(text, '\r', from)
+        if (carriageReturn < from) carriageReturn = nextIndex(text, '\r', from)
+        if (lineFeed < from) lineFeed = nextIndex(text, '\n', from)
       }
       rest.append(Buffer.from(text.slice(from), textEncoding))
       if (rest.size / codeUnitBytes + size > maxBytes) throw new OversizedEventError(maxBytes)
