Decode a refusal as a whole

Cause: each piece of a refused response was decoded alone, so that a character split between two pieces was lost. Change: the pieces are collected in one buffer and decoded at the end.

--- a/packages/node/src/response-source.ts
+++ b/packages/node/src/response-source.ts
@@ -1,5 +1,6 @@
 /** Opens one event stream over HTTP, at an engine or at the node that owns it, and passes on its events. */
 import type { Dispatcher } from 'undici'
+import { createByteCollector } from '@yuccawharf/clients'
 import { createResponseParser, type ResponseEvent } from '@yuccawharf/serving'
 
 export type SourceRequest = {
@@ -41,7 +42,7 @@
   const parser = createResponseParser()
   let controller: Dispatcher.DispatchController | undefined
   let status = 0
-  let refusal = ''
+  const refusal = createByteCollector()
   let closed = false
   let paused = false
 
@@ -54,7 +55,7 @@
   function refuse (): void {
     if (closed) return
     closed = true
-    handler.refused(status, refusal)
+    handler.refused(status, refusal.bytes().toString())
   }
 
   dispatcher.dispatch({ origin: req.origin, path: req.path, method: req.method, headers: req.headers, body: req.body ?? null }, {
@@ -70,7 +71,7 @@
     onResponseData (_controller, chunk) {
       if (closed) return
       if (status === 200) handler.events(parser.push(chunk))
-      else if (refusal.length < maxRefusalBytes) refusal += chunk.toString('utf8')
+      else if (refusal.size < maxRefusalBytes) refusal.append(chunk)
     },
     onResponseEnd () {
       if (status === 200) close('the stream ended', true)
