Pass over interim responses to reports and calls

What callers saw: after one interim response to a report of an engine the node stood still for 39 s. Change: heads below 200 are not passed on, as forwarded requests do already.

--- a/packages/clients/src/complete-responses.ts
+++ b/packages/clients/src/complete-responses.ts
@@ -59,8 +59,10 @@
     const [controller, status] = args
     // undici closes the connection and reports the error.
     if (!isValidStatus(status)) throw new Error(`the response has the invalid status ${status}`)
+    // The handlers of undici expect one head, and fail with an assertion at the one after an interim response.
+    if (status < 200) return
     this.controller = controller
-    if (status >= 200) this.watch.reading?.progressed()
+    this.watch.reading?.progressed()
     super.onResponseStart(...args)
   }
 
