Do not keep the buffers of a response head until its end

Cause (review): undici keeps a buffer for each name and value of a head, and the read that they are parts of, while the response is open. Change: they are dropped once the headers have been copied.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -241,7 +241,10 @@
         if (status < 200) return
         progressed()
         answered()
-        if (!ended) handler.headers(status, rawHeaders(started, parsed), entry.watch.through)
+        const raw = rawHeaders(started, parsed)
+        // undici would keep a buffer for each name and value, and the read that they are parts of, until the response is complete.
+        started.rawHeaders = null
+        if (!ended) handler.headers(status, raw, entry.watch.through)
       },
       onResponseData (_started, chunk) {
         progressed()
