Complete a paused response that ends with its connection

What callers saw: a node ends by itself with a failed assertion of undici, and with it the requests of all its clients. Cause (review): a response that only the close ends is paused for a client that reads slowly while its server ends or resets the connection; undici then finishes a parser that is paused. Change: the parser is resumed before it is finished, or the response fails if the connection was reset.

--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -29,6 +29,15 @@
 const maxFramingBytes = 1024 * 1024
 const maxFramingRatio = 16
 
+/** The part of the parser of undici that it does not document. */
+type ResponseParser = {
+  paused: boolean
+  ptr: number
+  llhttp: { llhttp_resume (ptr: number): void }
+  /** Ends a body that the close of its connection ends. */
+  finish (): Error | null
+}
+
 /** Nobody could have used the response. */
 export class UnusableResponseError extends Error {}
 
@@ -47,6 +56,23 @@
   ended (): void
 }
 
+/** undici ends the process when a body that the close of its connection ends is complete while its parser is paused. */
+function finishPaused (socket: Socket): void {
+  const key = Object.getOwnPropertySymbols(socket).find(symbol => symbol.description === 'parser')
+  const parser = key === undefined ? undefined : (socket as unknown as Record<symbol, ResponseParser | null>)[key] ?? undefined
+  if (parser === undefined) return
+  const { finish } = parser
+  parser.finish = () => {
+    if (parser.paused) {
+      // Only at the end of a connection nothing is left that has not been parsed.
+      if (socket.destroyed) return new Error('the connection was closed before the response was read')
+      parser.llhttp.llhttp_resume(parser.ptr)
+      parser.paused = false
+    }
+    return finish.call(parser)
+  }
+}
+
 /**
  * To be called before undici uses the connection. undici limits the size of header fields, but neither of a
  * status line nor of the number of interim responses.
@@ -135,6 +161,7 @@
     const next = nextPart(size)
     if (next === undefined) return null
     const { part, lines } = next
+    if (!hasBeenRead) finishPaused(socket)
     hasBeenRead = true
     count(part.length, lines)
     const reason = unusableReason(part.length, lines)
