--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -82,8 +82,8 @@
  * @param reading - called before the bytes of a read are parsed
  */
 export function limitReads (socket: Socket, reading: (reads: ResponseReads) => void, traffic: ConnectionTraffic): void {
-  // Outside of the parser, which must not be entered again.
-  const turns = sharedReads.addClient(() => process.nextTick(() => { if (!socket.destroyed) socket.emit('readable') }))
+  // After the sockets of the turn, so that a connection that has been accepted is read first.
+  const turns = sharedReads.addClient(() => setImmediate(() => { if (!socket.destroyed) socket.emit('readable') }))
   let bytesWithoutProgress = 0
   let linesWithoutProgress = 0
   let hasBeenRead = false
--- a/packages/clients/src/shared-reads.ts
+++ b/packages/clients/src/shared-reads.ts
@@ -62,7 +62,8 @@
   const config = { ...readSharesDefaults }
   const shares = createReadShares<Reader>(config)
   const reads = new WeakMap<Socket, Reads>()
-  let granting = false
+  /** The next grant. */
+  let pending: { type: 'immediate', handle: NodeJS.Immediate } | { type: 'timer', handle: NodeJS.Timeout } | undefined
   let grantedAt = 0
   /** Whether the event loop is in the turn after the last grant, in which what was granted is read if it has arrived. */
   let inTurn = false
@@ -84,20 +85,20 @@
   }
 
   function grant (): void {
-    granting = false
+    pending = undefined
     grantedAt = now()
     inTurn = true
-    // Runs after the reads of this turn.
-    setImmediate(() => { inTurn = false })
+    // Runs after the reads of the next turn, and of those connections that are read after its sockets.
+    setImmediate(() => setImmediate(() => { inTurn = false }))
     apply(shares.grant())
     if (shares.waiting() > 0) schedule(0)
   }
 
+  /** A pause takes the place of a grant without one. */
   function schedule (gapMs: number): void {
-    if (granting) return
-    granting = true
-    if (gapMs < 1) setImmediate(grant)
-    else setTimeout(grant, gapMs)
+    if (pending?.type === 'timer' || (pending !== undefined && gapMs < 1)) return
+    if (pending !== undefined) clearImmediate(pending.handle)
+    pending = gapMs < 1 ? { type: 'immediate', handle: setImmediate(grant) } : { type: 'timer', handle: setTimeout(grant, gapMs) }
   }
 
   function parsed (reader: Reader, readBytes: number, bodyBytes: number): void {
