Parse nothing more of a read whose connection is destroyed

Cause: a read of short lines is parsed in parts, and those left would be given to the parser after the response was given up. Change: they are dropped.

--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -156,6 +156,7 @@
   // undici parses what this returns before it reads again, so the callbacks of a response know their connection.
   socket.read = size => {
     isRead()
+    if (socket.destroyed) rest = undefined
     if (rest === undefined) {
       endRead()
       if (mustWait()) return null
