Do not write nothing again and again in a test of responses

The case of trailers writes an empty text in each turn until its socket is destroyed; that it is the cause is suspected. Change: with nothing to repeat, nothing is written. Checks are unchanged.

--- a/packages/gateway/src/endless-response.test.ts
+++ b/packages/gateway/src/endless-response.test.ts
@@ -48,7 +48,7 @@
     socket.once('data', () => {
       socket.write(first)
       const fill = (): void => {
-        if (socket.destroyed) return
+        if (socket.destroyed || repeated === '') return
         written += repeated.length
         if (socket.write(repeated)) setImmediate(fill)
         else socket.once('drain', fill)
