End the time of a connection after what waits on it was read

Cause: the end of the time for a request waits for the reads of one turn of the event loop; a connection that is held is not read in it. The same holds for the reads before a process ends.

Change: what ends a connection waits until it has been released and read. The last reads of a process that ends wait for the batches, too.

Evidence: the test fails without the change (the end comes before the request).

--- a/packages/clients/src/shared-reads.test.ts
+++ b/packages/clients/src/shared-reads.test.ts
@@ -1,6 +1,6 @@
 /** Requests within the limits whose chunks or headers make up most of their bytes. */
 import { createServer, type Server } from 'node:http'
-import { connect, type AddressInfo } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createBoundedServer } from './bounded-server'
@@ -96,4 +96,42 @@
   assert.is(pauses, 0)
 })
 
+// Guards against requests that are refused as late although they wait for other connections to be read.
+test('the time of a connection ends after what waits for its batch has been read', async () => {
+  let now = 0
+  const longMs = 100
+  const events: string[] = []
+  const reads = createSharedReads(() => now)
+  const sockets: Socket[] = []
+  const clients: Socket[] = []
+  const get = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`
+  const ended = new Promise<void>(resolve => {
+    const other = createServer((req, res) => {
+      events.push(req.url!)
+      res.end()
+      if (req.url !== '/long') return
+      now += longMs
+      clients[10]!.write(get('/waiting'))
+      setImmediate(() => {
+        reads.afterReading(sockets[10]!, () => {
+          events.push('end of its time')
+          for (const client of clients) client.destroy()
+          other.close()
+          resolve()
+        })
+      })
+    })
+    reads.add(other)
+    other.on('connection', socket => {
+      sockets.push(socket)
+      if (sockets.length < 20) open()
+      else ['/first', '/long'].forEach((path, index) => { clients[index]!.write(get(path)) })
+    })
+    const open = (): void => { clients.push(connect((other.address() as AddressInfo).port, '127.0.0.1').on('error', () => {})) }
+    other.listen(0, '127.0.0.1', open)
+  })
+  await ended
+  assert.equal(events, ['/first', '/long', '/waiting', 'end of its time'])
+})
+
 test.run()
--- a/packages/clients/src/unreadable-requests.ts
+++ b/packages/clients/src/unreadable-requests.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import { isParserEnded } from './bounded-server'
 import { trackResponses } from './response-tracker'
+import { sharedReads } from './shared-reads'
 
 export type EndingConnections = {
   /** The connection ends with a refusal, so what is read on it from now on must not run. */
@@ -53,10 +54,10 @@
     }, (failure: Error) => { socket.destroy(failure) })
   }
 
-  /** If the process could not run for a while, timers are handled before requests that arrived in time. */
+  /** If the process could not run for a while, or read others first, timers are handled before requests that arrived in time. */
   function afterReading (socket: Socket, endLate: () => void): void {
     late.add(socket)
-    setImmediate(() => { if (late.delete(socket) && !responses.isResponding(socket)) endLate() })
+    sharedReads.afterReading(socket, () => { if (late.delete(socket) && !responses.isResponding(socket)) endLate() })
   }
 
   server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { createBoundedServer, refuseUnreadable, requestLateCode, type ServerBounds } from '@yuccawharf/clients'
+import { createBoundedServer, refuseUnreadable, requestLateCode, sharedReads, type ServerBounds } from '@yuccawharf/clients'
 import { createBodyReader } from './body-reader'
 import { abortResponse, createClientExchange, refusalBody, sendRefusal, sendUnreadRefusal, type ClientExchange, type ExchangeContext, type RefusalStatus } from './client-exchange'
 import type { DecisionLog } from './decision-log'
@@ -265,7 +265,7 @@
       do {
         const before = received
         await nextTurn()
-        quiet = received === before ? quiet + 1 : 0
+        quiet = received === before && sharedReads.inBatches() === 0 ? quiet + 1 : 0
       } while (quiet < quietTurns && env.now() < latestAt)
     },
     configure () {
