Count the events that a client has not read

Callers saw: beside clients that read nothing of streams of large events, the engine was ejected and others were refused, as the node gave its responses up for the bytes that it kept.

If there is too much, the client that leaves most unread is disconnected, as for complete responses.

--- a/packages/gateway/src/client-exchange.test.ts
+++ b/packages/gateway/src/client-exchange.test.ts
@@ -3,15 +3,17 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createClientExchange, type ClientExchange, type ExchangeContext, type ExchangeOptions } from './client-exchange'
+import { createKeptBytes, type KeptBytes } from './kept-bytes'
 
 const test = suite('client exchange')
 
 type Write = { text: string, written (): void }
 
 /** An exchange whose response hands nothing to the system until `written` is called on a write. */
-function slowClient (): { exchange: ClientExchange, writes: Write[], ended: () => boolean } {
+function slowClient (kept: KeptBytes = createKeptBytes()): { exchange: ClientExchange, writes: Write[], ended: () => boolean, reset: () => boolean } {
   const writes: Write[] = []
   let ended = false
+  let reset = false
   const res = Object.assign(new EventEmitter(), {
     writableEnded: false,
     write (chunk: Buffer, written: () => void = () => {}): boolean {
@@ -20,8 +22,13 @@
     },
     end () { ended = res.writableEnded = true }
   })
-  const exchange = createClientExchange({ res: res as unknown as ServerResponse } as ExchangeContext, {} as ExchangeOptions)
-  return { exchange, writes, ended: () => ended }
+  const resetAndDestroy = (): void => {
+    reset = true
+    res.emit('close')
+  }
+  const ctx = { res: res as unknown as ServerResponse, req: { socket: { resetAndDestroy } }, metadata: { id: 'r1' } }
+  const exchange = createClientExchange(ctx as unknown as ExchangeContext, { kept, log: { warn () {} } } as unknown as ExchangeOptions)
+  return { exchange, writes, ended: () => ended, reset: () => reset }
 }
 
 const event = Buffer.from('a:b\n\n')
@@ -60,6 +67,24 @@
   assert.is(drained, 1)
 })
 
+// Guards against a memory full of events that clients do not read, and against engines that are blamed for it.
+test('what a client has not read counts as kept, and the client that leaves most unread is given up', () => {
+  const eventBytes = 100_000
+  const kept = createKeptBytes(3 * eventBytes)
+  let serverGivenUp = false
+  kept.open(() => { serverGivenUp = true }).set(eventBytes / 2)
+  const [reads, slow, slowest] = [slowClient(kept), slowClient(kept), slowClient(kept)]
+  reads.exchange.write(Buffer.alloc(eventBytes))
+  reads.writes[0]!.written()
+  assert.is(kept.total(), eventBytes / 2)
+  slow.exchange.write(Buffer.alloc(eventBytes))
+  slowest.exchange.write(Buffer.alloc(eventBytes))
+  slowest.exchange.write(Buffer.alloc(eventBytes))
+  assert.equal([reads, slow, slowest].map(({ reset }) => reset()), [false, false, true])
+  assert.not.ok(serverGivenUp)
+  assert.is(kept.total(), eventBytes * 3 / 2)
+})
+
 // Guards against a complete response that lacks the events that waited.
 test('what waits is written before the end', () => {
   const { exchange, writes, ended } = slowClient()
--- a/packages/gateway/src/client-exchange.ts
+++ b/packages/gateway/src/client-exchange.ts
@@ -3,7 +3,7 @@
 import { createByteCollector } from '@yuccawharf/clients'
 import type { Account, Route, ServiceSpec } from './cluster-types'
 import type { DecisionLog } from './decision-log'
-import type { KeptBytes } from './kept-bytes'
+import type { KeptBytes, KeptResponse } from './kept-bytes'
 import type { HeaderCodec, RawHeaders, RequestMetadata } from './platform-interface'
 
 /** `not-run` guarantees that the request has not run and will not run. */
@@ -115,8 +115,11 @@
   /** What is written next, as one: each write that Node.js keeps for the connection costs some hundred bytes. */
   const waiting = createByteCollector()
   const drainListeners: (() => void)[] = []
+  /** What counts of the bytes that the client has not read; undefined while they are few. */
+  let unread: KeptResponse | undefined
 
   res.on('close', () => {
+    unread?.close()
     if (ended) return
     ended = true
     disconnected = true
@@ -141,10 +144,27 @@
     res.writeHead(status, headers)
   }
 
+  function giveUpUnread (bytes: number): void {
+    options.log.warn('response-unread', { id: ctx.metadata.id, bytes, keptBytes: options.kept.total() })
+    ctx.req.socket.resetAndDestroy()
+  }
+
+  function countUnread (): void {
+    const bytes = writing + waiting.keptBytes
+    if (bytes >= maxWaitingBytes) {
+      unread ??= options.kept.open(() => { giveUpUnread(writing + waiting.keptBytes) })
+      unread.set(bytes)
+    } else {
+      unread?.close()
+      unread = undefined
+    }
+  }
+
   function written (err?: Error | null): void {
     writing = 0
     if (err != null || res.writableEnded) return
     if (waiting.size > 0) write(waiting.take())
+    countUnread()
     for (const listener of drainListeners.splice(0)) listener()
   }
 
@@ -178,17 +198,14 @@
       if (ended) return true
       if (writing > 0) waiting.append(chunk)
       else write(chunk)
+      countUnread()
       return writing + waiting.size < maxWaitingBytes
     },
     onDrain: listener => { drainListeners.push(listener) },
     end,
     respond (status, headers, body) {
       if (ended) return
-      const giveUp = (): void => {
-        options.log.warn('response-unread', { id: ctx.metadata.id, bytes: body.length, keptBytes: options.kept.total() })
-        ctx.req.socket.resetAndDestroy()
-      }
-      res.once('close', options.kept.hold(body.length, giveUp))
+      res.once('close', options.kept.hold(body.length, () => { giveUpUnread(body.length) }))
       head(status, [...withoutLength(headers), 'Content-Length', String(body.length)])
       end(body)
     },
