--- a/packages/clients/src/read-batches.ts
+++ b/packages/clients/src/read-batches.ts
@@ -9,8 +9,11 @@
 /** Longest time for which no batch is read because connections are accepted, in ms. */
 const maxAcceptMs = 200
 
+/** Connections that clients have opened, or those of this process to other servers. */
+export type ConnectionKind = 'incoming' | 'outgoing'
+
 export type ReadBatches<Connection> = {
-  opened (connection: Connection): ReadAction<Connection>[]
+  opened (connection: Connection, kind: ConnectionKind): ReadAction<Connection>[]
   /** A connection was accepted; further ones may be in the backlog. */
   accepted (): void
   /** One read of the connection was parsed. */
@@ -23,14 +26,16 @@
   waiting (): number
 }
 
+type Queue = 'unread' | 'read' | 'outgoing'
+
 export function createReadBatches<Connection> (): ReadBatches<Connection> {
   /** Connections that are read when something has arrived, those first whose last read is longest ago. */
   const readable = new Set<Connection>()
-  /** The others, in the order of their turns: those that have been read before, and those that have not. */
-  const waitingRead = new Set<Connection>()
-  const waitingUnread = new Set<Connection>()
-  /** Connections that have not been read yet. */
+  /** The others, in the order of their turns. */
+  const waiting: Record<Queue, Set<Connection>> = { unread: new Set(), read: new Set(), outgoing: new Set() }
+  /** Incoming connections that have not been read yet, and outgoing ones. */
   const unread = new Set<Connection>()
+  const outgoing = new Set<Connection>()
   let batchSize = 1
   let startedAt = 0
   let readInTurn = 0
@@ -38,24 +43,28 @@
   let lastBatchAt = 0
   let takesNewest = false
 
-  const waiting = (): number => waitingRead.size + waitingUnread.size
+  const waitingCount = (): number => waiting.unread.size + waiting.read.size + waiting.outgoing.size
+
+  function queueOf (connection: Connection): Queue {
+    if (outgoing.has(connection)) return 'outgoing'
+    return unread.has(connection) ? 'unread' : 'read'
+  }
 
   function hold (connection: Connection): ReadAction<Connection> {
     readable.delete(connection)
-    ;(unread.has(connection) ? waitingUnread : waitingRead).add(connection)
+    waiting[queueOf(connection)].add(connection)
     return { type: 'hold', connection }
   }
 
   function release (connection: Connection): ReadAction<Connection> {
-    waitingRead.delete(connection)
-    waitingUnread.delete(connection)
+    waiting[queueOf(connection)].delete(connection)
     readable.add(connection)
     return { type: 'release', connection }
   }
 
   /** The oldest and the newest in turn: after a burst the newest need not wait for all of it, and the oldest are never passed over for ever. */
   function takeUnread (count: number): Connection[] {
-    const connections = [...waitingUnread]
+    const connections = [...waiting.unread]
     const taken: Connection[] = []
     while (taken.length < count && connections.length > 0) {
       taken.push((takesNewest ? connections.pop() : connections.shift())!)
@@ -65,10 +74,11 @@
   }
 
   return {
-    opened (connection) {
-      unread.add(connection)
+    opened (connection, kind) {
+      if (kind === 'outgoing') outgoing.add(connection)
+      else unread.add(connection)
       readable.add(connection)
-      return waiting() > 0 ? [hold(connection)] : []
+      return waitingCount() > 0 ? [hold(connection)] : []
     },
     accepted () { acceptedInTurn = true },
     received (connection, now) {
@@ -76,7 +86,7 @@
       unread.delete(connection)
       readable.add(connection)
       readInTurn += 1
-      if (waiting() > 0) return [hold(connection)]
+      if (waitingCount() > 0) return [hold(connection)]
       if (now - startedAt < turnMs) return []
       batchSize = readInTurn
       lastBatchAt = now
@@ -88,7 +98,7 @@
       acceptedInTurn = false
     },
     turnEnded (now) {
-      if (waiting() === 0) return []
+      if (waitingCount() === 0) return []
       if (readInTurn > 0) {
         const tookMs = now - startedAt
         if (tookMs > turnMs) batchSize = Math.max(1, Math.floor(batchSize / 2))
@@ -96,14 +106,15 @@
       }
       if (acceptedInTurn && now - lastBatchAt < maxAcceptMs) return []
       lastBatchAt = now
-      // A crowd that sends much does not keep new clients waiting for the turn of each of its connections.
-      const newcomers = takeUnread(Math.ceil(batchSize / 2))
-      const others = [...waitingRead].slice(0, Math.max(1, batchSize - newcomers.length))
-      return [...newcomers, ...others].map(release)
+      // Neither new clients nor responses of servers wait for the turn of each connection of a crowd.
+      const share = Math.ceil(batchSize / 3)
+      const first = [...takeUnread(share), ...[...waiting.outgoing].slice(0, share)]
+      const others = [...waiting.read].slice(0, Math.max(1, batchSize - first.length))
+      return [...first, ...others].map(release)
     },
     closed (connection) {
-      for (const connections of [readable, unread, waitingRead, waitingUnread]) connections.delete(connection)
+      for (const connections of [readable, unread, outgoing, ...Object.values(waiting)]) connections.delete(connection)
     },
-    waiting
+    waiting: waitingCount
   }
 }
--- a/packages/clients/src/shared-reads.ts
+++ b/packages/clients/src/shared-reads.ts
@@ -1,7 +1,7 @@
 /** Shares the thread of the process among the connections of its servers, and those to other servers; see {@link createReadShares}. */
 import { IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
-import { createReadBatches } from './read-batches'
+import { createReadBatches, type ConnectionKind } from './read-batches'
 import { createReadShares, readSharesDefaults, type ReadAction, type ReadSharesConfig } from './read-shares'
 
 /** The part of the parser of a connection that Node.js does not document: it calls a numbered property after each read. */
@@ -113,9 +113,9 @@
     if (batches.waiting() > 0) startTurn()
   }
 
-  function open (reader: Reader): void {
+  function open (reader: Reader, kind: ConnectionKind): void {
     shares.opened(reader)
-    apply(batches.opened(reader), 'batches')
+    apply(batches.opened(reader, kind), 'batches')
   }
 
   function close (reader: Reader): void {
@@ -204,7 +204,7 @@
     socket.once('close', () => { close(read) })
     startTurn()
     batches.accepted()
-    open(read)
+    open(read, 'incoming')
   }
 
   function leave (socket: Socket): void {
@@ -231,7 +231,7 @@
     },
     addClient (readOn) {
       const reader: Reader = { heldBy: new Set(), hold () {}, release: readOn }
-      open(reader)
+      open(reader, 'outgoing')
       return {
         held: () => reader.heldBy.size > 0,
         parsed: (readBytes, bodyBytes) => { parsed(reader, readBytes, bodyBytes) },
