Share the reads of a batch among the servers of a process

Cause: read-batches had one queue for all connections that clients have opened, whatever their port.

Change: connections wait in groups, one for each server and one for those of this process to others; a batch has the same number of each group, half of them not read yet.

--- a/packages/clients/src/read-batches.test.ts
+++ b/packages/clients/src/read-batches.test.ts
@@ -4,12 +4,14 @@
 
 const test = suite('read batches')
 const longMs = 30
+/** The server of a crowd. */
+const front = {}
 const readMs = 5
 
 /** Opens connections and reads all of them in a turn that takes long. */
 function overload (names: string[]): ReadBatches<string> {
   const batches = createReadBatches<string>()
-  for (const name of names) batches.opened(name, 'incoming')
+  for (const name of names) batches.opened(name, front)
   batches.turnStarted(0)
   for (const name of names) batches.received(name, name === names.at(-1) ? longMs : 0)
   return batches
@@ -49,7 +51,7 @@
 test('of new connections that have not been read, those wait for later turns for which a turn has no time', () => {
   const batches = createReadBatches<string>()
   const names = ['crowd1', 'crowd2', 'new1', 'new2']
-  for (const name of names) batches.opened(name, 'incoming')
+  for (const name of names) batches.opened(name, front)
   batches.turnStarted(0)
   assert.equal(batches.received('crowd1', 10), [])
   assert.equal(batches.received('crowd2', longMs).map(({ type, connection }) => `${type} ${connection}`), ['hold new1', 'hold new2', 'hold crowd1', 'hold crowd2'])
@@ -72,7 +74,7 @@
 // Guards against a new client that waits for each connection of a crowd that was there before, and for all that came with it.
 test('a new connection waits neither for those that have been read before nor for all other new ones', () => {
   const batches = overload(Array.from({ length: 100 }, (_, index) => `c${index}`))
-  for (let index = 0; index < 200; index++) batches.opened(`n${index}`, 'incoming')
+  for (let index = 0; index < 200; index++) batches.opened(`n${index}`, front)
   const read = play(batches, 60, new Set())
   const turnOf = (name: string): number => read.findIndex(names => names.includes(name))
   assert.ok(turnOf('n199') >= 0 && turnOf('n199') < 4, String(turnOf('n199')))
@@ -80,11 +82,11 @@
   assert.ok(turnOf('c0') >= 0, 'connections that were read before are read, too')
 })
 
-// Guards against an ordinary request whose response waits for each connection of a crowd.
-test('the connection to a server does not wait for those of clients', () => {
+// Guards against responses and messages of other nodes that wait for each connection of a crowd on the port of clients.
+test('a connection of another group does not wait for those of a crowd', () => {
   const batches = overload(Array.from({ length: 100 }, (_, index) => `c${index}`))
-  for (let index = 0; index < 100; index++) batches.opened(`n${index}`, 'incoming')
-  batches.opened('server', 'outgoing')
+  for (let index = 0; index < 100; index++) batches.opened(`n${index}`, front)
+  batches.opened('server', {})
   const turn = play(batches, 10, new Set()).findIndex(names => names.includes('server'))
   assert.ok(turn >= 0 && turn < 2, String(turn))
 })
--- a/packages/clients/src/read-batches.ts
+++ b/packages/clients/src/read-batches.ts
@@ -9,11 +9,9 @@
 /** Longest time for which no batch is read because connections are accepted, in ms. */
 const maxAcceptMs = 200
 
-/** Connections that clients have opened, or those of this process to other servers. */
-export type ConnectionKind = 'incoming' | 'outgoing'
-
 export type ReadBatches<Connection> = {
-  opened (connection: Connection, kind: ConnectionKind): ReadAction<Connection>[]
+  /** @param group - connections that share their part of each batch, such as those of a server */
+  opened (connection: Connection, group: object): ReadAction<Connection>[]
   /** A connection was accepted; further ones may be in the backlog. */
   accepted (): void
   /** One read of the connection was parsed. */
@@ -26,16 +24,17 @@
   waiting (): number
 }
 
-type Queue = 'unread' | 'read' | 'outgoing'
+/** Connections that wait, in the order of their turns. */
+type Waiting<Connection> = { unread: Set<Connection>, read: Set<Connection> }
 
 export function createReadBatches<Connection> (): ReadBatches<Connection> {
+  const groups = new Map<Connection, object>()
+  /** Connections that have not been read yet. */
+  const unread = new Set<Connection>()
   /** Connections that are read when something has arrived, those first whose last read is longest ago. */
   const readable = new Set<Connection>()
-  /** The others, in the order of their turns. */
-  const waiting: Record<Queue, Set<Connection>> = { unread: new Set(), read: new Set(), outgoing: new Set() }
-  /** Incoming connections that have not been read yet, and outgoing ones. */
-  const unread = new Set<Connection>()
-  const outgoing = new Set<Connection>()
+  /** The others, of each group that has some. */
+  const waiting = new Map<object, Waiting<Connection>>()
   let batchSize = 1
   let startedAt = 0
   let readInTurn = 0
@@ -43,28 +42,33 @@
   let lastBatchAt = 0
   let takesNewest = false
 
-  const waitingCount = (): number => waiting.unread.size + waiting.read.size + waiting.outgoing.size
-
-  function queueOf (connection: Connection): Queue {
-    if (outgoing.has(connection)) return 'outgoing'
-    return unread.has(connection) ? 'unread' : 'read'
-  }
-
   function hold (connection: Connection): ReadAction<Connection> {
+    const group = groups.get(connection)!
+    const queues = waiting.get(group) ?? { unread: new Set(), read: new Set() }
+    waiting.set(group, queues)
     readable.delete(connection)
-    waiting[queueOf(connection)].add(connection)
+    queues[unread.has(connection) ? 'unread' : 'read'].add(connection)
     return { type: 'hold', connection }
   }
 
+  function leaveQueue (connection: Connection): void {
+    const group = groups.get(connection)!
+    const queues = waiting.get(group)
+    if (queues === undefined) return
+    queues.unread.delete(connection)
+    queues.read.delete(connection)
+    if (queues.unread.size + queues.read.size === 0) waiting.delete(group)
+  }
+
   function release (connection: Connection): ReadAction<Connection> {
-    waiting[queueOf(connection)].delete(connection)
+    leaveQueue(connection)
     readable.add(connection)
     return { type: 'release', connection }
   }
 
   /** The oldest and the newest in turn: after a burst the newest need not wait for all of it, and the oldest are never passed over for ever. */
-  function takeUnread (count: number): Connection[] {
-    const connections = [...waiting.unread]
+  function takeUnread (queue: Set<Connection>, count: number): Connection[] {
+    const connections = [...queue]
     const taken: Connection[] = []
     while (taken.length < count && connections.length > 0) {
       taken.push((takesNewest ? connections.pop() : connections.shift())!)
@@ -73,12 +77,21 @@
     return taken
   }
 
+  /** Neither new connections nor other groups wait for the turn of each connection of a crowd. */
+  function nextBatch (): Connection[] {
+    const share = Math.ceil(batchSize / waiting.size)
+    return [...waiting.values()].flatMap(({ unread: newcomers, read }) => {
+      const first = takeUnread(newcomers, Math.ceil(share / 2))
+      return [...first, ...[...read].slice(0, Math.max(1, share - first.length))]
+    })
+  }
+
   return {
-    opened (connection, kind) {
-      if (kind === 'outgoing') outgoing.add(connection)
-      else unread.add(connection)
+    opened (connection, group) {
+      groups.set(connection, group)
+      unread.add(connection)
       readable.add(connection)
-      return waitingCount() > 0 ? [hold(connection)] : []
+      return waiting.size > 0 ? [hold(connection)] : []
     },
     accepted () { acceptedInTurn = true },
     received (connection, now) {
@@ -86,7 +99,7 @@
       unread.delete(connection)
       readable.add(connection)
       readInTurn += 1
-      if (waitingCount() > 0) return [hold(connection)]
+      if (waiting.size > 0) return [hold(connection)]
       if (now - startedAt < turnMs) return []
       batchSize = readInTurn
       lastBatchAt = now
@@ -98,7 +111,7 @@
       acceptedInTurn = false
     },
     turnEnded (now) {
-      if (waitingCount() === 0) return []
+      if (waiting.size === 0) return []
       if (readInTurn > 0) {
         const tookMs = now - startedAt
         if (tookMs > turnMs) batchSize = Math.max(1, Math.floor(batchSize / 2))
@@ -106,15 +119,12 @@
       }
       if (acceptedInTurn && now - lastBatchAt < maxAcceptMs) return []
       lastBatchAt = now
-      // Neither new clients nor responses of servers wait for the turn of each connection of a crowd.
-      const share = Math.ceil(batchSize / 3)
-      const first = [...takeUnread(share), ...[...waiting.outgoing].slice(0, share)]
-      const others = [...waiting.read].slice(0, Math.max(1, batchSize - first.length))
-      return [...first, ...others].map(release)
+      return nextBatch().map(release)
     },
     closed (connection) {
-      for (const connections of [readable, unread, outgoing, ...Object.values(waiting)]) connections.delete(connection)
+      leaveQueue(connection)
+      for (const connections of [groups, unread, readable]) connections.delete(connection)
     },
-    waiting: waitingCount
+    waiting: () => [...waiting.values()].reduce((count, queues) => count + queues.unread.size + queues.read.size, 0)
   }
 }
--- a/packages/clients/src/shared-reads.ts
+++ b/packages/clients/src/shared-reads.ts
@@ -1,7 +1,7 @@
 /** Shares the thread of the process among the connections of its servers, and those to other servers; see {@link createReadShares}. */
 import { IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
-import { createReadBatches, type ConnectionKind } from './read-batches'
+import { createReadBatches } from './read-batches'
 import { createReadShares, readSharesDefaults, type ReadAction, type ReadSharesConfig } from './read-shares'
 
 /** The part of the parser of a connection that Node.js does not document: it calls a numbered property after each read. */
@@ -68,6 +68,9 @@
   takeStopped (): number
 }
 
+/** Connections to other servers, which share their part of each batch. */
+const outgoing = {}
+
 /** Longest pause between two reads of connections with much overhead, in ms. */
 const maxGapMs = 200
 
@@ -113,9 +116,9 @@
     if (batches.waiting() > 0) startTurn()
   }
 
-  function open (reader: Reader, kind: ConnectionKind): void {
+  function open (reader: Reader, group: object): void {
     shares.opened(reader)
-    apply(batches.opened(reader, kind), 'batches')
+    apply(batches.opened(reader, group), 'batches')
   }
 
   function close (reader: Reader): void {
@@ -160,7 +163,7 @@
     parsed(read, bytes, bodyBytes)
   }
 
-  function opened (socket: Socket): void {
+  function opened (server: Server, socket: Socket): void {
     const { parser } = socket as Socket & { parser?: Parser | null }
     const key = parser?.constructor.kOnExecute
     const parsedRead = key === undefined ? undefined : parser?.[key]
@@ -204,7 +207,7 @@
     socket.once('close', () => { close(read) })
     startTurn()
     batches.accepted()
-    open(read, 'incoming')
+    open(read, server)
   }
 
   function leave (socket: Socket): void {
@@ -226,12 +229,12 @@
 
   return {
     add (server) {
-      server.on('connection', opened)
+      server.on('connection', socket => { opened(server, socket) })
       server.prependListener('request', countBody)
     },
     addClient (readOn) {
       const reader: Reader = { heldBy: new Set(), hold () {}, release: readOn }
-      open(reader, 'outgoing')
+      open(reader, outgoing)
       return {
         held: () => reader.heldBy.size > 0,
         parsed: (readBytes, bodyBytes) => { parsed(reader, readBytes, bodyBytes) },
