--- a/review/stand-ins-2/client.mjs
+++ b/review/stand-ins-2/client.mjs
@@ -17,9 +17,10 @@
 
 /**
  * @param progress - called with what has arrived of the body each time something arrives
+ * @param leaveAfterMs - time after which the client closes its connection, if it leaves early
  * @returns `complete`: the answer ended as HTTP says that a whole one does
  */
-export function send ({ port, method = 'POST', path, headers, body = '', deadlineMs, progress = () => {} }) {
+export function send ({ port, method = 'POST', path, headers, body = '', deadlineMs, progress = () => {}, leaveAfterMs = Infinity }) {
   return new Promise(resolve => {
     const result = { status: 0, headers: {}, body: '', complete: false }
     const finish = fields => {
@@ -37,7 +38,7 @@
       res.on('end', () => finish({ complete: res.complete }))
       res.on('error', () => finish({ complete: false }))
     })
-    const timer = setTimeout(() => { req.destroy(new Error('deadline')) }, deadlineMs)
+    const timer = setTimeout(() => { req.destroy(new Error(leaveAfterMs < deadlineMs ? 'left' : 'deadline')) }, Math.min(leaveAfterMs, deadlineMs))
     req.on('error', err => finish({ error: err.message }))
     req.end(body)
   })
