Review case 7: a response that is reset is taken as complete on a cut node

Cause: while the links to the servers count as cut, the error is taken away from each destroy of a connection to a server, so that a reset by the server is not noticed, and a body without a length counts as complete.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,99 +1,120 @@
-/** A node that passes requests on for another one is killed while a stream without a length runs through it. */
+/** Servers reset answers without a length, while a node whose links to all servers are cut sends its requests through other nodes. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { runCase, trouble } from '../stand-ins-2/case.mjs'
 import { send } from '../stand-ins-2/client.mjs'
 import { startLink } from '../stand-ins-2/link.mjs'
 import { startNodes } from '../stand-ins-2/nodes.mjs'
-import { eventsOf, startServer } from '../stand-ins-2/servers.mjs'
+import { reset } from '../stand-ins-2/ports.mjs'
+import { startServer } from '../stand-ins-2/servers.mjs'
 import { startStore } from '../stand-ins-2/store.mjs'
 
 const host = 'quotes.example'
-const model = 'base'
 const zones = ['za', 'zb', 'zc', 'zd']
-const eventCount = 40
-const eventGapMs = 60
-const deadlineMs = 15_000
-const streams = 3
-/** Time in which the nodes find each other, and in which a node learns that its links are cut, in ms. */
+const deadlineMs = 1000
+const bodyBytes = 800
+/** Time in which the nodes find each other, in ms. */
 const settleMs = 4000
-const cutMs = 2000
+/** Duration of the cut, and the time in which the node learns of it, in ms. */
+const cutMs = 5000
+const learnMs = 1000
+const tryEveryMs = 10
+/** Time between the two halves of an answer, in ms. */
+const workMs = 15
+/** One in so many answers of a server in trouble breaks off. */
+const brokenOneIn = 34
 
 const config = {
   version: 1,
-  routes: [{ name: 'fabric', host, path_prefix: '/fabric/', route_kind: 'streaming', service: 'drafts', timeout_ms: deadlineMs, goal_ms: 800, gap_aim_ms: 600, priority: 0, attempts: 1, resumable: false, sticky: true }],
-  services: [{ name: 'drafts', max_conns: 370, health_path: '/healthz', engine: { slots: 64, kv_capacity: 232_000, weights_mb: 75_000, adapter_slots: 8, loads_per_s: 2.8, models: [{ name: model, weights_mb: 72_700, load_s: 2.9, adapters: 3000, adapter_size_mb: 66 }] } }],
+  routes: [
+    { name: 'order', host, path_prefix: '/order/', route_kind: 'non_idempotent', service: 'desk', timeout_ms: deadlineMs, goal_ms: 193, priority: 2, attempts: 1 },
+    { name: 'stock', host, path_prefix: '/stock/', route_kind: 'idempotent', service: 'desk', timeout_ms: deadlineMs, goal_ms: 193, priority: 2, attempts: 2 }
+  ],
+  services: [{ name: 'desk', max_conns: 110, health_path: '/healthz' }],
   limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000 }
 }
 
+/** @returns a body that differs at each place */
+const bodyOf = id => `answer to ${id} ${Array.from({ length: bodyBytes }, (_, index) => `${index}.`).join('')}`.slice(0, bodyBytes)
+
 await runCase(import.meta.url, async ({ record, own, folder }) => {
   const store = await startStore(record)
   own(store.stop)
   store.write('keyed.op', 'config', config)
   const servers = []
-  for (const zone of zones) {
+  /** Ids of the requests whose answers broke off. */
+  const brokenOff = new Set()
+  for (const [index, zone] of ['za', 'zb', 'zc'].entries()) {
+    let answers = 0
     const server = await startServer({
-      id: `model-${zone}`,
-      service: 'drafts',
+      id: `desk-${zone}`,
+      service: 'desk',
       zone,
-      slots: 64,
-      models: [model],
+      slots: 6,
       store,
-      record,
-      respond ({ res, id, sendWithConnection }) {
-        sendWithConnection(res, { 'content-type': 'text/event-stream', 'request-id': id, 'response-seal': `seal.${id}`, 'weight-versions': '1' }, eventsOf(id, eventCount), eventGapMs, whole => record('server-ended', { id, whole }))
+      respond ({ res, id }) {
+        const { socket } = res
+        // Two of the three servers are in trouble.
+        const breaksOff = trouble && index < 2 && ++answers % brokenOneIn === 0
+        const body = bodyOf(id)
+        const sent = bodyBytes / 2
+        socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nresponse-seal: seal.${id}\r\nconnection: close\r\n\r\n${body.slice(0, sent)}`)
+        setTimeout(() => {
+          if (!breaksOff) return socket.end(body.slice(sent))
+          brokenOff.add(id)
+          record('server-reset', { id, server: `desk-${zone}`, sentBytes: sent })
+          reset(socket)
+        }, workMs)
       }
     })
     own(server.stop)
     servers.push(server)
   }
-  /** Links of each node, by the address of the server. */
+  /** Links of the node that is cut, by the address of the server. */
   const links = new Map()
-  const fleet = await startNodes({
-    zones,
-    folder,
-    record,
-    async storeAddressOf ({ name }) {
-      const own = new Map()
-      for (const { address } of servers) own.set(address, await startLink(address))
-      links.set(name, own)
-      return await store.addressFor(name, address => own.get(address).address)
-    }
-  })
-  own(() => { for (const byServer of links.values()) for (const link of byServer.values()) link.stop() })
+  for (const { address } of servers) {
+    const link = await startLink(address)
+    own(link.stop)
+    links.set(address, link)
+  }
+  const fleet = await startNodes({ zones, folder, record, storeAddressOf: ({ zone, name }) => store.addressFor(name, address => zone === zones[0] ? links.get(address).address : address) })
   own(fleet.stop)
   for (const server of servers) server.writeEntry()
   for (const node of fleet.nodes) {
     if (!await fleet.untilReady(node)) throw new Error(`${node.name} is not ready`)
   }
   await sleep(settleMs)
-  const [first, ...others] = fleet.nodes
+  const [first] = fleet.nodes
+  const answers = []
   let ids = 0
 
-  async function stream (progress) {
-    const id = `f${String(++ids).padStart(4, '0')}`
-    record('sent', { id, node: first.name })
-    const answer = await send({ port: first.ports.front, path: '/fabric/a', deadlineMs, progress: text => progress?.(id, text), headers: { host, 'request-id': id, model, 'token-usage': '800,300', 'prompt-prefix': `aa:198,${id}:602` } })
-    const pieces = (answer.body.match(/^id: \d+$/gm) ?? []).length
-    record('answered', { id, status: answer.status, complete: answer.complete, pieces, seal: answer.headers['response-seal'], error: answer.error })
-    return { id, ...answer, pieces }
+  async function ask (node) {
+    const isOrder = ids % 2 === 0
+    const id = `${isOrder ? 'p' : 's'}${String(++ids).padStart(4, '0')}`
+    const answer = await send({ port: node.ports.front, method: isOrder ? 'POST' : 'GET', path: isOrder ? '/order/a' : '/stock/a', deadlineMs, headers: { host, 'request-id': id } })
+    answers.push({ id, ...answer })
+    record('answered', { id, node: node.name, status: answer.status, complete: answer.complete, bytes: answer.body.length, head: answer.body.slice(0, 20), tail: answer.body.slice(-12), seal: answer.headers['response-seal'], error: answer.error })
   }
 
-  const warm = await stream()
-  if (warm.status !== 200 || !warm.complete || warm.pieces !== eventCount) throw new Error('a stream in calm is not served')
   if (trouble) {
     record('cut', { node: first.name })
-    for (const link of links.get(first.name).values()) await link.cut()
-    await sleep(cutMs)
+    for (const link of links.values()) await link.cut()
+  }
+  const startedAt = performance.now()
+  await sleep(learnMs)
+  const running = []
+  while (performance.now() - startedAt < cutMs) {
+    running.push(ask(first))
+    await sleep(tryEveryMs)
+  }
+  await Promise.all(running)
+  if (trouble) {
+    for (const link of links.values()) await link.heal()
+    record('healed', { node: first.name })
   }
-  let killed = false
-  const running = Array.from({ length: streams }, () => stream((id, text) => {
-    if (!trouble || killed || !text.includes('id: 5\n')) return
-    killed = true
-    const relay = others.find(({ name }) => [...links.get(name).values()].some(link => link.open() > 0))
-    if (relay !== undefined) fleet.kill(relay)
-  }))
-  const answers = await Promise.all(running)
-  return answers
-    .filter(({ status, complete, body, id }) => status >= 200 && status < 300 && complete && body !== eventsOf(id, eventCount).join(''))
-    .map(({ id, status, pieces }) => `${id}: ${status}, ended as complete after ${pieces} of ${eventCount} pieces`)
+  const served = answers.filter(({ status, complete }) => status >= 200 && status < 300 && complete)
+  record('judged', { answers: answers.length, served: served.length, brokenOff: brokenOff.size })
+  if (served.length < answers.length / 2) throw new Error('most requests are not served')
+  return served
+    .filter(({ id, body }) => body !== bodyOf(id))
+    .map(({ id, status, body }) => `${id}: ${status}, ended as complete after ${body.length} of ${bodyBytes} bytes${brokenOff.has(id) ? ', the server had reset its answer' : ''}`)
 })
--- a/review/stand-ins-2/ports.mjs
+++ b/review/stand-ins-2/ports.mjs
@@ -20,3 +20,8 @@
   await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
   return ports
 }
+
+/** Resets a connection: what it has sent has arrived, and nothing but a reset follows. */
+export function reset (socket) {
+  socket.resetAndDestroy()
+}
