Pass on a reset that is read together with data, at the node in between

Cause: Node.js reports a reset that is read together with preceding data as a regular end. The relaying node recognises it by the missing remote port, but its listener came after the one of the pipe, which had ended the other side regularly by then.

Change: the listener comes before the pipe.

--- a/packages/gateway/src/relay-server.test.ts
+++ b/packages/gateway/src/relay-server.test.ts
@@ -13,6 +13,8 @@
 
 /** Turns of the event loop within which a connection that is closed counts as such. */
 const maxTurns = 1000
+/** Connections that the server resets: whether data and reset are read together depends on the moment. */
+const resetAttempts = 20
 
 let relay: RelayServer
 let upstream: Server
@@ -87,6 +89,22 @@
   assert.is(((await failed)[0] as NodeJS.ErrnoException).code, 'ECONNRESET')
 })
 
+// Guards against a response without a length that ends regularly at the node that asked, because data and reset were read together.
+test('a reset of the server right behind its data is not passed on as a regular close', async () => {
+  await start()
+  for (let attempt = 0; attempt < resetAttempts; attempt++) {
+    const { socket } = await ask()
+    socket.resume()
+    const server = accepted[attempt]!
+    server.write('part', () => { server.resetAndDestroy() })
+    const isReset = new Promise<boolean>(resolve => {
+      socket.once('error', () => resolve(true))
+      socket.once('end', () => resolve(socket.remotePort === undefined))
+    })
+    assert.ok(await isReset, `the connection of attempt ${attempt} ended regularly`)
+  }
+})
+
 test('a regular close of the server is passed on as one', async () => {
   await start()
   const { socket } = await ask()
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -48,11 +48,12 @@
     broken = true
     client.resetAndDestroy()
   }
-  client.pipe(upstream)
-  upstream.pipe(client)
   upstream.on('error', breakOff)
   // Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more.
+  // Comes before the pipe, which ends the other side at the same event.
   upstream.on('end', () => { if (upstream.remotePort === undefined) breakOff() })
+  client.pipe(upstream)
+  upstream.pipe(client)
   // A node closes its side only if it gives the request up.
   client.on('end', () => { if (!broken) client.destroy() })
 }
