Take no reset for the end of a response while links are cut

To reset connections on cut links when a request is given up, upstream.ts replaced the method destroy of the socket. Node.js itself calls it with the error of a reset, which was dropped, so the socket closed without the event from which complete-responses learned of resets, and undici completed the response.

Change: undici gets a stream of our own, ServerConnection, in place of the socket. It ends if the server has ended the connection, and fails with an error that undici doesn't take for an end; what arrived before is read first. undici destroys it at once, and the socket behind it is closed, or reset while links are cut, by documented calls only. No method of a socket is replaced for this any more, and the flag that was set for one turn is gone, in the shared HTTP client too.

--- a/packages/clients/src/complete-responses.ts
+++ b/packages/clients/src/complete-responses.ts
@@ -1,38 +1,17 @@
-/** Passes on no response whose status is none, and none as complete whose connection was reset; bounds what servers may send beside it. */
-import type { Socket } from 'node:net'
-import { Agent, buildConnector, DecoratorHandler, type Dispatcher } from 'undici'
+/** Passes on no response whose status is none; bounds what servers may send beside a response. */
+import { Agent, DecoratorHandler, type Dispatcher } from 'undici'
 import { createPieceBatch } from './piece-batch'
 import { limitReads, type ResponseReads } from './response-reads'
 import { createTrafficMonitor } from './response-traffic'
-
-/** State of connections within the current event. */
-export type ResetWatch = {
-  /** A connection is being reset. */
-  resetting: boolean
-}
+import { asSocket, type ServerConnector } from './server-connection'
 
 /** The statuses that HTTP defines (RFC 9110, section 15). */
 export function isValidStatus (status: number): boolean {
   return Number.isInteger(status) && status >= 100 && status <= 599
 }
 
-/**
- * Detects resets before undici does. To be called before undici uses the connection. When one is reset, undici
- * reports a response without a length as complete, although only a regular close completes it.
- */
-export function watchResets (socket: Socket, watch: ResetWatch): void {
-  const markReset = (): void => {
-    watch.resetting = true
-    // undici reports the end of the response within the same event.
-    queueMicrotask(() => { watch.resetting = false })
-  }
-  socket.on('error', markReset)
-  // Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more.
-  socket.on('end', () => { if (socket.remotePort === undefined) markReset() })
-}
-
 /** State of the connections of an agent within the current event. */
-type AgentWatch = ResetWatch & {
+type AgentWatch = {
   /** The connection whose bytes are being parsed. */
   reading?: ResponseReads
 }
@@ -73,12 +52,10 @@
   }
 
   override onResponseEnd (...args: Parameters<ResponseHandler['onResponseEnd']>): void {
-    const [controller] = args
     this.watch.reading?.progressed()
     this.watch.reading?.ended()
     this.batch.flush()
-    if (this.watch.resetting) super.onResponseError(controller, new Error('reset within a response without a length'))
-    else super.onResponseEnd(...args)
+    super.onResponseEnd(...args)
   }
 
   override onResponseError (...args: Parameters<ResponseHandler['onResponseError']>): void {
@@ -88,17 +65,16 @@
 }
 
 /** Creates a pool of connections that reports only valid and complete responses as such. */
-export function createCheckedAgent (options: Agent.Options, connect: buildConnector.connector): Dispatcher {
-  const watch: AgentWatch = { resetting: false }
+export function createCheckedAgent (options: Agent.Options, connect: ServerConnector): Dispatcher {
+  const watch: AgentWatch = {}
   const traffic = createTrafficMonitor()
   const agent = new Agent({
     ...options,
     connect (target, callback) {
-      connect(target, (...[err, socket]) => {
+      connect(target, (...[err, connection]) => {
         if (err !== null) return callback(err, null)
-        limitReads(socket, reads => { watch.reading = reads }, traffic.connected(target.hostname))
-        watchResets(socket, watch)
-        callback(null, socket)
+        limitReads(connection, reads => { watch.reading = reads }, traffic.connected(target.hostname))
+        callback(null, asSocket(connection))
       })
     }
   })
--- a/packages/clients/src/http-client.ts
+++ b/packages/clients/src/http-client.ts
@@ -7,6 +7,7 @@
 import { buildConnector, type Dispatcher } from 'undici'
 import { createByteCollector } from './byte-collector'
 import { createCheckedAgent } from './complete-responses'
+import { createSocketConnector } from './server-connection'
 
 export type HttpRequest = {
   method: string
@@ -61,7 +62,7 @@
 
 /** Creates a connection pool for several clients. Without pipelining, a lost connection fails only one request. */
 export function createConnections (): Dispatcher {
-  return createCheckedAgent({ pipelining: 1, keepAliveTimeout: 4000 }, buildConnector({ timeout: connectTimeoutMs }))
+  return createCheckedAgent({ pipelining: 1, keepAliveTimeout: 4000 }, createSocketConnector(buildConnector({ timeout: connectTimeoutMs })))
 }
 
 type SystemError = { code?: string, syscall?: string, message?: string, errors?: unknown[] }
--- a/packages/clients/src/response-reads.ts
+++ b/packages/clients/src/response-reads.ts
@@ -2,7 +2,7 @@
  * Reads connections to servers in their turns, and closes those whose bytes lead to no response that could be used.
  * One place knows what each byte on the wire costs; it does not matter who waits for the response.
  */
-import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import type { ConnectionTraffic } from './response-traffic'
 import { sharedReads } from './shared-reads'
 
@@ -59,7 +59,7 @@
 }
 
 /** undici ends the process when a body that the close of its connection ends is complete while its parser is paused. */
-function finishPaused (socket: Socket): void {
+function finishPaused (socket: Duplex): void {
   const key = Object.getOwnPropertySymbols(socket).find(symbol => symbol.description === 'parser')
   const parser = key === undefined ? undefined : (socket as unknown as Record<symbol, ResponseParser | null>)[key] ?? undefined
   if (parser === undefined) return
@@ -81,7 +81,7 @@
  *
  * @param reading - called before the bytes of a read are parsed
  */
-export function limitReads (socket: Socket, reading: (reads: ResponseReads) => void, traffic: ConnectionTraffic): void {
+export function limitReads (socket: Duplex, reading: (reads: ResponseReads) => void, traffic: ConnectionTraffic): void {
   // After the sockets of the turn, so that a connection that has been accepted is read first.
   const turns = sharedReads.addClient(() => setImmediate(() => { if (!socket.destroyed) socket.emit('readable') }))
   let bytesWithoutProgress = 0
--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -1,8 +1,8 @@
-import { createServer, type Server, type Socket } from 'node:net'
+import { connect, createServer, type Server, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createKeptBytes } from './kept-bytes'
-import { runOutcomeOf, startAttempt, type AttemptOptions, type AttemptResult } from './attempt'
+import { runOutcomeOf, startAttempt, type Attempt, type AttemptOptions, type AttemptResult } from './attempt'
 import type { BackendServer } from './cluster-types'
 import { testCodec } from './testing'
 import { createUpstream, type Upstream } from './upstream'
@@ -30,13 +30,26 @@
   upstream = createUpstream({ now: () => performance.now(), connections: () => 4 })
 }
 
+/** Replaces the upstream by that of a node whose links may be cut; connections that are relayed lead to the same server. */
+function detour (isCut: () => boolean): void {
+  upstream.close()
+  upstream = createUpstream({
+    now: () => performance.now(),
+    connections: () => 4,
+    detour: {
+      links: { isCut, onCut () {}, notConnected: async () => isCut(), sent: () => () => {}, received () {} },
+      relays: { open: async ({ address }) => ({ socket: connect(Number(address.split(':')[1]), '127.0.0.1'), node: 'n2' }) }
+    }
+  })
+}
+
 test.after.each(() => {
   upstream?.close()
   server?.close()
 })
 
-async function run (requestId: string, overrides: Partial<AttemptOptions> = {}): Promise<AttemptResult> {
-  return await startAttempt({
+function start (requestId: string, overrides: Partial<AttemptOptions> = {}): Attempt {
+  return startAttempt({
     codec: testCodec,
     kept: createKeptBytes(),
     upstream,
@@ -47,7 +60,11 @@
     maxBodyBytes: 1e6,
     warn () {},
     ...overrides
-  }).result
+  })
+}
+
+async function run (requestId: string, overrides: Partial<AttemptOptions> = {}): Promise<AttemptResult> {
+  return await start(requestId, overrides).result
 }
 
 const head = (id: string, more: string): string => `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Seal: s\r\n${more}\r\n`
@@ -177,6 +194,42 @@
   assert.is(runOutcomeOf(unsent), 'cancelled')
 })
 
+// Guards against a request that its node has given up and that reaches the server once the link works again.
+test('a request that is given up on a cut link leaves a connection that is reset', async () => {
+  let isCut = false
+  const left = new Promise<string>(resolve => {
+    listen(socket => {
+      socket.once('error', err => resolve((err as NodeJS.ErrnoException).code ?? err.message))
+      socket.once('end', () => resolve('regular end'))
+      isCut = true
+      attempt.abort('given up')
+    }).then(() => {
+      detour(() => isCut)
+      attempt = start('r1')
+    }, () => {})
+  })
+  let attempt: Attempt
+  assert.is(await left, 'ECONNRESET')
+})
+
+for (const [name, end] of [
+  ['later', socket => { setTimeout(() => socket.resetAndDestroy(), 30) }],
+  ['right behind it', socket => { socket.resetAndDestroy() }]
+] as [string, (socket: Socket) => void][]) {
+  for (const way of ['a link that is cut meanwhile', 'a relayed connection'] as const) {
+    // Guards against a part of a response that comes to the client as a whole one while the links of its node are cut.
+    test(`a response without a length on ${way} fails when it is reset ${name}`, async () => {
+      let isCut = way === 'a relayed connection'
+      await listen(socket => {
+        isCut = true
+        socket.write(head('r1', 'Connection: close\r\n') + 'part', () => { end(socket) })
+      })
+      detour(() => isCut)
+      assert.is((await run('r1')).type, 'failed')
+    })
+  }
+}
+
 // Guards against a response that this node gave up and that counts as a crash, or as an error of a single request.
 test('a response that was given up is told apart from a lost connection and from one that cannot be trusted', () => {
   const failed = { type: 'failed', reason: 'r', eventsSent: false, connectionLost: false } as const
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,7 +1,6 @@
 /** Requests to backend servers over HTTP/1.1 without pipelining; response data is forwarded as it arrives. */
-import type { Socket } from 'node:net'
-import { createCheckedAgent, createPieceBatch, createTrafficMonitor, isValidStatus, limitReads, UnusableResponseError, watchResets, type ConnectionTraffic, type ResetWatch, type ResponseReads, type TrafficMonitor } from '@yuccawharf/clients'
-import { buildConnector, Pool, type Dispatcher } from 'undici'
+import { asSocket, createCheckedAgent, createPieceBatch, createServerConnector, createSocketConnector, createTrafficMonitor, isValidStatus, limitReads, UnusableResponseError, type ConnectionTraffic, type ResponseReads, type ServerConnectionOptions, type ServerConnector, type TrafficMonitor } from '@yuccawharf/clients'
+import { Pool, type buildConnector, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { LinkMonitor } from './link-monitor'
 import type { RawHeaders } from './platform-interface'
@@ -75,9 +74,6 @@
 /** Time without connection reuse after a rejected response, such as one that belongs to another request, in ms. */
 const noReuseMs = 10_000
 
-/** Time in which a socket is ended before its reset; one that has bytes to write never is. In ms. */
-const resetMs = 100
-
 type Entry = { pool: Pool, noReuseUntil: number, watch: ConnectionWatch }
 
 /** A request on a link of this node whose response has not begun. */
@@ -88,47 +84,30 @@
 }
 
 /** State of the connections of one pool within the current event. */
-type ConnectionWatch = ResetWatch & {
+type ConnectionWatch = {
   /** The connection whose bytes are being parsed. */
   reading?: ResponseReads
   /** Node that relays the connection. */
   through?: string
 }
 
-/** What waits on a cut link when its request is given up would otherwise still reach the server later. */
-function resetWhenCut (socket: Socket, isCut: () => boolean): void {
-  const destroy = socket.destroy.bind(socket)
-  let resetting = false
-  socket.destroy = err => {
-    if (err === undefined || socket.destroyed || !isCut()) return destroy(err)
-    if (resetting) return socket
-    resetting = true
-    // Node.js ends the socket first; one that is destroyed before that is complete keeps its descriptor.
-    const timer = setTimeout(() => { destroy(err) }, resetMs)
-    socket.once('close', () => { clearTimeout(timer) })
-    return socket.resetAndDestroy()
-  }
-}
-
 /** Opens the connection through another node. */
-function createRelayedConnector (relays: RelayConnector, server: BackendServer, opened: (node: string) => void = () => {}): buildConnector.connector {
-  return (_options, callback) => {
+function createRelayedConnector (relays: RelayConnector, server: BackendServer, options: ServerConnectionOptions = {}, opened: (node: string) => void = () => {}): ServerConnector {
+  return createSocketConnector((_options, callback) => {
     relays.open(server).then(({ socket, node }) => {
       opened(node)
       callback(null, socket)
     }, (err: Error) => { callback(err, null) })
-  }
+  }, options)
 }
 
-/** Creates a connector that detects resets before undici does, and closes connections that are of no use. */
-function createWatchedConnector (watch: ConnectionWatch, connect: buildConnector.connector, isCut: () => boolean, traffic: () => ConnectionTraffic): buildConnector.connector {
+/** Creates a connector that closes connections that are of no use. */
+function createWatchedConnector (watch: ConnectionWatch, connect: ServerConnector, traffic: () => ConnectionTraffic): buildConnector.connector {
   return (options, callback) => {
-    connect(options, (...[err, socket]) => {
+    connect(options, (...[err, connection]) => {
       if (err !== null) return callback(err, null)
-      limitReads(socket, reads => { watch.reading = reads }, traffic())
-      resetWhenCut(socket, isCut)
-      watchResets(socket, watch)
-      callback(null, socket)
+      limitReads(connection, reads => { watch.reading = reads }, traffic())
+      callback(null, asSocket(connection))
     })
   }
 }
@@ -158,11 +137,16 @@
   const unanswered = new Set<Unanswered>()
   const traffic = createTrafficMonitor()
 
-  function createEntry (server: BackendServer, connections: number, connect: buildConnector.connector = buildConnector({ timeout: connectTimeoutMs }), watch: ConnectionWatch = { resetting: false }): Entry {
+  /** What waits on a cut link when its request is given up would otherwise still reach the server later. */
+  function resetWhenCut ({ service }: BackendServer): ServerConnectionOptions {
+    return { resets: () => links.isCut(service) }
+  }
+
+  function createEntry (server: BackendServer, connections: number, connect: ServerConnector = createServerConnector(connectTimeoutMs, resetWhenCut(server)), watch: ConnectionWatch = {}): Entry {
     const pool = new Pool(`http://${server.address}`, {
       connections,
       pipelining: 1,
-      connect: createWatchedConnector(watch, connect, () => links.isCut(server.service), () => traffic.connected(server.id)),
+      connect: createWatchedConnector(watch, connect, () => traffic.connected(server.id)),
       keepAliveTimeout: idleMs,
       keepAliveTimeoutThreshold: idleMarginMs,
       // The caller enforces deadlines, because it knows how long the client waits.
@@ -187,8 +171,8 @@
   }
 
   function createRelayedEntry (server: BackendServer): Entry {
-    const watch: ConnectionWatch = { resetting: false }
-    return createEntry(server, 1, createRelayedConnector(relays, server, node => { watch.through = node }), watch)
+    const watch: ConnectionWatch = {}
+    return createEntry(server, 1, createRelayedConnector(relays, server, resetWhenCut(server), node => { watch.through = node }), watch)
   }
 
   /** @param isOwnLink - whether the connections are this node's own */
@@ -257,8 +241,7 @@
         batch.flush()
         if (ended) return
         ended = true
-        if (entry.watch.resetting) handler.failed({ sent: true, reason: 'reset within a response without a length' })
-        else handler.complete()
+        handler.complete()
       },
       onResponseError (_started, err) {
         answered()
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { buildConnector, type Dispatcher } from 'undici'
-import { createCheckedAgent, sharedReads, type EngineReport } from '@yuccawharf/clients'
+import { createCheckedAgent, createSocketConnector, sharedReads, type EngineReport } from '@yuccawharf/clients'
 import type { ClassConfig, Settings } from '@yuccawharf/schema'
 import { createHybridClock, type HybridClock } from '@yuccawharf/timeline'
 import { createResponseRegistry } from './response-registry'
@@ -96,7 +96,7 @@
   const now = createMonotonicNow()
   const timers = new Set<NodeJS.Timeout>()
   // A stream has no event while its request is queued, so undici's own timeouts are disabled.
-  const dispatcher = createCheckedAgent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000 }, buildConnector({ timeout: 1000 }))
+  const dispatcher = createCheckedAgent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 30_000 }, createSocketConnector(buildConnector({ timeout: 1000 })))
   const directory = createDirectory()
   const attainment = createAttainmentTracker()
   const reports = new Map<string, EngineReport>()
