Say between nodes that a server has ended its response

The server's bytes were passed on as they are, so the end of the relayed connection was the only end of such a response; but the system closes the connections of a killed process regularly.

Change: a node asks for frames in its CONNECT, and the one that relays announces them in its response. A frame says in so many words that the server has ended its connection, or that it has broken off; the end of the relayed connection alone is none. Neither counts against the server. A node of an earlier build knows no frames: what has a length or chunks is complete by itself, anything else fails, and such a node is asked after the others. Asked by one, a node relays as before. What arrives with the confirmation is no longer lost.

--- a/packages/clients/src/server-connection.ts
+++ b/packages/clients/src/server-connection.ts
@@ -26,6 +26,8 @@
 export type ServerConnectionOptions = {
   /** Whether what has been written must not reach the server any more when the connection is destroyed. */
   resets? (): boolean
+  /** @returns the error with which the connection fails after one of its socket */
+  failureOf? (err: Error): Error
 }
 
 /**
@@ -34,23 +36,24 @@
  */
 export class ServerConnection extends Duplex {
   private failure: Error | undefined
+  private finished = false
 
   constructor (private readonly socket: Socket, private readonly options: ServerConnectionOptions = {}) {
     // Strings are encoded by the socket.
     super({ allowHalfOpen: false, decodeStrings: false, readableHighWaterMark: highWaterMark })
-    socket.on('error', err => {
-      this.breakOff(Object.assign(new ConnectionBrokenError(err.message, { cause: err })))
-    })
+    socket.on('error', err => { this.breakOff(options.failureOf?.(err) ?? new ConnectionBrokenError(err.message, { cause: err })) })
   }
 
   /** The server has ended the connection regularly. */
   finish (): void {
-    if (this.failure === undefined) this.push(null)
+    if (this.failure !== undefined || this.finished) return
+    this.finished = true
+    this.push(null)
   }
 
   /** The connection has broken off, which shows after what has arrived before. */
   breakOff (err: Error): void {
-    if (this.failure !== undefined || this.readableEnded) return
+    if (this.failure !== undefined || this.finished) return
     this.failure = err
     if (this.readableLength === 0) this.destroy(err)
   }
@@ -116,11 +119,11 @@
 }
 
 /** @param connect - opens sockets; plain ones and those with TLS */
-export function createSocketConnector (connect: buildConnector.connector, options: ServerConnectionOptions = {}): ServerConnector {
+export function createSocketConnector (connect: buildConnector.connector): ServerConnector {
   return (target, callback) => {
     connect(target, (...[err, socket]) => {
       if (err !== null) return callback(err, null)
-      const connection = new ServerConnection(socket, options)
+      const connection = new ServerConnection(socket)
       socket.on('data', (bytes: Buffer) => { if (!connection.push(bytes)) socket.pause() })
       followEnd(socket, connection)
       callback(null, connection)
--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -38,7 +38,7 @@
     connections: () => 4,
     detour: {
       links: { isCut, onCut () {}, notConnected: async () => isCut(), sent: () => () => {}, received () {} },
-      relays: { open: async ({ address }) => ({ socket: connect(Number(address.split(':')[1]), '127.0.0.1'), node: 'n2' }) }
+      relays: { open: async ({ address }) => ({ socket: connect(Number(address.split(':')[1]), '127.0.0.1'), node: 'n2', framed: false }) }
     }
   })
 }
--- a/packages/gateway/src/plain-forwarder.ts
+++ b/packages/gateway/src/plain-forwarder.ts
@@ -118,6 +118,7 @@
   function outcomeOf (result: AttemptResult, responded: boolean): AttemptOutcome {
     if (result.type === 'response') return result.status < 500 ? 'ok' : 'failed'
     if (result.type === 'not-run') return result.status === 421 ? 'failed' : 'full'
+    if (result.type === 'failed' && result.linksCut === true) return 'aborted'
     if (result.type !== 'aborted') return 'failed'
     // A response without end takes its request to the deadline. Without any response, the request may just have come late.
     return deadlinePassed && responded ? 'failed' : 'aborted'
--- a/packages/gateway/src/relay-choice.test.ts
+++ b/packages/gateway/src/relay-choice.test.ts
@@ -30,8 +30,17 @@
 test('a node that relays again is no longer asked last', () => {
   const choice = createRelayChoice('a', () => 0)
   choice.failed('a1', 0)
-  choice.relayed('a1')
+  choice.relayed('a1', true)
   assert.is(names(choice.order(nodes, 1))[0], 'a1')
 })
 
+// Guards against responses that fail during a release, because a node of an earlier build relays them though others do.
+test('a node that does not say how the server ends comes after the others, until it does', () => {
+  const choice = createRelayChoice('a', () => 0)
+  choice.relayed('a1', false)
+  assert.equal(names(choice.order(nodes, 0)), ['a2', 'b1', 'c1', 'a3', 'a1'])
+  choice.relayed('a1', true)
+  assert.is(names(choice.order(nodes, 0))[0], 'a1')
+})
+
 test.run()
--- a/packages/gateway/src/relay-choice.ts
+++ b/packages/gateway/src/relay-choice.ts
@@ -11,8 +11,8 @@
   order (nodes: readonly RelayNode[], now: number): RelayNode[]
   /** The node did not relay a request, or could not be reached. */
   failed (name: string, now: number): void
-  /** The node has relayed a request. */
-  relayed (name: string): void
+  /** The node has relayed a request. @param framed - whether it says how the server ends; others come after those that do */
+  relayed (name: string, framed: boolean): void
 }
 
 /** Number of nodes that are asked for one request. */
@@ -25,6 +25,8 @@
 /** @param random - uniform numbers from 0 to 1 */
 export function createRelayChoice (zone: string, random: () => number): RelayChoice {
   const avoidedUntil = new Map<string, number>()
+  /** Nodes of an earlier build, whose responses without a length or chunks cannot be trusted to be complete. */
+  const unframed = new Set<string>()
 
   return {
     order (nodes, now) {
@@ -34,7 +36,9 @@
       const near = usable.filter(node => node.zone === zone).slice(0, nodesOfZone)
       const rest = usable.filter(node => !near.includes(node))
       const others = [...rest.filter(node => node.zone !== zone), ...rest.filter(node => node.zone === zone)]
-      return [...near, ...others, ...shuffled.filter(isAvoided)].slice(0, nodesToAsk)
+      const ordered = [...near, ...others]
+      const framedFirst = [...ordered.filter(({ name }) => !unframed.has(name)), ...ordered.filter(({ name }) => unframed.has(name))]
+      return [...framedFirst, ...shuffled.filter(isAvoided)].slice(0, nodesToAsk)
     },
     failed (name, now) {
       for (const [other, until] of avoidedUntil) {
@@ -42,6 +46,10 @@
       }
       avoidedUntil.set(name, now + avoidanceMs)
     },
-    relayed: name => { avoidedUntil.delete(name) }
+    relayed (name, framed) {
+      avoidedUntil.delete(name)
+      if (framed) unframed.delete(name)
+      else unframed.add(name)
+    }
   }
 }
--- a/packages/gateway/src/relay-connector.ts
+++ b/packages/gateway/src/relay-connector.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import { createRelayChoice, type RelayNode } from './relay-choice'
+import { relayedFramesHeader, relayedFramesVersion } from './relay-frames'
 import { relayedServerHeader, relayedStartHeader } from './relay-server'
 
 export type RelayConnectorOptions = {
@@ -17,7 +18,12 @@
 }
 
 /** A connection to a server through another node. */
-export type RelayedConnection = { socket: Socket, node: string }
+export type RelayedConnection = {
+  socket: Socket
+  node: string
+  /** Whether the node says in frames how the server ends. */
+  framed: boolean
+}
 
 export type RelayConnector = {
   /** @throws if no node that was asked reaches the server */
@@ -36,19 +42,18 @@
 const nodesWithoutServer = 2
 
 /** @throws {RelayFailure} if the node does not relay */
-function openThrough (address: string, server: BackendServer): Promise<Socket> {
+function openThrough (address: string, server: BackendServer): Promise<Pick<RelayedConnection, 'socket' | 'framed'>> {
   const [host, port] = address.split(':')
   return new Promise((resolve, reject) => {
-    const req = request({ host, port, method: 'CONNECT', path: server.address, agent: false, headers: { [relayedServerHeader]: encodeURIComponent(server.id), [relayedStartHeader]: server.bornAt } })
+    const req = request({ host, port, method: 'CONNECT', path: server.address, agent: false, headers: { [relayedServerHeader]: encodeURIComponent(server.id), [relayedStartHeader]: server.bornAt, [relayedFramesHeader]: relayedFramesVersion } })
     const fail = (failure: RelayFailure): void => {
       clearTimeout(timer)
       req.destroy()
-
       reject(failure)
     }
     const refused = ({ statusCode, statusMessage }: IncomingMessage): void => fail({ at: serverStatuses.has(statusCode) ? 'server' : 'node', reason: `${statusCode} ${statusMessage}` })
     const timer = setTimeout(() => fail({ at: 'node', reason: 'no response' }), openTimeoutMs)
-    req.once('connect', (res, socket) => {
+    req.once('connect', (res, socket: Socket, head) => {
       clearTimeout(timer)
       if (res.statusCode !== 200) {
         socket.destroy()
@@ -56,7 +61,9 @@
       }
       socket.setTimeout(0)
       socket.setNoDelay(true)
-      resolve(socket)
+      // The server may have ended at once.
+      if (head.length > 0) socket.unshift(head)
+      resolve({ socket, framed: res.headers[relayedFramesHeader] === relayedFramesVersion })
     })
     req.once('response', refused)
     req.on('error', err => fail({ at: 'node', reason: err.message }))
@@ -74,10 +81,10 @@
       let withoutServer = 0
       for (const { name, address } of choice.order(nodes(), startedAt)) {
         try {
-          const socket = await openThrough(address, server)
-          choice.relayed(name)
-          log.info('request-relayed', { server: server.id, through: name, refusedBy: reasons.length, afterMs: Math.round(now() - startedAt) })
-          return { socket, node: name }
+          const { socket, framed } = await openThrough(address, server)
+          choice.relayed(name, framed)
+          log.info('request-relayed', { server: server.id, through: name, framed, refusedBy: reasons.length, afterMs: Math.round(now() - startedAt) })
+          return { socket, node: name, framed }
         } catch (failure) {
           const { at, reason } = failure as RelayFailure
           reasons.push(`${name}: ${reason}`)
--- a/packages/gateway/src/relay-server.test.ts
+++ b/packages/gateway/src/relay-server.test.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
 import { createDecisionLog } from './decision-log'
+import { relayedFramesHeader, relayedFramesVersion } from './relay-frames'
 import { createRelayServer, relayedServerHeader, relayedStartHeader, type RelayServer, type RelayServerOptions } from './relay-server'
 
 const test = suite('relay server')
@@ -41,9 +42,9 @@
 }
 
 /** @returns the status, and the connection if it is relayed */
-async function ask (start = { id: 's 1', bornAt: 1 }): Promise<{ status: number, socket: Socket }> {
+async function ask (start = { id: 's 1', bornAt: 1 }, framed = false): Promise<{ status: number, socket: Socket }> {
   const { port } = relay.server.address() as AddressInfo
-  const req = request({ host: '127.0.0.1', port, method: 'CONNECT', path: 'any:1', agent: false, headers: { [relayedServerHeader]: encodeURIComponent(start.id), [relayedStartHeader]: start.bornAt } })
+  const req = request({ host: '127.0.0.1', port, method: 'CONNECT', path: 'any:1', agent: false, headers: { [relayedServerHeader]: encodeURIComponent(start.id), [relayedStartHeader]: start.bornAt, ...(framed ? { [relayedFramesHeader]: relayedFramesVersion } : {}) } })
   req.end()
   const [res, socket] = await once(req, 'connect') as [{ statusCode: number }, Socket]
   socket.on('error', () => {})
@@ -113,16 +114,38 @@
   await once(socket, 'end')
 })
 
-// Guards against servers that stay at work on a request that was given up.
-test('the connection to the server ends with that of the node', async () => {
-  await start()
-  const { socket } = await ask()
-  accepted[0]!.resume()
-  socket.destroy()
-  await once(accepted[0]!, 'close')
+async function untilNoneIsRelayed (): Promise<void> {
   for (let turns = 0; relay.running() > 0 && turns < maxTurns; turns++) await nextTurn()
   assert.is(relay.running(), 0)
-})
+}
+
+for (const framed of [false, true]) {
+  const form = framed ? 'in frames' : 'as they are'
+
+  // Guards against servers that stay at work on a request that was given up.
+  test(`the connection to the server ends with that of the node, bytes ${form}`, async () => {
+    await start()
+    const { socket } = await ask(undefined, framed)
+    accepted[0]!.resume()
+    accepted[0]!.write('answer')
+    await once(socket, 'data')
+    socket.destroy()
+    await once(accepted[0]!, 'close')
+    await untilNoneIsRelayed()
+  })
+
+  // Guards against room for relayed connections that runs out.
+  test(`a connection that its server has ended counts no longer once the node has closed it, bytes ${form}`, async () => {
+    await start()
+    const { socket } = await ask(undefined, framed)
+    socket.resume()
+    accepted[0]!.resume()
+    accepted[0]!.end('answer')
+    await once(socket, 'end')
+    socket.destroy()
+    await untilNoneIsRelayed()
+  })
+}
 
 for (const [name, status, changes] of [
   ['a client that is no node', 403, { isPeer: () => false }],
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -1,12 +1,14 @@
 /**
  * Connections to backend servers for nodes whose own links are cut: another node asks with CONNECT for a
- * server, and its bytes are passed on in both directions. Each connection carries one request.
+ * server, and its bytes are passed on in both directions. Each connection carries one request. What the server sends
+ * comes in frames if the node asks for them.
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import { sharedReads } from '@yuccawharf/clients'
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
+import { createFrameWriter, relayedFramesHeader, relayedFramesVersion } from './relay-frames'
 import type { ServerStart } from './server-registry'
 
 /** Names the server, as its address may be another one's by now. */
@@ -41,21 +43,38 @@
   return { id: decodeURIComponent(String(headers[relayedServerHeader] ?? '')), bornAt: Number(headers[relayedStartHeader]) }
 }
 
-/** Passes bytes on in both directions; what ends or resets one side does so to the other. */
-function join (client: Socket, upstream: Socket): void {
-  let broken = false
-  const breakOff = (): void => {
-    broken = true
-    client.resetAndDestroy()
-  }
+/** Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more. */
+function isReset (socket: Socket): boolean {
+  return socket.remotePort === undefined
+}
+
+/** Passes the server's bytes on in frames, which say how it ends. */
+function passOnFramed (client: Socket, upstream: Socket): void {
+  let failed = false
+  const frames = createFrameWriter(() => failed || isReset(upstream))
+  upstream.on('error', () => {
+    failed = true
+    frames.end()
+  })
+  upstream.pipe(frames).pipe(client)
+}
+
+/** Passes the server's bytes on to a node of an earlier build; a reset becomes a reset. */
+function passOnUnframed (client: Socket, upstream: Socket): void {
+  const breakOff = (): void => { client.resetAndDestroy() }
   upstream.on('error', breakOff)
-  // Node.js reports a reset that is read together with preceding data as a regular end, but the socket has no remote port any more.
   // Comes before the pipe, which ends the other side at the same event.
-  upstream.on('end', () => { if (upstream.remotePort === undefined) breakOff() })
-  client.pipe(upstream)
+  upstream.on('end', () => { if (isReset(upstream)) breakOff() })
   upstream.pipe(client)
+}
+
+/** Passes bytes on in both directions. */
+function join (client: Socket, upstream: Socket, framed: boolean): void {
+  client.pipe(upstream)
+  if (framed) passOnFramed(client, upstream)
+  else passOnUnframed(client, upstream)
   // A node closes its side only if it gives the request up.
-  client.on('end', () => { if (!broken) client.destroy() })
+  client.on('end', () => { if (!client.writableEnded) client.destroy() })
 }
 
 export function createRelayServer (options: RelayServerOptions): RelayServer {
@@ -68,7 +87,7 @@
     client.end(`HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\n\r\n`)
   }
 
-  function relay (client: Socket, { id, address }: BackendServer): void {
+  function relay (client: Socket, { id, address }: BackendServer, framed: boolean): void {
     const [host, port] = address.split(':')
     const upstream = connect({ host: host!, port: Number(port), noDelay: true })
     relayed.add(client)
@@ -90,8 +109,8 @@
     upstream.once('connect', () => {
       clearTimeout(timer)
       upstream.off('error', notConnected)
-      client.write('HTTP/1.1 200 Connected\r\n\r\n')
-      join(client, upstream)
+      client.write(`HTTP/1.1 200 Connected\r\n${framed ? `${relayedFramesHeader}: ${relayedFramesVersion}\r\n` : ''}\r\n`)
+      join(client, upstream, framed)
     })
   }
 
@@ -103,7 +122,7 @@
     const target = options.server(startOf(req))
     if (target === undefined) return refuse(client, 409, 'server accepts no requests')
     if (options.isCut(target.service)) return refuse(client, 503, 'links are cut')
-    relay(client, target)
+    relay(client, target, req.headers[relayedFramesHeader] === relayedFramesVersion)
   })
 
   return {
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,16 +1,17 @@
 /** Requests to backend servers over HTTP/1.1 without pipelining; response data is forwarded as it arrives. */
-import { asSocket, createCheckedAgent, createPieceBatch, createServerConnector, createSocketConnector, createTrafficMonitor, isValidStatus, limitReads, UnusableResponseError, type ConnectionTraffic, type ResponseReads, type ServerConnectionOptions, type ServerConnector, type TrafficMonitor } from '@yuccawharf/clients'
+import { asSocket, createCheckedAgent, createPieceBatch, createServerConnector, createTrafficMonitor, isValidStatus, limitReads, UnusableResponseError, type ConnectionTraffic, type ResponseReads, type ServerConnectionOptions, type ServerConnector, type TrafficMonitor } from '@yuccawharf/clients'
 import { Pool, type buildConnector, type Dispatcher } from 'undici'
 import type { BackendServer } from './cluster-types'
 import type { LinkMonitor } from './link-monitor'
 import type { RawHeaders } from './platform-interface'
 import type { RelayConnector } from './relay-connector'
+import { createRelayedConnection, RelayLostError } from './relayed-connection'
 
 export type UpstreamFailure = {
   /** The request was started on a connection; if false, no byte of it left this process. */
   sent: boolean
   reason: string
-  /** The links of this node are cut, so it says nothing about the server. */
+  /** The links of this node are cut, or the node that relays was lost, so it says nothing about the server. */
   linksCut?: true
   /** This node gave the response up, because nobody could have used it. */
   unusable?: true
@@ -93,12 +94,12 @@
 
 /** Opens the connection through another node. */
 function createRelayedConnector (relays: RelayConnector, server: BackendServer, options: ServerConnectionOptions = {}, opened: (node: string) => void = () => {}): ServerConnector {
-  return createSocketConnector((_options, callback) => {
-    relays.open(server).then(({ socket, node }) => {
+  return (_options, callback) => {
+    relays.open(server).then(({ socket, node, framed }) => {
       opened(node)
-      callback(null, socket)
+      callback(null, createRelayedConnection(socket, framed, options))
     }, (err: Error) => { callback(err, null) })
-  }, options)
+  }
 }
 
 /** Creates a connector that closes connections that are of no use. */
@@ -249,7 +250,7 @@
         if (ended) return
         ended = true
         const sent = controller !== undefined
-        handler.failed({ sent, ...(sent || isOwnLink ? {} : { linksCut: true }), ...(err instanceof UnusableResponseError ? { unusable: true } : {}), reason: (err as { code?: string }).code ?? err.message })
+        handler.failed({ sent, ...(err instanceof RelayLostError || (!sent && !isOwnLink) ? { linksCut: true } : {}), ...(err instanceof UnusableResponseError ? { unusable: true } : {}), reason: (err as { code?: string }).code ?? err.message })
       }
     })
 
