Keep a failed assertion of a library from holding the process

The time before is a fault of its own: for the message of a failed assertion Node.js parses the line of the call, and the bundle was one line of code.

Change: the bundle is written in lines of 200 characters (lineLimit).

--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type Server, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createKeptBytes } from './kept-bytes'
@@ -9,6 +10,9 @@
 
 const test = suite('attempt')
 
+/** Time in which what belongs to a request that was given up has ended, in ms. */
+const afterAbortMs = 200
+
 type ConnectionHandler = (socket: Socket, requestText: string, count: number) => void
 
 let server: Server
@@ -212,6 +216,38 @@
   assert.is(await left, 'ECONNRESET')
 })
 
+for (const way of ['a link that is cut meanwhile', 'a relayed connection'] as const) {
+  // Guards against a process that ends, with all its requests, because one client leaves a stream while the links of its node are cut.
+  test(`a stream without a length on ${way} can be given up`, async () => {
+    let isCut = way === 'a relayed connection'
+    let left: () => void = () => {}
+    const serverIsLeft = new Promise<void>(resolve => { left = resolve })
+    await listen(socket => {
+      isCut = true
+      const timer = setInterval(() => { socket.write('id: 1\ndata: a\n\n') }, 5)
+      socket.on('close', () => {
+        clearInterval(timer)
+        left()
+      })
+      socket.write(head('r1', 'Content-Type: text/event-stream\r\nConnection: close\r\n') + 'id: 1\ndata: a\n\n')
+    })
+    detour(() => isCut)
+    const attempt = start('r1', {
+      stream: {
+        head () {},
+        events () {
+          attempt.abort('client left')
+          return true
+        }
+      }
+    })
+    assert.is((await attempt.result).type, 'aborted')
+    await serverIsLeft
+    // The rest of what has arrived, and the end of the connection, come in later turns.
+    await sleep(afterAbortMs)
+  })
+}
+
 for (const [name, end] of [
   ['later', socket => { setTimeout(() => socket.resetAndDestroy(), 30) }],
   ['right behind it', socket => { socket.resetAndDestroy() }]
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -9,7 +9,7 @@
 import { fileURLToPath } from 'node:url'
 import { build } from 'esbuild'
 import { cannotWriteExitCode } from './build-exit-codes.mjs'
-import { bundleOptions } from './bundle-options.mjs'
+import { platformBundleOptions as options } from './bundle-options.mjs'
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 const target = resolve(process.argv[2] ?? join(root, 'target'))
@@ -23,13 +23,6 @@
   }
 })
 
-const options = {
-  ...bundleOptions,
-  // Names are kept as written. The option that restores names after minification costs a call for each closure.
-  minifyWhitespace: true,
-  minifySyntax: true
-}
-
 const { outputFiles: [node] } = await build({ ...options, entryPoints: [join(root, 'platform/src/node-process.ts')], write: false })
 const nodeBundle = `yuccawharf-node-${createHash('sha256').update(node.contents).digest('hex').slice(0, digestLength)}.cjs`
 const { outputFiles: [entryPoint] } = await build({
--- a/scripts/bundle-options.mjs
+++ b/scripts/bundle-options.mjs
@@ -15,3 +15,12 @@
   alias: { 'ts-results': 'ts-results/esm' },
   logLevel: 'warning'
 }
+
+/** Options for the program that runs on the users' platform. */
+export const platformBundleOptions = {
+  ...bundleOptions,
+  // Names are kept as written. The option that restores names after minification costs a call for each closure.
+  minifyWhitespace: true,
+  // For the message of a failed assertion, Node.js parses the line of the call up to its place: seconds, if all is one line.
+  lineLimit: 200
+}
