--- a/packages/gateway/src/relay-choice.ts
+++ b/packages/gateway/src/relay-choice.ts
@@ -30,6 +30,7 @@
 
   return {
     order (nodes, now) {
+      for (const name of unframed) if (!nodes.some(node => node.name === name)) unframed.delete(name)
       const isAvoided = ({ name }: RelayNode): boolean => (avoidedUntil.get(name) ?? -Infinity) > now
       const shuffled = drawSample(nodes, nodes.length, random)
       const usable = shuffled.filter(node => !isAvoided(node))
--- a/packages/gateway/src/relayed-response.test.ts
+++ b/packages/gateway/src/relayed-response.test.ts
@@ -13,7 +13,7 @@
 
 const test = suite('relayed responses')
 
-const kinds = ['plain response', 'stream', 'resumed stream', 'order'] as const
+const kinds = ['plain response', 'stream', 'resumed stream', 'response to an order'] as const
 type Kind = typeof kinds[number]
 
 /** Time between a part of a response and what follows, in ms. */
@@ -82,7 +82,7 @@
       path: '/x',
       headers: ['X-Id', 'r1', ...(kind === 'resumed stream' ? ['Last-Event-Id', String(lastEventId)] : [])],
       body: kind === 'plain response' ? null : Buffer.from('body'),
-      repeatable: kind !== 'order'
+      repeatable: kind !== 'response to an order'
     },
     ...(isStream(kind)
       ? {
