Fail a connection with an error of our own when a write reports its reset

By reading the change again: a write that fails before the next read gave undici the error ECONNRESET, which it takes for the end of a response without a length.

Change: what a write reports is left to the socket's own error, so that what has arrived is read, too.

--- /dev/null
+++ b/packages/clients/src/server-connection.test.ts
@@ -0,0 +1,50 @@
+import { once } from 'node:events'
+import type { Socket } from 'node:net'
+import { Duplex } from 'node:stream'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ConnectionBrokenError, ServerConnection } from './server-connection'
+
+const test = suite('connections to servers')
+
+const reset = (): Error => Object.assign(new Error('write ECONNRESET'), { code: 'ECONNRESET' })
+
+/** @param write - takes what is written */
+function createSocket (write: (callback: (err?: Error) => void) => void = callback => { callback() }): Socket {
+  return new Duplex({ read () {}, write: (_chunk, _encoding, callback) => { write(callback) } }) as unknown as Socket
+}
+
+// Guards against undici, which takes a reset for the end of a response without a length, and learns of this one from a write.
+test('a reset that a write reports fails the connection with an error that is no reset', async () => {
+  const connection = new ServerConnection(createSocket(callback => { callback(reset()) }))
+  const failed = once(connection, 'error')
+  connection.write('request')
+  const [err] = await failed
+  assert.instance(err, ConnectionBrokenError)
+  assert.not.equal((err as ConnectionBrokenError).code, 'ECONNRESET')
+})
+
+// Guards against a complete response that is dropped because its server resets the connection behind it.
+test('what has arrived is read before the connection fails', async () => {
+  const connection = new ServerConnection(createSocket())
+  connection.push('response')
+  connection.breakOff(new ConnectionBrokenError('reset'))
+  const failed = once(connection, 'error')
+  assert.is(connection.destroyed, false)
+  assert.is(String(connection.read()), 'response')
+  assert.is(connection.read(), null)
+  assert.instance((await failed)[0], ConnectionBrokenError)
+})
+
+// Guards against a second end that changes the first.
+test('a connection that the server has ended does not fail any more', async () => {
+  const connection = new ServerConnection(createSocket())
+  connection.on('error', err => { assert.unreachable(err.message) })
+  connection.finish()
+  connection.breakOff(new ConnectionBrokenError('reset'))
+  const ended = once(connection, 'end')
+  connection.resume()
+  await ended
+})
+
+test.run()
--- a/packages/clients/src/server-connection.ts
+++ b/packages/clients/src/server-connection.ts
@@ -79,13 +79,14 @@
     this.socket.resume()
   }
 
-  override _write (chunk: string | Uint8Array, encoding: BufferEncoding, callback: (err?: Error | null) => void): void {
-    this.socket.write(chunk, encoding, callback)
+  /** A failed write fails the socket as well, and what has arrived may still be read. */
+  override _write (chunk: string | Uint8Array, encoding: BufferEncoding, callback: () => void): void {
+    this.socket.write(chunk, encoding, () => callback())
   }
 
-  override _writev (chunks: { chunk: string | Uint8Array, encoding: BufferEncoding }[], callback: (err?: Error | null) => void): void {
+  override _writev (chunks: { chunk: string | Uint8Array, encoding: BufferEncoding }[], callback: () => void): void {
     this.socket.cork()
-    chunks.forEach(({ chunk, encoding }, index) => this.socket.write(chunk, encoding, index === chunks.length - 1 ? callback : undefined))
+    chunks.forEach(({ chunk, encoding }, index) => this.socket.write(chunk, encoding, index === chunks.length - 1 ? () => callback() : undefined))
     this.socket.uncork()
   }
 
--- a/packages/gateway/src/attempt.test.ts
+++ b/packages/gateway/src/attempt.test.ts
@@ -12,6 +12,10 @@
 
 /** Time in which what belongs to a request that was given up has ended, in ms. */
 const afterAbortMs = 200
+/** More than the buffers of two sockets take. */
+const uploadBytes = 12 * 1024 * 1024
+/** Uploads whose server resets the connection, each a ms later than the one before. */
+const resetUploads = 30
 
 type ConnectionHandler = (socket: Socket, requestText: string, count: number) => void
 
@@ -216,6 +220,21 @@
   assert.is(await left, 'ECONNRESET')
 })
 
+// Guards against a reset that undici learns of from a write, and takes for the end of the response.
+test('a response without a length fails when it is reset while the request is written', async () => {
+  for (let count = 0; count < resetUploads; count++) {
+    await listen(socket => {
+      socket.pause()
+      socket.write(head('r1', 'Connection: close\r\n') + 'part')
+      setTimeout(() => socket.resetAndDestroy(), count)
+    })
+    const result = await run('r1', { req: { method: 'POST', path: '/', headers: ['X-Id', 'r1'], body: Buffer.alloc(uploadBytes) } })
+    assert.is(result.type, 'failed', `reset after ${count} ms`)
+    upstream.close()
+    server.close()
+  }
+})
+
 for (const way of ['a link that is cut meanwhile', 'a relayed connection'] as const) {
   // Guards against a process that ends, with all its requests, because one client leaves a stream while the links of its node are cut.
   test(`a stream without a length on ${way} can be given up`, async () => {
