Judge the end of a server when it ends, not when the frame is written

By reading the change again: the last frame of a relayed response is written when all before it has been taken. To a node that reads late that may be long after the connection to the server was closed, and a closed socket has no remote port, so a regular end was told as one that has broken off.

--- a/packages/gateway/src/relay-server.test.ts
+++ b/packages/gateway/src/relay-server.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { request } from 'node:http'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { setImmediate as nextTurn } from 'node:timers/promises'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendServer } from './cluster-types'
@@ -16,6 +16,13 @@
 const maxTurns = 1000
 /** Connections that the server resets: whether data and reset are read together depends on the moment. */
 const resetAttempts = 20
+const pieceBytes = 8 * 1024
+/** Time in which the relay reads a piece, in ms. */
+const pieceGapMs = 1
+/** Pieces that the relay keeps while the node is blocked. */
+const piecesBehind = 3
+/** The last frame of a response whose server has ended its connection regularly. */
+const endFrame = Buffer.alloc(4)
 
 let relay: RelayServer
 let upstream: Server
@@ -106,6 +113,29 @@
   }
 })
 
+// Guards against a complete response that fails, because its end is judged when the connection to the server is long closed.
+test('a regular close of the server is told as one to a node that reads late', async () => {
+  await start()
+  const connections: Socket[] = []
+  relay.server.on('connection', socket => { connections.push(socket) })
+  const { socket } = await ask(undefined, true)
+  const server = accepted[0]!
+  const send = async (): Promise<void> => {
+    server.write(Buffer.alloc(pieceBytes, 'x'))
+    await sleep(pieceGapMs)
+  }
+  // Small pieces, so that the end of the server is read though the node is blocked.
+  while (!connections[0]!.writableNeedDrain) await send()
+  for (let count = 0; count < piecesBehind; count++) await send()
+  server.end()
+  server.resume()
+  await once(server, 'close')
+  let last = Buffer.alloc(0)
+  socket.on('data', (bytes: Buffer) => { last = Buffer.concat([last, bytes]).subarray(-endFrame.length) })
+  await once(socket, 'end')
+  assert.equal(last, endFrame)
+})
+
 test('a regular close of the server is passed on as one', async () => {
   await start()
   const { socket } = await ask()
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -50,10 +50,12 @@
 
 /** Passes the server's bytes on in frames, which say how it ends. */
 function passOnFramed (client: Socket, upstream: Socket): void {
-  let failed = false
-  const frames = createFrameWriter(() => failed || isReset(upstream))
+  let broken = false
+  const frames = createFrameWriter(() => broken)
+  // The last frame may be written much later, when the socket is closed.
+  upstream.on('end', () => { broken ||= isReset(upstream) })
   upstream.on('error', () => {
-    failed = true
+    broken = true
     frames.end()
   })
   upstream.pipe(frames).pipe(client)
