Reset no socket whose end is under way

Cause: shown by gdb and by a log of each destroy. The process spins while Node.js frees its handles: resetAndDestroy ends the socket first, and one whose end is already under way is reset at once, which fails with EINVAL and leaves the handle neither open nor closed. At a relaying node its own stop did this to connections whose server had just ended; a node that asks could do it by a timer, after a delay of its event loop.

Change: resetSocket closes such a socket, and leaves one alone whose end has begun when the timer comes. The relaying node and ServerConnection use it.

--- a/packages/clients/src/server-connection.test.ts
+++ b/packages/clients/src/server-connection.test.ts
@@ -1,9 +1,9 @@
 import { once } from 'node:events'
-import type { Socket } from 'node:net'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { Duplex } from 'node:stream'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { ConnectionBrokenError, ServerConnection } from './server-connection'
+import { ConnectionBrokenError, resetSocket, ServerConnection } from './server-connection'
 
 const test = suite('connections to servers')
 
@@ -47,4 +47,20 @@
   await ended
 })
 
+// Guards against a socket that keeps its descriptor, so that the process does not exit.
+test('a socket whose end is under way is closed when it is reset', async () => {
+  const server = createServer(socket => { socket.resume() })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  await once(socket, 'connect')
+  socket.on('error', err => { assert.unreachable(err.message) })
+  socket.end()
+  await Promise.resolve()
+  assert.equal([socket.writableLength, socket.writableFinished], [0, false])
+  const closed = once(socket, 'close')
+  resetSocket(socket)
+  await closed
+  server.close()
+})
+
 test.run()
--- a/packages/clients/src/server-connection.ts
+++ b/packages/clients/src/server-connection.ts
@@ -16,9 +16,20 @@
 /** Time in which a socket that is reset may write what it holds, in ms; one whose link is cut never does. */
 const resetMs = 100
 
-/** Resets the connection, so that nothing that waits on it reaches the server. Node.js ends the socket first. */
-function reset (socket: Socket): void {
-  const timer = setTimeout(() => { socket.destroy() }, resetMs)
+/**
+ * Resets the connection, so that nothing that waits on it reaches the other side.
+ *
+ * Node.js ends a socket before it resets it. One that is destroyed for a reset while its end is under way keeps its
+ * descriptor, and the process doesn't exit.
+ */
+export function resetSocket (socket: Socket): void {
+  if (socket.destroyed) return
+  const isEnding = (): boolean => socket.writableEnded && !socket.writableFinished && socket.writableLength === 0
+  if (isEnding()) {
+    socket.destroy()
+    return
+  }
+  const timer = setTimeout(() => { if (!isEnding()) socket.destroy() }, resetMs)
   socket.once('close', () => { clearTimeout(timer) })
   socket.resetAndDestroy()
 }
@@ -96,7 +107,7 @@
   }
 
   override _destroy (err: Error | null, callback: (err: Error | null) => void): void {
-    if (err !== null && !this.socket.destroyed && this.options.resets?.() === true) reset(this.socket)
+    if (err !== null && !this.socket.destroyed && this.options.resets?.() === true) resetSocket(this.socket)
     else this.socket.destroy()
     callback(err)
   }
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import { connect, type Socket } from 'node:net'
-import { sharedReads } from '@yuccawharf/clients'
+import { resetSocket, sharedReads } from '@yuccawharf/clients'
 import type { BackendServer } from './cluster-types'
 import type { DecisionLog } from './decision-log'
 import { createFrameWriter, relayedFramesHeader, relayedFramesVersion } from './relay-frames'
@@ -63,7 +63,7 @@
 
 /** Passes the server's bytes on to a node of an earlier build; a reset becomes a reset. */
 function passOnUnframed (client: Socket, upstream: Socket): void {
-  const breakOff = (): void => { client.resetAndDestroy() }
+  const breakOff = (): void => { resetSocket(client) }
   upstream.on('error', breakOff)
   // Comes before the pipe, which ends the other side at the same event.
   upstream.on('end', () => { if (isReset(upstream)) breakOff() })
@@ -131,7 +131,7 @@
     server,
     running: () => relayed.size,
     close () {
-      for (const client of relayed) client.resetAndDestroy()
+      for (const client of relayed) resetSocket(client)
     }
   }
 }
